--- /dev/null
+++ b/internal/batch/messages.go
@@ -0,0 +1,96 @@
+package batch
+
+import "github.com/hamba/avro/v2"
+
+// Methods of the peer protocol that coordinators answer.
+const (
+	MethodWork     = "batch.work"
+	MethodProgress = "batch.progress"
+	MethodNotify   = "batch.notify"
+)
+
+// WorkRequest asks a shard's coordinator for chunks.
+type WorkRequest struct {
+	Worker  string
+	Shard   int
+	Service string
+	Chunks  int
+}
+
+// WorkAnswer hands out chunks.
+type WorkAnswer struct {
+	Assignments []AssignmentMessage
+}
+
+// AssignmentMessage names a chunk and, in progress reports, what became of it.
+type AssignmentMessage struct {
+	Job      string
+	Chunk    int
+	Done     bool
+	Released bool
+}
+
+// ProgressReport tells a coordinator what a worker holds, has finished and
+// has released since its last report.
+type ProgressReport struct {
+	Worker      string
+	Shard       int
+	Assignments []AssignmentMessage
+}
+
+// ProgressAnswer names the reported jobs that do not run any more.
+type ProgressAnswer struct {
+	Ended []string
+}
+
+// JobNotice tells a coordinator that a job was created or cancelled.
+type JobNotice struct {
+	Job string
+}
+
+// Backlog is the gossip record of a shard's waiting chunks.
+type Backlog struct {
+	Services []ServiceBacklog
+}
+
+// ServiceBacklog counts the waiting chunks of one service.
+type ServiceBacklog struct {
+	Service string
+	Chunks  int
+}
+
+const assignmentsSchemaText = `{"type":"array","items":{"type":"record","name":"Assignment","fields":[
+	{"name":"Job","type":"string"},{"name":"Chunk","type":"int"},
+	{"name":"Done","type":"boolean"},{"name":"Released","type":"boolean"}]}}`
+
+var (
+	workRequestSchema = avro.MustParse(`{"type":"record","name":"WorkRequest","fields":[
+		{"name":"Worker","type":"string"},{"name":"Shard","type":"int"},
+		{"name":"Service","type":"string"},{"name":"Chunks","type":"int"}]}`)
+	workAnswerSchema = avro.MustParse(`{"type":"record","name":"WorkAnswer","fields":[
+		{"name":"Assignments","type":` + assignmentsSchemaText + `}]}`)
+	progressSchema = avro.MustParse(`{"type":"record","name":"ProgressReport","fields":[
+		{"name":"Worker","type":"string"},{"name":"Shard","type":"int"},
+		{"name":"Assignments","type":` + assignmentsSchemaText + `}]}`)
+	progressAnswerSchema = avro.MustParse(`{"type":"record","name":"ProgressAnswer","fields":[
+		{"name":"Ended","type":{"type":"array","items":"string"}}]}`)
+	noticeSchema  = avro.MustParse(`{"type":"record","name":"JobNotice","fields":[{"name":"Job","type":"string"}]}`)
+	backlogSchema = avro.MustParse(`{"type":"record","name":"Backlog","fields":[
+		{"name":"Services","type":{"type":"array","items":{"type":"record","name":"ServiceBacklog","fields":[
+			{"name":"Service","type":"string"},{"name":"Chunks","type":"int"}]}}}]}`)
+)
+
+// Schema implements peer.Message.
+func (WorkRequest) Schema() avro.Schema { return workRequestSchema }
+
+// Schema implements peer.Message.
+func (WorkAnswer) Schema() avro.Schema { return workAnswerSchema }
+
+// Schema implements peer.Message.
+func (ProgressReport) Schema() avro.Schema { return progressSchema }
+
+// Schema implements peer.Message.
+func (ProgressAnswer) Schema() avro.Schema { return progressAnswerSchema }
+
+// Schema implements peer.Message.
+func (JobNotice) Schema() avro.Schema { return noticeSchema }
--- /dev/null
+++ b/internal/batch/worker.go
@@ -0,0 +1,568 @@
+package batch
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"topazpulley/internal/cluster"
+	"topazpulley/internal/duty"
+	"topazpulley/internal/engine"
+	"topazpulley/internal/failure"
+	"topazpulley/internal/membership"
+	"topazpulley/internal/peer"
+	"topazpulley/internal/platform"
+)
+
+const (
+	segmentItems       = 64
+	segmentMaxAge      = 700 * time.Millisecond
+	commitPollInterval = 100 * time.Millisecond
+	fetchInterval      = 100 * time.Millisecond
+	reportInterval     = time.Second
+	peerCallTimeout    = 2 * time.Second
+	claimTimeout       = 10 * time.Second
+	commitTimeout      = 30 * time.Second
+	maxActiveChunks    = 64
+	maxHeldResults     = 20000
+	maxChunksPerCall   = 4
+	commitRetryPause   = 500 * time.Millisecond
+)
+
+// jobInfo is what a worker keeps of a job between chunks.
+type jobInfo struct {
+	job      Job
+	version  platform.Version
+	manifest Manifest
+}
+
+// Worker claims chunks for this daemon's engines, hands their items to the
+// supervisors and commits the results. mutex guards the fields below it.
+type Worker struct {
+	store     *Store
+	node      *cluster.Node
+	transport *peer.Transport
+	log       *slog.Logger
+
+	mutex    sync.Mutex
+	active   []*activeChunk
+	demand   map[string]int
+	backlog  map[int]shardBacklog
+	jobs     map[string]jobInfo
+	stopping bool
+	claiming int
+}
+
+// shardBacklog is a shard's announced backlog with the time it was heard.
+type shardBacklog struct {
+	backlog Backlog
+	at      time.Time
+}
+
+const backlogLifetime = 3 * backlogRefreshInterval
+
+// NewWorker makes a worker.
+func NewWorker(store *Store, node *cluster.Node, transport *peer.Transport, log *slog.Logger) *Worker {
+	return &Worker{
+		store: store, node: node, transport: transport, log: log,
+		demand: map[string]int{}, backlog: map[int]shardBacklog{}, jobs: map[string]jobInfo{},
+	}
+}
+
+// Receive is the membership subscriber that learns where work waits.
+func (w *Worker) Receive(event membership.Event) {
+	if event.Kind != membership.EventItem || len(event.Item.Key) < len(PrefixBacklog) || event.Item.Key[:len(PrefixBacklog)] != PrefixBacklog {
+		return
+	}
+	shard, backlog, err := DecodeBacklog(event.Item)
+	if err != nil {
+		return
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.backlog[shard] = shardBacklog{backlog: backlog, at: time.Now()}
+}
+
+// SetDemand states how many items of a service the daemon's engines could run
+// at once.
+func (w *Worker) SetDemand(service string, items int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.demand[service] = items
+}
+
+// Run fetches work and reports progress until the context ends.
+func (w *Worker) Run(ctx context.Context) {
+	go w.reportLoop(ctx)
+	ticker := time.NewTicker(fetchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			w.fetchAll(ctx)
+		}
+	}
+}
+
+// Take returns a waiting task of a service.
+func (w *Worker) Take(service string) (*Task, bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.stopping {
+		return nil, false
+	}
+	for _, chunk := range w.active {
+		if chunk.job.Service != service {
+			continue
+		}
+		if task, found := chunk.takeTask(); found {
+			return task, true
+		}
+	}
+	return nil, false
+}
+
+func (c *activeChunk) takeTask() (*Task, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.waiting) == 0 {
+		return nil, false
+	}
+	task := c.waiting[0]
+	c.waiting = c.waiting[1:]
+	return task, true
+}
+
+// GiveBack returns a task that did not finish; it goes first next time.
+func (w *Worker) GiveBack(task *Task) {
+	task.chunk.mutex.Lock()
+	defer task.chunk.mutex.Unlock()
+	if !task.chunk.lost {
+		task.chunk.waiting = slices.Insert(task.chunk.waiting, 0, task)
+	}
+}
+
+// Finish records a completed task.
+func (w *Worker) Finish(task *Task, end engine.Event) {
+	task.chunk.addResult(result{index: task.Index, line: successLine(task, task.Tokens, end)})
+}
+
+// Fail records a task that failed for good.
+func (w *Worker) Fail(task *Task, err error) {
+	task.chunk.addResult(result{index: task.Index, line: failureLine(task, err), failed: true})
+}
+
+// RecordIntent makes the dispatch of an item that may not be repeated durable.
+// Only after it has returned nil may the item be sent.
+func (w *Worker) RecordIntent(ctx context.Context, task *Task, intent Intent) error {
+	chunk := task.chunk
+	chunk.storeMutex.Lock()
+	defer chunk.storeMutex.Unlock()
+	bounded, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	next, err := w.store.RecordIntents(bounded, chunk.held(), []Intent{intent})
+	if err == nil {
+		chunk.setState(next)
+		return nil
+	}
+	if isLost(err) {
+		w.lose(chunk, err)
+	}
+	return err
+}
+
+func (c *activeChunk) setState(next HeldChunk) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.state = next
+}
+
+func isLost(err error) bool {
+	return failure.HasCode(err, CodeStaleEpoch) || failure.HasCode(err, CodeJobEnded)
+}
+
+func (w *Worker) lose(chunk *activeChunk, reason error) {
+	w.log.Info("chunk_lost", "job", chunk.job.ID, "chunk", chunk.number, "reason", reason)
+	chunk.lose()
+}
+
+// fetchAll asks for chunks of every service that could run more.
+func (w *Worker) fetchAll(ctx context.Context) {
+	for service, wanted := range w.shortage() {
+		shard, found := w.chooseShard(service)
+		if !found {
+			continue
+		}
+		w.fetch(ctx, shard, service, wanted)
+	}
+}
+
+// shortage returns by service how many chunks to ask for.
+func (w *Worker) shortage() map[string]int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	short := map[string]int{}
+	isFull := len(w.active)+w.claiming >= maxActiveChunks || w.heldResults() > maxHeldResults
+	if w.stopping || isFull {
+		return short
+	}
+	for service, demand := range w.demand {
+		if waiting := w.waitingItems(service); demand > 0 && waiting < demand {
+			short[service] = min(max(demand/minChunkSize, 1), maxChunksPerCall)
+		}
+	}
+	return short
+}
+
+// heldResults counts results that are not committed. mutex is held.
+func (w *Worker) heldResults() int {
+	count := 0
+	for _, chunk := range w.active {
+		chunk.mutex.Lock()
+		count += len(chunk.results)
+		chunk.mutex.Unlock()
+	}
+	return count
+}
+
+// waitingItems counts waiting tasks of a service. mutex is held.
+func (w *Worker) waitingItems(service string) int {
+	count := 0
+	for _, chunk := range w.active {
+		if chunk.job.Service != service {
+			continue
+		}
+		chunk.mutex.Lock()
+		count += len(chunk.waiting)
+		chunk.mutex.Unlock()
+	}
+	return count
+}
+
+// chooseShard picks a shard at random in proportion to its backlog.
+func (w *Worker) chooseShard(service string) (int, bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	total := 0
+	chosen, found := 0, false
+	for shard, heard := range w.backlog {
+		if time.Since(heard.at) > backlogLifetime {
+			delete(w.backlog, shard)
+			continue
+		}
+		chunks := heard.backlog.chunksOf(service)
+		total += chunks
+		if chunks > 0 && rand.IntN(total) < chunks {
+			chosen, found = shard, true
+		}
+	}
+	return chosen, found
+}
+
+func (b Backlog) chunksOf(service string) int {
+	for _, entry := range b.Services {
+		if entry.Service == service {
+			return entry.Chunks
+		}
+	}
+	return 0
+}
+
+func (w *Worker) fetch(ctx context.Context, shard int, service string, chunks int) {
+	bounded, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	self := w.node.Self().Name
+	owner, known := w.node.Member(duty.Owner(ShardDuty(shard), w.node.AllNames()))
+	if !known {
+		return
+	}
+	request := WorkRequest{Worker: self, Shard: shard, Service: service, Chunks: chunks}
+	answer, err := peer.Call[WorkRequest, WorkAnswer](bounded, w.transport, owner.Address, MethodWork, request)
+	if err != nil {
+		w.log.Debug("work_request_failed", "shard", shard, "coordinator", owner.Name, "error", err)
+		return
+	}
+	if len(answer.Assignments) == 0 {
+		w.forgetBacklog(shard, service)
+	}
+	for _, assignment := range answer.Assignments {
+		w.countClaim(1)
+		go w.claim(ctx, Assignment{Job: assignment.Job, Chunk: assignment.Chunk})
+	}
+}
+
+// forgetBacklog corrects an announcement that has proved to be outdated.
+func (w *Worker) forgetBacklog(shard int, service string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	heard := w.backlog[shard]
+	heard.backlog.Services = slices.DeleteFunc(slices.Clone(heard.backlog.Services), func(entry ServiceBacklog) bool { return entry.Service == service })
+	w.backlog[shard] = heard
+}
+
+func (w *Worker) countClaim(change int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.claiming += change
+}
+
+func (w *Worker) claim(ctx context.Context, assignment Assignment) {
+	defer w.countClaim(-1)
+	bounded, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	chunk, err := w.tryClaim(bounded, ctx, assignment)
+	if err != nil {
+		w.log.Info("chunk_claim_failed", "job", assignment.Job, "chunk", assignment.Chunk, "error", err)
+		w.forgetJob(assignment.Job)
+		w.report(ctx, ShardOf(assignment.Job), []AssignmentMessage{{Job: assignment.Job, Chunk: assignment.Chunk, Released: true}})
+		return
+	}
+	w.mutex.Lock()
+	w.active = append(w.active, chunk)
+	w.mutex.Unlock()
+	if !chunk.done {
+		go w.commitLoop(ctx, chunk)
+	}
+}
+
+func (w *Worker) tryClaim(bounded, lifetime context.Context, assignment Assignment) (*activeChunk, error) {
+	info, err := w.jobInfo(bounded, assignment.Job)
+	if err != nil {
+		return nil, err
+	}
+	items, err := w.store.ChunkInput(bounded, info.job, info.manifest, assignment.Chunk)
+	if err != nil {
+		return nil, err
+	}
+	held, err := w.store.Claim(bounded, info.job, info.version, assignment.Chunk, w.node.Self().Name)
+	if err != nil {
+		return nil, err
+	}
+	return newActiveChunk(lifetime, info.job, held, items), nil
+}
+
+func newActiveChunk(ctx context.Context, job Job, held HeldChunk, items []Item) *activeChunk {
+	chunk := &activeChunk{job: job, number: held.Chunk.Number, state: held, wake: make(chan struct{}, 1), done: held.Chunk.Done}
+	chunk.context, chunk.cancel = context.WithCancel(ctx)
+	for _, index := range held.Chunk.Remaining() {
+		task := &Task{chunk: chunk, Index: index, Item: items[index]}
+		if intent, exists := held.Chunk.IntentFor(index); exists {
+			task.Earlier = &intent
+		}
+		chunk.waiting = append(chunk.waiting, task)
+	}
+	chunk.left = len(chunk.waiting)
+	return chunk
+}
+
+func (w *Worker) jobInfo(ctx context.Context, id string) (jobInfo, error) {
+	w.mutex.Lock()
+	info, known := w.jobs[id]
+	w.mutex.Unlock()
+	if known {
+		return info, nil
+	}
+	job, version, err := w.store.Job(ctx, id)
+	if err != nil {
+		return info, err
+	}
+	if job.State != StateRunning {
+		return info, failure.New(failure.KindConflict, CodeJobEnded, "job %s does not run any more", id)
+	}
+	manifest, err := w.store.Manifest(ctx, job)
+	if err != nil {
+		return info, err
+	}
+	info = jobInfo{job: job, version: version, manifest: manifest}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.jobs[id] = info
+	return info, nil
+}
+
+func (w *Worker) forgetJob(id string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	delete(w.jobs, id)
+}
+
+// commitLoop commits a chunk's results in segments until all are committed or
+// the chunk is lost. While the platform is down, results wait in memory.
+func (w *Worker) commitLoop(ctx context.Context, chunk *activeChunk) {
+	ticker := time.NewTicker(commitPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-chunk.context.Done():
+			return
+		case <-chunk.wake:
+		case <-ticker.C:
+		}
+		for w.commitOnce(ctx, chunk) {
+			continue
+		}
+		if chunk.assignment().Done {
+			return
+		}
+	}
+}
+
+// commitOnce commits what is due and reports whether it did.
+func (w *Worker) commitOnce(ctx context.Context, chunk *activeChunk) bool {
+	chunk.storeMutex.Lock()
+	defer chunk.storeMutex.Unlock()
+	due := chunk.takeResults(time.Now())
+	if len(due) == 0 {
+		return false
+	}
+	segment := Segment{Sequence: chunk.sequence}
+	lines := make([][]byte, 0, len(due))
+	for _, one := range due {
+		segment.Items = append(segment.Items, one.index)
+		lines = append(lines, one.line)
+		if one.failed {
+			segment.Failed++
+		}
+	}
+	bounded, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	next, err := w.store.Commit(bounded, chunk.held(), segment, lines)
+	if err == nil {
+		chunk.committed(next, len(due))
+		return true
+	}
+	if isLost(err) {
+		w.lose(chunk, err)
+		return false
+	}
+	w.log.Warn("commit_delayed", "job", chunk.job.ID, "chunk", chunk.number, "results", len(due), "error", err)
+	select {
+	case <-ctx.Done():
+	case <-time.After(commitRetryPause):
+	}
+	return false
+}
+
+func (c *activeChunk) committed(next HeldChunk, count int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.state = next
+	c.sequence++
+	c.committing = 0
+	if count <= len(c.results) {
+		c.results = slices.Clone(c.results[count:])
+	}
+	c.oldest = time.Now()
+	c.done = next.Chunk.Done
+}
+
+func (w *Worker) reportLoop(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			w.reportAll(ctx)
+		}
+	}
+}
+
+// reportAll tells every coordinator concerned what this worker holds, then
+// forgets what is done or lost and was heard.
+func (w *Worker) reportAll(ctx context.Context) {
+	byShard := map[int][]AssignmentMessage{}
+	w.mutex.Lock()
+	for _, chunk := range w.active {
+		shard := ShardOf(chunk.job.ID)
+		byShard[shard] = append(byShard[shard], chunk.assignment())
+	}
+	w.mutex.Unlock()
+	for shard, messages := range byShard {
+		if w.report(ctx, shard, messages) {
+			w.forgetEnded(messages)
+		}
+	}
+}
+
+func (w *Worker) report(ctx context.Context, shard int, messages []AssignmentMessage) bool {
+	bounded, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	owner, known := w.node.Member(duty.Owner(ShardDuty(shard), w.node.AllNames()))
+	if !known {
+		return false
+	}
+	report := ProgressReport{Worker: w.node.Self().Name, Shard: shard, Assignments: messages}
+	answer, err := peer.Call[ProgressReport, ProgressAnswer](bounded, w.transport, owner.Address, MethodProgress, report)
+	if err != nil {
+		return false
+	}
+	for _, job := range answer.Ended {
+		w.dropIfEnded(bounded, job)
+	}
+	return true
+}
+
+// dropIfEnded drops a job's chunks after reading that it has ended; a new
+// coordinator may merely not have found the job yet.
+func (w *Worker) dropIfEnded(ctx context.Context, job string) {
+	present, _, err := w.store.Job(ctx, job)
+	if err != nil || present.State == StateRunning {
+		return
+	}
+	w.forgetJob(job)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, chunk := range w.active {
+		if chunk.job.ID == job && !chunk.assignment().Done {
+			w.lose(chunk, failure.New(failure.KindCancelled, CodeJobEnded, "the job has ended"))
+		}
+	}
+}
+
+func (w *Worker) forgetEnded(messages []AssignmentMessage) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, message := range messages {
+		if !message.Done && !message.Released {
+			continue
+		}
+		w.active = slices.DeleteFunc(w.active, func(chunk *activeChunk) bool {
+			return chunk.job.ID == message.Job && chunk.number == message.Chunk
+		})
+	}
+}
+
+// Stop takes no more work, commits finished results and releases the chunks
+// that are not done, so that others go on at once.
+func (w *Worker) Stop(ctx context.Context) {
+	w.mutex.Lock()
+	w.stopping = true
+	active := slices.Clone(w.active)
+	w.mutex.Unlock()
+	for _, chunk := range active {
+		chunk.mutex.Lock()
+		chunk.oldest = time.Time{}
+		chunk.mutex.Unlock()
+		w.commitOnce(ctx, chunk)
+		if !chunk.assignment().Done {
+			chunk.lose()
+		}
+	}
+	w.reportAll(ctx)
+}
+
+// Held returns the number of chunks that this worker holds.
+func (w *Worker) Held() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return len(w.active)
+}
--- /dev/null
+++ b/internal/emulator/platform.go
@@ -0,0 +1,346 @@
+// Package emulator holds stand-ins for the outside systems: the platform's
+// services and the engines. They speak the same protocols over HTTP and have
+// faults that tests and experiments switch while they run.
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/btree"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"topazpulley/internal/platform"
+	"topazpulley/internal/settings"
+)
+
+// PlatformFaults are the switchable faults of the emulated platform.
+type PlatformFaults struct {
+	// Down makes every call fail without effect.
+	Down bool `json:"down"`
+	// Latency is added to every call.
+	Latency settings.Duration `json:"latency"`
+	// LoseAnswerShare is the share of writes, 0 to 1, that take effect and
+	// whose answer is lost.
+	LoseAnswerShare float64 `json:"lose_answer_share"`
+	// OperationsPerSecond limits calls; 0 means no limit.
+	OperationsPerSecond float64 `json:"operations_per_second"`
+	// MachineListLag delays changes of the machine list.
+	MachineListLag settings.Duration `json:"machine_list_lag"`
+}
+
+// Platform is the emulated platform.
+type Platform struct {
+	mutex    sync.Mutex
+	faults   PlatformFaults
+	limiter  *rate.Limiter
+	rows     *btree.BTreeG[platform.Row]
+	version  platform.Version
+	objects  map[string][]byte
+	machines []machineChange
+	calls    uint64
+}
+
+// machineChange is a machine state with the time it became true.
+type machineChange struct {
+	machine platform.Machine
+	removed bool
+	at      time.Time
+}
+
+const (
+	tableDegree       = 32
+	maxScanRows       = 1000
+	platformBodyLimit = 256 << 20
+	// PathPlatformFaults reads and sets PlatformFaults.
+	PathPlatformFaults = "/emulator/faults"
+	// PathPlatformMachine adds or changes a machine (PUT) or removes it (DELETE).
+	PathPlatformMachine = "/emulator/machine"
+	// PathPlatformCalls reads the number of calls served.
+	PathPlatformCalls = "/emulator/calls"
+)
+
+// NewPlatform returns an empty platform without faults.
+func NewPlatform() *Platform {
+	return &Platform{
+		rows:    btree.NewG(tableDegree, func(a, b platform.Row) bool { return a.Key < b.Key }),
+		objects: map[string][]byte{},
+	}
+}
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(faults PlatformFaults) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.faults = faults
+	p.limiter = nil
+	if faults.OperationsPerSecond > 0 {
+		p.limiter = rate.NewLimiter(rate.Limit(faults.OperationsPerSecond), int(faults.OperationsPerSecond)+1)
+	}
+}
+
+// SetMachine adds or changes a machine.
+func (p *Platform) SetMachine(machine platform.Machine) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.machines = append(p.machines, machineChange{machine: machine, at: time.Now()})
+}
+
+// RemoveMachine removes a machine by name.
+func (p *Platform) RemoveMachine(name string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.machines = append(p.machines, machineChange{machine: platform.Machine{Name: name}, removed: true, at: time.Now()})
+}
+
+// Calls returns how many calls the platform has served.
+func (p *Platform) Calls() uint64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.calls
+}
+
+// Serve answers on the listener until it is closed.
+func (p *Platform) Serve(listener net.Listener) error {
+	server := &fasthttp.Server{Handler: p.handle, MaxRequestBodySize: platformBodyLimit, NoDefaultServerHeader: true}
+	return server.Serve(listener)
+}
+
+func (p *Platform) handle(call *fasthttp.RequestCtx) {
+	path := string(call.Path())
+	if strings.HasPrefix(path, "/emulator/") {
+		p.handleControl(call, path)
+		return
+	}
+	faults, limited := p.admit()
+	if faults.Latency > 0 {
+		time.Sleep(time.Duration(faults.Latency))
+	}
+	if faults.Down {
+		call.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	if limited {
+		call.SetStatusCode(fasthttp.StatusTooManyRequests)
+		return
+	}
+	p.handleService(call, path)
+	isWrite := !call.IsGet()
+	if isWrite && rand.Float64() < faults.LoseAnswerShare {
+		call.Response.Reset()
+		call.SetStatusCode(fasthttp.StatusGatewayTimeout)
+	}
+}
+
+func (p *Platform) admit() (PlatformFaults, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.calls++
+	limited := p.limiter != nil && !p.limiter.Allow()
+	return p.faults, limited
+}
+
+func (p *Platform) handleControl(call *fasthttp.RequestCtx, path string) {
+	switch path {
+	case PathPlatformFaults:
+		faults := PlatformFaults{}
+		if !decodeBody(call, &faults) {
+			return
+		}
+		p.SetFaults(faults)
+	case PathPlatformMachine:
+		machine := platform.Machine{}
+		if !decodeBody(call, &machine) {
+			return
+		}
+		if call.IsDelete() {
+			p.RemoveMachine(machine.Name)
+			return
+		}
+		p.SetMachine(machine)
+	case PathPlatformCalls:
+		writeJSON(call, p.Calls())
+	default:
+		call.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (p *Platform) handleService(call *fasthttp.RequestCtx, path string) {
+	query := call.QueryArgs()
+	switch {
+	case path == platform.PathTransact:
+		transaction := platform.Transaction{}
+		if decodeBody(call, &transaction) {
+			writeJSON(call, p.Transact(transaction))
+		}
+	case path == platform.PathRow:
+		writeJSON(call, p.row(string(query.Peek("key"))))
+	case path == platform.PathScan:
+		limit, _ := strconv.Atoi(string(query.Peek("limit")))
+		writeJSON(call, p.scan(platform.ScanRequest{
+			Prefix:  string(query.Peek("prefix")),
+			After:   string(query.Peek("after")),
+			Limit:   limit,
+			Reverse: string(query.Peek("reverse")) == "true",
+		}))
+	case strings.HasPrefix(path, platform.PathObjects):
+		p.handleObject(call, strings.TrimPrefix(path, platform.PathObjects))
+	case path == platform.PathMachines:
+		writeJSON(call, p.machineList(time.Now()))
+	default:
+		call.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// Transact applies a transaction atomically.
+func (p *Platform) Transact(transaction platform.Transaction) platform.TransactionResult {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	conflicts := []platform.Row{}
+	for _, condition := range transaction.Conditions {
+		present, _ := p.rows.Get(platform.Row{Key: condition.Key})
+		present.Key = condition.Key
+		if present.Version != condition.Version {
+			conflicts = append(conflicts, present)
+		}
+	}
+	if len(conflicts) > 0 {
+		return platform.TransactionResult{Conflicts: conflicts}
+	}
+	p.version++
+	for _, write := range transaction.Writes {
+		if write.Delete {
+			p.rows.Delete(platform.Row{Key: write.Key})
+			continue
+		}
+		p.rows.ReplaceOrInsert(platform.Row{Key: write.Key, Value: write.Value, Version: p.version, OperationID: transaction.OperationID})
+	}
+	return platform.TransactionResult{Committed: true, Version: p.version}
+}
+
+func (p *Platform) row(key string) platform.Row {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	row, _ := p.rows.Get(platform.Row{Key: key})
+	row.Key = key
+	return row
+}
+
+func (p *Platform) scan(request platform.ScanRequest) []platform.Row {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	limit := min(max(request.Limit, 1), maxScanRows)
+	found := []platform.Row{}
+	collect := func(row platform.Row) bool {
+		if !strings.HasPrefix(row.Key, request.Prefix) {
+			return false
+		}
+		if row.Key != request.After {
+			found = append(found, row)
+		}
+		return len(found) < limit
+	}
+	if request.Reverse {
+		start := request.Prefix + "\xff"
+		if request.After != "" {
+			start = request.After
+		}
+		p.rows.DescendLessOrEqual(platform.Row{Key: start}, collect)
+		return found
+	}
+	start := max(request.Prefix, request.After)
+	p.rows.AscendGreaterOrEqual(platform.Row{Key: start}, collect)
+	return found
+}
+
+func (p *Platform) handleObject(call *fasthttp.RequestCtx, name string) {
+	if call.IsPut() {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		if _, exists := p.objects[name]; !exists {
+			p.objects[name] = append([]byte(nil), call.PostBody()...)
+		}
+		return
+	}
+	p.mutex.Lock()
+	content, exists := p.objects[name]
+	p.mutex.Unlock()
+	if !exists {
+		call.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	byteRange := call.Request.Header.Peek("Range")
+	if len(byteRange) == 0 {
+		call.SetBody(content)
+		return
+	}
+	start, end, err := fasthttp.ParseByteRange(byteRange, len(content))
+	if err != nil {
+		call.SetStatusCode(fasthttp.StatusRequestedRangeNotSatisfiable)
+		return
+	}
+	call.SetStatusCode(fasthttp.StatusPartialContent)
+	call.SetBody(content[start : end+1])
+}
+
+// machineList replays the changes that are older than the lag.
+func (p *Platform) machineList(now time.Time) []platform.Machine {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	visible := map[string]platform.Machine{}
+	horizon := now.Add(-time.Duration(p.faults.MachineListLag))
+	for _, change := range p.machines {
+		if change.at.After(horizon) {
+			continue
+		}
+		if change.removed {
+			delete(visible, change.machine.Name)
+			continue
+		}
+		visible[change.machine.Name] = change.machine
+	}
+	list := make([]platform.Machine, 0, len(visible))
+	for _, machine := range visible {
+		list = append(list, machine)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].Name < list[b].Name })
+	return list
+}
+
+func decodeBody(call *fasthttp.RequestCtx, target any) bool {
+	if err := json.Unmarshal(call.PostBody(), target); err != nil {
+		call.Error(err.Error(), fasthttp.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(call *fasthttp.RequestCtx, value any) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		call.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	call.SetContentType("application/json")
+	call.SetBody(encoded)
+}
+
+// sleepFor waits or returns early when the context ends.
+func sleepFor(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,385 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Outcome says what is known of an attempt that did not answer whole.
+type Outcome int
+
+// The outcomes of a failed attempt.
+const (
+	// OutcomeNotRun promises that the engine did not start the work: no byte
+	// went out or the engine refused. The work may be sent anywhere.
+	OutcomeNotRun Outcome = iota + 1
+	// OutcomeUnknown means that the work was sent and its end is not known.
+	OutcomeUnknown
+	// OutcomeInvalid means that the engine rejected the request as wrong;
+	// it did not run and will not run elsewhere.
+	OutcomeInvalid
+)
+
+// AttemptError is the failure of one attempt on one engine.
+type AttemptError struct {
+	Outcome Outcome
+	// Code is the engine's refusal code or one of the Code constants.
+	Code  string
+	cause error
+}
+
+// Codes of attempts that failed without a refusal.
+const (
+	CodeConnect    = "connect_failed"
+	CodeBroken     = "stream_broken"
+	CodeStalled    = "stream_stalled"
+	CodeWrongID    = "wrong_attempt_id"
+	CodeIncomplete = "incomplete_answer"
+	CodeAbandoned  = "abandoned"
+	CodeForgotten  = "attempt_forgotten"
+)
+
+// Error implements error.
+func (e *AttemptError) Error() string {
+	if e.cause == nil {
+		return "engine attempt: " + e.Code
+	}
+	return "engine attempt: " + e.Code + ": " + e.cause.Error()
+}
+
+// Unwrap returns the cause, or nil.
+func (e *AttemptError) Unwrap() error { return e.cause }
+
+// OutcomeOf returns the outcome that an error of this package stands for;
+// any other error leaves the outcome unknown.
+func OutcomeOf(err error) Outcome {
+	var attempt *AttemptError
+	if errors.As(err, &attempt) {
+		return attempt.Outcome
+	}
+	return OutcomeUnknown
+}
+
+// CodeOf returns the code of an AttemptError, or "".
+func CodeOf(err error) string {
+	var attempt *AttemptError
+	if errors.As(err, &attempt) {
+		return attempt.Code
+	}
+	return ""
+}
+
+// dialError marks failures before any byte was sent.
+type dialError struct{ cause error }
+
+func (e *dialError) Error() string { return e.cause.Error() }
+func (e *dialError) Unwrap() error { return e.cause }
+
+const (
+	dialTimeout       = 500 * time.Millisecond
+	controlTimeout    = 2 * time.Second
+	maxStreamSeconds  = 900
+	maxConnsPerEngine = 1024
+	eventQueueLength  = 64
+	maxEventLineBytes = 1 << 20
+	dataPrefix        = "data: "
+)
+
+// Client calls engines over HTTP.
+type Client struct {
+	http *fasthttp.Client
+	// StallTimeout bounds the time between two events of a stream.
+	StallTimeout time.Duration
+}
+
+// NewClient returns a client whose streams fail after stallTimeout without an
+// event.
+func NewClient(stallTimeout time.Duration) *Client {
+	return &Client{
+		StallTimeout: stallTimeout,
+		http: &fasthttp.Client{
+			MaxConnsPerHost:           maxConnsPerEngine,
+			MaxIdemponentCallAttempts: 1,
+			NoDefaultUserAgentHeader:  true,
+			StreamResponseBody:        true,
+			Dial: func(address string) (net.Conn, error) {
+				connection, err := net.DialTimeout("tcp", address, dialTimeout)
+				if err != nil {
+					return nil, &dialError{cause: err}
+				}
+				return connection, nil
+			},
+		},
+	}
+}
+
+func sendFailure(err error) error {
+	var dial *dialError
+	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return &AttemptError{Outcome: OutcomeNotRun, Code: CodeConnect, cause: err}
+	}
+	return &AttemptError{Outcome: OutcomeUnknown, Code: CodeBroken, cause: err}
+}
+
+// Stream is a running generation. It is used by one goroutine.
+type Stream struct {
+	client    *Client
+	address   string
+	attemptID string
+	next      int
+	events    chan Event
+	readError error
+	finished  bool
+}
+
+// Generate sends the request and returns its stream.
+func (c *Client) Generate(ctx context.Context, address string, request GenerateRequest) (*Stream, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, &AttemptError{Outcome: OutcomeInvalid, Code: RefusalBadRequest, cause: err}
+	}
+	return c.open(ctx, address, request.AttemptID, len(request.Continue), fasthttp.MethodPost, PathGenerate, body)
+}
+
+// Resume attaches to an attempt that the engine holds, from a token index on.
+func (c *Client) Resume(ctx context.Context, address, attemptID string, from int) (*Stream, error) {
+	path := PathAttempts + attemptID + "?from=" + strconv.Itoa(from)
+	return c.open(ctx, address, attemptID, from, fasthttp.MethodGet, path, nil)
+}
+
+func (c *Client) open(ctx context.Context, address, attemptID string, from int, method, path string, body []byte) (*Stream, error) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + address + path)
+	request.SetBodyRaw(body)
+	if err := c.http.DoDeadline(request, response, streamDeadline(ctx)); err != nil {
+		fasthttp.ReleaseResponse(response)
+		return nil, sendFailure(err)
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		defer fasthttp.ReleaseResponse(response)
+		return nil, refusalFailure(response)
+	}
+	stream := &Stream{client: c, address: address, attemptID: attemptID, next: from, events: make(chan Event, eventQueueLength)}
+	go stream.read(response)
+	return stream, nil
+}
+
+func streamDeadline(ctx context.Context) time.Time {
+	if deadline, set := ctx.Deadline(); set {
+		return deadline
+	}
+	return time.Now().Add(maxStreamSeconds * time.Second)
+}
+
+func refusalFailure(response *fasthttp.Response) error {
+	content, _ := io.ReadAll(io.LimitReader(response.BodyStream(), maxEventLineBytes))
+	refusal := Refusal{}
+	if json.Unmarshal(content, &refusal) != nil || refusal.Code == "" {
+		if response.StatusCode() == fasthttp.StatusNotFound {
+			return &AttemptError{Outcome: OutcomeUnknown, Code: CodeForgotten}
+		}
+		return &AttemptError{Outcome: OutcomeUnknown, Code: CodeBroken}
+	}
+	switch refusal.Code {
+	case RefusalAttemptExists:
+		return &AttemptError{Outcome: OutcomeUnknown, Code: refusal.Code}
+	case RefusalBadRequest:
+		return &AttemptError{Outcome: OutcomeInvalid, Code: refusal.Code}
+	}
+	return &AttemptError{Outcome: OutcomeNotRun, Code: refusal.Code}
+}
+
+// read moves events from the response to the channel and closes it at the end.
+func (s *Stream) read(response *fasthttp.Response) {
+	defer fasthttp.ReleaseResponse(response)
+	defer close(s.events)
+	s.readError = DecodeEvents(response.BodyStream(), func(event Event) { s.events <- event })
+}
+
+// DecodeEvents reads server-sent events until the input ends. It returns nil
+// at a clean end of input.
+func DecodeEvents(input io.Reader, deliver func(Event)) error {
+	scanner := bufio.NewScanner(input)
+	scanner.Buffer(make([]byte, 0, 4096), maxEventLineBytes)
+	for scanner.Scan() {
+		line := scanner.Bytes()
+		if len(line) < len(dataPrefix) || string(line[:len(dataPrefix)]) != dataPrefix {
+			continue
+		}
+		event := Event{}
+		if err := json.Unmarshal(line[len(dataPrefix):], &event); err != nil {
+			return errors.WithStack(err)
+		}
+		deliver(event)
+	}
+	return errors.WithStack(scanner.Err())
+}
+
+// Next returns the next event. The event with End set is the last one; an
+// answer without it, with another attempt's id or with a gap is an error.
+func (s *Stream) Next(ctx context.Context) (Event, error) {
+	stall := time.NewTimer(s.client.StallTimeout)
+	defer stall.Stop()
+	select {
+	case event, open := <-s.events:
+		if !open {
+			s.finished = true
+			return Event{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete, cause: s.readError}
+		}
+		return s.check(event)
+	case <-stall.C:
+		return Event{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeStalled}
+	case <-ctx.Done():
+		return Event{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeAbandoned, cause: ctx.Err()}
+	}
+}
+
+func (s *Stream) check(event Event) (Event, error) {
+	if event.AttemptID != s.attemptID {
+		return Event{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeWrongID}
+	}
+	if event.End {
+		s.finished = true
+		if event.Count != s.next {
+			return Event{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete}
+		}
+		return event, nil
+	}
+	if event.Index != s.next {
+		return Event{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete}
+	}
+	s.next++
+	return event, nil
+}
+
+// Close ends the stream. An unfinished generation is cancelled on the engine
+// in the background.
+func (s *Stream) Close() {
+	if !s.finished {
+		go s.client.Cancel(s.address, s.attemptID)
+	}
+	go drain(s.events)
+}
+
+// drain lets the reader run to the end of its input, so that the connection
+// is clean again before it is reused.
+func drain(events <-chan Event) {
+	for range events {
+		continue
+	}
+}
+
+// Cancel tells the engine to stop an attempt. It reports whether the engine
+// answered.
+func (c *Client) Cancel(address, attemptID string) bool {
+	status, _, err := c.control(address, fasthttp.MethodDelete, PathAttempts+attemptID, nil, time.Now().Add(controlTimeout))
+	return err == nil && status == fasthttp.StatusOK
+}
+
+// Load reads the engine's load report.
+func (c *Client) Load(address string, timeout time.Duration) (LoadReport, error) {
+	report := LoadReport{}
+	_, body, err := c.control(address, fasthttp.MethodGet, PathLoad, nil, time.Now().Add(timeout))
+	if err != nil {
+		return report, sendFailure(err)
+	}
+	if err := json.Unmarshal(body, &report); err != nil {
+		return report, sendFailure(err)
+	}
+	return report, nil
+}
+
+// Order sends a fenced order. A stale fence is an AttemptError with
+// RefusalStaleFence.
+func (c *Client) Order(address string, order Order) error {
+	encoded, err := json.Marshal(order)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	status, body, err := c.control(address, fasthttp.MethodPost, PathOrders, encoded, time.Now().Add(controlTimeout))
+	if err != nil {
+		return sendFailure(err)
+	}
+	if status == fasthttp.StatusOK {
+		return nil
+	}
+	refusal := Refusal{}
+	_ = json.Unmarshal(body, &refusal)
+	return &AttemptError{Outcome: OutcomeNotRun, Code: refusal.Code}
+}
+
+func (c *Client) control(address, method, path string, body []byte, deadline time.Time) (int, []byte, error) {
+	request := fasthttp.AcquireRequest()
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + address + path)
+	request.SetBodyRaw(body)
+	if err := c.http.DoDeadline(request, response, deadline); err != nil {
+		return 0, nil, errors.WithStack(err)
+	}
+	content, err := readBody(response)
+	return response.StatusCode(), content, err
+}
+
+func readBody(response *fasthttp.Response) ([]byte, error) {
+	if stream := response.BodyStream(); stream != nil {
+		content, err := io.ReadAll(stream)
+		return content, errors.WithStack(err)
+	}
+	return append([]byte(nil), response.Body()...), nil
+}
+
+// CallRequest is one request to a plain service.
+type CallRequest struct {
+	AttemptID string
+	Method    string
+	Path      string
+	Body      []byte
+}
+
+// CallAnswer is the answer of a plain service.
+type CallAnswer struct {
+	ContentType string
+	Body        []byte
+}
+
+// Call sends a request to a plain service. The answer must echo the attempt.
+func (c *Client) Call(ctx context.Context, address string, call CallRequest) (CallAnswer, error) {
+	request := fasthttp.AcquireRequest()
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + address + PathCall)
+	request.Header.Set(HeaderAttempt, call.AttemptID)
+	request.Header.Set(HeaderPath, call.Path)
+	request.Header.Set(HeaderMethod, call.Method)
+	request.SetBodyRaw(call.Body)
+	if err := c.http.DoDeadline(request, response, streamDeadline(ctx)); err != nil {
+		return CallAnswer{}, sendFailure(err)
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return CallAnswer{}, refusalFailure(response)
+	}
+	content, err := readBody(response)
+	if err != nil {
+		return CallAnswer{}, sendFailure(err)
+	}
+	if string(response.Header.Peek(HeaderAttempt)) != call.AttemptID {
+		return CallAnswer{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeWrongID}
+	}
+	return CallAnswer{ContentType: string(response.Header.ContentType()), Body: content}, nil
+}
--- /dev/null
+++ b/internal/gateway/files.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"topazpulley/internal/batch"
+	"topazpulley/internal/failure"
+)
+
+const (
+	fileTimeout      = 2 * time.Minute
+	outputFilePrefix = "output-"
+	errorFilePrefix  = "errors-"
+	contentSuffix    = "/content"
+	purposeBatch     = "batch"
+)
+
+// fileObject is the OpenAI description of a file.
+type fileObject struct {
+	ID        string `json:"id"`
+	Object    string `json:"object"`
+	Bytes     int    `json:"bytes"`
+	CreatedAt int64  `json:"created_at"`
+	Filename  string `json:"filename"`
+	Purpose   string `json:"purpose"`
+}
+
+// files handles uploads and reads. It returns true when a stream writer has
+// taken over.
+func (c *caller) files(rest string) bool {
+	switch {
+	case rest == "" && c.call.IsPost():
+		c.uploadFile()
+	case strings.HasSuffix(rest, contentSuffix) && c.call.IsGet():
+		return c.readFile(strings.TrimSuffix(rest, contentSuffix))
+	case rest != "" && c.call.IsGet():
+		c.describeFile(rest)
+	default:
+		writeFailure(c.call, failure.New(failure.KindNotFound, "no_path", "files are uploaded by POST /v1/files and read by GET /v1/files/{id}/content").WithNotRun())
+	}
+	return false
+}
+
+func (c *caller) uploadFile() {
+	content, name, err := c.fileContent()
+	if err != nil {
+		writeFailure(c.call, err)
+		return
+	}
+	if !c.gateway.Platform.Available() {
+		writeFailure(c.call, platformDown(nil))
+		return
+	}
+	id := "file-" + ulid.Make().String()
+	ctx, cancel := context.WithTimeout(c.gateway.lifetime, recordTimeout)
+	defer cancel()
+	if err := c.gateway.Platform.Put(ctx, batch.FileObject(c.tenant, id), content); err != nil {
+		writeFailure(c.call, platformDown(err))
+		return
+	}
+	writeJSON(c.call, fileObject{ID: id, Object: "file", Bytes: len(content), CreatedAt: time.Now().Unix(), Filename: name, Purpose: purposeBatch})
+}
+
+// fileContent reads the file of a multipart form, or the bare body.
+func (c *caller) fileContent() ([]byte, string, error) {
+	if !strings.HasPrefix(string(c.call.Request.Header.ContentType()), "multipart/form-data") {
+		return append([]byte(nil), c.call.PostBody()...), "upload.jsonl", nil
+	}
+	form, err := c.call.MultipartForm()
+	if err != nil || len(form.File["file"]) != 1 {
+		return nil, "", failure.New(failure.KindInvalid, "bad_form", "send one part named \"file\"").WithNotRun()
+	}
+	part := form.File["file"][0]
+	opened, err := part.Open()
+	if err != nil {
+		return nil, "", failure.Wrap(err, failure.KindInvalid, "bad_form", "the file part cannot be read").WithNotRun()
+	}
+	defer func() { _ = opened.Close() }()
+	content := bytes.Buffer{}
+	if _, err := content.ReadFrom(opened); err != nil {
+		return nil, "", failure.Wrap(err, failure.KindInvalid, "bad_form", "the file part cannot be read").WithNotRun()
+	}
+	return content.Bytes(), part.Filename, nil
+}
+
+func (c *caller) describeFile(id string) {
+	writeJSON(c.call, fileObject{ID: id, Object: "file", Filename: id + ".jsonl", Purpose: purposeBatch})
+}
+
+// readFile sends an uploaded file or a job's results.
+func (c *caller) readFile(id string) bool {
+	for _, prefix := range []string{outputFilePrefix, errorFilePrefix} {
+		if job, isResults := strings.CutPrefix(id, prefix); isResults {
+			return c.readResults(job, prefix == errorFilePrefix)
+		}
+	}
+	ctx, cancel := context.WithTimeout(c.gateway.lifetime, recordTimeout)
+	defer cancel()
+	content, err := c.gateway.Platform.GetObject(ctx, batch.FileObject(c.tenant, id))
+	if err != nil {
+		writeFailure(c.call, err)
+		return false
+	}
+	c.call.SetContentType("application/jsonl")
+	c.call.SetBody(content)
+	return false
+}
+
+// readResults streams the committed results of a job: the completed items or
+// the failed ones.
+func (c *caller) readResults(id string, wantErrors bool) bool {
+	if _, err := c.ownJob(id); err != nil {
+		writeFailure(c.call, err)
+		return false
+	}
+	gateway, finish := c.gateway, c.finish
+	c.call.SetContentType("application/jsonl")
+	c.call.SetBodyStreamWriter(func(output *bufio.Writer) {
+		defer finish()
+		ctx, cancel := context.WithTimeout(gateway.lifetime, fileTimeout)
+		defer cancel()
+		err := gateway.Store.EachResult(ctx, id, func(line []byte) error { return writeResult(output, line, wantErrors) })
+		if err != nil {
+			gateway.Logger.Warn("results_read_failed", "job", id, "error", err)
+			writeEvent(output, ErrorBody{Error: failure.From(err)})
+		}
+	})
+	return true
+}
+
+func writeResult(output *bufio.Writer, line []byte, wantErrors bool) error {
+	result := batch.ResultLine{}
+	if err := json.Unmarshal(line, &result); err != nil {
+		return failure.Wrap(err, failure.KindInternal, "bad_result", "a stored result is damaged")
+	}
+	if (result.Error != nil) != wantErrors {
+		return nil
+	}
+	_, _ = output.Write(line)
+	if err := output.WriteByte('\n'); err != nil {
+		return failure.Wrap(err, failure.KindCancelled, "caller_left", "the caller closed the connection")
+	}
+	return nil
+}
+
+// ownJob reads a job that belongs to the calling tenant.
+func (c *caller) ownJob(id string) (batch.Job, error) {
+	ctx, cancel := context.WithTimeout(c.gateway.lifetime, recordTimeout)
+	defer cancel()
+	job, _, err := c.gateway.Store.Job(ctx, id)
+	if err == nil && job.Tenant != c.tenant {
+		err = failure.New(failure.KindNotFound, "no_job", "job %s does not exist", id)
+	}
+	return job, err
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,287 @@
+// Package gateway is the daemon's HTTP side towards callers and operators:
+// authentication, admission, routing, streaming, retries, files and batches.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"topazpulley/internal/admission"
+	"topazpulley/internal/batch"
+	"topazpulley/internal/bundle"
+	"topazpulley/internal/cluster"
+	"topazpulley/internal/engine"
+	"topazpulley/internal/failure"
+	"topazpulley/internal/platform"
+	"topazpulley/internal/registry"
+	"topazpulley/internal/revision"
+	"topazpulley/internal/routing"
+	"topazpulley/internal/settings"
+	"topazpulley/internal/telemetry"
+)
+
+// Headers of the callers' protocol.
+const (
+	HeaderRepeatable     = "X-Repeatable"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderDeadline       = "X-Deadline-Ms"
+	HeaderRequestID      = "X-Request-Id"
+	HeaderRevision       = "X-Topazpulley-Revision"
+	HeaderCutOff         = "X-Topazpulley-Cut-Off"
+	HeaderHop            = "X-Topazpulley-Hop"
+)
+
+const (
+	retryShare         = 0.2
+	retryReserve       = 50
+	minimumLimit       = 4
+	headerLimit        = 64 << 10
+	readHeaderTimeout  = 15 * time.Second
+	idleTimeout        = 2 * time.Minute
+	cutOffAfter        = 20 * time.Second
+	writeTimeout       = 30 * time.Second
+	maxConnsPerAddress = 2048
+)
+
+// Yielder tells an engine's supervisor on this daemon that online requests are
+// on their way.
+type Yielder interface {
+	// Yield shrinks the engine's batch window.
+	Yield(engine string, online int)
+}
+
+// Dependencies are what a gateway works with.
+type Dependencies struct {
+	Settings    settings.Settings
+	Node        *cluster.Node
+	Registry    *registry.Registry
+	Holder      *revision.Holder
+	Log         *revision.Log
+	Watcher     *revision.Watcher
+	Platform    *platform.Client
+	Engines     *engine.Client
+	Store       *batch.Store
+	Coordinator *batch.Coordinator
+	Worker      *batch.Worker
+	Yielder     Yielder
+	Metrics     *telemetry.Metrics
+	Logger      *slog.Logger
+	Routing     routing.Policy
+	// Describe adds duty descriptions to the status page.
+	Describe func() Duties
+}
+
+// Gateway serves HTTP. mutex guards limiters, hintedAt and random.
+type Gateway struct {
+	Dependencies
+	server   *fasthttp.Server
+	forward  *fasthttp.Client
+	tenants  *admission.Tenants
+	retries  *admission.RetryBudget
+	metrics  fasthttp.RequestHandler
+	lifetime context.Context
+	inFlight sync.WaitGroup
+	active   atomic.Int64
+	// backgroundSaves counts answers that wait for the platform.
+	backgroundSaves atomic.Int64
+	stopping        atomic.Bool
+	ready           atomic.Bool
+
+	mutex    sync.Mutex
+	router   *routing.Router
+	limiters map[string]*admission.Limiter
+	hintedAt map[string]time.Time
+}
+
+// New makes a gateway that works until the lifetime ends.
+func New(lifetime context.Context, dependencies Dependencies) *Gateway {
+	gateway := &Gateway{
+		Dependencies: dependencies,
+		tenants:      admission.NewTenants(),
+		retries:      admission.NewRetryBudget(retryShare, retryReserve),
+		router:       routing.NewRouter(dependencies.Routing, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		limiters:     map[string]*admission.Limiter{},
+		hintedAt:     map[string]time.Time{},
+		lifetime:     lifetime,
+	}
+	gateway.metrics = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(dependencies.Metrics.Registry, promhttp.HandlerOpts{}))
+	gateway.forward = newForwardClient(dependencies.Settings)
+	gateway.server = &fasthttp.Server{
+		Handler:                       gateway.handle,
+		NoDefaultServerHeader:         true,
+		MaxRequestBodySize:            dependencies.Settings.MaxBodyBytes,
+		Concurrency:                   dependencies.Settings.MaxConnections,
+		ReadBufferSize:                headerLimit,
+		ReadTimeout:                   readHeaderTimeout,
+		WriteTimeout:                  writeTimeout,
+		IdleTimeout:                   idleTimeout,
+		CloseOnShutdown:               true,
+		StreamRequestBody:             false,
+		DisablePreParseMultipartForm:  true,
+		ErrorHandler:                  gateway.handleProtocolError,
+		DisableHeaderNamesNormalizing: false,
+	}
+	return gateway
+}
+
+// Serve answers on a listener until Shutdown.
+func (g *Gateway) Serve(listener net.Listener) error { return g.server.Serve(listener) }
+
+// SetReady says whether the daemon may get callers' requests.
+func (g *Gateway) SetReady(ready bool) { g.ready.Store(ready) }
+
+// SetStopping makes /readyz fail while requests are still served.
+func (g *Gateway) SetStopping() { g.stopping.Store(true) }
+
+// Wait returns when no request is in flight or the context ends.
+func (g *Gateway) Wait(ctx context.Context) {
+	idle := make(chan struct{})
+	go func() {
+		g.inFlight.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+}
+
+// Shutdown stops listening and closes idle connections.
+func (g *Gateway) Shutdown(ctx context.Context) error { return g.server.ShutdownWithContext(ctx) }
+
+// handleProtocolError answers requests that fasthttp could not read.
+func (g *Gateway) handleProtocolError(call *fasthttp.RequestCtx, err error) {
+	var tooSmall *fasthttp.ErrSmallBuffer
+	switch {
+	case err == fasthttp.ErrBodyTooLarge:
+		writeFailure(call, failure.New(failure.KindTooLarge, "body_too_large", "the request body exceeds %d bytes", g.Settings.MaxBodyBytes).WithNotRun())
+	case isSmallBuffer(err, &tooSmall):
+		writeFailure(call, failure.New(failure.KindTooLarge, "headers_too_large", "the request headers exceed %d bytes", headerLimit).WithNotRun())
+	default:
+		writeFailure(call, failure.New(failure.KindInvalid, "bad_http", "the request cannot be read or was not sent in time").WithNotRun())
+	}
+}
+
+func isSmallBuffer(err error, target **fasthttp.ErrSmallBuffer) bool {
+	found, ok := err.(*fasthttp.ErrSmallBuffer)
+	*target = found
+	return ok
+}
+
+// handle dispatches by path.
+func (g *Gateway) handle(call *fasthttp.RequestCtx) {
+	if g.stopping.Load() {
+		call.SetConnectionClose()
+	}
+	path := string(call.Path())
+	switch path {
+	case "/healthz":
+		writeJSON(call, Health{Healthy: true})
+		return
+	case "/readyz":
+		g.handleReady(call)
+		return
+	case "/metrics":
+		g.metrics(call)
+		return
+	}
+	current, _ := g.Holder.Current()
+	call.Response.Header.Set(HeaderRevision, strconv.FormatInt(current.Number, 10))
+	if g.isCutOff() {
+		call.Response.Header.Set(HeaderCutOff, "true")
+	}
+	if strings.HasPrefix(path, operatorPrefix) {
+		g.handleOperator(call, strings.TrimPrefix(path, operatorPrefix))
+		return
+	}
+	g.handleCaller(call, path)
+}
+
+// isCutOff reports whether the daemon could not confirm its revision lately.
+func (g *Gateway) isCutOff() bool { return time.Since(g.Holder.ConfirmedAt()) > cutOffAfter }
+
+func (g *Gateway) handleCaller(call *fasthttp.RequestCtx, path string) {
+	if !g.ready.Load() {
+		writeFailure(call, failure.New(failure.KindUnavailable, "not_ready", "the daemon has no configuration yet").WithNotRun().WithRetryAfter(time.Second))
+		return
+	}
+	tenant, active, err := g.authenticate(call)
+	if err != nil {
+		writeFailure(call, err)
+		return
+	}
+	g.inFlight.Add(1)
+	g.active.Add(1)
+	finish := sync.OnceFunc(func() {
+		g.active.Add(-1)
+		g.inFlight.Done()
+	})
+	caller := &caller{gateway: g, call: call, tenant: tenant, active: active, path: path, finish: finish}
+	if !caller.dispatch() {
+		finish()
+	}
+}
+
+// caller is one authenticated call. dispatch returns true when a stream writer
+// has taken over finish.
+type caller struct {
+	gateway *Gateway
+	call    *fasthttp.RequestCtx
+	tenant  string
+	active  *bundle.Bundle
+	path    string
+	finish  func()
+}
+
+func (c *caller) dispatch() bool {
+	switch {
+	case c.path == batch.EndpointCompletions || c.path == batch.EndpointChatCompletions:
+		return c.complete()
+	case c.path == "/v1/models":
+		c.listModels()
+	case strings.HasPrefix(c.path, "/v1/services/"):
+		c.callService(strings.TrimPrefix(c.path, "/v1/services/"))
+	case strings.HasPrefix(c.path, "/v1/requests/"):
+		c.readRequest(strings.TrimPrefix(c.path, "/v1/requests/"))
+	case c.path == "/v1/files" || strings.HasPrefix(c.path, "/v1/files/"):
+		return c.files(strings.TrimPrefix(strings.TrimPrefix(c.path, "/v1/files"), "/"))
+	case c.path == "/v1/batches" || strings.HasPrefix(c.path, "/v1/batches/"):
+		c.batches(strings.TrimPrefix(strings.TrimPrefix(c.path, "/v1/batches"), "/"))
+	default:
+		writeFailure(c.call, failure.New(failure.KindNotFound, "no_path", "there is nothing at %s", c.path).WithNotRun())
+	}
+	return false
+}
+
+const bearerPrefix = "Bearer "
+
+func bearerToken(call *fasthttp.RequestCtx) string {
+	header := string(call.Request.Header.Peek("Authorization"))
+	if !strings.HasPrefix(header, bearerPrefix) {
+		return ""
+	}
+	return header[len(bearerPrefix):]
+}
+
+func (g *Gateway) authenticate(call *fasthttp.RequestCtx) (string, *bundle.Bundle, error) {
+	_, active := g.Holder.Current()
+	if active == nil {
+		return "", nil, failure.New(failure.KindUnavailable, "no_configuration", "no bundle is in force yet").WithNotRun().WithRetryAfter(time.Second)
+	}
+	tenant, known := active.TenantForKey(bearerToken(call))
+	if !known {
+		return "", nil, failure.New(failure.KindUnauthorized, "bad_key", "the API key is not known: send it as a bearer token").WithNotRun()
+	}
+	return tenant, active, nil
+}
--- /dev/null
+++ b/internal/gateway/generation.go
@@ -0,0 +1,317 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"topazpulley/internal/bundle"
+	"topazpulley/internal/engine"
+	"topazpulley/internal/failure"
+	"topazpulley/internal/registry"
+	"topazpulley/internal/routing"
+	"topazpulley/internal/supervisor"
+)
+
+const (
+	maxAttempts         = 12
+	resumeAttempts      = 5
+	resumePause         = 200 * time.Millisecond
+	roomPollInterval    = 5 * time.Millisecond
+	hintInterval        = 50 * time.Millisecond
+	noEngineRetry       = 2 * time.Second
+	codeNoEngine        = "no_engine"
+	codeEnginesFull     = "engines_full"
+	codeRetryBudget     = "retry_budget_spent"
+	codeOutcomeUnknown  = "outcome_unknown"
+	codeDeadlineReached = "deadline"
+)
+
+// onlineRequest is one admitted online generation.
+type onlineRequest struct {
+	id         string
+	tenant     string
+	service    string
+	policy     bundle.Policy
+	model      string
+	input      json.RawMessage
+	maxTokens  int
+	repeatable bool
+	prefixHash uint64
+	arrived    time.Time
+}
+
+// intentRecorder makes the dispatch of a request that may not be repeated
+// durable. It returns nil only when the attempt may be sent.
+type intentRecorder func(ctx context.Context, view registry.Engine, attemptID string) error
+
+// generation produces the tokens of one request. It hides refusals, broken
+// streams and changes of engine: next returns each token exactly once.
+type generation struct {
+	gateway *Gateway
+	request onlineRequest
+	record  intentRecorder
+
+	tokens     []string
+	stream     *engine.Stream
+	view       registry.Engine
+	attempt    int
+	attemptID  string
+	resumes    int
+	excluded   map[string]bool
+	overloaded bool
+	firstToken time.Duration
+}
+
+func (g *Gateway) newGeneration(request onlineRequest, record intentRecorder) *generation {
+	g.retries.Earn()
+	return &generation{gateway: g, request: request, record: record, excluded: map[string]bool{}}
+}
+
+// next returns the next token or the end event.
+func (n *generation) next(ctx context.Context) (engine.Event, error) {
+	for {
+		if n.stream == nil {
+			if err := n.open(ctx); err != nil {
+				return engine.Event{}, err
+			}
+		}
+		event, err := n.stream.Next(ctx)
+		if err == nil && event.End && event.FinishReason == engine.FinishCancelled {
+			err = &engine.AttemptError{Outcome: engine.OutcomeUnknown, Code: engine.FinishCancelled}
+		}
+		if err == nil {
+			return n.deliver(event), nil
+		}
+		if err := n.broken(ctx, err); err != nil {
+			return engine.Event{}, err
+		}
+	}
+}
+
+func (n *generation) deliver(event engine.Event) engine.Event {
+	if n.firstToken == 0 {
+		n.firstToken = time.Since(n.request.arrived)
+		n.gateway.Metrics.FirstToken.WithLabelValues(n.request.service).Observe(n.firstToken.Seconds())
+	}
+	if event.End {
+		n.endStream(false)
+		return event
+	}
+	n.tokens = append(n.tokens, event.Token)
+	return event
+}
+
+// endStream closes the present stream and counts how it went.
+func (n *generation) endStream(failed bool) {
+	if n.stream == nil {
+		return
+	}
+	n.stream.Close()
+	n.stream = nil
+	n.gateway.Registry.End(n.view.Name, failed, time.Now())
+}
+
+// close ends the generation early; a running attempt is cancelled.
+func (n *generation) close() { n.endStream(false) }
+
+// open starts an attempt on a chosen engine, trying others after refusals.
+func (n *generation) open(ctx context.Context) error {
+	for n.attempt < maxAttempts {
+		if n.attempt > 0 && !n.gateway.retries.Spend() {
+			return n.giveUp(codeRetryBudget, "engines refuse and the retry budget is spent")
+		}
+		view, err := n.choose(ctx)
+		if err != nil {
+			return err
+		}
+		n.attempt++
+		n.view = view
+		n.attemptID = fmt.Sprintf("%s-%d", n.request.id, n.attempt)
+		if n.record != nil {
+			if err := n.record(ctx, view, n.attemptID); err != nil {
+				return err
+			}
+		}
+		err = n.send(ctx)
+		if err == nil {
+			return nil
+		}
+		if err := n.refused(ctx, err); err != nil || n.stream != nil {
+			return err
+		}
+	}
+	return n.giveUp("too_many_attempts", "no engine took the request")
+}
+
+func (n *generation) send(ctx context.Context) error {
+	n.gateway.Registry.Begin(n.view.Name)
+	n.gateway.hintYield(n.view)
+	stream, err := n.gateway.Engines.Generate(ctx, n.view.Machine.Address, engine.GenerateRequest{
+		AttemptID: n.attemptID, Model: n.request.model, Input: n.request.input,
+		MaxTokens: n.request.maxTokens, Priority: engine.PriorityOnline, Continue: n.tokens,
+	})
+	if err != nil {
+		n.gateway.Registry.End(n.view.Name, isEngineFault(err), time.Now())
+		return err
+	}
+	n.stream = stream
+	return nil
+}
+
+// isEngineFault tells failures that count against an engine from refusals that
+// are part of its normal life.
+func isEngineFault(err error) bool {
+	switch engine.CodeOf(err) {
+	case engine.RefusalFull, engine.RefusalLoading, engine.RefusalNoModel, engine.RefusalBadRequest:
+		return false
+	}
+	return true
+}
+
+// refused handles an attempt that did not start or broke before its stream
+// opened. A nil return means: try on, or go on with the stream if it is set.
+func (n *generation) refused(ctx context.Context, err error) error {
+	n.gateway.Metrics.Retries.WithLabelValues(engine.CodeOf(err)).Inc()
+	switch engine.OutcomeOf(err) {
+	case engine.OutcomeInvalid:
+		return failure.Wrap(err, failure.KindInvalid, engine.CodeOf(err), "the engine rejected the request").WithNotRun()
+	case engine.OutcomeNotRun:
+		n.overloaded = n.overloaded || engine.CodeOf(err) == engine.RefusalFull
+		n.excluded[n.view.Name] = true
+		return nil
+	}
+	return n.unknown(ctx, err)
+}
+
+// broken handles a stream that failed after it opened.
+func (n *generation) broken(ctx context.Context, err error) error {
+	if engine.CodeOf(err) == engine.CodeWrongID {
+		n.gateway.Metrics.Dropped.Inc()
+	}
+	isFault := ctx.Err() == nil
+	n.endStream(isFault)
+	n.gateway.Metrics.Retries.WithLabelValues(engine.CodeOf(err)).Inc()
+	return n.unknown(ctx, err)
+}
+
+// unknown decides what follows when an attempt was sent and its end is not
+// known: resume it on the same engine; if that fails, a repeatable request
+// continues elsewhere from the delivered tokens, another one ends as unknown.
+func (n *generation) unknown(ctx context.Context, cause error) error {
+	if ctx.Err() != nil {
+		return n.expired(cause)
+	}
+	tries := 1
+	if !n.request.repeatable {
+		tries = resumeAttempts
+	}
+	for try := range tries {
+		if try > 0 {
+			time.Sleep(resumePause)
+		}
+		if n.resume(ctx, cause) {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return n.expired(cause)
+		}
+	}
+	if !n.request.repeatable {
+		return failure.Wrap(cause, failure.KindOutcomeUnknown, codeOutcomeUnknown, "the request was sent once and its outcome cannot be learnt; it was not sent again")
+	}
+	n.excluded[n.view.Name] = true
+	return nil
+}
+
+// resume attaches to the present attempt from the delivered tokens on.
+func (n *generation) resume(ctx context.Context, cause error) bool {
+	canResume := engine.CodeOf(cause) != engine.CodeWrongID || !n.request.repeatable
+	if !canResume || n.resumes >= maxAttempts {
+		return false
+	}
+	n.resumes++
+	stream, err := n.gateway.Engines.Resume(ctx, n.view.Machine.Address, n.attemptID, len(n.tokens))
+	if err != nil {
+		return false
+	}
+	n.gateway.Registry.Begin(n.view.Name)
+	n.stream = stream
+	return true
+}
+
+func (n *generation) expired(cause error) error {
+	if n.gateway.lifetime.Err() != nil {
+		return failure.Wrap(cause, failure.KindUnavailable, "stopping", "the daemon is stopping")
+	}
+	return failure.Wrap(cause, failure.KindDeadline, codeDeadlineReached, "the request's deadline passed")
+}
+
+// giveUp makes the final answer of a request that no engine took.
+func (n *generation) giveUp(code, message string) error {
+	err := failure.New(failure.KindOverloaded, code, "%s", message).WithRetryAfter(noEngineRetry)
+	err.NotRun = len(n.tokens) == 0 && n.resumes == 0
+	return err
+}
+
+// choose picks an engine, waiting up to the queue timeout for one with room.
+func (n *generation) choose(ctx context.Context) (registry.Engine, error) {
+	patience := time.Now().Add(time.Duration(n.request.policy.QueueTimeout))
+	for {
+		view, found, anyServing := n.gateway.route(n.request, n.excluded)
+		if found {
+			return view, nil
+		}
+		if !anyServing && len(n.excluded) > 0 && n.request.repeatable {
+			n.excluded = map[string]bool{}
+		}
+		if !anyServing && n.attempt == 0 {
+			return view, failure.New(failure.KindUnavailable, codeNoEngine, "no engine in zone %s serves this", n.gateway.Settings.Zone).WithNotRun().WithRetryAfter(noEngineRetry)
+		}
+		if time.Now().After(patience) || ctx.Err() != nil {
+			n.overloaded = true
+			return view, n.giveUp(codeEnginesFull, "every engine is at its limit")
+		}
+		time.Sleep(roomPollInterval)
+	}
+}
+
+// route chooses among the zone's engines of a service. anyServing tells whether
+// some engine could serve the request if it had room.
+func (g *Gateway) route(request onlineRequest, excluded map[string]bool) (view registry.Engine, found, anyServing bool) {
+	engines := g.Registry.OfService(request.service)
+	query := routing.Request{Model: request.model, PrefixHash: request.prefixHash, OnlineLimit: request.policy.OnlineLimit, Excluded: excluded}
+	now := time.Now()
+	g.mutex.Lock()
+	view, found = g.router.Choose(query, engines, now)
+	g.mutex.Unlock()
+	if found {
+		return view, true, true
+	}
+	query.OnlineLimit = 0
+	return view, false, len(routing.Eligible(query, engines, now)) > 0
+}
+
+// hintYield tells the engine's supervisor of the request ahead of the engine's
+// lagging report, if the engine runs batch work.
+func (g *Gateway) hintYield(view registry.Engine) {
+	if view.Load.Batch == 0 && view.Load.BatchWindow == 0 {
+		return
+	}
+	g.mutex.Lock()
+	isRecent := time.Since(g.hintedAt[view.Name]) < hintInterval
+	if !isRecent {
+		g.hintedAt[view.Name] = time.Now()
+	}
+	g.mutex.Unlock()
+	if isRecent {
+		return
+	}
+	online := routing.Load(view) + 1
+	if view.Record.Supervisor == g.Settings.Name {
+		g.Yielder.Yield(view.Name, online)
+		return
+	}
+	g.Node.Hint(view.Record.Supervisor, supervisor.YieldItem(view.Name, online))
+}
--- /dev/null
+++ b/internal/gateway/plain.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"topazpulley/internal/bundle"
+	"topazpulley/internal/engine"
+	"topazpulley/internal/failure"
+)
+
+// callService answers a call of a plain service: the path is the service's
+// name and the rest is passed on.
+func (c *caller) callService(path string) {
+	name, rest, _ := strings.Cut(path, "/")
+	service, known := c.active.Services[name]
+	if !known || service.Kind != bundle.KindPlain {
+		writeFailure(c.call, failure.New(failure.KindNotFound, "unknown_service", "there is no plain service %q", name).WithNotRun())
+		return
+	}
+	request, deadline, err := c.parseCall(name, service)
+	if err != nil {
+		writeFailure(c.call, err)
+		return
+	}
+	c.call.Response.Header.Set(HeaderRequestID, request.id)
+	ctx, cancel := context.WithDeadline(c.gateway.lifetime, deadline)
+	defer cancel()
+	answer, err := c.gateway.callPlain(ctx, request, deadline, engine.CallRequest{
+		Method: string(c.call.Method()), Path: "/" + rest, Body: request.input,
+	}, c.call.Request.Header.Peek(HeaderIdempotencyKey))
+	if err != nil {
+		c.refuse(request, err)
+		return
+	}
+	c.gateway.countOutcome(name, nil)
+	c.call.SetContentType(answer.ContentType)
+	c.call.SetBody(answer.Body)
+}
+
+func (c *caller) parseCall(name string, service bundle.Service) (onlineRequest, time.Time, error) {
+	now := time.Now()
+	if err := c.gateway.refuseWhenCutOff(service); err != nil {
+		return onlineRequest{}, now, err
+	}
+	if _, err := idempotencyKey(c.call); err != nil {
+		return onlineRequest{}, now, err
+	}
+	deadline, err := requestDeadline(c.call, service.Policy, now)
+	if err != nil {
+		return onlineRequest{}, now, err
+	}
+	request := onlineRequest{
+		id: "req-" + ulid.Make().String(), tenant: c.tenant, service: name, policy: service.Policy,
+		input: append(json.RawMessage(nil), c.call.PostBody()...), repeatable: isRepeatable(c.call), arrived: now,
+	}
+	return request, deadline, nil
+}
+
+// callPlain sends a call to an engine, with the same limits, retries and
+// outcomes as a generation.
+func (g *Gateway) callPlain(ctx context.Context, request onlineRequest, deadline time.Time, call engine.CallRequest, keyHeader []byte) (engine.CallAnswer, error) {
+	key := string(keyHeader)
+	if !request.repeatable && key != "" {
+		if _, found, err := g.earlierAttempt(ctx, request, key); err != nil || found {
+			return engine.CallAnswer{}, firstError(err, failure.New(failure.KindOutcomeUnknown, codeOutcomeUnknown, "the call was sent once already; it was not sent again"))
+		}
+	}
+	release, err := g.admit(ctx, request, deadline)
+	if err != nil {
+		return engine.CallAnswer{}, err
+	}
+	attempts := g.newGeneration(request, g.recorderFor(request, key))
+	defer release(attempts)
+	return attempts.call(ctx, call)
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// call sends a plain call, trying other engines as the outcomes allow.
+func (n *generation) call(ctx context.Context, call engine.CallRequest) (engine.CallAnswer, error) {
+	for n.attempt < maxAttempts {
+		if n.attempt > 0 && !n.gateway.retries.Spend() {
+			return engine.CallAnswer{}, n.giveUp(codeRetryBudget, "engines refuse and the retry budget is spent")
+		}
+		answer, err := n.callOnce(ctx, call)
+		if err == nil {
+			n.firstToken = time.Since(n.request.arrived)
+			return answer, nil
+		}
+		if err := n.callFailed(ctx, err); err != nil {
+			return answer, err
+		}
+	}
+	return engine.CallAnswer{}, n.giveUp("too_many_attempts", "no engine took the call")
+}
+
+func (n *generation) callOnce(ctx context.Context, call engine.CallRequest) (engine.CallAnswer, error) {
+	view, err := n.choose(ctx)
+	if err != nil {
+		return engine.CallAnswer{}, err
+	}
+	n.attempt++
+	n.view = view
+	call.AttemptID = fmt.Sprintf("%s-%d", n.request.id, n.attempt)
+	if n.record != nil {
+		if err := n.record(ctx, view, call.AttemptID); err != nil {
+			return engine.CallAnswer{}, err
+		}
+	}
+	n.gateway.Registry.Begin(view.Name)
+	answer, err := n.gateway.Engines.Call(ctx, view.Machine.Address, call)
+	n.gateway.Registry.End(view.Name, err != nil && isEngineFault(err), time.Now())
+	return answer, err
+}
+
+// callFailed returns nil when the call may be tried again.
+func (n *generation) callFailed(ctx context.Context, err error) error {
+	code := engine.CodeOf(err)
+	if code == "" {
+		return err
+	}
+	n.gateway.Metrics.Retries.WithLabelValues(code).Inc()
+	if code == engine.CodeWrongID {
+		n.gateway.Metrics.Dropped.Inc()
+	}
+	n.excluded[n.view.Name] = true
+	if engine.OutcomeOf(err) == engine.OutcomeNotRun {
+		return nil
+	}
+	if ctx.Err() != nil {
+		return n.expired(err)
+	}
+	if !n.request.repeatable {
+		return failure.Wrap(err, failure.KindOutcomeUnknown, codeOutcomeUnknown, "the call was sent once and its outcome cannot be learnt; it was not sent again")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/harness/harness.go
@@ -0,0 +1,327 @@
+// Package harness runs the platform stand-in, emulated engines and daemons in
+// one process over loopback. It serves the dev command, the experiments and
+// in-process tests; separate processes use the same parts through the command
+// line.
+package harness
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"topazpulley/internal/bundle"
+	"topazpulley/internal/client"
+	"topazpulley/internal/daemon"
+	"topazpulley/internal/emulator"
+	"topazpulley/internal/failure"
+	"topazpulley/internal/gateway"
+	"topazpulley/internal/platform"
+	"topazpulley/internal/revision"
+	"topazpulley/internal/routing"
+	"topazpulley/internal/settings"
+)
+
+// EngineGroup describes emulated engines of one service.
+type EngineGroup struct {
+	Service string
+	Plain   bool
+	// Count engines are spread over the zones in turn.
+	Count int
+	Model emulator.EngineModel
+}
+
+// Config describes a deployment.
+type Config struct {
+	Zones          []string
+	Region         string
+	DaemonsPerZone int
+	Engines        []EngineGroup
+	// BundleText is signed and rolled at start.
+	BundleText string
+	// Host is the loopback address of all listeners.
+	Host    string
+	Routing routing.Policy
+	// ProbeInterval is the membership probe interval.
+	ProbeInterval time.Duration
+	// StopLinger is the daemons' linger at a planned stop.
+	StopLinger time.Duration
+	// FirstDaemonPort fixes the first daemon's HTTP port; 0 chooses one.
+	FirstDaemonPort int
+	Log             *slog.Logger
+}
+
+// OperatorName is the operator whose key signs the harness's bundle.
+const OperatorName = "harness"
+
+// Harness is a running deployment.
+type Harness struct {
+	Platform    *emulator.Platform
+	PlatformURL string
+	Fleet       *emulator.Fleet
+	Daemons     []*daemon.Daemon
+	Settings    []settings.Settings
+	// OperatorToken admits operator calls.
+	OperatorToken string
+	// SigningKey is the harness operator's private key.
+	SigningKey ed25519.PrivateKey
+
+	config   Config
+	context  context.Context
+	cancel   context.CancelFunc
+	listener net.Listener
+}
+
+const (
+	secretBytes  = 32
+	readyTimeout = 60 * time.Second
+	readyPoll    = 20 * time.Millisecond
+	rollBaseAny  = -1
+)
+
+// Start runs the deployment and returns once every daemon is ready with the
+// bundle and every engine serves it.
+func Start(config Config) (*Harness, error) {
+	h := &Harness{Platform: emulator.NewPlatform(), Fleet: emulator.NewFleet(), config: config}
+	h.context, h.cancel = context.WithCancel(context.Background())
+	if err := h.start(); err != nil {
+		h.Stop()
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Harness) start() error {
+	if err := h.startPlatform(); err != nil {
+		return err
+	}
+	if err := h.startEngines(); err != nil {
+		return err
+	}
+	if err := h.startDaemons(); err != nil {
+		return err
+	}
+	if err := h.RollBundle(h.config.BundleText); err != nil {
+		return err
+	}
+	return h.WaitServing()
+}
+
+func (h *Harness) startPlatform() error {
+	listener, err := net.Listen("tcp", h.config.Host+":0")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	h.listener = listener
+	h.PlatformURL = "http://" + listener.Addr().String()
+	go func() { _ = h.Platform.Serve(listener) }()
+	return nil
+}
+
+func (h *Harness) startEngines() error {
+	for _, group := range h.config.Engines {
+		for index := range group.Count {
+			zone := h.config.Zones[index%len(h.config.Zones)]
+			name := fmt.Sprintf("%s-%02d", group.Service, index)
+			engine := emulator.NewEngine(name, zone, group.Service, group.Plain, group.Model)
+			machine, err := h.Fleet.Start(h.context, engine, h.config.Host+":0", h.config.Region)
+			if err != nil {
+				return errors.WithStack(err)
+			}
+			h.Platform.SetMachine(machine)
+		}
+	}
+	return nil
+}
+
+func (h *Harness) startDaemons() error {
+	publicKey, privateKey, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	h.SigningKey = privateKey
+	h.OperatorToken = randomHex()
+	clusterKey := randomHex()
+	for _, zone := range h.config.Zones {
+		for index := range h.config.DaemonsPerZone {
+			process := settings.Default()
+			process.Name = fmt.Sprintf("%s-%d", zone, index)
+			process.Zone, process.Region = zone, h.config.Region
+			process.PlatformURL = h.PlatformURL
+			process.ClusterKey = clusterKey
+			process.OperatorKeys = map[string]string{OperatorName: hex.EncodeToString(publicKey)}
+			process.OperatorToken = h.OperatorToken
+			process.ProbeInterval = settings.Duration(h.config.ProbeInterval)
+			process.StopLinger = settings.Duration(h.config.StopLinger)
+			h.Settings = append(h.Settings, process)
+		}
+	}
+	for index := range h.Settings {
+		if err := h.StartDaemon(index); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartDaemon starts, or starts again, the daemon with an index.
+func (h *Harness) StartDaemon(index int) error {
+	process := h.Settings[index]
+	if err := h.chooseAddresses(&process, index); err != nil {
+		return err
+	}
+	if err := process.Validate(); err != nil {
+		return err
+	}
+	h.Settings[index] = process
+	started := daemon.New(process, daemon.Options{Routing: h.config.Routing}, h.config.Log.With("daemon", process.Name))
+	if err := started.Start(); err != nil {
+		return err
+	}
+	if index < len(h.Daemons) {
+		h.Daemons[index] = started
+	} else {
+		h.Daemons = append(h.Daemons, started)
+	}
+	h.Platform.SetMachine(platform.Machine{
+		Name: process.Name, Kind: platform.MachineDaemon, Address: process.AdvertiseAddress,
+		Zone: process.Zone, Region: process.Region, State: platform.MachineLive,
+	})
+	return nil
+}
+
+func (h *Harness) chooseAddresses(process *settings.Settings, index int) error {
+	if process.HTTPAddress != "" {
+		return nil
+	}
+	var err error
+	if process.PeerAddress, err = freeAddress(h.config.Host); err != nil {
+		return err
+	}
+	process.AdvertiseAddress = process.PeerAddress
+	if index == 0 && h.config.FirstDaemonPort != 0 {
+		process.HTTPAddress = fmt.Sprintf("%s:%d", h.config.Host, h.config.FirstDaemonPort)
+		return nil
+	}
+	process.HTTPAddress, err = freeAddress(h.config.Host)
+	return err
+}
+
+func freeAddress(host string) (string, error) {
+	listener, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+func randomHex() string {
+	secret := make([]byte, secretBytes)
+	_, _ = rand.Read(secret)
+	return hex.EncodeToString(secret)
+}
+
+// KeyDigest returns the digest by which a bundle names an API key.
+func KeyDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Operator returns a client with the operator token for a daemon.
+func (h *Harness) Operator(index int) *client.Client {
+	return client.New("http://"+h.Settings[index].HTTPAddress, h.OperatorToken)
+}
+
+// Caller returns a client with an API key for a daemon.
+func (h *Harness) Caller(index int, key string) *client.Client {
+	return client.New("http://"+h.Settings[index].HTTPAddress, key)
+}
+
+// RollBundle signs, proposes and rolls a bundle through the first daemon.
+func (h *Harness) RollBundle(text string) error {
+	operator := h.Operator(0)
+	accept := gateway.ChangeRequest{
+		Kind: revision.KindAccept, Text: text, Operator: OperatorName, Base: rollBaseAny,
+		Signatures: []bundle.Signature{bundle.Sign(text, OperatorName, h.SigningKey)},
+	}
+	if _, err := operator.Change(accept); err != nil {
+		return err
+	}
+	_, err := operator.Change(gateway.ChangeRequest{Kind: revision.KindRoll, Digest: bundle.Digest(text), Operator: OperatorName, Base: rollBaseAny})
+	return err
+}
+
+// WaitServing returns when every daemon has the same revision and sees every
+// engine of its zone serve it.
+func (h *Harness) WaitServing() error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		if h.allServing() {
+			return nil
+		}
+		time.Sleep(readyPoll)
+	}
+	return failure.New(failure.KindUnavailable, "not_serving", "the deployment did not come up within %s", readyTimeout)
+}
+
+func (h *Harness) allServing() bool {
+	highest := int64(0)
+	statuses := []gateway.Status{}
+	for index := range h.Daemons {
+		status, err := h.Operator(index).Status()
+		if err != nil {
+			return false
+		}
+		highest = max(highest, status.Revision)
+		statuses = append(statuses, status)
+	}
+	for _, status := range statuses {
+		if !isServing(status, highest, h.enginesIn(status.Zone), len(h.Daemons)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *Harness) enginesIn(zone string) int {
+	count := 0
+	for _, group := range h.config.Engines {
+		for index := range group.Count {
+			if h.config.Zones[index%len(h.config.Zones)] == zone {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func isServing(status gateway.Status, revision int64, engines, members int) bool {
+	if !status.Ready || status.Revision != revision || len(status.Engines) != engines || len(status.Members) != members {
+		return false
+	}
+	for _, engine := range status.Engines {
+		if !engine.Up || engine.State != "ready" || engine.Fence != revision {
+			return false
+		}
+	}
+	return true
+}
+
+// Stop ends everything at once.
+func (h *Harness) Stop() {
+	for _, one := range h.Daemons {
+		_ = one.Kill()
+	}
+	h.cancel()
+	if h.listener != nil {
+		_ = h.listener.Close()
+	}
+}
--- /dev/null
+++ b/internal/harness/harness_test.go
@@ -0,0 +1,242 @@
+package harness_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/batch"
+	"topazpulley/internal/client"
+	"topazpulley/internal/emulator"
+	"topazpulley/internal/engine"
+	"topazpulley/internal/harness"
+	"topazpulley/internal/platform"
+)
+
+const (
+	wideBound  = 60 * time.Second
+	pollEvery  = 50 * time.Millisecond
+	fastEngine = 0.1
+)
+
+func start(t *testing.T, zones []string, perZone, engines int) *harness.Harness {
+	output := slog.New(slog.DiscardHandler)
+	if os.Getenv("TOPAZPULLEY_TEST_LOG") != "" {
+		output = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	running, err := harness.Start(harness.Config{
+		Zones: zones, Region: "region", DaemonsPerZone: perZone, Engines: harness.ExampleEngines(engines, len(zones), fastEngine),
+		BundleText: harness.ExampleBundle("1"), Host: "127.0.0.1", ProbeInterval: 200 * time.Millisecond, StopLinger: 500 * time.Millisecond,
+		Log: output,
+	})
+	require.NoError(t, err)
+	t.Cleanup(running.Stop)
+	return running
+}
+
+func expected(prompt string, maxTokens int) string {
+	return engine.JoinTokens(emulator.OutputTokens(prompt, maxTokens))
+}
+
+func waitEnded(t *testing.T, caller *client.Client, id string) client.Batch {
+	var job client.Batch
+	require.Eventually(t, func() bool {
+		var err error
+		job, err = caller.Batch(id)
+		return err == nil && job.Ended()
+	}, wideBound, pollEvery)
+	return job
+}
+
+// requireExactlyOnce checks that the output has each item's own answer once.
+func requireExactlyOnce(t *testing.T, output []byte, items, maxTokens int) {
+	seen := map[string]string{}
+	for _, line := range strings.Split(strings.TrimSpace(string(output)), "\n") {
+		result := batch.ResultLine{}
+		require.NoError(t, json.Unmarshal([]byte(line), &result))
+		body := struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+		}{}
+		require.NoError(t, json.Unmarshal(result.Response.Body, &body))
+		require.NotContains(t, seen, result.CustomID)
+		seen[result.CustomID] = body.Choices[0].Text
+	}
+	require.Len(t, seen, items)
+	for index := range items {
+		require.Equal(t, expected(harness.ExamplePrompt(index), maxTokens), seen[fmt.Sprintf("item-%d", index)])
+	}
+}
+
+func submit(t *testing.T, caller *client.Client, items, maxTokens int, key string) client.Batch {
+	file, err := caller.Upload([]byte(harness.ExampleItems(items, maxTokens)))
+	require.NoError(t, err)
+	job, err := caller.CreateBatch(file.ID, batch.EndpointCompletions, key)
+	require.NoError(t, err)
+	return job
+}
+
+func TestOnlineAndBatchThroughEveryDaemon(t *testing.T) {
+	running := start(t, []string{"a", "b", "c"}, 2, 6)
+	for index := range running.Daemons {
+		text := strings.Builder{}
+		prompt := fmt.Sprintf("hello from %d", index)
+		err := running.Caller(index, harness.ExampleKey).Stream(client.Completion{Model: harness.ExampleModel, Prompt: prompt, MaxTokens: 12}, wideBound, func(piece string) { text.WriteString(piece) })
+		require.NoError(t, err)
+		require.Equal(t, expected(prompt, 12), text.String())
+	}
+	caller := running.Caller(3, harness.ExampleKey)
+	job := submit(t, caller, 300, 8, "job-1")
+	again := submit2(t, caller, job)
+	require.Equal(t, job.ID, again.ID)
+	ended := waitEnded(t, caller, job.ID)
+	require.Equal(t, 300, ended.RequestCounts.Completed)
+	output, err := caller.FileContent(ended.OutputFileID)
+	require.NoError(t, err)
+	requireExactlyOnce(t, output, 300, 8)
+}
+
+func submit2(t *testing.T, caller *client.Client, job client.Batch) client.Batch {
+	again, err := caller.Batch(job.ID)
+	require.NoError(t, err)
+	return again
+}
+
+func TestDaemonKilledWithItemsInFlight(t *testing.T) {
+	running := start(t, []string{"a", "b"}, 2, 4)
+	caller := running.Caller(3, harness.ExampleKey)
+	job := submit(t, caller, 400, 40, "job-kill")
+	require.Eventually(t, func() bool {
+		present, err := caller.Batch(job.ID)
+		return err == nil && present.RequestCounts.Completed > 0
+	}, wideBound, 10*time.Millisecond)
+	require.NoError(t, running.Daemons[0].Kill())
+	ended := waitEnded(t, caller, job.ID)
+	require.Equal(t, 400, ended.RequestCounts.Completed)
+	output, err := caller.FileContent(ended.OutputFileID)
+	require.NoError(t, err)
+	requireExactlyOnce(t, output, 400, 40)
+}
+
+func TestPlannedStopCutsOffNoRequest(t *testing.T) {
+	running := start(t, []string{"a"}, 2, 2)
+	caller := running.Caller(0, harness.ExampleKey)
+	var group sync.WaitGroup
+	failures := make(chan error, 64)
+	for index := range 16 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			prompt := fmt.Sprintf("stop %d", index)
+			text := strings.Builder{}
+			err := caller.Stream(client.Completion{Model: harness.ExampleModel, Prompt: prompt, MaxTokens: 200}, wideBound, func(piece string) { text.WriteString(piece) })
+			if err != nil {
+				failures <- err
+				return
+			}
+			if text.String() != expected(prompt, 200) {
+				failures <- os.ErrInvalid
+			}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	require.NoError(t, running.Daemons[0].Stop())
+	group.Wait()
+	require.Empty(t, failures)
+}
+
+func TestPlatformOutageDuringBatchAndOnline(t *testing.T) {
+	running := start(t, []string{"a", "b"}, 2, 4)
+	caller := running.Caller(1, harness.ExampleKey)
+	job := submit(t, caller, 300, 60, "job-outage")
+	require.Eventually(t, func() bool {
+		present, err := caller.Batch(job.ID)
+		return err == nil && present.RequestCounts.Completed > 0
+	}, wideBound, 10*time.Millisecond)
+	running.Platform.SetFaults(emulator.PlatformFaults{Down: true})
+	outageEnds := time.Now().Add(4 * time.Second)
+	for time.Now().Before(outageEnds) {
+		err := caller.Stream(client.Completion{Model: harness.ExampleModel, Prompt: "during outage", MaxTokens: 5}, wideBound, func(string) {})
+		require.NoError(t, err)
+		time.Sleep(pollEvery)
+	}
+	running.Platform.SetFaults(emulator.PlatformFaults{LoseAnswerShare: 0.3})
+	ended := waitEnded(t, caller, job.ID)
+	require.Equal(t, 300, ended.RequestCounts.Completed)
+	output, err := caller.FileContent(ended.OutputFileID)
+	require.NoError(t, err)
+	requireExactlyOnce(t, output, 300, 60)
+}
+
+func TestCancelledJobStops(t *testing.T) {
+	running := start(t, []string{"a"}, 2, 2)
+	caller := running.Caller(0, harness.ExampleKey)
+	job := submit(t, caller, 400, 100, "job-cancel")
+	require.Eventually(t, func() bool {
+		present, err := caller.Batch(job.ID)
+		return err == nil && present.RequestCounts.Completed > 0
+	}, wideBound, 10*time.Millisecond)
+	cancelled, err := caller.CancelBatch(job.ID)
+	require.NoError(t, err)
+	require.Equal(t, "cancelled", cancelled.Status)
+	var started int
+	require.Eventually(t, func() bool {
+		before := len(running.Fleet.Ledger())
+		time.Sleep(time.Second)
+		started = len(running.Fleet.Ledger())
+		return before == started
+	}, wideBound, pollEvery)
+	require.Less(t, started, 400)
+	present, err := caller.Batch(job.ID)
+	require.NoError(t, err)
+	output, err := caller.FileContent(present.OutputFileID)
+	require.NoError(t, err)
+	require.Equal(t, present.RequestCounts.Completed, strings.Count(string(output), "\n"))
+}
+
+func TestEngineLeavingGetsNoNewWork(t *testing.T) {
+	running := start(t, []string{"a"}, 1, 3)
+	leaving := "assistant-00"
+	machine, found := findMachine(t, running, leaving)
+	require.True(t, found)
+	machine.State = platform.MachineLeaving
+	running.Platform.SetMachine(machine)
+	require.Eventually(t, func() bool {
+		status, err := running.Operator(0).Status()
+		if err != nil {
+			return false
+		}
+		for _, view := range status.Engines {
+			if view.Name == leaving {
+				return view.Leaving
+			}
+		}
+		return false
+	}, wideBound, pollEvery)
+	left, _ := running.Fleet.Engine(leaving)
+	before := len(left.Ledger())
+	caller := running.Caller(0, harness.ExampleKey)
+	for range 20 {
+		require.NoError(t, caller.Stream(client.Completion{Model: harness.ExampleModel, Prompt: "after leaving", MaxTokens: 2}, wideBound, func(string) {}))
+	}
+	require.Len(t, left.Ledger(), before)
+}
+
+func findMachine(t *testing.T, running *harness.Harness, name string) (platform.Machine, bool) {
+	machines, err := platform.NewHTTPClient(running.PlatformURL).List(t.Context())
+	require.NoError(t, err)
+	for _, machine := range machines {
+		if machine.Name == name {
+			return machine, true
+		}
+	}
+	return platform.Machine{}, false
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,226 @@
+package peer
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/subtle"
+	"sync"
+	"time"
+
+	"github.com/hamba/avro/v2"
+	"github.com/panjf2000/gnet/v2"
+	"github.com/pkg/errors"
+
+	"topazpulley/internal/failure"
+)
+
+// link is the calling side of one connection. mutex guards pending and broken.
+type link struct {
+	address    string
+	connection gnet.Conn
+	nonce      []byte
+	challenge  []byte
+	isOpen     bool
+	ready      chan struct{}
+
+	mutex   sync.Mutex
+	nextID  int64
+	pending map[int64]chan envelope
+	broken  bool
+}
+
+// linkEvents handles the traffic of all links.
+type linkEvents struct {
+	gnet.BuiltinEventEngine
+	transport *Transport
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (e *linkEvents) OnTraffic(connection gnet.Conn) gnet.Action {
+	held, ok := connection.Context().(*link)
+	if !ok {
+		return gnet.Close
+	}
+	return readFrames(connection, func(body []byte) bool { return e.transport.clientFrame(held, connection, body) })
+}
+
+// OnClose implements gnet.EventHandler.
+func (e *linkEvents) OnClose(connection gnet.Conn, _ error) gnet.Action {
+	if held, ok := connection.Context().(*link); ok {
+		e.transport.dropLink(held)
+	}
+	return gnet.None
+}
+
+func (t *Transport) clientFrame(held *link, connection gnet.Conn, body []byte) bool {
+	switch {
+	case held.challenge == nil:
+		return t.answerChallenge(held, connection, body)
+	case !held.isOpen:
+		expected := authenticate(t.key, held.nonce, held.challenge)
+		if subtle.ConstantTimeCompare(expected, body) != 1 {
+			t.refused.Add(1)
+			return false
+		}
+		held.isOpen = true
+		close(held.ready)
+		return true
+	}
+	answer := envelope{}
+	if decode(envelopeSchema, body, &answer) != nil {
+		return false
+	}
+	held.deliver(answer)
+	return true
+}
+
+func (t *Transport) answerChallenge(held *link, connection gnet.Conn, challenge []byte) bool {
+	held.challenge = challenge
+	opening := hello{Version: ProtocolVersion, Name: t.name, Nonce: held.nonce}
+	opening.MAC = authenticate(t.key, challenge, held.nonce, []byte(t.name))
+	encoded, err := avro.Marshal(helloSchema, opening)
+	if err != nil {
+		return false
+	}
+	_, err = connection.Write(frame(encoded))
+	return err == nil
+}
+
+func (l *link) deliver(answer envelope) {
+	l.mutex.Lock()
+	waiting, known := l.pending[answer.ID]
+	delete(l.pending, answer.ID)
+	l.mutex.Unlock()
+	if known {
+		waiting <- answer
+	}
+}
+
+// register reserves an id for a call. It fails on a broken link.
+func (l *link) register() (int64, chan envelope, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.broken {
+		return 0, nil, false
+	}
+	l.nextID++
+	waiting := make(chan envelope, 1)
+	l.pending[l.nextID] = waiting
+	return l.nextID, waiting, true
+}
+
+func (l *link) unregister(id int64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.pending, id)
+}
+
+// dropLink forgets a link and fails its pending calls by closing their
+// channels.
+func (t *Transport) dropLink(held *link) {
+	t.mutex.Lock()
+	if t.links[held.address] == held {
+		delete(t.links, held.address)
+	}
+	t.mutex.Unlock()
+	held.mutex.Lock()
+	defer held.mutex.Unlock()
+	held.broken = true
+	for id, waiting := range held.pending {
+		close(waiting)
+		delete(held.pending, id)
+	}
+}
+
+// connect returns the open link to an address, dialling if there is none.
+func (t *Transport) connect(ctx context.Context, address string) (*link, error) {
+	held, err := t.linkTo(address)
+	if err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(handshakeTimeout)
+	defer timer.Stop()
+	select {
+	case <-held.ready:
+		return held, nil
+	case <-ctx.Done():
+	case <-timer.C:
+		t.closeLink(held)
+	}
+	return nil, peerUnreachable(address)
+}
+
+func (t *Transport) closeLink(held *link) {
+	if held.connection != nil {
+		_ = held.connection.Close()
+	}
+	t.dropLink(held)
+}
+
+func peerUnreachable(address string) *failure.Error {
+	return failure.New(failure.KindUnavailable, "peer_unreachable", "daemon at %s cannot be reached", address)
+}
+
+func (t *Transport) linkTo(address string) (*link, error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if held, exists := t.links[address]; exists {
+		return held, nil
+	}
+	nonce := make([]byte, nonceBytes)
+	_, _ = rand.Read(nonce)
+	held := &link{address: address, nonce: nonce, ready: make(chan struct{}), pending: map[int64]chan envelope{}}
+	connection, err := t.dialer.DialContext("tcp", address, held)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.KindUnavailable, "peer_unreachable", "daemon at %s cannot be reached", address).WithNotRun()
+	}
+	held.connection = connection
+	t.links[address] = held
+	return held, nil
+}
+
+// Call sends a request to the daemon at an address and waits for its answer.
+func Call[Q, A Message](ctx context.Context, transport *Transport, address, method string, request Q) (A, error) {
+	var reply A
+	body, err := avro.Marshal(request.Schema(), request)
+	if err != nil {
+		return reply, errors.WithStack(err)
+	}
+	answer, err := transport.roundTrip(ctx, address, envelope{Method: method, Body: body})
+	if err != nil {
+		return reply, err
+	}
+	if len(answer.Failure) > 0 {
+		return reply, fromWire(answer.Failure[0])
+	}
+	return reply, decode(reply.Schema(), answer.Body, &reply)
+}
+
+func (t *Transport) roundTrip(ctx context.Context, address string, call envelope) (envelope, error) {
+	held, err := t.connect(ctx, address)
+	if err != nil {
+		return envelope{}, err
+	}
+	id, waiting, usable := held.register()
+	if !usable {
+		return envelope{}, peerUnreachable(address)
+	}
+	defer held.unregister(id)
+	call.ID = id
+	encoded, err := encodeEnvelope(call)
+	if err != nil {
+		return envelope{}, err
+	}
+	if err := held.connection.AsyncWrite(encoded, nil); err != nil {
+		return envelope{}, peerUnreachable(address)
+	}
+	select {
+	case answer, open := <-waiting:
+		if !open {
+			return envelope{}, peerUnreachable(address)
+		}
+		return answer, nil
+	case <-ctx.Done():
+		return envelope{}, failure.Wrap(ctx.Err(), failure.KindUnavailable, "peer_timeout", "daemon at %s did not answer in time", address)
+	}
+}
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,180 @@
+// Package routing chooses the engine of an online request. It is pure: it
+// works on a snapshot of the zone's engines and an injected random source.
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"topazpulley/internal/registry"
+)
+
+// Policy is a way to choose; all but PolicyFull are baselines for measurement.
+type Policy string
+
+// The policies.
+const (
+	// PolicyFull is prefix affinity with bounded load over lag-corrected power
+	// of two choices.
+	PolicyFull Policy = "full"
+	// PolicyLagCorrected is power of two choices on the report plus what was
+	// sent since.
+	PolicyLagCorrected Policy = "lag_corrected"
+	// PolicyReportOnly is power of two choices on the lagging report alone.
+	PolicyReportOnly Policy = "report_only"
+	// PolicyLeastInFlight looks at this daemon's own requests only.
+	PolicyLeastInFlight Policy = "least_in_flight"
+	// PolicyRoundRobin ignores load.
+	PolicyRoundRobin Policy = "round_robin"
+)
+
+// Request is what routing needs to know of a request.
+type Request struct {
+	// Model must be loaded on the engine; empty for plain services.
+	Model string
+	// PrefixHash groups requests that share a prompt prefix; 0 means none.
+	PrefixHash uint64
+	// OnlineLimit is the greatest number of online requests per engine.
+	OnlineLimit int
+	// Excluded names engines that have failed the request.
+	Excluded map[string]bool
+}
+
+// Router chooses engines. It is safe for concurrent use only if its random
+// source is.
+type Router struct {
+	Policy Policy
+	next   uint64
+	random *rand.Rand
+}
+
+// NewRouter returns a router with a policy.
+func NewRouter(policy Policy, random *rand.Rand) *Router {
+	return &Router{Policy: policy, random: random}
+}
+
+const (
+	prefixBytes = 256
+	// affinitySlack is how much above the mean load the preferred engine of a
+	// prefix may be.
+	affinitySlack = 1.25
+	affinityExtra = 2
+	// affinityChoices is the number of engines that a prefix may use before
+	// it is routed by load alone.
+	affinityChoices = 2
+)
+
+// PrefixHash hashes the first block of a prompt; prompts shorter than a block
+// share nothing worth keeping.
+func PrefixHash(prompt string) uint64 {
+	if len(prompt) < prefixBytes {
+		return 0
+	}
+	return xxhash.Sum64String(prompt[:prefixBytes])
+}
+
+// Load is the estimated number of online requests on an engine.
+func Load(engine registry.Engine) int {
+	return max(engine.Load.Online+engine.Load.Waiting+engine.SentSince, engine.InFlight)
+}
+
+// Eligible returns the engines that may take the request and have room.
+func Eligible(request Request, engines []registry.Engine, now time.Time) []registry.Engine {
+	eligible := make([]registry.Engine, 0, len(engines))
+	for _, candidate := range engines {
+		if request.Excluded[candidate.Name] || !candidate.Serving(now) {
+			continue
+		}
+		if request.Model != "" && !candidate.HasModel(request.Model) {
+			continue
+		}
+		if request.OnlineLimit > 0 && Load(candidate) >= request.OnlineLimit {
+			continue
+		}
+		eligible = append(eligible, candidate)
+	}
+	return eligible
+}
+
+// Choose picks one of the eligible engines; it reports false when there is
+// none.
+func (r *Router) Choose(request Request, engines []registry.Engine, now time.Time) (registry.Engine, bool) {
+	eligible := Eligible(request, engines, now)
+	if len(eligible) == 0 {
+		return registry.Engine{}, false
+	}
+	switch r.Policy {
+	case PolicyRoundRobin:
+		r.next++
+		return eligible[r.next%uint64(len(eligible))], true
+	case PolicyLeastInFlight:
+		return least(eligible, func(e registry.Engine) int { return e.InFlight }), true
+	case PolicyReportOnly:
+		return r.twoChoices(eligible, func(e registry.Engine) int { return e.Load.Online + e.Load.Waiting }), true
+	case PolicyLagCorrected:
+		return r.twoChoices(eligible, Load), true
+	}
+	if request.PrefixHash != 0 {
+		if preferred, found := byPrefix(request.PrefixHash, eligible); found {
+			return preferred, true
+		}
+	}
+	return r.twoChoices(eligible, Load), true
+}
+
+func least(eligible []registry.Engine, load func(registry.Engine) int) registry.Engine {
+	best := eligible[0]
+	for _, candidate := range eligible[1:] {
+		if load(candidate) < load(best) {
+			best = candidate
+		}
+	}
+	return best
+}
+
+func (r *Router) twoChoices(eligible []registry.Engine, load func(registry.Engine) int) registry.Engine {
+	first := eligible[r.random.IntN(len(eligible))]
+	second := eligible[r.random.IntN(len(eligible))]
+	if load(second) < load(first) {
+		return second
+	}
+	return first
+}
+
+// byPrefix returns the prefix's preferred engine, by rendezvous hashing, whose
+// load is within the bound.
+func byPrefix(hash uint64, eligible []registry.Engine) (registry.Engine, bool) {
+	total := 0
+	for _, candidate := range eligible {
+		total += Load(candidate)
+	}
+	bound := affinitySlack*float64(total)/float64(len(eligible)) + affinityExtra
+	tried := map[string]bool{}
+	for range min(affinityChoices, len(eligible)) {
+		preferred := heaviest(hash, eligible, tried)
+		if float64(Load(preferred)) <= bound {
+			return preferred, true
+		}
+		tried[preferred.Name] = true
+	}
+	return registry.Engine{}, false
+}
+
+func heaviest(hash uint64, eligible []registry.Engine, tried map[string]bool) registry.Engine {
+	var best registry.Engine
+	bestWeight, found := uint64(0), false
+	for _, candidate := range eligible {
+		if tried[candidate.Name] {
+			continue
+		}
+		weight := (xxhash.Sum64String(candidate.Name) ^ hash) * 0x9e3779b97f4a7c15
+		weight ^= weight >> 29
+		weight *= 0xbf58476d1ce4e5b9
+		if !found || weight > bestWeight {
+			best, bestWeight, found = candidate, weight, true
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,209 @@
+// Package settings holds the process settings of a daemon: its addresses, its
+// zone, where the platform is and which keys it trusts. Settings belong to one
+// process; what the whole fleet shares stands in the bundle instead.
+package settings
+
+import (
+	"encoding/hex"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"topazpulley/internal/failure"
+)
+
+// Duration is a time.Duration written as text, such as "250ms".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return failure.Wrap(err, failure.KindInvalid, "bad_duration", "write a duration with a unit, such as \"250ms\"")
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// Settings is the typed form of the settings file.
+type Settings struct {
+	// Name identifies the daemon; it is unique in the fleet.
+	Name string `toml:"name"`
+	// Zone is the failure domain of the machine.
+	Zone string `toml:"zone"`
+	// Region groups zones.
+	Region string `toml:"region"`
+	// HTTPAddress is the IP:port of the callers' and operators' listener.
+	HTTPAddress string `toml:"http_address"`
+	// PeerAddress is the IP:port for UDP membership and TCP peer calls.
+	PeerAddress string `toml:"peer_address"`
+	// AdvertiseAddress is the IP:port that other daemons are told; it is
+	// PeerAddress when empty.
+	AdvertiseAddress string `toml:"advertise_address"`
+	// PlatformURL is the base address of the table, object and machine services.
+	PlatformURL string `toml:"platform_url"`
+	// Seeds are peer addresses to join when the machine list is unreachable.
+	Seeds []string `toml:"seeds"`
+	// ClusterKey authenticates daemons to each other: 32 bytes in hexadecimal.
+	ClusterKey string `toml:"cluster_key"`
+	// OperatorKeys are the Ed25519 public keys, in hexadecimal by operator
+	// name, whose signatures on a bundle count.
+	OperatorKeys map[string]string `toml:"operator_keys"`
+	// RequiredSignatures is how many operators must sign a bundle.
+	RequiredSignatures int `toml:"required_signatures"`
+	// OperatorToken admits operators' calls over HTTP.
+	OperatorToken string `toml:"operator_token"`
+	// TLSCertificateFile and TLSKeyFile switch TLS 1.3 on when both are set.
+	TLSCertificateFile string `toml:"tls_certificate_file"`
+	TLSKeyFile         string `toml:"tls_key_file"`
+	// ProbeInterval is the time between two membership probes.
+	ProbeInterval Duration `toml:"probe_interval"`
+	// StopLinger is how long a stopping daemon goes on accepting requests.
+	StopLinger Duration `toml:"stop_linger"`
+	// PlatformOperationsPerSecond bounds the daemon's calls to the platform.
+	PlatformOperationsPerSecond float64 `toml:"platform_operations_per_second"`
+	// MaxConnections bounds concurrent callers' connections.
+	MaxConnections int `toml:"max_connections"`
+	// MaxBodyBytes bounds one request body.
+	MaxBodyBytes int `toml:"max_body_bytes"`
+}
+
+const (
+	clusterKeyBytes       = 32
+	defaultProbeInterval  = Duration(time.Second)
+	defaultStopLinger     = Duration(2 * time.Second)
+	defaultOperations     = 50
+	defaultMaxConnections = 4096
+	defaultMaxBodyBytes   = 64 << 20
+)
+
+// Default returns settings with every optional value filled in.
+func Default() Settings {
+	return Settings{
+		RequiredSignatures:          1,
+		ProbeInterval:               defaultProbeInterval,
+		StopLinger:                  defaultStopLinger,
+		PlatformOperationsPerSecond: defaultOperations,
+		MaxConnections:              defaultMaxConnections,
+		MaxBodyBytes:                defaultMaxBodyBytes,
+	}
+}
+
+// Load reads a settings file over the defaults. An unknown key, a wrong type
+// or a wrong unit is an error that names the key and the line.
+func Load(path string) (Settings, error) {
+	loaded := Default()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return loaded, failure.Wrap(err, failure.KindInvalid, "settings_unreadable", "cannot read settings file %s", path)
+	}
+	if err := DecodeStrict(string(text), &loaded); err != nil {
+		return loaded, err
+	}
+	return loaded, nil
+}
+
+// DecodeStrict decodes TOML into target and refuses unknown keys. Errors carry
+// the line.
+func DecodeStrict(text string, target any) error {
+	metadata, err := toml.Decode(text, target)
+	if err != nil {
+		return decodeFailure(err)
+	}
+	undecoded := metadata.Undecoded()
+	if len(undecoded) == 0 {
+		return nil
+	}
+	key := undecoded[0]
+	line := lineOfKey(text, key)
+	return failure.New(failure.KindInvalid, "unknown_key",
+		"line %d: unknown key %q: remove it or correct its spelling", line, key.String()).WithLine(line)
+}
+
+func decodeFailure(err error) error {
+	if parse, ok := err.(toml.ParseError); ok {
+		return failure.Wrap(err, failure.KindInvalid, "bad_toml", "line %d: correct the value or syntax", parse.Position.Line).WithLine(parse.Position.Line)
+	}
+	return failure.Wrap(err, failure.KindInvalid, "bad_toml", "correct the value's type or unit")
+}
+
+// lineOfKey finds the first line that assigns the last part of the key.
+func lineOfKey(text string, key toml.Key) int {
+	last := key[len(key)-1]
+	for index, line := range strings.Split(text, "\n") {
+		trimmed := strings.Trim(strings.TrimSpace(line), "[]")
+		if strings.HasPrefix(trimmed, last) || strings.HasSuffix(trimmed, "."+last) {
+			return index + 1
+		}
+	}
+	return 0
+}
+
+// Validate checks every value and says which key to change.
+func (s *Settings) Validate() error {
+	if s.Name == "" {
+		return invalid("name", "give the daemon a unique name")
+	}
+	if s.Zone == "" {
+		return invalid("zone", "name the zone this machine stands in")
+	}
+	if s.AdvertiseAddress == "" {
+		s.AdvertiseAddress = s.PeerAddress
+	}
+	if err := s.validateAddresses(); err != nil {
+		return err
+	}
+	if s.PlatformURL == "" {
+		return invalid("platform_url", "give the platform's base address, such as \"http://127.0.0.1:7000\"")
+	}
+	if key, err := hex.DecodeString(s.ClusterKey); err != nil || len(key) != clusterKeyBytes {
+		return invalid("cluster_key", "give 32 bytes in hexadecimal")
+	}
+	if s.RequiredSignatures < 1 || s.RequiredSignatures > max(1, len(s.OperatorKeys)) {
+		return invalid("required_signatures", "give a number from 1 to the number of operator_keys")
+	}
+	if s.ProbeInterval <= 0 {
+		return invalid("probe_interval", "give a positive duration")
+	}
+	if s.PlatformOperationsPerSecond <= 0 {
+		return invalid("platform_operations_per_second", "give a positive number")
+	}
+	if s.MaxConnections <= 0 || s.MaxBodyBytes <= 0 {
+		return invalid("max_connections, max_body_bytes", "give positive numbers")
+	}
+	if (s.TLSCertificateFile == "") != (s.TLSKeyFile == "") {
+		return invalid("tls_certificate_file, tls_key_file", "set both or neither")
+	}
+	return nil
+}
+
+func (s *Settings) validateAddresses() error {
+	named := []struct{ key, value string }{
+		{"http_address", s.HTTPAddress},
+		{"peer_address", s.PeerAddress},
+		{"advertise_address", s.AdvertiseAddress},
+	}
+	for _, address := range named {
+		host, _, err := net.SplitHostPort(address.value)
+		if err != nil || net.ParseIP(host) == nil {
+			return invalid(address.key, "give an address by IP number, such as \"127.0.0.1:8080\"")
+		}
+	}
+	return nil
+}
+
+// ClusterKeyBytes returns the decoded cluster key. Validate has checked it.
+func (s *Settings) ClusterKeyBytes() []byte {
+	key, _ := hex.DecodeString(s.ClusterKey)
+	return key
+}
+
+func invalid(key, remedy string) error {
+	return failure.New(failure.KindInvalid, "bad_setting", "setting %s: %s", key, remedy)
+}
--- /dev/null
+++ b/internal/supervisor/dispatch.go
@@ -0,0 +1,215 @@
+package supervisor
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"topazpulley/internal/batch"
+	"topazpulley/internal/engine"
+	"topazpulley/internal/failure"
+	"topazpulley/internal/registry"
+)
+
+const (
+	resumeTries = 4
+	resumePause = 300 * time.Millisecond
+)
+
+// dispatch starts batch items while the window has room.
+func (l *engineLoop) dispatch(view registry.Engine) {
+	for {
+		if time.Now().Before(l.pausedUntil()) {
+			return
+		}
+		if !l.hasRoom() {
+			return
+		}
+		task, found := l.supervisor.worker.Take(view.Machine.Service)
+		if !found {
+			return
+		}
+		l.start(view, task)
+	}
+}
+
+func (l *engineLoop) hasRoom() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return !l.stopped && len(l.running) < l.window.Size()
+}
+
+func (l *engineLoop) pausedUntil() time.Time {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.batchPausedTo
+}
+
+// pause holds batch dispatch back after the engine failed or refused.
+func (l *engineLoop) pause() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.batchPausedTo = time.Now().Add(batchPause)
+}
+
+func (l *engineLoop) start(view registry.Engine, task *batch.Task) {
+	ctx, cancel := context.WithCancel(task.Context())
+	item := &runningItem{task: task, cancel: cancel}
+	l.mutex.Lock()
+	l.running = append(l.running, item)
+	l.mutex.Unlock()
+	l.supervisor.group.Add(1)
+	go func() {
+		defer l.supervisor.group.Done()
+		defer cancel()
+		l.runItem(ctx, view, task)
+		l.remove(item)
+		l.dispatch(view)
+	}()
+}
+
+func (l *engineLoop) remove(item *runningItem) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.running = slices.DeleteFunc(l.running, func(other *runningItem) bool { return other == item })
+}
+
+func (l *engineLoop) runItem(ctx context.Context, view registry.Engine, task *batch.Task) {
+	if task.Item.MayRepeat() {
+		l.runRepeatable(ctx, view, task)
+		return
+	}
+	if task.Earlier != nil {
+		l.resumeOnly(ctx, task, *task.Earlier)
+		return
+	}
+	l.runOnce(ctx, view, task)
+}
+
+// runRepeatable runs an item that may be cancelled, continued and run again.
+func (l *engineLoop) runRepeatable(ctx context.Context, view registry.Engine, task *batch.Task) {
+	stream, err := l.supervisor.engines.Generate(ctx, view.Machine.Address, requestFor(task, task.AttemptID()))
+	if err == nil {
+		var end engine.Event
+		end, err = collect(ctx, stream, task)
+		if err == nil {
+			l.supervisor.worker.Finish(task, end)
+			return
+		}
+	}
+	l.retryLater(ctx, task, err)
+}
+
+func requestFor(task *batch.Task, attemptID string) engine.GenerateRequest {
+	return engine.GenerateRequest{
+		AttemptID: attemptID, Model: task.Item.Body.Model, Input: task.Item.Body.Input(),
+		MaxTokens: task.Item.Body.TokenLimit(), Priority: engine.PriorityBatch, Continue: task.Tokens,
+	}
+}
+
+// collect reads a stream to its end, keeping the tokens in the task.
+func collect(ctx context.Context, stream *engine.Stream, task *batch.Task) (engine.Event, error) {
+	defer stream.Close()
+	for {
+		event, err := stream.Next(ctx)
+		if err != nil {
+			return event, err
+		}
+		if event.End && event.FinishReason == engine.FinishCancelled {
+			return event, &engine.AttemptError{Outcome: engine.OutcomeUnknown, Code: engine.CodeAbandoned}
+		}
+		if event.End {
+			return event, nil
+		}
+		task.Tokens = append(task.Tokens, event.Token)
+	}
+}
+
+// retryLater gives the task back. Only attempts that broke off count against
+// it; refusals and preemptions do not.
+func (l *engineLoop) retryLater(ctx context.Context, task *batch.Task, err error) {
+	if engine.OutcomeOf(err) == engine.OutcomeInvalid {
+		l.supervisor.worker.Fail(task, failure.Wrap(err, failure.KindInvalid, engine.CodeOf(err), "the engine rejected the item"))
+		return
+	}
+	wasPreempted := ctx.Err() != nil
+	if !wasPreempted {
+		l.pause()
+	}
+	if !wasPreempted && engine.OutcomeOf(err) == engine.OutcomeUnknown {
+		task.Failures++
+		l.supervisor.log.Info("batch_attempt_failed", "engine", l.name, "request", task.RequestID(), "failures", task.Failures, "error", err)
+	}
+	if task.Failures >= maxItemFailures {
+		l.supervisor.worker.Fail(task, err)
+		return
+	}
+	l.supervisor.worker.GiveBack(task)
+}
+
+// runOnce runs an item that may not be repeated: the intent is durable before
+// the item is sent, and after that it is only ever resumed.
+func (l *engineLoop) runOnce(ctx context.Context, view registry.Engine, task *batch.Task) {
+	intent := batch.Intent{Item: task.Index, Engine: l.name, Address: view.Machine.Address, AttemptID: task.AttemptID(), Replaces: task.Refused}
+	if err := l.supervisor.worker.RecordIntent(ctx, task, intent); err != nil {
+		l.pause()
+		l.settleIntent(ctx, task, intent, err)
+		return
+	}
+	task.Earlier = &intent
+	stream, err := l.supervisor.engines.Generate(ctx, view.Machine.Address, requestFor(task, intent.AttemptID))
+	if err != nil && engine.OutcomeOf(err) == engine.OutcomeInvalid {
+		l.supervisor.worker.Fail(task, err)
+		return
+	}
+	if err == nil {
+		var end engine.Event
+		end, err = collect(ctx, stream, task)
+		if err == nil {
+			l.supervisor.worker.Finish(task, end)
+			return
+		}
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if engine.OutcomeOf(err) == engine.OutcomeNotRun {
+		l.pause()
+		task.Earlier, task.Refused = nil, intent.AttemptID
+		l.supervisor.worker.GiveBack(task)
+		return
+	}
+	l.resumeOnly(ctx, task, intent)
+}
+
+// settleIntent handles an intent whose write failed. Nothing was sent, but the
+// write may have taken effect, so a later owner would not send it either.
+func (l *engineLoop) settleIntent(ctx context.Context, task *batch.Task, intent batch.Intent, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	l.supervisor.log.Info("intent_not_recorded", "request", task.RequestID(), "attempt", intent.AttemptID, "error", err)
+	l.supervisor.worker.GiveBack(task)
+}
+
+// resumeOnly attaches to an attempt that may have run; when the engine does
+// not know it, the outcome stays unknown and the item is never sent again.
+func (l *engineLoop) resumeOnly(ctx context.Context, task *batch.Task, intent batch.Intent) {
+	for range resumeTries {
+		task.Tokens = nil
+		stream, err := l.supervisor.engines.Resume(ctx, intent.Address, intent.AttemptID, 0)
+		if err == nil {
+			var end engine.Event
+			end, err = collect(ctx, stream, task)
+			if err == nil {
+				l.supervisor.worker.Finish(task, end)
+				return
+			}
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		time.Sleep(resumePause)
+	}
+	l.supervisor.worker.Fail(task, failure.New(failure.KindOutcomeUnknown, "outcome_unknown", "the item was sent once and its outcome cannot be learnt; it was not sent again"))
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,56 @@
+// Package telemetry holds the daemon's metrics and its logger.
+package telemetry
+
+import (
+	"io"
+	"log/slog"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are the daemon's Prometheus metrics.
+type Metrics struct {
+	// Registry holds all of them.
+	Registry *prometheus.Registry
+	// Requests counts finished requests by service and outcome kind.
+	Requests *prometheus.CounterVec
+	// FirstToken observes the time to the first token in seconds, by service.
+	FirstToken *prometheus.HistogramVec
+	// Retries counts second and later attempts of online requests, by reason.
+	Retries *prometheus.CounterVec
+	// Dropped counts engine answers that carried another attempt's id.
+	Dropped prometheus.Counter
+	// Spilled counts requests forwarded to another zone, by that zone.
+	Spilled *prometheus.CounterVec
+}
+
+const namespace = "topazpulley"
+
+// firstTokenBuckets are in seconds, around the goal of 0.42 s.
+var firstTokenBuckets = []float64{.01, .025, .05, .1, .2, .3, .42, .6, 1, 2, 5, 15}
+
+// NewMetrics registers the metrics.
+func NewMetrics() *Metrics {
+	metrics := &Metrics{
+		Registry: prometheus.NewRegistry(),
+		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "requests_total", Help: "Finished online requests."}, []string{"service", "outcome"}),
+		FirstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "first_token_seconds", Help: "Time from arrival to the first token.", Buckets: firstTokenBuckets,
+		}, []string{"service"}),
+		Retries: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "retries_total", Help: "Further attempts of online requests."}, []string{"reason"}),
+		Dropped: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "foreign_answers_total", Help: "Engine answers with another attempt's id, dropped."}),
+		Spilled: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "spilled_requests_total", Help: "Requests forwarded to another zone."}, []string{"zone"}),
+	}
+	metrics.Registry.MustRegister(metrics.Requests, metrics.FirstToken, metrics.Retries, metrics.Dropped, metrics.Spilled)
+	return metrics
+}
+
+// Gauge registers a gauge whose value is read when it is scraped.
+func (m *Metrics) Gauge(name, help string, read func() float64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// NewLogger returns a logger of one key=value line per event.
+func NewLogger(output io.Writer, level slog.Level, daemon string) *slog.Logger {
+	return slog.New(slog.NewTextHandler(output, &slog.HandlerOptions{Level: level})).With("daemon", daemon)
+}
