--- /dev/null
+++ b/internal/emulator/relay.go
@@ -0,0 +1,169 @@
+package emulator
+
+import (
+	"io"
+	"net"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"topazpulley/internal/failure"
+)
+
+// PathCuts reads and sets the relay's cuts.
+const PathCuts = "/emulator/cuts"
+
+// Cut drops traffic from one zone to another.
+type Cut struct {
+	From string `json:"from"`
+	To   string `json:"to"`
+}
+
+// Relay carries the peer traffic of daemons and cuts it by (source,
+// destination) zone. Each daemon advertises an address of the relay; the
+// source of traffic is known by its IP number, which differs by daemon.
+type Relay struct {
+	mutex       sync.Mutex
+	zones       map[string]string
+	cuts        map[Cut]bool
+	connections map[*relayed]bool
+}
+
+// relayed is one carried TCP connection.
+type relayed struct {
+	near, far net.Conn
+	from, to  string
+}
+
+func (r *relayed) close() {
+	_ = r.near.Close()
+	_ = r.far.Close()
+}
+
+const relayBuffer = 64 << 10
+
+// NewRelay returns a relay without routes or cuts.
+func NewRelay() *Relay {
+	return &Relay{zones: map[string]string{}, cuts: map[Cut]bool{}, connections: map[*relayed]bool{}}
+}
+
+// Add carries UDP and TCP from a listen address to a target in a zone.
+func (r *Relay) Add(listen, target, zone string) error {
+	host, _, err := net.SplitHostPort(target)
+	if err != nil {
+		return failure.Wrap(err, failure.KindInvalid, "bad_target", "target %q is not IP:PORT", target)
+	}
+	r.mutex.Lock()
+	r.zones[host] = zone
+	r.mutex.Unlock()
+	stream, err := net.Listen("tcp", listen)
+	if err != nil {
+		return failure.Wrap(err, failure.KindUnavailable, "relay_listen", "cannot listen on %s", listen)
+	}
+	packets, err := net.ListenPacket("udp", listen)
+	if err != nil {
+		return failure.Wrap(err, failure.KindUnavailable, "relay_listen", "cannot listen on %s", listen)
+	}
+	go r.carryPackets(packets, target, zone)
+	go r.acceptStreams(stream, target, zone)
+	return nil
+}
+
+// SetCuts replaces all cuts and closes connections that they concern.
+func (r *Relay) SetCuts(cuts []Cut) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.cuts = map[Cut]bool{}
+	for _, cut := range cuts {
+		r.cuts[cut] = true
+	}
+	for connection := range r.connections {
+		if r.cuts[Cut{connection.from, connection.to}] || r.cuts[Cut{connection.to, connection.from}] {
+			connection.close()
+		}
+	}
+}
+
+func (r *Relay) zoneOf(address net.Addr) string {
+	host, _, _ := net.SplitHostPort(address.String())
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.zones[host]
+}
+
+func (r *Relay) isCut(from, to string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.cuts[Cut{from, to}]
+}
+
+func (r *Relay) carryPackets(packets net.PacketConn, target, zone string) {
+	address, err := net.ResolveUDPAddr("udp", target)
+	if err != nil {
+		return
+	}
+	buffer := make([]byte, relayBuffer)
+	for {
+		count, source, err := packets.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+		if !r.isCut(r.zoneOf(source), zone) {
+			_, _ = packets.WriteTo(buffer[:count], address)
+		}
+	}
+}
+
+func (r *Relay) acceptStreams(listener net.Listener, target, zone string) {
+	for {
+		near, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.carryStream(near, target, zone)
+	}
+}
+
+// carryStream carries a connection unless either direction is cut: a stream
+// needs both.
+func (r *Relay) carryStream(near net.Conn, target, zone string) {
+	from := r.zoneOf(near.RemoteAddr())
+	if r.isCut(from, zone) || r.isCut(zone, from) {
+		_ = near.Close()
+		return
+	}
+	far, err := net.Dial("tcp", target)
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	carried := &relayed{near: near, far: far, from: from, to: zone}
+	r.mutex.Lock()
+	r.connections[carried] = true
+	r.mutex.Unlock()
+	go copyAndClose(carried, far, near)
+	copyAndClose(carried, near, far)
+	r.mutex.Lock()
+	delete(r.connections, carried)
+	r.mutex.Unlock()
+}
+
+func copyAndClose(carried *relayed, to io.Writer, from io.Reader) {
+	_, _ = io.Copy(to, from)
+	carried.close()
+}
+
+// ServeControl answers control calls on the listener until it is closed.
+func (r *Relay) ServeControl(listener net.Listener) error {
+	server := &fasthttp.Server{NoDefaultServerHeader: true, Handler: func(call *fasthttp.RequestCtx) {
+		cuts := []Cut{}
+		if string(call.Path()) != PathCuts {
+			call.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		if decodeBody(call, &cuts) {
+			r.SetCuts(cuts)
+		}
+	}}
+	return server.Serve(listener)
+}
--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -29,7 +29,7 @@
 func start(t *testing.T, zones []string, perZone, engines int) *harness.Harness {
 	output := slog.New(slog.DiscardHandler)
 	if os.Getenv("TOPAZPULLEY_TEST_LOG") != "" {
-		output = slog.New(slog.NewTextHandler(os.Stderr, nil))
+		output = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	}
 	running, err := harness.Start(harness.Config{
 		Zones: zones, Region: "region", DaemonsPerZone: perZone, Engines: harness.ExampleEngines(engines, len(zones), fastEngine),
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"bytes"
 	"math"
 	"sort"
 	"time"
@@ -96,12 +97,21 @@
 	return chosen
 }
 
+// supersedes orders items by version; two publishers that chose the same
+// version are ordered by payload, so that all members agree.
+func (i Item) supersedes(held Item) bool {
+	if i.Version != held.Version {
+		return i.Version > held.Version
+	}
+	return bytes.Compare(i.Payload, held.Payload) > 0
+}
+
 func (c *Core) applyItem(item Item, now time.Time) {
 	if item.Zone != "" && item.Zone != c.self.Zone {
 		return
 	}
 	held, known := c.items[item.Key]
-	if known && item.Version <= held.item.Version {
+	if known && !item.supersedes(held.item) {
 		return
 	}
 	c.items[item.Key] = heldItem{item: item, refreshed: now}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/subtle"
+	"net"
 	"sync"
 	"time"
 
@@ -14,7 +15,8 @@
 	"topazpulley/internal/failure"
 )
 
-// link is the calling side of one connection. mutex guards pending and broken.
+// link is the calling side of one connection. mutex guards connection,
+// pending and broken.
 type link struct {
 	address    string
 	connection gnet.Conn
@@ -22,6 +24,7 @@
 	challenge  []byte
 	isOpen     bool
 	ready      chan struct{}
+	failed     chan struct{}
 
 	mutex   sync.Mutex
 	nextID  int64
@@ -76,6 +79,7 @@
 
 func (t *Transport) answerChallenge(held *link, connection gnet.Conn, challenge []byte) bool {
 	held.challenge = challenge
+	held.setConnection(connection)
 	opening := hello{Version: ProtocolVersion, Name: t.name, Nonce: held.nonce}
 	opening.MAC = authenticate(t.key, challenge, held.nonce, []byte(t.name))
 	encoded, err := avro.Marshal(helloSchema, opening)
@@ -125,6 +129,9 @@
 	t.mutex.Unlock()
 	held.mutex.Lock()
 	defer held.mutex.Unlock()
+	if !held.broken {
+		close(held.failed)
+	}
 	held.broken = true
 	for id, waiting := range held.pending {
 		close(waiting)
@@ -138,11 +145,13 @@
 	if err != nil {
 		return nil, err
 	}
-	timer := time.NewTimer(handshakeTimeout)
+	timer := time.NewTimer(dialTimeout + handshakeTimeout)
 	defer timer.Stop()
 	select {
 	case <-held.ready:
 		return held, nil
+	case <-held.failed:
+		return nil, peerUnreachable(address).WithNotRun()
 	case <-ctx.Done():
 	case <-timer.C:
 		t.closeLink(held)
@@ -151,8 +160,8 @@
 }
 
 func (t *Transport) closeLink(held *link) {
-	if held.connection != nil {
-		_ = held.connection.Close()
+	if connection := held.opened(); connection != nil {
+		_ = connection.Close()
 	}
 	t.dropLink(held)
 }
@@ -161,6 +170,8 @@
 	return failure.New(failure.KindUnavailable, "peer_unreachable", "daemon at %s cannot be reached", address)
 }
 
+// linkTo returns the link to an address, opening one in the background if
+// there is none.
 func (t *Transport) linkTo(address string) (*link, error) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -168,17 +179,54 @@
 		return held, nil
 	}
 	nonce := make([]byte, nonceBytes)
-	_, _ = rand.Read(nonce)
-	held := &link{address: address, nonce: nonce, ready: make(chan struct{}), pending: map[int64]chan envelope{}}
-	connection, err := t.dialer.DialContext("tcp", address, held)
-	if err != nil {
-		return nil, failure.Wrap(err, failure.KindUnavailable, "peer_unreachable", "daemon at %s cannot be reached", address).WithNotRun()
+	if _, err := rand.Read(nonce); err != nil {
+		return nil, errors.WithStack(err)
 	}
-	held.connection = connection
+	held := &link{address: address, nonce: nonce, ready: make(chan struct{}), failed: make(chan struct{}), pending: map[int64]chan envelope{}}
 	t.links[address] = held
+	go t.openLink(held)
 	return held, nil
 }
 
+func (t *Transport) openLink(held *link) {
+	connection, err := t.dial(held.address, held)
+	if err != nil {
+		t.log.Debug("peer_dial_failed", "peer", held.address, "error", err)
+		t.dropLink(held)
+		return
+	}
+	held.setConnection(connection)
+}
+
+// setConnection is called by whoever learns of the connection first: the
+// dialling goroutine or the event loop that receives the challenge.
+func (l *link) setConnection(connection gnet.Conn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.connection = connection
+}
+
+func (l *link) opened() gnet.Conn {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.connection
+}
+
+// dial connects from the daemon's own IP number, by which others know it.
+func (t *Transport) dial(address string, held *link) (gnet.Conn, error) {
+	host, _, err := net.SplitHostPort(t.address)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
+	connection, err := dialer.Dial("tcp", address)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	enrolled, err := t.dialer.EnrollContext(connection, held)
+	return enrolled, errors.WithStack(err)
+}
+
 // Call sends a request to the daemon at an address and waits for its answer.
 func Call[Q, A Message](ctx context.Context, transport *Transport, address, method string, request Q) (A, error) {
 	var reply A
@@ -211,7 +259,7 @@
 	if err != nil {
 		return envelope{}, err
 	}
-	if err := held.connection.AsyncWrite(encoded, nil); err != nil {
+	if err := held.opened().AsyncWrite(encoded, nil); err != nil {
 		return envelope{}, peerUnreachable(address)
 	}
 	select {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -24,6 +24,7 @@
 	nonceBytes       = 16
 	bootTimeout      = 5 * time.Second
 	handshakeTimeout = 2 * time.Second
+	dialTimeout      = time.Second
 	maxCallsAtOnce   = 256
 )
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -3,6 +3,7 @@
 package registry
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -43,6 +44,12 @@
 	Supervisor string
 }
 
+// Equal compares two records.
+func (r EngineRecord) Equal(other EngineRecord) bool {
+	return r.Up == other.Up && r.State == other.State && r.Fence == other.Fence &&
+		r.Supervisor == other.Supervisor && slices.Equal(r.Models, other.Models)
+}
+
 // LoadRecord is an engine's load; it is refreshed often and kept small.
 type LoadRecord struct {
 	Online      int
--- a/internal/revision/holder.go
+++ b/internal/revision/holder.go
@@ -7,9 +7,13 @@
 	"topazpulley/internal/bundle"
 )
 
-// Holder holds the revision in force on this daemon. It only ever rises.
+// Holder holds the revision in force on this daemon and the highest one that it
+// has stored for its zone. Both only ever rise, and the stored one is never
+// below the one in force. mutex guards all fields.
 type Holder struct {
 	mutex       sync.RWMutex
+	stored      Revision
+	storedText  string
 	current     Revision
 	text        string
 	active      *bundle.Bundle
@@ -43,6 +47,9 @@
 		return false, nil
 	}
 	h.current, h.text, h.active = next, text, parsed
+	if next.Number > h.stored.Number {
+		h.stored, h.storedText = next, text
+	}
 	subscribers := h.subscribers
 	h.mutex.Unlock()
 	for _, subscriber := range subscribers {
@@ -51,6 +58,23 @@
 	return true, nil
 }
 
+// Store keeps a revision for the zone without putting it in force.
+func (h *Holder) Store(offered Revision, text string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if offered.Number > h.stored.Number {
+		h.stored, h.storedText = offered, text
+	}
+}
+
+// Stored returns the highest revision that this daemon has stored and the text
+// of its bundle.
+func (h *Holder) Stored() (Revision, string) {
+	h.mutex.RLock()
+	defer h.mutex.RUnlock()
+	return h.stored, h.storedText
+}
+
 // Confirm records that the revision was found to be the highest.
 func (h *Holder) Confirm(now time.Time) {
 	h.mutex.Lock()
--- a/internal/supervisor/engineloop.go
+++ b/internal/supervisor/engineloop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -22,7 +21,6 @@
 	wake       chan struct{}
 
 	failedProbes  int
-	lastRecord    registry.EngineRecord
 	lastRecordAt  time.Time
 	lastLoad      registry.LoadRecord
 	lastLoadAt    time.Time
@@ -68,11 +66,11 @@
 	}
 	report, err := l.supervisor.engines.Load(view.Machine.Address, probeTimeout)
 	if err != nil {
-		l.probeFailed()
+		l.probeFailed(view)
 		return
 	}
 	l.failedProbes = 0
-	l.publishRecord(registry.EngineRecord{
+	l.publishRecord(view, registry.EngineRecord{
 		Up: true, State: string(report.State), Fence: report.Fence, Models: report.Models, Supervisor: l.supervisor.node.Self().Name,
 	})
 	size := l.observe(view, report)
@@ -91,15 +89,15 @@
 	return part * 1000 / whole
 }
 
-func (l *engineLoop) probeFailed() {
+func (l *engineLoop) probeFailed(view registry.Engine) {
 	l.failedProbes++
 	if l.failedProbes < failedProbesDown {
 		return
 	}
-	record := l.lastRecord
+	record := view.Record
 	record.Up = false
 	record.Supervisor = l.supervisor.node.Self().Name
-	l.publishRecord(record)
+	l.publishRecord(view, record)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.window.SetPolicy(0, 0)
@@ -158,11 +156,11 @@
 	}
 }
 
-// publishRecord spreads the engine's state when it changed, and from time to
-// time. A change for the worse is urgent.
-func (l *engineLoop) publishRecord(record registry.EngineRecord) {
-	isSame := record.Up == l.lastRecord.Up && record.State == l.lastRecord.State && record.Fence == l.lastRecord.Fence &&
-		record.Supervisor == l.lastRecord.Supervisor && slices.Equal(record.Models, l.lastRecord.Models)
+// publishRecord spreads the engine's state when it differs from what the zone
+// believes, which another supervisor may have spread, and from time to time. A
+// change for the worse is urgent.
+func (l *engineLoop) publishRecord(view registry.Engine, record registry.EngineRecord) {
+	isSame := view.Known && record.Equal(view.Record)
 	if isSame && time.Since(l.lastRecordAt) < recordRefresh {
 		return
 	}
@@ -170,7 +168,7 @@
 	if !record.Up || record.State != string(engine.StateReady) {
 		priority = membership.PriorityUrgent
 	}
-	l.lastRecord, l.lastRecordAt = record, time.Now()
+	l.lastRecordAt = time.Now()
 	l.publish(registry.PrefixEngine, priority, record.Encode())
 	if !isSame {
 		l.supervisor.log.Info("engine_changed", "engine", l.name, "up", record.Up, "state", record.State, "fence", record.Fence)
