--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -20,7 +20,6 @@
 	pollInterval    = time.Second
 	listTimeout     = 3 * time.Second
 	refreshInterval = 2 * time.Minute
-	maxSeeds        = 8
 )
 
 // Watcher polls the machine list while the duty falls to this daemon, and once
@@ -86,7 +85,7 @@
 	seeds := slices.Clone(w.seeds)
 	self := w.node.Self()
 	for _, machine := range list {
-		if machine.Kind == platform.MachineDaemon && machine.State == platform.MachineLive && machine.Name != self.Name && len(seeds) < maxSeeds {
+		if machine.Kind == platform.MachineDaemon && machine.State == platform.MachineLive && machine.Name != self.Name {
 			seeds = append(seeds, machine.Address)
 		}
 	}
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -362,16 +362,15 @@
 	c.ringIndex = 0
 }
 
-// reconnect pings one dead member and one seed, so that groups that lost each
-// other find together again.
+// reconnect pings one dead member and one seed that no live member accounts
+// for, so that groups that lost each other, or never met, find together.
 func (c *Core) reconnect(now time.Time) []Datagram {
 	addresses := []string{}
-	dead := c.pickMembers(1, func(member Member) bool { return member.State == StateDead })
-	for _, member := range dead {
+	for _, member := range c.pickMembers(1, func(member Member) bool { return member.State == StateDead }) {
 		addresses = append(addresses, member.Address)
 	}
-	if len(c.seeds) > 0 && (c.liveCount < 2 || len(dead) > 0) {
-		addresses = append(addresses, c.seeds[c.random.IntN(len(c.seeds))])
+	if strangers := c.unknownSeeds(); len(strangers) > 0 {
+		addresses = append(addresses, strangers[c.random.IntN(len(strangers))])
 	}
 	out := []Datagram{}
 	for _, address := range addresses {
@@ -385,6 +384,23 @@
 	return out
 }
 
+// unknownSeeds returns the seeds that are no live member's address.
+func (c *Core) unknownSeeds() []string {
+	live := make(map[string]bool, c.liveCount)
+	for _, member := range c.members {
+		if member.Live() {
+			live[member.Address] = true
+		}
+	}
+	strangers := []string{}
+	for _, seed := range c.seeds {
+		if !live[seed] {
+			strangers = append(strangers, seed)
+		}
+	}
+	return strangers
+}
+
 // forget drops members that have been gone for longer than the retention.
 func (c *Core) forget(now time.Time) {
 	for name, member := range c.members {
