Prove the failure stories over separate processes and by properties

Stories found these, each now with a test: - A restarted daemon that joined through another zone never got the durable items of its own zone while the platform was down (zone_cut, 60 s in vain). Probes now carry a digest of the zone's items; a difference leads to a sync. Hashes are now mixed to the end. Who raises a suspicion now tells the suspect directly. An item gives up after 20 broken attempts, not 6. Ruled out for the healed cut: reconnect probes (they arrived) and the sync interval (exchanges ran, with no buckets that differed).

--- /dev/null
+++ b/internal/emulator/inprocess.go
@@ -0,0 +1,82 @@
+package emulator
+
+import (
+	"context"
+	"time"
+
+	"topazpulley/internal/failure"
+	"topazpulley/internal/platform"
+)
+
+// InProcess gives a platform's services without HTTP, for property tests and
+// tools in the same process.
+type InProcess struct {
+	Platform *Platform
+	// LoseAnswer decides for each write whether it takes effect and its answer
+	// is lost; nil means never.
+	LoseAnswer func() bool
+}
+
+func (p *InProcess) lost() error {
+	if p.LoseAnswer != nil && p.LoseAnswer() {
+		return failure.New(failure.KindUnavailable, "answer_lost", "the answer was lost after the effect")
+	}
+	return nil
+}
+
+// Transact implements platform.Table.
+func (p *InProcess) Transact(_ context.Context, transaction platform.Transaction) (platform.Version, error) {
+	result := p.Platform.Transact(transaction)
+	if err := p.lost(); err != nil {
+		return 0, err
+	}
+	if !result.Committed {
+		return 0, &platform.ConflictError{Rows: result.Conflicts}
+	}
+	return result.Version, nil
+}
+
+// Get implements platform.Table.
+func (p *InProcess) Get(_ context.Context, key string) (platform.Row, error) {
+	return p.Platform.row(key), nil
+}
+
+// Scan implements platform.Table.
+func (p *InProcess) Scan(_ context.Context, request platform.ScanRequest) ([]platform.Row, error) {
+	return p.Platform.scan(request), nil
+}
+
+// Put implements platform.Objects.
+func (p *InProcess) Put(_ context.Context, name string, content []byte) error {
+	p.Platform.mutex.Lock()
+	defer p.Platform.mutex.Unlock()
+	if _, exists := p.Platform.objects[name]; !exists {
+		p.Platform.objects[name] = append([]byte(nil), content...)
+	}
+	return nil
+}
+
+// GetObject implements platform.Objects.
+func (p *InProcess) GetObject(_ context.Context, name string) ([]byte, error) {
+	p.Platform.mutex.Lock()
+	defer p.Platform.mutex.Unlock()
+	content, exists := p.Platform.objects[name]
+	if !exists {
+		return nil, failure.New(failure.KindNotFound, "no_object", "object %s does not exist", name)
+	}
+	return content, nil
+}
+
+// GetRange implements platform.Objects.
+func (p *InProcess) GetRange(ctx context.Context, name string, offset, length int64) ([]byte, error) {
+	content, err := p.GetObject(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	return content[offset : offset+length], nil
+}
+
+// List implements platform.Machines.
+func (p *InProcess) List(context.Context) ([]platform.Machine, error) {
+	return p.Platform.machineList(time.Now()), nil
+}
--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -70,6 +70,12 @@
 	FinishCancelled = "cancelled"
 )
 
+// CompleteEvent is the end of an answer whose tokens all came although its end
+// marker was lost: the token limit was reached, so nothing is left to ask for.
+func CompleteEvent(tokens []string) Event {
+	return Event{End: true, Count: len(tokens), FinishReason: FinishLength}
+}
+
 // State is the life cycle of an engine as it reports it.
 type State string
 
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -72,6 +72,9 @@
 // next returns the next token or the end event.
 func (n *generation) next(ctx context.Context) (engine.Event, error) {
 	for {
+		if len(n.tokens) >= n.request.maxTokens && n.stream == nil {
+			return n.deliver(engine.CompleteEvent(n.tokens)), nil
+		}
 		if n.stream == nil {
 			if err := n.open(ctx); err != nil {
 				return engine.Event{}, err
--- /dev/null
+++ b/internal/harness/callers_test.go
@@ -0,0 +1,198 @@
+package harness_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go"
+	"github.com/openai/openai-go/option"
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/bundle"
+	"topazpulley/internal/client"
+	"topazpulley/internal/emulator"
+	"topazpulley/internal/engine"
+	"topazpulley/internal/failure"
+	"topazpulley/internal/gateway"
+	"topazpulley/internal/harness"
+	"topazpulley/internal/revision"
+)
+
+// TestStockOpenAIClient uses the published client unchanged.
+func TestStockOpenAIClient(t *testing.T) {
+	running := start(t, []string{"a"}, 1, 2)
+	api := openai.NewClient(option.WithBaseURL("http://"+running.Daemons[0].HTTPAddress()+"/v1"), option.WithAPIKey(harness.ExampleKey), option.WithMaxRetries(0))
+	parameters := openai.ChatCompletionNewParams{
+		Model: harness.ExampleModel, MaxTokens: openai.Int(12),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("Which scale comes next?")},
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), wideBound)
+	defer cancel()
+	whole, err := api.Chat.Completions.New(ctx, parameters)
+	require.NoError(t, err)
+	require.NotEmpty(t, whole.Choices[0].Message.Content)
+	require.Equal(t, int64(12), whole.Usage.CompletionTokens)
+	stream := api.Chat.Completions.NewStreaming(ctx, parameters)
+	text := strings.Builder{}
+	for stream.Next() {
+		if choices := stream.Current().Choices; len(choices) > 0 {
+			text.WriteString(choices[0].Delta.Content)
+		}
+	}
+	require.NoError(t, stream.Err())
+	require.Equal(t, whole.Choices[0].Message.Content, text.String())
+	models, err := api.Models.List(ctx)
+	require.NoError(t, err)
+	require.Equal(t, harness.ExampleModel, models.Data[0].ID)
+	file, err := api.Files.New(ctx, openai.FileNewParams{File: strings.NewReader(harness.ExampleItems(20, 4)), Purpose: openai.FilePurposeBatch})
+	require.NoError(t, err)
+	job, err := api.Batches.New(ctx, openai.BatchNewParams{InputFileID: file.ID, Endpoint: openai.BatchNewParamsEndpointV1Completions, CompletionWindow: openai.BatchNewParamsCompletionWindow24h})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		job, err = api.Batches.Get(ctx, job.ID)
+		return err == nil && job.Status == openai.BatchStatusCompleted
+	}, wideBound, pollEvery)
+	require.Equal(t, int64(20), job.RequestCounts.Completed)
+}
+
+func TestBadRequestsAreRefusedWithTheirReason(t *testing.T) {
+	running := start(t, []string{"a"}, 1, 1)
+	caller := running.Caller(0, harness.ExampleKey)
+	post := func(path, body string, headers ...client.Header) *failure.Error {
+		_, err := caller.Call("POST", path, []byte(body), headers...)
+		return failure.From(err)
+	}
+	good := fmt.Sprintf(`{"model":"%s","prompt":"p"}`, harness.ExampleModel)
+	cases := []struct {
+		name, path, body, code string
+		headers                []client.Header
+	}{
+		{"truncated", "/v1/completions", `{"model":`, "bad_json", nil},
+		{"wrong type", "/v1/completions", `{"model":7}`, "bad_json", nil},
+		{"no prompt", "/v1/completions", fmt.Sprintf(`{"model":"%s"}`, harness.ExampleModel), "no_prompt", nil},
+		{"unknown model", "/v1/completions", `{"model":"none","prompt":"p"}`, "unknown_model", nil},
+		{"absurd limit", "/v1/completions", fmt.Sprintf(`{"model":"%s","prompt":"p","max_tokens":99999999}`, harness.ExampleModel), "bad_max_tokens", nil},
+		{"bad deadline", "/v1/completions", good, "bad_deadline", []client.Header{{Name: gateway.HeaderDeadline, Value: "soon"}}},
+		{"long key", "/v1/completions", good, "bad_idempotency_key", []client.Header{{Name: gateway.HeaderIdempotencyKey, Value: strings.Repeat("k", 300)}}},
+		{"unknown service", "/v1/services/none/x", "", "unknown_service", nil},
+		{"unknown file", "/v1/batches", `{"input_file_id":"none","endpoint":"/v1/completions"}`, "no_file", nil},
+		{"bad window", "/v1/batches", `{"input_file_id":"x","endpoint":"/v1/completions","completion_window":"never"}`, "bad_completion_window", nil},
+		{"no path", "/v1/nothing", "", "no_path", nil},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			err := post(each.path, each.body, each.headers...)
+			require.Equal(t, each.code, err.Code)
+			require.True(t, err.NotRun)
+		})
+	}
+	_, err := running.Caller(0, "wrong key").Batch("x")
+	require.Equal(t, "bad_key", failure.From(err).Code)
+	_, err = running.Caller(0, harness.ExampleKey).Status()
+	require.Equal(t, "bad_operator_token", failure.From(err).Code)
+	require.Empty(t, running.Fleet.Ledger(), "nothing that was refused has run")
+}
+
+func TestBodyOverTheLimitIsRefused(t *testing.T) {
+	running := start(t, []string{"a"}, 1, 1)
+	address := running.Daemons[0].HTTPAddress()
+	connection, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	require.NoError(t, connection.SetDeadline(time.Now().Add(wideBound)))
+	_, err = fmt.Fprintf(connection, "POST /v1/files HTTP/1.1\r\nHost: x\r\nContent-Length: 9999999999\r\n\r\n")
+	require.NoError(t, err)
+	answer := make([]byte, 1024)
+	count, err := connection.Read(answer)
+	require.NoError(t, err)
+	require.Contains(t, string(answer[:count]), "413")
+}
+
+// TestCallerThatLeavesEndsItsGeneration: the engine's stream is cancelled.
+func TestCallerThatLeavesEndsItsGeneration(t *testing.T) {
+	running := start(t, []string{"a"}, 1, 1)
+	body := fmt.Sprintf(`{"model":"%s","prompt":"leaving","max_tokens":5000,"stream":true}`, harness.ExampleModel)
+	connection, err := net.Dial("tcp", running.Daemons[0].HTTPAddress())
+	require.NoError(t, err)
+	_, err = fmt.Fprintf(connection, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", harness.ExampleKey, len(body), body)
+	require.NoError(t, err)
+	_, err = connection.Read(make([]byte, 256))
+	require.NoError(t, err)
+	require.NoError(t, connection.Close())
+	require.Eventually(t, func() bool {
+		ledger := running.Fleet.Ledger()
+		return len(ledger) == 1 && ledger[0].Finish == engine.FinishCancelled
+	}, wideBound, pollEvery)
+}
+
+func TestBadBundlesChangeNothing(t *testing.T) {
+	running := start(t, []string{"a"}, 1, 1)
+	operator := running.Operator(0)
+	before, err := operator.Status()
+	require.NoError(t, err)
+	text := harness.ExampleBundle("2")
+	signed := []bundle.Signature{bundle.Sign(text, harness.OperatorName, running.SigningKey)}
+	cases := map[string]gateway.ChangeRequest{
+		"too_few_signatures":  {Kind: revision.KindAccept, Text: text},
+		"bad_signature":       {Kind: revision.KindAccept, Text: text + " ", Signatures: signed},
+		"unknown_key":         {Kind: revision.KindAccept, Text: text + "\nnonsense = 1\n", Signatures: signed},
+		"bundle_not_accepted": {Kind: revision.KindRoll, Digest: bundle.Digest(text)},
+		"bundle_not_active":   {Kind: revision.KindWithdraw, Digest: bundle.Digest(text)},
+		"bad_kind":            {Kind: "strange"},
+		"revision_overtaken":  {Kind: revision.KindAccept, Text: text, Signatures: signed, Base: 1},
+	}
+	for code, request := range cases {
+		t.Run(code, func(t *testing.T) {
+			request.Operator = harness.OperatorName
+			if request.Base == 0 {
+				request.Base = -1
+			}
+			_, err := operator.Change(request)
+			require.Equal(t, code, failure.From(err).Code)
+		})
+	}
+	after, err := operator.Status()
+	require.NoError(t, err)
+	require.Equal(t, before.Revision, after.Revision)
+}
+
+// TestRequestGoesToAnotherZoneWhenItsOwnHasNoEngine: the answer is the same,
+// and a zone without engines does not refuse.
+func TestRequestGoesToAnotherZoneWhenItsOwnHasNoEngine(t *testing.T) {
+	running := start(t, []string{"a", "b"}, 1, 2)
+	lost, known := running.Fleet.Engine("assistant-00")
+	require.True(t, known)
+	lost.SetFaults(emulator.EngineFaults{Crashed: true})
+	caller := running.Caller(0, harness.ExampleKey)
+	require.Eventually(t, func() bool {
+		text := strings.Builder{}
+		err := caller.Stream(client.Completion{Model: harness.ExampleModel, Prompt: "spill", MaxTokens: 8}, wideBound, func(piece string) { text.WriteString(piece) })
+		return err == nil && text.String() == expected("spill", 8)
+	}, wideBound, pollEvery)
+}
+
+// TestKeyedAnswerStaysReadable: a repeated key gives the stored answer and
+// runs nothing again; other content under the key is a conflict.
+func TestKeyedAnswerStaysReadable(t *testing.T) {
+	running := start(t, []string{"a"}, 2, 1)
+	ask := func(daemon int, prompt string) error {
+		text := strings.Builder{}
+		err := running.Caller(daemon, harness.ExampleKey).Stream(client.Completion{Model: harness.ExampleModel, Prompt: prompt, MaxTokens: 6}, wideBound,
+			func(piece string) { text.WriteString(piece) }, client.Header{Name: gateway.HeaderIdempotencyKey, Value: "key"})
+		if err == nil {
+			require.Equal(t, expected(prompt, 6), text.String())
+		}
+		return err
+	}
+	require.NoError(t, ask(0, "keyed"))
+	require.NoError(t, ask(1, "keyed"))
+	require.Len(t, running.Fleet.Ledger(), 1)
+	require.Equal(t, "key_reused", failure.From(ask(1, "other")).Code)
+	content, err := running.Caller(1, harness.ExampleKey).Call("GET", "/v1/requests/key", nil)
+	require.NoError(t, err)
+	require.Contains(t, string(content), strings.TrimSpace(emulator.OutputToken("keyed", 0)))
+}
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -18,9 +18,12 @@
 	members    map[string]Member
 	changedAt  map[string]time.Time
 	suspectEnd map[string]time.Time
-	digest     uint64
-	liveCount  int
-	zoneCount  int
+	// accused are the members whose suspicion this member raised; it tells
+	// them directly until they refute or die.
+	accused   map[string]bool
+	digest    uint64
+	liveCount int
+	zoneCount int
 
 	ring       []string
 	ringIndex  int
@@ -81,6 +84,7 @@
 		members:    map[string]Member{},
 		changedAt:  map[string]time.Time{},
 		suspectEnd: map[string]time.Time{},
+		accused:    map[string]bool{},
 		probes:     map[int64]*probe{},
 		relays:     map[int64]relay{},
 		items:      map[string]heldItem{},
@@ -170,6 +174,9 @@
 	}
 	c.setMember(update, now)
 	delete(c.suspectEnd, update.Name)
+	if update.State != StateSuspect {
+		delete(c.accused, update.Name)
+	}
 	if update.State == StateSuspect {
 		c.suspectEnd[update.Name] = now.Add(c.suspicionTimeout())
 	}
@@ -222,6 +229,7 @@
 	if !now.Before(c.nextProbe) {
 		c.nextProbe = now.Add(c.config.ProbeInterval)
 		out = append(out, c.startProbe(now)...)
+		out = append(out, c.tellAccused()...)
 	}
 	if !now.Before(c.nextRetry) {
 		c.nextRetry = now.Add(c.config.ReconnectInterval)
@@ -292,6 +300,7 @@
 	}
 	member.State = StateSuspect
 	c.statistics.Suspicions++
+	c.accused[name] = true
 	c.apply(member, now)
 }
 
@@ -333,6 +342,18 @@
 	return []Datagram{c.send(target.Address, packet, c.config.PiggybackBytes, target.Zone)}
 }
 
+// tellAccused tells suspects of their suspicion, so that a live one can refute
+// it whatever becomes of gossip.
+func (c *Core) tellAccused() []Datagram {
+	out := []Datagram{}
+	for name := range c.accused {
+		packet := c.packet(PacketGossip, 0)
+		packet.Members = []Member{c.members[name]}
+		out = append(out, c.count(Datagram{Address: c.members[name].Address, Packet: packet}))
+	}
+	return out
+}
+
 func (c *Core) nextTarget() (Member, bool) {
 	for range len(c.members) + 1 {
 		if c.ringIndex >= len(c.ring) {
@@ -481,7 +502,12 @@
 // per sync interval. A differing digest soon after a change is usual while the
 // change spreads; the exchange then finds little to do.
 func (c *Core) compareDigest(now time.Time, packet Packet) {
-	if packet.Digest == int64(c.digest) || now.Before(c.nextSync) {
+	sender, isKnown := c.members[packet.From]
+	isSame := packet.Digest == int64(c.digest)
+	if isKnown && sender.Zone == c.self.Zone {
+		isSame = isSame && packet.ItemDigest == c.itemDigest(c.self.Zone)
+	}
+	if isSame || now.Before(c.nextSync) {
 		return
 	}
 	c.nextSync = now.Add(c.config.SyncInterval + c.jitter(c.config.SyncInterval))
--- /dev/null
+++ b/internal/membership/core_test.go
@@ -0,0 +1,123 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"topazpulley/internal/membership"
+)
+
+func member(name string, incarnation int64, state membership.State) membership.Member {
+	return membership.Member{Name: name, Address: name, Zone: "zone", Incarnation: incarnation, State: state}
+}
+
+func newCore(name string, now time.Time) *membership.Core {
+	return membership.New(membership.DefaultConfig(time.Second), member(name, 1, membership.StateAlive), rand.New(rand.NewPCG(1, 2)), now)
+}
+
+func gossip(from string, updates ...membership.Member) membership.Packet {
+	return membership.Packet{Kind: membership.PacketGossip, From: from, FromAddress: from, Members: updates}
+}
+
+// TestOrderOfUpdatesDoesNotMatter: any order of the same updates gives the
+// same state, and no state ever gives way to an older one.
+func TestOrderOfUpdatesDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		updates := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) membership.Member {
+			return member("b", rapid.Int64Range(1, 3).Draw(t, "incarnation"), membership.State(rapid.IntRange(0, 3).Draw(t, "state")))
+		}), 1, 8).Draw(t, "updates")
+		first, second := newCore("a", now), newCore("a", now)
+		highest := updates[0]
+		for _, update := range updates {
+			first.Receive(now, gossip("x", update))
+			if update.Incarnation > highest.Incarnation || (update.Incarnation == highest.Incarnation && update.State > highest.State) {
+				highest = update
+			}
+		}
+		for _, index := range rapid.Permutation(indexes(len(updates))).Draw(t, "order") {
+			second.Receive(now, gossip("x", updates[index]))
+		}
+		one, _ := first.Member("b")
+		other, _ := second.Member("b")
+		require.Equal(t, highest, one)
+		require.Equal(t, one, other)
+	})
+}
+
+func indexes(count int) []int {
+	list := make([]int, count)
+	for index := range list {
+		list[index] = index
+	}
+	return list
+}
+
+// TestItemsConverge: members that hear the same items in any order, duplicated
+// or not, hold the same ones, also when two publishers chose one version.
+func TestItemsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		items := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) membership.Item {
+			return membership.Item{
+				Key: "k", Version: rapid.Int64Range(1, 3).Draw(t, "version"), Priority: membership.PriorityState,
+				Payload: []byte(rapid.StringMatching(`[a-c]`).Draw(t, "payload")),
+			}
+		}), 1, 8).Draw(t, "items")
+		first, second := newCore("a", now), newCore("b", now)
+		for _, item := range items {
+			first.Receive(now, membership.Packet{Kind: membership.PacketGossip, Items: []membership.Item{item}})
+		}
+		for _, index := range rapid.Permutation(indexes(len(items))).Draw(t, "order") {
+			second.Receive(now, membership.Packet{Kind: membership.PacketGossip, Items: []membership.Item{items[index]}})
+		}
+		one, _ := first.Item("k")
+		other, _ := second.Item("k")
+		require.Equal(t, one, other)
+	})
+}
+
+func TestSuspectedMemberRefutes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newCore("a", now)
+	core.Receive(now, gossip("x", member("a", 1, membership.StateSuspect)))
+	require.Equal(t, int64(2), core.Self().Incarnation)
+	require.Equal(t, membership.StateAlive, core.Self().State)
+}
+
+func TestItemsOfOtherZonesAreNotKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newCore("a", now)
+	core.Receive(now, membership.Packet{Kind: membership.PacketGossip, Items: []membership.Item{{Key: "k", Version: 1, Zone: "elsewhere"}}})
+	_, known := core.Item("k")
+	require.False(t, known)
+}
+
+// TestGossipStaysWithinItsBytes: however much is published, gossip sends no
+// more than its bound allows.
+func TestGossipStaysWithinItsBytes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	config := membership.DefaultConfig(time.Second)
+	core := membership.New(config, member("a", 1, membership.StateAlive), rand.New(rand.NewPCG(1, 2)), now)
+	core.Receive(now, gossip("x", member("b", 1, membership.StateAlive)))
+	const seconds = 60
+	gossiped := 0
+	for step := range seconds * 20 {
+		now = now.Add(50 * time.Millisecond)
+		core.Publish(membership.Item{Key: fmt.Sprint(step % 200), Priority: membership.PriorityLoad, Payload: make([]byte, 100)}, now)
+		for _, datagram := range core.Tick(now) {
+			if datagram.Packet.Kind == membership.PacketGossip {
+				for _, item := range datagram.Packet.Items {
+					gossiped += len(item.Payload)
+				}
+			}
+		}
+	}
+	require.Less(t, gossiped, int(config.BytesPerSecond)*(seconds+2))
+	require.Positive(t, gossiped)
+}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -177,10 +177,14 @@
 }
 
 func (c *Core) packet(kind PacketKind, sequence int64) Packet {
-	return Packet{
+	packet := Packet{
 		Kind: kind, From: c.self.Name, FromAddress: c.self.Address,
 		Sequence: sequence, Revision: c.revision, Digest: int64(c.digest),
 	}
+	if kind == PacketPing || kind == PacketAck {
+		packet.ItemDigest = c.itemDigest(c.self.Zone)
+	}
+	return packet
 }
 
 // send fills a packet with the most urgent updates that fit the bound and
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -107,9 +107,12 @@
 	// Revision is the highest configuration revision that the sender applied.
 	Revision int64
 	// Digest summarizes the sender's list of live members.
-	Digest  int64
-	Members []Member
-	Items   []Item
+	Digest int64
+	// ItemDigest summarizes the durable items that the sender holds for its
+	// zone; only members of that zone compare it.
+	ItemDigest int64
+	Members    []Member
+	Items      []Item
 }
 
 // Datagram is a packet with its destination.
@@ -196,8 +199,23 @@
 	}
 }
 
-// hashMember mixes a member's identity into a digest.
+// hashMember mixes a member's identity, incarnation and state into a digest.
+// Digests are XORs of these, so every input must change the whole value: with a
+// weaker mix, two members that changed in the same way cancel each other out.
 func hashMember(member Member) uint64 {
-	hash := xxhash.Sum64String(member.Name)
-	return hash ^ (uint64(member.Incarnation)+0x9e3779b97f4a7c15)*0xff51afd7ed558ccd
+	return mix(xxhash.Sum64String(member.Name) + uint64(member.Incarnation)*mixIncarnation + uint64(member.State)*mixState)
+}
+
+const (
+	mixIncarnation = 0x9e3779b97f4a7c15
+	mixState       = 0xd6e8feb86659fd93
+)
+
+// mix is the finalizer of a 64-bit hash.
+func mix(value uint64) uint64 {
+	value ^= value >> 33
+	value *= 0xff51afd7ed558ccd
+	value ^= value >> 33
+	value *= 0xc4ceb9fe1a85ec53
+	return value ^ value>>33
 }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -38,7 +38,7 @@
 func (c *Core) bucketDigests() []int64 {
 	digests := make([]int64, syncBuckets)
 	for name, member := range c.members {
-		digests[bucketOf(name)] ^= int64(hashMember(member) + uint64(member.State))
+		digests[bucketOf(name)] ^= int64(hashMember(member))
 	}
 	return digests
 }
@@ -84,7 +84,7 @@
 	digest := uint64(0)
 	for key, held := range c.items {
 		if held.item.Priority != PriorityLoad && held.item.concerns(zone) {
-			digest ^= xxhash.Sum64String(key) ^ uint64(held.item.Version)*0x9e3779b97f4a7c15
+			digest ^= mix(xxhash.Sum64String(key) + uint64(held.item.Version)*mixIncarnation)
 		}
 	}
 	return int64(digest)
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -43,6 +43,7 @@
 	{"name":"TargetAddress","type":"string"},
 	{"name":"Revision","type":"long"},
 	{"name":"Digest","type":"long"},
+	{"name":"ItemDigest","type":"long"},
 	{"name":"Members","type":{"type":"array","items":` + memberSchemaText + `}},
 	{"name":"Items","type":{"type":"array","items":` + itemSchemaText + `}}
 ]}`)
--- /dev/null
+++ b/internal/revision/model_test.go
@@ -0,0 +1,116 @@
+package revision_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"topazpulley/internal/emulator"
+	"topazpulley/internal/failure"
+	"topazpulley/internal/platform"
+	"topazpulley/internal/revision"
+)
+
+const manyCalls = 1e9
+
+// TestOneWinner: operators that race on the same base with lost answers get
+// one winner each time; repeating an operation id returns what it made.
+func TestOneWinner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		loseNext := false
+		services := &emulator.InProcess{Platform: emulator.NewPlatform(), LoseAnswer: func() bool {
+			lost := loseNext
+			loseNext = false
+			return lost
+		}}
+		log := revision.NewLog(platform.NewClient(services, manyCalls))
+		made := map[int64]string{}
+		for step := range rapid.IntRange(1, 12).Draw(t, "steps") {
+			head, err := log.Head(t.Context())
+			require.NoError(t, err)
+			for operator := range 2 {
+				operation := fmt.Sprintf("%d-%d", step, operator)
+				change := revision.Change{Kind: revision.KindAccept, Subject: "s", Operator: fmt.Sprint(operator), OperationID: operation, Base: head.Number}
+				loseNext = rapid.Bool().Draw(t, "lose")
+				ctx, cancel := context.WithCancel(context.Background())
+				time.AfterFunc(time.Millisecond, cancel)
+				appended, err := log.Append(ctx, change, time.Now())
+				if failure.Is(err, failure.KindUnavailable) || errors.Is(err, context.Canceled) {
+					appended, err = log.Append(context.Background(), change, time.Now())
+				}
+				if err != nil {
+					require.True(t, failure.HasCode(err, "revision_overtaken"), err)
+					continue
+				}
+				require.Empty(t, made[appended.Number], "OneWinner: revision %d", appended.Number)
+				made[appended.Number] = operation
+			}
+			require.Len(t, made, step+1)
+		}
+	})
+}
+
+// TestNeverReverts: whatever order revisions arrive in, the one in force only
+// rises, and so does the stored one.
+func TestNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		holder := revision.NewHolder()
+		highest, stored := int64(0), int64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			number := rapid.Int64Range(1, 10).Draw(t, "number")
+			if rapid.Bool().Draw(t, "store only") {
+				holder.Store(revision.Revision{Number: number}, "")
+			} else {
+				_, err := holder.Apply(revision.Revision{Number: number}, "")
+				require.NoError(t, err)
+				highest = max(highest, number)
+			}
+			stored = max(stored, number)
+			current, _ := holder.Current()
+			kept, _ := holder.Stored()
+			require.Equal(t, highest, current.Number)
+			require.Equal(t, stored, kept.Number)
+		}
+	})
+}
+
+// TestQuorumsMeet: in a zone of any size, those that stored a revision, less
+// one that restarted, and those that a restarted daemon asks overlap.
+func TestQuorumsMeet(t *testing.T) {
+	for members := 2; members < 500; members++ {
+		survivors := revision.StoreQuorum(members) - 1
+		others := members - 1
+		require.Greater(t, survivors+revision.ReadQuorum(members), others, "AllReachHead needs overlap among %d", members)
+		require.LessOrEqual(t, revision.ReadQuorum(members), others+members%2, "a read quorum exists among %d", members)
+	}
+}
+
+func TestWithdrawPutsTheEarlierBundleBack(t *testing.T) {
+	log := revision.NewLog(platform.NewClient(&emulator.InProcess{Platform: emulator.NewPlatform()}, manyCalls))
+	step := 0
+	change := func(kind revision.Kind, subject string) (revision.Revision, error) {
+		step++
+		return log.Append(t.Context(), revision.Change{Kind: kind, Subject: subject, Operator: "o", OperationID: fmt.Sprint(step), Base: -1}, time.Now())
+	}
+	for _, subject := range []string{"one", "two"} {
+		_, err := change(revision.KindAccept, subject)
+		require.NoError(t, err)
+		_, err = change(revision.KindRoll, subject)
+		require.NoError(t, err)
+	}
+	_, err := change(revision.KindWithdraw, "one")
+	require.True(t, failure.HasCode(err, "bundle_not_active"))
+	withdrawn, err := change(revision.KindWithdraw, "two")
+	require.NoError(t, err)
+	require.Equal(t, "one", withdrawn.Active)
+	require.Equal(t, int64(5), withdrawn.Number)
+	_, err = change(revision.KindRoll, "two")
+	require.True(t, failure.HasCode(err, "bundle_withdrawn"))
+	_, err = change(revision.KindRoll, "never accepted")
+	require.True(t, failure.HasCode(err, "bundle_not_accepted"))
+}
--- /dev/null
+++ b/internal/scale/network_test.go
@@ -0,0 +1,77 @@
+package scale
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/membership"
+)
+
+func converge(t *testing.T, topology Topology, seed uint64) *Network {
+	network := NewNetwork(topology, membership.DefaultConfig(time.Second), seed)
+	_, ok := network.RunUntil(2*time.Minute, time.Second, func() bool { return network.everyoneKnows(topology.Daemons) })
+	require.True(t, ok)
+	return network
+}
+
+var small = Topology{Daemons: 24, Engines: 36, Zones: 3, Regions: 2}
+
+func TestGroupsThatNeverMetFindTogether(t *testing.T) {
+	network := NewNetwork(small, membership.DefaultConfig(time.Second), 7)
+	network.cut = func(from, to *hollow) bool { return from.index%2 != to.index%2 }
+	network.Run(20 * time.Second)
+	require.False(t, network.everyoneKnows(small.Daemons))
+	network.cut = func(*hollow, *hollow) bool { return false }
+	_, ok := network.RunUntil(2*time.Minute, time.Second, func() bool { return network.everyoneKnows(small.Daemons) })
+	require.True(t, ok)
+}
+
+func TestFailureIsKnownEverywhereAndRestartForgiven(t *testing.T) {
+	network := converge(t, small, 1)
+	network.daemons[5].up = false
+	_, ok := network.RunUntil(time.Minute, time.Second, func() bool { return network.nobodyBelieves(5) })
+	require.True(t, ok)
+	network.boot(network.daemons[5])
+	_, ok = network.RunUntil(time.Minute, time.Second, func() bool { return network.everyoneKnows(small.Daemons) })
+	require.True(t, ok)
+}
+
+func TestLossAloneKillsNobody(t *testing.T) {
+	network := converge(t, small, 2)
+	network.loss = 0.05
+	network.Run(5 * time.Minute)
+	require.Zero(t, network.deaths())
+}
+
+func TestPausedMemberBlamesNobody(t *testing.T) {
+	network := converge(t, small, 3)
+	network.daemons[3].pausedUntil = network.now.Add(30 * time.Second)
+	network.Run(2 * time.Minute)
+	require.Zero(t, network.daemons[3].core.Statistics().Deaths)
+	require.True(t, network.everyoneKnows(small.Daemons))
+}
+
+func TestEveryEngineHasOneSupervisorAgainAfterALostZone(t *testing.T) {
+	network := converge(t, small, 4)
+	network.Run(5 * time.Second)
+	for _, daemon := range network.daemons {
+		if daemon.zone == 1 && daemon.index != 1 {
+			daemon.up = false
+		}
+	}
+	_, ok := network.RunUntil(time.Minute, time.Second, func() bool { return len(network.daemons[1].supervised) == len(network.enginesOf(1)) })
+	require.True(t, ok)
+}
+
+func TestRevisionReachesAZoneThatWasCut(t *testing.T) {
+	network := converge(t, small, 5)
+	network.cut = func(from, to *hollow) bool { return (from.zone == 0) != (to.zone == 0) }
+	network.applyRevision(network.daemons[1], 9)
+	network.Run(20 * time.Second)
+	require.Zero(t, network.daemons[0].revision)
+	network.cut = func(*hollow, *hollow) bool { return false }
+	_, ok := network.RunUntil(time.Minute, time.Second, func() bool { return network.everyoneServes(9) })
+	require.True(t, ok)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,10 +7,13 @@
 	"encoding/hex"
 	"net"
 	"os"
+	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
+	"github.com/pkg/errors"
 
 	"topazpulley/internal/failure"
 )
@@ -127,10 +130,28 @@
 }
 
 func decodeFailure(err error) error {
-	if parse, ok := err.(toml.ParseError); ok {
+	var parse toml.ParseError
+	if errors.As(err, &parse) {
 		return failure.Wrap(err, failure.KindInvalid, "bad_toml", "line %d: correct the value or syntax", parse.Position.Line).WithLine(parse.Position.Line)
 	}
-	return failure.Wrap(err, failure.KindInvalid, "bad_toml", "correct the value's type or unit")
+	line := lineInMessage(err.Error())
+	return failure.Wrap(err, failure.KindInvalid, "bad_toml", "line %d: correct the value's type or unit", line).WithLine(line)
+}
+
+// typeErrorLine finds the line in the decoder's errors about types, which carry
+// it in their text only.
+var typeErrorLine = regexp.MustCompile(`line (\d+)`)
+
+func lineInMessage(message string) int {
+	match := typeErrorLine.FindStringSubmatch(message)
+	if match == nil {
+		return 0
+	}
+	line, err := strconv.Atoi(match[1])
+	if err != nil {
+		return 0
+	}
+	return line
 }
 
 // lineOfKey finds the first line that assigns the last part of the key.
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -140,6 +140,10 @@
 		task.Failures++
 		l.supervisor.log.Info("batch_attempt_failed", "engine", l.name, "request", task.RequestID(), "failures", task.Failures, "error", err)
 	}
+	if len(task.Tokens) >= task.Item.Body.TokenLimit() {
+		l.supervisor.worker.Finish(task, engine.CompleteEvent(task.Tokens))
+		return
+	}
 	if task.Failures >= maxItemFailures {
 		l.supervisor.worker.Fail(task, err)
 		return
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -32,7 +32,9 @@
 	// engines in the zone, which keeps gossip within its byte budget.
 	loadIntervalPerEngine = 50 * time.Millisecond
 	batchPause            = 200 * time.Millisecond
-	maxItemFailures       = 6
+	// maxItemFailures is how often an item may break off before it ends as
+	// failed: it is the item, then, and not the engines.
+	maxItemFailures = 20
 )
 
 // EngineDuty is the rendezvous key of an engine.
