--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,13 @@
-.PHONY: build test check spec bench scale
+.PHONY: build test check spec mutants bench scale
 
 build:
 	go build -o bin/ ./cmd/...
 
-# All tests: Go tests, scenarios over separate processes, model checking.
+# All tests: model checking, Go tests, scenarios over separate processes, and
+# the check that the tests notice a missing mechanism.
 test: spec
 	go test -timeout 40m ./...
+	./test/mutants.sh
 
 # Formatting, vet and staticcheck, as CI runs them.
 check:
@@ -18,6 +20,10 @@
 	@command -v spin >/dev/null || { apt-get update && apt-get install -y spin; }
 	./spec/check.sh
 
+# Removes mechanisms one by one and expects the tests to notice.
+mutants:
+	./test/mutants.sh
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/...
 
--- a/internal/batch/model_test.go
+++ b/internal/batch/model_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,10 +37,13 @@
 	lives      int
 	cancelled  bool
 	atCancel   int
+	// acknowledged holds the result of each item whose commit an owner saw
+	// succeed.
+	acknowledged map[int]string
 }
 
 func newChunkModel(t *rapid.T) *chunkModel {
-	model := &chunkModel{held: map[string]batch.HeldChunk{}, sequence: map[string]int{}, dispatched: map[int]int{}}
+	model := &chunkModel{held: map[string]batch.HeldChunk{}, sequence: map[string]int{}, dispatched: map[int]int{}, acknowledged: map[int]string{}}
 	services := &emulator.InProcess{Platform: emulator.NewPlatform(), LoseAnswer: func() bool {
 		lost := model.loseNext
 		model.loseNext = false
@@ -65,9 +70,18 @@
 	return fmt.Sprintf("owner-%d", rapid.IntRange(0, modelOwners-1).Draw(t, "owner"))
 }
 
+// holder draws an owner that believes to hold the chunk.
+func (m *chunkModel) holder(t *rapid.T) (string, batch.HeldChunk) {
+	if len(m.held) == 0 {
+		t.Skip("nobody holds the chunk")
+	}
+	owner := rapid.SampledFrom(slices.Sorted(maps.Keys(m.held))).Draw(t, "holder")
+	return owner, m.held[owner]
+}
+
 func (m *chunkModel) claim(t *rapid.T) {
 	owner := m.owner(t)
-	m.loseNext = rapid.Bool().Draw(t, "lose")
+	m.loseNext = rapid.IntRange(0, 5).Draw(t, "lose") == 3
 	held, err := m.store.Claim(once(), m.job, m.jobVersion, 0, owner)
 	if err == nil && !held.Chunk.Done {
 		m.held[owner] = held
@@ -78,19 +92,18 @@
 }
 
 func (m *chunkModel) commit(t *rapid.T) {
-	owner := m.owner(t)
-	held, holds := m.held[owner]
+	owner, held := m.holder(t)
 	remaining := held.Chunk.Remaining()
-	if !holds || len(remaining) == 0 {
+	if len(remaining) == 0 {
 		t.Skip("nothing to commit")
 	}
-	count := rapid.IntRange(1, len(remaining)).Draw(t, "count")
+	count := rapid.IntRange(1, min(2, len(remaining))).Draw(t, "count")
 	segment := batch.Segment{Sequence: m.sequence[owner], Items: remaining[:count]}
 	lines := [][]byte{}
 	for _, item := range segment.Items {
-		lines = append(lines, []byte(fmt.Sprint(item)))
+		lines = append(lines, []byte(fmt.Sprintf("%d by %s in %d", item, owner, held.Chunk.Epoch)))
 	}
-	m.loseNext = rapid.Bool().Draw(t, "lose")
+	m.loseNext = rapid.IntRange(0, 5).Draw(t, "lose") == 3
 	next, err := m.store.Commit(once(), held, segment, lines)
 	if err != nil && rapid.Bool().Draw(t, "retry") {
 		next, err = m.store.Commit(context.Background(), held, segment, lines)
@@ -101,14 +114,16 @@
 	}
 	m.held[owner] = next
 	m.sequence[owner]++
+	for index, item := range segment.Items {
+		m.acknowledged[item] = string(lines[index])
+	}
 }
 
 // dispatch sends an item that may not be repeated, after its intent.
 func (m *chunkModel) dispatch(t *rapid.T) {
-	owner := m.owner(t)
-	held, holds := m.held[owner]
+	owner, held := m.holder(t)
 	remaining := held.Chunk.Remaining()
-	if !holds || len(remaining) == 0 {
+	if len(remaining) == 0 {
 		t.Skip("nothing to send")
 	}
 	item := rapid.SampledFrom(remaining).Draw(t, "item")
@@ -116,7 +131,7 @@
 		t.Skip("already sent")
 	}
 	m.lives++
-	m.loseNext = rapid.Bool().Draw(t, "lose")
+	m.loseNext = rapid.IntRange(0, 5).Draw(t, "lose") == 3
 	next, err := m.store.RecordIntents(once(), held, []batch.Intent{{Item: item, AttemptID: fmt.Sprint(owner, m.lives)}})
 	if err != nil {
 		delete(m.held, owner)
@@ -131,7 +146,8 @@
 func (m *chunkModel) crash(t *rapid.T) { delete(m.held, m.owner(t)) }
 
 func (m *chunkModel) cancel(t *rapid.T) {
-	if rapid.IntRange(0, 9).Draw(t, "rarely") != 0 {
+	// Drawn numbers favour the ends of their range.
+	if rapid.IntRange(0, 99).Draw(t, "rarely") != 42 {
 		t.Skip("not cancelled")
 	}
 	ended, err := m.store.Cancel(context.Background(), modelJob, time.Now())
@@ -153,14 +169,18 @@
 }
 
 func (m *chunkModel) check(t *rapid.T) {
-	seen := map[string]int{}
+	seen := map[int]string{}
 	err := m.store.EachResult(context.Background(), modelJob, func(line []byte) error {
-		seen[string(line)]++
+		item := 0
+		_, err := fmt.Sscanf(string(line), "%d", &item)
+		require.NoError(t, err)
+		require.NotContains(t, seen, item, "OneVisibleResult")
+		seen[item] = string(line)
 		return nil
 	})
 	require.NoError(t, err)
-	for item, count := range seen {
-		require.Equal(t, 1, count, "OneVisibleResult: item %s", item)
+	for item, line := range m.acknowledged {
+		require.Equal(t, line, seen[item], "ResultStays: item %d", item)
 	}
 	require.Len(t, seen, m.committed(t), "every committed item has its own visible result")
 	for item, count := range m.dispatched {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,6 +60,9 @@
 type Options struct {
 	// Routing is the online routing policy; empty means routing.PolicyFull.
 	Routing routing.Policy
+	// WithoutHints leaves out the hints by which gateways announce online
+	// requests to engines' supervisors.
+	WithoutHints bool
 }
 
 // New assembles a daemon. The settings must be valid.
@@ -83,7 +86,7 @@
 	d.gateway = gateway.New(lifetime, gateway.Dependencies{
 		Settings: process, Node: d.node, Registry: d.registry, Holder: d.holder, Log: revision.NewLog(client), Watcher: d.watcher,
 		Platform: client, Engines: engines, Store: store, Coordinator: d.coordinator, Worker: d.worker, Yielder: d.supervisor,
-		Metrics: metrics, Logger: log, Routing: options.Routing, Describe: d.duties,
+		Metrics: metrics, Logger: log, Routing: options.Routing, WithoutHints: options.WithoutHints, Describe: d.duties,
 	})
 	d.registerGauges(metrics, client)
 	d.node.Subscribe(d.registry.Receive)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,8 @@
 	Metrics     *telemetry.Metrics
 	Logger      *slog.Logger
 	Routing     routing.Policy
+	// WithoutHints leaves out yield hints, for experiments.
+	WithoutHints bool
 	// Describe adds duty descriptions to the status page.
 	Describe func() Duties
 }
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -299,7 +299,7 @@
 // hintYield tells the engine's supervisor of the request ahead of the engine's
 // lagging report, if the engine runs batch work.
 func (g *Gateway) hintYield(view registry.Engine) {
-	if view.Load.Batch == 0 && view.Load.BatchWindow == 0 {
+	if g.WithoutHints || (view.Load.Batch == 0 && view.Load.BatchWindow == 0) {
 		return
 	}
 	g.mutex.Lock()
--- a/internal/harness/callers_test.go
+++ b/internal/harness/callers_test.go
@@ -196,3 +196,25 @@
 	require.NoError(t, err)
 	require.Contains(t, string(content), strings.TrimSpace(emulator.OutputToken("keyed", 0)))
 }
+
+// TestCrossedAnswersAreDropped: engines that put another attempt's id on half
+// of their answers never make a caller see one that is not its own.
+func TestCrossedAnswersAreDropped(t *testing.T) {
+	running := start(t, []string{"a"}, 1, 3)
+	for _, name := range []string{"assistant-00", "assistant-01", "assistant-02"} {
+		crossed, known := running.Fleet.Engine(name)
+		require.True(t, known)
+		crossed.SetFaults(emulator.EngineFaults{WrongIDShare: 0.5})
+	}
+	caller := running.Caller(0, harness.ExampleKey)
+	for index := range 20 {
+		prompt := fmt.Sprintf("crossed %d", index)
+		text := strings.Builder{}
+		err := caller.Stream(client.Completion{Model: harness.ExampleModel, Prompt: prompt, MaxTokens: 4}, wideBound, func(piece string) { text.WriteString(piece) })
+		require.NoError(t, err)
+		require.Equal(t, expected(prompt, 4), text.String())
+	}
+	content, err := running.Caller(0, "").Call("GET", "/metrics", nil)
+	require.NoError(t, err)
+	require.NotContains(t, string(content), "topazpulley_foreign_answers_total 0\n", "foreign answers were seen, and dropped")
+}
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -25,7 +25,6 @@
 	"topazpulley/internal/gateway"
 	"topazpulley/internal/platform"
 	"topazpulley/internal/revision"
-	"topazpulley/internal/routing"
 	"topazpulley/internal/settings"
 )
 
@@ -47,8 +46,9 @@
 	// BundleText is signed and rolled at start.
 	BundleText string
 	// Host is the loopback address of all listeners.
-	Host    string
-	Routing routing.Policy
+	Host string
+	// Options vary the daemons for experiments.
+	Options daemon.Options
 	// ProbeInterval is the membership probe interval.
 	ProbeInterval time.Duration
 	// StopLinger is the daemons' linger at a planned stop.
@@ -181,7 +181,7 @@
 		return err
 	}
 	h.Settings[index] = process
-	started := daemon.New(process, daemon.Options{Routing: h.config.Routing}, h.config.Log.With("daemon", process.Name))
+	started := daemon.New(process, h.config.Options, h.config.Log.With("daemon", process.Name))
 	if err := started.Start(); err != nil {
 		return err
 	}
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -3,7 +3,9 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -24,6 +26,11 @@
 	digest    uint64
 	liveCount int
 	zoneCount int
+	// live, zoneLive and otherLive are the live members other than this one,
+	// in name order: all, those of the zone, and the rest. They are rebuilt
+	// when liveStale is set.
+	live, zoneLive, otherLive []Member
+	liveStale                 bool
 
 	ring       []string
 	ringIndex  int
@@ -118,14 +125,36 @@
 
 // Members returns all live members, itself included, in name order.
 func (c *Core) Members() []Member {
-	live := make([]Member, 0, c.liveCount)
-	for _, member := range c.members {
-		if member.Live() {
-			live = append(live, member)
+	c.refreshLive()
+	members := make([]Member, 0, len(c.live)+1)
+	position, _ := slices.BinarySearchFunc(c.live, c.self.Name, func(member Member, name string) int { return strings.Compare(member.Name, name) })
+	members = append(members, c.live[:position]...)
+	if c.self.Live() {
+		members = append(members, c.self)
+	}
+	return append(members, c.live[position:]...)
+}
+
+// refreshLive rebuilds the lists of live members after a change.
+func (c *Core) refreshLive() {
+	if !c.liveStale {
+		return
+	}
+	c.liveStale = false
+	c.live, c.zoneLive, c.otherLive = c.live[:0], c.zoneLive[:0], c.otherLive[:0]
+	for name, member := range c.members {
+		if member.Live() && name != c.self.Name {
+			c.live = append(c.live, member)
+		}
+	}
+	sort.Slice(c.live, func(a, b int) bool { return c.live[a].Name < c.live[b].Name })
+	for _, member := range c.live {
+		if member.Zone == c.self.Zone {
+			c.zoneLive = append(c.zoneLive, member)
+		} else {
+			c.otherLive = append(c.otherLive, member)
 		}
 	}
-	sort.Slice(live, func(a, b int) bool { return live[a].Name < live[b].Name })
-	return live
 }
 
 // Member returns what is known of a name.
@@ -149,6 +178,7 @@
 	}
 	c.members[member.Name] = member
 	c.changedAt[member.Name] = now
+	c.liveStale = true
 	if member.Live() {
 		c.digest ^= hashMember(member)
 		c.countLive(member, 1)
@@ -211,7 +241,7 @@
 	c.setMember(c.self, now)
 	c.enqueueMember(c.self)
 	out := []Datagram{}
-	for _, peer := range c.randomMembers(leaveFanout, func(Member) bool { return true }) {
+	for _, peer := range c.randomMembers(leaveFanout, "") {
 		out = append(out, c.send(peer.Address, c.packet(PacketGossip, 0), c.config.MaxPacketBytes, peer.Zone))
 	}
 	return out
@@ -283,7 +313,7 @@
 
 func (c *Core) askIndirect(sequence int64, waiting *probe) []Datagram {
 	target := c.members[waiting.target]
-	helpers := c.randomMembers(c.config.IndirectProbes, func(helper Member) bool { return helper.Name != waiting.target })
+	helpers := c.randomMembers(c.config.IndirectProbes, waiting.target)
 	out := []Datagram{}
 	for _, helper := range helpers {
 		packet := c.packet(PacketPingRequest, sequence)
@@ -372,13 +402,11 @@
 }
 
 func (c *Core) reshuffle() {
+	c.refreshLive()
 	c.ring = c.ring[:0]
-	for name, member := range c.members {
-		if member.Live() && name != c.self.Name {
-			c.ring = append(c.ring, name)
-		}
+	for _, member := range c.live {
+		c.ring = append(c.ring, member.Name)
 	}
-	sort.Strings(c.ring)
 	c.random.Shuffle(len(c.ring), func(a, b int) { c.ring[a], c.ring[b] = c.ring[b], c.ring[a] })
 	c.ringIndex = 0
 }
@@ -387,8 +415,8 @@
 // for, so that groups that lost each other, or never met, find together.
 func (c *Core) reconnect(now time.Time) []Datagram {
 	addresses := []string{}
-	for _, member := range c.pickMembers(1, func(member Member) bool { return member.State == StateDead }) {
-		addresses = append(addresses, member.Address)
+	if dead, found := c.randomDead(); found {
+		addresses = append(addresses, dead.Address)
 	}
 	if strangers := c.unknownSeeds(); len(strangers) > 0 {
 		addresses = append(addresses, strangers[c.random.IntN(len(strangers))])
@@ -428,6 +456,7 @@
 		if !member.Live() && now.Sub(c.changedAt[name]) > c.config.Retention {
 			delete(c.members, name)
 			delete(c.changedAt, name)
+			c.liveStale = true
 		}
 	}
 	c.expireItems(now)
@@ -514,27 +543,32 @@
 	c.events = append(c.events, Event{Kind: EventSync, Address: packet.FromAddress})
 }
 
-// randomMembers picks live members other than itself.
-func (c *Core) randomMembers(count int, accept func(Member) bool) []Member {
-	return c.pickMembers(count, func(member Member) bool {
-		return member.Live() && member.Name != c.self.Name && accept(member)
-	})
+// randomMembers picks live members other than itself, each at most once.
+func (c *Core) randomMembers(count int, except string) []Member {
+	c.refreshLive()
+	picked := []Member{}
+	for _, index := range c.random.Perm(len(c.live)) {
+		if len(picked) == count {
+			break
+		}
+		if c.live[index].Name != except {
+			picked = append(picked, c.live[index])
+		}
+	}
+	return picked
 }
 
-func (c *Core) pickMembers(count int, accept func(Member) bool) []Member {
-	names := make([]string, 0, len(c.members))
-	for name, member := range c.members {
-		if accept(member) {
-			names = append(names, name)
+// randomDead picks a member that is believed dead.
+func (c *Core) randomDead() (Member, bool) {
+	dead := []Member{}
+	for _, member := range c.members {
+		if member.State == StateDead {
+			dead = append(dead, member)
 		}
 	}
-	sort.Strings(names)
-	picked := []Member{}
-	for len(picked) < count && len(names) > 0 {
-		index := c.random.IntN(len(names))
-		picked = append(picked, c.members[names[index]])
-		names[index] = names[len(names)-1]
-		names = names[:len(names)-1]
+	if len(dead) == 0 {
+		return Member{}, false
 	}
-	return picked
+	sort.Slice(dead, func(a, b int) bool { return dead[a].Name < dead[b].Name })
+	return dead[c.random.IntN(len(dead))], true
 }
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -148,19 +148,20 @@
 		return nil
 	}
 	c.gossipTurn++
-	out := c.gossipTo(func(member Member) bool { return member.Zone == c.self.Zone })
+	c.refreshLive()
+	out := c.gossipTo(c.zoneLive)
 	if c.gossipTurn%2 == 0 {
-		out = append(out, c.gossipTo(func(member Member) bool { return member.Zone != c.self.Zone })...)
+		out = append(out, c.gossipTo(c.otherLive)...)
 	}
 	return out
 }
 
-func (c *Core) gossipTo(accept func(Member) bool) []Datagram {
-	peers := c.randomMembers(1, accept)
-	if len(peers) == 0 || c.allowance < float64(c.config.MaxPacketBytes)/4 {
+func (c *Core) gossipTo(audience []Member) []Datagram {
+	if len(audience) == 0 || c.allowance < float64(c.config.MaxPacketBytes)/4 {
 		return nil
 	}
-	datagram := c.send(peers[0].Address, c.packet(PacketGossip, 0), c.config.MaxPacketBytes, peers[0].Zone)
+	peer := audience[c.random.IntN(len(audience))]
+	datagram := c.send(peer.Address, c.packet(PacketGossip, 0), c.config.MaxPacketBytes, peer.Zone)
 	if len(datagram.Packet.Members) == 0 && len(datagram.Packet.Items) == 0 {
 		return nil
 	}
--- a/internal/revision/model_test.go
+++ b/internal/revision/model_test.go
@@ -55,6 +55,41 @@
 	})
 }
 
+// racing lets another operator act between an operator's read of the head and
+// its write.
+type racing struct {
+	*emulator.InProcess
+	between func()
+}
+
+// Transact implements platform.Table.
+func (r *racing) Transact(ctx context.Context, transaction platform.Transaction) (platform.Version, error) {
+	if between := r.between; between != nil {
+		r.between = nil
+		between()
+	}
+	return r.InProcess.Transact(ctx, transaction)
+}
+
+func TestOneWinnerBetweenReadAndWrite(t *testing.T) {
+	services := &racing{InProcess: &emulator.InProcess{Platform: emulator.NewPlatform()}}
+	log := revision.NewLog(platform.NewClient(services, manyCalls))
+	change := func(operator string) (revision.Revision, error) {
+		return log.Append(t.Context(), revision.Change{Kind: revision.KindAccept, Subject: "s", Operator: operator, OperationID: operator, Base: 0}, time.Now())
+	}
+	services.between = func() {
+		winner, err := change("first")
+		require.NoError(t, err)
+		require.Equal(t, int64(1), winner.Number)
+	}
+	_, err := change("second")
+	require.True(t, failure.HasCode(err, "revision_overtaken"))
+	require.ErrorContains(t, err, "first")
+	head, err := log.Head(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, "first", head.Operator)
+}
+
 // TestNeverReverts: whatever order revisions arrive in, the one in force only
 // rises, and so does the stored one.
 func TestNeverReverts(t *testing.T) {
--- a/internal/scale/network.go
+++ b/internal/scale/network.go
@@ -100,8 +100,6 @@
 	cut func(from, to *hollow) bool
 	// loss is the share of datagrams lost at random.
 	loss float64
-	// paused makes the daemon stop for a while at random; see Pauses.
-	revisionSpread map[int]time.Duration
 }
 
 // NewNetwork starts a fleet whose members know the first ones as seeds.
--- a/internal/scale/network_test.go
+++ b/internal/scale/network_test.go
@@ -43,6 +43,17 @@
 	network.loss = 0.05
 	network.Run(5 * time.Minute)
 	require.Zero(t, network.deaths())
+	require.Positive(t, network.suspicions())
+}
+
+// TestSuspectsRefuteUnderHeavyLoss: with three datagrams in ten lost, suspects
+// still hear of their suspicion in time.
+func TestSuspectsRefuteUnderHeavyLoss(t *testing.T) {
+	network := converge(t, small, 2)
+	network.loss = 0.3
+	network.Run(5 * time.Minute)
+	require.Positive(t, network.suspicions())
+	require.Less(t, 10*network.deaths(), network.suspicions())
 }
 
 func TestPausedMemberBlamesNobody(t *testing.T) {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -163,9 +163,7 @@
 	perDaemon := (heapInUse() - memoryBefore) / uint64(config.Daemons)
 	steady.Note = fmt.Sprintf("load records are %s old on average, %.2f%% missing; state %.2f MB a daemon", age.Round(10*time.Millisecond), missing*100, float64(perDaemon)/(1<<20))
 	add(steady)
-	for _, result := range network.failures(config) {
-		add(result)
-	}
+	network.failures(config, add)
 	return results
 }
 
@@ -177,22 +175,22 @@
 }
 
 // failures puts a steady fleet through the steps that change it.
-func (n *Network) failures(config Config) []Result {
+func (n *Network) failures(config Config, add func(Result)) {
 	all := config.Daemons
-	results := []Result{
-		n.step("one daemon fails", changeSpan, func() { n.daemons[all/2].up = false }, func() bool { return n.nobodyBelieves(all / 2) }),
-		n.step("it comes back", changeSpan, func() { n.boot(n.daemons[all/2]) }, func() bool { return n.everyoneKnows(all) }),
-		n.step("one daemon leaves as planned", changeSpan, func() { n.leave(n.daemons[all/3]) }, func() bool { return n.nobodyBelieves(all / 3) }),
-	}
+	add(n.step("one daemon fails", changeSpan, func() { n.daemons[all/2].up = false }, func() bool { return n.nobodyBelieves(all / 2) }))
+	add(n.step("it comes back", changeSpan, func() { n.boot(n.daemons[all/2]) }, func() bool { return n.everyoneKnows(all) }))
+	add(n.step("one daemon leaves as planned", changeSpan, func() { n.leave(n.daemons[all/3]) }, func() bool { return n.nobodyBelieves(all / 3) }))
 	n.boot(n.daemons[all/3])
 	n.Run(changeSpan)
-	results = append(results, n.pausedStep(), n.revisionStep("one revision", 1), n.revisionStep("burst of ten revisions", changesBurst))
+	add(n.pausedStep())
+	add(n.revisionStep("one revision", 1))
+	add(n.revisionStep("burst of ten revisions", changesBurst))
 	if !config.Short {
-		results = append(results, n.dayStep())
+		add(n.dayStep())
 	}
-	results = append(results, n.rackStep())
-	results = append(results, n.zoneSteps()...)
-	return append(results, n.regionSteps()...)
+	add(n.rackStep())
+	n.zoneSteps(add)
+	n.regionSteps(add)
 }
 
 func (n *Network) leave(daemon *hollow) {
@@ -288,40 +286,38 @@
 	return result
 }
 
-func (n *Network) zoneSteps() []Result {
+func (n *Network) zoneSteps(add func(Result)) {
 	inZone := 0
 	for _, daemon := range n.daemons {
 		if daemon.zone == 0 {
 			inZone++
 		}
 	}
-	lost := n.step("a zone is lost", cutSpan, func() {
+	add(n.step("a zone is lost", cutSpan, func() {
 		for _, daemon := range n.daemons {
 			daemon.up = daemon.up && daemon.zone != 0
 		}
-	}, func() bool { return n.everyoneKnows(len(n.daemons) - inZone) })
-	back := n.step("it comes back", cutSpan, func() {
+	}, func() bool { return n.everyoneKnows(len(n.daemons) - inZone) }))
+	add(n.step("it comes back", cutSpan, func() {
 		for _, daemon := range n.daemons {
 			if daemon.zone == 0 {
 				n.boot(daemon)
 			}
 		}
-	}, func() bool { return n.everyoneKnows(len(n.daemons)) })
-	return []Result{lost, back}
+	}, func() bool { return n.everyoneKnows(len(n.daemons)) }))
 }
 
 // regionSteps cuts one region off, makes a revision meanwhile, and heals.
-func (n *Network) regionSteps() []Result {
+func (n *Network) regionSteps(add func(Result)) {
 	revision := n.highestRevision() + 1
-	cut := n.step("a region is cut off", cutSpan, func() {
+	add(n.step("a region is cut off", cutSpan, func() {
 		n.cut = func(from, to *hollow) bool { return (from.region == 0) != (to.region == 0) }
 		n.applyRevision(n.daemonOutside(0), revision)
-	}, nil)
-	healed := n.step("it heals: revision everywhere", cutSpan, func() {
+	}, nil))
+	add(n.step("it heals: revision everywhere", cutSpan, func() {
 		n.cut = func(*hollow, *hollow) bool { return false }
-	}, func() bool { return n.everyoneServes(revision) })
-	members := n.step("it heals: members everywhere", cutSpan, func() {}, func() bool { return n.everyoneKnows(len(n.daemons)) })
-	return []Result{cut, healed, members}
+	}, func() bool { return n.everyoneServes(revision) }))
+	add(n.step("it heals: members everywhere", cutSpan, func() {}, func() bool { return n.everyoneKnows(len(n.daemons)) }))
 }
 
 func (n *Network) daemonOutside(region int) *hollow {
--- a/internal/scale/supervision.go
+++ b/internal/scale/supervision.go
@@ -63,19 +63,6 @@
 	return held
 }
 
-// dutyOwners returns by engine how many live daemons believe to supervise it.
-func (n *Network) dutyOwners() map[int]int {
-	owners := map[int]int{}
-	for _, daemon := range n.daemons {
-		if daemon.up {
-			for _, engine := range daemon.supervised {
-				owners[engine]++
-			}
-		}
-	}
-	return owners
-}
-
 // loadAge returns the mean age of the load records that daemons hold of their
 // zone's engines, and the share of engines of which a daemon holds none.
 func (n *Network) loadAge() (mean time.Duration, missing float64) {
--- /dev/null
+++ b/test/mutants.sh
@@ -0,0 +1,63 @@
+#!/bin/sh
+# Takes one mechanism away at a time, in a scratch copy, and expects the named
+# test to fail. A test that still passes, or a mechanism that is not found any
+# more, is a failure of this script.
+set -eu
+cd "$(dirname "$0")/.."
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+git ls-files -co --exclude-standard | tar -cf - -T - | tar -xf - -C "$work"
+failed=0
+
+# mutant NAME FILE OLD NEW PACKAGE TEST
+mutant() {
+	name=$1 file=$2 old=$3 new=$4 package=$5 test=$6
+	cp "$work/$file" "$work/original"
+	verdict=ok
+	if ! OLD=$old NEW=$new perl -0pi -e 'BEGIN { $found = 0 } $found += s/\Q$ENV{OLD}\E/$ENV{NEW}/; END { exit($found ? 0 : 1) }' "$work/$file"; then
+		verdict=NOT_FOUND
+	elif (cd "$work" && go test -count=1 -run "$test" "./$package") >"$work/log" 2>&1; then
+		verdict=SURVIVED
+	elif ! grep -q -- '--- FAIL' "$work/log"; then
+		verdict=DID_NOT_RUN
+	fi
+	[ "$verdict" = ok ] || { failed=1; cat "$work/log" 2>/dev/null | tail -20; }
+	echo "mutant name=$name test=$test verdict=$verdict"
+	cp "$work/original" "$work/$file"
+}
+
+mutant no_chunk_condition internal/batch/store.go \
+	'{Key: next.Key(), Version: held.Version},' '' internal/batch TestChunkModel
+mutant no_job_condition internal/batch/store.go \
+	'{Key: stateKey(next.Job), Version: held.JobVersion},' '' internal/batch TestChunkModel
+mutant no_intent_check internal/batch/chunk.go \
+	'if exists {' 'if false {' internal/batch 'TestIntentIsReplacedOnlyByItsOwnRefusal'
+mutant no_epoch_check internal/batch/chunk.go \
+	'c.Owner != owner || c.Epoch != epoch' 'false' internal/batch TestChunkRefusesAnOldEpoch
+mutant no_insert_condition internal/revision/revision.go \
+	'Conditions:  []platform.Condition{{Key: key(next.Number)}},' '' internal/revision TestOneWinnerBetweenReadAndWrite
+mutant no_rise_check internal/revision/holder.go \
+	'next.Number <= h.current.Number' 'false' internal/revision TestNeverReverts
+mutant no_majority internal/revision/watcher.go \
+	'return members/2 + 1 ' 'return 1 ' internal/revision TestQuorumsMeet
+mutant no_fence internal/emulator/engine.go \
+	'order.Fence < e.fence' 'false' internal/emulator TestFenceNeverFalls
+mutant no_leaving_check internal/registry/registry.go \
+	'!e.Machine.Leaving && ' '' internal/routing TestChosenEngineIsEligible
+mutant no_wave_bound internal/rollout/rollout.go \
+	'min(free, len(candidates))' 'max(free, len(candidates))' internal/rollout TestWaveKeepsTheBound
+mutant no_guard internal/admission/window.go \
+	'if pressure > w.guard {' 'if false {' internal/admission TestWindowIsZeroAboveTheGuard
+mutant no_seeds_after_start internal/membership/core.go \
+	'if !live[seed] {' 'if len(live) < 2 {' internal/scale TestGroupsThatNeverMetFindTogether
+mutant weak_digest internal/membership/member.go \
+	'return value ^ value>>33' 'return value & 3' internal/scale TestRegionThatWasCutIsWholeAgain
+mutant no_item_digest internal/membership/core.go \
+	'isSame = isSame && packet.ItemDigest' 'isSame = isSame || packet.ItemDigest' internal/scale TestRestartedMemberGetsItsZonesItems
+mutant no_direct_accusation internal/membership/core.go \
+	'c.accused[name] = true' '' internal/scale TestSuspectsRefuteUnderHeavyLoss
+mutant no_attempt_echo internal/engine/client.go \
+	'if event.AttemptID != s.attemptID {' 'if false {' internal/harness TestCrossedAnswersAreDropped
+mutant no_end_marker internal/engine/client.go \
+	'if event.Count != s.next {' 'if false {' internal/engine TestAnswerWithoutItsCountIsNotWhole
+exit $failed
--- a/test/scenario/fleet_test.go
+++ b/test/scenario/fleet_test.go
@@ -65,7 +65,6 @@
 	key       ed25519.PrivateKey
 	jobs      map[string]submittedJob
 	load      *onlineLoad
-	version   int
 }
 
 func newFleet(env *testscript.Env) *fleet {
