--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -2,19 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
 
 	"topazpulley/internal/batch"
+	"topazpulley/internal/checker"
 	"topazpulley/internal/client"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/harness"
@@ -164,21 +163,17 @@
 
 // checkOnce compares the submitted ids with those of the results.
 func checkOnce(input, output []byte) error {
-	results := map[string]int{}
-	for _, line := range strings.Split(strings.TrimSpace(string(output)), "\n") {
-		result := batch.ResultLine{}
-		if err := json.Unmarshal([]byte(line), &result); err != nil {
-			return failure.Wrap(err, failure.KindInternal, "bad_result", "a result is not JSON")
-		}
-		results[result.CustomID]++
+	results, err := checker.ParseResults(output)
+	if err != nil {
+		return err
 	}
 	items, err := batch.ParseChunk(input, batch.EndpointCompletions)
 	if err != nil {
 		return err
 	}
 	for _, item := range items {
-		if results[item.CustomID] != 1 {
-			return failure.New(failure.KindInternal, "not_exactly_once", "item %q has %d results", item.CustomID, results[item.CustomID])
+		if _, err := results.Single(item.CustomID); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/harness/callers_test.go
+++ b/internal/harness/callers_test.go
@@ -169,9 +169,7 @@
 	lost.SetFaults(emulator.EngineFaults{Crashed: true})
 	caller := running.Caller(0, harness.ExampleKey)
 	require.Eventually(t, func() bool {
-		text := strings.Builder{}
-		err := caller.Stream(client.Completion{Model: harness.ExampleModel, Prompt: "spill", MaxTokens: 8}, wideBound, func(piece string) { text.WriteString(piece) })
-		return err == nil && text.String() == expected("spill", 8)
+		return ask(caller, "spill", 8) == nil
 	}, wideBound, pollEvery)
 }
 
@@ -179,19 +177,13 @@
 // runs nothing again; other content under the key is a conflict.
 func TestKeyedAnswerStaysReadable(t *testing.T) {
 	running := start(t, []string{"a"}, 2, 1)
-	ask := func(daemon int, prompt string) error {
-		text := strings.Builder{}
-		err := running.Caller(daemon, harness.ExampleKey).Stream(client.Completion{Model: harness.ExampleModel, Prompt: prompt, MaxTokens: 6}, wideBound,
-			func(piece string) { text.WriteString(piece) }, client.Header{Name: gateway.HeaderIdempotencyKey, Value: "key"})
-		if err == nil {
-			require.Equal(t, expected(prompt, 6), text.String())
-		}
-		return err
+	askKeyed := func(daemon int, prompt string) error {
+		return ask(running.Caller(daemon, harness.ExampleKey), prompt, 6, client.Header{Name: gateway.HeaderIdempotencyKey, Value: "key"})
 	}
-	require.NoError(t, ask(0, "keyed"))
-	require.NoError(t, ask(1, "keyed"))
+	require.NoError(t, askKeyed(0, "keyed"))
+	require.NoError(t, askKeyed(1, "keyed"))
 	require.Len(t, running.Fleet.Ledger(), 1)
-	require.Equal(t, "key_reused", failure.From(ask(1, "other")).Code)
+	require.Equal(t, "key_reused", failure.From(askKeyed(1, "other")).Code)
 	content, err := running.Caller(1, harness.ExampleKey).Call("GET", "/v1/requests/key", nil)
 	require.NoError(t, err)
 	require.Contains(t, string(content), strings.TrimSpace(emulator.OutputToken("keyed", 0)))
@@ -208,11 +200,7 @@
 	}
 	caller := running.Caller(0, harness.ExampleKey)
 	for index := range 20 {
-		prompt := fmt.Sprintf("crossed %d", index)
-		text := strings.Builder{}
-		err := caller.Stream(client.Completion{Model: harness.ExampleModel, Prompt: prompt, MaxTokens: 4}, wideBound, func(piece string) { text.WriteString(piece) })
-		require.NoError(t, err)
-		require.Equal(t, expected(prompt, 4), text.String())
+		require.NoError(t, ask(caller, fmt.Sprintf("crossed %d", index), 4))
 	}
 	content, err := running.Caller(0, "").Call("GET", "/metrics", nil)
 	require.NoError(t, err)
--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -1,7 +1,6 @@
 package harness_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"os"
@@ -13,9 +12,9 @@
 	"github.com/stretchr/testify/require"
 
 	"topazpulley/internal/batch"
+	"topazpulley/internal/checker"
 	"topazpulley/internal/client"
 	"topazpulley/internal/emulator"
-	"topazpulley/internal/engine"
 	"topazpulley/internal/harness"
 	"topazpulley/internal/platform"
 )
@@ -41,10 +40,6 @@
 	return running
 }
 
-func expected(prompt string, maxTokens int) string {
-	return engine.JoinTokens(emulator.OutputTokens(prompt, maxTokens))
-}
-
 func waitEnded(t *testing.T, caller *client.Client, id string) client.Batch {
 	var job client.Batch
 	require.Eventually(t, func() bool {
@@ -57,25 +52,21 @@
 
 // requireExactlyOnce checks that the output has each item's own answer once.
 func requireExactlyOnce(t *testing.T, output []byte, items, maxTokens int) {
-	seen := map[string]string{}
-	for _, line := range strings.Split(strings.TrimSpace(string(output)), "\n") {
-		result := batch.ResultLine{}
-		require.NoError(t, json.Unmarshal([]byte(line), &result))
-		body := struct {
-			Choices []struct {
-				Text string `json:"text"`
-			} `json:"choices"`
-		}{}
-		require.NoError(t, json.Unmarshal(result.Response.Body, &body))
-		require.NotContains(t, seen, result.CustomID)
-		seen[result.CustomID] = body.Choices[0].Text
-	}
-	require.Len(t, seen, items)
+	results, err := checker.ParseResults(output)
+	require.NoError(t, err)
+	require.Len(t, results, items)
 	for index := range items {
-		require.Equal(t, expected(harness.ExamplePrompt(index), maxTokens), seen[fmt.Sprintf("item-%d", index)])
+		line, err := results.Single(fmt.Sprintf("item-%d", index))
+		require.NoError(t, err)
+		require.NoError(t, checker.CheckAnswer(line, harness.ExamplePrompt(index), maxTokens))
 	}
 }
 
+// ask streams one answer and checks that it is whole and the prompt's own.
+func ask(caller *client.Client, prompt string, tokens int, headers ...client.Header) error {
+	return checker.Stream(caller, client.Completion{Model: harness.ExampleModel, Prompt: prompt, MaxTokens: tokens}, wideBound, headers...)
+}
+
 func submit(t *testing.T, caller *client.Client, items, maxTokens int, key string) client.Batch {
 	file, err := caller.Upload([]byte(harness.ExampleItems(items, maxTokens)))
 	require.NoError(t, err)
@@ -87,16 +78,12 @@
 func TestOnlineAndBatchThroughEveryDaemon(t *testing.T) {
 	running := start(t, []string{"a", "b", "c"}, 2, 6)
 	for index := range running.Daemons {
-		text := strings.Builder{}
-		prompt := fmt.Sprintf("hello from %d", index)
-		err := running.Caller(index, harness.ExampleKey).Stream(client.Completion{Model: harness.ExampleModel, Prompt: prompt, MaxTokens: 12}, wideBound, func(piece string) { text.WriteString(piece) })
-		require.NoError(t, err)
-		require.Equal(t, expected(prompt, 12), text.String())
+		require.NoError(t, ask(running.Caller(index, harness.ExampleKey), fmt.Sprintf("hello from %d", index), 12))
 	}
 	caller := running.Caller(3, harness.ExampleKey)
 	job := submit(t, caller, 300, 8, "job-1")
-	again := submit2(t, caller, job)
-	require.Equal(t, job.ID, again.ID)
+	again := submit(t, running.Caller(0, harness.ExampleKey), 300, 8, "job-2")
+	require.NotEqual(t, job.ID, again.ID)
 	ended := waitEnded(t, caller, job.ID)
 	require.Equal(t, 300, ended.RequestCounts.Completed)
 	output, err := caller.FileContent(ended.OutputFileID)
@@ -104,12 +91,6 @@
 	requireExactlyOnce(t, output, 300, 8)
 }
 
-func submit2(t *testing.T, caller *client.Client, job client.Batch) client.Batch {
-	again, err := caller.Batch(job.ID)
-	require.NoError(t, err)
-	return again
-}
-
 func TestDaemonKilledWithItemsInFlight(t *testing.T) {
 	running := start(t, []string{"a", "b"}, 2, 4)
 	caller := running.Caller(3, harness.ExampleKey)
@@ -135,15 +116,8 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			prompt := fmt.Sprintf("stop %d", index)
-			text := strings.Builder{}
-			err := caller.Stream(client.Completion{Model: harness.ExampleModel, Prompt: prompt, MaxTokens: 200}, wideBound, func(piece string) { text.WriteString(piece) })
-			if err != nil {
+			if err := ask(caller, fmt.Sprintf("stop %d", index), 200); err != nil {
 				failures <- err
-				return
-			}
-			if text.String() != expected(prompt, 200) {
-				failures <- os.ErrInvalid
 			}
 		}()
 	}
@@ -164,8 +138,7 @@
 	running.Platform.SetFaults(emulator.PlatformFaults{Down: true})
 	outageEnds := time.Now().Add(4 * time.Second)
 	for time.Now().Before(outageEnds) {
-		err := caller.Stream(client.Completion{Model: harness.ExampleModel, Prompt: "during outage", MaxTokens: 5}, wideBound, func(string) {})
-		require.NoError(t, err)
+		require.NoError(t, ask(caller, "during outage", 5))
 		time.Sleep(pollEvery)
 	}
 	running.Platform.SetFaults(emulator.PlatformFaults{LoseAnswerShare: 0.3})
@@ -225,7 +198,7 @@
 	before := len(left.Ledger())
 	caller := running.Caller(0, harness.ExampleKey)
 	for range 20 {
-		require.NoError(t, caller.Stream(client.Completion{Model: harness.ExampleModel, Prompt: "after leaving", MaxTokens: 2}, wideBound, func(string) {}))
+		require.NoError(t, ask(caller, "after leaving", 2))
 	}
 	require.Len(t, left.Ledger(), before)
 }
--- a/internal/scale/network.go
+++ b/internal/scale/network.go
@@ -48,6 +48,9 @@
 	dutyAt      time.Time
 	publishAt   map[int]time.Time
 
+	// earlier sums the counters of the daemon's earlier lives.
+	earlier membership.Statistics
+
 	sentBytes     uint64
 	receivedBytes uint64
 	packets       uint64
@@ -132,6 +135,11 @@
 // boot starts a new life of a daemon, which remembers nothing.
 func (n *Network) boot(daemon *hollow) {
 	daemon.life++
+	if daemon.core != nil {
+		ended := daemon.core.Statistics()
+		daemon.earlier.Deaths += ended.Deaths
+		daemon.earlier.Suspicions += ended.Suspicions
+	}
 	self := membership.Member{
 		Name: name(daemon.index), Address: address(daemon.index), HTTPAddress: address(daemon.index), Zone: zoneName(daemon.zone),
 		Region: fmt.Sprintf("region-%d", daemon.region), Incarnation: n.now.UnixMilli() + daemon.life,
--- a/internal/scale/observe.go
+++ b/internal/scale/observe.go
@@ -36,7 +36,7 @@
 func (n *Network) deaths() uint64 {
 	total := uint64(0)
 	for _, daemon := range n.daemons {
-		total += daemon.core.Statistics().Deaths
+		total += daemon.earlier.Deaths + daemon.core.Statistics().Deaths
 	}
 	return total
 }
@@ -45,7 +45,7 @@
 func (n *Network) suspicions() uint64 {
 	total := uint64(0)
 	for _, daemon := range n.daemons {
-		total += daemon.core.Statistics().Suspicions
+		total += daemon.earlier.Suspicions + daemon.core.Statistics().Suspicions
 	}
 	return total
 }
--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,9 +15,9 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"topazpulley/internal/batch"
+	"topazpulley/internal/checker"
 	"topazpulley/internal/client"
 	"topazpulley/internal/emulator"
-	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/gateway"
 	"topazpulley/internal/harness"
@@ -123,6 +124,7 @@
 		"readable": checkReadable,
 		"ask":      ask,
 		"askonce":  askOnce,
+		"diesonce": diesOnce,
 		"plain":    askPlain,
 		"load":     loadCommand,
 		"members": func(f *fleet, args []string) error {
@@ -269,30 +271,8 @@
 }
 
 // results reads the visible results of a job by item.
-func (f *fleet) results(daemon, job string) (map[string][]batch.ResultLine, error) {
-	caller := f.callerAt(daemon)
-	present, err := caller.Batch(f.jobs[job].id)
-	if err != nil {
-		return nil, err
-	}
-	byItem := map[string][]batch.ResultLine{}
-	for _, file := range []string{present.OutputFileID, present.ErrorFileID} {
-		content, err := caller.FileContent(file)
-		if err != nil {
-			return nil, err
-		}
-		for _, line := range strings.Split(strings.TrimSpace(string(content)), "\n") {
-			if line == "" {
-				continue
-			}
-			result := batch.ResultLine{}
-			if err := json.Unmarshal([]byte(line), &result); err != nil {
-				return nil, err
-			}
-			byItem[result.CustomID] = append(byItem[result.CustomID], result)
-		}
-	}
-	return byItem, nil
+func (f *fleet) results(daemon, job string) (checker.Results, error) {
+	return checker.ReadResults(f.callerAt(daemon), f.jobs[job].id)
 }
 
 // once JOB DAEMON: every item has exactly one result, its own; an item that
@@ -309,16 +289,16 @@
 	}
 	unknown := 0
 	for index := range job.items {
-		lines := results[strconv.Itoa(index)]
-		if len(lines) != 1 {
-			return fmt.Errorf("item %d has %d results", index, len(lines))
+		line, err := results.Single(strconv.Itoa(index))
+		if err != nil {
+			return err
 		}
-		if job.once && lines[0].Error != nil && lines[0].Error.Code == "outcome_unknown" {
+		if job.once && line.Error != nil && line.Error.Code == "outcome_unknown" {
 			unknown++
 			continue
 		}
-		if err := checkResult(lines[0], itemPrompt(args[0], index), job.tokens); err != nil {
-			return fmt.Errorf("item %d: %w", index, err)
+		if err := checker.CheckAnswer(line, itemPrompt(args[0], index), job.tokens); err != nil {
+			return err
 		}
 	}
 	if !job.once {
@@ -327,34 +307,13 @@
 	return f.checkStartedOnce(args[0], job, unknown)
 }
 
-func checkResult(line batch.ResultLine, prompt string, tokens int) error {
-	if line.Response == nil {
-		return fmt.Errorf("error result %+v", line.Error)
-	}
-	body := struct {
-		Choices []struct {
-			Text string `json:"text"`
-		} `json:"choices"`
-	}{}
-	if err := json.Unmarshal(line.Response.Body, &body); err != nil {
-		return err
-	}
-	if expected := engine.JoinTokens(emulator.OutputTokens(prompt, tokens)); body.Choices[0].Text != expected {
-		return fmt.Errorf("answer %q is not %q", body.Choices[0].Text, expected)
-	}
-	return nil
-}
-
 // checkStartedOnce asks the engines how often each item was started.
 func (f *fleet) checkStartedOnce(name string, job submittedJob, unknown int) error {
 	entries, err := f.ledger()
 	if err != nil {
 		return err
 	}
-	started := map[string]int{}
-	for _, entry := range entries {
-		started[entry.Prompt]++
-	}
+	started := checker.StartedTimes(entries)
 	for index := range job.items {
 		if count := started[itemPrompt(name, index)]; count > 1 {
 			return fmt.Errorf("item %d was started %d times", index, count)
@@ -412,11 +371,12 @@
 	if len(results) == 0 {
 		return fmt.Errorf("no result is readable")
 	}
-	for item, lines := range results {
-		if len(lines) != 1 {
-			return fmt.Errorf("item %s has %d results", item, len(lines))
+	for item := range results {
+		line, err := results.Single(item)
+		if err != nil {
+			return err
 		}
-		if err := checkResult(lines[0], itemPrompt(args[0], number(item)), f.jobs[args[0]].tokens); err != nil {
+		if err := checker.CheckAnswer(line, itemPrompt(args[0], number(item)), f.jobs[args[0]].tokens); err != nil {
 			return err
 		}
 	}
@@ -425,15 +385,8 @@
 
 // streamWhole asks for one answer and checks that it is whole and one's own.
 func streamWhole(caller *client.Client, prompt string, tokens int, headers ...client.Header) error {
-	text := strings.Builder{}
 	request := client.Completion{Model: harness.ExampleModel, Prompt: prompt, MaxTokens: tokens}
-	if err := caller.Stream(request, wideBound, func(piece string) { text.WriteString(piece) }, headers...); err != nil {
-		return err
-	}
-	if expected := engine.JoinTokens(emulator.OutputTokens(prompt, tokens)); text.String() != expected {
-		return fmt.Errorf("answer %q is not %q", text.String(), expected)
-	}
-	return nil
+	return checker.Stream(caller, request, wideBound, headers...)
 }
 
 // ask DAEMON COUNT TOKENS: answers come whole and to whom they belong.
@@ -466,12 +419,7 @@
 	if ledgerErr != nil {
 		return ledgerErr
 	}
-	started := 0
-	for _, entry := range entries {
-		if entry.Prompt == prompt {
-			started++
-		}
-	}
+	started := checker.StartedTimes(entries)[prompt]
 	if started > 1 {
 		return fmt.Errorf("the request was started %d times", started)
 	}
@@ -485,6 +433,24 @@
 	return wantOutcome(typed.Code, args[3])
 }
 
+// diesOnce: diesonce DAEMON KEY TOKENS ENGINE: the engine dies while it runs a
+// request that may not be repeated, which ends as unknown.
+func diesOnce(f *fleet, args []string) error {
+	ended := make(chan error, 1)
+	go func() { ended <- askOnce(f, append(slices.Clone(args[:3]), "outcome_unknown")) }()
+	err := poll("the request to run", func() bool {
+		started, err := f.countStarted("askonce")
+		return err == nil && started == 1
+	})
+	if err != nil {
+		return err
+	}
+	if err := put(f.engineControl()+emulator.PathEngineFaults+"?name="+args[3], emulator.EngineFaults{Crashed: true}); err != nil {
+		return err
+	}
+	return <-ended
+}
+
 func wantOutcome(got, wanted string) error {
 	if got != wanted {
 		return fmt.Errorf("outcome %s, wanted %s", got, wanted)
