Read the machine list on condition of its entity tag

Now the platform answers 304 while the list has not changed. Ruled out: a slower poll (an engine that leaves must get no new work within seconds), reading the list in one daemon a zone only (lost with it).

--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/btree"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
@@ -195,6 +196,7 @@
 		p.handleObject(call, strings.TrimPrefix(path, platform.PathObjects))
 	case path == platform.PathMachines:
 		writeJSON(call, p.machineList(time.Now()))
+		answerConditionally(call)
 	default:
 		call.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -315,6 +317,16 @@
 	return list
 }
 
+// answerConditionally tags the answer and leaves it out when the caller has it.
+func answerConditionally(call *fasthttp.RequestCtx) {
+	tag := strconv.FormatUint(xxhash.Sum64(call.Response.Body()), 16)
+	call.Response.Header.Set("ETag", tag)
+	if string(call.Request.Header.Peek("If-None-Match")) == tag {
+		call.Response.ResetBody()
+		call.SetStatusCode(fasthttp.StatusNotModified)
+	}
+}
+
 func decodeBody(call *fasthttp.RequestCtx, target any) bool {
 	if err := json.Unmarshal(call.PostBody(), target); err != nil {
 		call.Error(err.Error(), fasthttp.StatusBadRequest)
--- /dev/null
+++ b/internal/emulator/platform_test.go
@@ -0,0 +1,38 @@
+package emulator
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/platform"
+	"topazpulley/internal/settings"
+)
+
+// TestMachineListIsReadOnceUntilItChanges: the client keeps a list that the
+// platform says has not changed, and sees a change after the lag.
+func TestMachineListIsReadOnceUntilItChanges(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	emulated := NewPlatform()
+	go func() { _ = emulated.Serve(listener) }()
+	emulated.SetMachine(platform.Machine{Name: "one", State: platform.MachineLive})
+	client := platform.NewHTTPClient("http://" + listener.Addr().String())
+	for range 3 {
+		list, err := client.List(t.Context())
+		require.NoError(t, err)
+		require.Len(t, list, 1)
+	}
+	emulated.SetFaults(PlatformFaults{MachineListLag: settings.Duration(200 * time.Millisecond)})
+	emulated.SetMachine(platform.Machine{Name: "two", State: platform.MachineLive})
+	list, err := client.List(t.Context())
+	require.NoError(t, err)
+	require.Less(t, len(list), 2, "the change is not visible before the lag")
+	require.Eventually(t, func() bool {
+		list, err := client.List(t.Context())
+		return err == nil && len(list) == 2
+	}, 30*time.Second, 10*time.Millisecond)
+}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -28,6 +29,11 @@
 type HTTPClient struct {
 	baseURL string
 	client  *fasthttp.Client
+
+	// machinesMutex guards the last machine list and its entity tag.
+	machinesMutex sync.Mutex
+	machines      []Machine
+	machinesTag   string
 }
 
 // NewHTTPClient returns an adapter for the platform at baseURL.
@@ -47,6 +53,7 @@
 type answer struct {
 	status int
 	body   []byte
+	tag    string
 }
 
 func (c *HTTPClient) call(ctx context.Context, method, pathAndQuery string, body []byte, header map[string]string) (answer, error) {
@@ -63,7 +70,7 @@
 	if err := c.client.DoDeadline(request, response, callDeadline(ctx)); err != nil {
 		return answer{}, unavailable(err, pathAndQuery)
 	}
-	copied := answer{status: response.StatusCode(), body: append([]byte(nil), response.Body()...)}
+	copied := answer{status: response.StatusCode(), body: append([]byte(nil), response.Body()...), tag: string(response.Header.Peek("ETag"))}
 	if copied.status == fasthttp.StatusTooManyRequests || copied.status >= fasthttp.StatusInternalServerError {
 		return copied, failure.New(failure.KindUnavailable, "platform_refused", "the platform answered %d to %s", copied.status, pathAndQuery)
 	}
@@ -158,15 +165,22 @@
 	return c.getObject(ctx, name, map[string]string{"Range": byteRange})
 }
 
-// List implements Machines.
+// List implements Machines. It asks on condition of the entity tag: the list is
+// long and changes seldom.
 func (c *HTTPClient) List(ctx context.Context) ([]Machine, error) {
-	reply, err := c.call(ctx, fasthttp.MethodGet, PathMachines, nil, nil)
+	c.machinesMutex.Lock()
+	defer c.machinesMutex.Unlock()
+	reply, err := c.call(ctx, fasthttp.MethodGet, PathMachines, nil, map[string]string{"If-None-Match": c.machinesTag})
 	if err != nil {
 		return nil, err
 	}
+	if reply.status == fasthttp.StatusNotModified {
+		return c.machines, nil
+	}
 	var machines []Machine
 	if err := json.Unmarshal(reply.body, &machines); err != nil {
 		return nil, unavailable(err, "machine list")
 	}
+	c.machines, c.machinesTag = machines, reply.tag
 	return machines, nil
 }
