--- /dev/null
+++ b/internal/batch/commit.go
@@ -0,0 +1,177 @@
+package batch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"topazpulley/internal/duty"
+	"topazpulley/internal/failure"
+	"topazpulley/internal/peer"
+)
+
+// RecordIntent makes the dispatch of an item that may not be repeated durable.
+// Only after it has returned nil may the item be sent.
+func (w *Worker) RecordIntent(ctx context.Context, task *Task, intent Intent) error {
+	chunk := task.chunk
+	chunk.storeMutex.Lock()
+	defer chunk.storeMutex.Unlock()
+	bounded, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	next, err := w.store.RecordIntents(bounded, chunk.held(), []Intent{intent})
+	if err == nil {
+		chunk.setState(next)
+		return nil
+	}
+	if isLost(err) {
+		w.lose(chunk, err)
+	}
+	return err
+}
+
+func (c *activeChunk) setState(next HeldChunk) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.state = next
+}
+
+func isLost(err error) bool {
+	return failure.HasCode(err, CodeStaleEpoch) || failure.HasCode(err, CodeJobEnded)
+}
+
+// commitLoop commits a chunk's results in segments until all are committed or
+// the chunk is lost. While the platform is down, results wait in memory.
+func (w *Worker) commitLoop(ctx context.Context, chunk *activeChunk) {
+	ticker := time.NewTicker(commitPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-chunk.context.Done():
+			return
+		case <-chunk.wake:
+		case <-ticker.C:
+		}
+		for w.commitOnce(ctx, chunk) {
+			continue
+		}
+		if chunk.assignment().Done {
+			return
+		}
+	}
+}
+
+// commitOnce commits what is due and reports whether it did.
+func (w *Worker) commitOnce(ctx context.Context, chunk *activeChunk) bool {
+	chunk.storeMutex.Lock()
+	defer chunk.storeMutex.Unlock()
+	due := chunk.takeResults(time.Now())
+	if len(due) == 0 {
+		return false
+	}
+	segment := Segment{Sequence: chunk.sequence}
+	lines := make([][]byte, 0, len(due))
+	for _, one := range due {
+		segment.Items = append(segment.Items, one.index)
+		lines = append(lines, one.line)
+		if one.failed {
+			segment.Failed++
+		}
+	}
+	bounded, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	next, err := w.store.Commit(bounded, chunk.held(), segment, lines)
+	if err == nil {
+		chunk.committed(next, len(due))
+		return true
+	}
+	if isLost(err) {
+		w.lose(chunk, err)
+		return false
+	}
+	w.log.Warn("commit_delayed", "job", chunk.job.ID, "chunk", chunk.number, "results", len(due), "error", err)
+	select {
+	case <-ctx.Done():
+	case <-time.After(commitRetryPause):
+	}
+	return false
+}
+
+func (c *activeChunk) committed(next HeldChunk, count int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.state = next
+	c.sequence++
+	c.committing = 0
+	if count <= len(c.results) {
+		c.results = slices.Clone(c.results[count:])
+	}
+	c.oldest = time.Now()
+	c.done = next.Chunk.Done
+}
+
+// reportAll tells every coordinator concerned what this worker holds, then
+// forgets what is done or lost and was heard.
+func (w *Worker) reportAll(ctx context.Context) {
+	byShard := map[int][]AssignmentMessage{}
+	w.mutex.Lock()
+	for _, chunk := range w.active {
+		shard := ShardOf(chunk.job.ID)
+		byShard[shard] = append(byShard[shard], chunk.assignment())
+	}
+	w.mutex.Unlock()
+	for shard, messages := range byShard {
+		if w.report(ctx, shard, messages) {
+			w.forgetEnded(messages)
+		}
+	}
+}
+
+func (w *Worker) report(ctx context.Context, shard int, messages []AssignmentMessage) bool {
+	bounded, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	owner, known := w.node.Member(duty.Owner(ShardDuty(shard), w.node.AllNames()))
+	if !known {
+		return false
+	}
+	report := ProgressReport{Worker: w.node.Self().Name, Shard: shard, Assignments: messages}
+	answer, err := peer.Call[ProgressReport, ProgressAnswer](bounded, w.transport, owner.Address, MethodProgress, report)
+	if err != nil {
+		return false
+	}
+	for _, job := range answer.Ended {
+		w.dropIfEnded(bounded, job)
+	}
+	return true
+}
+
+// dropIfEnded drops a job's chunks after reading that it has ended; a new
+// coordinator may merely not have found the job yet.
+func (w *Worker) dropIfEnded(ctx context.Context, job string) {
+	present, _, err := w.store.Job(ctx, job)
+	if err != nil || present.State == StateRunning {
+		return
+	}
+	w.forgetJob(job)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, chunk := range w.active {
+		if chunk.job.ID == job && !chunk.assignment().Done {
+			w.lose(chunk, failure.New(failure.KindCancelled, CodeJobEnded, "the job has ended"))
+		}
+	}
+}
+
+func (w *Worker) forgetEnded(messages []AssignmentMessage) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, message := range messages {
+		if !message.Done && !message.Released {
+			continue
+		}
+		w.active = slices.DeleteFunc(w.active, func(chunk *activeChunk) bool {
+			return chunk.job.ID == message.Job && chunk.number == message.Chunk
+		})
+	}
+}
--- a/internal/batch/coordinator.go
+++ b/internal/batch/coordinator.go
@@ -18,6 +18,7 @@
 	"topazpulley/internal/failure"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
+	"topazpulley/internal/periodic"
 )
 
 // PrefixBacklog starts the keys of gossip items that announce waiting chunks.
@@ -73,16 +74,7 @@
 
 // Run coordinates until the context ends.
 func (c *Coordinator) Run(ctx context.Context) {
-	ticker := time.NewTicker(coordinateInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.step(ctx)
-		}
-	}
+	periodic.Run(ctx, coordinateInterval, func() { c.step(ctx) })
 }
 
 func (c *Coordinator) step(ctx context.Context) {
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -11,6 +11,7 @@
 
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
+	"topazpulley/internal/periodic"
 )
 
 // Methods of the peer protocol that Node answers.
@@ -64,16 +65,9 @@
 // Run ticks the core until the context ends.
 func (n *Node) Run(ctx context.Context) {
 	go n.dispatch(ctx)
-	ticker := time.NewTicker(n.config.GossipInterval / ticksPerGossip)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			n.with(func(core *membership.Core) []membership.Datagram { return core.Tick(now) })
-		}
-	}
+	periodic.Run(ctx, n.config.GossipInterval/ticksPerGossip, func() {
+		n.with(func(core *membership.Core) []membership.Datagram { return core.Tick(time.Now()) })
+	})
 }
 
 // with runs a step of the core, sends what it returns and queues its events.
--- a/internal/gateway/spill.go
+++ b/internal/gateway/spill.go
@@ -17,6 +17,7 @@
 	"topazpulley/internal/duty"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/membership"
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/settings"
 )
@@ -65,27 +66,28 @@
 // RunAggregates publishes this zone's aggregates, by service, while the duty
 // falls to this daemon.
 func (g *Gateway) RunAggregates(ctx context.Context) {
-	ticker := time.NewTicker(aggregateInterval)
-	defer ticker.Stop()
-	sent := map[string]zoneAggregate{}
-	sentAt := map[string]time.Time{}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if duty.Owner("aggregate/"+g.Settings.Zone, g.Node.ZoneNames()) != g.Settings.Name {
+	sent := map[string]sentAggregate{}
+	periodic.Run(ctx, aggregateInterval, func() { g.publishAggregates(sent) })
+}
+
+// sentAggregate is what was last published of a service.
+type sentAggregate struct {
+	aggregate zoneAggregate
+	at        time.Time
+}
+
+// publishAggregates publishes what changed, and everything from time to time.
+func (g *Gateway) publishAggregates(sent map[string]sentAggregate) {
+	if duty.Owner("aggregate/"+g.Settings.Zone, g.Node.ZoneNames()) != g.Settings.Name {
+		return
+	}
+	for _, service := range g.Holder.Services() {
+		aggregate, last := g.aggregate(service), sent[service]
+		if aggregate == last.aggregate && time.Since(last.at) < aggregateRefresh {
 			continue
 		}
-		for _, service := range g.Holder.Services() {
-			aggregate := g.aggregate(service)
-			if aggregate == sent[service] && time.Since(sentAt[service]) < aggregateRefresh {
-				continue
-			}
-			sent[service], sentAt[service] = aggregate, time.Now()
-			g.publishAggregate(service, aggregate)
-		}
+		sent[service] = sentAggregate{aggregate: aggregate, at: time.Now()}
+		g.publishAggregate(service, aggregate)
 	}
 }
 
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -11,6 +11,7 @@
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/duty"
 	"topazpulley/internal/membership"
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/platform"
 	"topazpulley/internal/registry"
 )
@@ -47,18 +48,12 @@
 // Run watches until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	w.node.SetSeeds(w.seeds)
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
+	w.poll(ctx)
+	periodic.Run(ctx, pollInterval, func() {
 		if w.isWatcher() {
 			w.poll(ctx)
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 // isWatcher reports whether the duty falls to this daemon; a daemon that
--- a/internal/revision/watcher.go
+++ b/internal/revision/watcher.go
@@ -16,6 +16,7 @@
 	"topazpulley/internal/failure"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/platform"
 )
 
@@ -147,20 +148,15 @@
 // Run polls and fetches until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	go w.fetchLoop(ctx)
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if !w.isWatcher() {
-			continue
-		}
-		if err := w.poll(ctx); err != nil {
-			w.logger.Debug("revision_poll_failed", "error", err)
-		}
+	periodic.Run(ctx, pollInterval, func() { w.pollIfWatcher(ctx) })
+}
+
+func (w *Watcher) pollIfWatcher(ctx context.Context) {
+	if !w.isWatcher() {
+		return
+	}
+	if err := w.poll(ctx); err != nil {
+		w.logger.Debug("revision_poll_failed", "error", err)
 	}
 }
 
--- a/internal/scale/loopback.go
+++ b/internal/scale/loopback.go
@@ -15,6 +15,7 @@
 	"topazpulley/internal/harness"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/registry"
 	"topazpulley/internal/supervisor"
 )
@@ -112,22 +113,17 @@
 func (d *socketDaemon) publishLoads(ctx context.Context, config LoopbackConfig) {
 	interval := max(loadIntervalFloor, time.Duration(config.Engines/config.Zones)*loadIntervalPerEngine)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		names := d.node.ZoneNames()
-		for engine := d.zone; engine < config.Engines; engine += config.Zones {
-			if duty.Owner(supervisor.EngineDuty(engineName(engine)), names) != d.node.Self().Name {
-				continue
-			}
-			load := registry.LoadRecord{Online: random.IntN(loadRange), Batch: random.IntN(loadRange), KVPermille: random.IntN(1000), BatchWindow: random.IntN(loadRange)}
-			d.node.Publish(membership.Item{Key: registry.PrefixLoad + engineName(engine), Zone: zoneName(d.zone), Priority: membership.PriorityLoad, Payload: load.Encode()})
+	periodic.Run(ctx, interval, func() { d.publishOnce(config, random) })
+}
+
+func (d *socketDaemon) publishOnce(config LoopbackConfig, random *rand.Rand) {
+	names := d.node.ZoneNames()
+	for engine := d.zone; engine < config.Engines; engine += config.Zones {
+		if duty.Owner(supervisor.EngineDuty(engineName(engine)), names) != d.node.Self().Name {
+			continue
 		}
+		load := registry.LoadRecord{Online: random.IntN(loadRange), Batch: random.IntN(loadRange), KVPermille: random.IntN(1000), BatchWindow: random.IntN(loadRange)}
+		d.node.Publish(membership.Item{Key: registry.PrefixLoad + engineName(engine), Zone: zoneName(d.zone), Priority: membership.PriorityLoad, Payload: load.Encode()})
 	}
 }
 
--- a/internal/supervisor/waves.go
+++ b/internal/supervisor/waves.go
@@ -13,6 +13,7 @@
 	"topazpulley/internal/duty"
 	"topazpulley/internal/engine"
 	"topazpulley/internal/membership"
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/registry"
 	"topazpulley/internal/rollout"
 )
@@ -86,16 +87,7 @@
 // coordinateRollouts computes the waves of the services in this zone whose
 // rollout duty falls to this daemon.
 func (s *Supervisor) coordinateRollouts(ctx context.Context) {
-	ticker := time.NewTicker(rolloutInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.coordinateOnce()
-		}
-	}
+	periodic.Run(ctx, rolloutInterval, s.coordinateOnce)
 }
 
 func (s *Supervisor) coordinateOnce() {
