Release chunks that a daemon's engines do not get to; estimate load both ways

Cause: when all engines of a zone were gone, its daemons went on reporting the chunks they held, and a job waited for ever (story zone_without_engines: in vain for 12 s, the engines of the other zone idle). A chunk with waiting items of which none runs and none was taken for 5 s is now committed as far as it is and given up. Ruled out: taking chunks from reporting workers by the coordinator, which does not know whether an item runs.

The estimate of an engine's load counted what was sent since its report, and never what ended. It now counts both, from the report's assumed age on, and hints shrink the window in proportion again.

--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -29,13 +29,8 @@
 func (w *BatchWindow) SetPolicy(maximum, guard int) { w.maximum, w.guard = maximum, guard }
 
 // Hint records the number of online requests that gateways say they have sent
-// to the engine; it precedes the engine's own lagging report. Only one above
-// the guard counts: gateways overestimate between reports, and below the guard
-// the reports follow soon enough.
+// to the engine; it precedes the engine's own lagging report.
 func (w *BatchWindow) Hint(online int, now time.Time) {
-	if online <= w.guard {
-		return
-	}
 	if now.After(w.hintEnds) || online > w.hint {
 		w.hint = online
 	}
--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -114,6 +114,7 @@
 // reportAll tells every coordinator concerned what this worker holds, then
 // forgets what is done or lost and was heard.
 func (w *Worker) reportAll(ctx context.Context) {
+	w.releaseStalled(ctx)
 	byShard := map[int][]AssignmentMessage{}
 	w.mutex.Lock()
 	for _, chunk := range w.active {
@@ -128,6 +129,30 @@
 	}
 }
 
+// release commits what a chunk has and gives the rest up for others.
+func (w *Worker) release(ctx context.Context, chunk *activeChunk) {
+	chunk.mutex.Lock()
+	chunk.oldest = time.Time{}
+	chunk.mutex.Unlock()
+	w.commitOnce(ctx, chunk)
+	if !chunk.assignment().Done {
+		chunk.lose()
+	}
+}
+
+// releaseStalled gives up chunks that this daemon's engines do not get to.
+func (w *Worker) releaseStalled(ctx context.Context) {
+	w.mutex.Lock()
+	active := slices.Clone(w.active)
+	w.mutex.Unlock()
+	for _, chunk := range active {
+		if chunk.stalled(time.Now()) {
+			w.log.Info("chunk_released", "job", chunk.job.ID, "chunk", chunk.number)
+			w.release(ctx, chunk)
+		}
+	}
+}
+
 func (w *Worker) report(ctx context.Context, shard int, messages []AssignmentMessage) bool {
 	bounded, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
--- a/internal/batch/task.go
+++ b/internal/batch/task.go
@@ -79,8 +79,10 @@
 	oldest     time.Time
 	sequence   int
 	left       int
-	done       bool
-	lost       bool
+	// takenAt is when a task was last taken, or the chunk was claimed.
+	takenAt time.Time
+	done    bool
+	lost    bool
 
 	// storeMutex serializes writes of the chunk's row.
 	storeMutex sync.Mutex
@@ -110,6 +112,15 @@
 	c.cancel()
 }
 
+// stalled reports whether tasks wait, none runs and none was taken for a while:
+// this daemon's engines have no room or are gone.
+func (c *activeChunk) stalled(now time.Time) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	noneRuns := c.left == len(c.waiting)
+	return !c.lost && len(c.waiting) > 0 && noneRuns && now.Sub(c.takenAt) > stalledAfter
+}
+
 func (c *activeChunk) signal() {
 	select {
 	case c.wake <- struct{}{}:
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -31,6 +31,7 @@
 	maxHeldResults     = 20000
 	maxChunksPerCall   = 4
 	commitRetryPause   = 500 * time.Millisecond
+	stalledAfter       = 5 * time.Second
 )
 
 // jobInfo is what a worker keeps of a job between chunks.
@@ -127,6 +128,7 @@
 	}
 	task := c.waiting[0]
 	c.waiting = c.waiting[1:]
+	c.takenAt = time.Now()
 	return task, true
 }
 
@@ -310,7 +312,7 @@
 }
 
 func newActiveChunk(ctx context.Context, job Job, held HeldChunk, items []Item) *activeChunk {
-	chunk := &activeChunk{job: job, number: held.Chunk.Number, state: held, wake: make(chan struct{}, 1), done: held.Chunk.Done}
+	chunk := &activeChunk{job: job, number: held.Chunk.Number, state: held, wake: make(chan struct{}, 1), takenAt: time.Now(), done: held.Chunk.Done}
 	chunk.context, chunk.cancel = context.WithCancel(ctx)
 	for _, index := range held.Chunk.Remaining() {
 		task := &Task{chunk: chunk, Index: index, Item: items[index]}
@@ -362,13 +364,7 @@
 	active := slices.Clone(w.active)
 	w.mutex.Unlock()
 	for _, chunk := range active {
-		chunk.mutex.Lock()
-		chunk.oldest = time.Time{}
-		chunk.mutex.Unlock()
-		w.commitOnce(ctx, chunk)
-		if !chunk.assignment().Done {
-			chunk.lose()
-		}
+		w.release(ctx, chunk)
 	}
 	w.reportAll(ctx)
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -100,10 +100,11 @@
 	Known bool
 	// LoadAt is when the load report arrived.
 	LoadAt time.Time
-	// SentSince counts this daemon's requests sent after LoadAt that are not
-	// in the report yet, and InFlight all that it has on the engine.
-	SentSince int
-	InFlight  int
+	// NetSince is what the load report cannot know yet: this daemon's requests
+	// begun less those ended since the report was made. InFlight is all that
+	// the daemon has on the engine.
+	NetSince int
+	InFlight int
 	// EjectedUntil is when the engine is tried again after failures seen here.
 	EjectedUntil time.Time
 }
@@ -129,6 +130,42 @@
 type entry struct {
 	view     Engine
 	failures int
+	// recent are the begins and ends that the load report may not know.
+	recent []flight
+}
+
+// flight is one begin (+1) or end (-1) of a request of this daemon.
+type flight struct {
+	at     time.Time
+	change int
+}
+
+// record adds a begin or an end.
+func (e *entry) record(change int, now time.Time) {
+	e.view.InFlight += change
+	e.view.NetSince += change
+	e.recent = append(e.recent, flight{at: now, change: change})
+	if len(e.recent) > maxRecentFlights {
+		e.forget(len(e.recent) - maxRecentFlights)
+	}
+}
+
+// forget drops the oldest flights.
+func (e *entry) forget(count int) {
+	for _, old := range e.recent[:count] {
+		e.view.NetSince -= old.change
+	}
+	e.recent = slices.Delete(e.recent, 0, count)
+}
+
+// reported takes a load report, which knows what happened before its lag.
+func (e *entry) reported(load LoadRecord, now time.Time) {
+	e.view.Load, e.view.LoadAt = load, now
+	known := 0
+	for known < len(e.recent) && e.recent[known].at.Before(now.Add(-assumedReportLag)) {
+		known++
+	}
+	e.forget(known)
 }
 
 // Registry holds the engines of the daemon's zone.
@@ -142,6 +179,10 @@
 	ejectAfterFailures = 2
 	ejectBase          = 500 * time.Millisecond
 	ejectCeiling       = 8 * time.Second
+	// assumedReportLag is how old a load report is when it arrives: the
+	// engine's own lag, the wait for the next probe and for gossip.
+	assumedReportLag = 300 * time.Millisecond
+	maxRecentFlights = 4096
 )
 
 // New returns an empty registry.
@@ -175,9 +216,7 @@
 	case strings.HasPrefix(item.Key, PrefixLoad):
 		record := LoadRecord{}
 		if avro.Unmarshal(loadSchema, item.Payload, &record) == nil {
-			r.update(item.Key[len(PrefixLoad):], func(view *Engine) {
-				view.Load, view.LoadAt, view.SentSince = record, time.Now(), 0
-			})
+			r.change(item.Key[len(PrefixLoad):], func(held *entry) { held.reported(record, time.Now()) })
 		}
 	}
 }
@@ -190,6 +229,10 @@
 }
 
 func (r *Registry) update(name string, change func(*Engine)) {
+	r.change(name, func(held *entry) { change(&held.view) })
+}
+
+func (r *Registry) change(name string, change func(*entry)) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	held, known := r.engines[name]
@@ -197,7 +240,7 @@
 		held = &entry{view: Engine{Name: name}}
 		r.engines[name] = held
 	}
-	change(&held.view)
+	change(held)
 }
 
 // Engines returns all engines that were not removed, in name order.
@@ -238,10 +281,7 @@
 
 // Begin counts a request sent to an engine.
 func (r *Registry) Begin(name string) {
-	r.update(name, func(view *Engine) {
-		view.InFlight++
-		view.SentSince++
-	})
+	r.change(name, func(held *entry) { held.record(1, time.Now()) })
 }
 
 // End counts the end of a request. Consecutive failures eject the engine for
@@ -253,10 +293,7 @@
 	if !known {
 		return
 	}
-	held.view.InFlight--
-	if held.view.SentSince > held.view.InFlight {
-		held.view.SentSince = held.view.InFlight
-	}
+	held.record(-1, now)
 	if !failed {
 		held.failures = 0
 		held.view.EjectedUntil = time.Time{}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -77,7 +77,7 @@
 
 // Load is the estimated number of online requests on an engine.
 func Load(engine registry.Engine) int {
-	return max(engine.Load.Online+engine.Load.Waiting+engine.SentSince, engine.InFlight)
+	return max(engine.Load.Online+engine.Load.Waiting+engine.NetSince, engine.InFlight)
 }
 
 // Eligible returns the engines that may take the request and have room.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -28,7 +28,7 @@
 	view := engineView(fmt.Sprintf("e%d", index), rapid.IntRange(0, 40).Draw(t, "online"))
 	view.Record.Up = rapid.Bool().Draw(t, "up")
 	view.Machine.Leaving = rapid.Bool().Draw(t, "leaving")
-	view.SentSince = rapid.IntRange(0, 5).Draw(t, "sent")
+	view.NetSince = rapid.IntRange(0, 5).Draw(t, "sent")
 	if rapid.Bool().Draw(t, "other model") {
 		view.Record.Models = []string{"other@1"}
 	}
