Keep a keyed answer with a daemon of another zone while the platform is down

Cause: an answer given during an outage waited in one daemon's memory and was lost with it, though the caller was told that its key keeps it readable. Now it is copied to a daemon of another zone before its last part goes out; both store it when the platform is back, which the object's immutability allows. Ruled out: refusing keyed requests in an outage (online work must not notice one), two copies in one zone (a zone goes as a whole). Shown by TestKeyedAnswerOutlivesItsDaemonDuringAnOutage, and by the mutant that takes the copy away.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -84,7 +84,7 @@
 	d.supervisor = supervisor.New(d.node, d.registry, d.holder, engines, d.worker, log)
 	metrics := telemetry.NewMetrics()
 	d.gateway = gateway.New(lifetime, gateway.Dependencies{
-		Settings: process, Node: d.node, Registry: d.registry, Holder: d.holder, Log: revision.NewLog(client), Watcher: d.watcher,
+		Settings: process, Node: d.node, Transport: d.transport, Registry: d.registry, Holder: d.holder, Log: revision.NewLog(client), Watcher: d.watcher,
 		Platform: client, Engines: engines, Store: store, Coordinator: d.coordinator, Worker: d.worker, Yielder: d.supervisor,
 		Metrics: metrics, Logger: log, Routing: options.Routing, WithoutHints: options.WithoutHints, Describe: d.duties,
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
+	"topazpulley/internal/peer"
 	"topazpulley/internal/platform"
 	"topazpulley/internal/registry"
 	"topazpulley/internal/revision"
@@ -65,6 +66,7 @@
 type Dependencies struct {
 	Settings    settings.Settings
 	Node        *cluster.Node
+	Transport   *peer.Transport
 	Registry    *registry.Registry
 	Holder      *revision.Holder
 	Log         *revision.Log
@@ -117,6 +119,7 @@
 		hintedAt:     map[string]time.Time{},
 		lifetime:     lifetime,
 	}
+	peer.Handle(dependencies.Transport, MethodKeepResult, gateway.keepResult)
 	gateway.metrics = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(dependencies.Metrics.Registry, promhttp.HandlerOpts{}))
 	gateway.forward = newForwardClient(dependencies.Settings)
 	gateway.server = &fasthttp.Server{
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -18,11 +18,9 @@
 )
 
 const (
-	recordTimeout      = 2 * time.Second
-	storeTimeout       = time.Second
-	lookupTimeout      = time.Second
-	backgroundTimeout  = 5 * time.Minute
-	maxBackgroundSaves = 4096
+	recordTimeout = 2 * time.Second
+	storeTimeout  = time.Second
+	lookupTimeout = time.Second
 )
 
 // requestRow is the durable record of a request that may not be repeated,
@@ -250,36 +248,10 @@
 			g.Logger.Error("result_encode_failed", "request", request.id, "error", err)
 			return
 		}
-		g.saveResult(ctx, resultObject(request.tenant, key), encoded)
+		g.saveResult(ctx, keptResult{Object: resultObject(request.tenant, key), Content: encoded})
 	}
 }
 
-// saveResult stores an answer, in the background if the platform is slow.
-func (g *Gateway) saveResult(ctx context.Context, name string, encoded []byte) {
-	if g.Platform.Available() {
-		bounded, cancel := context.WithTimeout(ctx, storeTimeout)
-		defer cancel()
-		if g.Platform.Put(bounded, name, encoded) == nil {
-			return
-		}
-	}
-	if g.backgroundSaves.Add(1) > maxBackgroundSaves {
-		g.backgroundSaves.Add(-1)
-		g.Logger.Error("result_not_stored", "object", name, "reason", "too many answers wait for the platform")
-		return
-	}
-	g.inFlight.Add(1)
-	go func() {
-		defer g.inFlight.Done()
-		defer g.backgroundSaves.Add(-1)
-		bounded, cancel := context.WithTimeout(g.lifetime, backgroundTimeout)
-		defer cancel()
-		if err := g.Platform.Put(bounded, name, encoded); err != nil {
-			g.Logger.Error("result_not_stored", "object", name, "error", err)
-		}
-	}()
-}
-
 func (g *Gateway) readResult(ctx context.Context, tenant, key string) (storedResult, error) {
 	result := storedResult{}
 	content, err := g.Platform.GetObject(ctx, resultObject(tenant, key))
--- a/internal/gateway/spill.go
+++ b/internal/gateway/spill.go
@@ -143,7 +143,7 @@
 	}
 	tries := 0
 	for _, zone := range c.gateway.otherZones(service) {
-		member, found := c.gateway.randomMember(zone)
+		member, found := c.gateway.randomMember(func(member membership.Member) bool { return member.Zone == zone })
 		if !found {
 			continue
 		}
@@ -158,10 +158,11 @@
 	return false
 }
 
-func (g *Gateway) randomMember(zone string) (membership.Member, bool) {
+// randomMember picks one of the alive members that accept chooses.
+func (g *Gateway) randomMember(accept func(membership.Member) bool) (membership.Member, bool) {
 	candidates := []membership.Member{}
 	for _, member := range g.Node.Members() {
-		if member.Zone == zone && member.State == membership.StateAlive {
+		if member.State == membership.StateAlive && accept(member) {
 			candidates = append(candidates, member)
 		}
 	}
--- a/internal/harness/callers_test.go
+++ b/internal/harness/callers_test.go
@@ -206,3 +206,18 @@
 	require.NoError(t, err)
 	require.NotContains(t, string(content), "topazpulley_foreign_answers_total 0\n", "foreign answers were seen, and dropped")
 }
+
+// TestKeyedAnswerOutlivesItsDaemonDuringAnOutage: an answer given while the
+// platform is down is readable afterwards although its daemon is lost.
+func TestKeyedAnswerOutlivesItsDaemonDuringAnOutage(t *testing.T) {
+	running := start(t, []string{"a", "b"}, 1, 2)
+	running.Platform.SetFaults(emulator.PlatformFaults{Down: true})
+	key := client.Header{Name: gateway.HeaderIdempotencyKey, Value: "outage"}
+	require.NoError(t, ask(running.Caller(0, harness.ExampleKey), "kept", 6, key))
+	require.NoError(t, running.Daemons[0].Kill())
+	running.Platform.SetFaults(emulator.PlatformFaults{})
+	require.Eventually(t, func() bool {
+		content, err := running.Caller(1, harness.ExampleKey).Call("GET", "/v1/requests/outage", nil)
+		return err == nil && strings.Contains(string(content), strings.TrimSpace(emulator.OutputToken("kept", 0)))
+	}, wideBound, pollEvery)
+}
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -60,4 +60,6 @@
 	'if event.AttemptID != s.attemptID {' 'if false {' internal/harness TestCrossedAnswersAreDropped
 mutant no_end_marker internal/engine/client.go \
 	'if event.Count != s.next {' 'if false {' internal/engine TestAnswerWithoutItsCountIsNotWhole
+mutant no_result_copy internal/gateway/results.go \
+	'	g.keepElsewhere(ctx, result)' '' internal/harness TestKeyedAnswerOutlivesItsDaemonDuringAnOutage
 exit $failed
