Shrink windows on hints above the guard only; record five more failing proofs

A failed try, reverted: with the load estimate counting both ways, hints shrank the window in proportion. For the same harm a smaller window keeps more throughput, so the hint is an alarm only.

Mutants for the resent job, the unknown outcome, the planned stop, the paused member and the gossip bound; TestResentJobIsTheSameJob and TestBrokenConnectionLeavesTheOutcomeUnknown are new.

--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -29,8 +29,13 @@
 func (w *BatchWindow) SetPolicy(maximum, guard int) { w.maximum, w.guard = maximum, guard }
 
 // Hint records the number of online requests that gateways say they have sent
-// to the engine; it precedes the engine's own lagging report.
+// to the engine; it precedes the engine's own lagging report. Only one above
+// the guard counts: shrinking in proportion to hints cost more throughput than
+// a smaller window does for the same harm, see docs/PERFORMANCE.md.
 func (w *BatchWindow) Hint(online int, now time.Time) {
+	if online <= w.guard {
+		return
+	}
 	if now.After(w.hintEnds) || online > w.hint {
 		w.hint = online
 	}
--- a/internal/batch/model_test.go
+++ b/internal/batch/model_test.go
@@ -13,6 +13,7 @@
 
 	"topazpulley/internal/batch"
 	"topazpulley/internal/emulator"
+	"topazpulley/internal/failure"
 	"topazpulley/internal/platform"
 )
 
@@ -247,3 +248,18 @@
 	require.NoError(t, err)
 	require.Len(t, chunk.Intents, 1)
 }
+
+func TestResentJobIsTheSameJob(t *testing.T) {
+	store := batch.NewStore(platform.NewClient(&emulator.InProcess{Platform: emulator.NewPlatform()}, manyCalls))
+	job := batch.Job{ID: batch.JobID("tenant", "key"), Tenant: "tenant", Key: "key", Items: 1, ChunkSize: 1, Chunks: 1, State: batch.StateRunning, Created: 1}
+	_, err := store.Create(t.Context(), job, "digest")
+	require.NoError(t, err)
+	resent := job
+	resent.Created = 2
+	again, err := store.Create(t.Context(), resent, "digest")
+	require.NoError(t, err)
+	require.Equal(t, job.Created, again.Created, "the first job is found, not made anew")
+	_, err = store.Create(t.Context(), resent, "other content")
+	require.True(t, failure.HasCode(err, "key_reused"))
+	require.True(t, failure.From(err).NotRun)
+}
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -83,3 +83,21 @@
 	_, err = engine.NewClient(time.Second).Generate(t.Context(), listener.Addr().String(), engine.GenerateRequest{AttemptID: "mine"})
 	require.Equal(t, engine.OutcomeNotRun, engine.OutcomeOf(err))
 }
+
+// TestBrokenConnectionLeavesTheOutcomeUnknown: the request went out, and the
+// engine may have run it.
+func TestBrokenConnectionLeavesTheOutcomeUnknown(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = connection.Read(make([]byte, 4096))
+		_ = connection.Close()
+	}()
+	_, err = engine.NewClient(time.Second).Generate(t.Context(), listener.Addr().String(), engine.GenerateRequest{AttemptID: "mine"})
+	require.Equal(t, engine.OutcomeUnknown, engine.OutcomeOf(err))
+}
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -62,4 +62,14 @@
 	'if event.Count != s.next {' 'if false {' internal/engine TestAnswerWithoutItsCountIsNotWhole
 mutant no_result_copy internal/gateway/results.go \
 	'	g.keepElsewhere(ctx, result)' '' internal/harness TestKeyedAnswerOutlivesItsDaemonDuringAnOutage
+mutant no_job_identity internal/batch/store.go \
+	'Conditions:  []platform.Condition{{Key: jobKey(job.Tenant, job.Key)}, {Key: stateKey(job.ID)}},' '' internal/batch TestResentJobIsTheSameJob
+mutant all_failures_not_run internal/engine/client.go \
+	'return &AttemptError{Outcome: OutcomeUnknown, Code: CodeBroken, cause: err}' 'return &AttemptError{Outcome: OutcomeNotRun, Code: CodeBroken, cause: err}' internal/engine TestBrokenConnectionLeavesTheOutcomeUnknown
+mutant no_wait_at_stop internal/daemon/daemon.go \
+	'	d.gateway.Wait(ctx)' '' internal/harness TestPlannedStopCutsOffNoRequest
+mutant no_pause_notice internal/membership/core.go \
+	'	c.notePause(now)' '' internal/scale TestPausedMemberBlamesNobody
+mutant no_gossip_bound internal/membership/gossip.go \
+	'	c.allowance -= float64(packetSize(datagram.Packet))' '' internal/membership TestGossipStaysWithinItsBytes
 exit $failed
