--- a/internal/harness/callers_test.go
+++ b/internal/harness/callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -221,3 +222,18 @@
 		return err == nil && strings.Contains(string(content), strings.TrimSpace(emulator.OutputToken("kept", 0)))
 	}, wideBound, pollEvery)
 }
+
+// TestSlowBodyIsCutOff: a caller that never finishes its request does not hold
+// its connection for ever.
+func TestSlowBodyIsCutOff(t *testing.T) {
+	running := start(t, []string{"a"}, 1, 1)
+	connection, err := net.Dial("tcp", running.Daemons[0].HTTPAddress())
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	require.NoError(t, connection.SetDeadline(time.Now().Add(wideBound)))
+	_, err = fmt.Fprintf(connection, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n{")
+	require.NoError(t, err)
+	_, err = io.ReadAll(connection)
+	require.NoError(t, err, "the daemon ends the connection by itself")
+	require.Empty(t, running.Fleet.Ledger())
+}
