--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -50,7 +50,7 @@
 	"palermo": {
 		Name: "palermo", Zones: []string{"monreale", "alcamo", "mazara"}, ModelEngines: 20,
 		BaseRate: 100, BurstRate: 260, BurstEvery: 10 * time.Second, BurstLength: 3 * time.Second,
-		HeapItems: 6000, HeapEvery: 10 * time.Second, LongShare: 0.05, Window: 21, Guard: 20,
+		HeapItems: 6000, HeapEvery: 10 * time.Second, LongShare: 0.05, Window: 18, Guard: 18,
 		HarmGoal: 1.05, ThroughputGoal: 0.8,
 	},
 }
