--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -288,6 +288,10 @@
 	now := time.Now()
 	g.mutex.Lock()
 	view, found = g.router.Choose(query, engines, now)
+	if !found {
+		query.UseEjected = true
+		view, found = g.router.Choose(query, engines, now)
+	}
 	g.mutex.Unlock()
 	if found {
 		return view, true, true
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -109,10 +109,16 @@
 	EjectedUntil time.Time
 }
 
-// Serving reports whether the engine takes new work, as far as is known.
-func (e Engine) Serving(now time.Time) bool {
+// Available reports whether the engine takes new work by its own word and the
+// platform's.
+func (e Engine) Available() bool {
 	isUp := !e.Known || (e.Record.Up && e.Record.State == string(engine.StateReady))
-	return isUp && !e.Machine.Leaving && !e.Machine.Removed && !now.Before(e.EjectedUntil)
+	return isUp && !e.Machine.Leaving && !e.Machine.Removed
+}
+
+// Serving reports whether the engine is available and not ejected here.
+func (e Engine) Serving(now time.Time) bool {
+	return e.Available() && !now.Before(e.EjectedUntil)
 }
 
 // HasModel reports whether the engine has loaded any version of the model.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -40,6 +40,9 @@
 	OnlineLimit int
 	// Excluded names engines that have failed the request.
 	Excluded map[string]bool
+	// UseEjected lets engines that were ejected after failures take the
+	// request: when all are, trying one beats refusing.
+	UseEjected bool
 }
 
 // Router chooses engines. It is safe for concurrent use only if its random
@@ -84,7 +87,8 @@
 func Eligible(request Request, engines []registry.Engine, now time.Time) []registry.Engine {
 	eligible := make([]registry.Engine, 0, len(engines))
 	for _, candidate := range engines {
-		if request.Excluded[candidate.Name] || !candidate.Serving(now) {
+		isServing := candidate.Serving(now) || (request.UseEjected && candidate.Available())
+		if request.Excluded[candidate.Name] || !isServing {
 			continue
 		}
 		if request.Model != "" && !candidate.HasModel(request.Model) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -108,3 +108,18 @@
 func TestShortPromptsShareNoPrefix(t *testing.T) {
 	require.Zero(t, routing.PrefixHash("short"))
 }
+
+// TestEjectedEnginesAreTheLastResort: an ejected engine is chosen only when the
+// request allows it, and never one that is down or leaving.
+func TestEjectedEnginesAreTheLastResort(t *testing.T) {
+	ejected, down := engineView("ejected", 0), engineView("down", 0)
+	ejected.EjectedUntil = now.Add(time.Minute)
+	down.Record.Up = false
+	engines := []registry.Engine{ejected, down}
+	router := routing.NewRouter(routing.PolicyFull, rand.New(rand.NewPCG(1, 2)))
+	_, found := router.Choose(routing.Request{Model: "m"}, engines, now)
+	require.False(t, found)
+	chosen, found := router.Choose(routing.Request{Model: "m", UseEjected: true}, engines, now)
+	require.True(t, found)
+	require.Equal(t, "ejected", chosen.Name)
+}
--- a/internal/supervisor/engineloop.go
+++ b/internal/supervisor/engineloop.go
@@ -9,28 +9,30 @@
 	"topazpulley/internal/batch"
 	"topazpulley/internal/engine"
 	"topazpulley/internal/membership"
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/registry"
 )
 
-// engineLoop supervises one engine. mutex guards window and running.
+// engineLoop supervises one engine. The fields above mutex belong to the probing
+// goroutine; mutex guards those below it.
 type engineLoop struct {
 	supervisor *Supervisor
 	name       string
 	context    context.Context
 	cancel     context.CancelFunc
-	wake       chan struct{}
 
-	failedProbes  int
-	lastRecordAt  time.Time
-	lastLoad      registry.LoadRecord
-	lastLoadAt    time.Time
-	ordering      sync.Mutex
-	batchPausedTo time.Time
+	failedProbes int
+	lastRecordAt time.Time
+	lastLoad     registry.LoadRecord
+	lastLoadAt   time.Time
+	// ordering is held while an order is on its way.
+	ordering sync.Mutex
 
-	mutex   sync.Mutex
-	window  *admission.BatchWindow
-	stopped bool
-	running []*runningItem
+	mutex         sync.Mutex
+	window        *admission.BatchWindow
+	batchPausedTo time.Time
+	stopped       bool
+	running       []*runningItem
 }
 
 // runningItem is a batch item in flight on the engine.
@@ -40,22 +42,14 @@
 }
 
 func newEngineLoop(supervisor *Supervisor, name string) *engineLoop {
-	return &engineLoop{supervisor: supervisor, name: name, wake: make(chan struct{}, 1), window: admission.NewBatchWindow(0, 0)}
+	return &engineLoop{supervisor: supervisor, name: name, window: admission.NewBatchWindow(0, 0)}
 }
 
 // run probes the engine and keeps its batch window filled.
 func (l *engineLoop) run() {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
-	for {
-		l.probe()
-		select {
-		case <-l.context.Done():
-			l.stopBatch()
-			return
-		case <-ticker.C:
-		}
-	}
+	l.probe()
+	periodic.Run(l.context, probeInterval, l.probe)
+	l.stopBatch()
 }
 
 // probe reads the engine's load report and acts on it.
--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -224,12 +224,7 @@
 		fmt.Fprintf(&lines, `{"custom_id":"%d","repeatable":%t,"body":{"model":"%s","prompt":"%s","max_tokens":%d}}`+"\n",
 			index, !job.once, harness.ExampleModel, prompt, job.tokens)
 	}
-	caller := f.callerAt(args[1])
-	file, err := f.uploaded(caller, args[0]+options, lines.String())
-	if err != nil {
-		return err
-	}
-	made, err := caller.CreateBatch(file, batch.EndpointCompletions, args[0])
+	made, err := f.createJob(f.callerAt(args[1]), args[0], options, lines.String())
 	if err != nil {
 		return err
 	}
@@ -241,6 +236,29 @@
 	return nil
 }
 
+// createJob submits like a client that is told to come back: it sends again,
+// with the same key, for as long as the platform is said to be unavailable and
+// its patience lasts.
+func (f *fleet) createJob(caller *client.Client, key, options, lines string) (client.Batch, error) {
+	made, err := client.Batch{}, error(nil)
+	for range submitTries {
+		var file string
+		if file, err = f.uploaded(caller, key+options, lines); err == nil {
+			made, err = caller.CreateBatch(file, batch.EndpointCompletions, key)
+		}
+		if !failure.Is(err, failure.KindUnavailable) {
+			return made, err
+		}
+		time.Sleep(submitPause)
+	}
+	return made, err
+}
+
+const (
+	submitTries = 8
+	submitPause = 500 * time.Millisecond
+)
+
 // uploaded stores a file once per content, as a client that resends does.
 func (f *fleet) uploaded(caller *client.Client, name, content string) (string, error) {
 	path := f.dir + "/file-" + strings.ReplaceAll(name, " ", "-")
