Follow two mechanisms to the file they moved to

The split of membership/core.go left two mutants that found nothing to take away; the script said NOT_FOUND, as it should. Mutants now run before the Go tests, so that a run closes with the tests' verdict.

--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,8 @@
 
 # All tests: model checking, Go tests, scenarios over separate processes, and
 # the check that the tests notice a missing mechanism.
-test: spec
+test: spec mutants
 	go test -timeout 40m ./...
-	./test/mutants.sh
 
 # Formatting, vet and staticcheck, as CI runs them.
 check:
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -14,6 +14,7 @@
 	name=$1 file=$2 old=$3 new=$4 package=$5 test=$6
 	cp "$work/$file" "$work/original"
 	verdict=ok
+	rm -f "$work/log"
 	if ! OLD=$old NEW=$new perl -0pi -e 'BEGIN { $found = 0 } $found += s/\Q$ENV{OLD}\E/$ENV{NEW}/; END { exit($found ? 0 : 1) }' "$work/$file"; then
 		verdict=NOT_FOUND
 	elif (cd "$work" && go test -count=1 -run "$test" "./$package") >"$work/log" 2>&1; then
@@ -48,13 +49,13 @@
 	'min(free, len(candidates))' 'max(free, len(candidates))' internal/rollout TestWaveKeepsTheBound
 mutant no_guard internal/admission/window.go \
 	'if pressure > w.guard {' 'if false {' internal/admission TestWindowIsZeroAboveTheGuard
-mutant no_seeds_after_start internal/membership/core.go \
+mutant no_seeds_after_start internal/membership/probe.go \
 	'if !live[seed] {' 'if len(live) < 2 {' internal/scale TestGroupsThatNeverMetFindTogether
 mutant weak_digest internal/membership/member.go \
 	'return value ^ value>>33' 'return value & 3' internal/scale TestRegionThatWasCutIsWholeAgain
 mutant no_item_digest internal/membership/core.go \
 	'isSame = isSame && packet.ItemDigest' 'isSame = isSame || packet.ItemDigest' internal/scale TestRestartedMemberGetsItsZonesItems
-mutant no_direct_accusation internal/membership/core.go \
+mutant no_direct_accusation internal/membership/probe.go \
 	'c.accused[name] = true' '' internal/scale TestSuspectsRefuteUnderHeavyLoss
 mutant no_attempt_echo internal/engine/client.go \
 	'if event.AttemptID != s.attemptID {' 'if false {' internal/harness TestCrossedAnswersAreDropped
