Mend three tests that did not notice a missing mechanism

The mutants added last had not been run; three survived: - TestPlannedStopCutsOffNoRequest: its answers ended within the linger. They now last some seconds. - TestPausedMemberBlamesNobody seldom had a probe under way when the pause began; TestPausedMemberWaitsForItsOwnAnswers begins the pause right after a probe. - TestGossipStaysWithinItsBytes: its only peer was declared dead after 5 of 60 seconds. It now lives on.

--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -107,6 +107,9 @@
 	requireExactlyOnce(t, output, 400, 40)
 }
 
+// stopTokens make an answer last well beyond the linger of a planned stop.
+const stopTokens = 2500
+
 func TestPlannedStopCutsOffNoRequest(t *testing.T) {
 	running := start(t, []string{"a"}, 2, 2)
 	caller := running.Caller(0, harness.ExampleKey)
@@ -116,7 +119,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			if err := ask(caller, fmt.Sprintf("stop %d", index), 200); err != nil {
+			if err := ask(caller, fmt.Sprintf("stop %d", index), stopTokens); err != nil {
 				failures <- err
 			}
 		}()
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -109,6 +109,8 @@
 	gossiped := 0
 	for step := range seconds * 20 {
 		now = now.Add(50 * time.Millisecond)
+		// The other member lives on, or there would be nobody to gossip to.
+		core.Receive(now, gossip("b", member("b", int64(step+2), membership.StateAlive)))
 		core.Publish(membership.Item{Key: fmt.Sprint(step % 200), Priority: membership.PriorityLoad, Payload: make([]byte, 100)}, now)
 		for _, datagram := range core.Tick(now) {
 			if datagram.Packet.Kind == membership.PacketGossip {
@@ -121,3 +123,27 @@
 	require.Less(t, gossiped, int(config.BytesPerSecond)*(seconds+2))
 	require.Positive(t, gossiped)
 }
+
+// TestPausedMemberWaitsForItsOwnAnswers: a member that was stopped right after
+// it sent a probe does not take its own absence for the other's.
+func TestPausedMemberWaitsForItsOwnAnswers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newCore("a", now)
+	core.Receive(now, gossip("x", member("b", 1, membership.StateAlive)))
+	var ping membership.Packet
+	for ping.Sequence == 0 {
+		now = now.Add(50 * time.Millisecond)
+		for _, datagram := range core.Tick(now) {
+			if datagram.Packet.Kind == membership.PacketPing && datagram.Packet.Target == "b" {
+				ping = datagram.Packet
+			}
+		}
+	}
+	now = now.Add(30 * time.Second)
+	core.Tick(now)
+	held, _ := core.Member("b")
+	require.Equal(t, membership.StateAlive, held.State)
+	core.Receive(now, membership.Packet{Kind: membership.PacketAck, From: "b", FromAddress: "b", Sequence: ping.Sequence})
+	core.Tick(now.Add(50 * time.Millisecond))
+	require.Zero(t, core.Statistics().Suspicions)
+}
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -70,7 +70,7 @@
 mutant no_wait_at_stop internal/daemon/daemon.go \
 	'	d.gateway.Wait(ctx)' '' internal/harness TestPlannedStopCutsOffNoRequest
 mutant no_pause_notice internal/membership/core.go \
-	'	c.notePause(now)' '' internal/scale TestPausedMemberBlamesNobody
+	'	c.notePause(now)' '' internal/membership TestPausedMemberWaitsForItsOwnAnswers
 mutant no_gossip_bound internal/membership/gossip.go \
 	'	c.allowance -= float64(packetSize(datagram.Packet))' '' internal/membership TestGossipStaysWithinItsBytes
 exit $failed
