--- a/internal/gateway/gateway_bench_test.go
+++ b/internal/gateway/gateway_bench_test.go
@@ -11,7 +11,7 @@
 )
 
 // BenchmarkPlainCall is one call of a plain service through a daemon, whose
-// stand-in takes 2 ms; BenchmarkPlainCallParallel shows requests a second.
+// stand-in takes 2 ms.
 func BenchmarkPlainCall(b *testing.B) {
 	caller := startBench(b)
 	b.ReportAllocs()
@@ -34,6 +34,8 @@
 	}
 }
 
+// BenchmarkStreamParallel is the same from several callers at once, which shows
+// requests a second.
 func BenchmarkStreamParallel(b *testing.B) {
 	caller := startBench(b)
 	b.ReportAllocs()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -67,8 +67,12 @@
 func (g *Gateway) callPlain(ctx context.Context, request onlineRequest, deadline time.Time, call engine.CallRequest, keyHeader []byte) (engine.CallAnswer, error) {
 	key := string(keyHeader)
 	if !request.repeatable && key != "" {
-		if _, found, err := g.earlierAttempt(ctx, request, key); err != nil || found {
-			return engine.CallAnswer{}, firstError(err, failure.New(failure.KindOutcomeUnknown, codeOutcomeUnknown, "the call was sent once already; it was not sent again"))
+		_, found, err := g.earlierAttempt(ctx, request, key)
+		if err != nil {
+			return engine.CallAnswer{}, err
+		}
+		if found {
+			return engine.CallAnswer{}, failure.New(failure.KindOutcomeUnknown, codeOutcomeUnknown, "the call was sent once already; it was not sent again")
 		}
 	}
 	release, err := g.admit(ctx, request, deadline)
@@ -80,15 +84,6 @@
 	return attempts.call(ctx, call)
 }
 
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // call sends a plain call, trying other engines as the outcomes allow.
 func (n *generation) call(ctx context.Context, call engine.CallRequest) (engine.CallAnswer, error) {
 	for n.attempt < maxAttempts {
--- a/internal/revision/watcher.go
+++ b/internal/revision/watcher.go
@@ -309,19 +309,15 @@
 	}
 	for _, member := range w.zonePeers() {
 		if member.Address == address {
-			return firstFailure(w.check(next, text), func() error { return w.putInForce(next, text) })
+			if err := w.check(next, text); err != nil {
+				return err
+			}
+			return w.putInForce(next, text)
 		}
 	}
 	return w.learn(bounded, next, text)
 }
 
-func firstFailure(err error, otherwise func() error) error {
-	if err != nil {
-		return err
-	}
-	return otherwise()
-}
-
 // ask reads another daemon's revision in force, or its stored one.
 func (w *Watcher) ask(ctx context.Context, address string, stored bool) (Revision, string, error) {
 	current, text := w.holder.Text()
--- a/internal/scale/loopback.go
+++ b/internal/scale/loopback.go
@@ -111,7 +111,7 @@
 // publishLoads spreads the loads of the engines that fall to this daemon at
 // the supervisors' interval.
 func (d *socketDaemon) publishLoads(ctx context.Context, config LoopbackConfig) {
-	interval := max(loadIntervalFloor, time.Duration(config.Engines/config.Zones)*loadIntervalPerEngine)
+	interval := supervisor.LoadInterval(config.Engines / config.Zones)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	periodic.Run(ctx, interval, func() { d.publishOnce(config, random) })
 }
--- a/internal/scale/supervision.go
+++ b/internal/scale/supervision.go
@@ -12,10 +12,7 @@
 
 const (
 	dutyInterval = time.Second
-	// loadIntervalFloor and loadIntervalPerEngine are those of supervisors.
-	loadIntervalFloor     = 500 * time.Millisecond
-	loadIntervalPerEngine = 50 * time.Millisecond
-	loadRange             = 32
+	loadRange    = 32
 )
 
 func engineName(engine int) string { return fmt.Sprintf("engine-%03d", engine) }
@@ -36,7 +33,7 @@
 		daemon.dutyAt = n.now
 		daemon.supervised = n.dutiesOf(daemon)
 	}
-	interval := max(loadIntervalFloor, time.Duration(n.topology.Engines/n.topology.Zones)*loadIntervalPerEngine)
+	interval := supervisor.LoadInterval(n.topology.Engines / n.topology.Zones)
 	for _, engine := range daemon.supervised {
 		if n.now.Before(daemon.publishAt[engine]) {
 			continue
--- a/internal/supervisor/engineloop.go
+++ b/internal/supervisor/engineloop.go
@@ -171,8 +171,7 @@
 
 // publishLoad spreads the load when it changed and the interval has passed.
 func (l *engineLoop) publishLoad(load registry.LoadRecord) {
-	zoneEngines := len(l.supervisor.registry.Engines())
-	interval := max(loadIntervalFloor, time.Duration(zoneEngines)*loadIntervalPerEngine)
+	interval := LoadInterval(len(l.supervisor.registry.Engines()))
 	isQuiet := load == l.lastLoad && time.Since(l.lastLoadAt) < 4*interval
 	if isQuiet || time.Since(l.lastLoadAt) < interval {
 		return
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -40,6 +40,12 @@
 // EngineDuty is the rendezvous key of an engine.
 func EngineDuty(name string) string { return "engine/" + name }
 
+// LoadInterval is the least time between two load records of one engine in a
+// zone with a number of engines.
+func LoadInterval(zoneEngines int) time.Duration {
+	return max(loadIntervalFloor, time.Duration(zoneEngines)*loadIntervalPerEngine)
+}
+
 // Supervisor supervises the engines whose duty falls to this daemon. mutex
 // guards loops.
 type Supervisor struct {
