--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -272,6 +272,9 @@
 	go drain(s.events)
 }
 
+// Detach ends the stream and leaves the attempt running, to be resumed.
+func (s *Stream) Detach() { go drain(s.events) }
+
 // drain lets the reader run to the end of its input, so that the connection
 // is clean again before it is reused.
 func drain(events <-chan Event) {
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -111,7 +111,11 @@
 	if n.stream == nil {
 		return
 	}
-	n.stream.Close()
+	if failed && !n.request.repeatable {
+		n.stream.Detach() // cancelling would lose the only attempt
+	} else {
+		n.stream.Close()
+	}
 	n.stream = nil
 	n.gateway.Registry.End(n.view.Name, failed, time.Now())
 }
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -109,7 +109,11 @@
 
 // collect reads a stream to its end, keeping the tokens in the task.
 func collect(ctx context.Context, stream *engine.Stream, task *batch.Task) (engine.Event, error) {
-	defer stream.Close()
+	release := stream.Close
+	if !task.Item.MayRepeat() {
+		release = stream.Detach // cancelling would lose the only attempt
+	}
+	defer release()
 	for {
 		event, err := stream.Next(ctx)
 		if err != nil {
