Rename the package of the storage client from platform to storage

Cause: the coming folder platform/ translates to the users' platform; two things would be called platform. Change: internal/platform becomes internal/storage; the mutant script follows. Ruled out: store, which clashes with the name of many local variables. Checked: go vet and the tests of storage, revision and batch pass.

--- a/internal/batch/model_test.go
+++ b/internal/batch/model_test.go
@@ -14,7 +14,7 @@
 	"topazpulley/internal/batch"
 	"topazpulley/internal/emulator"
 	"topazpulley/internal/failure"
-	"topazpulley/internal/platform"
+	"topazpulley/internal/storage"
 )
 
 const (
@@ -31,7 +31,7 @@
 	store      *batch.Store
 	loseNext   bool
 	job        batch.Job
-	jobVersion platform.Version
+	jobVersion storage.Version
 	held       map[string]batch.HeldChunk
 	sequence   map[string]int
 	dispatched map[int]int
@@ -50,7 +50,7 @@
 		model.loseNext = false
 		return lost
 	}}
-	model.store = batch.NewStore(platform.NewClient(services, manyCalls))
+	model.store = batch.NewStore(storage.NewClient(services, manyCalls))
 	job := batch.Job{ID: modelJob, Tenant: "tenant", Key: "key", Items: modelItems, ChunkSize: modelItems, Chunks: 1, State: batch.StateRunning}
 	_, err := model.store.Create(t.Context(), job, "digest")
 	require.NoError(t, err)
@@ -250,7 +250,7 @@
 }
 
 func TestResentJobIsTheSameJob(t *testing.T) {
-	store := batch.NewStore(platform.NewClient(&emulator.InProcess{Platform: emulator.NewPlatform()}, manyCalls))
+	store := batch.NewStore(storage.NewClient(&emulator.InProcess{Platform: emulator.NewPlatform()}, manyCalls))
 	job := batch.Job{ID: batch.JobID("tenant", "key"), Tenant: "tenant", Key: "key", Items: 1, ChunkSize: 1, Chunks: 1, State: batch.StateRunning, Created: 1}
 	_, err := store.Create(t.Context(), job, "digest")
 	require.NoError(t, err)
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -10,49 +10,49 @@
 	"github.com/pkg/errors"
 
 	"topazpulley/internal/failure"
-	"topazpulley/internal/platform"
+	"topazpulley/internal/storage"
 )
 
 // Store makes jobs and chunks durable in the platform's table and objects.
 type Store struct {
-	platform *platform.Client
+	platform *storage.Client
 }
 
 // NewStore returns a store over the daemon's platform client.
-func NewStore(client *platform.Client) *Store { return &Store{platform: client} }
+func NewStore(client *storage.Client) *Store { return &Store{platform: client} }
 
 // HeldChunk is a chunk together with the versions on which its next write
 // depends.
 type HeldChunk struct {
 	Chunk Chunk
 	// Version is the version of the chunk's row.
-	Version platform.Version
+	Version storage.Version
 	// JobVersion is the version of the job's state row while it ran.
-	JobVersion platform.Version
+	JobVersion storage.Version
 }
 
 // Create makes the job durable. If the tenant's key already names a job with
 // the same content, that job is returned; with other content it is a conflict.
 func (s *Store) Create(ctx context.Context, job Job, digest string) (Job, error) {
 	identity := Identity{Job: job.ID, Digest: digest}
-	transaction := platform.Transaction{
+	transaction := storage.Transaction{
 		OperationID: ulid.Make().String(),
-		Conditions:  []platform.Condition{{Key: jobKey(job.Tenant, job.Key)}, {Key: stateKey(job.ID)}},
-		Writes: []platform.Write{
+		Conditions:  []storage.Condition{{Key: jobKey(job.Tenant, job.Key)}, {Key: stateKey(job.ID)}},
+		Writes: []storage.Write{
 			{Key: jobKey(job.Tenant, job.Key), Value: encode(identity)},
 			{Key: stateKey(job.ID), Value: encode(job)},
 			{Key: openKey(job.ID), Value: encode(identity)},
 		},
 	}
 	_, err := s.platform.Transact(ctx, transaction)
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if errors.As(err, &conflict) {
 		return s.existing(ctx, job, digest, conflict)
 	}
 	return job, err
 }
 
-func (s *Store) existing(ctx context.Context, job Job, digest string, conflict *platform.ConflictError) (Job, error) {
+func (s *Store) existing(ctx context.Context, job Job, digest string, conflict *storage.ConflictError) (Job, error) {
 	row, found := conflict.Row(jobKey(job.Tenant, job.Key))
 	identity := Identity{}
 	if !found || json.Unmarshal(row.Value, &identity) != nil || identity.Digest != digest {
@@ -63,7 +63,7 @@
 }
 
 // Job reads a job and the version of its state row.
-func (s *Store) Job(ctx context.Context, id string) (Job, platform.Version, error) {
+func (s *Store) Job(ctx context.Context, id string) (Job, storage.Version, error) {
 	job := Job{}
 	row, err := s.platform.Get(ctx, stateKey(id))
 	if err != nil {
@@ -105,7 +105,7 @@
 
 // Claim takes a chunk over under the next epoch. It fails when the job does not
 // run any more or another claim came first.
-func (s *Store) Claim(ctx context.Context, job Job, jobVersion platform.Version, number int, owner string) (HeldChunk, error) {
+func (s *Store) Claim(ctx context.Context, job Job, jobVersion storage.Version, number int, owner string) (HeldChunk, error) {
 	row, err := s.platform.Get(ctx, chunkKey(job.ID, number))
 	if err != nil {
 		return HeldChunk{}, err
@@ -127,13 +127,13 @@
 // state row has changed. This one condition carries the epoch check and the
 // rule that nothing is committed after a cancel.
 func (s *Store) write(ctx context.Context, held HeldChunk, next Chunk) (HeldChunk, error) {
-	transaction := platform.Transaction{
+	transaction := storage.Transaction{
 		OperationID: ulid.Make().String(),
-		Conditions: []platform.Condition{
+		Conditions: []storage.Condition{
 			{Key: next.Key(), Version: held.Version},
 			{Key: stateKey(next.Job), Version: held.JobVersion},
 		},
-		Writes: []platform.Write{{Key: next.Key(), Value: encode(next)}},
+		Writes: []storage.Write{{Key: next.Key(), Value: encode(next)}},
 	}
 	version, err := s.platform.Transact(ctx, transaction)
 	if err == nil {
@@ -146,7 +146,7 @@
 const CodeJobEnded = "job_ended"
 
 func explainConflict(err error, chunk Chunk) error {
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if !errors.As(err, &conflict) {
 		return err
 	}
@@ -233,13 +233,13 @@
 		return job, err
 	}
 	change(&job)
-	transaction := platform.Transaction{
+	transaction := storage.Transaction{
 		OperationID: ulid.Make().String(),
-		Conditions:  []platform.Condition{{Key: stateKey(id), Version: version}},
-		Writes:      []platform.Write{{Key: stateKey(id), Value: encode(job)}, {Key: openKey(id), Delete: true}},
+		Conditions:  []storage.Condition{{Key: stateKey(id), Version: version}},
+		Writes:      []storage.Write{{Key: stateKey(id), Value: encode(job)}, {Key: openKey(id), Delete: true}},
 	}
 	_, err = s.platform.Transact(ctx, transaction)
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if errors.As(err, &conflict) {
 		present, _, readErr := s.Job(ctx, id)
 		return present, readErr
@@ -320,7 +320,7 @@
 	return encoded
 }
 
-func decodeRow(row platform.Row, target any) error {
+func decodeRow(row storage.Row, target any) error {
 	if err := json.Unmarshal(row.Value, target); err != nil {
 		return failure.Wrap(err, failure.KindInternal, "bad_row", "row %s is damaged", row.Key)
 	}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -15,7 +15,7 @@
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
 	"topazpulley/internal/periodic"
-	"topazpulley/internal/platform"
+	"topazpulley/internal/storage"
 )
 
 const (
@@ -37,7 +37,7 @@
 // jobInfo is what a worker keeps of a job between chunks.
 type jobInfo struct {
 	job      Job
-	version  platform.Version
+	version  storage.Version
 	manifest Manifest
 }
 
--- a/internal/command/emulate.go
+++ b/internal/command/emulate.go
@@ -15,8 +15,8 @@
 
 	"topazpulley/internal/emulator"
 	"topazpulley/internal/failure"
-	"topazpulley/internal/platform"
 	"topazpulley/internal/settings"
+	"topazpulley/internal/storage"
 
 	"encoding/json"
 )
@@ -169,7 +169,7 @@
 	return announceMachine(file.PlatformURL, machine)
 }
 
-func announceMachine(platformURL string, machine platform.Machine) error {
+func announceMachine(platformURL string, machine storage.Machine) error {
 	encoded, err := json.Marshal(machine)
 	if err != nil {
 		return failure.Wrap(err, failure.KindInternal, "encode", "cannot encode a machine")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,11 +20,11 @@
 	"topazpulley/internal/machines"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
-	"topazpulley/internal/platform"
 	"topazpulley/internal/registry"
 	"topazpulley/internal/revision"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/settings"
+	"topazpulley/internal/storage"
 	"topazpulley/internal/supervisor"
 	"topazpulley/internal/telemetry"
 )
@@ -74,7 +74,7 @@
 	d := &Daemon{settings: process, log: log, lifetime: lifetime, cancel: cancel, registry: registry.New(), holder: revision.NewHolder()}
 	d.transport = peer.NewTransport(process.Name, process.PeerAddress, process.ClusterKeyBytes(), log)
 	d.node = cluster.NewNode(membership.DefaultConfig(time.Duration(process.ProbeInterval)), d.member(), d.transport, log)
-	client := platform.NewClient(platform.NewHTTPClient(process.PlatformURL), process.PlatformOperationsPerSecond)
+	client := storage.NewClient(storage.NewHTTPClient(process.PlatformURL), process.PlatformOperationsPerSecond)
 	store := batch.NewStore(client)
 	engines := engine.NewClient(engineStallTimeout)
 	d.watcher = revision.NewWatcher(d.holder, client, d.node, d.transport, d.verify, log)
@@ -113,7 +113,7 @@
 	return gateway.Duties{Engines: d.supervisor.Engines(), Coordinator: d.coordinator.Describe(), Refused: d.transport.Refused()}
 }
 
-func (d *Daemon) registerGauges(metrics *telemetry.Metrics, client *platform.Client) {
+func (d *Daemon) registerGauges(metrics *telemetry.Metrics, client *storage.Client) {
 	metrics.Gauge("members", "Live members as this daemon sees them.", func() float64 { return float64(len(d.node.Members())) })
 	metrics.Gauge("revision", "Configuration revision in force.", func() float64 {
 		current, _ := d.holder.Current()
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"topazpulley/internal/platform"
+	"topazpulley/internal/storage"
 )
 
 // Paths of the fleet's control listener.
@@ -30,10 +30,10 @@
 
 // Start serves an engine at an address until the context ends and returns the
 // machine entry that announces it.
-func (f *Fleet) Start(ctx context.Context, started *Engine, address, region string) (platform.Machine, error) {
+func (f *Fleet) Start(ctx context.Context, started *Engine, address, region string) (storage.Machine, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return platform.Machine{}, err
+		return storage.Machine{}, err
 	}
 	f.mutex.Lock()
 	f.engines[started.Name] = started
@@ -43,9 +43,9 @@
 		<-ctx.Done()
 		_ = listener.Close()
 	}()
-	return platform.Machine{
-		Name: started.Name, Kind: platform.MachineEngine, Address: listener.Addr().String(),
-		Zone: started.Zone, Region: region, Service: started.Service, State: platform.MachineLive,
+	return storage.Machine{
+		Name: started.Name, Kind: storage.MachineEngine, Address: listener.Addr().String(),
+		Zone: started.Zone, Region: region, Service: started.Service, State: storage.MachineLive,
 	}, nil
 }
 
--- a/internal/emulator/inprocess.go
+++ b/internal/emulator/inprocess.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"topazpulley/internal/failure"
-	"topazpulley/internal/platform"
+	"topazpulley/internal/storage"
 )
 
 // InProcess gives a platform's services without HTTP, for property tests and
@@ -24,29 +24,29 @@
 	return nil
 }
 
-// Transact implements platform.Table.
-func (p *InProcess) Transact(_ context.Context, transaction platform.Transaction) (platform.Version, error) {
+// Transact implements storage.Table.
+func (p *InProcess) Transact(_ context.Context, transaction storage.Transaction) (storage.Version, error) {
 	result := p.Platform.Transact(transaction)
 	if err := p.lost(); err != nil {
 		return 0, err
 	}
 	if !result.Committed {
-		return 0, &platform.ConflictError{Rows: result.Conflicts}
+		return 0, &storage.ConflictError{Rows: result.Conflicts}
 	}
 	return result.Version, nil
 }
 
-// Get implements platform.Table.
-func (p *InProcess) Get(_ context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (p *InProcess) Get(_ context.Context, key string) (storage.Row, error) {
 	return p.Platform.row(key), nil
 }
 
-// Scan implements platform.Table.
-func (p *InProcess) Scan(_ context.Context, request platform.ScanRequest) ([]platform.Row, error) {
+// Scan implements storage.Table.
+func (p *InProcess) Scan(_ context.Context, request storage.ScanRequest) ([]storage.Row, error) {
 	return p.Platform.scan(request), nil
 }
 
-// Put implements platform.Objects.
+// Put implements storage.Objects.
 func (p *InProcess) Put(_ context.Context, name string, content []byte) error {
 	p.Platform.mutex.Lock()
 	defer p.Platform.mutex.Unlock()
@@ -56,7 +56,7 @@
 	return nil
 }
 
-// GetObject implements platform.Objects.
+// GetObject implements storage.Objects.
 func (p *InProcess) GetObject(_ context.Context, name string) ([]byte, error) {
 	p.Platform.mutex.Lock()
 	defer p.Platform.mutex.Unlock()
@@ -67,7 +67,7 @@
 	return content, nil
 }
 
-// GetRange implements platform.Objects.
+// GetRange implements storage.Objects.
 func (p *InProcess) GetRange(ctx context.Context, name string, offset, length int64) ([]byte, error) {
 	content, err := p.GetObject(ctx, name)
 	if err != nil {
@@ -76,7 +76,7 @@
 	return content[offset : offset+length], nil
 }
 
-// List implements platform.Machines.
-func (p *InProcess) List(context.Context) ([]platform.Machine, error) {
+// List implements storage.Machines.
+func (p *InProcess) List(context.Context) ([]storage.Machine, error) {
 	return p.Platform.machineList(time.Now()), nil
 }
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -19,8 +19,8 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
-	"topazpulley/internal/platform"
 	"topazpulley/internal/settings"
+	"topazpulley/internal/storage"
 )
 
 // PlatformFaults are the switchable faults of the emulated platform.
@@ -43,8 +43,8 @@
 	mutex    sync.Mutex
 	faults   PlatformFaults
 	limiter  *rate.Limiter
-	rows     *btree.BTreeG[platform.Row]
-	version  platform.Version
+	rows     *btree.BTreeG[storage.Row]
+	version  storage.Version
 	objects  map[string][]byte
 	machines []machineChange
 	calls    uint64
@@ -52,7 +52,7 @@
 
 // machineChange is a machine state with the time it became true.
 type machineChange struct {
-	machine platform.Machine
+	machine storage.Machine
 	removed bool
 	at      time.Time
 }
@@ -72,7 +72,7 @@
 // NewPlatform returns an empty platform without faults.
 func NewPlatform() *Platform {
 	return &Platform{
-		rows:    btree.NewG(tableDegree, func(a, b platform.Row) bool { return a.Key < b.Key }),
+		rows:    btree.NewG(tableDegree, func(a, b storage.Row) bool { return a.Key < b.Key }),
 		objects: map[string][]byte{},
 	}
 }
@@ -89,7 +89,7 @@
 }
 
 // SetMachine adds or changes a machine.
-func (p *Platform) SetMachine(machine platform.Machine) {
+func (p *Platform) SetMachine(machine storage.Machine) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.machines = append(p.machines, machineChange{machine: machine, at: time.Now()})
@@ -99,7 +99,7 @@
 func (p *Platform) RemoveMachine(name string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.machines = append(p.machines, machineChange{machine: platform.Machine{Name: name}, removed: true, at: time.Now()})
+	p.machines = append(p.machines, machineChange{machine: storage.Machine{Name: name}, removed: true, at: time.Now()})
 }
 
 // Calls returns how many calls the platform has served.
@@ -158,7 +158,7 @@
 		}
 		p.SetFaults(faults)
 	case PathPlatformMachine:
-		machine := platform.Machine{}
+		machine := storage.Machine{}
 		if !decodeBody(call, &machine) {
 			return
 		}
@@ -177,24 +177,24 @@
 func (p *Platform) handleService(call *fasthttp.RequestCtx, path string) {
 	query := call.QueryArgs()
 	switch {
-	case path == platform.PathTransact:
-		transaction := platform.Transaction{}
+	case path == storage.PathTransact:
+		transaction := storage.Transaction{}
 		if decodeBody(call, &transaction) {
 			writeJSON(call, p.Transact(transaction))
 		}
-	case path == platform.PathRow:
+	case path == storage.PathRow:
 		writeJSON(call, p.row(string(query.Peek("key"))))
-	case path == platform.PathScan:
+	case path == storage.PathScan:
 		limit, _ := strconv.Atoi(string(query.Peek("limit")))
-		writeJSON(call, p.scan(platform.ScanRequest{
+		writeJSON(call, p.scan(storage.ScanRequest{
 			Prefix:  string(query.Peek("prefix")),
 			After:   string(query.Peek("after")),
 			Limit:   limit,
 			Reverse: string(query.Peek("reverse")) == "true",
 		}))
-	case strings.HasPrefix(path, platform.PathObjects):
-		p.handleObject(call, strings.TrimPrefix(path, platform.PathObjects))
-	case path == platform.PathMachines:
+	case strings.HasPrefix(path, storage.PathObjects):
+		p.handleObject(call, strings.TrimPrefix(path, storage.PathObjects))
+	case path == storage.PathMachines:
 		writeJSON(call, p.machineList(time.Now()))
 		answerConditionally(call)
 	default:
@@ -203,45 +203,45 @@
 }
 
 // Transact applies a transaction atomically.
-func (p *Platform) Transact(transaction platform.Transaction) platform.TransactionResult {
+func (p *Platform) Transact(transaction storage.Transaction) storage.TransactionResult {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	conflicts := []platform.Row{}
+	conflicts := []storage.Row{}
 	for _, condition := range transaction.Conditions {
-		present, _ := p.rows.Get(platform.Row{Key: condition.Key})
+		present, _ := p.rows.Get(storage.Row{Key: condition.Key})
 		present.Key = condition.Key
 		if present.Version != condition.Version {
 			conflicts = append(conflicts, present)
 		}
 	}
 	if len(conflicts) > 0 {
-		return platform.TransactionResult{Conflicts: conflicts}
+		return storage.TransactionResult{Conflicts: conflicts}
 	}
 	p.version++
 	for _, write := range transaction.Writes {
 		if write.Delete {
-			p.rows.Delete(platform.Row{Key: write.Key})
+			p.rows.Delete(storage.Row{Key: write.Key})
 			continue
 		}
-		p.rows.ReplaceOrInsert(platform.Row{Key: write.Key, Value: write.Value, Version: p.version, OperationID: transaction.OperationID})
+		p.rows.ReplaceOrInsert(storage.Row{Key: write.Key, Value: write.Value, Version: p.version, OperationID: transaction.OperationID})
 	}
-	return platform.TransactionResult{Committed: true, Version: p.version}
+	return storage.TransactionResult{Committed: true, Version: p.version}
 }
 
-func (p *Platform) row(key string) platform.Row {
+func (p *Platform) row(key string) storage.Row {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	row, _ := p.rows.Get(platform.Row{Key: key})
+	row, _ := p.rows.Get(storage.Row{Key: key})
 	row.Key = key
 	return row
 }
 
-func (p *Platform) scan(request platform.ScanRequest) []platform.Row {
+func (p *Platform) scan(request storage.ScanRequest) []storage.Row {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	limit := min(max(request.Limit, 1), maxScanRows)
-	found := []platform.Row{}
-	collect := func(row platform.Row) bool {
+	found := []storage.Row{}
+	collect := func(row storage.Row) bool {
 		if !strings.HasPrefix(row.Key, request.Prefix) {
 			return false
 		}
@@ -255,11 +255,11 @@
 		if request.After != "" {
 			start = request.After
 		}
-		p.rows.DescendLessOrEqual(platform.Row{Key: start}, collect)
+		p.rows.DescendLessOrEqual(storage.Row{Key: start}, collect)
 		return found
 	}
 	start := max(request.Prefix, request.After)
-	p.rows.AscendGreaterOrEqual(platform.Row{Key: start}, collect)
+	p.rows.AscendGreaterOrEqual(storage.Row{Key: start}, collect)
 	return found
 }
 
@@ -294,10 +294,10 @@
 }
 
 // machineList replays the changes that are older than the lag.
-func (p *Platform) machineList(now time.Time) []platform.Machine {
+func (p *Platform) machineList(now time.Time) []storage.Machine {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	visible := map[string]platform.Machine{}
+	visible := map[string]storage.Machine{}
 	horizon := now.Add(-time.Duration(p.faults.MachineListLag))
 	for _, change := range p.machines {
 		if change.at.After(horizon) {
@@ -309,7 +309,7 @@
 		}
 		visible[change.machine.Name] = change.machine
 	}
-	list := make([]platform.Machine, 0, len(visible))
+	list := make([]storage.Machine, 0, len(visible))
 	for _, machine := range visible {
 		list = append(list, machine)
 	}
--- a/internal/emulator/platform_test.go
+++ b/internal/emulator/platform_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"topazpulley/internal/platform"
 	"topazpulley/internal/settings"
+	"topazpulley/internal/storage"
 )
 
 // TestMachineListIsReadOnceUntilItChanges: the client keeps a list that the
@@ -19,15 +19,15 @@
 	defer func() { _ = listener.Close() }()
 	emulated := NewPlatform()
 	go func() { _ = emulated.Serve(listener) }()
-	emulated.SetMachine(platform.Machine{Name: "one", State: platform.MachineLive})
-	client := platform.NewHTTPClient("http://" + listener.Addr().String())
+	emulated.SetMachine(storage.Machine{Name: "one", State: storage.MachineLive})
+	client := storage.NewHTTPClient("http://" + listener.Addr().String())
 	for range 3 {
 		list, err := client.List(t.Context())
 		require.NoError(t, err)
 		require.Len(t, list, 1)
 	}
 	emulated.SetFaults(PlatformFaults{MachineListLag: settings.Duration(200 * time.Millisecond)})
-	emulated.SetMachine(platform.Machine{Name: "two", State: platform.MachineLive})
+	emulated.SetMachine(storage.Machine{Name: "two", State: storage.MachineLive})
 	list, err := client.List(t.Context())
 	require.NoError(t, err)
 	require.Less(t, len(list), 2, "the change is not visible before the lag")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,11 +24,11 @@
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/peer"
-	"topazpulley/internal/platform"
 	"topazpulley/internal/registry"
 	"topazpulley/internal/revision"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/settings"
+	"topazpulley/internal/storage"
 	"topazpulley/internal/telemetry"
 )
 
@@ -71,7 +71,7 @@
 	Holder      *revision.Holder
 	Log         *revision.Log
 	Watcher     *revision.Watcher
-	Platform    *platform.Client
+	Platform    *storage.Client
 	Engines     *engine.Client
 	Store       *batch.Store
 	Coordinator *batch.Coordinator
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -13,8 +13,8 @@
 	"topazpulley/internal/batch"
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
-	"topazpulley/internal/platform"
 	"topazpulley/internal/registry"
+	"topazpulley/internal/storage"
 )
 
 const (
@@ -177,7 +177,7 @@
 	if key == "" {
 		key = request.id
 	}
-	version := platform.Version(0)
+	version := storage.Version(0)
 	return func(ctx context.Context, view registry.Engine, attemptID string) error {
 		if !g.Platform.Available() {
 			return platformDown(nil)
@@ -187,10 +187,10 @@
 		if err != nil {
 			return errors.WithStack(err)
 		}
-		transaction := platform.Transaction{
+		transaction := storage.Transaction{
 			OperationID: ulid.Make().String(),
-			Conditions:  []platform.Condition{{Key: requestKey(request.tenant, key), Version: version}},
-			Writes:      []platform.Write{{Key: requestKey(request.tenant, key), Value: encoded}},
+			Conditions:  []storage.Condition{{Key: requestKey(request.tenant, key), Version: version}},
+			Writes:      []storage.Write{{Key: requestKey(request.tenant, key), Value: encoded}},
 		}
 		bounded, cancel := context.WithTimeout(ctx, recordTimeout)
 		defer cancel()
@@ -199,11 +199,11 @@
 	}
 }
 
-func (g *Gateway) explainRecord(err error, transaction platform.Transaction, key string) error {
+func (g *Gateway) explainRecord(err error, transaction storage.Transaction, key string) error {
 	if err == nil {
 		return nil
 	}
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if errors.As(err, &conflict) {
 		return failure.New(failure.KindConflict, "already_running", "a request with Idempotency-Key %q is running: ask for its result", key).WithNotRun().WithRetryAfter(time.Second)
 	}
@@ -214,7 +214,7 @@
 // undoRecord removes a record whose write may have taken effect although the
 // request was refused and not sent, so that a resend is not taken for one that
 // may have run.
-func (g *Gateway) undoRecord(transaction platform.Transaction) {
+func (g *Gateway) undoRecord(transaction storage.Transaction) {
 	ctx, cancel := context.WithTimeout(g.lifetime, backgroundTimeout)
 	defer cancel()
 	key := transaction.Writes[0].Key
@@ -222,10 +222,10 @@
 	if err != nil || row.OperationID != transaction.OperationID {
 		return
 	}
-	_, err = g.Platform.Transact(ctx, platform.Transaction{
+	_, err = g.Platform.Transact(ctx, storage.Transaction{
 		OperationID: ulid.Make().String(),
-		Conditions:  []platform.Condition{{Key: key, Version: row.Version}},
-		Writes:      []platform.Write{{Key: key, Delete: true}},
+		Conditions:  []storage.Condition{{Key: key, Version: row.Version}},
+		Writes:      []storage.Write{{Key: key, Delete: true}},
 	})
 	if err != nil {
 		g.Logger.Warn("request_record_left", "key", key, "error", err)
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -25,9 +25,9 @@
 	"topazpulley/internal/emulator"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/gateway"
-	"topazpulley/internal/platform"
 	"topazpulley/internal/revision"
 	"topazpulley/internal/settings"
+	"topazpulley/internal/storage"
 )
 
 // EngineGroup describes emulated engines of one service.
@@ -192,9 +192,9 @@
 	} else {
 		h.Daemons = append(h.Daemons, started)
 	}
-	h.Platform.SetMachine(platform.Machine{
-		Name: process.Name, Kind: platform.MachineDaemon, Address: process.AdvertiseAddress,
-		Zone: process.Zone, Region: process.Region, State: platform.MachineLive,
+	h.Platform.SetMachine(storage.Machine{
+		Name: process.Name, Kind: storage.MachineDaemon, Address: process.AdvertiseAddress,
+		Zone: process.Zone, Region: process.Region, State: storage.MachineLive,
 	})
 	return nil
 }
--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -16,7 +16,7 @@
 	"topazpulley/internal/client"
 	"topazpulley/internal/emulator"
 	"topazpulley/internal/harness"
-	"topazpulley/internal/platform"
+	"topazpulley/internal/storage"
 )
 
 const (
@@ -183,7 +183,7 @@
 	leaving := "assistant-00"
 	machine, found := findMachine(t, running, leaving)
 	require.True(t, found)
-	machine.State = platform.MachineLeaving
+	machine.State = storage.MachineLeaving
 	running.Platform.SetMachine(machine)
 	require.Eventually(t, func() bool {
 		status, err := running.Operator(0).Status()
@@ -206,13 +206,13 @@
 	require.Len(t, left.Ledger(), before)
 }
 
-func findMachine(t *testing.T, running *harness.Harness, name string) (platform.Machine, bool) {
-	machines, err := platform.NewHTTPClient(running.PlatformURL).List(t.Context())
+func findMachine(t *testing.T, running *harness.Harness, name string) (storage.Machine, bool) {
+	machines, err := storage.NewHTTPClient(running.PlatformURL).List(t.Context())
 	require.NoError(t, err)
 	for _, machine := range machines {
 		if machine.Name == name {
 			return machine, true
 		}
 	}
-	return platform.Machine{}, false
+	return storage.Machine{}, false
 }
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -12,8 +12,8 @@
 	"topazpulley/internal/duty"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/periodic"
-	"topazpulley/internal/platform"
 	"topazpulley/internal/registry"
+	"topazpulley/internal/storage"
 )
 
 const (
@@ -26,7 +26,7 @@
 // Watcher polls the machine list while the duty falls to this daemon, and once
 // at start for seeds.
 type Watcher struct {
-	platform *platform.Client
+	platform *storage.Client
 	node     *cluster.Node
 	registry *registry.Registry
 	log      *slog.Logger
@@ -41,7 +41,7 @@
 }
 
 // NewWatcher makes a watcher; seeds are the addresses of the settings.
-func NewWatcher(client *platform.Client, node *cluster.Node, engines *registry.Registry, seeds []string, log *slog.Logger) *Watcher {
+func NewWatcher(client *storage.Client, node *cluster.Node, engines *registry.Registry, seeds []string, log *slog.Logger) *Watcher {
 	return &Watcher{platform: client, node: node, registry: engines, seeds: seeds, log: log, sent: map[string]sentRecord{}}
 }
 
@@ -76,11 +76,11 @@
 	w.publishEngines(list, time.Now())
 }
 
-func (w *Watcher) setSeeds(list []platform.Machine) {
+func (w *Watcher) setSeeds(list []storage.Machine) {
 	seeds := slices.Clone(w.seeds)
 	self := w.node.Self()
 	for _, machine := range list {
-		if machine.Kind == platform.MachineDaemon && machine.State == platform.MachineLive && machine.Name != self.Name {
+		if machine.Kind == storage.MachineDaemon && machine.State == storage.MachineLive && machine.Name != self.Name {
 			seeds = append(seeds, machine.Address)
 		}
 	}
@@ -89,11 +89,11 @@
 
 // publishEngines spreads what changed in this zone, and everything from time
 // to time. Leaving is urgent.
-func (w *Watcher) publishEngines(list []platform.Machine, now time.Time) {
+func (w *Watcher) publishEngines(list []storage.Machine, now time.Time) {
 	zone := w.node.Self().Zone
 	present := map[string]bool{}
 	for _, machine := range list {
-		if machine.Kind != platform.MachineEngine || machine.Zone != zone {
+		if machine.Kind != storage.MachineEngine || machine.Zone != zone {
 			continue
 		}
 		present[machine.Name] = true
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -14,7 +14,7 @@
 
 	"topazpulley/internal/engine"
 	"topazpulley/internal/membership"
-	"topazpulley/internal/platform"
+	"topazpulley/internal/storage"
 )
 
 // Prefixes of the item keys that the registry reads and writes.
@@ -313,6 +313,6 @@
 }
 
 // FromMachine makes the record of a machine list entry.
-func FromMachine(machine platform.Machine) MachineRecord {
-	return MachineRecord{Address: machine.Address, Service: machine.Service, Leaving: machine.State == platform.MachineLeaving}
+func FromMachine(machine storage.Machine) MachineRecord {
+	return MachineRecord{Address: machine.Address, Service: machine.Service, Leaving: machine.State == storage.MachineLeaving}
 }
--- a/internal/revision/model_test.go
+++ b/internal/revision/model_test.go
@@ -12,8 +12,8 @@
 
 	"topazpulley/internal/emulator"
 	"topazpulley/internal/failure"
-	"topazpulley/internal/platform"
 	"topazpulley/internal/revision"
+	"topazpulley/internal/storage"
 )
 
 const manyCalls = 1e9
@@ -28,7 +28,7 @@
 			loseNext = false
 			return lost
 		}}
-		log := revision.NewLog(platform.NewClient(services, manyCalls))
+		log := revision.NewLog(storage.NewClient(services, manyCalls))
 		made := map[int64]string{}
 		for step := range rapid.IntRange(1, 12).Draw(t, "steps") {
 			head, err := log.Head(t.Context())
@@ -62,8 +62,8 @@
 	between func()
 }
 
-// Transact implements platform.Table.
-func (r *racing) Transact(ctx context.Context, transaction platform.Transaction) (platform.Version, error) {
+// Transact implements storage.Table.
+func (r *racing) Transact(ctx context.Context, transaction storage.Transaction) (storage.Version, error) {
 	if between := r.between; between != nil {
 		r.between = nil
 		between()
@@ -73,7 +73,7 @@
 
 func TestOneWinnerBetweenReadAndWrite(t *testing.T) {
 	services := &racing{InProcess: &emulator.InProcess{Platform: emulator.NewPlatform()}}
-	log := revision.NewLog(platform.NewClient(services, manyCalls))
+	log := revision.NewLog(storage.NewClient(services, manyCalls))
 	change := func(operator string) (revision.Revision, error) {
 		return log.Append(t.Context(), revision.Change{Kind: revision.KindAccept, Subject: "s", Operator: operator, OperationID: operator, Base: 0}, time.Now())
 	}
@@ -126,7 +126,7 @@
 }
 
 func TestWithdrawPutsTheEarlierBundleBack(t *testing.T) {
-	log := revision.NewLog(platform.NewClient(&emulator.InProcess{Platform: emulator.NewPlatform()}, manyCalls))
+	log := revision.NewLog(storage.NewClient(&emulator.InProcess{Platform: emulator.NewPlatform()}, manyCalls))
 	step := 0
 	change := func(kind revision.Kind, subject string) (revision.Revision, error) {
 		step++
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -14,7 +14,7 @@
 
 	"topazpulley/internal/bundle"
 	"topazpulley/internal/failure"
-	"topazpulley/internal/platform"
+	"topazpulley/internal/storage"
 )
 
 // Kind says what a revision does.
@@ -62,11 +62,11 @@
 
 // Log reads and appends revisions.
 type Log struct {
-	platform *platform.Client
+	platform *storage.Client
 }
 
 // NewLog returns the log over the daemon's platform client.
-func NewLog(client *platform.Client) *Log { return &Log{platform: client} }
+func NewLog(client *storage.Client) *Log { return &Log{platform: client} }
 
 // Head returns the highest revision; number 0 means that there is none.
 func (l *Log) Head(ctx context.Context) (Revision, error) {
@@ -79,7 +79,7 @@
 
 // History returns the newest revisions, the highest first.
 func (l *Log) History(ctx context.Context, limit int) ([]Revision, error) {
-	rows, err := l.platform.Scan(ctx, platform.ScanRequest{Prefix: prefix, Limit: limit, Reverse: true})
+	rows, err := l.platform.Scan(ctx, storage.ScanRequest{Prefix: prefix, Limit: limit, Reverse: true})
 	if err != nil {
 		return nil, err
 	}
@@ -143,12 +143,12 @@
 	if err != nil {
 		return next, errors.WithStack(err)
 	}
-	_, err = l.platform.Transact(ctx, platform.Transaction{
+	_, err = l.platform.Transact(ctx, storage.Transaction{
 		OperationID: next.OperationID,
-		Conditions:  []platform.Condition{{Key: key(next.Number)}},
-		Writes:      []platform.Write{{Key: key(next.Number), Value: encoded}},
+		Conditions:  []storage.Condition{{Key: key(next.Number)}},
+		Writes:      []storage.Write{{Key: key(next.Number), Value: encoded}},
 	})
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if !errors.As(err, &conflict) {
 		return next, err
 	}
--- a/internal/revision/watcher.go
+++ b/internal/revision/watcher.go
@@ -17,7 +17,7 @@
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
 	"topazpulley/internal/periodic"
-	"topazpulley/internal/platform"
+	"topazpulley/internal/storage"
 )
 
 // Methods of the peer protocol that watchers answer.
@@ -70,7 +70,7 @@
 type Watcher struct {
 	holder    *Holder
 	log       *Log
-	platform  *platform.Client
+	platform  *storage.Client
 	node      *cluster.Node
 	transport *peer.Transport
 	verify    Verify
@@ -83,7 +83,7 @@
 type Verify func(text string, signatures []bundle.Signature) error
 
 // NewWatcher makes a watcher and registers its peer method.
-func NewWatcher(holder *Holder, client *platform.Client, node *cluster.Node, transport *peer.Transport, verify Verify, logger *slog.Logger) *Watcher {
+func NewWatcher(holder *Holder, client *storage.Client, node *cluster.Node, transport *peer.Transport, verify Verify, logger *slog.Logger) *Watcher {
 	watcher := &Watcher{
 		holder: holder, log: NewLog(client), platform: client, node: node, transport: transport,
 		verify: verify, logger: logger, wanted: make(chan membership.Event, wantedQueue),
--- a/internal/platform/client.go
+++ b/internal/storage/client.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"context"
--- a/internal/platform/platform.go
+++ b/internal/storage/platform.go
@@ -1,8 +1,8 @@
-// Package platform is the client side of the platform's services: a
+// Package storage is the client side of the platform's services: a
 // transactional table, an object store and a machine list. The interfaces are
 // what the rest of the system uses; HTTPClient is the adapter for the
 // platform's HTTP protocol. Client bounds, retries and breaks calls.
-package platform
+package storage
 
 import (
 	"context"
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -36,7 +36,7 @@
 mutant no_epoch_check internal/batch/chunk.go \
 	'c.Owner != owner || c.Epoch != epoch' 'false' internal/batch TestChunkRefusesAnOldEpoch
 mutant no_insert_condition internal/revision/revision.go \
-	'Conditions:  []platform.Condition{{Key: key(next.Number)}},' '' internal/revision TestOneWinnerBetweenReadAndWrite
+	'Conditions:  []storage.Condition{{Key: key(next.Number)}},' '' internal/revision TestOneWinnerBetweenReadAndWrite
 mutant no_rise_check internal/revision/holder.go \
 	'next.Number <= h.current.Number' 'false' internal/revision TestNeverReverts
 mutant no_majority internal/revision/watcher.go \
@@ -64,7 +64,7 @@
 mutant no_result_copy internal/gateway/results.go \
 	'	g.keepElsewhere(ctx, result)' '' internal/harness TestKeyedAnswerOutlivesItsDaemonDuringAnOutage
 mutant no_job_identity internal/batch/store.go \
-	'Conditions:  []platform.Condition{{Key: jobKey(job.Tenant, job.Key)}, {Key: stateKey(job.ID)}},' '' internal/batch TestResentJobIsTheSameJob
+	'Conditions:  []storage.Condition{{Key: jobKey(job.Tenant, job.Key)}, {Key: stateKey(job.ID)}},' '' internal/batch TestResentJobIsTheSameJob
 mutant all_failures_not_run internal/engine/client.go \
 	'return &AttemptError{Outcome: OutcomeUnknown, Code: CodeBroken, cause: err}' 'return &AttemptError{Outcome: OutcomeNotRun, Code: CodeBroken, cause: err}' internal/engine TestBrokenConnectionLeavesTheOutcomeUnknown
 mutant no_wait_at_stop internal/daemon/daemon.go \
--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -21,7 +21,7 @@
 	"topazpulley/internal/failure"
 	"topazpulley/internal/gateway"
 	"topazpulley/internal/harness"
-	"topazpulley/internal/platform"
+	"topazpulley/internal/storage"
 )
 
 type script = testscript.TestScript
@@ -185,13 +185,13 @@
 }
 
 func leaveMachine(f *fleet, args []string) error {
-	machines, err := platform.NewHTTPClient(f.platformURL()).List(context.Background())
+	machines, err := storage.NewHTTPClient(f.platformURL()).List(context.Background())
 	if err != nil {
 		return err
 	}
 	for _, machine := range machines {
 		if machine.Name == args[0] {
-			machine.State = platform.MachineLeaving
+			machine.State = storage.MachineLeaving
 			return put(f.platformURL()+emulator.PathPlatformMachine, machine)
 		}
 	}
--- a/test/scenario/fleet_test.go
+++ b/test/scenario/fleet_test.go
@@ -22,7 +22,7 @@
 	"topazpulley/internal/emulator"
 	"topazpulley/internal/gateway"
 	"topazpulley/internal/harness"
-	"topazpulley/internal/platform"
+	"topazpulley/internal/storage"
 )
 
 const (
@@ -162,7 +162,7 @@
 	if err := f.startRelay(); err != nil {
 		return err
 	}
-	if err := waitHTTP(f.platformURL() + platform.PathMachines); err != nil {
+	if err := waitHTTP(f.platformURL() + storage.PathMachines); err != nil {
 		return err
 	}
 	if err := f.startEngines(zones, engines, plain, timeScale); err != nil {
