--- /dev/null
+++ b/internal/backend/backend.go
@@ -0,0 +1,212 @@
+// Package backend keeps what a daemon knows of the processes that run
+// requests: which exist, whether they leave, how loaded they are (own requests,
+// what other daemons tell, what the back ends report), which prompts they have
+// read, and whether they failed lately. The choice itself is in package
+// routing.
+package backend
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"topazpulley/internal/routing"
+)
+
+// Instance is one incarnation of a back end as discovery lists it.
+type Instance struct {
+	// ID is unique; every start of a back end is a new one.
+	ID      string
+	Service string
+	// Address is IP:port.
+	Address string
+	Zone    string
+	// Slots is how many requests it works on at once.
+	Slots int
+	// Draining tells that it is about to leave and must get no new work.
+	Draining bool
+}
+
+// Report is what a back end says of its load.
+type Report struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Class tells online work from batch work.
+type Class uint8
+
+// The classes of work.
+const (
+	Online Class = iota
+	Batch
+)
+
+const (
+	// failuresToEject is how many failures in a row take a back end out.
+	failuresToEject = 2
+	ejectFor        = time.Second
+	ejectCeiling    = 8 * time.Second
+	// promptMemory bounds the prompt parts remembered per back end.
+	promptMemory = 256
+	// reportAge is how long a back end's own report counts.
+	reportAge = 400 * time.Millisecond
+)
+
+// state is a back end with its load. Set.mutex guards it.
+type state struct {
+	Instance
+	online, batch int
+	pendingTokens int
+	peers         map[string]PeerLoad
+	report        Report
+	reportedAt    time.Time
+	failures      int
+	ejectedUntil  time.Time
+	ejectedFor    time.Duration
+	prompts       *promptCache
+}
+
+// PeerLoad is another daemon's work in flight at a back end.
+type PeerLoad struct {
+	Online        int
+	Batch         int
+	PendingTokens int
+}
+
+// Set is all back ends that a daemon knows. It is safe for concurrent use.
+type Set struct {
+	mutex     sync.Mutex
+	states    map[string]*state
+	byService map[string][]*state
+	changed   chan struct{}
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	return &Set{states: map[string]*state{}, byService: map[string][]*state{}, changed: make(chan struct{})}
+}
+
+// Put adds a back end or updates it.
+func (s *Set) Put(instance Instance) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known, exists := s.states[instance.ID]
+	if !exists {
+		known = &state{peers: map[string]PeerLoad{}, prompts: newPromptCache(promptMemory)}
+		s.states[instance.ID] = known
+	}
+	known.Instance = instance
+	s.rebuild()
+}
+
+// Remove takes a back end out. Requests in flight there go on.
+func (s *Set) Remove(id string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if _, known := s.states[id]; !known {
+		return
+	}
+	delete(s.states, id)
+	s.rebuild()
+}
+
+// Retain removes all back ends but those with the ids.
+func (s *Set) Retain(ids map[string]bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for id := range s.states {
+		if !ids[id] {
+			delete(s.states, id)
+		}
+	}
+	s.rebuild()
+}
+
+// rebuild sorts the back ends by service. mutex must be held.
+func (s *Set) rebuild() {
+	s.byService = map[string][]*state{}
+	for _, known := range s.states {
+		s.byService[known.Service] = append(s.byService[known.Service], known)
+	}
+	for _, group := range s.byService {
+		sort.Slice(group, func(a, b int) bool { return group[a].ID < group[b].ID })
+	}
+	s.signal()
+}
+
+// signal wakes those who wait for a change. mutex must be held.
+func (s *Set) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next change of room or
+// membership.
+func (s *Set) Changed() <-chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.changed
+}
+
+// Get returns a back end.
+func (s *Set) Get(id string) (Instance, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known, exists := s.states[id]
+	if !exists {
+		return Instance{}, false
+	}
+	return known.Instance, true
+}
+
+// Instances returns the back ends of a service, or of all when it is empty.
+func (s *Set) Instances(service string) []Instance {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	found := []Instance{}
+	for _, known := range s.states {
+		if service == "" || known.Service == service {
+			found = append(found, known.Instance)
+		}
+	}
+	return found
+}
+
+// Candidates returns a snapshot of a service's back ends for routing.
+func (s *Set) Candidates(service string, prompt []routing.PromptPart, now time.Time) []routing.Candidate {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	group := s.byService[service]
+	candidates := make([]routing.Candidate, 0, len(group))
+	for _, known := range group {
+		candidates = append(candidates, known.candidate(prompt, now))
+	}
+	return candidates
+}
+
+func (k *state) candidate(prompt []routing.PromptPart, now time.Time) routing.Candidate {
+	online, batch, pending := k.load()
+	waiting := 0
+	if now.Sub(k.reportedAt) < reportAge {
+		waiting = k.report.Waiting
+	}
+	return routing.Candidate{
+		ID: k.ID, Zone: k.Zone, Slots: k.Slots, Draining: k.Draining,
+		Online: online, Batch: batch, OwnBatch: k.batch, Waiting: waiting,
+		PendingTokens: pending, UncachedTokens: k.prompts.uncached(prompt),
+		Ejected: now.Before(k.ejectedUntil),
+	}
+}
+
+// load sums the work of all daemons at the back end.
+func (k *state) load() (online, batch, pendingTokens int) {
+	online, batch, pendingTokens = k.online, k.batch, k.pendingTokens
+	for _, peer := range k.peers {
+		online += peer.Online
+		batch += peer.Batch
+		pendingTokens += peer.PendingTokens
+	}
+	return online, batch, pendingTokens
+}
--- /dev/null
+++ b/internal/backend/lease.go
@@ -0,0 +1,159 @@
+package backend
+
+import (
+	"sync"
+	"time"
+
+	"topazpulley/internal/routing"
+)
+
+// Lease counts one request at a back end from dispatch to end. Its methods are
+// safe for concurrent use.
+type Lease struct {
+	set      *Set
+	state    *state
+	class    Class
+	pending  int
+	mutex    sync.Mutex
+	started  bool
+	released bool
+}
+
+// Acquire counts a request at a back end. It reports false when the back end
+// is gone meanwhile.
+func (s *Set) Acquire(id string, class Class, prompt []routing.PromptPart) (*Lease, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known, exists := s.states[id]
+	if !exists {
+		return nil, false
+	}
+	pending := known.prompts.uncached(prompt)
+	known.prompts.add(prompt)
+	known.pendingTokens += pending
+	known.count(class, 1)
+	return &Lease{set: s, state: known, class: class, pending: pending}, true
+}
+
+func (k *state) count(class Class, change int) {
+	if class == Batch {
+		k.batch += change
+		return
+	}
+	k.online += change
+}
+
+// Instance returns the back end.
+func (l *Lease) Instance() Instance { return l.state.Instance }
+
+// Started tells that the request's first output came: its prompt is read.
+func (l *Lease) Started() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.started {
+		return
+	}
+	l.started = true
+	l.set.mutex.Lock()
+	defer l.set.mutex.Unlock()
+	l.state.pendingTokens -= l.pending
+}
+
+// Release ends the count.
+func (l *Lease) Release() {
+	l.Started()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.released {
+		return
+	}
+	l.released = true
+	l.set.mutex.Lock()
+	defer l.set.mutex.Unlock()
+	l.state.count(l.class, -1)
+	l.set.signal()
+}
+
+// Reported records the load that the back end told.
+func (s *Set) Reported(id string, report Report, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known, exists := s.states[id]
+	if !exists {
+		return
+	}
+	known.report, known.reportedAt = report, now
+}
+
+// Succeeded records that the back end worked.
+func (s *Set) Succeeded(id string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if known, exists := s.states[id]; exists {
+		known.failures, known.ejectedFor = 0, 0
+		known.ejectedUntil = time.Time{}
+	}
+}
+
+// Failed records that the back end failed a request or could not be reached,
+// and reports whether it is ejected now. An ejected back end is used only when
+// all are; each further failure doubles the time.
+func (s *Set) Failed(id string, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known, exists := s.states[id]
+	if !exists {
+		return false
+	}
+	known.failures++
+	if known.failures < failuresToEject {
+		return false
+	}
+	known.ejectedFor = min(max(known.ejectedFor*2, ejectFor), ejectCeiling)
+	known.ejectedUntil = now.Add(known.ejectedFor)
+	return true
+}
+
+// Unreachable ejects a back end at once: a connection to it could not be made.
+func (s *Set) Unreachable(id string, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known, exists := s.states[id]
+	if !exists {
+		return
+	}
+	known.failures += failuresToEject
+	known.ejectedFor = min(max(known.ejectedFor*2, ejectFor), ejectCeiling)
+	known.ejectedUntil = now.Add(known.ejectedFor)
+}
+
+// OwnLoads returns this daemon's work in flight by back end, without those
+// that have none.
+func (s *Set) OwnLoads() map[string]PeerLoad {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	loads := map[string]PeerLoad{}
+	for id, known := range s.states {
+		own := PeerLoad{Online: known.online, Batch: known.batch, PendingTokens: known.pendingTokens}
+		if own != (PeerLoad{}) {
+			loads[id] = own
+		}
+	}
+	return loads
+}
+
+// SetPeerLoads replaces what another daemon has in flight. A nil map forgets
+// the daemon.
+func (s *Set) SetPeerLoads(peer string, loads map[string]PeerLoad) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for id, known := range s.states {
+		load, tells := loads[id]
+		if !tells {
+			delete(known.peers, peer)
+			continue
+		}
+		known.peers[peer] = load
+	}
+	s.signal()
+}
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -15,6 +15,7 @@
 	"topazpulley/internal/failure"
 	"topazpulley/internal/settings"
 	"topazpulley/internal/telemetry"
+	"topazpulley/platform"
 )
 
 // serveCommand runs one daemon.
@@ -59,6 +60,12 @@
 		fmt.Println("settings are valid")
 		return subcommands.ExitSuccess
 	}
+	if process.StoreAddress != "" {
+		if err := platform.Serve(process, s.load); err != nil {
+			return fail(err)
+		}
+		return subcommands.ExitSuccess
+	}
 	level := slog.LevelInfo
 	if s.verbose {
 		level = slog.LevelDebug
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,172 @@
+// Package exchange tells the daemons of a fleet what each has in flight at the
+// back ends, so that all choose from nearly the same picture. Loads travel as
+// hints, straight to each member; a lost one is made good by the next.
+package exchange
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hamba/avro/v2"
+	"github.com/pkg/errors"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/cluster"
+	"topazpulley/internal/membership"
+	"topazpulley/internal/periodic"
+)
+
+const (
+	keyPrefix = "load/"
+	// sendInterval is the shortest time between two messages.
+	sendInterval = 100 * time.Millisecond
+	// refreshInterval is the longest time between two messages of a daemon
+	// that has work in flight.
+	refreshInterval = 500 * time.Millisecond
+	// forgetAfter is when the loads of a silent daemon count no more.
+	forgetAfter = 1500 * time.Millisecond
+)
+
+// loadMessage is what one daemon has in flight.
+type loadMessage struct {
+	Backends []backendLoad `avro:"backends"`
+}
+
+type backendLoad struct {
+	ID      string `avro:"id"`
+	Online  int    `avro:"online"`
+	Batch   int    `avro:"batch"`
+	Pending int    `avro:"pending"`
+}
+
+var loadSchema = avro.MustParse(`{"type":"record","name":"load","fields":[{"name":"backends","type":{"type":"array","items":{
+	"type":"record","name":"backend","fields":[{"name":"id","type":"string"},{"name":"online","type":"int"},
+	{"name":"batch","type":"int"},{"name":"pending","type":"int"}]}}}]}`)
+
+// Exchange sends this daemon's loads and receives the others'. mutex guards
+// heard.
+type Exchange struct {
+	node     *cluster.Node
+	backends *backend.Set
+	log      *slog.Logger
+
+	last   map[string]backend.PeerLoad
+	sentAt time.Time
+
+	mutex sync.Mutex
+	heard map[string]time.Time
+}
+
+// New returns an exchange. It subscribes to the node, which must not run yet.
+func New(node *cluster.Node, backends *backend.Set, log *slog.Logger) *Exchange {
+	made := &Exchange{node: node, backends: backends, log: log, heard: map[string]time.Time{}}
+	node.Subscribe(made.receive)
+	return made
+}
+
+// Run sends loads until the context ends.
+func (e *Exchange) Run(ctx context.Context) {
+	periodic.Run(ctx, sendInterval, func() {
+		now := time.Now()
+		e.send(now)
+		e.forget(now)
+	})
+}
+
+func (e *Exchange) send(now time.Time) {
+	loads := e.backends.OwnLoads()
+	isSame := sameLoads(loads, e.last)
+	if isSame && (len(loads) == 0 || now.Sub(e.sentAt) < refreshInterval) {
+		return
+	}
+	payload, err := encodeLoads(loads)
+	if err != nil {
+		e.log.Error("load_not_encoded", "error", err)
+		return
+	}
+	e.last, e.sentAt = loads, now
+	self := e.node.Self().Name
+	item := membership.Item{Key: keyPrefix + self, Version: now.UnixNano(), Priority: membership.PriorityLoad, Payload: payload}
+	for _, member := range e.node.Members() {
+		if member.Name != self {
+			e.node.Hint(member.Name, item)
+		}
+	}
+}
+
+func sameLoads(a, b map[string]backend.PeerLoad) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id, load := range a {
+		if b[id] != load {
+			return false
+		}
+	}
+	return true
+}
+
+func encodeLoads(loads map[string]backend.PeerLoad) ([]byte, error) {
+	message := loadMessage{Backends: []backendLoad{}}
+	for id, load := range loads {
+		message.Backends = append(message.Backends, backendLoad{ID: id, Online: load.Online, Batch: load.Batch, Pending: load.PendingTokens})
+	}
+	payload, err := avro.Marshal(loadSchema, message)
+	return payload, errors.WithStack(err)
+}
+
+func (e *Exchange) receive(event membership.Event) {
+	switch event.Kind {
+	case membership.EventHint:
+		if name, isLoad := strings.CutPrefix(event.Item.Key, keyPrefix); isLoad {
+			e.accept(name, event.Item.Payload, time.Now())
+		}
+	case membership.EventMember:
+		if !event.Member.Live() {
+			e.drop(event.Member.Name)
+		}
+	}
+}
+
+func (e *Exchange) accept(name string, payload []byte, now time.Time) {
+	var message loadMessage
+	if err := avro.Unmarshal(loadSchema, payload, &message); err != nil {
+		e.log.Warn("load_not_decoded", "peer", name, "error", err)
+		return
+	}
+	loads := make(map[string]backend.PeerLoad, len(message.Backends))
+	for _, each := range message.Backends {
+		loads[each.ID] = backend.PeerLoad{Online: each.Online, Batch: each.Batch, PendingTokens: each.Pending}
+	}
+	e.mutex.Lock()
+	e.heard[name] = now
+	e.mutex.Unlock()
+	e.backends.SetPeerLoads(name, loads)
+}
+
+func (e *Exchange) drop(name string) {
+	e.mutex.Lock()
+	_, known := e.heard[name]
+	delete(e.heard, name)
+	e.mutex.Unlock()
+	if known {
+		e.backends.SetPeerLoads(name, nil)
+	}
+}
+
+func (e *Exchange) forget(now time.Time) {
+	e.mutex.Lock()
+	silent := []string{}
+	for name, at := range e.heard {
+		if now.Sub(at) > forgetAfter {
+			silent = append(silent, name)
+		}
+	}
+	e.mutex.Unlock()
+	for _, name := range silent {
+		e.drop(name)
+	}
+}
--- /dev/null
+++ b/internal/frontend/frontend.go
@@ -0,0 +1,129 @@
+// Package frontend assembles a daemon whose configuration, discovery and jobs
+// live in a watched table: the online core, the job service, the membership of
+// the fleet and the followers of the tables. What speaks to callers, back ends
+// and the store comes from outside, through Ports.
+package frontend
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/cluster"
+	"topazpulley/internal/exchange"
+	"topazpulley/internal/job"
+	"topazpulley/internal/membership"
+	"topazpulley/internal/peer"
+	"topazpulley/internal/route"
+	"topazpulley/internal/serving"
+	"topazpulley/internal/settings"
+	"topazpulley/internal/table"
+	"topazpulley/internal/telemetry"
+)
+
+// Ports are the translators to the outside and the names under which the store
+// holds what others write.
+type Ports struct {
+	Store          table.Store
+	Sender         serving.Sender
+	DecodeConfig   func(value []byte) (route.Config, error)
+	DecodeInstance func(key string, value []byte) (backend.Instance, error)
+	ConfigTable    string
+	ConfigKey      string
+	InstanceTable  string
+}
+
+const (
+	// watchWait is how long one watch call is held. A watch whose answer is
+	// lost is noticed shortly after.
+	watchWait = 1500 * time.Millisecond
+	// rejoinInterval is the time between two looks for daemons that are not
+	// known.
+	rejoinInterval = 5 * time.Second
+)
+
+// Frontend is one daemon.
+type Frontend struct {
+	settings  settings.Settings
+	log       *slog.Logger
+	transport *peer.Transport
+	node      *cluster.Node
+	store     table.Store
+	followers []*table.Follower
+
+	// Holder has the configuration in force.
+	Holder *route.Holder
+	// Backends is what is known of the back ends.
+	Backends *backend.Set
+	// Core answers online requests.
+	Core *serving.Core
+	// Jobs answers calls about jobs and runs them.
+	Jobs *job.Service
+}
+
+// New assembles a daemon. The settings must be valid.
+func New(process settings.Settings, ports Ports, metrics *telemetry.Serving, log *slog.Logger) *Frontend {
+	f := &Frontend{settings: process, log: log, store: table.NewMonotonic(ports.Store), Holder: &route.Holder{}, Backends: backend.NewSet()}
+	f.transport = peer.NewTransport(process.Name, process.PeerAddress, process.ClusterKeyBytes(), log)
+	self := f.member()
+	f.node = cluster.NewNode(membership.DefaultConfig(time.Duration(process.ProbeInterval)), self, f.transport, log)
+	f.Core = serving.NewCore(f.Backends, ports.Sender, f.Holder, metrics, log, f.fleetSize)
+	f.Jobs = job.NewService(job.Dependencies{
+		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: ports.Sender,
+		Holder: f.Holder, Peers: peers{node: f.node}, Metrics: metrics, Logger: log, Connections: f.Core.ConnectionShare,
+	})
+	f.followers = []*table.Follower{
+		{Store: f.store, Table: ports.ConfigTable, Consumer: &configConsumer{ports: ports, holder: f.Holder, log: log}, Logger: log, Wait: watchWait},
+		{Store: f.store, Table: ports.InstanceTable, Consumer: &instanceConsumer{ports: ports, backends: f.Backends, log: log}, Logger: log, Wait: watchWait},
+		{Store: f.store, Table: f.Jobs.FollowedTable(), Consumer: f.Jobs, Logger: log, Wait: watchWait, Partitioned: true},
+	}
+	return f
+}
+
+// member describes this daemon to others. The start time makes its incarnation
+// higher than in any earlier life of the same name.
+func (f *Frontend) member() membership.Member {
+	return membership.Member{
+		Name: f.settings.Name, Address: f.settings.AdvertiseAddress, Zone: f.settings.Zone, Region: f.settings.Region,
+		Incarnation: time.Now().UnixMilli(),
+	}
+}
+
+func (f *Frontend) fleetSize() int { return len(f.node.Members()) }
+
+// Members returns how many daemons are alive as this one sees them.
+func (f *Frontend) Members() int { return f.fleetSize() }
+
+// Start starts all duties; they end with the context.
+func (f *Frontend) Start(ctx context.Context) error {
+	if err := f.transport.Start(); err != nil {
+		return err
+	}
+	f.node.SetSeeds(f.settings.Seeds)
+	loads := exchange.New(f.node, f.Backends, f.log)
+	go f.node.Run(ctx)
+	go loads.Run(ctx)
+	go f.Jobs.Run(ctx)
+	go f.keepFound(ctx)
+	for _, follower := range f.followers {
+		go follower.Run(ctx)
+	}
+	return nil
+}
+
+// Ready reports whether the daemon knows a configuration and so may get
+// requests.
+func (f *Frontend) Ready() bool { return f.Holder.Current() != nil }
+
+// Leave hands jobs over and tells the other daemons that this one goes.
+func (f *Frontend) Leave(ctx context.Context) {
+	f.Jobs.Stop(ctx)
+	f.node.Leave()
+}
+
+// Close ends the peer protocol.
+func (f *Frontend) Close() { f.transport.Stop() }
+
+// Reload takes over what may change while the daemon runs.
+func (f *Frontend) Reload(changed settings.Settings) { f.node.SetSeeds(changed.Seeds) }
--- /dev/null
+++ b/internal/frontend/peers.go
@@ -0,0 +1,107 @@
+package frontend
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"topazpulley/internal/cluster"
+	"topazpulley/internal/duty"
+	"topazpulley/internal/job"
+	"topazpulley/internal/table"
+)
+
+// peers tells the job service which daemons are alive.
+type peers struct {
+	node *cluster.Node
+}
+
+// Liveness implements job.Peers.
+func (p peers) Liveness(name string, incarnation int64) job.Liveness {
+	member, known := p.node.Member(name)
+	switch {
+	case !known || member.Incarnation < incarnation:
+		return job.LivenessUnknown
+	case !member.Live() || member.Incarnation > incarnation+refuteMargin:
+		return job.LivenessGone
+	}
+	return job.LivenessAlive
+}
+
+// refuteMargin is how far a daemon's incarnation may rise within one life: by
+// one with each refuted suspicion. Lives start further apart, in milliseconds.
+const refuteMargin = 200
+
+// Rank implements job.Peers.
+func (p peers) Rank(key string) int {
+	names := p.node.AllNames()
+	order := duty.Owners(key, names, len(names))
+	return max(slices.Index(order, p.node.Self().Name), 0)
+}
+
+// tableMembers is where daemons leave their addresses for others to find.
+const tableMembers = "member"
+
+const (
+	memberTimeout = time.Second
+	memberRows    = 500
+)
+
+// keepFound writes this daemon's address to the store and looks there for
+// others while it may be alone.
+func (f *Frontend) keepFound(ctx context.Context) {
+	isWritten := false
+	for ctx.Err() == nil {
+		isWritten = isWritten || f.writeAddress(ctx)
+		isFound := f.fleetSize() > 1
+		if !isFound {
+			f.readAddresses(ctx)
+		}
+		if isWritten && isFound {
+			return
+		}
+		sleep(ctx, rejoinInterval/10)
+	}
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// writeAddress tries once to leave this daemon's address in the store.
+func (f *Frontend) writeAddress(ctx context.Context) bool {
+	bounded, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	_, err := f.store.Commit(bounded, table.Transaction{
+		Writes: []table.Write{{Table: tableMembers, Key: f.settings.Name, Value: []byte(f.settings.AdvertiseAddress)}},
+	})
+	var failed *table.Error
+	if err != nil && errors.As(err, &failed) {
+		f.log.Info("address_not_written", "error", err)
+	}
+	return err == nil
+}
+
+// readAddresses adds the addresses that other daemons left to the seeds.
+func (f *Frontend) readAddresses(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	page, err := f.store.Read(bounded, table.Range{Table: tableMembers, Limit: memberRows})
+	if err != nil {
+		return
+	}
+	seeds := append([]string(nil), f.settings.Seeds...)
+	for _, row := range page.Rows {
+		if row.Key != f.settings.Name {
+			seeds = append(seeds, string(row.Value))
+		}
+	}
+	f.node.SetSeeds(seeds)
+}
--- /dev/null
+++ b/internal/job/accept.go
@@ -0,0 +1,136 @@
+package job
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"topazpulley/internal/table"
+)
+
+const (
+	storePause   = 60 * time.Millisecond
+	storeAttempt = 900 * time.Millisecond
+)
+
+// Submit accepts a job durably. A nil error means that the job is in the
+// system's keeping; a failure marked as not run promises that nothing of it
+// will run because of this call; any other failure promises nothing. The
+// context bounds how long the store is tried.
+func (s *Service) Submit(ctx context.Context, submitted Job) error {
+	content, err := encode(submitted)
+	if err != nil {
+		return err
+	}
+	object := objectName(submitted.ID, content)
+	if err := s.putObject(ctx, object, content); err != nil {
+		s.logAcceptance(submitted, "refused", err)
+		return unavailable(err)
+	}
+	transaction, err := s.acceptanceOf(submitted, object)
+	if err != nil {
+		return err
+	}
+	version, isNew, err := s.commitAcceptance(ctx, submitted.ID, transaction)
+	if err != nil {
+		s.logAcceptance(submitted, "refused", err)
+		return err
+	}
+	if !isNew {
+		s.logAcceptance(submitted, "known_already", nil)
+		return nil
+	}
+	s.logAcceptance(submitted, "accepted", nil)
+	s.own(submitted, ownedClaim{claim: s.newClaim(1), version: version}, nil)
+	return nil
+}
+
+func (s *Service) logAcceptance(submitted Job, outcome string, err error) {
+	s.log.Info("job_submitted", "job", submitted.ID, "items", len(submitted.Items), "outcome", outcome, "error", err)
+}
+
+func (s *Service) newClaim(epoch int64) claim {
+	return claim{Owner: s.self.Name, Incarnation: s.self.Incarnation, Epoch: epoch}
+}
+
+func (s *Service) acceptanceOf(submitted Job, object string) (table.Transaction, error) {
+	accepted, err := encode(acceptance{Total: len(submitted.Items), Object: object})
+	if err != nil {
+		return table.Transaction{}, err
+	}
+	claimed, err := encode(s.newClaim(1))
+	if err != nil {
+		return table.Transaction{}, err
+	}
+	return table.Transaction{
+		Partition:  shard(submitted.ID),
+		Conditions: []table.Condition{{Table: tableAccepted, Key: submitted.ID}},
+		Writes: []table.Write{
+			{Table: tableAccepted, Key: submitted.ID, Value: accepted},
+			{Table: tableClaim, Key: submitted.ID, Value: claimed},
+		},
+	}, nil
+}
+
+// commitAcceptance commits until the store tells how it ended. isNew is false
+// when the job existed, be it through an earlier try whose answer was lost.
+func (s *Service) commitAcceptance(ctx context.Context, id string, transaction table.Transaction) (version table.Version, isNew bool, err error) {
+	isUnsettled := false
+	for {
+		bounded, cancel := context.WithTimeout(ctx, storeAttempt)
+		version, err := s.store.Commit(bounded, transaction)
+		cancel()
+		var conflict *table.ConflictError
+		switch {
+		case err == nil:
+			return version, true, nil
+		case errors.As(err, &conflict):
+			// The job exists. If this daemon's own lost try made it, the claim
+			// is found by the follower like that of any other owner.
+			return 0, false, nil
+		}
+		isUnsettled = isUnsettled || isUnknown(err)
+		if !rest(ctx, storePause) {
+			if isUnsettled {
+				return 0, false, outcomeUnknown(err)
+			}
+			return 0, false, unavailable(err)
+		}
+	}
+}
+
+// isUnknown reports whether a failed call may have been carried out.
+func isUnknown(err error) bool {
+	var failed *table.Error
+	return errors.As(err, &failed) && failed.Kind == table.ErrorUnknown
+}
+
+// putObject stores an object, trying again until the context ends. Putting the
+// same object twice does no harm.
+func (s *Service) putObject(ctx context.Context, name string, content []byte) error {
+	for {
+		bounded, cancel := context.WithTimeout(ctx, storeAttempt)
+		err := s.store.PutObject(bounded, name, content)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if !rest(ctx, storePause) {
+			return err
+		}
+	}
+}
+
+// rest waits for about the pause; it reports false when the context ends.
+func rest(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause/2 + rand.N(pause))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return ctx.Err() == nil
+	}
+}
--- /dev/null
+++ b/internal/job/claims.go
@@ -0,0 +1,210 @@
+package job
+
+import (
+	"context"
+	"time"
+
+	"topazpulley/internal/periodic"
+	"topazpulley/internal/table"
+)
+
+const (
+	superviseInterval = 200 * time.Millisecond
+	// orphanPause is how long the owner of a job must be gone before the first
+	// daemon in rank takes the job over; each further rank waits rankPause
+	// more, in case those before it cannot.
+	orphanPause = 300 * time.Millisecond
+	rankPause   = 1500 * time.Millisecond
+	// unknownPause is the wait for owners that this daemon never met, because
+	// it may have started just now.
+	unknownPause = 2 * time.Second
+)
+
+// Liveness is what is known of another daemon's life.
+type Liveness uint8
+
+// The states of liveness.
+const (
+	LivenessUnknown Liveness = iota
+	LivenessAlive
+	LivenessGone
+)
+
+// Replace implements table.Consumer for the table of claims.
+func (s *Service) Replace(rows []table.Row, version table.Version) {
+	claims := map[string]heldClaim{}
+	for _, row := range rows {
+		var read claim
+		if err := decode(row, &read); err != nil {
+			s.log.Warn("claim_unreadable", "job", row.Key, "error", err)
+			continue
+		}
+		claims[row.Key] = heldClaim{claim: read, version: row.Version}
+	}
+	s.mutex.Lock()
+	s.claims = claims
+	lost := []string{}
+	for id, held := range s.owned {
+		if found, exists := claims[id]; held.claim.version < version && (!exists || found.version != held.claim.version) {
+			lost = append(lost, id)
+		}
+	}
+	s.mutex.Unlock()
+	for _, id := range lost {
+		s.drop(id, "claim_lost")
+	}
+}
+
+// Change implements table.Consumer for the table of claims.
+func (s *Service) Change(rows []table.Row, _ table.Version) {
+	for _, row := range rows {
+		s.changeClaim(row)
+	}
+}
+
+func (s *Service) changeClaim(row table.Row) {
+	var read claim
+	if !row.Deleted {
+		if err := decode(row, &read); err != nil {
+			s.log.Warn("claim_unreadable", "job", row.Key, "error", err)
+			return
+		}
+	}
+	s.mutex.Lock()
+	if row.Deleted {
+		delete(s.claims, row.Key)
+		delete(s.orphans, row.Key)
+	} else {
+		s.claims[row.Key] = heldClaim{claim: read, version: row.Version}
+	}
+	held := s.owned[row.Key]
+	isLost := held != nil && row.Version > held.claim.version
+	s.mutex.Unlock()
+	if isLost {
+		s.drop(row.Key, "claim_lost")
+	}
+}
+
+// superviseClaims takes over jobs whose owners are gone.
+func (s *Service) superviseClaims(ctx context.Context) {
+	periodic.Run(ctx, superviseInterval, func() {
+		for id, held := range s.orphaned(time.Now()) {
+			s.takeOver(ctx, id, held)
+		}
+	})
+}
+
+// orphaned returns the claims that this daemon should take over now.
+func (s *Service) orphaned(now time.Time) map[string]heldClaim {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	due := map[string]heldClaim{}
+	if s.stopping {
+		return due
+	}
+	for id, held := range s.claims {
+		if s.owned[id] != nil {
+			continue
+		}
+		if s.isDueForTakeover(id, held.claim, now) {
+			due[id] = held
+		}
+	}
+	return due
+}
+
+// isDueForTakeover notes how long the owner has been gone. mutex must be held.
+func (s *Service) isDueForTakeover(id string, held claim, now time.Time) bool {
+	isOwn := held.Owner == s.self.Name && held.Incarnation == s.self.Incarnation
+	if isOwn {
+		return true // made by this daemon's own commit whose answer was lost
+	}
+	liveness := LivenessGone
+	if held.Owner != "" {
+		liveness = s.peers.Liveness(held.Owner, held.Incarnation)
+	}
+	if liveness == LivenessAlive {
+		delete(s.orphans, id)
+		return false
+	}
+	since, noted := s.orphans[id]
+	if !noted {
+		s.orphans[id] = now
+		return false
+	}
+	pause := orphanPause + time.Duration(s.peers.Rank(id))*rankPause
+	if liveness == LivenessUnknown {
+		pause += unknownPause
+	}
+	return now.Sub(since) >= pause
+}
+
+// takeOver claims a job and goes on with it.
+func (s *Service) takeOver(ctx context.Context, id string, held heldClaim) {
+	next := ownedClaim{claim: held.claim, version: held.version}
+	isOwn := held.claim.Owner == s.self.Name && held.claim.Incarnation == s.self.Incarnation
+	if !isOwn {
+		claimed, err := s.claimOver(ctx, id, held)
+		if err != nil {
+			s.log.Info("job_takeover_failed", "job", id, "owner", held.claim.Owner, "epoch", held.claim.Epoch, "error", err)
+			return
+		}
+		next = claimed
+	}
+	accepted, err := s.acceptance(ctx, id)
+	if err != nil {
+		s.log.Info("job_takeover_failed", "job", id, "error", err)
+		return
+	}
+	loaded, err := s.load(ctx, accepted)
+	if err != nil {
+		s.log.Info("job_takeover_failed", "job", id, "error", err)
+		return
+	}
+	listed, err := s.allResults(ctx, id, accepted.Total)
+	if err != nil {
+		s.log.Info("job_takeover_failed", "job", id, "error", err)
+		return
+	}
+	s.own(loaded, next, listed)
+}
+
+func (s *Service) claimOver(ctx context.Context, id string, held heldClaim) (ownedClaim, error) {
+	next := s.newClaim(held.claim.Epoch + 1)
+	value, err := encode(next)
+	if err != nil {
+		return ownedClaim{}, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, storeAttempt)
+	defer cancel()
+	version, err := s.store.Commit(bounded, table.Transaction{
+		Partition:  shard(id),
+		Conditions: []table.Condition{{Table: tableClaim, Key: id, Version: held.version}},
+		Writes:     []table.Write{{Table: tableClaim, Key: id, Value: value}},
+	})
+	if err != nil {
+		return ownedClaim{}, err
+	}
+	s.mutex.Lock()
+	s.claims[id] = heldClaim{claim: next, version: version}
+	delete(s.orphans, id)
+	s.mutex.Unlock()
+	s.log.Info("job_taken_over", "job", id, "owner_before", held.claim.Owner, "epoch", next.Epoch, "version", version)
+	return ownedClaim{claim: next, version: version}, nil
+}
+
+// allResults reads everything that is listed of a job.
+func (s *Service) allResults(ctx context.Context, id string, total int) ([]Result, error) {
+	all := []Result{}
+	for len(all) < total {
+		part, err := s.results(ctx, id, len(all))
+		if err != nil {
+			return nil, err
+		}
+		if len(part) == 0 {
+			break
+		}
+		all = append(all, part...)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/job/dispatch.go
@@ -0,0 +1,325 @@
+package job
+
+import (
+	"context"
+	"io"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/route"
+	"topazpulley/internal/routing"
+	"topazpulley/internal/serving"
+	"topazpulley/internal/watchdog"
+)
+
+const (
+	dispatchInterval = 100 * time.Millisecond
+	yieldInterval    = 50 * time.Millisecond
+	refusedPause     = 100 * time.Millisecond
+	failedPause      = 200 * time.Millisecond
+	// itemTime is how long a back end may work on one item.
+	itemTime = 60 * time.Second
+	// firstPatience and eventPatience bound the silence of a back end before an
+	// item's first event and between events.
+	firstPatience = 6 * time.Second
+	eventPatience = 1500 * time.Millisecond
+	// onlineReserve is the share of a back end's slots, as one in so many, that
+	// batch items leave free for online requests to come.
+	onlineReserve = 8
+	// invalidStatus tells that an item can never be done.
+	invalidStatus = 422
+)
+
+// dispatchItems sends waiting items to back ends with room, and takes items
+// back from back ends that online requests need.
+func (s *Service) dispatchItems(ctx context.Context) {
+	dispatch := time.NewTicker(dispatchInterval)
+	defer dispatch.Stop()
+	yield := time.NewTicker(yieldInterval)
+	defer yield.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-yield.C:
+			s.yieldItems()
+		case <-dispatch.C:
+			s.dispatchWaiting()
+		case <-s.wake:
+			s.dispatchWaiting()
+		}
+	}
+}
+
+// dispatchWaiting sends items, those due first first.
+func (s *Service) dispatchWaiting() {
+	s.mutex.Lock()
+	jobs := s.ownedJobs()
+	isStopping := s.stopping
+	s.mutex.Unlock()
+	if isStopping {
+		return
+	}
+	now := time.Now()
+	sort.Slice(jobs, func(a, b int) bool { return jobs[a].due.Before(jobs[b].due) })
+	for _, each := range jobs {
+		for _, waiting := range each.waiting(now) {
+			if !s.dispatch(waiting, now) {
+				break
+			}
+		}
+	}
+}
+
+// dispatch sends one item if a back end has room; it reports false when none
+// has.
+func (s *Service) dispatch(waiting *work, now time.Time) bool {
+	held := waiting.owner
+	if !held.giveUp.IsZero() && now.After(held.giveUp) {
+		held.end(waiting, Result{Item: waiting.item.ID, State: StateAbandoned})
+		return true
+	}
+	matched, service, found := s.routeOf(held.job.Host, waiting.item)
+	if !found {
+		return true // its route is not known here; it waits
+	}
+	prompt := waiting.item.Prompt
+	chosen, found := s.chooseFor(service, prompt, now)
+	if !found {
+		return false
+	}
+	lease, found := s.backends.Acquire(chosen.ID, backend.Batch, prompt)
+	if !found {
+		return true
+	}
+	ctx, cancel := context.WithCancel(held.ctx)
+	held.mutex.Lock()
+	waiting.state, waiting.backend, waiting.startedAt, waiting.cancel = itemRunning, chosen.ID, now, cancel
+	held.mutex.Unlock()
+	s.running.Add(1)
+	go func() {
+		defer s.running.Done()
+		defer cancel()
+		s.runItem(ctx, waiting, lease, matched, service)
+	}()
+	return true
+}
+
+func (s *Service) routeOf(host string, item Item) (*route.Route, string, bool) {
+	current := s.holder.Current()
+	if current == nil {
+		return nil, "", false
+	}
+	matched, found := current.Match(host, item.Path)
+	if !found {
+		return nil, "", false
+	}
+	return matched, matched.Service(xxhash.Sum64String(item.ID)), true
+}
+
+// chooseFor picks a back end with room for a batch item.
+func (s *Service) chooseFor(service string, prompt []routing.PromptPart, now time.Time) (routing.Candidate, bool) {
+	candidates := s.backends.Candidates(service, prompt, now)
+	withRoom := candidates[:0]
+	for _, candidate := range candidates {
+		if hasRoomForBatch(candidate) {
+			withRoom = append(withRoom, candidate)
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return routing.ChooseByCost(routing.DefaultCostModel(), prompt, withRoom, nil, s.random)
+}
+
+func hasRoomForBatch(candidate routing.Candidate) bool {
+	reserve := candidate.Slots/onlineReserve + 1
+	return !candidate.Ejected && candidate.Waiting == 0 && candidate.Online+candidate.Batch < candidate.Slots-reserve
+}
+
+// yieldItems takes items back from back ends that have no slot left for
+// online requests. Every owner gives up its part of what is too much.
+func (s *Service) yieldItems() {
+	s.mutex.Lock()
+	jobs := s.ownedJobs()
+	s.mutex.Unlock()
+	if len(jobs) == 0 {
+		return
+	}
+	running := map[string][]*work{}
+	for _, each := range jobs {
+		each.mutex.Lock()
+		for _, item := range each.works {
+			if item.state == itemRunning {
+				running[item.backend] = append(running[item.backend], item)
+			}
+		}
+		each.mutex.Unlock()
+	}
+	for _, candidate := range s.loadsOf(running) {
+		count := excess(candidate)
+		for _, item := range running[candidate.ID][:min(count, len(running[candidate.ID]))] {
+			s.log.Info("item_yielded", "job", item.owner.job.ID, "item", item.item.ID, "backend", candidate.ID,
+				"online", candidate.Online, "batch", candidate.Batch, "slots", candidate.Slots, "last_event", item.lastEvent)
+			item.cancel()
+		}
+	}
+}
+
+// loadsOf returns the load of back ends at which items run.
+func (s *Service) loadsOf(running map[string][]*work) []routing.Candidate {
+	services := map[string]bool{}
+	for id := range running {
+		if instance, found := s.backends.Get(id); found {
+			services[instance.Service] = true
+		}
+	}
+	loads := []routing.Candidate{}
+	for service := range services {
+		for _, candidate := range s.backends.Candidates(service, nil, time.Now()) {
+			if len(running[candidate.ID]) > 0 {
+				loads = append(loads, candidate)
+			}
+		}
+	}
+	return loads
+}
+
+// excess returns how many of its own items an owner takes back.
+func excess(candidate routing.Candidate) int {
+	over := candidate.Online + candidate.Batch - candidate.Slots
+	if over <= 0 || candidate.Batch == 0 {
+		return 0
+	}
+	return (over*candidate.OwnBatch + candidate.Batch - 1) / candidate.Batch
+}
+
+// runItem makes one attempt at an item.
+func (s *Service) runItem(ctx context.Context, running *work, lease *backend.Lease, matched *route.Route, service string) {
+	defer s.nudge()
+	defer lease.Release()
+	instance := lease.Instance()
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watched := watchdog.Start(firstPatience, eventPatience, cancel)
+	defer watched.Stop()
+	answer, err := s.sender.Send(bounded, serving.Attempt{
+		Instance: instance, MaxConnections: s.connections(service), ID: running.item.ID, Method: "POST", Target: running.item.Path,
+		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTime,
+		LastEvent: running.lastEvent, Stream: true,
+	})
+	if err == nil {
+		defer answer.Close()
+		if report, told := answer.Load(); told {
+			s.backends.Reported(instance.ID, report, time.Now())
+		}
+		err = s.readItem(running, answer, lease, watched)
+	}
+	if err != nil && watched.Fired() {
+		err = &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonSilent, Cause: err}
+	}
+	if err != nil {
+		s.attemptFailed(ctx, running, instance, matched, err)
+	}
+}
+
+// invalidItemError tells that an item can never be done.
+type invalidItemError struct {
+	status int
+}
+
+// Error implements error.
+func (e *invalidItemError) Error() string { return "the item can never be done" }
+
+// readItem gathers the text of an item.
+func (s *Service) readItem(running *work, answer serving.Answer, lease *backend.Lease, watched *watchdog.Watchdog) error {
+	head := answer.Head()
+	if !head.Successful() || !head.Events {
+		_, _ = answer.Body()
+		if head.Status == invalidStatus {
+			return &invalidItemError{status: head.Status}
+		}
+		return &serving.AttemptError{Outcome: serving.OutcomeFailed, Reason: serving.ReasonError}
+	}
+	for {
+		event, err := answer.Next()
+		if errors.Is(err, io.EOF) {
+			s.backends.Succeeded(lease.Instance().ID)
+			s.metrics.Items.WithLabelValues(string(StateCompleted)).Inc()
+			s.log.Info("item_completed", "job", running.owner.job.ID, "item", running.item.ID, "backend", lease.Instance().ID,
+				"events", running.lastEvent, "took_ms", time.Since(running.startedAt).Milliseconds())
+			running.owner.end(running, Result{Item: running.item.ID, State: StateCompleted, Text: string(running.text)})
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if event.ID != running.lastEvent+1 {
+			return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonSpoiled}
+		}
+		lease.Started()
+		watched.Feed()
+		running.lastEvent = event.ID
+		if running.hasText {
+			running.text = append(running.text, '\n')
+		}
+		running.hasText = true
+		running.text = append(running.text, event.Data...)
+	}
+}
+
+// attemptFailed decides what becomes of an item after a failed attempt.
+func (s *Service) attemptFailed(ctx context.Context, running *work, instance backend.Instance, matched *route.Route, err error) {
+	held := running.owner
+	if held.ctx.Err() != nil {
+		return
+	}
+	if ctx.Err() != nil {
+		s.metrics.Items.WithLabelValues("yielded").Inc()
+		held.requeue(running, refusedPause)
+		return
+	}
+	var invalid *invalidItemError
+	if errors.As(err, &invalid) {
+		s.metrics.Items.WithLabelValues(string(StateAbandoned)).Inc()
+		s.log.Info("item_abandoned", "job", held.job.ID, "item", running.item.ID, "backend", instance.ID, "reason", "invalid", "status", invalid.status)
+		held.end(running, Result{Item: running.item.ID, State: StateAbandoned})
+		return
+	}
+	s.noteFailure(running, instance, matched, err)
+}
+
+// noteFailure counts a failed attempt against the back end and the item.
+func (s *Service) noteFailure(running *work, instance backend.Instance, matched *route.Route, err error) {
+	held := running.owner
+	failed := &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
+	_ = errors.As(err, &failed)
+	now := time.Now()
+	switch failed.Reason {
+	case serving.ReasonUnreachable:
+		s.backends.Unreachable(instance.ID, now)
+	case serving.ReasonBroken, serving.ReasonSpoiled, serving.ReasonSilent:
+		s.backends.Failed(instance.ID, now)
+	case serving.ReasonOtherInstance:
+		s.backends.Remove(instance.ID)
+	}
+	if failed.Reason == serving.ReasonError {
+		running.failures++
+	}
+	s.metrics.Items.WithLabelValues(failed.Outcome.String()).Inc()
+	s.log.Info("item_attempt_failed", "job", held.job.ID, "item", running.item.ID, "backend", instance.ID, "outcome", failed.Outcome.String(),
+		"reason", string(failed.Reason), "failures", running.failures, "last_event", running.lastEvent, "cause", failed.Cause)
+	if running.failures >= matched.MaxAttempts {
+		s.log.Info("item_abandoned", "job", held.job.ID, "item", running.item.ID, "reason", "failures", "failures", running.failures)
+		held.end(running, Result{Item: running.item.ID, State: StateAbandoned})
+		return
+	}
+	pause := failedPause
+	if failed.Outcome == serving.OutcomeNotRun {
+		pause = refusedPause
+	}
+	held.requeue(running, pause)
+}
--- /dev/null
+++ b/internal/job/job.go
@@ -0,0 +1,150 @@
+// Package job keeps batch jobs: a job is accepted once, durably; one daemon at
+// a time runs its items; results take fixed positions; and any daemon answers
+// questions about any job from the store.
+//
+// Invariants, all of which rest on conditional commits alone:
+//   - A job exists from the commit that writes its acceptance row, which is
+//     insert-if-absent. A resent job finds the row.
+//   - The claim row of an open job names its owner. Every commit of results is
+//     conditional on the version of the claim row, so that an owner that lost
+//     its claim commits nothing more. Ending a job removes the row.
+//   - A result row is insert-if-absent at its position and never changes.
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"topazpulley/internal/failure"
+	"topazpulley/internal/routing"
+	"topazpulley/internal/serving"
+	"topazpulley/internal/table"
+)
+
+// Tables of the store.
+const (
+	tableAccepted = "job"
+	tableClaim    = "open_job"
+	tableResult   = "result"
+)
+
+// shardCount is the number of partitions that jobs are spread over. It must
+// never change while jobs exist.
+const shardCount = 16
+
+// shard returns the partition of a job's rows.
+func shard(id string) string { return strconv.FormatUint(xxhash.Sum64String(id)%shardCount, 16) }
+
+// Item is one request of a job.
+type Item struct {
+	ID   string
+	Path string
+	// Fields are passed to the back end.
+	Fields []serving.Field
+	Body   []byte
+	// Prompt is the parts of the item's prompt in order.
+	Prompt []routing.PromptPart
+	// Tokens is the size of the prompt and the longest output together.
+	Tokens int
+}
+
+// Job is an accepted job.
+type Job struct {
+	ID string
+	// Host is the host name under which the job was submitted.
+	Host string
+	// SubmittedAt is by the time of day of the daemon that accepted the job.
+	SubmittedAt time.Time
+	Due         time.Duration
+	GiveUpAfter time.Duration
+	Items       []Item
+}
+
+// State says how an item ended.
+type State string
+
+// The states of a result.
+const (
+	StateCompleted State = "completed"
+	StateAbandoned State = "abandoned"
+)
+
+// Result is the end of one item.
+type Result struct {
+	Item  string
+	State State
+	// Text is the data of all events, separated by line feeds.
+	Text string
+}
+
+// Page is a part of a job's results.
+type Page struct {
+	// Total is the number of the job's items.
+	Total   int
+	Results []Result
+}
+
+// acceptance is the row that makes a job exist. It never changes.
+type acceptance struct {
+	Total  int    `json:"total"`
+	Object string `json:"object"`
+}
+
+// claim is the row that names the owner of an open job.
+type claim struct {
+	Owner string `json:"owner"`
+	// Incarnation tells the owner's lives apart.
+	Incarnation int64 `json:"incarnation"`
+	// Epoch counts the owners.
+	Epoch int64 `json:"epoch"`
+}
+
+// resultRow is a result in the store. A long text lies in an object.
+type resultRow struct {
+	Item   string `json:"item"`
+	State  State  `json:"state"`
+	Text   string `json:"text,omitempty"`
+	Object string `json:"object,omitempty"`
+}
+
+// positionDigits keeps the rows of a job in the order of their positions.
+const positionDigits = 6
+
+func resultKey(id string, position int) string {
+	return fmt.Sprintf("%s/%0*d", id, positionDigits, position)
+}
+
+// resultsEnd is the key behind all results of a job.
+func resultsEnd(id string) string { return id + "0" }
+
+func encode(value any) ([]byte, error) {
+	encoded, err := json.Marshal(value)
+	return encoded, errors.WithStack(err)
+}
+
+func decode(row table.Row, target any) error {
+	if err := json.Unmarshal(row.Value, target); err != nil {
+		return failure.Wrap(err, failure.KindInternal, "bad_row", "row %s of table %s cannot be read", row.Key, row.Table)
+	}
+	return nil
+}
+
+// Failures of calls about jobs.
+func notFound(id string) error {
+	return failure.New(failure.KindNotFound, "no_job", "there is no job %s", id)
+}
+
+func unavailable(cause error) error {
+	return failure.Wrap(cause, failure.KindUnavailable, "store_unavailable", "the store does not answer").WithNotRun().WithRetryAfter(retryAfterStore)
+}
+
+func outcomeUnknown(cause error) error {
+	return failure.Wrap(cause, failure.KindOutcomeUnknown, "acceptance_unknown", "the store did not tell whether the job was accepted: send it again")
+}
+
+const retryAfterStore = 500 * time.Millisecond
--- /dev/null
+++ b/internal/job/owned.go
@@ -0,0 +1,182 @@
+package job
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"topazpulley/internal/table"
+)
+
+// ownedClaim is this daemon's claim on a job.
+type ownedClaim struct {
+	claim   claim
+	version table.Version
+}
+
+// itemState is where an item stands.
+type itemState uint8
+
+const (
+	itemWaiting itemState = iota
+	itemRunning
+	itemFinished
+)
+
+// work is one item of an owned job. owned.mutex guards it, but for text and
+// lastEvent, which belong to the running attempt.
+type work struct {
+	item      Item
+	owner     *owned
+	state     itemState
+	notBefore time.Time
+	failures  int
+	backend   string
+	startedAt time.Time
+	cancel    context.CancelFunc
+	// text and lastEvent are what earlier attempts produced.
+	text      []byte
+	hasText   bool
+	lastEvent int64
+}
+
+// owned is a job that this daemon runs. mutex guards the fields below it.
+type owned struct {
+	service *Service
+	job     Job
+	due     time.Time
+	giveUp  time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	mutex      sync.Mutex
+	claim      ownedClaim
+	works      []*work
+	committed  int
+	finished   []Result
+	committing bool
+	dropped    bool
+	commit     chan struct{}
+}
+
+// giveUpMargin keeps clear of daemons' differing clocks.
+const giveUpMargin = 4 * time.Second
+
+// own starts running a job under a claim. listed are the results that exist.
+func (s *Service) own(accepted Job, held ownedClaim, listed []Result) {
+	ctx, cancel := context.WithCancel(s.lifetime)
+	started := &owned{
+		service: s, job: accepted, due: accepted.SubmittedAt.Add(accepted.Due), ctx: ctx, cancel: cancel,
+		claim: held, committed: len(listed), commit: make(chan struct{}),
+	}
+	if accepted.GiveUpAfter > 0 {
+		started.giveUp = accepted.SubmittedAt.Add(accepted.GiveUpAfter + giveUpMargin)
+	}
+	done := map[string]bool{}
+	for _, result := range listed {
+		done[result.Item] = true
+	}
+	for _, item := range accepted.Items {
+		state := itemWaiting
+		if done[item.ID] {
+			state = itemFinished
+		}
+		started.works = append(started.works, &work{item: item, owner: started, state: state})
+	}
+	s.mutex.Lock()
+	if s.stopping || s.owned[accepted.ID] != nil {
+		s.mutex.Unlock()
+		cancel()
+		return
+	}
+	s.owned[accepted.ID] = started
+	s.mutex.Unlock()
+	s.log.Info("job_owned", "job", accepted.ID, "epoch", held.claim.Epoch, "version", held.version, "listed", len(listed), "items", len(accepted.Items))
+	s.nudge()
+}
+
+// drop stops running a job whose claim is gone.
+func (s *Service) drop(id, reason string) {
+	s.mutex.Lock()
+	held := s.owned[id]
+	delete(s.owned, id)
+	s.mutex.Unlock()
+	if held == nil {
+		return
+	}
+	held.mutex.Lock()
+	held.dropped = true
+	held.mutex.Unlock()
+	held.cancel()
+	held.announceCommit()
+	s.log.Info("job_dropped", "job", id, "reason", reason, "epoch", held.claim.claim.Epoch, "version", held.claim.version)
+}
+
+// nextCommit returns a channel that is closed at the next commit.
+func (o *owned) nextCommit() <-chan struct{} {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.commit
+}
+
+func (o *owned) announceCommit() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	close(o.commit)
+	o.commit = make(chan struct{})
+}
+
+// waiting returns the items that may be sent now.
+func (o *owned) waiting(now time.Time) []*work {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	ready := []*work{}
+	for _, each := range o.works {
+		if each.state == itemWaiting && !now.Before(each.notBefore) {
+			ready = append(ready, each)
+		}
+	}
+	return ready
+}
+
+// runningCount returns how many items are at back ends.
+func (o *owned) runningCount() int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	count := 0
+	for _, each := range o.works {
+		if each.state == itemRunning {
+			count++
+		}
+	}
+	return count
+}
+
+// end records the end of an item and sees to its commit.
+func (o *owned) end(ended *work, result Result) {
+	o.mutex.Lock()
+	if ended.state == itemFinished || o.dropped {
+		o.mutex.Unlock()
+		return
+	}
+	ended.state = itemFinished
+	ended.text = nil
+	o.finished = append(o.finished, result)
+	mustStart := !o.committing
+	o.committing = true
+	o.mutex.Unlock()
+	if mustStart {
+		go o.commitFinished()
+	}
+}
+
+// requeue puts a running item back; it is sent again after the pause.
+func (o *owned) requeue(returned *work, pause time.Duration) {
+	o.mutex.Lock()
+	if returned.state == itemRunning {
+		returned.state = itemWaiting
+		returned.notBefore = time.Now().Add(pause)
+	}
+	o.mutex.Unlock()
+	o.service.nudge()
+}
--- /dev/null
+++ b/internal/job/read.go
@@ -0,0 +1,244 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"topazpulley/internal/failure"
+	"topazpulley/internal/table"
+)
+
+const (
+	readAttempts = 3
+	pageResults  = 40
+	// pageBytes bounds the text of one page.
+	pageBytes = 900 << 10
+)
+
+// Results returns results from a position on. With a wait, the call is held
+// until there is one.
+func (s *Service) Results(ctx context.Context, id string, from int, wait time.Duration) (Page, error) {
+	accepted, err := s.acceptance(ctx, id)
+	if err != nil {
+		return Page{}, err
+	}
+	page := Page{Total: accepted.Total}
+	if page.Results, err = s.results(ctx, id, from); err != nil {
+		return page, err
+	}
+	if len(page.Results) > 0 || wait <= 0 || from >= accepted.Total {
+		return page, nil
+	}
+	if !s.awaitProgress(ctx, id, wait) {
+		return page, nil
+	}
+	page.Results, err = s.results(ctx, id, from)
+	return page, err
+}
+
+// awaitProgress waits for results of a job: for a commit of the owner if that
+// is this daemon, else for the whole time.
+func (s *Service) awaitProgress(ctx context.Context, id string, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-s.progress(id):
+	}
+	return true
+}
+
+// progress returns a channel that is closed at the next commit of an owned
+// job, or nil.
+func (s *Service) progress(id string) <-chan struct{} {
+	s.mutex.Lock()
+	held := s.owned[id]
+	s.mutex.Unlock()
+	if held == nil {
+		return nil
+	}
+	return held.nextCommit()
+}
+
+// acceptance returns a job's acceptance row, which never changes.
+func (s *Service) acceptance(ctx context.Context, id string) (acceptance, error) {
+	s.mutex.Lock()
+	known, found := s.accepted[id]
+	s.mutex.Unlock()
+	if found {
+		return known, nil
+	}
+	rows, err := s.read(ctx, table.Range{Table: tableAccepted, Partition: shard(id), From: id, Before: id + "\x00", Limit: 1})
+	if err != nil {
+		return acceptance{}, err
+	}
+	if len(rows) == 0 || rows[0].Key != id {
+		return acceptance{}, notFound(id)
+	}
+	var read acceptance
+	if err := decode(rows[0], &read); err != nil {
+		return acceptance{}, err
+	}
+	s.mutex.Lock()
+	s.accepted[id] = read
+	s.mutex.Unlock()
+	return read, nil
+}
+
+func (s *Service) results(ctx context.Context, id string, from int) ([]Result, error) {
+	rows, err := s.read(ctx, table.Range{
+		Table: tableResult, Partition: shard(id), From: resultKey(id, from), Before: resultsEnd(id), Limit: pageResults,
+	})
+	if err != nil {
+		return nil, err
+	}
+	results := []Result{}
+	size := 0
+	for _, row := range rows {
+		result, err := s.result(ctx, row)
+		if err != nil {
+			return nil, err
+		}
+		size += len(result.Text)
+		if size > pageBytes && len(results) > 0 {
+			break
+		}
+		results = append(results, result)
+	}
+	return results, nil
+}
+
+func (s *Service) result(ctx context.Context, row table.Row) (Result, error) {
+	var stored resultRow
+	if err := decode(row, &stored); err != nil {
+		return Result{}, err
+	}
+	result := Result{Item: stored.Item, State: stored.State, Text: stored.Text}
+	if stored.Object == "" {
+		return result, nil
+	}
+	text, err := s.getObject(ctx, stored.Object)
+	result.Text = string(text)
+	return result, err
+}
+
+// read reads rows, a few times if the store fails.
+func (s *Service) read(ctx context.Context, wanted table.Range) ([]table.Row, error) {
+	var page table.Page
+	err := s.retryRead(ctx, func(bounded context.Context) (err error) {
+		page, err = s.store.Read(bounded, wanted)
+		return err
+	})
+	return page.Rows, err
+}
+
+func (s *Service) getObject(ctx context.Context, name string) ([]byte, error) {
+	var content []byte
+	err := s.retryRead(ctx, func(bounded context.Context) (err error) {
+		content, err = s.store.GetObject(bounded, name)
+		return err
+	})
+	return content, err
+}
+
+func (s *Service) retryRead(ctx context.Context, call func(context.Context) error) error {
+	var err error
+	for range readAttempts {
+		bounded, cancel := context.WithTimeout(ctx, storeAttempt)
+		err = call(bounded)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if !rest(ctx, storePause) {
+			break
+		}
+	}
+	return unavailable(err)
+}
+
+// Body returns the body of an item.
+func (s *Service) Body(ctx context.Context, id, item string) ([]byte, error) {
+	accepted, err := s.acceptance(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	loaded, err := s.load(ctx, accepted)
+	if err != nil {
+		return nil, err
+	}
+	for _, each := range loaded.Items {
+		if each.ID == item {
+			return each.Body, nil
+		}
+	}
+	return nil, failure.New(failure.KindNotFound, "no_item", "job %s has no item %s", id, item)
+}
+
+// load reads a job's items.
+func (s *Service) load(ctx context.Context, accepted acceptance) (Job, error) {
+	content, err := s.getObject(ctx, accepted.Object)
+	if err != nil {
+		return Job{}, err
+	}
+	var loaded Job
+	if err := json.Unmarshal(content, &loaded); err != nil {
+		return Job{}, failure.Wrap(err, failure.KindInternal, "bad_object", "object %s cannot be read", accepted.Object)
+	}
+	return loaded, nil
+}
+
+// End ends a job: its claim is removed, and nothing more of it is run. Ending
+// a job that has ended is no error.
+func (s *Service) End(ctx context.Context, id string) error {
+	if _, err := s.acceptance(ctx, id); err != nil {
+		return err
+	}
+	version, err := s.claimVersion(ctx, id)
+	for err == nil && version != 0 {
+		version, err = s.removeClaim(ctx, id, version)
+	}
+	if err != nil {
+		s.log.Info("job_end_failed", "job", id, "error", err)
+		return err
+	}
+	s.log.Info("job_ended", "job", id)
+	s.drop(id, "ended")
+	return nil
+}
+
+func (s *Service) claimVersion(ctx context.Context, id string) (table.Version, error) {
+	rows, err := s.read(ctx, table.Range{Table: tableClaim, Partition: shard(id), From: id, Before: id + "\x00", Limit: 1})
+	if err != nil || len(rows) == 0 {
+		return 0, err
+	}
+	return rows[0].Version, nil
+}
+
+// removeClaim tries once to remove a claim. It returns the version that stands
+// in the way, 0 when the claim is gone.
+func (s *Service) removeClaim(ctx context.Context, id string, version table.Version) (table.Version, error) {
+	bounded, cancel := context.WithTimeout(ctx, storeAttempt)
+	defer cancel()
+	_, err := s.store.Commit(bounded, table.Transaction{
+		Partition:  shard(id),
+		Conditions: []table.Condition{{Table: tableClaim, Key: id, Version: version}},
+		Removals:   []table.Removal{{Table: tableClaim, Key: id}},
+	})
+	var conflict *table.ConflictError
+	switch {
+	case err == nil:
+		return 0, nil
+	case errors.As(err, &conflict):
+		return conflict.Row(tableClaim, id).Version, nil
+	}
+	if !rest(ctx, storePause) {
+		return version, unavailable(err)
+	}
+	return version, nil
+}
--- /dev/null
+++ b/internal/job/service.go
@@ -0,0 +1,148 @@
+package job
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/route"
+	"topazpulley/internal/serving"
+	"topazpulley/internal/table"
+	"topazpulley/internal/telemetry"
+)
+
+// Self names this daemon's present life.
+type Self struct {
+	Name        string
+	Incarnation int64
+}
+
+// Peers tells which daemons are alive.
+type Peers interface {
+	// Liveness tells whether the daemon is alive in that incarnation.
+	Liveness(name string, incarnation int64) Liveness
+	// Rank is this daemon's place, from 0, among the live daemons in the order
+	// in which they should take over the key.
+	Rank(key string) int
+}
+
+// Dependencies are what a Service works with.
+type Dependencies struct {
+	Self     Self
+	Store    table.Store
+	Backends *backend.Set
+	Sender   serving.Sender
+	Holder   *route.Holder
+	Peers    Peers
+	Metrics  *telemetry.Serving
+	Logger   *slog.Logger
+	// Connections is this daemon's share of the connections to one back end of
+	// a service.
+	Connections func(service string) int
+}
+
+// Service answers calls about jobs and runs the jobs that this daemon owns.
+// mutex guards claims, orphans, owned and accepted.
+type Service struct {
+	self        Self
+	store       table.Store
+	backends    *backend.Set
+	sender      serving.Sender
+	holder      *route.Holder
+	peers       Peers
+	metrics     *telemetry.Serving
+	log         *slog.Logger
+	connections func(service string) int
+
+	lifetime context.Context
+	end      context.CancelFunc
+	running  sync.WaitGroup
+	wake     chan struct{}
+
+	mutex    sync.Mutex
+	random   *rand.Rand
+	claims   map[string]heldClaim
+	orphans  map[string]time.Time
+	owned    map[string]*owned
+	accepted map[string]acceptance
+	stopping bool
+}
+
+// heldClaim is a claim row as the follower last saw it.
+type heldClaim struct {
+	claim   claim
+	version table.Version
+}
+
+// NewService returns a service; Run makes it work.
+func NewService(dependencies Dependencies) *Service {
+	lifetime, end := context.WithCancel(context.Background())
+	return &Service{
+		self: dependencies.Self, store: dependencies.Store, backends: dependencies.Backends, sender: dependencies.Sender,
+		holder: dependencies.Holder, peers: dependencies.Peers, metrics: dependencies.Metrics, log: dependencies.Logger,
+		connections: dependencies.Connections,
+		lifetime:    lifetime, end: end, wake: make(chan struct{}, 1),
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		claims: map[string]heldClaim{}, orphans: map[string]time.Time{}, owned: map[string]*owned{}, accepted: map[string]acceptance{},
+	}
+}
+
+// FollowedTable is the table whose changes the service must be told.
+func (s *Service) FollowedTable() string { return tableClaim }
+
+// Run takes over orphaned jobs and dispatches items until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	go func() {
+		<-ctx.Done()
+		s.end()
+	}()
+	go s.superviseClaims(ctx)
+	s.dispatchItems(ctx)
+}
+
+// Stop gives up all owned jobs, so that other daemons take them over at once,
+// and waits for the items to stop or the context to end.
+func (s *Service) Stop(ctx context.Context) {
+	s.mutex.Lock()
+	s.stopping = true
+	jobs := s.ownedJobs()
+	s.mutex.Unlock()
+	for _, each := range jobs {
+		each.release(ctx)
+	}
+}
+
+// ownedJobs lists the owned jobs. mutex must be held.
+func (s *Service) ownedJobs() []*owned {
+	jobs := make([]*owned, 0, len(s.owned))
+	for _, each := range s.owned {
+		jobs = append(jobs, each)
+	}
+	return jobs
+}
+
+// Owned returns how many jobs this daemon runs.
+func (s *Service) Owned() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.owned)
+}
+
+// nudge wakes the dispatcher.
+func (s *Service) nudge() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// objectName names the object of a job's items by its content.
+func objectName(id string, content []byte) string {
+	return "job-" + id + "-" + strconv.FormatUint(xxhash.Sum64(content), 16)
+}
--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,91 @@
+package route
+
+import (
+	"sort"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// Table is a compiled Config. It never changes.
+type Table struct {
+	config   Config
+	byHost   map[string][]*Route
+	services map[string]*Service
+}
+
+// Compile builds the table of a configuration.
+func Compile(config Config) *Table {
+	table := &Table{config: config, byHost: map[string][]*Route{}, services: map[string]*Service{}}
+	for index := range config.Routes {
+		compiled := &config.Routes[index]
+		table.byHost[compiled.Host] = append(table.byHost[compiled.Host], compiled)
+	}
+	for _, routes := range table.byHost {
+		sort.SliceStable(routes, func(a, b int) bool { return len(routes[a].Prefix) > len(routes[b].Prefix) })
+	}
+	for index := range config.Services {
+		table.services[config.Services[index].Name] = &config.Services[index]
+	}
+	return table
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() int64 { return t.config.Version }
+
+// Limits returns the bounds on callers.
+func (t *Table) Limits() Limits { return t.config.Limits }
+
+// Match returns the route of the host whose prefix begins the path and is the
+// longest. The host may carry a port.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, candidate := range t.byHost[canonicalHost(host)] {
+		if strings.HasPrefix(path, candidate.Prefix) {
+			return candidate, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns what is configured of a service.
+func (t *Table) Service(name string) (*Service, bool) {
+	service, found := t.services[name]
+	return service, found
+}
+
+func canonicalHost(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
+
+// Holder keeps the table in force. The zero value holds none.
+type Holder struct {
+	current   atomic.Pointer[Table]
+	appliedAt atomic.Int64
+}
+
+// Current returns the table in force, or nil when none is known yet.
+func (h *Holder) Current() *Table { return h.current.Load() }
+
+// Apply puts a configuration in force if its version is higher than that of
+// the present one, and reports whether it did.
+func (h *Holder) Apply(config Config, now time.Time) bool {
+	next := Compile(config)
+	for {
+		present := h.current.Load()
+		if present != nil && present.Version() >= config.Version {
+			return false
+		}
+		if h.current.CompareAndSwap(present, next) {
+			h.appliedAt.Store(now.UnixNano())
+			return true
+		}
+	}
+}
+
+// Age returns how long the present table has been in force.
+func (h *Holder) Age(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, h.appliedAt.Load()))
+}
--- /dev/null
+++ b/internal/routing/cost.go
@@ -0,0 +1,123 @@
+package routing
+
+import (
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PromptPart is one part of a prompt, in order; equal ids are equal text.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// Candidate is a snapshot of one back end for one request.
+type Candidate struct {
+	ID    string
+	Zone  string
+	Slots int
+	// Draining back ends are never chosen.
+	Draining bool
+	// Ejected back ends are chosen only when all are ejected.
+	Ejected bool
+	// Online and Batch are the requests in flight there from all daemons;
+	// OwnBatch is this daemon's part of Batch.
+	Online   int
+	Batch    int
+	OwnBatch int
+	// Waiting is what the back end itself reports as queued, if fresh.
+	Waiting int
+	// PendingTokens are prompt tokens that were sent and are not read yet.
+	PendingTokens int
+	// UncachedTokens are the request's prompt tokens to be read there.
+	UncachedTokens int
+}
+
+// CostModel weighs what makes a first token late, in milliseconds.
+type CostModel struct {
+	// TokensPerMillisecond is the speed at which prompts are read.
+	TokensPerMillisecond float64
+	// RequestMilliseconds is what one more running request costs another.
+	RequestMilliseconds float64
+	// QueueMilliseconds is the mean wait for a slot per request ahead.
+	QueueMilliseconds float64
+	// NoiseMilliseconds spreads choices made at the same time by daemons that
+	// do not know of each other's yet.
+	NoiseMilliseconds float64
+	// AffinityTokens is the size of a first prompt part from which on requests
+	// keep to the back ends that rendezvous hashing names.
+	AffinityTokens int
+}
+
+// DefaultCostModel returns the weights for services that read prompts.
+func DefaultCostModel() CostModel {
+	return CostModel{TokensPerMillisecond: 85, RequestMilliseconds: 2, QueueMilliseconds: 50, NoiseMilliseconds: 4, AffinityTokens: 2000}
+}
+
+// Cost estimates the milliseconds until the first token at the candidate.
+func (m CostModel) Cost(candidate Candidate) float64 {
+	inFlight := candidate.Online + candidate.Batch
+	queued := max(inFlight+1-candidate.Slots, 0)
+	queued = max(queued, candidate.Waiting)
+	// A short queue of batch items gives way within a moment.
+	read := float64(candidate.PendingTokens+candidate.UncachedTokens) / m.TokensPerMillisecond
+	return read + float64(inFlight)*m.RequestMilliseconds + float64(queued)*m.QueueMilliseconds
+}
+
+// ChooseByCost picks the candidate with the lowest estimated cost. Excluded
+// ones have failed the request already. It reports false when none is left.
+func ChooseByCost(model CostModel, prompt []PromptPart, candidates []Candidate, excluded map[string]bool, random *rand.Rand) (Candidate, bool) {
+	for _, useEjected := range []bool{false, true} {
+		best, found := cheapest(model, prompt, candidates, excluded, useEjected, random)
+		if found {
+			return best, true
+		}
+	}
+	return Candidate{}, false
+}
+
+func cheapest(model CostModel, prompt []PromptPart, candidates []Candidate, excluded map[string]bool, useEjected bool, random *rand.Rand) (Candidate, bool) {
+	var best Candidate
+	lowest, found := 0.0, false
+	homes := model.homes(prompt, candidates)
+	for _, candidate := range candidates {
+		if candidate.Draining || excluded[candidate.ID] || (candidate.Ejected && !useEjected) {
+			continue
+		}
+		cost := model.Cost(candidate) + random.Float64()*model.NoiseMilliseconds
+		if homes[candidate.ID] {
+			// A home will have read the part soon even if this daemon does not
+			// know it yet.
+			cost -= float64(prompt[0].Tokens) / model.TokensPerMillisecond / 2
+		}
+		if !found || cost < lowest {
+			best, lowest, found = candidate, cost, true
+		}
+	}
+	return best, found
+}
+
+const homesPerPrompt = 2
+
+// homes names the back ends on which requests with the same large first part
+// gather, so that all daemons agree without talking.
+func (m CostModel) homes(prompt []PromptPart, candidates []Candidate) map[string]bool {
+	if len(prompt) < 2 || prompt[0].Tokens < m.AffinityTokens {
+		return nil
+	}
+	homes := map[string]bool{}
+	for range homesPerPrompt {
+		best, weight := "", uint64(0)
+		for _, candidate := range candidates {
+			hash := xxhash.Sum64String(prompt[0].ID + "\x00" + candidate.ID)
+			if !candidate.Draining && !homes[candidate.ID] && (best == "" || hash > weight) {
+				best, weight = candidate.ID, hash
+			}
+		}
+		if best != "" {
+			homes[best] = true
+		}
+	}
+	return homes
+}
--- /dev/null
+++ b/internal/serving/core.go
@@ -0,0 +1,85 @@
+package serving
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/route"
+	"topazpulley/internal/routing"
+	"topazpulley/internal/telemetry"
+)
+
+// Core answers online requests. It is safe for concurrent use.
+type Core struct {
+	Backends *backend.Set
+	Sender   Sender
+	Holder   *route.Holder
+	Metrics  *telemetry.Serving
+	Logger   *slog.Logger
+	// Fleet returns the number of daemons that share the back ends'
+	// connections.
+	Fleet func() int
+
+	mutex  sync.Mutex
+	random *rand.Rand
+}
+
+// NewCore returns a core with its own source of randomness.
+func NewCore(backends *backend.Set, sender Sender, holder *route.Holder, metrics *telemetry.Serving, log *slog.Logger, fleet func() int) *Core {
+	return &Core{
+		Backends: backends, Sender: sender, Holder: holder, Metrics: metrics, Logger: log, Fleet: fleet,
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// Serve answers one request. The context ends when the caller leaves.
+func (c *Core) Serve(ctx context.Context, request Request, responder Responder) {
+	end := request.Arrived.Add(request.Route.Timeout)
+	if request.Deadline.Before(end) {
+		end = request.Deadline
+	}
+	bounded, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	served := &exchange{
+		core: c, request: request, responder: responder, caller: ctx, end: end,
+		excluded: map[string]bool{}, lastEvent: request.LastEvent,
+	}
+	served.run(bounded)
+	served.record()
+}
+
+// choose picks a back end for the request and counts the request there.
+func (c *Core) choose(request *Request, excluded map[string]bool) (*backend.Lease, routing.Candidate, bool) {
+	candidates := c.Backends.Candidates(request.Service, request.Prompt, time.Now())
+	c.mutex.Lock()
+	chosen, found := routing.ChooseByCost(routing.DefaultCostModel(), request.Prompt, candidates, excluded, c.random)
+	c.mutex.Unlock()
+	if !found {
+		return nil, routing.Candidate{}, false
+	}
+	lease, found := c.Backends.Acquire(chosen.ID, backend.Online, request.Prompt)
+	return lease, chosen, found
+}
+
+// spareDaemons is the reserve for daemons that join without being known yet.
+const spareDaemons = 2
+
+// ConnectionShare returns how many connections to one back end of the service
+// this daemon may hold.
+func (c *Core) ConnectionShare(service string) int {
+	current := c.Holder.Current()
+	if current == nil {
+		return 1
+	}
+	configured, found := current.Service(service)
+	if !found || configured.MaxConnections == 0 {
+		return unboundedConnections
+	}
+	return max(configured.MaxConnections/(c.Fleet()+spareDaemons), 1)
+}
+
+const unboundedConnections = 1024
--- /dev/null
+++ b/internal/serving/exchange.go
@@ -0,0 +1,358 @@
+package serving
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/route"
+	"topazpulley/internal/routing"
+	"topazpulley/internal/watchdog"
+)
+
+const (
+	// maxSends bounds how often one request is offered to back ends that
+	// refuse it.
+	maxSends = 8
+	// refusalPause is the pause when all back ends refuse.
+	refusalPause = 40 * time.Millisecond
+	// plainPatience and streamPatience are multiples of the objective after
+	// which a repeatable request is taken from a silent back end.
+	plainPatience  = 3
+	streamPatience = 4
+	// eventPatience is how long a resumable stream may pause.
+	eventPatience  = 1500 * time.Millisecond
+	retryAfterFull = 300 * time.Millisecond
+	retryAfterNone = 500 * time.Millisecond
+	// minimumRemaining is the least time for which an attempt is worth it.
+	minimumRemaining = 5 * time.Millisecond
+)
+
+// exchange is one request on its way. It is used by one goroutine.
+type exchange struct {
+	core      *Core
+	request   Request
+	responder Responder
+	caller    context.Context
+	end       time.Time
+
+	excluded  map[string]bool
+	sends     int
+	runs      int
+	unknown   bool
+	begun     bool
+	lastEvent int64
+	events    int
+	firstAt   time.Time
+
+	last    backend.Instance
+	cost    routing.Candidate
+	reason  Reason
+	outcome string
+}
+
+// run sends attempts until the request has its final answer.
+func (e *exchange) run(ctx context.Context) {
+	for {
+		lease, chosen, found := e.core.choose(&e.request, e.excluded)
+		if !found {
+			if e.awaitRoom(ctx) {
+				continue
+			}
+			e.giveUp(retryAfterNone, "no_back_end")
+			return
+		}
+		e.last, e.cost = lease.Instance(), chosen
+		err := e.attempt(ctx, lease)
+		lease.Release()
+		if err == nil {
+			return
+		}
+		if !e.mayGoOn(ctx, err) {
+			e.giveUp(retryAfterFull, string(e.reason))
+			return
+		}
+	}
+}
+
+// awaitRoom waits a moment for back ends when none can be chosen and reports
+// whether trying again makes sense.
+func (e *exchange) awaitRoom(ctx context.Context) bool {
+	patience := e.request.Arrived.Add(e.request.Route.Objective)
+	if len(e.excluded) == 0 {
+		// No back end is known at all: a caller that comes back soon does
+		// better than one that waits here.
+		patience = e.request.Arrived.Add(e.request.Route.Objective / 4)
+	}
+	if e.begun {
+		patience = e.end
+	}
+	if time.Now().After(patience) || e.runs >= e.request.Route.MaxAttempts {
+		return false
+	}
+	timer := time.NewTimer(refusalPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	}
+	clear(e.excluded)
+	return true
+}
+
+// attempt sends the request to one back end. It returns nil when the request
+// has its final answer.
+func (e *exchange) attempt(ctx context.Context, lease *backend.Lease) error {
+	remaining := time.Until(e.end)
+	if remaining < minimumRemaining {
+		return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonEnded}
+	}
+	e.sends++
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watched := e.startWatchdog(cancel)
+	defer watched.Stop()
+	answer, err := e.core.Sender.Send(bounded, Attempt{
+		Instance: e.last, MaxConnections: e.core.ConnectionShare(e.request.Service),
+		ID: e.request.ID, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
+		Fields: e.request.Fields, Body: e.request.Body, Remaining: remaining,
+		LastEvent: e.lastEvent, Stream: e.request.Route.Kind == route.KindStream,
+	})
+	if err != nil {
+		err = explain(watched, err)
+		e.noteFailure(err)
+		return err
+	}
+	defer answer.Close()
+	if report, told := answer.Load(); told {
+		e.core.Backends.Reported(e.last.ID, report, time.Now())
+	}
+	if answer.Head().Events && answer.Head().Successful() {
+		err = e.relay(answer, lease, watched)
+	} else {
+		err = e.passWhole(answer)
+	}
+	if err != nil {
+		err = explain(watched, err)
+		e.noteFailure(err)
+		return err
+	}
+	return nil
+}
+
+// startWatchdog arms a watchdog if the request may run elsewhere. For other
+// requests silence is no reason to end an answer.
+func (e *exchange) startWatchdog(cancel func()) *watchdog.Watchdog {
+	if !e.request.Route.Repeatable() || e.runs+1 >= e.request.Route.MaxAttempts {
+		return nil
+	}
+	if e.request.Route.Kind == route.KindStream {
+		return watchdog.Start(e.request.Route.Objective*streamPatience, eventPatience, cancel)
+	}
+	patience := e.request.Route.Objective * plainPatience
+	return watchdog.Start(patience, patience, cancel)
+}
+
+// explain names silence as the reason of a failure that a watchdog caused.
+func explain(watched *watchdog.Watchdog, err error) error {
+	if !watched.Fired() {
+		return err
+	}
+	return &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonSilent, Cause: err}
+}
+
+// passWhole reads an answer to its end before the caller sees any of it.
+func (e *exchange) passWhole(answer Answer) error {
+	head := answer.Head()
+	body, err := answer.Body()
+	if err != nil {
+		return err
+	}
+	if !head.Successful() && e.mayRepeatFailure(head) {
+		return &AttemptError{Outcome: OutcomeFailed, Reason: ReasonError}
+	}
+	if e.begun {
+		return &AttemptError{Outcome: OutcomeFailed, Reason: ReasonError}
+	}
+	e.runs++
+	if head.Successful() {
+		e.core.Backends.Succeeded(e.last.ID)
+	}
+	e.firstAt = time.Now()
+	e.outcome = "served"
+	if !head.Successful() {
+		e.outcome = "failure_passed_on"
+	}
+	if err := e.responder.Whole(head, body); err != nil {
+		e.outcome = "caller_gone"
+	}
+	return nil
+}
+
+// mayRepeatFailure reports whether a back end's own failure is tried again
+// elsewhere and not passed on.
+func (e *exchange) mayRepeatFailure(head Head) bool {
+	isServerFault := head.Status >= 500
+	return isServerFault && e.request.Route.Repeatable() && e.runs+1 < e.request.Route.MaxAttempts && time.Until(e.end) > minimumRemaining
+}
+
+// relay passes events on as they come.
+func (e *exchange) relay(answer Answer, lease *backend.Lease, watched *watchdog.Watchdog) error {
+	for {
+		event, err := answer.Next()
+		if errors.Is(err, io.EOF) {
+			return e.finish(answer)
+		}
+		if err != nil {
+			return err
+		}
+		if event.ID != 0 && event.ID != e.lastEvent+1 {
+			return &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonSpoiled}
+		}
+		watched.Feed()
+		lease.Started()
+		if err := e.passEvent(answer, event); err != nil {
+			e.outcome = "caller_gone"
+			return nil
+		}
+	}
+}
+
+func (e *exchange) passEvent(answer Answer, event Event) error {
+	if err := e.begin(answer); err != nil {
+		return err
+	}
+	e.lastEvent = event.ID
+	e.events++
+	return e.responder.Event(event.Raw)
+}
+
+// begin sends the head once: a resumed stream keeps the first one.
+func (e *exchange) begin(answer Answer) error {
+	if e.begun {
+		return nil
+	}
+	e.begun = true
+	e.firstAt = time.Now()
+	return e.responder.Begin(answer.Head())
+}
+
+func (e *exchange) finish(answer Answer) error {
+	e.runs++
+	e.core.Backends.Succeeded(e.last.ID)
+	e.outcome = "served"
+	if err := e.begin(answer); err != nil {
+		e.outcome = "caller_gone"
+		return nil
+	}
+	if err := e.responder.Finish(); err != nil {
+		e.outcome = "caller_gone"
+	}
+	return nil
+}
+
+// noteFailure records a failed attempt against its back end.
+func (e *exchange) noteFailure(err error) {
+	failed := attemptError(err)
+	e.reason = failed.Reason
+	if e.caller.Err() != nil {
+		return
+	}
+	now := time.Now()
+	switch failed.Reason {
+	case ReasonUnreachable:
+		e.core.Backends.Unreachable(e.last.ID, now)
+	case ReasonBroken, ReasonSpoiled, ReasonSilent, ReasonError:
+		e.core.Backends.Failed(e.last.ID, now)
+	case ReasonOtherInstance:
+		e.core.Backends.Remove(e.last.ID)
+	}
+	e.core.Metrics.Attempts.WithLabelValues(failed.Outcome.String(), string(failed.Reason)).Inc()
+	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "outcome", failed.Outcome.String(),
+		"reason", string(failed.Reason), "cause", failed.Cause, "last_event", e.lastEvent)
+}
+
+func attemptError(err error) *AttemptError {
+	var failed *AttemptError
+	if errors.As(err, &failed) {
+		return failed
+	}
+	return &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonBroken, Cause: err}
+}
+
+// mayGoOn decides after a failed attempt whether another back end may take the
+// request.
+func (e *exchange) mayGoOn(ctx context.Context, err error) bool {
+	failed := attemptError(err)
+	e.reason = failed.Reason
+	e.excluded[e.last.ID] = true
+	if failed.Outcome != OutcomeNotRun {
+		e.unknown = true
+		if e.counts(failed) {
+			e.runs++
+		}
+	}
+	if ctx.Err() != nil || e.sends >= maxSends || time.Until(e.end) < minimumRemaining {
+		return false
+	}
+	if failed.Outcome == OutcomeNotRun {
+		return true
+	}
+	return e.request.Route.Repeatable() && e.runs < e.request.Route.MaxAttempts
+}
+
+// counts reports whether a failed attempt counts against the greatest number
+// of attempts: one at a back end that has ended does not.
+func (e *exchange) counts(failed *AttemptError) bool {
+	if failed.Reason != ReasonBroken {
+		return true
+	}
+	_, isListed := e.core.Backends.Get(e.last.ID)
+	return isListed
+}
+
+// giveUp tells the caller the one thing that is known.
+func (e *exchange) giveUp(retryAfter time.Duration, code string) {
+	if e.caller.Err() != nil {
+		e.outcome = "caller_gone"
+		e.responder.Abort()
+		return
+	}
+	if e.begun {
+		e.outcome = "broken_off"
+		e.responder.Abort()
+		return
+	}
+	refusal := Refusal{Verdict: VerdictNotRun, RetryAfter: retryAfter, Code: code}
+	isOver := time.Until(e.end) < minimumRemaining
+	switch {
+	case e.unknown && isOver:
+		refusal = Refusal{Verdict: VerdictTimeout, Code: code}
+	case e.unknown:
+		refusal = Refusal{Verdict: VerdictUnknown, Code: code}
+	}
+	e.outcome = refusal.Verdict.String()
+	if err := e.responder.Refuse(refusal); err != nil {
+		e.outcome = "caller_gone"
+	}
+}
+
+// record writes the request's one line and its metrics.
+func (e *exchange) record() {
+	took := time.Since(e.request.Arrived)
+	e.core.Metrics.Requests.WithLabelValues(e.request.Service, e.outcome).Inc()
+	e.core.Metrics.Duration.WithLabelValues(e.request.Service).Observe(took.Seconds())
+	first := time.Duration(0)
+	if !e.firstAt.IsZero() {
+		first = e.firstAt.Sub(e.request.Arrived)
+		e.core.Metrics.FirstOutput.WithLabelValues(e.request.Service).Observe(first.Seconds())
+	}
+	e.core.Logger.Info("request_ended", "id", e.request.ID, "outcome", e.outcome, "reason", string(e.reason),
+		"route", e.request.Route.Name, "config", e.request.ConfigVersion, "backend", e.last.ID, "sends", e.sends, "runs", e.runs,
+		"online", e.cost.Online, "batch", e.cost.Batch, "slots", e.cost.Slots, "pending_tokens", e.cost.PendingTokens,
+		"uncached_tokens", e.cost.UncachedTokens, "events", e.events, "first_ms", first.Milliseconds(), "took_ms", took.Milliseconds())
+}
--- /dev/null
+++ b/internal/serving/request.go
@@ -0,0 +1,212 @@
+// Package serving is the core that answers one online request: it chooses back
+// ends, sends attempts, retries and resumes where that is allowed, and decides
+// what the caller is told. It knows no protocol: callers stand behind
+// Responder, back ends behind Sender.
+package serving
+
+import (
+	"context"
+	"time"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/route"
+	"topazpulley/internal/routing"
+)
+
+// Field is one header field that is passed on end to end.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// Request is one caller's request, read in full.
+type Request struct {
+	// ID is the caller's; every attempt at a back end carries it.
+	ID     string
+	Method string
+	// Target is the request target as the caller sent it.
+	Target string
+	Host   string
+	Fields []Field
+	Body   []byte
+	Route  *route.Route
+	// ConfigVersion is the version of the configuration that Route is from.
+	ConfigVersion int64
+	// Service is where the route sends this request.
+	Service string
+	// Prompt is the parts of the prompt in order; empty for plain services.
+	Prompt  []routing.PromptPart
+	Arrived time.Time
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// LastEvent is the last event of the stream that the caller has; 0 means
+	// that it has none.
+	LastEvent int64
+}
+
+// Attempt is one dispatch of a request to a back end.
+type Attempt struct {
+	Instance backend.Instance
+	// MaxConnections bounds this daemon's connections to the back end.
+	MaxConnections int
+	ID             string
+	Method         string
+	Target         string
+	Host           string
+	Fields         []Field
+	Body           []byte
+	// Remaining is how long the back end may work.
+	Remaining time.Duration
+	// LastEvent asks a stream to go on behind this event; 0 means from the
+	// start.
+	LastEvent int64
+	// Stream tells that the answer is a series of events.
+	Stream bool
+}
+
+// Head is the beginning of an answer.
+type Head struct {
+	Status int
+	Fields []Field
+	// Signed tells that the back end signed the answer.
+	Signed bool
+	// Events tells that the body is a series of events.
+	Events bool
+}
+
+// Successful reports whether the status is one of success.
+func (h Head) Successful() bool { return h.Status >= 200 && h.Status < 300 }
+
+// Event is one whole event of a stream.
+type Event struct {
+	// ID rises by one from event to event.
+	ID int64
+	// Raw is the event as the back end sent it, its empty line included. It is
+	// valid until the next call.
+	Raw []byte
+	// Data is the event's data without the line's name. It is valid until the
+	// next call.
+	Data []byte
+}
+
+// Answer is a back end's answer whose head has come.
+type Answer interface {
+	Head() Head
+	// Load returns what the back end told of its load.
+	Load() (backend.Report, bool)
+	// Body reads the rest of an answer that is not a series of events.
+	Body() ([]byte, error)
+	// Next returns the next event, or io.EOF behind the last one of a stream
+	// that ended as complete.
+	Next() (Event, error)
+	// Close gives the answer up if it has not ended; the back end then stops.
+	Close()
+}
+
+// Sender sends attempts to back ends. An error is an *AttemptError. The answer
+// is given up when the context ends.
+type Sender interface {
+	Send(ctx context.Context, attempt Attempt) (Answer, error)
+}
+
+// Responder is the caller's side of a request. One of Whole, Refuse, Finish
+// and Abort ends it; Begin and Event come before Finish or Abort.
+type Responder interface {
+	Begin(head Head) error
+	Event(raw []byte) error
+	Finish() error
+	Whole(head Head, body []byte) error
+	Refuse(refusal Refusal) error
+	// Abort closes the connection so that the answer cannot look complete.
+	Abort()
+}
+
+// Outcome says what is known of an attempt that gave no answer.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// OutcomeNotRun tells that the back end did not run the request and never
+	// will.
+	OutcomeNotRun Outcome = iota
+	// OutcomeFailed tells that the back end ran the request and failed.
+	OutcomeFailed
+	// OutcomeUnknown tells that the request was sent and that its end cannot
+	// be learnt.
+	OutcomeUnknown
+)
+
+// String returns the name that logs carry.
+func (o Outcome) String() string { return [...]string{"not_run", "failed", "unknown"}[o] }
+
+// Reason says why an attempt gave no answer.
+type Reason string
+
+// The reasons.
+const (
+	ReasonUnreachable   Reason = "unreachable"
+	ReasonRefused       Reason = "refused"
+	ReasonOtherInstance Reason = "other_instance"
+	ReasonNoConnection  Reason = "no_connection"
+	ReasonBroken        Reason = "broken"
+	ReasonSpoiled       Reason = "spoiled"
+	ReasonSilent        Reason = "silent"
+	ReasonEnded         Reason = "ended"
+	ReasonError         Reason = "error"
+)
+
+// AttemptError tells why an attempt gave no answer.
+type AttemptError struct {
+	Outcome Outcome
+	Reason  Reason
+	Cause   error
+}
+
+// Error implements error.
+func (e *AttemptError) Error() string {
+	text := "attempt " + e.Outcome.String() + ": " + string(e.Reason)
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause, or nil.
+func (e *AttemptError) Unwrap() error { return e.Cause }
+
+// Verdict is what a caller is told when no back end's answer is passed on.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// VerdictNotRun promises that the request did not run and never will.
+	VerdictNotRun Verdict = iota
+	// VerdictUnknown promises nothing.
+	VerdictUnknown
+	// VerdictTimeout tells that the time was over; it promises nothing.
+	VerdictTimeout
+	// VerdictNoRoute tells that no configured route takes the request.
+	VerdictNoRoute
+	// VerdictInvalid tells that the request is malformed.
+	VerdictInvalid
+	// VerdictTooLarge tells that the body exceeds the limit.
+	VerdictTooLarge
+	// VerdictHeaderTooLarge tells that the header exceeds the limit.
+	VerdictHeaderTooLarge
+	// VerdictHeaderTimeout tells that the request did not come in time.
+	VerdictHeaderTimeout
+)
+
+// String returns the name that logs and metrics carry.
+func (v Verdict) String() string {
+	return [...]string{"not_run", "unknown", "timeout", "no_route", "invalid", "too_large", "header_too_large", "header_timeout"}[v]
+}
+
+// Refusal is an answer of the daemon's own.
+type Refusal struct {
+	Verdict Verdict
+	// RetryAfter tells when to come back; 0 means no advice.
+	RetryAfter time.Duration
+	// Code names the exact cause.
+	Code string
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/hex"
+	"log/slog"
 	"net"
 	"os"
 	"regexp"
@@ -51,6 +52,24 @@
 	AdvertiseAddress string `toml:"advertise_address"`
 	// PlatformURL is the base address of the table, object and machine services.
 	PlatformURL string `toml:"platform_url"`
+	// StoreAddress is the IP:port of a store that holds configuration,
+	// discovery and jobs. When it is set, the daemon answers callers on
+	// HTTPAddress by the protocol of the platform that runs the store, and
+	// PlatformURL and the operators' settings are not used.
+	StoreAddress string `toml:"store_address"`
+	// ReadyAddress is the IP:port at which the daemon says whether it may get
+	// requests; used with StoreAddress.
+	ReadyAddress string `toml:"ready_address"`
+	// MetricsAddress is the IP:port of the metrics; used with StoreAddress.
+	MetricsAddress string `toml:"metrics_address"`
+	// StopGrace is the longest time that a planned stop may take; used with
+	// StoreAddress.
+	StopGrace Duration `toml:"stop_grace"`
+	// MemoryMegabytes is the memory that the process may use; 0 means no
+	// bound.
+	MemoryMegabytes int `toml:"memory_megabytes"`
+	// LogLevel is "debug", "info", "warn" or "error".
+	LogLevel string `toml:"log_level"`
 	// Seeds are peer addresses to join when the machine list is unreachable.
 	Seeds []string `toml:"seeds"`
 	// ClusterKey authenticates daemons to each other: 32 bytes in hexadecimal.
@@ -81,6 +100,7 @@
 	clusterKeyBytes       = 32
 	defaultProbeInterval  = Duration(time.Second)
 	defaultStopLinger     = Duration(2 * time.Second)
+	defaultStopGrace      = Duration(8 * time.Second)
 	defaultOperations     = 50
 	defaultMaxConnections = 4096
 	defaultMaxBodyBytes   = 64 << 20
@@ -92,6 +112,8 @@
 		RequiredSignatures:          1,
 		ProbeInterval:               defaultProbeInterval,
 		StopLinger:                  defaultStopLinger,
+		StopGrace:                   defaultStopGrace,
+		LogLevel:                    "info",
 		PlatformOperationsPerSecond: defaultOperations,
 		MaxConnections:              defaultMaxConnections,
 		MaxBodyBytes:                defaultMaxBodyBytes,
@@ -180,8 +202,8 @@
 	if err := s.validateAddresses(); err != nil {
 		return err
 	}
-	if s.PlatformURL == "" {
-		return invalid("platform_url", "give the platform's base address, such as \"http://127.0.0.1:7000\"")
+	if err := s.validateServices(); err != nil {
+		return err
 	}
 	if key, err := hex.DecodeString(s.ClusterKey); err != nil || len(key) != clusterKeyBytes {
 		return invalid("cluster_key", "give 32 bytes in hexadecimal")
@@ -204,21 +226,49 @@
 	return nil
 }
 
+// validateServices checks what the daemon needs to know of its store or of the
+// platform's services.
+func (s *Settings) validateServices() error {
+	if s.PlatformURL == "" && s.StoreAddress == "" {
+		return invalid("platform_url", "give the platform's base address, such as \"http://127.0.0.1:7000\", or store_address")
+	}
+	if s.PlatformURL != "" && s.StoreAddress != "" {
+		return invalid("platform_url, store_address", "set one of them")
+	}
+	if s.StopGrace <= 0 {
+		return invalid("stop_grace", "give a positive duration")
+	}
+	if s.MemoryMegabytes < 0 {
+		return invalid("memory_megabytes", "give a positive number, or 0 for no bound")
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		return invalid("log_level", "give debug, info, warn or error")
+	}
+	return nil
+}
+
 func (s *Settings) validateAddresses() error {
-	named := []struct{ key, value string }{
+	named := []address{
 		{"http_address", s.HTTPAddress},
 		{"peer_address", s.PeerAddress},
 		{"advertise_address", s.AdvertiseAddress},
 	}
-	for _, address := range named {
-		host, _, err := net.SplitHostPort(address.value)
+	if s.StoreAddress != "" {
+		named = append(named, address{"store_address", s.StoreAddress}, address{"ready_address", s.ReadyAddress}, address{"metrics_address", s.MetricsAddress})
+	}
+	for _, each := range named {
+		host, _, err := net.SplitHostPort(each.value)
 		if err != nil || net.ParseIP(host) == nil {
-			return invalid(address.key, "give an address by IP number, such as \"127.0.0.1:8080\"")
+			return invalid(each.key, "give an address by IP number, such as \"127.0.0.1:8080\"")
 		}
 	}
 	return nil
 }
 
+// address is a setting that holds an address.
+type address struct{ key, value string }
+
 // ClusterKeyBytes returns the decoded cluster key. Validate has checked it.
 func (s *Settings) ClusterKeyBytes() []byte {
 	key, _ := hex.DecodeString(s.ClusterKey)
--- /dev/null
+++ b/internal/table/follower.go
@@ -0,0 +1,207 @@
+package table
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// retryPause is the mean pause after a failed call.
+	retryPause    = 100 * time.Millisecond
+	pageRows      = 500
+	answerReserve = 700 * time.Millisecond
+	readTimeout   = time.Second
+)
+
+// Consumer receives the rows of a followed table. Calls come from one
+// goroutine.
+type Consumer interface {
+	// Replace receives all rows as of a version.
+	Replace(rows []Row, version Version)
+	// Change receives changed rows in order.
+	Change(rows []Row, version Version)
+}
+
+// Follower keeps a consumer in step with one table. What it hands on never
+// goes back: a read older than what was seen is dropped and repeated.
+type Follower struct {
+	Store    Store
+	Table    string
+	Consumer Consumer
+	Logger   *slog.Logger
+	// Wait is how long one watch call may be held.
+	Wait time.Duration
+	// Partitioned tells that the table has partitions besides the empty one.
+	Partitioned bool
+
+	seen      Version
+	lost      bool
+	confirmed atomic.Int64
+}
+
+// ConfirmedAt returns when the store last answered a call on the table.
+func (f *Follower) ConfirmedAt() time.Time { return time.Unix(0, f.confirmed.Load()) }
+
+// Run follows the table until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	inStep := false
+	for ctx.Err() == nil {
+		var err error
+		if inStep {
+			err = f.watch(ctx)
+		} else {
+			inStep, err = f.read(ctx)
+		}
+		f.note(err)
+		if isCompacted(err) {
+			inStep = false
+		}
+		if err != nil {
+			pause(ctx)
+		}
+	}
+}
+
+// note logs the loss and the return of the store for this table.
+func (f *Follower) note(err error) {
+	if err == nil {
+		f.confirmed.Store(time.Now().UnixNano())
+	}
+	isLost := err != nil && !isCompacted(err)
+	if isLost == f.lost {
+		return
+	}
+	f.lost = isLost
+	if isLost {
+		f.Logger.Warn("table_lost", "table", f.Table, "version", f.seen, "error", err)
+		return
+	}
+	f.Logger.Info("table_regained", "table", f.Table, "version", f.seen)
+}
+
+func isCompacted(err error) bool {
+	var failed *Error
+	return errors.As(err, &failed) && failed.Kind == ErrorCompacted
+}
+
+func pause(ctx context.Context) {
+	timer := time.NewTimer(retryPause/2 + rand.N(retryPause))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// watch waits for changes once.
+func (f *Follower) watch(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, f.Wait+answerReserve)
+	defer cancel()
+	changes, err := f.Store.Watch(bounded, f.Table, f.seen, f.Wait)
+	if err != nil {
+		return err
+	}
+	if changes.Version < f.seen {
+		return &Error{Kind: ErrorCompacted, Call: "watch"}
+	}
+	if len(changes.Rows) > 0 {
+		f.Consumer.Change(changes.Rows, changes.Version)
+	}
+	f.seen = changes.Version
+	return nil
+}
+
+// read reads the whole table. A state older than what was seen is refused. The
+// version is that of a read before the partitions are listed, so that changes
+// made meanwhile are seen again as changes.
+func (f *Follower) read(ctx context.Context) (bool, error) {
+	all, version, err := f.readPartition(ctx, "")
+	if err != nil {
+		return false, err
+	}
+	if version < f.seen {
+		return false, &Error{Kind: ErrorNotDone, Call: "stale_read"}
+	}
+	if f.Partitioned {
+		partitioned, err := f.readPartitions(ctx, version)
+		if err != nil {
+			return false, err
+		}
+		all = append(all, partitioned...)
+	}
+	f.Consumer.Replace(all, version)
+	f.seen = version
+	f.Logger.Info("table_read", "table", f.Table, "version", version, "rows", len(all))
+	return true, nil
+}
+
+// readPartitions reads all partitions with a name; none may be older than the
+// version.
+func (f *Follower) readPartitions(ctx context.Context, atLeast Version) ([]Row, error) {
+	partitions, err := f.partitions(ctx)
+	if err != nil {
+		return nil, err
+	}
+	all := []Row{}
+	for _, partition := range partitions {
+		if partition == "" {
+			continue
+		}
+		rows, version, err := f.readPartition(ctx, partition)
+		if err != nil {
+			return nil, err
+		}
+		if version < atLeast {
+			return nil, &Error{Kind: ErrorNotDone, Call: "stale_read"}
+		}
+		all = append(all, rows...)
+	}
+	return all, nil
+}
+
+func (f *Follower) partitions(ctx context.Context) ([]string, error) {
+	all := []string{}
+	after := ""
+	for {
+		bounded, cancel := context.WithTimeout(ctx, readTimeout)
+		page, more, err := f.Store.Partitions(bounded, f.Table, after)
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page...)
+		if !more || len(page) == 0 {
+			return all, nil
+		}
+		after = page[len(page)-1]
+	}
+}
+
+// readPartition reads all rows of a partition; the version is that of its
+// first page, so that changes made meanwhile are seen again.
+func (f *Follower) readPartition(ctx context.Context, partition string) ([]Row, Version, error) {
+	rows := []Row{}
+	version := Version(-1)
+	from := ""
+	for {
+		bounded, cancel := context.WithTimeout(ctx, readTimeout)
+		page, err := f.Store.Read(bounded, Range{Table: f.Table, Partition: partition, From: from, Limit: pageRows})
+		cancel()
+		if err != nil {
+			return nil, 0, err
+		}
+		if version < 0 {
+			version = page.Version
+		}
+		rows = append(rows, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return rows, version, nil
+		}
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+}
--- /dev/null
+++ b/internal/telemetry/async.go
@@ -0,0 +1,78 @@
+package telemetry
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// AsyncWriter hands lines to a slower writer without ever waiting for it. What
+// does not fit its bounded queue is dropped and counted.
+type AsyncWriter struct {
+	target  io.Writer
+	limit   int
+	dropped atomic.Uint64
+	mutex   sync.Mutex
+	pending []byte
+	wake    chan struct{}
+	done    chan struct{}
+	closed  bool
+}
+
+// NewAsyncWriter starts a writer that holds at most limit bytes.
+func NewAsyncWriter(target io.Writer, limit int) *AsyncWriter {
+	writer := &AsyncWriter{target: target, limit: limit, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go writer.run()
+	return writer
+}
+
+// Write queues one line. It never fails and never waits.
+func (w *AsyncWriter) Write(line []byte) (int, error) {
+	w.mutex.Lock()
+	if w.closed || len(w.pending)+len(line) > w.limit {
+		w.mutex.Unlock()
+		w.dropped.Add(1)
+		return len(line), nil
+	}
+	w.pending = append(w.pending, line...)
+	w.mutex.Unlock()
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (w *AsyncWriter) Dropped() uint64 { return w.dropped.Load() }
+
+// Close writes what is queued and ends the writer.
+func (w *AsyncWriter) Close() {
+	w.mutex.Lock()
+	w.closed = true
+	w.mutex.Unlock()
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	<-w.done
+}
+
+func (w *AsyncWriter) run() {
+	defer close(w.done)
+	spare := []byte{}
+	for range w.wake {
+		w.mutex.Lock()
+		batch := w.pending
+		w.pending = spare[:0]
+		isClosed := w.closed
+		w.mutex.Unlock()
+		if len(batch) > 0 {
+			_, _ = w.target.Write(batch)
+		}
+		spare = batch
+		if isClosed {
+			return
+		}
+	}
+}
