--- a/internal/job/claims.go
+++ b/internal/job/claims.go
@@ -42,7 +42,7 @@
 		claims[row.Key] = heldClaim{claim: read, version: row.Version}
 	}
 	s.mutex.Lock()
-	s.claims = claims
+	s.claims, s.followed = claims, version
 	lost := []string{}
 	for id, held := range s.owned {
 		if found, exists := claims[id]; held.claim.version < version && (!exists || found.version != held.claim.version) {
@@ -56,10 +56,13 @@
 }
 
 // Change implements table.Consumer for the table of claims.
-func (s *Service) Change(rows []table.Row, _ table.Version) {
+func (s *Service) Change(rows []table.Row, version table.Version) {
 	for _, row := range rows {
 		s.changeClaim(row)
 	}
+	s.mutex.Lock()
+	s.followed = version
+	s.mutex.Unlock()
 }
 
 func (s *Service) changeClaim(row table.Row) {
@@ -185,10 +188,6 @@
 	if err != nil {
 		return ownedClaim{}, err
 	}
-	s.mutex.Lock()
-	s.claims[id] = heldClaim{claim: next, version: version}
-	delete(s.orphans, id)
-	s.mutex.Unlock()
 	s.log.Info("job_taken_over", "job", id, "owner_before", held.claim.Owner, "epoch", next.Epoch, "version", version)
 	return ownedClaim{claim: next, version: version}, nil
 }
--- /dev/null
+++ b/internal/job/fleet_test.go
@@ -0,0 +1,223 @@
+package job_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/job"
+	"topazpulley/internal/route"
+	"topazpulley/internal/serving"
+	"topazpulley/internal/table"
+	"topazpulley/internal/telemetry"
+)
+
+const (
+	patience   = 30 * time.Second
+	pollTime   = 10 * time.Millisecond
+	itemEvents = 5
+	service    = "generator"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// runners answers items with itemEvents events each. It counts what runs.
+type runners struct {
+	mutex sync.Mutex
+	// pause is the time between events.
+	pause time.Duration
+	// breakShare is the share of attempts that break off after two events.
+	breakShare float64
+	// status is the answer to an item by its id; 0 means success.
+	status map[string]int
+	starts map[string]int
+	onRun  func(id string)
+}
+
+func newRunners() *runners { return &runners{status: map[string]int{}, starts: map[string]int{}} }
+
+func (r *runners) Send(ctx context.Context, attempt serving.Attempt) (serving.Answer, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if ctx.Err() != nil {
+		return nil, &serving.AttemptError{Outcome: serving.OutcomeNotRun, Reason: serving.ReasonEnded}
+	}
+	r.starts[attempt.ID]++
+	if r.onRun != nil {
+		r.onRun(attempt.ID)
+	}
+	sent := &itemAnswer{ctx: ctx, id: attempt.ID, next: attempt.LastEvent + 1, pause: r.pause, status: 200}
+	if status := r.status[attempt.ID]; status != 0 {
+		sent.status = status
+	}
+	if rand.Float64() < r.breakShare {
+		sent.breakAt = sent.next + 2
+	}
+	return sent, nil
+}
+
+func (r *runners) started(id string) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.starts[id]
+}
+
+type itemAnswer struct {
+	ctx     context.Context
+	id      string
+	next    int64
+	breakAt int64
+	pause   time.Duration
+	status  int
+}
+
+func (a *itemAnswer) Head() serving.Head {
+	return serving.Head{Status: a.status, Signed: true, Events: a.status == 200}
+}
+func (a *itemAnswer) Load() (backend.Report, bool) { return backend.Report{}, false }
+func (a *itemAnswer) Body() ([]byte, error)        { return nil, nil }
+func (a *itemAnswer) Close()                       {}
+
+func (a *itemAnswer) Next() (serving.Event, error) {
+	select {
+	case <-a.ctx.Done():
+		return serving.Event{}, &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
+	case <-time.After(a.pause):
+	}
+	if a.next > itemEvents {
+		return serving.Event{}, io.EOF
+	}
+	if a.breakAt != 0 && a.next >= a.breakAt {
+		return serving.Event{}, &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
+	}
+	event := serving.Event{ID: a.next, Data: []byte(eventData(a.id, a.next))}
+	a.next++
+	return event, nil
+}
+
+func eventData(id string, number int64) string { return fmt.Sprintf("%s-%d", id, number) }
+
+// wholeText is the text of a completed item.
+func wholeText(id string) string {
+	text := ""
+	for number := int64(1); number <= itemEvents; number++ {
+		if number > 1 {
+			text += "\n"
+		}
+		text += eventData(id, number)
+	}
+	return text
+}
+
+// livePeers tells which daemons a test has killed.
+type livePeers struct {
+	mutex sync.Mutex
+	gone  map[string]bool
+	rank  int
+}
+
+func (p *livePeers) Liveness(name string, _ int64) job.Liveness {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.gone[name] {
+		return job.LivenessGone
+	}
+	return job.LivenessAlive
+}
+
+func (p *livePeers) Rank(string) int { return p.rank }
+
+func (p *livePeers) kill(name string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.gone[name] = true
+}
+
+// daemon is one job service with its follower.
+type daemon struct {
+	*job.Service
+	name   string
+	cancel context.CancelFunc
+	peers  *livePeers
+}
+
+// startDaemon starts a service over the store. wrap may stand in front of the
+// store for this daemon alone.
+func startDaemon(t *testing.T, name string, store table.Store, runner serving.Sender) *daemon {
+	t.Helper()
+	backends := backend.NewSet()
+	backends.Put(backend.Instance{ID: "one", Service: service, Slots: 100})
+	holder := &route.Holder{}
+	holder.Apply(route.Config{Version: 1, Routes: []route.Route{{
+		Name: "jobs", Host: "host.example", Prefix: "/jobs/", Kind: route.KindJob, MaxAttempts: 3,
+		Targets: []route.Target{{Service: service, Weight: 1}},
+	}}}, time.Now())
+	started := &daemon{name: name, peers: &livePeers{gone: map[string]bool{}}}
+	monotonic := table.NewMonotonic(store)
+	started.Service = job.NewService(job.Dependencies{
+		Self: job.Self{Name: name, Incarnation: 1}, Store: monotonic, Backends: backends, Sender: runner, Holder: holder,
+		Peers: started.peers, Metrics: telemetry.NewServing(prometheus.NewRegistry()), Logger: quiet, Connections: func(string) int { return 100 },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	started.cancel = cancel
+	t.Cleanup(cancel)
+	follower := &table.Follower{Store: monotonic, Table: started.FollowedTable(), Consumer: started.Service, Logger: quiet, Wait: 100 * time.Millisecond, Partitioned: true}
+	go follower.Run(ctx)
+	go started.Run(ctx)
+	return started
+}
+
+func newJob(id string, items int) job.Job {
+	made := job.Job{ID: id, Host: "host.example", SubmittedAt: time.Now(), Due: 20 * time.Second}
+	for index := range items {
+		made.Items = append(made.Items, job.Item{ID: fmt.Sprintf("%s-item%d", id, index), Path: "/jobs/run", Body: []byte{byte(index)}})
+	}
+	return made
+}
+
+// allResults reads a job from the start until nothing more is listed.
+func allResults(t *testing.T, reader *daemon, id string) ([]job.Result, int) {
+	t.Helper()
+	all, total := []job.Result{}, 0
+	for {
+		page, err := reader.Results(t.Context(), id, len(all), 0)
+		if err != nil {
+			return all, total
+		}
+		total = page.Total
+		if len(page.Results) == 0 {
+			return all, total
+		}
+		all = append(all, page.Results...)
+	}
+}
+
+// requireAllCompleted waits until every item of a job is listed and checks
+// that each stands there once and whole.
+func requireAllCompleted(t *testing.T, reader *daemon, accepted job.Job) {
+	t.Helper()
+	listed := []job.Result{}
+	require.Eventually(t, func() bool {
+		found, total := allResults(t, reader, accepted.ID)
+		require.GreaterOrEqual(t, len(found), len(listed), "a result is gone")
+		require.Equal(t, listed, found[:len(listed)], "a position changed")
+		listed = found
+		return total == len(accepted.Items) && len(listed) == total
+	}, patience, pollTime)
+	seen := map[string]bool{}
+	for _, result := range listed {
+		require.False(t, seen[result.Item], "item %s stands twice", result.Item)
+		seen[result.Item] = true
+		require.Equal(t, job.StateCompleted, result.State)
+		require.Equal(t, wholeText(result.Item), result.Text)
+	}
+}
--- /dev/null
+++ b/internal/job/job_test.go
@@ -0,0 +1,275 @@
+package job_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/failure"
+	"topazpulley/internal/job"
+	"topazpulley/internal/table"
+	"topazpulley/internal/table/tabletest"
+)
+
+// TestEveryItemCompletesOnce: a job is read at another daemon than the one
+// that runs it.
+func TestEveryItemCompletesOnce(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	owner, reader := startDaemon(t, "a", store, runner), startDaemon(t, "b", store, runner)
+	accepted := newJob("j1", 20)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	requireAllCompleted(t, reader, accepted)
+	body, err := reader.Body(t.Context(), "j1", "j1-item3")
+	require.NoError(t, err)
+	require.Equal(t, []byte{3}, body)
+	_, err = reader.Results(t.Context(), "other", 0, 0)
+	require.True(t, failure.Is(err, failure.KindNotFound))
+}
+
+// TestBrokenItemsGoOnBehindTheirLastEvent: the text is whole although runs
+// break off.
+func TestBrokenItemsGoOnBehindTheirLastEvent(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.breakShare = 0.5
+	owner := startDaemon(t, "a", store, runner)
+	accepted := newJob("j1", 10)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	requireAllCompleted(t, owner, accepted)
+}
+
+// TestResentJobIsTakenOnce: at any daemon, during and after the first run.
+func TestResentJobIsTakenOnce(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	first, second := startDaemon(t, "a", store, runner), startDaemon(t, "b", store, runner)
+	accepted := newJob("j1", 5)
+	require.NoError(t, first.Submit(t.Context(), accepted))
+	require.NoError(t, second.Submit(t.Context(), accepted))
+	requireAllCompleted(t, second, accepted)
+	require.NoError(t, second.Submit(t.Context(), accepted))
+	for _, item := range accepted.Items {
+		require.Equal(t, 1, runner.started(item.ID))
+	}
+}
+
+// TestLostAcceptanceIsTakenUp: the answer to the acceptance is lost, the job
+// exists and is run all the same, by the daemon that sent it.
+func TestLostAcceptanceIsTakenUp(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	owner := startDaemon(t, "a", store, runner)
+	first := true
+	store.SetDecide(func(call string) tabletest.Fault {
+		if call == "commit" && first {
+			first = false
+			return tabletest.FaultLose
+		}
+		return tabletest.FaultNone
+	})
+	accepted := newJob("j1", 5)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	requireAllCompleted(t, owner, accepted)
+}
+
+// TestUnsettledAcceptanceIsNeverPromisedNotRun: the store loses the first
+// answer and then refuses; the acceptance may take effect later.
+func TestUnsettledAcceptanceIsNeverPromisedNotRun(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	owner := startDaemon(t, "a", store, runner)
+	first := true
+	store.SetDecide(func(call string) tabletest.Fault {
+		switch {
+		case call == "commit" && first:
+			first = false
+			return tabletest.FaultLate
+		case call == "commit":
+			return tabletest.FaultRefuse
+		}
+		return tabletest.FaultNone
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	accepted := newJob("j1", 5)
+	err := owner.Submit(ctx, accepted)
+	require.Error(t, err)
+	require.False(t, failure.From(err).NotRun, "promised not run although the job may come to exist")
+	store.SetDecide(nil)
+	store.Settle()
+	requireAllCompleted(t, owner, accepted)
+}
+
+// TestRefusedJobNeverRuns: every try was refused.
+func TestRefusedJobNeverRuns(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	owner := startDaemon(t, "a", store, runner)
+	store.SetDecide(func(call string) tabletest.Fault {
+		if call == "commit" {
+			return tabletest.FaultThrottle
+		}
+		return tabletest.FaultNone
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	err := owner.Submit(ctx, newJob("j1", 5))
+	require.True(t, failure.From(err).NotRun)
+	store.SetDecide(nil)
+	_, err = owner.Results(t.Context(), "j1", 0, 0)
+	require.True(t, failure.Is(err, failure.KindNotFound))
+	require.Zero(t, store.Commits())
+}
+
+// TestOrphanedJobIsTakenOver: the owner is killed in the middle.
+func TestOrphanedJobIsTakenOver(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.pause = 20 * time.Millisecond
+	owner, other := startDaemon(t, "a", store, runner), startDaemon(t, "b", store, runner)
+	accepted := newJob("j1", 20)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	owner.cancel()
+	other.peers.kill("a")
+	requireAllCompleted(t, other, accepted)
+}
+
+// TestFalselySuspectedOwnerCommitsNothingTwice: both run the job; only the
+// holder of the claim commits.
+func TestFalselySuspectedOwnerCommitsNothingTwice(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.pause = 30 * time.Millisecond
+	owner, other := startDaemon(t, "a", store, runner), startDaemon(t, "b", store, runner)
+	accepted := newJob("j1", 20)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	other.peers.kill("a")
+	requireAllCompleted(t, other, accepted)
+	requireAllCompleted(t, owner, accepted)
+}
+
+// TestReleasedJobGoesOnElsewhere: a planned stop.
+func TestReleasedJobGoesOnElsewhere(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.pause = 10 * time.Millisecond
+	owner, other := startDaemon(t, "a", store, runner), startDaemon(t, "b", store, runner)
+	accepted := newJob("j1", 120)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	owner.Stop(t.Context())
+	require.Zero(t, owner.Owned())
+	requireAllCompleted(t, other, accepted)
+}
+
+// TestEndedJobStops: no item is sent once the end was acknowledged and the
+// owner has heard of it.
+func TestEndedJobStops(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.pause = 20 * time.Millisecond
+	owner, other := startDaemon(t, "a", store, runner), startDaemon(t, "b", store, runner)
+	accepted := newJob("j1", 200)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	require.NoError(t, other.End(t.Context(), "j1"))
+	require.NoError(t, other.End(t.Context(), "j1"))
+	require.Eventually(t, func() bool { return owner.Owned() == 0 }, patience, pollTime)
+	before, _ := allResults(t, other, "j1")
+	time.Sleep(300 * time.Millisecond)
+	after, _ := allResults(t, other, "j1")
+	require.Equal(t, before, after)
+}
+
+// gatedStore holds reads of objects until it is opened.
+type gatedStore struct {
+	table.Store
+	reached chan struct{}
+	open    chan struct{}
+	once    sync.Once
+}
+
+func (g *gatedStore) GetObject(ctx context.Context, name string) ([]byte, error) {
+	g.once.Do(func() { close(g.reached) })
+	<-g.open
+	return g.Store.GetObject(ctx, name)
+}
+
+// TestJobEndedDuringTakeoverIsNotRun: the end comes while the daemon that
+// takes the job over still reads its items.
+func TestJobEndedDuringTakeoverIsNotRun(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.pause = 50 * time.Millisecond
+	owner := startDaemon(t, "a", store, runner)
+	accepted := newJob("j1", 200)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	owner.cancel()
+	gated := &gatedStore{Store: store, reached: make(chan struct{}), open: make(chan struct{})}
+	late := newRunners()
+	successor, third := startDaemon(t, "b", gated, late), startDaemon(t, "c", store, runner)
+	successor.peers.kill("a")
+	<-gated.reached
+	require.NoError(t, third.End(t.Context(), "j1"))
+	// The successor's follower must have seen the end before it goes on.
+	time.Sleep(300 * time.Millisecond)
+	close(gated.open)
+	time.Sleep(300 * time.Millisecond)
+	require.Zero(t, successor.Owned())
+	require.Empty(t, late.starts)
+}
+
+// TestImpossibleItemsAreAbandoned: one is refused for good, one fails at every
+// run, and neither is sent without end.
+func TestImpossibleItemsAreAbandoned(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.status["j1-item0"] = 422
+	runner.status["j1-item1"] = 500
+	owner := startDaemon(t, "a", store, runner)
+	require.NoError(t, owner.Submit(t.Context(), newJob("j1", 3)))
+	states := map[string]job.State{}
+	require.Eventually(t, func() bool {
+		listed, _ := allResults(t, owner, "j1")
+		for _, result := range listed {
+			states[result.Item] = result.State
+		}
+		return len(listed) == 3
+	}, patience, pollTime)
+	require.Equal(t, map[string]job.State{"j1-item0": job.StateAbandoned, "j1-item1": job.StateAbandoned, "j1-item2": job.StateCompleted}, states)
+	require.Equal(t, 1, runner.started("j1-item0"))
+	require.Equal(t, 3, runner.started("j1-item1"))
+}
+
+// TestRandomStoreFaults: refused, throttled, lost and late calls, two takeovers
+// and broken runs; every accepted job completes with each item once.
+func TestRandomStoreFaults(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.pause = 5 * time.Millisecond
+	runner.breakShare = 0.1
+	daemons := []*daemon{startDaemon(t, "a", store, runner), startDaemon(t, "b", store, runner), startDaemon(t, "c", store, runner)}
+	random := rand.New(rand.NewPCG(1, rand.Uint64()))
+	store.SetDecide(func(string) tabletest.Fault {
+		if random.Float64() < 0.7 {
+			return tabletest.FaultNone
+		}
+		return tabletest.Fault(random.IntN(int(tabletest.FaultLate) + 1))
+	})
+	accepted := []job.Job{}
+	for index, id := range []string{"j1", "j2", "j3", "j4", "j5", "j6"} {
+		submitted := newJob(id, 15)
+		for daemons[index%3].Submit(t.Context(), submitted) != nil {
+		}
+		accepted = append(accepted, submitted)
+	}
+	for _, survivor := range daemons[1:] {
+		survivor.peers.kill("a")
+	}
+	daemons[0].cancel()
+	stop := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(30 * time.Millisecond):
+				store.Settle()
+			}
+		}
+	}()
+	defer close(stop)
+	for _, submitted := range accepted {
+		requireAllCompleted(t, daemons[1], submitted)
+	}
+}
--- a/internal/job/owned.go
+++ b/internal/job/owned.go
@@ -84,9 +84,10 @@
 		started.works = append(started.works, &work{item: item, owner: started, state: state})
 	}
 	s.mutex.Lock()
-	if s.stopping || s.owned[accepted.ID] != nil {
+	if s.stopping || s.owned[accepted.ID] != nil || s.isSuperseded(accepted.ID, held.version) {
 		s.mutex.Unlock()
 		cancel()
+		s.log.Info("job_not_owned", "job", accepted.ID, "epoch", held.claim.Epoch, "version", held.version)
 		return
 	}
 	s.owned[accepted.ID] = started
@@ -95,6 +96,12 @@
 	s.nudge()
 }
 
+// isSuperseded reports whether a claim was changed or removed since it was
+// committed, as far as the follower has come. mutex must be held.
+func (s *Service) isSuperseded(id string, version table.Version) bool {
+	return s.followed >= version && s.claims[id].version != version
+}
+
 // drop stops running a job whose claim is gone.
 func (s *Service) drop(id, reason string) {
 	s.mutex.Lock()
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -48,7 +48,7 @@
 }
 
 // Service answers calls about jobs and runs the jobs that this daemon owns.
-// mutex guards claims, orphans, owned and accepted.
+// mutex guards the fields behind it.
 type Service struct {
 	self        Self
 	store       table.Store
@@ -65,9 +65,12 @@
 	running  sync.WaitGroup
 	wake     chan struct{}
 
-	mutex    sync.Mutex
-	random   *rand.Rand
+	mutex  sync.Mutex
+	random *rand.Rand
+	// claims are the claim rows as of the version followed. Only the follower
+	// changes them.
 	claims   map[string]heldClaim
+	followed table.Version
 	orphans  map[string]time.Time
 	owned    map[string]*owned
 	accepted map[string]acceptance
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -81,3 +81,10 @@
 	f.Add(framed[frameHeadBytes:])
 	f.Fuzz(func(_ *testing.T, body []byte) { _ = decode(envelopeSchema, body, &envelope{}) })
 }
+
+// TestDatagramsBeforeTheStartAreLost: peers may be heard, and answered, before
+// the own socket is open.
+func TestDatagramsBeforeTheStartAreLost(t *testing.T) {
+	transport := NewTransport("a", "127.0.0.1:0", make([]byte, 32), slog.New(slog.DiscardHandler))
+	require.NotPanics(t, func() { transport.SendDatagram(membership.Datagram{Address: "127.0.0.1:1", Packet: samplePacket()}) })
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -43,9 +43,11 @@
 	handlers map[string]handler
 	onPacket func(membership.Packet)
 
-	booted  chan error
-	engine  gnet.Engine
-	udp     net.PacketConn
+	booted chan error
+	engine gnet.Engine
+	// udp is set once the transport has started; datagrams that come or go
+	// before are lost.
+	udp     atomic.Pointer[net.UDPConn]
 	context context.Context
 	cancel  context.CancelFunc
 	limit   chan struct{}
@@ -137,8 +139,12 @@
 	}
 	file := os.NewFile(uintptr(descriptor), "udp")
 	defer func() { _ = file.Close() }()
-	t.udp, err = net.FilePacketConn(file)
-	return errors.WithStack(err)
+	packets, err := net.FilePacketConn(file)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	t.udp.Store(packets.(*net.UDPConn))
+	return nil
 }
 
 // Stop closes all listeners and connections.
@@ -146,8 +152,8 @@
 	t.cancel()
 	deadline, cancel := context.WithTimeout(context.Background(), bootTimeout)
 	defer cancel()
-	if t.udp != nil {
-		_ = t.udp.Close()
+	if udp := t.udp.Load(); udp != nil {
+		_ = udp.Close()
 	}
 	if t.dialer != nil {
 		_ = t.dialer.Stop()
@@ -157,6 +163,10 @@
 
 // SendDatagram seals and sends a packet. Loss is not reported.
 func (t *Transport) SendDatagram(datagram membership.Datagram) {
+	udp := t.udp.Load()
+	if udp == nil {
+		return
+	}
 	sealed, err := SealDatagram(t.key, datagram.Packet)
 	if err != nil {
 		t.log.Error("datagram_encode_failed", "error", err)
@@ -166,7 +176,7 @@
 	if err != nil {
 		return
 	}
-	_, _ = t.udp.WriteTo(sealed, address)
+	_, _ = udp.WriteTo(sealed, address)
 }
 
 // OnBoot implements gnet.EventHandler.
--- /dev/null
+++ b/internal/table/follower_test.go
@@ -0,0 +1,144 @@
+package table_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/table"
+	"topazpulley/internal/table/tabletest"
+)
+
+const (
+	followed = "followed"
+	patience = 20 * time.Second
+	pollTime = 5 * time.Millisecond
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// recorder keeps the rows that a follower hands on, and every version of the
+// row "counter" in order.
+type recorder struct {
+	mutex   sync.Mutex
+	rows    map[string]string
+	counter []string
+}
+
+func (r *recorder) Replace(rows []table.Row, version table.Version) {
+	r.mutex.Lock()
+	r.rows = map[string]string{}
+	r.mutex.Unlock()
+	r.Change(rows, version)
+}
+
+func (r *recorder) Change(rows []table.Row, _ table.Version) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, row := range rows {
+		if row.Deleted {
+			delete(r.rows, row.Key)
+			continue
+		}
+		r.rows[row.Key] = string(row.Value)
+		if row.Key == "counter" {
+			r.counter = append(r.counter, string(row.Value))
+		}
+	}
+}
+
+func (r *recorder) value(key string) string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.rows[key]
+}
+
+func put(t *testing.T, store *tabletest.Memory, partition, key, value string) {
+	t.Helper()
+	_, err := store.Commit(t.Context(), table.Transaction{Partition: partition, Writes: []table.Write{{Table: followed, Key: key, Value: []byte(value)}}})
+	require.NoError(t, err)
+}
+
+func follow(t *testing.T, store table.Store, consumer table.Consumer) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	follower := &table.Follower{Store: store, Table: followed, Consumer: consumer, Logger: quiet, Wait: 50 * time.Millisecond, Partitioned: true}
+	go follower.Run(ctx)
+}
+
+// TestFollowerSeesChangesOfAllPartitions: rows that exist, that change and
+// that go, in any partition.
+func TestFollowerSeesChangesOfAllPartitions(t *testing.T) {
+	store, seen := tabletest.NewMemory(), &recorder{}
+	put(t, store, "p1", "a", "1")
+	follow(t, table.NewMonotonic(store), seen)
+	require.Eventually(t, func() bool { return seen.value("a") == "1" }, patience, pollTime)
+	put(t, store, "p2", "b", "2")
+	require.Eventually(t, func() bool { return seen.value("b") == "2" }, patience, pollTime)
+	_, err := store.Commit(t.Context(), table.Transaction{Partition: "p1", Removals: []table.Removal{{Table: followed, Key: "a"}}})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return seen.value("a") == "" }, patience, pollTime)
+}
+
+// TestFollowerNeverGoesBack: while the store forgets its history, gives stale
+// reads and refuses calls, what is handed on only rises, and the end is
+// reached.
+func TestFollowerNeverGoesBack(t *testing.T) {
+	store, seen := tabletest.NewMemory(), &recorder{}
+	put(t, store, "", "counter", "0000")
+	follow(t, table.NewMonotonic(store), seen)
+	for round := 1; round <= 30; round++ {
+		if round%5 == 0 {
+			store.Freeze()
+		}
+		put(t, store, "", "counter", fmt.Sprintf("%04d", round))
+		if round%5 == 0 {
+			store.Compact()
+			time.Sleep(20 * time.Millisecond)
+			store.Thaw()
+		}
+		refusals := round % 3
+		store.SetDecide(func(string) tabletest.Fault {
+			if refusals > 0 {
+				refusals--
+				return tabletest.FaultRefuse
+			}
+			return tabletest.FaultNone
+		})
+		time.Sleep(3 * time.Millisecond)
+		store.SetDecide(nil)
+	}
+	require.Eventually(t, func() bool { return seen.value("counter") == "0030" }, patience, pollTime)
+	seen.mutex.Lock()
+	defer seen.mutex.Unlock()
+	for index := 1; index < len(seen.counter); index++ {
+		require.LessOrEqual(t, seen.counter[index-1], seen.counter[index], "state handed on went back")
+	}
+}
+
+// TestStaleReadIsRefused: a process never takes a state older than one it saw.
+func TestStaleReadIsRefused(t *testing.T) {
+	memory := tabletest.NewMemory()
+	store := table.NewMonotonic(memory)
+	put(t, memory, "", "a", "1")
+	memory.Freeze()
+	put(t, memory, "", "a", "2")
+	_, err := store.Watch(t.Context(), followed, 1, time.Second)
+	require.NoError(t, err)
+	_, err = store.Read(t.Context(), table.Range{Table: followed})
+	var failed *table.Error
+	require.ErrorAs(t, err, &failed)
+	require.Equal(t, table.ErrorNotDone, failed.Kind)
+	memory.Thaw()
+	page, err := store.Read(t.Context(), table.Range{Table: followed})
+	require.NoError(t, err)
+	require.Len(t, page.Rows, 1)
+	require.Equal(t, "2", string(page.Rows[0].Value))
+}
--- /dev/null
+++ b/internal/table/tabletest/memory.go
@@ -0,0 +1,305 @@
+// Package tabletest is a store in memory, with the faults of a real one, for
+// tests.
+package tabletest
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"topazpulley/internal/table"
+)
+
+// Fault is how the store treats one call. The zero value is none.
+type Fault uint8
+
+// The faults.
+const (
+	// FaultNone answers the call.
+	FaultNone Fault = iota
+	// FaultRefuse answers that nothing was done.
+	FaultRefuse
+	// FaultThrottle answers that a rate limit was reached.
+	FaultThrottle
+	// FaultLose carries the call out and loses the answer.
+	FaultLose
+	// FaultLate loses the answer and carries the call out when Settle is
+	// called, if its conditions still hold.
+	FaultLate
+)
+
+type rowKey struct{ table, partition, key string }
+
+// Memory is a store in memory. It is safe for concurrent use.
+type Memory struct {
+	mutex   sync.Mutex
+	rows    map[rowKey]table.Row
+	history []table.Row
+	oldest  table.Version
+	version table.Version
+	objects map[string][]byte
+	changed chan struct{}
+	late    []table.Transaction
+	stale   *snapshot
+	commits int
+
+	// Decide chooses the fault of a call by its name; nil means none. It is
+	// called with the store's lock held and must not call the store.
+	Decide func(call string) Fault
+}
+
+// snapshot is an old state for stale reads.
+type snapshot struct {
+	rows    map[rowKey]table.Row
+	version table.Version
+}
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{rows: map[rowKey]table.Row{}, objects: map[string][]byte{}, changed: make(chan struct{}), version: 1}
+}
+
+var _ table.Store = (*Memory)(nil)
+
+// SetDecide replaces the choice of faults.
+func (m *Memory) SetDecide(decide func(call string) Fault) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.Decide = decide
+}
+
+func (m *Memory) decide(call string) Fault {
+	if m.Decide == nil {
+		return FaultNone
+	}
+	return m.Decide(call)
+}
+
+func failed(kind table.ErrorKind, call string) error { return &table.Error{Kind: kind, Call: call} }
+
+// refuse returns the error of a fault that does nothing.
+func refuse(fault Fault, call string) error {
+	switch fault {
+	case FaultRefuse:
+		return failed(table.ErrorNotDone, call)
+	case FaultThrottle:
+		return failed(table.ErrorThrottled, call)
+	}
+	return nil
+}
+
+// Commit implements table.Store.
+func (m *Memory) Commit(_ context.Context, transaction table.Transaction) (table.Version, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	fault := m.decide("commit")
+	if err := refuse(fault, "commit"); err != nil {
+		return 0, err
+	}
+	if fault == FaultLate {
+		m.late = append(m.late, transaction)
+		return 0, failed(table.ErrorUnknown, "commit")
+	}
+	version, err := m.apply(transaction)
+	if fault == FaultLose {
+		return 0, failed(table.ErrorUnknown, "commit")
+	}
+	return version, err
+}
+
+// Settle carries out the calls that were late.
+func (m *Memory) Settle() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, transaction := range m.late {
+		_, _ = m.apply(transaction)
+	}
+	m.late = nil
+}
+
+// Commits returns how many transactions were carried out.
+func (m *Memory) Commits() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.commits
+}
+
+func (m *Memory) apply(transaction table.Transaction) (table.Version, error) {
+	if conflict := m.conflict(transaction); conflict != nil {
+		return 0, conflict
+	}
+	m.version++
+	m.commits++
+	for _, write := range transaction.Writes {
+		m.record(table.Row{Table: write.Table, Partition: transaction.Partition, Key: write.Key, Value: write.Value, Version: m.version})
+	}
+	for _, removal := range transaction.Removals {
+		m.record(table.Row{Table: removal.Table, Partition: transaction.Partition, Key: removal.Key, Version: m.version, Deleted: true})
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return m.version, nil
+}
+
+func (m *Memory) record(row table.Row) {
+	key := rowKey{row.Table, row.Partition, row.Key}
+	if row.Deleted {
+		delete(m.rows, key)
+	} else {
+		m.rows[key] = row
+	}
+	m.history = append(m.history, row)
+}
+
+func (m *Memory) conflict(transaction table.Transaction) error {
+	present := []table.Row{}
+	holds := true
+	for _, condition := range transaction.Conditions {
+		row, exists := m.rows[rowKey{condition.Table, transaction.Partition, condition.Key}]
+		if !exists {
+			row = table.Row{Table: condition.Table, Partition: transaction.Partition, Key: condition.Key}
+		}
+		holds = holds && row.Version == condition.Version
+		present = append(present, row)
+	}
+	if holds {
+		return nil
+	}
+	return &table.ConflictError{Rows: present}
+}
+
+// Freeze keeps the present state for stale reads until Thaw.
+func (m *Memory) Freeze() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.stale = &snapshot{rows: map[rowKey]table.Row{}, version: m.version}
+	for key, row := range m.rows {
+		m.stale.rows[key] = row
+	}
+}
+
+// Thaw ends stale reads.
+func (m *Memory) Thaw() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.stale = nil
+}
+
+// Compact forgets the history and ends all watches.
+func (m *Memory) Compact() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.history = nil
+	m.oldest = m.version
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Read implements table.Store.
+func (m *Memory) Read(_ context.Context, wanted table.Range) (table.Page, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := refuse(m.decide("read"), "read"); err != nil {
+		return table.Page{}, err
+	}
+	rows, version := m.rows, m.version
+	if m.stale != nil {
+		rows, version = m.stale.rows, m.stale.version
+	}
+	page := table.Page{Version: version}
+	for key, row := range rows {
+		isInRange := key.key >= wanted.From && (wanted.Before == "" || key.key < wanted.Before)
+		if key.table == wanted.Table && key.partition == wanted.Partition && isInRange {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	sort.Slice(page.Rows, func(a, b int) bool { return page.Rows[a].Key < page.Rows[b].Key })
+	if wanted.Limit > 0 && len(page.Rows) > wanted.Limit {
+		page.Rows, page.More = page.Rows[:wanted.Limit], true
+	}
+	return page, nil
+}
+
+// Partitions implements table.Store.
+func (m *Memory) Partitions(_ context.Context, name, after string) ([]string, bool, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := refuse(m.decide("partitions"), "partitions"); err != nil {
+		return nil, false, err
+	}
+	found := map[string]bool{}
+	for key := range m.rows {
+		if key.table == name && key.partition > after {
+			found[key.partition] = true
+		}
+	}
+	partitions := make([]string, 0, len(found))
+	for partition := range found {
+		partitions = append(partitions, partition)
+	}
+	sort.Strings(partitions)
+	return partitions, false, nil
+}
+
+// Watch implements table.Store.
+func (m *Memory) Watch(ctx context.Context, name string, after table.Version, wait time.Duration) (table.Changes, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changes, changed, err := m.changesAfter(name, after)
+		if err != nil || len(changes.Rows) > 0 {
+			return changes, err
+		}
+		select {
+		case <-ctx.Done():
+			return table.Changes{}, failed(table.ErrorUnknown, "watch")
+		case <-timer.C:
+			return changes, nil
+		case <-changed:
+		}
+	}
+}
+
+func (m *Memory) changesAfter(name string, after table.Version) (table.Changes, chan struct{}, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := refuse(m.decide("watch"), "watch"); err != nil {
+		return table.Changes{}, nil, err
+	}
+	if after < m.oldest {
+		return table.Changes{}, nil, failed(table.ErrorCompacted, "watch")
+	}
+	changes := table.Changes{Version: m.version}
+	for _, row := range m.history {
+		if row.Table == name && row.Version > after {
+			changes.Rows = append(changes.Rows, row)
+		}
+	}
+	return changes, m.changed, nil
+}
+
+// PutObject implements table.Store.
+func (m *Memory) PutObject(_ context.Context, name string, content []byte) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := refuse(m.decide("put_object"), "put_object"); err != nil {
+		return err
+	}
+	m.objects[name] = append([]byte(nil), content...)
+	return nil
+}
+
+// GetObject implements table.Store.
+func (m *Memory) GetObject(_ context.Context, name string) ([]byte, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := refuse(m.decide("get_object"), "get_object"); err != nil {
+		return nil, err
+	}
+	content, exists := m.objects[name]
+	if !exists {
+		return nil, failed(table.ErrorMissing, "get_object")
+	}
+	return append([]byte(nil), content...), nil
+}
