Accept a job in one call; place batch items by quota; take items back less eagerly

Ruled out: too little room (57 items on average beside about 100 online requests, 216 slots). Change: a job's content travels in rows of the accepting transaction (an object only above 600 KB); each owner places its part of the room in a round; items give way only beyond a short queue, and not before the loads have been told.

--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -20,17 +20,9 @@
 // will run because of this call; any other failure promises nothing. The
 // context bounds how long the store is tried.
 func (s *Service) Submit(ctx context.Context, submitted Job) error {
-	content, err := encode(submitted)
+	transaction, err := s.acceptanceOf(ctx, submitted)
 	if err != nil {
-		return err
-	}
-	object := objectName(submitted.ID, content)
-	if err := s.putObject(ctx, object, content); err != nil {
 		s.logAcceptance(submitted, "refused", err)
-		return unavailable(err)
-	}
-	transaction, err := s.acceptanceOf(submitted, object)
-	if err != nil {
 		return err
 	}
 	version, isNew, err := s.commitAcceptance(ctx, submitted.ID, transaction)
@@ -48,30 +40,59 @@
 }
 
 func (s *Service) logAcceptance(submitted Job, outcome string, err error) {
-	s.log.Info("job_submitted", "job", submitted.ID, "items", len(submitted.Items), "outcome", outcome, "error", err)
+	s.log.Info("job_submitted", "job", submitted.ID, "items", len(submitted.Items), "outcome", outcome,
+		"took_ms", time.Since(submitted.SubmittedAt).Milliseconds(), "error", err)
 }
 
 func (s *Service) newClaim(epoch int64) claim {
 	return claim{Owner: s.self.Name, Incarnation: s.self.Incarnation, Epoch: epoch}
 }
 
-func (s *Service) acceptanceOf(submitted Job, object string) (table.Transaction, error) {
-	accepted, err := encode(acceptance{Total: len(submitted.Items), Object: object})
+const (
+	// contentRowBytes is the part of a job's content that one row holds.
+	contentRowBytes = 48 << 10
+	// contentBytes is the largest content that the transaction of the
+	// acceptance carries; a larger one is stored as an object first.
+	contentBytes = 600 << 10
+)
+
+// acceptanceOf makes the transaction that makes a job exist. The rows of its
+// content are part of it, because one call is faster than two.
+func (s *Service) acceptanceOf(ctx context.Context, submitted Job) (table.Transaction, error) {
+	transaction := table.Transaction{
+		Partition:  shard(submitted.ID),
+		Conditions: []table.Condition{{Table: tableAccepted, Key: submitted.ID}},
+	}
+	content, err := encodeJob(submitted)
+	if err != nil {
+		return transaction, err
+	}
+	row := acceptance{Total: len(submitted.Items)}
+	if len(content) > contentBytes {
+		row.Object = objectName(submitted.ID, content)
+		if err := s.putObject(ctx, row.Object, content); err != nil {
+			return transaction, unavailable(err)
+		}
+		content = nil
+	}
+	accepted, err := encode(row)
 	if err != nil {
-		return table.Transaction{}, err
+		return transaction, err
 	}
 	claimed, err := encode(s.newClaim(1))
 	if err != nil {
-		return table.Transaction{}, err
+		return transaction, err
 	}
-	return table.Transaction{
-		Partition:  shard(submitted.ID),
-		Conditions: []table.Condition{{Table: tableAccepted, Key: submitted.ID}},
-		Writes: []table.Write{
-			{Table: tableAccepted, Key: submitted.ID, Value: accepted},
-			{Table: tableClaim, Key: submitted.ID, Value: claimed},
-		},
-	}, nil
+	transaction.Writes = []table.Write{
+		{Table: tableAccepted, Key: submitted.ID, Value: accepted},
+		{Table: tableClaim, Key: submitted.ID, Value: claimed},
+	}
+	for number := 0; len(content) > 0; number++ {
+		part := content[:min(contentRowBytes, len(content))]
+		content = content[len(part):]
+		transaction.Writes = append(transaction.Writes, table.Write{Table: tableContent, Key: numberedKey(submitted.ID, number), Value: part})
+	}
+	return transaction, nil
 }
 
 // commitAcceptance commits until the store tells how it ended. isNew is false
--- a/internal/job/claims.go
+++ b/internal/job/claims.go
@@ -83,9 +83,14 @@
 	held := s.owned[row.Key]
 	isLost := held != nil && row.Version > held.claim.version
 	s.mutex.Unlock()
-	if isLost {
-		s.drop(row.Key, "claim_lost")
+	if !isLost {
+		return
+	}
+	if row.Deleted {
+		s.drop(row.Key, "claim_removed")
+		return
 	}
+	s.drop(row.Key, "claim_lost")
 }
 
 // superviseClaims takes over jobs whose owners are gone.
@@ -159,7 +164,7 @@
 		s.log.Info("job_takeover_failed", "job", id, "error", err)
 		return
 	}
-	loaded, err := s.load(ctx, accepted)
+	loaded, err := s.load(ctx, id, accepted)
 	if err != nil {
 		s.log.Info("job_takeover_failed", "job", id, "error", err)
 		return
--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -128,7 +128,7 @@
 		Conditions: []table.Condition{{Table: tableClaim, Key: o.job.ID, Version: o.claim.version}},
 	}
 	for index, result := range batch {
-		key := resultKey(o.job.ID, position+index)
+		key := numberedKey(o.job.ID, position+index)
 		value, err := o.encodeResult(ctx, result)
 		if err != nil {
 			return transaction, err
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -18,18 +18,19 @@
 
 const (
 	dispatchInterval = 100 * time.Millisecond
-	yieldInterval    = 50 * time.Millisecond
-	refusedPause     = 100 * time.Millisecond
-	failedPause      = 200 * time.Millisecond
+	// yieldInterval is longer than the time in which owners learn of each
+	// other's items, so that what was taken back is not taken back twice.
+	yieldInterval = 150 * time.Millisecond
+	// batchNoise spreads the choices of owners, in milliseconds of cost.
+	batchNoise   = 40
+	refusedPause = 100 * time.Millisecond
+	failedPause  = 200 * time.Millisecond
 	// itemTime is how long a back end may work on one item.
 	itemTime = 60 * time.Second
 	// firstPatience and eventPatience bound the silence of a back end before an
 	// item's first event and between events.
 	firstPatience = 6 * time.Second
 	eventPatience = 1500 * time.Millisecond
-	// onlineReserve is the share of a back end's slots, as one in so many, that
-	// batch items leave free for online requests to come.
-	onlineReserve = 8
 	// invalidStatus tells that an item can never be done.
 	invalidStatus = 422
 )
@@ -55,31 +56,50 @@
 	}
 }
 
+// round is one pass over the waiting items.
+type round struct {
+	now    time.Time
+	owners int
+	// quotas are how many more items each back end gets in the round.
+	quotas map[string]int
+}
+
 // dispatchWaiting sends items, those due first first.
 func (s *Service) dispatchWaiting() {
+	now := time.Now()
 	s.mutex.Lock()
 	jobs := s.ownedJobs()
+	current := round{now: now, owners: s.ownerCount(), quotas: map[string]int{}}
 	isStopping := s.stopping
 	s.mutex.Unlock()
-	if isStopping {
+	if isStopping || now.Sub(s.dispatchedAt) < dispatchInterval/2 {
 		return
 	}
-	now := time.Now()
+	s.dispatchedAt = now
 	sort.Slice(jobs, func(a, b int) bool { return jobs[a].due.Before(jobs[b].due) })
 	for _, each := range jobs {
 		for _, waiting := range each.waiting(now) {
-			if !s.dispatch(waiting, now) {
+			if !s.dispatch(waiting, current) {
 				break
 			}
 		}
 	}
 }
 
+// ownerCount returns how many daemons own jobs. mutex must be held.
+func (s *Service) ownerCount() int {
+	owners := map[string]bool{s.self.Name: true}
+	for _, held := range s.claims {
+		owners[held.claim.Owner] = true
+	}
+	return len(owners)
+}
+
 // dispatch sends one item if a back end has room; it reports false when none
 // has.
-func (s *Service) dispatch(waiting *work, now time.Time) bool {
+func (s *Service) dispatch(waiting *work, current round) bool {
 	held := waiting.owner
-	if !held.giveUp.IsZero() && now.After(held.giveUp) {
+	if !held.giveUp.IsZero() && current.now.After(held.giveUp) {
 		held.end(waiting, Result{Item: waiting.item.ID, State: StateAbandoned})
 		return true
 	}
@@ -87,18 +107,18 @@
 	if !found {
 		return true // its route is not known here; it waits
 	}
-	prompt := waiting.item.Prompt
-	chosen, found := s.chooseFor(service, prompt, now)
+	chosen, found := s.chooseFor(service, waiting.item.Prompt, current)
 	if !found {
 		return false
 	}
-	lease, found := s.backends.Acquire(chosen.ID, backend.Batch, prompt)
+	lease, found := s.backends.Acquire(chosen.ID, backend.Batch, waiting.item.Prompt)
 	if !found {
 		return true
 	}
+	current.quotas[chosen.ID]--
 	ctx, cancel := context.WithCancel(held.ctx)
 	held.mutex.Lock()
-	waiting.state, waiting.backend, waiting.startedAt, waiting.cancel = itemRunning, chosen.ID, now, cancel
+	waiting.state, waiting.backend, waiting.startedAt, waiting.cancel = itemRunning, chosen.ID, current.now, cancel
 	held.mutex.Unlock()
 	s.running.Add(1)
 	go func() {
@@ -122,26 +142,28 @@
 }
 
 // chooseFor picks a back end with room for a batch item.
-func (s *Service) chooseFor(service string, prompt []routing.PromptPart, now time.Time) (routing.Candidate, bool) {
-	candidates := s.backends.Candidates(service, prompt, now)
+func (s *Service) chooseFor(service string, prompt []routing.PromptPart, current round) (routing.Candidate, bool) {
+	candidates := s.backends.Candidates(service, prompt, current.now)
+	model := routing.DefaultCostModel()
+	model.NoiseMilliseconds = batchNoise
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	withRoom := candidates[:0]
 	for _, candidate := range candidates {
-		if hasRoomForBatch(candidate) {
+		left, known := current.quotas[candidate.ID]
+		if !known {
+			left = quota(roomForBatch(candidate), current.owners, s.random)
+			current.quotas[candidate.ID] = left
+		}
+		if left > 0 {
 			withRoom = append(withRoom, candidate)
 		}
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return routing.ChooseByCost(routing.DefaultCostModel(), prompt, withRoom, nil, s.random)
-}
-
-func hasRoomForBatch(candidate routing.Candidate) bool {
-	reserve := candidate.Slots/onlineReserve + 1
-	return !candidate.Ejected && candidate.Waiting == 0 && candidate.Online+candidate.Batch < candidate.Slots-reserve
+	return routing.ChooseByCost(model, prompt, withRoom, nil, s.random)
 }
 
 // yieldItems takes items back from back ends that have no slot left for
-// online requests. Every owner gives up its part of what is too much.
+// online requests.
 func (s *Service) yieldItems() {
 	s.mutex.Lock()
 	jobs := s.ownedJobs()
@@ -188,15 +210,6 @@
 	return loads
 }
 
-// excess returns how many of its own items an owner takes back.
-func excess(candidate routing.Candidate) int {
-	over := candidate.Online + candidate.Batch - candidate.Slots
-	if over <= 0 || candidate.Batch == 0 {
-		return 0
-	}
-	return (over*candidate.OwnBatch + candidate.Batch - 1) / candidate.Batch
-}
-
 // runItem makes one attempt at an item.
 func (s *Service) runItem(ctx context.Context, running *work, lease *backend.Lease, matched *route.Route, service string) {
 	defer s.nudge()
--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/failure"
 	"topazpulley/internal/job"
 	"topazpulley/internal/route"
 	"topazpulley/internal/serving"
@@ -184,18 +185,19 @@
 	return made
 }
 
-// allResults reads a job from the start until nothing more is listed.
+// allResults reads a job from the start until nothing more is listed. A page
+// that cannot be read is asked for again: an error is no answer.
 func allResults(t *testing.T, reader *daemon, id string) ([]job.Result, int) {
 	t.Helper()
-	all, total := []job.Result{}, 0
+	all := []job.Result{}
 	for {
 		page, err := reader.Results(t.Context(), id, len(all), 0)
 		if err != nil {
-			return all, total
+			require.True(t, failure.Is(err, failure.KindUnavailable), "%v", err)
+			continue
 		}
-		total = page.Total
 		if len(page.Results) == 0 {
-			return all, total
+			return all, page.Total
 		}
 		all = append(all, page.Results...)
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -29,6 +29,7 @@
 // Tables of the store.
 const (
 	tableAccepted = "job"
+	tableContent  = "job_content"
 	tableClaim    = "open_job"
 	tableResult   = "result"
 )
@@ -89,10 +90,11 @@
 	Results []Result
 }
 
-// acceptance is the row that makes a job exist. It never changes.
+// acceptance is the row that makes a job exist. It never changes. The job's
+// content lies in rows beside it, or in an object if it is large.
 type acceptance struct {
 	Total  int    `json:"total"`
-	Object string `json:"object"`
+	Object string `json:"object,omitempty"`
 }
 
 // claim is the row that names the owner of an open job.
@@ -115,12 +117,14 @@
 // positionDigits keeps the rows of a job in the order of their positions.
 const positionDigits = 6
 
-func resultKey(id string, position int) string {
-	return fmt.Sprintf("%s/%0*d", id, positionDigits, position)
+// numberedKey is the key of one of several rows of a job: a result by its
+// position, or a part of the content.
+func numberedKey(id string, number int) string {
+	return fmt.Sprintf("%s/%0*d", id, positionDigits, number)
 }
 
-// resultsEnd is the key behind all results of a job.
-func resultsEnd(id string) string { return id + "0" }
+// numberedEnd is the key behind all numbered rows of a job.
+func numberedEnd(id string) string { return id + "0" }
 
 func encode(value any) ([]byte, error) {
 	encoded, err := json.Marshal(value)
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -174,7 +174,7 @@
 	require.Equal(t, before, after)
 }
 
-// gatedStore holds reads of objects until it is opened.
+// gatedStore holds reads of jobs' content until it is opened.
 type gatedStore struct {
 	table.Store
 	reached chan struct{}
@@ -182,10 +182,27 @@
 	once    sync.Once
 }
 
-func (g *gatedStore) GetObject(ctx context.Context, name string) ([]byte, error) {
-	g.once.Do(func() { close(g.reached) })
-	<-g.open
-	return g.Store.GetObject(ctx, name)
+func (g *gatedStore) Read(ctx context.Context, wanted table.Range) (table.Page, error) {
+	if wanted.Table == "job_content" {
+		g.once.Do(func() { close(g.reached) })
+		<-g.open
+	}
+	return g.Store.Read(ctx, wanted)
+}
+
+// TestLargeJobsLieInAnObject: their content fits no transaction.
+func TestLargeJobsLieInAnObject(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	owner, reader := startDaemon(t, "a", store, runner), startDaemon(t, "b", store, runner)
+	accepted := newJob("j1", 100)
+	for index := range accepted.Items {
+		accepted.Items[index].Body = make([]byte, 10000)
+	}
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	requireAllCompleted(t, reader, accepted)
+	body, err := reader.Body(t.Context(), "j1", "j1-item99")
+	require.NoError(t, err)
+	require.Len(t, body, 10000)
 }
 
 // TestJobEndedDuringTakeoverIsNotRun: the end comes while the daemon that
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
@@ -92,7 +91,7 @@
 
 func (s *Service) results(ctx context.Context, id string, from int) ([]Result, error) {
 	rows, err := s.read(ctx, table.Range{
-		Table: tableResult, Partition: shard(id), From: resultKey(id, from), Before: resultsEnd(id), Limit: pageResults,
+		Table: tableResult, Partition: shard(id), From: numberedKey(id, from), Before: numberedEnd(id), Limit: pageResults,
 	})
 	if err != nil {
 		return nil, err
@@ -168,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	loaded, err := s.load(ctx, accepted)
+	loaded, err := s.load(ctx, id, accepted)
 	if err != nil {
 		return nil, err
 	}
@@ -180,17 +179,24 @@
 	return nil, failure.New(failure.KindNotFound, "no_item", "job %s has no item %s", id, item)
 }
 
-// load reads a job's items.
-func (s *Service) load(ctx context.Context, accepted acceptance) (Job, error) {
-	content, err := s.getObject(ctx, accepted.Object)
+// load reads a job's content.
+func (s *Service) load(ctx context.Context, id string, accepted acceptance) (Job, error) {
+	if accepted.Object != "" {
+		content, err := s.getObject(ctx, accepted.Object)
+		if err != nil {
+			return Job{}, err
+		}
+		return decodeJob(content)
+	}
+	rows, err := s.read(ctx, table.Range{Table: tableContent, Partition: shard(id), From: numberedKey(id, 0), Before: numberedEnd(id)})
 	if err != nil {
 		return Job{}, err
 	}
-	var loaded Job
-	if err := json.Unmarshal(content, &loaded); err != nil {
-		return Job{}, failure.Wrap(err, failure.KindInternal, "bad_object", "object %s cannot be read", accepted.Object)
+	content := []byte{}
+	for _, row := range rows {
+		content = append(content, row.Value...)
 	}
-	return loaded, nil
+	return decodeJob(content)
 }
 
 // End ends a job: its claim is removed, and nothing more of it is run. Ending
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -64,6 +64,8 @@
 	end      context.CancelFunc
 	running  sync.WaitGroup
 	wake     chan struct{}
+	// dispatchedAt belongs to the dispatcher's goroutine.
+	dispatchedAt time.Time
 
 	mutex  sync.Mutex
 	random *rand.Rand
