Keep checkpoints of running items, so that a new owner goes on where the last stopped

Change: each second, items with 16 or more new events leave their progress in a row beside the claim, under the claim's condition; a new owner resumes behind it; a planned stop writes it and hands over at once in place of waiting 4 s. Test: TestNextOwnerGoesOnAtTheCheckpoint (failed before: resumed at 0).

--- a/internal/job/claims.go
+++ b/internal/job/claims.go
@@ -174,7 +174,12 @@
 		s.log.Info("job_takeover_failed", "job", id, "error", err)
 		return
 	}
-	s.own(loaded, next, listed)
+	checkpoints, err := s.checkpoints(ctx, id)
+	if err != nil {
+		s.log.Info("job_takeover_failed", "job", id, "error", err)
+		return
+	}
+	s.own(loaded, next, history{listed: listed, checkpoints: checkpoints})
 }
 
 func (s *Service) claimOver(ctx context.Context, id string, held heldClaim) (ownedClaim, error) {
--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -16,7 +16,7 @@
 	// commitDelay gathers results that end close together in one commit.
 	commitDelay = 60 * time.Millisecond
 	// commitResults and commitBytes bound one commit.
-	commitResults = 40
+	commitResults = 25
 	commitBytes   = 700 << 10
 	// inlineBytes is the longest text that a row holds.
 	inlineBytes = 40 << 10
@@ -135,9 +135,12 @@
 		}
 		transaction.Conditions = append(transaction.Conditions, table.Condition{Table: tableResult, Key: key})
 		transaction.Writes = append(transaction.Writes, table.Write{Table: tableResult, Key: key, Value: value})
+		if o.hasCheckpoint(result.Item) {
+			transaction.Removals = append(transaction.Removals, table.Removal{Table: tableProgress, Key: progressKey(o.job.ID, result.Item)})
+		}
 	}
 	if isLast {
-		transaction.Removals = []table.Removal{{Table: tableClaim, Key: o.job.ID}}
+		transaction.Removals = append(transaction.Removals, table.Removal{Table: tableClaim, Key: o.job.ID})
 	}
 	return transaction, nil
 }
@@ -156,19 +159,17 @@
 	return encode(row)
 }
 
-// releaseWait is how long a stopping daemon lets running items finish.
-const (
-	releaseWait = 4 * time.Second
-	releasePoll = 50 * time.Millisecond
-)
+// releasePoll is the pause between two looks at results that wait for their
+// commit.
+const releasePoll = 20 * time.Millisecond
 
-// release lets running items finish for a while and then gives the claim up,
-// so that another daemon goes on at once.
+// release stops the items, keeps their progress in the store and gives the
+// claim up, so that another daemon goes on at once where this one stopped.
 func (o *owned) release(ctx context.Context) {
-	patience, cancel := context.WithTimeout(ctx, releaseWait)
-	defer cancel()
-	for o.isBusy() && rest(patience, releasePoll) {
+	o.stopItems()
+	for o.isBusy() && rest(ctx, releasePoll) {
 	}
+	o.saveProgress(ctx, 1)
 	o.mutex.Lock()
 	isDropped := o.dropped
 	held := o.claim
@@ -191,6 +192,17 @@
 	o.service.log.Info("job_released", "job", o.job.ID, "error", err)
 }
 
+// stopItems takes all running items back.
+func (o *owned) stopItems() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, each := range o.works {
+		if each.state == itemRunning {
+			each.cancel()
+		}
+	}
+}
+
 // isBusy reports whether items run or results wait for their commit.
 func (o *owned) isBusy() bool {
 	if o.runningCount() > 0 {
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -185,7 +185,7 @@
 		count := excess(candidate)
 		for _, item := range running[candidate.ID][:min(count, len(running[candidate.ID]))] {
 			s.log.Info("item_yielded", "job", item.owner.job.ID, "item", item.item.ID, "backend", candidate.ID,
-				"online", candidate.Online, "batch", candidate.Batch, "slots", candidate.Slots, "last_event", item.lastEvent)
+				"online", candidate.Online, "batch", candidate.Batch, "slots", candidate.Slots, "last_event", item.progress.last())
 			item.cancel()
 		}
 	}
@@ -222,7 +222,7 @@
 	answer, err := s.sender.Send(bounded, serving.Attempt{
 		Instance: instance, MaxConnections: s.connections(service), ID: running.item.ID, Method: "POST", Target: running.item.Path,
 		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTime,
-		LastEvent: running.lastEvent, Stream: true,
+		LastEvent: running.progress.last(), Stream: true,
 	})
 	if err == nil {
 		defer answer.Close()
@@ -263,24 +263,18 @@
 			s.backends.Succeeded(lease.Instance().ID)
 			s.metrics.Items.WithLabelValues(string(StateCompleted)).Inc()
 			s.log.Info("item_completed", "job", running.owner.job.ID, "item", running.item.ID, "backend", lease.Instance().ID,
-				"events", running.lastEvent, "took_ms", time.Since(running.startedAt).Milliseconds())
-			running.owner.end(running, Result{Item: running.item.ID, State: StateCompleted, Text: string(running.text)})
+				"events", running.progress.last(), "took_ms", time.Since(running.startedAt).Milliseconds())
+			running.owner.end(running, Result{Item: running.item.ID, State: StateCompleted, Text: running.progress.text()})
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		if event.ID != running.lastEvent+1 {
+		if !running.progress.add(event) {
 			return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonSpoiled}
 		}
 		lease.Started()
 		watched.Feed()
-		running.lastEvent = event.ID
-		if running.hasText {
-			running.text = append(running.text, '\n')
-		}
-		running.hasText = true
-		running.text = append(running.text, event.Data...)
 	}
 }
 
@@ -324,7 +318,7 @@
 	}
 	s.metrics.Items.WithLabelValues(failed.Outcome.String()).Inc()
 	s.log.Info("item_attempt_failed", "job", held.job.ID, "item", running.item.ID, "backend", instance.ID, "outcome", failed.Outcome.String(),
-		"reason", string(failed.Reason), "failures", running.failures, "last_event", running.lastEvent, "cause", failed.Cause)
+		"reason", string(failed.Reason), "failures", running.failures, "last_event", running.progress.last(), "cause", failed.Cause)
 	if running.failures >= matched.MaxAttempts {
 		s.log.Info("item_abandoned", "job", held.job.ID, "item", running.item.ID, "reason", "failures", "failures", running.failures)
 		held.end(running, Result{Item: running.item.ID, State: StateAbandoned})
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -157,6 +157,29 @@
 	requireAllCompleted(t, other, accepted)
 }
 
+// TestNextOwnerGoesOnAtTheCheckpoint: after a kill and after a planned stop, an
+// item's new run is asked to go on behind the events that were kept.
+func TestNextOwnerGoesOnAtTheCheckpoint(t *testing.T) {
+	for _, isPlanned := range []bool{false, true} {
+		store, runner := tabletest.NewMemory(), newRunners()
+		runner.events, runner.pause = 120, 20*time.Millisecond
+		owner, other := startDaemon(t, "a", store, runner), startDaemon(t, "b", store, runner)
+		accepted := newJob("j1", 3)
+		require.NoError(t, owner.Submit(t.Context(), accepted))
+		time.Sleep(1500 * time.Millisecond)
+		if isPlanned {
+			owner.Stop(t.Context())
+		} else {
+			owner.cancel()
+			other.peers.kill("a")
+		}
+		requireAllCompleted(t, other, accepted)
+		for _, item := range accepted.Items {
+			require.GreaterOrEqual(t, runner.resumedAt(item.ID), int64(16), "planned %v", isPlanned)
+		}
+	}
+}
+
 // TestEndedJobStops: no item is sent once the end was acknowledged and the
 // owner has heard of it.
 func TestEndedJobStops(t *testing.T) {
--- a/internal/job/owned.go
+++ b/internal/job/owned.go
@@ -23,8 +23,7 @@
 	itemFinished
 )
 
-// work is one item of an owned job. owned.mutex guards it, but for text and
-// lastEvent, which belong to the running attempt.
+// work is one item of an owned job. owned.mutex guards it, but for progress.
 type work struct {
 	item      Item
 	owner     *owned
@@ -34,10 +33,7 @@
 	backend   string
 	startedAt time.Time
 	cancel    context.CancelFunc
-	// text and lastEvent are what earlier attempts produced.
-	text      []byte
-	hasText   bool
-	lastEvent int64
+	progress  progress
 }
 
 // owned is a job that this daemon runs. mutex guards the fields below it.
@@ -62,18 +58,26 @@
 // giveUpMargin keeps clear of daemons' differing clocks.
 const giveUpMargin = 4 * time.Second
 
-// own starts running a job under a claim. listed are the results that exist.
-func (s *Service) own(accepted Job, held ownedClaim, listed []Result) {
+// history is what earlier owners left of a job.
+type history struct {
+	// listed are the results that exist.
+	listed []Result
+	// checkpoints are the progress of items without a result, by item.
+	checkpoints map[string]checkpoint
+}
+
+// own starts running a job under a claim.
+func (s *Service) own(accepted Job, held ownedClaim, earlier history) {
 	ctx, cancel := context.WithCancel(s.lifetime)
 	started := &owned{
 		service: s, job: accepted, due: accepted.SubmittedAt.Add(accepted.Due), ctx: ctx, cancel: cancel,
-		claim: held, committed: len(listed), commit: make(chan struct{}),
+		claim: held, committed: len(earlier.listed), commit: make(chan struct{}),
 	}
 	if accepted.GiveUpAfter > 0 {
 		started.giveUp = accepted.SubmittedAt.Add(accepted.GiveUpAfter + giveUpMargin)
 	}
 	done := map[string]bool{}
-	for _, result := range listed {
+	for _, result := range earlier.listed {
 		done[result.Item] = true
 	}
 	for _, item := range accepted.Items {
@@ -81,7 +85,9 @@
 		if done[item.ID] {
 			state = itemFinished
 		}
-		started.works = append(started.works, &work{item: item, owner: started, state: state})
+		begun := &work{item: item, owner: started, state: state}
+		begun.progress.restore(earlier.checkpoints[item.ID])
+		started.works = append(started.works, begun)
 	}
 	s.mutex.Lock()
 	if s.stopping || s.owned[accepted.ID] != nil || s.isSuperseded(accepted.ID, held.version) {
@@ -92,7 +98,7 @@
 	}
 	s.owned[accepted.ID] = started
 	s.mutex.Unlock()
-	s.log.Info("job_owned", "job", accepted.ID, "epoch", held.claim.Epoch, "version", held.version, "listed", len(listed), "items", len(accepted.Items))
+	s.log.Info("job_owned", "job", accepted.ID, "epoch", held.claim.Epoch, "version", held.version, "listed", len(earlier.listed), "checkpoints", len(earlier.checkpoints), "items", len(accepted.Items))
 	s.nudge()
 }
 
@@ -167,7 +173,7 @@
 		return
 	}
 	ended.state = itemFinished
-	ended.text = nil
+	ended.progress.clear()
 	o.finished = append(o.finished, result)
 	mustStart := !o.committing
 	o.committing = true
--- /dev/null
+++ b/internal/job/progress.go
@@ -0,0 +1,209 @@
+package job
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hamba/avro/v2"
+	"github.com/pkg/errors"
+
+	"topazpulley/internal/failure"
+	"topazpulley/internal/periodic"
+	"topazpulley/internal/serving"
+	"topazpulley/internal/table"
+)
+
+// tableProgress holds checkpoints of items that run, so that a new owner goes
+// on where the last one stopped. They are a saving only: without them an item
+// is run from its start.
+const tableProgress = "item_progress"
+
+const (
+	checkpointInterval = time.Second
+	// checkpointEvents is how many events an item must have made since its
+	// last checkpoint.
+	checkpointEvents = 16
+	// checkpointItems and checkpointBytes bound one transaction and one row.
+	checkpointItems = 40
+	checkpointBytes = 40 << 10
+)
+
+func progressKey(id, item string) string { return id + "/" + item }
+
+// progress is what the attempts at an item have produced. mutex guards it.
+type progress struct {
+	mutex     sync.Mutex
+	content   []byte
+	hasText   bool
+	lastEvent int64
+	saved     int64
+	isSaved   bool
+}
+
+// add appends an event and reports whether it is the next one.
+func (p *progress) add(event serving.Event) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if event.ID != p.lastEvent+1 {
+		return false
+	}
+	p.lastEvent = event.ID
+	if p.hasText {
+		p.content = append(p.content, '\n')
+	}
+	p.hasText = true
+	p.content = append(p.content, event.Data...)
+	return true
+}
+
+func (p *progress) last() int64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.lastEvent
+}
+
+func (p *progress) text() string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return string(p.content)
+}
+
+func (p *progress) clear() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.content = nil
+}
+
+// checkpoint is a copy of an item's progress.
+type checkpoint struct {
+	LastEvent int64  `avro:"last_event"`
+	Text      string `avro:"text"`
+}
+
+var checkpointSchema = avro.MustParse(`{"type":"record","name":"checkpoint","fields":[
+	{"name":"last_event","type":"long"},{"name":"text","type":"string"}]}`)
+
+func (p *progress) restore(from checkpoint) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if from.LastEvent == 0 {
+		return
+	}
+	p.content, p.hasText = []byte(from.Text), true
+	p.lastEvent, p.saved, p.isSaved = from.LastEvent, from.LastEvent, true
+}
+
+// due returns a checkpoint if at least so many events came since the last one.
+func (p *progress) due(events int64) (checkpoint, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.content == nil || p.lastEvent-p.saved < events || len(p.content) > checkpointBytes {
+		return checkpoint{}, false
+	}
+	return checkpoint{LastEvent: p.lastEvent, Text: string(p.content)}, true
+}
+
+func (p *progress) noteSaved(lastEvent int64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.saved, p.isSaved = max(p.saved, lastEvent), true
+}
+
+// saveAll writes checkpoints of all owned jobs until the context ends.
+func (s *Service) saveAll(ctx context.Context) {
+	periodic.Run(ctx, checkpointInterval, func() {
+		s.mutex.Lock()
+		jobs := s.ownedJobs()
+		s.mutex.Unlock()
+		for _, each := range jobs {
+			each.saveProgress(ctx, checkpointEvents)
+		}
+	})
+}
+
+// saveProgress writes checkpoints of items with at least so many new events.
+func (o *owned) saveProgress(ctx context.Context, events int64) {
+	transaction := table.Transaction{
+		Partition:  shard(o.job.ID),
+		Conditions: []table.Condition{{Table: tableClaim, Key: o.job.ID, Version: o.claim.version}},
+	}
+	saved := map[*work]int64{}
+	for _, each := range o.unfinished() {
+		taken, isDue := each.progress.due(events)
+		if !isDue || len(saved) == checkpointItems {
+			continue
+		}
+		value, err := avro.Marshal(checkpointSchema, taken)
+		if err != nil {
+			continue
+		}
+		transaction.Writes = append(transaction.Writes, table.Write{Table: tableProgress, Key: progressKey(o.job.ID, each.item.ID), Value: value})
+		saved[each] = taken.LastEvent
+	}
+	if len(saved) == 0 {
+		return
+	}
+	for each := range saved {
+		each.progress.noteSaved(0) // a lost answer may leave a row behind
+	}
+	bounded, cancel := context.WithTimeout(ctx, storeAttempt)
+	defer cancel()
+	if _, err := o.service.store.Commit(bounded, transaction); err != nil {
+		o.service.log.Info("checkpoint_failed", "job", o.job.ID, "items", len(saved), "error", err)
+		return
+	}
+	for each, lastEvent := range saved {
+		each.progress.noteSaved(lastEvent)
+	}
+}
+
+func (o *owned) unfinished() []*work {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	found := []*work{}
+	for _, each := range o.works {
+		if each.state != itemFinished {
+			found = append(found, each)
+		}
+	}
+	return found
+}
+
+// hasCheckpoint reports whether a row of the item's progress may exist.
+func (o *owned) hasCheckpoint(item string) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, each := range o.works {
+		if each.item.ID == item {
+			each.progress.mutex.Lock()
+			defer each.progress.mutex.Unlock()
+			return each.progress.isSaved
+		}
+	}
+	return false
+}
+
+// checkpoints reads what earlier owners left of a job's items.
+func (s *Service) checkpoints(ctx context.Context, id string) (map[string]checkpoint, error) {
+	found := map[string]checkpoint{}
+	from := progressKey(id, "")
+	for {
+		rows, err := s.read(ctx, table.Range{Table: tableProgress, Partition: shard(id), From: from, Before: numberedEnd(id)})
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			var read checkpoint
+			if err := avro.Unmarshal(checkpointSchema, row.Value, &read); err != nil {
+				return nil, failure.Wrap(errors.WithStack(err), failure.KindInternal, "bad_checkpoint", "row %s cannot be read", row.Key)
+			}
+			found[strings.TrimPrefix(row.Key, progressKey(id, ""))] = read
+			from = row.Key + "\x00"
+		}
+		if len(rows) == 0 {
+			return found, nil
+		}
+	}
+}
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -108,19 +108,21 @@
 		s.end()
 	}()
 	go s.superviseClaims(ctx)
+	go s.saveAll(ctx)
 	s.dispatchItems(ctx)
 }
 
-// Stop gives up all owned jobs, so that other daemons take them over at once,
-// and waits for the items to stop or the context to end.
+// Stop gives up all owned jobs, so that other daemons go on with them at once.
 func (s *Service) Stop(ctx context.Context) {
 	s.mutex.Lock()
 	s.stopping = true
 	jobs := s.ownedJobs()
 	s.mutex.Unlock()
+	var released sync.WaitGroup
 	for _, each := range jobs {
-		each.release(ctx)
+		released.Go(func() { each.release(ctx) })
 	}
+	released.Wait()
 }
 
 // ownedJobs lists the owned jobs. mutex must be held.
