Tell other daemons which back end reads a large prompt part, at once

Cause: a bill query waited behind a long prompt that another daemon had sent a moment before; the same shared parts were read on several back ends. Ruled out: two homes for each part (before), which reads each part twice.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -81,11 +81,13 @@
 	states    map[string]*state
 	byService map[string][]*state
 	changed   chan struct{}
+	reads     []Read
+	urgent    chan struct{}
 }
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{states: map[string]*state{}, byService: map[string][]*state{}, changed: make(chan struct{})}
+	return &Set{states: map[string]*state{}, byService: map[string][]*state{}, changed: make(chan struct{}), urgent: make(chan struct{}, 1)}
 }
 
 // Put adds a back end or updates it.
@@ -195,7 +197,7 @@
 	return routing.Candidate{
 		ID: k.ID, Zone: k.Zone, Slots: k.Slots, Draining: k.Draining,
 		Online: online, Batch: batch, OwnBatch: k.batch, Waiting: waiting,
-		PendingTokens: pending, UncachedTokens: k.prompts.uncached(prompt),
+		PendingTokens: pending, UncachedTokens: k.prompts.uncached(prompt, now),
 		Ejected: now.Before(k.ejectedUntil),
 	}
 }
--- a/internal/backend/lease.go
+++ b/internal/backend/lease.go
@@ -28,10 +28,17 @@
 	if !exists {
 		return nil, false
 	}
-	pending := known.prompts.uncached(prompt)
-	known.prompts.add(prompt)
+	now := time.Now()
+	pending := known.prompts.uncached(prompt, now)
+	s.notePrompt(known, prompt, now)
 	known.pendingTokens += pending
 	known.count(class, 1)
+	if pending >= urgentTokens {
+		select {
+		case s.urgent <- struct{}{}:
+		default:
+		}
+	}
 	return &Lease{set: s, state: known, class: class, pending: pending}, true
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -16,7 +16,6 @@
 	"topazpulley/internal/backend"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/membership"
-	"topazpulley/internal/periodic"
 )
 
 const (
@@ -33,6 +32,13 @@
 // loadMessage is what one daemon has in flight.
 type loadMessage struct {
 	Backends []backendLoad `avro:"backends"`
+	// Reads are the large prompt parts sent since the last message.
+	Reads []readRecord `avro:"reads"`
+}
+
+type readRecord struct {
+	Backend string `avro:"backend"`
+	Part    string `avro:"part"`
 }
 
 type backendLoad struct {
@@ -44,7 +50,9 @@
 
 var loadSchema = avro.MustParse(`{"type":"record","name":"load","fields":[{"name":"backends","type":{"type":"array","items":{
 	"type":"record","name":"backend","fields":[{"name":"id","type":"string"},{"name":"online","type":"int"},
-	{"name":"batch","type":"int"},{"name":"pending","type":"int"}]}}}]}`)
+	{"name":"batch","type":"int"},{"name":"pending","type":"int"}]}}},
+	{"name":"reads","type":{"type":"array","items":{"type":"record","name":"read","fields":[
+	{"name":"backend","type":"string"},{"name":"part","type":"string"}]}},"default":[]}]}`)
 
 // Exchange sends this daemon's loads and receives the others'. mutex guards
 // heard.
@@ -69,20 +77,29 @@
 
 // Run sends loads until the context ends.
 func (e *Exchange) Run(ctx context.Context) {
-	periodic.Run(ctx, sendInterval, func() {
-		now := time.Now()
-		e.send(now)
-		e.forget(now)
-	})
+	ticker := time.NewTicker(sendInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.backends.Urgent():
+			e.send(time.Now())
+		case now := <-ticker.C:
+			e.send(now)
+			e.forget(now)
+		}
+	}
 }
 
 func (e *Exchange) send(now time.Time) {
 	loads := e.backends.OwnLoads()
-	isSame := sameLoads(loads, e.last)
+	reads := e.backends.TakeReads()
+	isSame := sameLoads(loads, e.last) && len(reads) == 0
 	if isSame && (len(loads) == 0 || now.Sub(e.sentAt) < refreshInterval) {
 		return
 	}
-	payload, err := encodeLoads(loads)
+	payload, err := encodeLoads(loads, reads)
 	if err != nil {
 		e.log.Error("load_not_encoded", "error", err)
 		return
@@ -109,11 +126,14 @@
 	return true
 }
 
-func encodeLoads(loads map[string]backend.PeerLoad) ([]byte, error) {
-	message := loadMessage{Backends: []backendLoad{}}
+func encodeLoads(loads map[string]backend.PeerLoad, reads []backend.Read) ([]byte, error) {
+	message := loadMessage{Backends: []backendLoad{}, Reads: []readRecord{}}
 	for id, load := range loads {
 		message.Backends = append(message.Backends, backendLoad{ID: id, Online: load.Online, Batch: load.Batch, Pending: load.PendingTokens})
 	}
+	for _, read := range reads {
+		message.Reads = append(message.Reads, readRecord{Backend: read.Backend, Part: read.Part})
+	}
 	payload, err := avro.Marshal(loadSchema, message)
 	return payload, errors.WithStack(err)
 }
@@ -141,6 +161,11 @@
 	for _, each := range message.Backends {
 		loads[each.ID] = backend.PeerLoad{Online: each.Online, Batch: each.Batch, PendingTokens: each.Pending}
 	}
+	reads := make([]backend.Read, 0, len(message.Reads))
+	for _, each := range message.Reads {
+		reads = append(reads, backend.Read{Backend: each.Backend, Part: each.Part})
+	}
+	e.backends.NoteReads(reads, now)
 	e.mutex.Lock()
 	e.heard[name] = now
 	e.mutex.Unlock()
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -46,7 +46,7 @@
 	// do not know of each other's yet.
 	NoiseMilliseconds float64
 	// AffinityTokens is the size of a first prompt part from which on requests
-	// keep to the back ends that rendezvous hashing names.
+	// prefer the back end that rendezvous hashing names.
 	AffinityTokens int
 }
 
@@ -80,16 +80,15 @@
 func cheapest(model CostModel, prompt []PromptPart, candidates []Candidate, excluded map[string]bool, useEjected bool, random *rand.Rand) (Candidate, bool) {
 	var best Candidate
 	lowest, found := 0.0, false
-	homes := model.homes(prompt, candidates)
+	home := model.home(prompt, candidates)
 	for _, candidate := range candidates {
 		if candidate.Draining || excluded[candidate.ID] || (candidate.Ejected && !useEjected) {
 			continue
 		}
 		cost := model.Cost(candidate) + random.Float64()*model.NoiseMilliseconds
-		if homes[candidate.ID] {
-			// A home will have read the part soon even if this daemon does not
-			// know it yet.
-			cost -= float64(prompt[0].Tokens) / model.TokensPerMillisecond / 2
+		if candidate.ID == home && candidate.UncachedTokens >= prompt[0].Tokens {
+			// Who reads the part first should be the same for all daemons.
+			cost -= float64(prompt[0].Tokens) / model.TokensPerMillisecond / homeShare
 		}
 		if !found || cost < lowest {
 			best, lowest, found = candidate, cost, true
@@ -98,26 +97,22 @@
 	return best, found
 }
 
-const homesPerPrompt = 2
+// homeShare is the part, as one in so many, of a large first part's cost that
+// its home is let off while nobody is known to have read it.
+const homeShare = 2
 
-// homes names the back ends on which requests with the same large first part
-// gather, so that all daemons agree without talking.
-func (m CostModel) homes(prompt []PromptPart, candidates []Candidate) map[string]bool {
+// home names the back end on which requests with the same large first part
+// should gather, so that all daemons agree without talking.
+func (m CostModel) home(prompt []PromptPart, candidates []Candidate) string {
 	if len(prompt) < 2 || prompt[0].Tokens < m.AffinityTokens {
-		return nil
+		return ""
 	}
-	homes := map[string]bool{}
-	for range homesPerPrompt {
-		best, weight := "", uint64(0)
-		for _, candidate := range candidates {
-			hash := xxhash.Sum64String(prompt[0].ID + "\x00" + candidate.ID)
-			if !candidate.Draining && !homes[candidate.ID] && (best == "" || hash > weight) {
-				best, weight = candidate.ID, hash
-			}
-		}
-		if best != "" {
-			homes[best] = true
+	best, weight := "", uint64(0)
+	for _, candidate := range candidates {
+		hash := xxhash.Sum64String(prompt[0].ID + "\x00" + candidate.ID)
+		if !candidate.Draining && (best == "" || hash > weight) {
+			best, weight = candidate.ID, hash
 		}
 	}
-	return homes
+	return best
 }
