--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -197,6 +197,30 @@
 	require.Equal(t, before, after)
 }
 
+// deafStore never tells of changes.
+type deafStore struct {
+	table.Store
+}
+
+func (d deafStore) Watch(ctx context.Context, _ string, _ table.Version, _ time.Duration) (table.Changes, error) {
+	<-ctx.Done()
+	return table.Changes{}, &table.Error{Kind: table.ErrorUnknown, Call: "watch"}
+}
+
+// TestOwnerThatHearsNothingCommitsNothingAfterTheEnd: the claim alone keeps an
+// owner from listing results of a job that was ended.
+func TestOwnerThatHearsNothingCommitsNothingAfterTheEnd(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.pause = 40 * time.Millisecond
+	owner, other := startDaemon(t, "a", deafStore{store}, runner), startDaemon(t, "b", store, runner)
+	require.NoError(t, owner.Submit(t.Context(), newJob("j1", 100)))
+	require.NoError(t, other.End(t.Context(), "j1"))
+	before, _ := allResults(t, other, "j1")
+	require.Eventually(t, func() bool { return owner.Owned() == 0 }, patience, pollTime)
+	after, _ := allResults(t, other, "j1")
+	require.Equal(t, before, after)
+}
+
 // gatedStore holds reads of jobs' content until it is opened.
 type gatedStore struct {
 	table.Store
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -44,4 +44,9 @@
 verify revision violated NO_CATCH_UP
 verify order holds
 verify order violated NO_FENCE
+verify claim holds
+verify claim holds NO_END_CHECK
+verify claim violated PROMISE_UNSETTLED
+verify claim violated NO_CLAIM_CHECK
+verify claim violated NO_TAKEOVER
 exit $failed
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -73,4 +73,31 @@
 	'	c.notePause(now)' '' internal/membership TestPausedMemberWaitsForItsOwnAnswers
 mutant no_gossip_bound internal/membership/gossip.go \
 	'	c.allowance -= float64(packetSize(datagram.Packet))' '' internal/membership TestGossipStaysWithinItsBytes
+mutant no_claim_condition internal/job/commit.go \
+	'Conditions: []table.Condition{{Table: tableClaim, Key: o.job.ID, Version: o.claim.version}},
+	}
+	for index' 'Conditions: []table.Condition{},
+	}
+	for index' internal/job TestOwnerThatHearsNothingCommitsNothingAfterTheEnd
+mutant no_end_check_at_takeover internal/job/owned.go \
+	's.followed >= version && s.claims[id].version != version' 'false' internal/job TestJobEndedDuringTakeoverIsNotRun
+mutant promise_unsettled internal/job/accept.go \
+	'isUnsettled = isUnsettled || isUnknown(err)' '' internal/job TestUnsettledAcceptanceIsNeverPromisedNotRun
+mutant no_checkpoint internal/job/owned.go \
+	'begun.progress.restore(earlier.checkpoints[item.ID])' '' internal/job TestNextOwnerGoesOnAtTheCheckpoint
+mutant no_stale_check internal/table/monotonic.go \
+	'page.Version < atLeast' 'page.Version < atLeast-atLeast' internal/table TestStaleReadIsRefused
+mutant no_configuration_rise internal/route/table.go \
+	'present.Version() >= config.Version' 'false' platform TestRoutesFollowTheConfiguration
+mutant pass_false_promises platform/runner.go \
+	'case promises(status):' 'case false:' platform TestWhatRunsOnceIsNeverPromisedNotRun
+mutant no_answer_id platform/runner.go \
+	'if echoed != "" && echoed != a.id {' 'if false {' platform TestWhatMayBeRepeatedGoesElsewhere
+mutant no_caller_watch platform/ingress.go \
+	'	leave()
+}' '}' platform TestCallerThatLeavesStopsTheRun
+mutant no_framing_check platform/ingress.go \
+	'if isAmbiguous(&c.header.Header) {' 'if false {' platform TestBadRequests
+mutant no_instance_check platform/runner.go \
+	'writeField(&request, headerInstance, attempt.Instance.ID)' '' platform 'TestAnswersPassUnchanged|TestLeavingBackEndGetsNothingNew'
 exit $failed
