Test routing by cost, back ends, the online core's outcomes, routes and the log writer; drop what nothing uses

The online core is tested over drawn sequences of back-end behaviours: one true final answer, no more runs than allowed, events in order. The linter now covers platform/.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 # Formatting, vet and staticcheck, as CI runs them.
 check:
-	@unformatted=$$(gofmt -l cmd internal test); test -z "$$unformatted" || { echo "gofmt would change: $$unformatted"; exit 1; }
+	@unformatted=$$(gofmt -l cmd internal platform test); test -z "$$unformatted" || { echo "gofmt would change: $$unformatted"; exit 1; }
 	go vet ./...
 	go tool staticcheck ./...
 
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -80,14 +80,13 @@
 	mutex     sync.Mutex
 	states    map[string]*state
 	byService map[string][]*state
-	changed   chan struct{}
 	reads     []Read
 	urgent    chan struct{}
 }
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{states: map[string]*state{}, byService: map[string][]*state{}, changed: make(chan struct{}), urgent: make(chan struct{}, 1)}
+	return &Set{states: map[string]*state{}, byService: map[string][]*state{}, urgent: make(chan struct{}, 1)}
 }
 
 // Put adds a back end or updates it.
@@ -135,21 +134,6 @@
 	for _, group := range s.byService {
 		sort.Slice(group, func(a, b int) bool { return group[a].ID < group[b].ID })
 	}
-	s.signal()
-}
-
-// signal wakes those who wait for a change. mutex must be held.
-func (s *Set) signal() {
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// Changed returns a channel that is closed at the next change of room or
-// membership.
-func (s *Set) Changed() <-chan struct{} {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.changed
 }
 
 // Get returns a back end.
--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,100 @@
+package backend_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/routing"
+)
+
+var prompt = []routing.PromptPart{{ID: "shared", Tokens: 5000}, {ID: "own", Tokens: 100}}
+
+func newSet() *backend.Set {
+	set := backend.NewSet()
+	set.Put(backend.Instance{ID: "a", Service: "s", Slots: 4})
+	return set
+}
+
+func candidate(t *testing.T, set *backend.Set) routing.Candidate {
+	t.Helper()
+	found := set.Candidates("s", prompt, time.Now())
+	require.Len(t, found, 1)
+	return found[0]
+}
+
+// TestLeaseCountsFromDispatchToEnd, once, however often it is released.
+func TestLeaseCountsFromDispatchToEnd(t *testing.T) {
+	set := newSet()
+	lease, found := set.Acquire("a", backend.Online, prompt)
+	require.True(t, found)
+	require.Equal(t, 1, candidate(t, set).Online)
+	require.Equal(t, 5100, candidate(t, set).PendingTokens)
+	require.Equal(t, 100, candidate(t, set).UncachedTokens, "the shared part is being read")
+	lease.Started()
+	require.Zero(t, candidate(t, set).PendingTokens)
+	lease.Release()
+	lease.Release()
+	require.Zero(t, candidate(t, set).Online)
+}
+
+// TestOtherDaemonsLoadsCount until they are replaced or forgotten.
+func TestOtherDaemonsLoadsCount(t *testing.T) {
+	set := newSet()
+	set.SetPeerLoads("d1", map[string]backend.PeerLoad{"a": {Online: 2, Batch: 1, PendingTokens: 7}, "unknown": {Online: 9}})
+	set.SetPeerLoads("d2", map[string]backend.PeerLoad{"a": {Online: 1}})
+	require.Equal(t, 3, candidate(t, set).Online)
+	require.Equal(t, 1, candidate(t, set).Batch)
+	require.Zero(t, candidate(t, set).OwnBatch)
+	set.SetPeerLoads("d1", nil)
+	require.Equal(t, 1, candidate(t, set).Online)
+	require.Empty(t, set.OwnLoads(), "others' loads are not told on")
+}
+
+// TestReadsAreToldOnce, large parts only.
+func TestReadsAreToldOnce(t *testing.T) {
+	set, other := newSet(), newSet()
+	_, _ = set.Acquire("a", backend.Online, prompt)
+	select {
+	case <-set.Urgent():
+	default:
+		t.Fatal("a large prompt is urgent")
+	}
+	reads := set.TakeReads()
+	require.Equal(t, []backend.Read{{Backend: "a", Part: "shared"}}, reads)
+	require.Empty(t, set.TakeReads())
+	require.Equal(t, 5100, candidate(t, other).UncachedTokens)
+	other.NoteReads(reads, time.Now())
+	require.Equal(t, 100, candidate(t, other).UncachedTokens)
+	other.NoteReads(reads, time.Now().Add(-time.Minute))
+	require.Equal(t, 5100, candidate(t, other).UncachedTokens, "long unused")
+}
+
+// TestFailuresEject for a while, longer each time; success lets back at once.
+func TestFailuresEject(t *testing.T) {
+	set := newSet()
+	now := time.Now()
+	require.False(t, set.Failed("a", now))
+	require.True(t, set.Failed("a", now))
+	require.True(t, candidate(t, set).Ejected)
+	set.Succeeded("a")
+	require.False(t, candidate(t, set).Ejected)
+	set.Unreachable("a", now)
+	require.True(t, candidate(t, set).Ejected)
+	require.False(t, set.Candidates("s", nil, now.Add(time.Minute))[0].Ejected)
+}
+
+// TestRetainAndRemove drop what is not listed.
+func TestRetainAndRemove(t *testing.T) {
+	set := newSet()
+	set.Put(backend.Instance{ID: "b", Service: "s", Slots: 4})
+	set.Retain(map[string]bool{"b": true})
+	_, known := set.Get("a")
+	require.False(t, known)
+	set.Remove("b")
+	require.Empty(t, set.Instances(""))
+	_, found := set.Acquire("b", backend.Online, nil)
+	require.False(t, found)
+}
--- a/internal/backend/lease.go
+++ b/internal/backend/lease.go
@@ -78,7 +78,6 @@
 	l.set.mutex.Lock()
 	defer l.set.mutex.Unlock()
 	l.state.count(l.class, -1)
-	l.set.signal()
 }
 
 // Reported records the load that the back end told.
@@ -162,5 +161,4 @@
 		}
 		known.peers[peer] = load
 	}
-	s.signal()
 }
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -35,7 +35,7 @@
 		return nil
 	}
 	s.logAcceptance(submitted, "accepted", nil)
-	s.own(submitted, ownedClaim{claim: s.newClaim(1), version: version}, history{})
+	s.own(submitted, versionedClaim{claim: s.newClaim(1), version: version}, history{})
 	return nil
 }
 
--- a/internal/job/claims.go
+++ b/internal/job/claims.go
@@ -32,14 +32,14 @@
 
 // Replace implements table.Consumer for the table of claims.
 func (s *Service) Replace(rows []table.Row, version table.Version) {
-	claims := map[string]heldClaim{}
+	claims := map[string]versionedClaim{}
 	for _, row := range rows {
 		var read claim
 		if err := decode(row, &read); err != nil {
 			s.log.Warn("claim_unreadable", "job", row.Key, "error", err)
 			continue
 		}
-		claims[row.Key] = heldClaim{claim: read, version: row.Version}
+		claims[row.Key] = versionedClaim{claim: read, version: row.Version}
 	}
 	s.mutex.Lock()
 	s.claims, s.followed = claims, version
@@ -78,7 +78,7 @@
 		delete(s.claims, row.Key)
 		delete(s.orphans, row.Key)
 	} else {
-		s.claims[row.Key] = heldClaim{claim: read, version: row.Version}
+		s.claims[row.Key] = versionedClaim{claim: read, version: row.Version}
 	}
 	held := s.owned[row.Key]
 	isLost := held != nil && row.Version > held.claim.version
@@ -103,10 +103,10 @@
 }
 
 // orphaned returns the claims that this daemon should take over now.
-func (s *Service) orphaned(now time.Time) map[string]heldClaim {
+func (s *Service) orphaned(now time.Time) map[string]versionedClaim {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	due := map[string]heldClaim{}
+	due := map[string]versionedClaim{}
 	if s.stopping {
 		return due
 	}
@@ -148,8 +148,8 @@
 }
 
 // takeOver claims a job and goes on with it.
-func (s *Service) takeOver(ctx context.Context, id string, held heldClaim) {
-	next := ownedClaim{claim: held.claim, version: held.version}
+func (s *Service) takeOver(ctx context.Context, id string, held versionedClaim) {
+	next := held
 	isOwn := held.claim.Owner == s.self.Name && held.claim.Incarnation == s.self.Incarnation
 	if !isOwn {
 		claimed, err := s.claimOver(ctx, id, held)
@@ -182,11 +182,11 @@
 	s.own(loaded, next, history{listed: listed, checkpoints: checkpoints})
 }
 
-func (s *Service) claimOver(ctx context.Context, id string, held heldClaim) (ownedClaim, error) {
+func (s *Service) claimOver(ctx context.Context, id string, held versionedClaim) (versionedClaim, error) {
 	next := s.newClaim(held.claim.Epoch + 1)
 	value, err := encode(next)
 	if err != nil {
-		return ownedClaim{}, err
+		return versionedClaim{}, err
 	}
 	bounded, cancel := context.WithTimeout(ctx, storeAttempt)
 	defer cancel()
@@ -196,10 +196,10 @@
 		Writes:     []table.Write{{Table: tableClaim, Key: id, Value: value}},
 	})
 	if err != nil {
-		return ownedClaim{}, err
+		return versionedClaim{}, err
 	}
 	s.log.Info("job_taken_over", "job", id, "owner_before", held.claim.Owner, "epoch", next.Epoch, "version", version)
-	return ownedClaim{claim: next, version: version}, nil
+	return versionedClaim{claim: next, version: version}, nil
 }
 
 // allResults reads everything that is listed of a job.
--- a/internal/job/owned.go
+++ b/internal/job/owned.go
@@ -8,12 +8,6 @@
 	"topazpulley/internal/table"
 )
 
-// ownedClaim is this daemon's claim on a job.
-type ownedClaim struct {
-	claim   claim
-	version table.Version
-}
-
 // itemState is where an item stands.
 type itemState uint8
 
@@ -46,7 +40,7 @@
 	cancel  context.CancelFunc
 
 	mutex      sync.Mutex
-	claim      ownedClaim
+	claim      versionedClaim
 	works      []*work
 	committed  int
 	finished   []Result
@@ -67,7 +61,7 @@
 }
 
 // own starts running a job under a claim.
-func (s *Service) own(accepted Job, held ownedClaim, earlier history) {
+func (s *Service) own(accepted Job, held versionedClaim, earlier history) {
 	ctx, cancel := context.WithCancel(s.lifetime)
 	started := &owned{
 		service: s, job: accepted, due: accepted.SubmittedAt.Add(accepted.Due), ctx: ctx, cancel: cancel,
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -71,7 +71,7 @@
 	random *rand.Rand
 	// claims are the claim rows as of the version followed. Only the follower
 	// changes them.
-	claims   map[string]heldClaim
+	claims   map[string]versionedClaim
 	followed table.Version
 	orphans  map[string]time.Time
 	owned    map[string]*owned
@@ -79,8 +79,9 @@
 	stopping bool
 }
 
-// heldClaim is a claim row as the follower last saw it.
-type heldClaim struct {
+// versionedClaim is a claim with the version of its row, the fence of every
+// commit under it.
+type versionedClaim struct {
 	claim   claim
 	version table.Version
 }
@@ -94,7 +95,7 @@
 		connections: dependencies.Connections,
 		lifetime:    lifetime, end: end, wake: make(chan struct{}, 1),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		claims: map[string]heldClaim{}, orphans: map[string]time.Time{}, owned: map[string]*owned{}, accepted: map[string]acceptance{},
+		claims: map[string]versionedClaim{}, orphans: map[string]time.Time{}, owned: map[string]*owned{}, accepted: map[string]acceptance{},
 	}
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -83,27 +83,12 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
-// Allows reports whether the route may send requests to the service.
-func (r *Route) Allows(service string) bool {
-	for _, target := range r.Targets {
-		if target.Service == service {
-			return true
-		}
-	}
-	return false
-}
-
 // Service describes a group of interchangeable back ends.
 type Service struct {
 	Name string
-	// HealthPath is the path of the back ends' health check.
-	HealthPath string
 	// MaxConnections bounds the connections to one back end from all daemons
 	// together; 0 means no bound.
 	MaxConnections int
-	// MemoryTokens is the prompt memory of one back end in tokens; 0 for
-	// services that do not generate.
-	MemoryTokens int
 }
 
 // Limits bound what a caller may send and how long it may take.
--- /dev/null
+++ b/internal/routing/cost_test.go
@@ -0,0 +1,89 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"topazpulley/internal/routing"
+)
+
+func drawCandidates(t *rapid.T) []routing.Candidate {
+	candidates := []routing.Candidate{}
+	for index := range rapid.IntRange(1, 8).Draw(t, "count") {
+		candidates = append(candidates, routing.Candidate{
+			ID: fmt.Sprintf("b%d", index), Slots: 4, Draining: rapid.Bool().Draw(t, "draining"), Ejected: rapid.Bool().Draw(t, "ejected"),
+			Online: rapid.IntRange(0, 8).Draw(t, "online"), PendingTokens: rapid.IntRange(0, 50000).Draw(t, "pending"),
+			UncachedTokens: rapid.IntRange(0, 20000).Draw(t, "uncached"),
+		})
+	}
+	return candidates
+}
+
+// TestCostNeverChoosesWhatMayNotTakeTheRequest: leaving and excluded back ends
+// never, ejected ones only when nothing else is left.
+func TestCostNeverChoosesWhatMayNotTakeTheRequest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := drawCandidates(t)
+		excluded := map[string]bool{}
+		if rapid.Bool().Draw(t, "exclude") {
+			excluded[candidates[0].ID] = true
+		}
+		possible, sound := 0, 0
+		for _, candidate := range candidates {
+			if !candidate.Draining && !excluded[candidate.ID] {
+				possible++
+				if !candidate.Ejected {
+					sound++
+				}
+			}
+		}
+		prompt := []routing.PromptPart{{ID: "p", Tokens: 13000}, {ID: "own", Tokens: 100}}
+		chosen, found := routing.ChooseByCost(routing.DefaultCostModel(), prompt, candidates, excluded, rand.New(rand.NewPCG(1, 2)))
+		require.Equal(t, possible > 0, found)
+		if !found {
+			return
+		}
+		require.False(t, chosen.Draining)
+		require.False(t, excluded[chosen.ID])
+		require.False(t, chosen.Ejected && sound > 0)
+	})
+}
+
+// TestUnreadPromptGathersAtOneHome: daemons that know nothing of each other
+// send the first requests with a large shared part to the same back end, and
+// leave it when it is busy.
+func TestUnreadPromptGathersAtOneHome(t *testing.T) {
+	prompt := []routing.PromptPart{{ID: "manual", Tokens: 13000}, {ID: "own", Tokens: 100}}
+	candidates := []routing.Candidate{}
+	for index := range 12 {
+		candidates = append(candidates, routing.Candidate{ID: fmt.Sprintf("b%d", index), Slots: 19, UncachedTokens: 13100})
+	}
+	homes := map[string]bool{}
+	for seed := range uint64(20) {
+		chosen, _ := routing.ChooseByCost(routing.DefaultCostModel(), prompt, candidates, nil, rand.New(rand.NewPCG(seed, seed)))
+		homes[chosen.ID] = true
+	}
+	require.Len(t, homes, 1)
+	for index := range candidates {
+		if homes[candidates[index].ID] {
+			candidates[index].PendingTokens = 60000
+		}
+	}
+	chosen, _ := routing.ChooseByCost(routing.DefaultCostModel(), prompt, candidates, nil, rand.New(rand.NewPCG(1, 1)))
+	require.False(t, homes[chosen.ID])
+}
+
+// TestCostRisesWithLoad.
+func TestCostRisesWithLoad(t *testing.T) {
+	model := routing.DefaultCostModel()
+	idle := routing.Candidate{Slots: 4}
+	for _, busier := range []routing.Candidate{
+		{Slots: 4, Online: 1}, {Slots: 4, Batch: 4}, {Slots: 4, Waiting: 2}, {Slots: 4, PendingTokens: 5000}, {Slots: 4, UncachedTokens: 5000},
+	} {
+		require.Greater(t, model.Cost(busier), model.Cost(idle))
+	}
+}
--- /dev/null
+++ b/internal/serving/serving_test.go
@@ -0,0 +1,232 @@
+package serving_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/route"
+	"topazpulley/internal/serving"
+	"topazpulley/internal/telemetry"
+)
+
+const streamLength = 6
+
+// behaviour is how a back end treats one attempt.
+type behaviour int
+
+const (
+	answers behaviour = iota
+	unreachable
+	refuses
+	otherInstance
+	breaksBeforeHead
+	failsWithStatus
+	breaksInBody
+	skipsAnEvent
+	repeatsAnEvent
+	behaviours
+)
+
+// script is a sender that treats attempts as drawn. It checks what it is asked.
+type script struct {
+	mutex    sync.Mutex
+	draw     []behaviour
+	sends    int
+	runs     int
+	ran      map[string]bool
+	lastSeen *recorder
+	problems []string
+}
+
+func (s *script) Send(_ context.Context, attempt serving.Attempt) (serving.Answer, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	next := answers
+	if s.sends < len(s.draw) {
+		next = s.draw[s.sends]
+	}
+	s.sends++
+	if attempt.LastEvent != s.lastSeen.last {
+		s.problems = append(s.problems, fmt.Sprintf("asked to go on behind %d, the caller has %d", attempt.LastEvent, s.lastSeen.last))
+	}
+	if attempt.Remaining <= 0 {
+		s.problems = append(s.problems, "sent without time")
+	}
+	switch next {
+	case unreachable:
+		return nil, &serving.AttemptError{Outcome: serving.OutcomeNotRun, Reason: serving.ReasonUnreachable}
+	case refuses:
+		return nil, &serving.AttemptError{Outcome: serving.OutcomeNotRun, Reason: serving.ReasonRefused}
+	case otherInstance:
+		return nil, &serving.AttemptError{Outcome: serving.OutcomeNotRun, Reason: serving.ReasonOtherInstance}
+	}
+	s.runs++
+	s.ran[attempt.Instance.ID] = true
+	if next == breaksBeforeHead {
+		return nil, &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
+	}
+	return &scripted{behaviour: next, stream: attempt.Stream, next: attempt.LastEvent + 1, instance: attempt.Instance.ID}, nil
+}
+
+// scripted is an answer.
+type scripted struct {
+	behaviour behaviour
+	stream    bool
+	next      int64
+	instance  string
+	sent      int
+}
+
+func (a *scripted) Head() serving.Head {
+	head := serving.Head{Status: 200, Signed: true, Events: a.stream, Fields: []serving.Field{{Name: "From", Value: a.instance}}}
+	if a.behaviour == failsWithStatus {
+		head.Status, head.Events = 500, false
+	}
+	return head
+}
+
+func (a *scripted) Load() (backend.Report, bool) { return backend.Report{}, false }
+func (a *scripted) Close()                       {}
+
+func (a *scripted) Body() ([]byte, error) {
+	if a.behaviour == breaksInBody {
+		return nil, &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
+	}
+	return []byte("body"), nil
+}
+
+func (a *scripted) Next() (serving.Event, error) {
+	if a.next > streamLength {
+		return serving.Event{}, io.EOF
+	}
+	if a.sent == 2 {
+		switch a.behaviour {
+		case breaksInBody:
+			return serving.Event{}, &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
+		case skipsAnEvent:
+			a.next++
+		case repeatsAnEvent:
+			a.next--
+		}
+	}
+	event := serving.Event{ID: a.next, Raw: []byte(fmt.Sprintf("%d;", a.next))}
+	a.next++
+	a.sent++
+	return event, nil
+}
+
+// recorder is a caller. It counts ends and keeps the events.
+type recorder struct {
+	begun, finished, aborted, whole int
+	refusals                        []serving.Refusal
+	from                            string
+	text                            strings.Builder
+	last                            int64
+	status                          int
+}
+
+func (r *recorder) Begin(head serving.Head) error {
+	r.begun++
+	r.from = head.Fields[0].Value
+	return nil
+}
+
+func (r *recorder) Event(raw []byte) error {
+	r.text.Write(raw)
+	r.last++
+	return nil
+}
+
+func (r *recorder) Finish() error { r.finished++; return nil }
+
+func (r *recorder) Whole(head serving.Head, _ []byte) error {
+	r.whole++
+	r.status = head.Status
+	return nil
+}
+
+func (r *recorder) Refuse(refusal serving.Refusal) error {
+	r.refusals = append(r.refusals, refusal)
+	return nil
+}
+
+func (r *recorder) Abort() { r.aborted++ }
+
+func newCore(sender serving.Sender) *serving.Core {
+	backends := backend.NewSet()
+	for index := range 4 {
+		backends.Put(backend.Instance{ID: fmt.Sprintf("b%d", index), Service: "s", Slots: 4})
+	}
+	metrics := telemetry.NewServing(prometheus.NewRegistry())
+	return serving.NewCore(backends, sender, &route.Holder{}, metrics, slog.New(slog.DiscardHandler), func() int { return 1 })
+}
+
+func wholeText() string {
+	text := ""
+	for number := 1; number <= streamLength; number++ {
+		text += fmt.Sprintf("%d;", number)
+	}
+	return text
+}
+
+// TestEveryOutcome: whatever the back ends do, in whatever order, a request
+// gets one final answer, which is true.
+func TestEveryOutcome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) behaviour {
+			return behaviour(rapid.IntRange(0, int(behaviours)-1).Draw(t, "behaviour"))
+		}), 0, 6).Draw(t, "draw")
+		policy := &route.Route{
+			Kind: route.Kind(rapid.IntRange(0, int(route.KindStream)).Draw(t, "kind")), Resumable: rapid.Bool().Draw(t, "resumable"),
+			Timeout: 300 * time.Millisecond, Objective: 60 * time.Millisecond, MaxAttempts: rapid.IntRange(1, 3).Draw(t, "attempts"),
+			Targets: []route.Target{{Service: "s", Weight: 1}},
+		}
+		caller := &recorder{}
+		sender := &script{draw: draw, ran: map[string]bool{}, lastSeen: caller}
+		now := time.Now()
+		newCore(sender).Serve(context.Background(), serving.Request{ID: "r", Route: policy, Service: "s", Arrived: now, Deadline: now.Add(time.Second)}, caller)
+
+		require.Empty(t, sender.problems)
+		require.Equal(t, 1, caller.finished+caller.aborted+caller.whole+len(caller.refusals), "one final answer")
+		require.LessOrEqual(t, caller.begun, 1)
+		require.LessOrEqual(t, sender.runs, policy.MaxAttempts, "more runs than allowed")
+		if !policy.Repeatable() {
+			require.LessOrEqual(t, sender.runs, 1, "ran twice")
+		}
+		if caller.finished == 1 {
+			require.Equal(t, wholeText(), caller.text.String())
+		}
+		require.True(t, strings.HasPrefix(wholeText(), caller.text.String()), "events out of order: %s", caller.text.String())
+		for _, refusal := range caller.refusals {
+			require.Zero(t, caller.begun)
+			if refusal.Verdict == serving.VerdictNotRun {
+				require.Zero(t, sender.runs, "promised not run")
+				require.Positive(t, refusal.RetryAfter)
+			}
+		}
+	})
+}
+
+// TestNoBackEndIsRefusedAtOnce: with the time to come back, well within the
+// objective.
+func TestNoBackEndIsRefusedAtOnce(t *testing.T) {
+	caller := &recorder{}
+	sender := &script{ran: map[string]bool{}, lastSeen: caller}
+	policy := &route.Route{Kind: route.KindOnce, Timeout: time.Minute, Objective: 200 * time.Millisecond, MaxAttempts: 1, Targets: []route.Target{{Service: "none"}}}
+	now := time.Now()
+	newCore(sender).Serve(context.Background(), serving.Request{ID: "r", Route: policy, Service: "none", Arrived: now, Deadline: now.Add(time.Minute)}, caller)
+	require.Len(t, caller.refusals, 1)
+	require.Equal(t, serving.VerdictNotRun, caller.refusals[0].Verdict)
+	require.Positive(t, caller.refusals[0].RetryAfter)
+}
--- /dev/null
+++ b/internal/telemetry/async_test.go
@@ -0,0 +1,41 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/telemetry"
+)
+
+// stuck is a writer that does not return until it is opened.
+type stuck struct {
+	open    chan struct{}
+	mutex   sync.Mutex
+	written bytes.Buffer
+}
+
+func (s *stuck) Write(line []byte) (int, error) {
+	<-s.open
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.written.Write(line)
+}
+
+// TestLogNeverWaits: with the output stuck, writing returns, what does not fit
+// is dropped and counted, and the rest comes out in order.
+func TestLogNeverWaits(t *testing.T) {
+	output := &stuck{open: make(chan struct{})}
+	writer := telemetry.NewAsyncWriter(output, 64)
+	for range 100 {
+		count, err := writer.Write([]byte("0123456789abcde\n"))
+		require.NoError(t, err)
+		require.Equal(t, 16, count)
+	}
+	require.Positive(t, writer.Dropped())
+	close(output.open)
+	writer.Close()
+	require.Equal(t, 100, int(writer.Dropped())+bytes.Count(output.written.Bytes(), []byte("\n")))
+}
