--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -20,13 +20,21 @@
 
 const (
 	keyPrefix = "load/"
-	// sendInterval is the shortest time between two messages.
+	// sendInterval is the shortest time between two messages, and perMember the
+	// time that each further member adds, so that a daemon of a large fleet is
+	// not busy with reading loads.
 	sendInterval = 100 * time.Millisecond
+	perMember    = 10 * time.Millisecond
+	// wholeFleet is the largest fleet in which loads go to all members; in a
+	// larger one they go to those of the zone.
+	wholeFleet = 40
 	// refreshInterval is the longest time between two messages of a daemon
 	// that has work in flight.
 	refreshInterval = 500 * time.Millisecond
 	// forgetAfter is when the loads of a silent daemon count no more.
 	forgetAfter = 1500 * time.Millisecond
+	// forgetIntervals is the same in intervals, for large fleets.
+	forgetIntervals = 4
 )
 
 // loadMessage is what one daemon has in flight.
@@ -86,17 +94,24 @@
 		case <-e.backends.Urgent():
 			e.send(time.Now())
 		case now := <-ticker.C:
-			e.send(now)
+			if now.Sub(e.sentAt) >= e.interval()-sendInterval/2 {
+				e.send(now)
+			}
 			e.forget(now)
 		}
 	}
 }
 
+// interval is the time between two messages at the present size of the fleet.
+func (e *Exchange) interval() time.Duration {
+	return max(sendInterval, time.Duration(len(e.recipients()))*perMember)
+}
+
 func (e *Exchange) send(now time.Time) {
 	loads := e.backends.OwnLoads()
 	reads := e.backends.TakeReads()
 	isSame := sameLoads(loads, e.last) && len(reads) == 0
-	if isSame && (len(loads) == 0 || now.Sub(e.sentAt) < refreshInterval) {
+	if isSame && (len(loads) == 0 || now.Sub(e.sentAt) < max(refreshInterval, e.interval())) {
 		return
 	}
 	payload, err := encodeLoads(loads, reads)
@@ -107,11 +122,22 @@
 	e.last, e.sentAt = loads, now
 	self := e.node.Self().Name
 	item := membership.Item{Key: keyPrefix + self, Version: now.UnixNano(), Priority: membership.PriorityLoad, Payload: payload}
-	for _, member := range e.node.Members() {
-		if member.Name != self {
-			e.node.Hint(member.Name, item)
+	for _, name := range e.recipients() {
+		e.node.Hint(name, item)
+	}
+}
+
+// recipients returns the members that are told.
+func (e *Exchange) recipients() []string {
+	self, members := e.node.Self(), e.node.Members()
+	names := make([]string, 0, len(members))
+	for _, member := range members {
+		isNear := len(members) <= wholeFleet || member.Zone == self.Zone
+		if isNear && member.Name != self.Name {
+			names = append(names, member.Name)
 		}
 	}
+	return names
 }
 
 func sameLoads(a, b map[string]backend.PeerLoad) bool {
@@ -183,10 +209,11 @@
 }
 
 func (e *Exchange) forget(now time.Time) {
+	limit := max(forgetAfter, e.interval()*forgetIntervals)
 	e.mutex.Lock()
 	silent := []string{}
 	for name, at := range e.heard {
-		if now.Sub(at) > forgetAfter {
+		if now.Sub(at) > limit {
 			silent = append(silent, name)
 		}
 	}
