--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -180,7 +180,7 @@
 	}
 	return routing.Candidate{
 		ID: k.ID, Zone: k.Zone, Slots: k.Slots, Draining: k.Draining,
-		Online: online, Batch: batch, OwnBatch: k.batch, Waiting: waiting,
+		Online: online, Batch: batch, OwnBatch: k.batch, Waiting: waiting, ReportAge: now.Sub(k.reportedAt),
 		PendingTokens: pending, UncachedTokens: k.prompts.uncached(prompt, now),
 		Ejected: now.Before(k.ejectedUntil),
 	}
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -28,6 +29,8 @@
 	OwnBatch int
 	// Waiting is what the back end itself reports as queued, if fresh.
 	Waiting int
+	// ReportAge is how old the back end's own report is.
+	ReportAge time.Duration
 	// PendingTokens are prompt tokens that were sent and are not read yet.
 	PendingTokens int
 	// UncachedTokens are the request's prompt tokens to be read there.
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -354,5 +354,5 @@
 	e.core.Logger.Info("request_ended", "id", e.request.ID, "outcome", e.outcome, "reason", string(e.reason),
 		"route", e.request.Route.Name, "config", e.request.ConfigVersion, "backend", e.last.ID, "sends", e.sends, "runs", e.runs,
 		"online", e.cost.Online, "batch", e.cost.Batch, "slots", e.cost.Slots, "pending_tokens", e.cost.PendingTokens,
-		"uncached_tokens", e.cost.UncachedTokens, "events", e.events, "first_ms", first.Milliseconds(), "took_ms", took.Milliseconds())
+		"uncached_tokens", e.cost.UncachedTokens, "report_age_ms", min(e.cost.ReportAge, time.Hour).Milliseconds(), "events", e.events, "first_ms", first.Milliseconds(), "took_ms", took.Milliseconds())
 }
--- a/internal/telemetry/async_test.go
+++ b/internal/telemetry/async_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"log/slog"
 	"sync"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"topazpulley/internal/telemetry"
@@ -39,3 +41,10 @@
 	writer.Close()
 	require.Equal(t, 100, int(writer.Dropped())+bytes.Count(output.written.Bytes(), []byte("\n")))
 }
+
+// TestErrorsAreLoggedWithoutTheirStack: one line for an event.
+func TestErrorsAreLoggedWithoutTheirStack(t *testing.T) {
+	var output bytes.Buffer
+	telemetry.NewLogger(&output, slog.LevelInfo, "d").Info("event", "error", errors.New("cause"))
+	require.Contains(t, output.String(), "msg=event daemon=d error=cause\n")
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -52,5 +52,14 @@
 
 // NewLogger returns a logger of one key=value line per event.
 func NewLogger(output io.Writer, level slog.Level, daemon string) *slog.Logger {
-	return slog.New(slog.NewTextHandler(output, &slog.HandlerOptions{Level: level})).With("daemon", daemon)
+	options := &slog.HandlerOptions{Level: level, ReplaceAttr: withoutStack}
+	return slog.New(slog.NewTextHandler(output, options)).With("daemon", daemon)
+}
+
+// withoutStack logs the text of an error; the handler would add its stack.
+func withoutStack(_ []string, attribute slog.Attr) slog.Attr {
+	if err, isError := attribute.Value.Any().(error); isError {
+		attribute.Value = slog.StringValue(err.Error())
+	}
+	return attribute
 }
