Take configuration, discovery and claims from other daemons while the store does not answer

Cause: a daemon that started or was cut off while the store did not answer knew nothing, or only what it had. Change: daemons keep copies of the followed tables and answer each other; a copy with a higher version of the store's one counter replaces an older one. Ruled out: pushing every change by gossip: the store's watch does it already.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -73,10 +73,16 @@
 		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: ports.Sender,
 		Holder: f.Holder, Peers: peers{node: f.node}, Metrics: metrics, Logger: log, Connections: f.Core.ConnectionShare,
 	})
-	f.followers = []*table.Follower{
-		{Store: f.store, Table: ports.ConfigTable, Consumer: &configConsumer{ports: ports, holder: f.Holder, log: log}, Logger: log, Wait: watchWait},
-		{Store: f.store, Table: ports.InstanceTable, Consumer: &instanceConsumer{ports: ports, backends: f.Backends, log: log}, Logger: log, Wait: watchWait},
-		{Store: f.store, Table: f.Jobs.FollowedTable(), Consumer: f.Jobs, Logger: log, Wait: watchWait, Partitioned: true},
+	source := newPeerSource(f.node, f.transport)
+	for _, followed := range []*table.Follower{
+		{Table: ports.ConfigTable, Consumer: &configConsumer{ports: ports, holder: f.Holder, log: log}},
+		{Table: ports.InstanceTable, Consumer: &instanceConsumer{ports: ports, backends: f.Backends, log: log}},
+		{Table: f.Jobs.FollowedTable(), Consumer: f.Jobs, Partitioned: true},
+	} {
+		replica := &table.Replica{Consumer: followed.Consumer}
+		source.offer(followed.Table, replica)
+		followed.Store, followed.Consumer, followed.Peers, followed.Logger, followed.Wait = f.store, replica, source, log, watchWait
+		f.followers = append(f.followers, followed)
 	}
 	return f
 }
--- /dev/null
+++ b/internal/frontend/source.go
@@ -0,0 +1,117 @@
+package frontend
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/hamba/avro/v2"
+
+	"topazpulley/internal/cluster"
+	"topazpulley/internal/membership"
+	"topazpulley/internal/peer"
+	"topazpulley/internal/table"
+)
+
+// methodNewer is the method of the peer protocol by which a daemon asks
+// another for its copy of a table.
+const methodNewer = "table.newer"
+
+// askedPeers is how many daemons are asked at a time.
+const askedPeers = 2
+
+// newerRequest asks for a table if it is newer than a version.
+type newerRequest struct {
+	Table string `avro:"table"`
+	After int64  `avro:"after"`
+}
+
+// newerAnswer is a copy of a table; Version is 0 if it is not newer.
+type newerAnswer struct {
+	Version int64       `avro:"version"`
+	Rows    []rowRecord `avro:"rows"`
+}
+
+type rowRecord struct {
+	Partition string `avro:"partition"`
+	Key       string `avro:"key"`
+	Value     []byte `avro:"value"`
+	Version   int64  `avro:"version"`
+}
+
+var (
+	newerRequestSchema = avro.MustParse(`{"type":"record","name":"newer_request","fields":[{"name":"table","type":"string"},{"name":"after","type":"long"}]}`)
+	newerAnswerSchema  = avro.MustParse(`{"type":"record","name":"newer_answer","fields":[{"name":"version","type":"long"},
+		{"name":"rows","type":{"type":"array","items":{"type":"record","name":"row","fields":[{"name":"partition","type":"string"},
+		{"name":"key","type":"string"},{"name":"value","type":"bytes"},{"name":"version","type":"long"}]}}}]}`)
+)
+
+// Schema implements peer.Message.
+func (newerRequest) Schema() avro.Schema { return newerRequestSchema }
+
+// Schema implements peer.Message.
+func (newerAnswer) Schema() avro.Schema { return newerAnswerSchema }
+
+// peerSource answers other daemons from the copies of followed tables, and asks
+// them. Copies are offered before the transport starts.
+type peerSource struct {
+	node      *cluster.Node
+	transport *peer.Transport
+	copies    map[string]*table.Replica
+}
+
+var _ table.Peers = (*peerSource)(nil)
+
+func newPeerSource(node *cluster.Node, transport *peer.Transport) *peerSource {
+	source := &peerSource{node: node, transport: transport, copies: map[string]*table.Replica{}}
+	peer.Handle(transport, methodNewer, source.answer)
+	return source
+}
+
+func (s *peerSource) offer(name string, replica *table.Replica) { s.copies[name] = replica }
+
+func (s *peerSource) answer(_ context.Context, _ string, request newerRequest) (newerAnswer, error) {
+	answer := newerAnswer{Rows: []rowRecord{}}
+	replica, offered := s.copies[request.Table]
+	if !offered {
+		return answer, nil
+	}
+	rows, version, isNewer := replica.Since(table.Version(request.After))
+	if !isNewer {
+		return answer, nil
+	}
+	answer.Version = int64(version)
+	for _, row := range rows {
+		answer.Rows = append(answer.Rows, rowRecord{Partition: row.Partition, Key: row.Key, Value: row.Value, Version: int64(row.Version)})
+	}
+	return answer, nil
+}
+
+// Newer implements table.Peers: it asks some live daemons, chosen anew each
+// time.
+func (s *peerSource) Newer(ctx context.Context, name string, after table.Version) ([]table.Row, table.Version, bool) {
+	for _, member := range s.some() {
+		request := newerRequest{Table: name, After: int64(after)}
+		answer, err := peer.Call[newerRequest, newerAnswer](ctx, s.transport, member.Address, methodNewer, request)
+		if err != nil || answer.Version == 0 {
+			continue
+		}
+		rows := make([]table.Row, 0, len(answer.Rows))
+		for _, row := range answer.Rows {
+			rows = append(rows, table.Row{Table: name, Partition: row.Partition, Key: row.Key, Value: row.Value, Version: table.Version(row.Version)})
+		}
+		return rows, table.Version(answer.Version), true
+	}
+	return nil, 0, false
+}
+
+func (s *peerSource) some() []membership.Member {
+	self := s.node.Self().Name
+	others := []membership.Member{}
+	for _, member := range s.node.Members() {
+		if member.Name != self {
+			others = append(others, member)
+		}
+	}
+	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	return others[:min(askedPeers, len(others))]
+}
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -16,6 +16,8 @@
 	pageRows      = 500
 	answerReserve = 700 * time.Millisecond
 	readTimeout   = time.Second
+	// askInterval is the shortest time between two questions to peers.
+	askInterval = 400 * time.Millisecond
 )
 
 // Consumer receives the rows of a followed table. Calls come from one
@@ -38,8 +40,11 @@
 	Wait time.Duration
 	// Partitioned tells that the table has partitions besides the empty one.
 	Partitioned bool
+	// Peers are asked while the store does not answer; nil means none.
+	Peers Peers
 
 	seen      Version
+	askedAt   time.Time
 	lost      bool
 	confirmed atomic.Int64
 }
@@ -62,11 +67,32 @@
 			inStep = false
 		}
 		if err != nil {
+			inStep = f.askPeers(ctx) || inStep
 			pause(ctx)
 		}
 	}
 }
 
+// askPeers takes another daemon's copy of the table if it is newer, and reports
+// whether it did. All versions come from the store's one counter, so that a
+// newer copy is never a step back.
+func (f *Follower) askPeers(ctx context.Context) bool {
+	if f.Peers == nil || !f.lost || time.Since(f.askedAt) < askInterval {
+		return false
+	}
+	f.askedAt = time.Now()
+	bounded, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	rows, version, found := f.Peers.Newer(bounded, f.Table, f.seen)
+	if !found || version <= f.seen {
+		return false
+	}
+	f.Consumer.Replace(rows, version)
+	f.Logger.Info("table_from_peer", "table", f.Table, "version", version, "version_before", f.seen, "rows", len(rows))
+	f.seen = version
+	return true
+}
+
 // note logs the loss and the return of the store for this table.
 func (f *Follower) note(err error) {
 	if err == nil {
