--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"topazpulley/internal/admission"
 	"topazpulley/internal/backend"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
@@ -24,15 +25,25 @@
 	// connections.
 	Fleet func() int
 
-	mutex  sync.Mutex
-	random *rand.Rand
+	retries *admission.RetryBudget
+	mutex   sync.Mutex
+	random  *rand.Rand
 }
 
+const (
+	// retryShare is the part of the requests that further attempts may add in
+	// the long run, and retryReserve what they may add at once, so that retries
+	// do not keep an overload going.
+	retryShare   = 0.25
+	retryReserve = 100
+)
+
 // NewCore returns a core with its own source of randomness.
 func NewCore(backends *backend.Set, sender Sender, holder *route.Holder, metrics *telemetry.Serving, log *slog.Logger, fleet func() int) *Core {
 	return &Core{
 		Backends: backends, Sender: sender, Holder: holder, Metrics: metrics, Logger: log, Fleet: fleet,
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		retries: admission.NewRetryBudget(retryShare, retryReserve),
+		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -48,6 +59,7 @@
 		core: c, request: request, responder: responder, caller: ctx, end: end,
 		excluded: map[string]bool{}, lastEvent: request.LastEvent,
 	}
+	c.retries.Earn()
 	served.run(bounded)
 	served.record()
 }
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -299,10 +299,15 @@
 	if ctx.Err() != nil || e.sends >= maxSends || time.Until(e.end) < minimumRemaining {
 		return false
 	}
-	if failed.Outcome == OutcomeNotRun {
-		return true
+	isAllowed := failed.Outcome == OutcomeNotRun || (e.request.Route.Repeatable() && e.runs < e.request.Route.MaxAttempts)
+	if !isAllowed {
+		return false
 	}
-	return e.request.Route.Repeatable() && e.runs < e.request.Route.MaxAttempts
+	if !e.core.retries.Spend() {
+		e.reason = ReasonBudget
+		return false
+	}
+	return true
 }
 
 // counts reports whether a failed attempt counts against the greatest number
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -153,6 +153,9 @@
 	ReasonSilent        Reason = "silent"
 	ReasonEnded         Reason = "ended"
 	ReasonError         Reason = "error"
+	// ReasonBudget tells that a further attempt was allowed but for the bound
+	// on retries.
+	ReasonBudget Reason = "retry_budget_spent"
 )
 
 // AttemptError tells why an attempt gave no answer.
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -218,6 +218,32 @@
 	})
 }
 
+// TestRetriesAreBounded: when every back end refuses everything, attempts stay
+// near the number of requests.
+func TestRetriesAreBounded(t *testing.T) {
+	refusing := &refuser{}
+	core := newCore(refusing)
+	policy := &route.Route{Kind: route.KindOnce, Timeout: time.Minute, Objective: time.Microsecond, MaxAttempts: 3, Targets: []route.Target{{Service: "s"}}}
+	const requests = 2000
+	for range requests {
+		caller := &recorder{}
+		now := time.Now()
+		core.Serve(context.Background(), serving.Request{ID: "r", Route: policy, Service: "s", Arrived: now, Deadline: now.Add(time.Minute)}, caller)
+		require.Len(t, caller.refusals, 1)
+	}
+	require.Less(t, refusing.sends, requests*3/2)
+}
+
+// refuser refuses everything.
+type refuser struct {
+	sends int
+}
+
+func (r *refuser) Send(context.Context, serving.Attempt) (serving.Answer, error) {
+	r.sends++
+	return nil, &serving.AttemptError{Outcome: serving.OutcomeNotRun, Reason: serving.ReasonRefused}
+}
+
 // TestNoBackEndIsRefusedAtOnce: with the time to come back, well within the
 // objective.
 func TestNoBackEndIsRefusedAtOnce(t *testing.T) {
