Tell other daemons of back ends' failures; count a back end's own errors on what may run once

Cause: a back end that fails 40 in 100 requests while healthy was found by each daemon alone, from two failures in a row, and its errors on non-repeatable streams did not count at all. Change: failures travel with the loads; a score with a half life of 2 s ejects at 3; 5xx but 504 count.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -44,10 +44,6 @@
 )
 
 const (
-	// failuresToEject is how many failures in a row take a back end out.
-	failuresToEject = 2
-	ejectFor        = time.Second
-	ejectCeiling    = 8 * time.Second
 	// promptMemory bounds the prompt parts remembered per back end.
 	promptMemory = 256
 	// reportAge is how long a back end's own report counts.
@@ -62,10 +58,14 @@
 	peers         map[string]PeerLoad
 	report        Report
 	reportedAt    time.Time
-	failures      int
-	ejectedUntil  time.Time
-	ejectedFor    time.Duration
-	prompts       *promptCache
+	// failures counts failures in a row that this daemon saw; failureScore
+	// those that all daemons saw, each counting less with time.
+	failures     int
+	failureScore float64
+	scoredAt     time.Time
+	ejectedUntil time.Time
+	ejectedFor   time.Duration
+	prompts      *promptCache
 }
 
 // PeerLoad is another daemon's work in flight at a back end.
@@ -81,12 +81,14 @@
 	states    map[string]*state
 	byService map[string][]*state
 	reads     []Read
-	urgent    chan struct{}
+	// untold are failures that the other daemons were not told yet.
+	untold map[string]int
+	urgent chan struct{}
 }
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{states: map[string]*state{}, byService: map[string][]*state{}, urgent: make(chan struct{}, 1)}
+	return &Set{states: map[string]*state{}, byService: map[string][]*state{}, urgent: make(chan struct{}, 1), untold: map[string]int{}}
 }
 
 // Put adds a back end or updates it.
--- /dev/null
+++ b/internal/backend/health.go
@@ -0,0 +1,103 @@
+package backend
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// failuresToEject is how many failures in a row, seen by one daemon, take a
+	// back end out.
+	failuresToEject = 2
+	// scoreToEject is the score of failures seen by all daemons that takes a
+	// back end out. A few lost answers in a hundred stay far below it.
+	scoreToEject = 3
+	// scoreHalfLife is the time after which a failure counts half.
+	scoreHalfLife = 2 * time.Second
+	ejectFor      = time.Second
+	ejectCeiling  = 8 * time.Second
+)
+
+// addFailures raises the score and ejects the back end if it is too high.
+func (k *state) addFailures(count int, now time.Time) {
+	elapsed := now.Sub(k.scoredAt)
+	k.failureScore *= math.Exp2(-elapsed.Seconds() / scoreHalfLife.Seconds())
+	k.failureScore += float64(count)
+	k.scoredAt = now
+	if k.failureScore >= scoreToEject {
+		k.eject(now)
+	}
+}
+
+// eject takes the back end out for a while, each time for longer. An ejected
+// back end is used only when all are.
+func (k *state) eject(now time.Time) {
+	if now.Before(k.ejectedUntil) {
+		return
+	}
+	k.ejectedFor = min(max(k.ejectedFor*2, ejectFor), ejectCeiling)
+	k.ejectedUntil = now.Add(k.ejectedFor)
+	k.failureScore = 0
+}
+
+// Succeeded records that the back end worked. The time of its next ejection
+// starts anew once it has worked for a while.
+func (s *Set) Succeeded(id string, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known, exists := s.states[id]
+	if !exists {
+		return
+	}
+	known.failures = 0
+	if now.Sub(known.ejectedUntil) > ejectCeiling {
+		known.ejectedFor = 0
+	}
+}
+
+// Failed records that the back end failed a request, and reports whether it is
+// ejected now.
+func (s *Set) Failed(id string, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known, exists := s.states[id]
+	if !exists {
+		return false
+	}
+	known.failures++
+	s.untold[id]++
+	if known.failures >= failuresToEject {
+		known.eject(now)
+	}
+	known.addFailures(1, now)
+	return now.Before(known.ejectedUntil)
+}
+
+// Unreachable ejects a back end at once: a connection to it could not be made.
+func (s *Set) Unreachable(id string, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if known, exists := s.states[id]; exists {
+		known.eject(now)
+	}
+}
+
+// TakeFailures returns the failures by back end since the last call.
+func (s *Set) TakeFailures() map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	taken := s.untold
+	s.untold = map[string]int{}
+	return taken
+}
+
+// NoteFailures records failures that another daemon saw.
+func (s *Set) NoteFailures(failures map[string]int, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for id, count := range failures {
+		if known, exists := s.states[id]; exists {
+			known.addFailures(count, now)
+		}
+	}
+}
--- a/internal/backend/lease.go
+++ b/internal/backend/lease.go
@@ -91,48 +91,6 @@
 	known.report, known.reportedAt = report, now
 }
 
-// Succeeded records that the back end worked.
-func (s *Set) Succeeded(id string) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if known, exists := s.states[id]; exists {
-		known.failures, known.ejectedFor = 0, 0
-		known.ejectedUntil = time.Time{}
-	}
-}
-
-// Failed records that the back end failed a request or could not be reached,
-// and reports whether it is ejected now. An ejected back end is used only when
-// all are; each further failure doubles the time.
-func (s *Set) Failed(id string, now time.Time) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	known, exists := s.states[id]
-	if !exists {
-		return false
-	}
-	known.failures++
-	if known.failures < failuresToEject {
-		return false
-	}
-	known.ejectedFor = min(max(known.ejectedFor*2, ejectFor), ejectCeiling)
-	known.ejectedUntil = now.Add(known.ejectedFor)
-	return true
-}
-
-// Unreachable ejects a back end at once: a connection to it could not be made.
-func (s *Set) Unreachable(id string, now time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	known, exists := s.states[id]
-	if !exists {
-		return
-	}
-	known.failures += failuresToEject
-	known.ejectedFor = min(max(known.ejectedFor*2, ejectFor), ejectCeiling)
-	known.ejectedUntil = now.Add(known.ejectedFor)
-}
-
 // OwnLoads returns this daemon's work in flight by back end, without those
 // that have none.
 func (s *Set) OwnLoads() map[string]PeerLoad {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -42,6 +42,13 @@
 	Backends []backendLoad `avro:"backends"`
 	// Reads are the large prompt parts sent since the last message.
 	Reads []readRecord `avro:"reads"`
+	// Failures are those of back ends since the last message.
+	Failures []failureRecord `avro:"failures"`
+}
+
+type failureRecord struct {
+	Backend string `avro:"backend"`
+	Count   int    `avro:"count"`
 }
 
 type readRecord struct {
@@ -60,7 +67,9 @@
 	"type":"record","name":"backend","fields":[{"name":"id","type":"string"},{"name":"online","type":"int"},
 	{"name":"batch","type":"int"},{"name":"pending","type":"int"}]}}},
 	{"name":"reads","type":{"type":"array","items":{"type":"record","name":"read","fields":[
-	{"name":"backend","type":"string"},{"name":"part","type":"string"}]}},"default":[]}]}`)
+	{"name":"backend","type":"string"},{"name":"part","type":"string"}]}},"default":[]},
+	{"name":"failures","type":{"type":"array","items":{"type":"record","name":"failure","fields":[
+	{"name":"backend","type":"string"},{"name":"count","type":"int"}]}},"default":[]}]}`)
 
 // Exchange sends this daemon's loads and receives the others'. mutex guards
 // heard.
@@ -109,12 +118,12 @@
 
 func (e *Exchange) send(now time.Time) {
 	loads := e.backends.OwnLoads()
-	reads := e.backends.TakeReads()
-	isSame := sameLoads(loads, e.last) && len(reads) == 0
+	reads, failures := e.backends.TakeReads(), e.backends.TakeFailures()
+	isSame := sameLoads(loads, e.last) && len(reads) == 0 && len(failures) == 0
 	if isSame && (len(loads) == 0 || now.Sub(e.sentAt) < max(refreshInterval, e.interval())) {
 		return
 	}
-	payload, err := encodeLoads(loads, reads)
+	payload, err := encodeLoads(loads, reads, failures)
 	if err != nil {
 		e.log.Error("load_not_encoded", "error", err)
 		return
@@ -152,14 +161,17 @@
 	return true
 }
 
-func encodeLoads(loads map[string]backend.PeerLoad, reads []backend.Read) ([]byte, error) {
-	message := loadMessage{Backends: []backendLoad{}, Reads: []readRecord{}}
+func encodeLoads(loads map[string]backend.PeerLoad, reads []backend.Read, failures map[string]int) ([]byte, error) {
+	message := loadMessage{Backends: []backendLoad{}, Reads: []readRecord{}, Failures: []failureRecord{}}
 	for id, load := range loads {
 		message.Backends = append(message.Backends, backendLoad{ID: id, Online: load.Online, Batch: load.Batch, Pending: load.PendingTokens})
 	}
 	for _, read := range reads {
 		message.Reads = append(message.Reads, readRecord{Backend: read.Backend, Part: read.Part})
 	}
+	for id, count := range failures {
+		message.Failures = append(message.Failures, failureRecord{Backend: id, Count: count})
+	}
 	payload, err := avro.Marshal(loadSchema, message)
 	return payload, errors.WithStack(err)
 }
@@ -192,6 +204,11 @@
 		reads = append(reads, backend.Read{Backend: each.Backend, Part: each.Part})
 	}
 	e.backends.NoteReads(reads, now)
+	failures := map[string]int{}
+	for _, each := range message.Failures {
+		failures[each.Backend] += each.Count
+	}
+	e.backends.NoteFailures(failures, now)
 	e.mutex.Lock()
 	e.heard[name] = now
 	e.mutex.Unlock()
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -260,7 +260,7 @@
 	for {
 		event, err := answer.Next()
 		if errors.Is(err, io.EOF) {
-			s.backends.Succeeded(lease.Instance().ID)
+			s.backends.Succeeded(lease.Instance().ID, time.Now())
 			s.metrics.Items.WithLabelValues(string(StateCompleted)).Inc()
 			s.log.Info("item_completed", "job", running.owner.job.ID, "item", running.item.ID, "backend", lease.Instance().ID,
 				"events", running.progress.last(), "took_ms", time.Since(running.startedAt).Milliseconds())
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -180,19 +180,31 @@
 	}
 	e.runs++
 	if head.Successful() {
-		e.core.Backends.Succeeded(e.last.ID)
+		e.core.Backends.Succeeded(e.last.ID, time.Now())
 	}
 	e.firstAt = time.Now()
 	e.outcome = "served"
 	if !head.Successful() {
 		e.outcome = "failure_passed_on"
 	}
+	if isBackEndFault(head.Status) {
+		e.core.Backends.Failed(e.last.ID, time.Now())
+	}
 	if err := e.responder.Whole(head, body); err != nil {
 		e.outcome = "caller_gone"
 	}
 	return nil
 }
 
+// isBackEndFault tells a back end's own failures from those of requests that
+// ran out of time.
+func isBackEndFault(status int) bool {
+	return status >= 500 && status != gatewayTimeout
+}
+
+// gatewayTimeout is a back end's answer to a request whose time is over.
+const gatewayTimeout = 504
+
 // mayRepeatFailure reports whether a back end's own failure is tried again
 // elsewhere and not passed on.
 func (e *exchange) mayRepeatFailure(head Head) bool {
@@ -243,7 +255,7 @@
 
 func (e *exchange) finish(answer Answer) error {
 	e.runs++
-	e.core.Backends.Succeeded(e.last.ID)
+	e.core.Backends.Succeeded(e.last.ID, time.Now())
 	e.outcome = "served"
 	if err := e.begin(answer); err != nil {
 		e.outcome = "caller_gone"
