--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"time"
+	"topazpulley/internal/periodic"
 
 	"topazpulley/internal/engine"
 )
@@ -271,7 +272,7 @@
 			}
 			continue
 		}
-		sleepFor(ctx, pause)
+		periodic.Sleep(ctx, pause)
 		e.produce()
 	}
 }
@@ -390,7 +391,7 @@
 }
 
 func (e *Engine) finishLoading(ctx context.Context, loadID int, models []string) {
-	sleepFor(ctx, time.Duration(e.model.LoadSeconds*e.model.TimeScale*float64(time.Second)))
+	periodic.Sleep(ctx, time.Duration(e.model.LoadSeconds*e.model.TimeScale*float64(time.Second)))
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.loadID != loadID {
@@ -445,7 +446,7 @@
 
 // sampleReports records load for lagged reports until the context ends.
 func (e *Engine) sampleReports(ctx context.Context) {
-	for sleepFor(ctx, reportSampling) {
+	for periodic.Sleep(ctx, reportSampling) {
 		e.mutex.Lock()
 		e.reports = append(e.reports, timedReport{at: time.Now(), report: e.currentReport()})
 		if len(e.reports) > maxReports {
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -4,7 +4,6 @@
 package emulator
 
 import (
-	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
@@ -344,15 +343,3 @@
 	call.SetContentType("application/json")
 	call.SetBody(encoded)
 }
-
-// sleepFor waits or returns early when the context ends.
-func sleepFor(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -38,9 +38,9 @@
 	// watchWait is how long one watch call is held. A watch whose answer is
 	// lost is noticed shortly after.
 	watchWait = 1500 * time.Millisecond
-	// rejoinInterval is the time between two looks for daemons that are not
+	// rejoinPause is the time between two looks for other daemons while none is
 	// known.
-	rejoinInterval = 5 * time.Second
+	rejoinPause = 500 * time.Millisecond
 )
 
 // Frontend is one daemon.
--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -10,6 +10,7 @@
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/duty"
 	"topazpulley/internal/job"
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/table"
 )
 
@@ -62,16 +63,7 @@
 		if isWritten && isFound {
 			return
 		}
-		sleep(ctx, rejoinInterval/10)
-	}
-}
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		periodic.Sleep(ctx, rejoinPause)
 	}
 }
 
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/table"
 )
 
@@ -113,7 +113,7 @@
 			return 0, false, nil
 		}
 		isUnsettled = isUnsettled || isUnknown(err)
-		if !rest(ctx, storePause) {
+		if !periodic.SleepAbout(ctx, storePause) {
 			if isUnsettled {
 				return 0, false, outcomeUnknown(err)
 			}
@@ -138,20 +138,8 @@
 		if err == nil {
 			return nil
 		}
-		if !rest(ctx, storePause) {
+		if !periodic.SleepAbout(ctx, storePause) {
 			return err
 		}
 	}
 }
-
-// rest waits for about the pause; it reports false when the context ends.
-func rest(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause/2 + rand.N(pause))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return ctx.Err() == nil
-	}
-}
--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"strconv"
 
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/table"
 )
 
@@ -25,7 +26,7 @@
 // commitFinished commits results until none is left.
 func (o *owned) commitFinished() {
 	for {
-		if !rest(o.ctx, commitDelay) {
+		if !periodic.SleepAbout(o.ctx, commitDelay) {
 			return
 		}
 		batch, position, isLast := o.takeFinished()
@@ -101,7 +102,7 @@
 		if errors.As(err, &conflict) {
 			return o.settle(conflict, transaction, isLast)
 		}
-		if !rest(ctx, storePause) {
+		if !periodic.SleepAbout(ctx, storePause) {
 			return errors.WithStack(ctx.Err())
 		}
 	}
@@ -167,7 +168,7 @@
 // claim up, so that another daemon goes on at once where this one stopped.
 func (o *owned) release(ctx context.Context) {
 	o.stopItems()
-	for o.isBusy() && rest(ctx, releasePoll) {
+	for o.isBusy() && periodic.SleepAbout(ctx, releasePoll) {
 	}
 	o.saveProgress(ctx, 1)
 	o.mutex.Lock()
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"topazpulley/internal/failure"
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/table"
 )
 
@@ -154,7 +155,7 @@
 		if err == nil {
 			return nil
 		}
-		if !rest(ctx, storePause) {
+		if !periodic.SleepAbout(ctx, storePause) {
 			break
 		}
 	}
@@ -243,7 +244,7 @@
 	case errors.As(err, &conflict):
 		return conflict.Row(tableClaim, id).Version, nil
 	}
-	if !rest(ctx, storePause) {
+	if !periodic.SleepAbout(ctx, storePause) {
 		return version, unavailable(err)
 	}
 	return version, nil
--- a/internal/periodic/periodic.go
+++ b/internal/periodic/periodic.go
@@ -1,4 +1,4 @@
-// Package periodic runs steps at an interval.
+// Package periodic runs steps at an interval and pauses within a context.
 package periodic
 
 import (
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/watchdog"
@@ -93,12 +94,8 @@
 	if time.Now().After(patience) || e.runs >= e.request.Route.MaxAttempts {
 		return false
 	}
-	timer := time.NewTimer(refusalPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !periodic.Sleep(ctx, refusalPause) {
 		return false
-	case <-timer.C:
 	}
 	clear(e.excluded)
 	return true
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"topazpulley/internal/failure"
+	"topazpulley/internal/periodic"
 )
 
 const (
@@ -74,7 +75,7 @@
 			return err
 		}
 		pause := time.Duration(rand.Int64N(int64(backoff)) + int64(backoff)/2)
-		if !sleep(ctx, pause) {
+		if !periodic.Sleep(ctx, pause) {
 			return err
 		}
 		backoff = min(backoff*2, retryCeiling)
@@ -99,17 +100,6 @@
 	return err
 }
 
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Transact commits the transaction once. A retry whose condition fails because
 // an earlier try of the same operation took effect counts as success.
 func (c *Client) Transact(ctx context.Context, transaction Transaction) (Version, error) {
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -171,14 +171,9 @@
 		return
 	}
 	if err == nil {
-		var end engine.Event
-		end, err = collect(ctx, stream, task)
-		if err == nil {
-			l.supervisor.worker.Finish(task, end)
-			return
-		}
+		err = l.collectAndFinish(ctx, stream, task)
 	}
-	if ctx.Err() != nil {
+	if err == nil || ctx.Err() != nil {
 		return
 	}
 	if engine.OutcomeOf(err) == engine.OutcomeNotRun {
@@ -190,6 +185,16 @@
 	l.resumeOnly(ctx, task, intent)
 }
 
+// collectAndFinish reads a stream to its end and hands the result over.
+func (l *engineLoop) collectAndFinish(ctx context.Context, stream *engine.Stream, task *batch.Task) error {
+	end, err := collect(ctx, stream, task)
+	if err != nil {
+		return err
+	}
+	l.supervisor.worker.Finish(task, end)
+	return nil
+}
+
 // settleIntent handles an intent whose write failed. Nothing was sent, but the
 // write may have taken effect, so a later owner would not send it either.
 func (l *engineLoop) settleIntent(ctx context.Context, task *batch.Task, intent batch.Intent, err error) {
@@ -207,14 +212,9 @@
 		task.Tokens = nil
 		stream, err := l.supervisor.engines.Resume(ctx, intent.Address, intent.AttemptID, 0)
 		if err == nil {
-			var end engine.Event
-			end, err = collect(ctx, stream, task)
-			if err == nil {
-				l.supervisor.worker.Finish(task, end)
-				return
-			}
+			err = l.collectAndFinish(ctx, stream, task)
 		}
-		if ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil {
 			return
 		}
 		time.Sleep(resumePause)
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"topazpulley/internal/periodic"
 )
 
 const (
@@ -68,7 +69,7 @@
 		}
 		if err != nil {
 			inStep = f.askPeers(ctx) || inStep
-			pause(ctx)
+			periodic.SleepAbout(ctx, retryPause)
 		}
 	}
 }
@@ -115,15 +116,6 @@
 	return errors.As(err, &failed) && failed.Kind == ErrorCompacted
 }
 
-func pause(ctx context.Context) {
-	timer := time.NewTimer(retryPause/2 + rand.N(retryPause))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // watch waits for changes once.
 func (f *Follower) watch(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, f.Wait+answerReserve)
