Take a job over from a daemon that is not heard only after its claim has rested

Ruled out: the claim's fence, which held; a planned release (no owner was empty). Change: members are told apart that left or restarted (taken over at once) from those that are not heard; for the latter a change of the claim counts as a sign of life for 3 s, and the wait starts anew with each change.

--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -10,6 +10,7 @@
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/duty"
 	"topazpulley/internal/job"
+	"topazpulley/internal/membership"
 	"topazpulley/internal/periodic"
 	"topazpulley/internal/table"
 )
@@ -25,8 +26,10 @@
 	switch {
 	case !known || member.Incarnation < incarnation:
 		return job.LivenessUnknown
-	case !member.Live() || member.Incarnation > incarnation+refuteMargin:
+	case member.State == membership.StateLeft || member.Incarnation > incarnation+refuteMargin:
 		return job.LivenessGone
+	case !member.Live():
+		return job.LivenessSuspected
 	}
 	return job.LivenessAlive
 }
--- a/internal/job/claims.go
+++ b/internal/job/claims.go
@@ -18,6 +18,10 @@
 	// unknownPause is the wait for owners that this daemon never met, because
 	// it may have started just now.
 	unknownPause = 2 * time.Second
+	// freshClaim is how long a claim's change counts as a sign of its owner's
+	// life. Without it two daemons that cannot hear each other would take a job
+	// from each other without end.
+	freshClaim = 3 * time.Second
 )
 
 // Liveness is what is known of another daemon's life.
@@ -27,6 +31,9 @@
 const (
 	LivenessUnknown Liveness = iota
 	LivenessAlive
+	// LivenessSuspected tells that the daemon has not been heard of.
+	LivenessSuspected
+	// LivenessGone tells that the daemon left or lives in a later incarnation.
 	LivenessGone
 )
 
@@ -42,6 +49,11 @@
 		claims[row.Key] = versionedClaim{claim: read, version: row.Version}
 	}
 	s.mutex.Lock()
+	for id, held := range claims {
+		if s.claims[id].version != held.version {
+			s.noteClaimChange(id)
+		}
+	}
 	s.claims, s.followed = claims, version
 	lost := []string{}
 	for id, held := range s.owned {
@@ -77,7 +89,9 @@
 	if row.Deleted {
 		delete(s.claims, row.Key)
 		delete(s.orphans, row.Key)
+		delete(s.claimedAt, row.Key)
 	} else {
+		s.noteClaimChange(row.Key)
 		s.claims[row.Key] = versionedClaim{claim: read, version: row.Version}
 	}
 	held := s.owned[row.Key]
@@ -93,6 +107,12 @@
 	s.drop(row.Key, "claim_lost")
 }
 
+// noteClaimChange starts the wait for a job's owner anew. mutex must be held.
+func (s *Service) noteClaimChange(id string) {
+	delete(s.orphans, id)
+	s.claimedAt[id] = time.Now()
+}
+
 // superviseClaims takes over jobs whose owners are gone.
 func (s *Service) superviseClaims(ctx context.Context) {
 	periodic.Run(ctx, superviseInterval, func() {
@@ -144,6 +164,10 @@
 	if liveness == LivenessUnknown {
 		pause += unknownPause
 	}
+	isFresh := now.Sub(s.claimedAt[id]) < freshClaim
+	if liveness != LivenessGone && isFresh {
+		return false
+	}
 	return now.Sub(since) >= pause
 }
 
--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -133,7 +133,9 @@
 type livePeers struct {
 	mutex sync.Mutex
 	gone  map[string]bool
-	rank  int
+	// suspected are daemons that are not heard.
+	suspected map[string]bool
+	rank      int
 }
 
 func (p *livePeers) Liveness(name string, _ int64) job.Liveness {
@@ -142,9 +144,18 @@
 	if p.gone[name] {
 		return job.LivenessGone
 	}
+	if p.suspected[name] {
+		return job.LivenessSuspected
+	}
 	return job.LivenessAlive
 }
 
+func (p *livePeers) suspect(name string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.suspected[name] = true
+}
+
 func (p *livePeers) Rank(string) int { return p.rank }
 
 func (p *livePeers) kill(name string) {
@@ -173,7 +184,7 @@
 		Name: "jobs", Host: "host.example", Prefix: "/jobs/", Kind: route.KindJob, MaxAttempts: 3,
 		Targets: []route.Target{{Service: service, Weight: 1}},
 	}}}, time.Now())
-	started := &daemon{name: name, events: runner.events, peers: &livePeers{gone: map[string]bool{}}}
+	started := &daemon{name: name, events: runner.events, peers: &livePeers{gone: map[string]bool{}, suspected: map[string]bool{}}}
 	monotonic := table.NewMonotonic(store)
 	started.Service = job.NewService(job.Dependencies{
 		Self: job.Self{Name: name, Incarnation: 1}, Store: monotonic, Backends: backends, Sender: runner, Holder: holder,
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -145,6 +145,22 @@
 	requireAllCompleted(t, owner, accepted)
 }
 
+// TestDaemonsThatCannotHearEachOtherDoNotTakeAJobInTurn: both run it for a
+// while, and it ends.
+func TestDaemonsThatCannotHearEachOtherDoNotTakeAJobInTurn(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.events, runner.pause = 60, 40*time.Millisecond
+	first, second := startDaemon(t, "a", store, runner), startDaemon(t, "b", store, runner)
+	first.peers.suspect("b")
+	second.peers.suspect("a")
+	accepted := newJob("j1", 4)
+	require.NoError(t, first.Submit(t.Context(), accepted))
+	before := store.Commits()
+	requireAllCompleted(t, second, accepted)
+	// One or two takeovers, a few checkpoints and the results.
+	require.Less(t, store.Commits()-before, 25)
+}
+
 // TestReleasedJobGoesOnElsewhere: a planned stop.
 func TestReleasedJobGoesOnElsewhere(t *testing.T) {
 	store, runner := tabletest.NewMemory(), newRunners()
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -73,10 +73,13 @@
 	// changes them.
 	claims   map[string]versionedClaim
 	followed table.Version
-	orphans  map[string]time.Time
-	owned    map[string]*owned
-	accepted map[string]acceptance
-	stopping bool
+	// orphans are the jobs whose owner is missing, with the time since when;
+	// claimedAt is when a claim was last seen to change.
+	orphans   map[string]time.Time
+	claimedAt map[string]time.Time
+	owned     map[string]*owned
+	accepted  map[string]acceptance
+	stopping  bool
 }
 
 // versionedClaim is a claim with the version of its row, the fence of every
@@ -95,7 +98,7 @@
 		connections: dependencies.Connections,
 		lifetime:    lifetime, end: end, wake: make(chan struct{}, 1),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		claims: map[string]versionedClaim{}, orphans: map[string]time.Time{}, owned: map[string]*owned{}, accepted: map[string]acceptance{},
+		claims: map[string]versionedClaim{}, orphans: map[string]time.Time{}, claimedAt: map[string]time.Time{}, owned: map[string]*owned{}, accepted: map[string]acceptance{},
 	}
 }
 
