--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -178,11 +178,11 @@
 func TestNextOwnerGoesOnAtTheCheckpoint(t *testing.T) {
 	for _, isPlanned := range []bool{false, true} {
 		store, runner := tabletest.NewMemory(), newRunners()
-		runner.events, runner.pause = 120, 20*time.Millisecond
+		runner.events, runner.pause = 200, 20*time.Millisecond
 		owner, other := startDaemon(t, "a", store, runner), startDaemon(t, "b", store, runner)
 		accepted := newJob("j1", 3)
 		require.NoError(t, owner.Submit(t.Context(), accepted))
-		time.Sleep(1500 * time.Millisecond)
+		require.Eventually(t, func() bool { return checkpointsOf(t, store, accepted) == len(accepted.Items) }, patience, pollTime)
 		if isPlanned {
 			owner.Stop(t.Context())
 		} else {
@@ -196,6 +196,20 @@
 	}
 }
 
+// checkpointsOf counts the checkpoints of a job in the store.
+func checkpointsOf(t *testing.T, store *tabletest.Memory, accepted job.Job) int {
+	t.Helper()
+	count := 0
+	partitions, _, err := store.Partitions(t.Context(), "item_progress", "")
+	require.NoError(t, err)
+	for _, partition := range partitions {
+		page, err := store.Read(t.Context(), table.Range{Table: "item_progress", Partition: partition, From: accepted.ID + "/", Before: accepted.ID + "0"})
+		require.NoError(t, err)
+		count += len(page.Rows)
+	}
+	return count
+}
+
 // TestEndedJobStops: no item is sent once the end was acknowledged and the
 // owner has heard of it.
 func TestEndedJobStops(t *testing.T) {
@@ -283,8 +297,8 @@
 	successor.peers.kill("a")
 	<-gated.reached
 	require.NoError(t, third.End(t.Context(), "j1"))
-	// The successor's follower must have seen the end before it goes on.
-	time.Sleep(300 * time.Millisecond)
+	ended := store.Version()
+	require.Eventually(t, func() bool { return successor.Followed() >= ended }, patience, pollTime)
 	close(gated.open)
 	time.Sleep(300 * time.Millisecond)
 	require.Zero(t, successor.Owned())
--- a/internal/table/tabletest/memory.go
+++ b/internal/table/tabletest/memory.go
@@ -118,6 +118,13 @@
 	m.late = nil
 }
 
+// Version returns the version of the newest transaction.
+func (m *Memory) Version() table.Version {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.version
+}
+
 // Commits returns how many transactions were carried out.
 func (m *Memory) Commits() int {
 	m.mutex.Lock()
