Sum loads by relays of each zone in large fleets; draw among nearly equal back ends

Cause: on the grown site a daemon saw the work of its own zone only, a third of the fleet's, at most every 300 ms.

Ruled out: prompts read again (2.5% of the back ends' time), slots (late requests were chosen at 5 of 9 in flight).

Change: loads go to two relays of the zone, which tell every daemon the sum of all others' work, and each other zone its total; one of the nearly cheapest back ends is drawn by its free slots, in place of the cheapest with 4 ms of noise.

TestChoicesFromOnePictureSpread fails before (100 of 100 on one back end).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,6 +1,9 @@
 // Package exchange tells the daemons of a fleet what each has in flight at the
-// back ends, so that all choose from nearly the same picture. Loads travel as
-// hints, straight to each member; a lost one is made good by the next.
+// back ends, so that all choose from nearly the same picture. In a small fleet
+// every daemon tells all others. In a large one each tells two relays of its
+// zone, which send every daemon the sum of all others' work; relays of the
+// zones tell each other their totals. Messages are hints: a lost one is made
+// good by the next.
 package exchange
 
 import (
@@ -10,84 +13,62 @@
 	"sync"
 	"time"
 
-	"github.com/hamba/avro/v2"
-	"github.com/pkg/errors"
-
 	"topazpulley/internal/backend"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/membership"
 )
 
+// Keys of the hints, before the name of the daemon or zone that they tell of.
+const (
+	keyMember = "load/"
+	keyZone   = "zone-load/"
+	keyOthers = "others-load/"
+)
+
 const (
-	keyPrefix = "load/"
 	// sendInterval is the shortest time between two messages, and perMember the
-	// time that each further member adds, so that a daemon of a large fleet is
-	// not busy with reading loads.
+	// time that each further member adds while all are told directly.
 	sendInterval = 100 * time.Millisecond
 	perMember    = 10 * time.Millisecond
-	// wholeFleet is the largest fleet in which loads go to all members; in a
-	// larger one they go to those of the zone.
-	wholeFleet = 40
+	// zoneInterval is the time between two totals for other zones.
+	zoneInterval = 200 * time.Millisecond
 	// refreshInterval is the longest time between two messages of a daemon
 	// that has work in flight.
 	refreshInterval = 500 * time.Millisecond
 	// forgetAfter is when the loads of a silent daemon count no more.
 	forgetAfter = 1500 * time.Millisecond
-	// forgetIntervals is the same in intervals, for large fleets.
-	forgetIntervals = 4
+	// audienceAge is how long the list of those who are told is used.
+	audienceAge = 300 * time.Millisecond
 )
 
-// loadMessage is what one daemon has in flight.
-type loadMessage struct {
-	Backends []backendLoad `avro:"backends"`
-	// Reads are the large prompt parts sent since the last message.
-	Reads []readRecord `avro:"reads"`
-	// Failures are those of back ends since the last message.
-	Failures []failureRecord `avro:"failures"`
-}
-
-type failureRecord struct {
-	Backend string `avro:"backend"`
-	Count   int    `avro:"count"`
-}
-
-type readRecord struct {
-	Backend string `avro:"backend"`
-	Part    string `avro:"part"`
-}
-
-type backendLoad struct {
-	ID      string `avro:"id"`
-	Online  int    `avro:"online"`
-	Batch   int    `avro:"batch"`
-	Pending int    `avro:"pending"`
-}
-
-var loadSchema = avro.MustParse(`{"type":"record","name":"load","fields":[{"name":"backends","type":{"type":"array","items":{
-	"type":"record","name":"backend","fields":[{"name":"id","type":"string"},{"name":"online","type":"int"},
-	{"name":"batch","type":"int"},{"name":"pending","type":"int"}]}}},
-	{"name":"reads","type":{"type":"array","items":{"type":"record","name":"read","fields":[
-	{"name":"backend","type":"string"},{"name":"part","type":"string"}]}},"default":[]},
-	{"name":"failures","type":{"type":"array","items":{"type":"record","name":"failure","fields":[
-	{"name":"backend","type":"string"},{"name":"count","type":"int"}]}},"default":[]}]}`)
+// othersOfFleet is the name under which the sum that a relay told is kept.
+const othersOfFleet = "fleet"
 
-// Exchange sends this daemon's loads and receives the others'. mutex guards
-// heard.
+// Exchange sends this daemon's loads and receives the others'. The fields
+// before mutex belong to the goroutine of Run; mutex guards those behind it.
 type Exchange struct {
 	node     *cluster.Node
 	backends *backend.Set
 	log      *slog.Logger
+	self     membership.Member
+	// directLimit is the largest fleet in which all are told directly.
+	directLimit int
 
-	last   map[string]backend.PeerLoad
-	sentAt time.Time
+	last     loads
+	sentAt   time.Time
+	zoneAt   time.Time
+	othersAt time.Time
 
-	mutex sync.Mutex
-	heard map[string]time.Time
+	mutex      sync.Mutex
+	heard      map[string]time.Time
+	relay      *relay
+	audience   audience
+	audienceAt time.Time
 }
 
 // New returns an exchange. It subscribes to the node, which must not run yet.
 func New(node *cluster.Node, backends *backend.Set, log *slog.Logger) *Exchange {
-	made := &Exchange{node: node, backends: backends, log: log, heard: map[string]time.Time{}}
+	made := &Exchange{node: node, backends: backends, log: log, self: node.Self(), directLimit: wholeFleet, heard: map[string]time.Time{}, relay: newRelay()}
 	node.Subscribe(made.receive)
 	return made
 }
@@ -101,87 +82,121 @@
 		case <-ctx.Done():
 			return
 		case <-e.backends.Urgent():
-			e.send(time.Now())
+			e.send(time.Now(), e.currentAudience(time.Now()))
 		case now := <-ticker.C:
-			if now.Sub(e.sentAt) >= e.interval()-sendInterval/2 {
-				e.send(now)
-			}
-			e.forget(now)
+			e.tick(now)
 		}
 	}
 }
 
+func (e *Exchange) tick(now time.Time) {
+	audience := e.currentAudience(now)
+	if now.Sub(e.sentAt) >= audience.interval()-sendInterval/2 {
+		e.send(now, audience)
+	}
+	e.forget(now)
+	if audience.isRelay(e.self.Name) {
+		e.relaySums(now, audience)
+	}
+}
+
+// currentAudience returns whom to tell, worked out anew now and then.
+func (e *Exchange) currentAudience(now time.Time) audience {
+	e.mutex.Lock()
+	isFresh := now.Sub(e.audienceAt) < audienceAge
+	known := e.audience
+	e.mutex.Unlock()
+	if isFresh {
+		return known
+	}
+	found := audienceOf(e.self, e.node.Members(), e.directLimit)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.audience, e.audienceAt = found, now
+	return found
+}
+
 // interval is the time between two messages at the present size of the fleet.
-func (e *Exchange) interval() time.Duration {
-	return max(sendInterval, time.Duration(len(e.recipients()))*perMember)
+func (a audience) interval() time.Duration {
+	return max(sendInterval, time.Duration(len(a.members))*perMember)
 }
 
-func (e *Exchange) send(now time.Time) {
-	loads := e.backends.OwnLoads()
-	reads, failures := e.backends.TakeReads(), e.backends.TakeFailures()
-	isSame := sameLoads(loads, e.last) && len(reads) == 0 && len(failures) == 0
-	if isSame && (len(loads) == 0 || now.Sub(e.sentAt) < max(refreshInterval, e.interval())) {
+// send tells this daemon's own loads and news.
+func (e *Exchange) send(now time.Time, audience audience) {
+	work := loads(e.backends.OwnLoads())
+	told := news{reads: e.backends.TakeReads(), failures: e.backends.TakeFailures()}
+	isSame := work.equal(e.last) && told.isEmpty()
+	if isSame && (len(work) == 0 || now.Sub(e.sentAt) < max(refreshInterval, audience.interval())) {
 		return
 	}
-	payload, err := encodeLoads(loads, reads, failures)
-	if err != nil {
-		e.log.Error("load_not_encoded", "error", err)
+	e.last, e.sentAt = work, now
+	if !audience.isRelayed {
+		e.tell(audience.members, keyMember+e.self.Name, work, told, now)
 		return
 	}
-	e.last, e.sentAt = loads, now
-	self := e.node.Self().Name
-	item := membership.Item{Key: keyPrefix + self, Version: now.UnixNano(), Priority: membership.PriorityLoad, Payload: payload}
-	for _, name := range e.recipients() {
-		e.node.Hint(name, item)
-	}
-}
-
-// recipients returns the members that are told.
-func (e *Exchange) recipients() []string {
-	self, members := e.node.Self(), e.node.Members()
-	names := make([]string, 0, len(members))
-	for _, member := range members {
-		isNear := len(members) <= wholeFleet || member.Zone == self.Zone
-		if isNear && member.Name != self.Name {
-			names = append(names, member.Name)
+	for rank, name := range audience.relays {
+		// News are told to one relay only, so that none is counted twice.
+		passed := told
+		if rank > 0 {
+			passed = news{}
 		}
+		if name == e.self.Name {
+			e.mutex.Lock()
+			e.relay.noteMember(name, work, passed, now)
+			e.mutex.Unlock()
+			continue
+		}
+		e.tell([]string{name}, keyMember+e.self.Name, work, passed, now)
 	}
-	return names
 }
 
-func sameLoads(a, b map[string]backend.PeerLoad) bool {
-	if len(a) != len(b) {
-		return false
+// tell sends one message to members by name.
+func (e *Exchange) tell(names []string, key string, work loads, told news, now time.Time) {
+	payload, err := encode(work, told)
+	if err != nil {
+		e.log.Error("load_not_encoded", "error", err)
+		return
 	}
-	for id, load := range a {
-		if b[id] != load {
-			return false
-		}
+	item := membership.Item{Key: key, Version: now.UnixNano(), Priority: membership.PriorityLoad, Payload: payload}
+	for _, name := range names {
+		e.node.Hint(name, item)
 	}
-	return true
 }
 
-func encodeLoads(loads map[string]backend.PeerLoad, reads []backend.Read, failures map[string]int) ([]byte, error) {
-	message := loadMessage{Backends: []backendLoad{}, Reads: []readRecord{}, Failures: []failureRecord{}}
-	for id, load := range loads {
-		message.Backends = append(message.Backends, backendLoad{ID: id, Online: load.Online, Batch: load.Batch, Pending: load.PendingTokens})
+// relaySums tells every daemon of the zone the work of all others, and the
+// other zones the total of this one.
+func (e *Exchange) relaySums(now time.Time, audience audience) {
+	if now.Sub(e.othersAt) < sendInterval-sendInterval/4 {
+		return
+	}
+	e.othersAt = now
+	e.mutex.Lock()
+	pending := e.relay.takeNews()
+	fleet := e.relay.fleetTotal()
+	zone := e.relay.zoneTotal()
+	others := make(map[string]loads, len(audience.zone))
+	for _, name := range audience.zone {
+		others[name] = e.relay.othersOf(name, fleet)
 	}
-	for _, read := range reads {
-		message.Reads = append(message.Reads, readRecord{Backend: read.Backend, Part: read.Part})
+	own := e.relay.othersOf(e.self.Name, fleet)
+	e.heard[othersOfFleet] = now
+	e.mutex.Unlock()
+	e.backends.SetPeerLoads(othersOfFleet, own)
+	for name, work := range others {
+		e.tell([]string{name}, keyOthers+e.self.Name, work, pending.forMember(name), now)
 	}
-	for id, count := range failures {
-		message.Failures = append(message.Failures, failureRecord{Backend: id, Count: count})
+	forZones := pending.forZones()
+	if now.Sub(e.zoneAt) >= zoneInterval || !forZones.isEmpty() {
+		e.zoneAt = now
+		e.tell(audience.zoneRelays, keyZone+e.self.Zone, zone, forZones, now)
 	}
-	payload, err := avro.Marshal(loadSchema, message)
-	return payload, errors.WithStack(err)
 }
 
+// receive takes what other daemons tell.
 func (e *Exchange) receive(event membership.Event) {
 	switch event.Kind {
 	case membership.EventHint:
-		if name, isLoad := strings.CutPrefix(event.Item.Key, keyPrefix); isLoad {
-			e.accept(name, event.Item.Payload, time.Now())
-		}
+		e.accept(event.Item, time.Now())
 	case membership.EventMember:
 		if !event.Member.Live() {
 			e.drop(event.Member.Name)
@@ -189,48 +204,63 @@
 	}
 }
 
-func (e *Exchange) accept(name string, payload []byte, now time.Time) {
-	var message loadMessage
-	if err := avro.Unmarshal(loadSchema, payload, &message); err != nil {
-		e.log.Warn("load_not_decoded", "peer", name, "error", err)
+func (e *Exchange) accept(item membership.Item, now time.Time) {
+	member, isMember := strings.CutPrefix(item.Key, keyMember)
+	zone, isZone := strings.CutPrefix(item.Key, keyZone)
+	isOthers := strings.HasPrefix(item.Key, keyOthers)
+	if !isMember && !isZone && !isOthers {
 		return
 	}
-	loads := make(map[string]backend.PeerLoad, len(message.Backends))
-	for _, each := range message.Backends {
-		loads[each.ID] = backend.PeerLoad{Online: each.Online, Batch: each.Batch, PendingTokens: each.Pending}
-	}
-	reads := make([]backend.Read, 0, len(message.Reads))
-	for _, each := range message.Reads {
-		reads = append(reads, backend.Read{Backend: each.Backend, Part: each.Part})
+	work, told, err := decode(item.Payload)
+	if err != nil {
+		e.log.Warn("load_not_decoded", "key", item.Key, "error", err)
+		return
 	}
-	e.backends.NoteReads(reads, now)
-	failures := map[string]int{}
-	for _, each := range message.Failures {
-		failures[each.Backend] += each.Count
+	e.backends.NoteReads(told.reads, now)
+	e.backends.NoteFailures(told.failures, now)
+	switch {
+	case isZone:
+		e.mutex.Lock()
+		e.relay.noteZone(zone, work, told, now)
+		e.mutex.Unlock()
+	case isOthers:
+		e.keep(othersOfFleet, work, now)
+	case e.currentAudience(now).isRelayed:
+		e.mutex.Lock()
+		e.relay.noteMember(member, work, told, now)
+		e.mutex.Unlock()
+	default:
+		e.keep(member, work, now)
 	}
-	e.backends.NoteFailures(failures, now)
+}
+
+// keep counts what another daemon, or all others together, have in flight.
+func (e *Exchange) keep(name string, work loads, now time.Time) {
 	e.mutex.Lock()
 	e.heard[name] = now
 	e.mutex.Unlock()
-	e.backends.SetPeerLoads(name, loads)
+	e.backends.SetPeerLoads(name, work)
 }
 
 func (e *Exchange) drop(name string) {
 	e.mutex.Lock()
 	_, known := e.heard[name]
 	delete(e.heard, name)
+	e.relay.forgetMember(name)
 	e.mutex.Unlock()
 	if known {
 		e.backends.SetPeerLoads(name, nil)
 	}
 }
 
+// forget drops what was not refreshed for too long.
 func (e *Exchange) forget(now time.Time) {
-	limit := max(forgetAfter, e.interval()*forgetIntervals)
+	since := now.Add(-forgetAfter)
 	e.mutex.Lock()
+	e.relay.forgetSilent(since)
 	silent := []string{}
 	for name, at := range e.heard {
-		if now.Sub(at) > limit {
+		if at.Before(since) {
 			silent = append(silent, name)
 		}
 	}
--- /dev/null
+++ b/internal/exchange/message.go
@@ -0,0 +1,129 @@
+package exchange
+
+import (
+	"github.com/hamba/avro/v2"
+	"github.com/pkg/errors"
+
+	"topazpulley/internal/backend"
+)
+
+// loads is work in flight by back end.
+type loads map[string]backend.PeerLoad
+
+// add counts further work in flight.
+func (l loads) add(other loads) {
+	for id, load := range other {
+		sum := l[id]
+		sum.Online += load.Online
+		sum.Batch += load.Batch
+		sum.PendingTokens += load.PendingTokens
+		l[id] = sum
+	}
+}
+
+// equal reports whether both hold the same work.
+func (l loads) equal(other loads) bool {
+	if len(l) != len(other) {
+		return false
+	}
+	for id, load := range l {
+		if other[id] != load {
+			return false
+		}
+	}
+	return true
+}
+
+// news is what is told once: large prompt parts that were sent, and failures
+// of back ends.
+type news struct {
+	reads    []backend.Read
+	failures map[string]int
+}
+
+func (n news) isEmpty() bool { return len(n.reads) == 0 && len(n.failures) == 0 }
+
+// add appends further news; beyond newsLimit reads the rest is dropped, which
+// costs a prompt read twice at worst.
+func (n *news) add(other news) {
+	room := max(newsLimit-len(n.reads), 0)
+	n.reads = append(n.reads, other.reads[:min(room, len(other.reads))]...)
+	for id, count := range other.failures {
+		if n.failures == nil {
+			n.failures = map[string]int{}
+		}
+		n.failures[id] += count
+	}
+}
+
+// newsLimit bounds the reads in one message.
+const newsLimit = 256
+
+// loadMessage carries loads and news between daemons.
+type loadMessage struct {
+	Backends []backendLoad   `avro:"backends"`
+	Reads    []readRecord    `avro:"reads"`
+	Failures []failureRecord `avro:"failures"`
+}
+
+type failureRecord struct {
+	Backend string `avro:"backend"`
+	Count   int    `avro:"count"`
+}
+
+type readRecord struct {
+	Backend string `avro:"backend"`
+	Part    string `avro:"part"`
+}
+
+type backendLoad struct {
+	ID      string `avro:"id"`
+	Online  int    `avro:"online"`
+	Batch   int    `avro:"batch"`
+	Pending int    `avro:"pending"`
+}
+
+var loadSchema = avro.MustParse(`{"type":"record","name":"load","fields":[{"name":"backends","type":{"type":"array","items":{
+	"type":"record","name":"backend","fields":[{"name":"id","type":"string"},{"name":"online","type":"int"},
+	{"name":"batch","type":"int"},{"name":"pending","type":"int"}]}}},
+	{"name":"reads","type":{"type":"array","items":{"type":"record","name":"read","fields":[
+	{"name":"backend","type":"string"},{"name":"part","type":"string"}]}},"default":[]},
+	{"name":"failures","type":{"type":"array","items":{"type":"record","name":"failure","fields":[
+	{"name":"backend","type":"string"},{"name":"count","type":"int"}]}},"default":[]}]}`)
+
+func encode(work loads, told news) ([]byte, error) {
+	message := loadMessage{Backends: make([]backendLoad, 0, len(work)), Reads: []readRecord{}, Failures: []failureRecord{}}
+	for id, load := range work {
+		if load == (backend.PeerLoad{}) {
+			continue
+		}
+		message.Backends = append(message.Backends, backendLoad{ID: id, Online: load.Online, Batch: load.Batch, Pending: load.PendingTokens})
+	}
+	for _, read := range told.reads {
+		message.Reads = append(message.Reads, readRecord{Backend: read.Backend, Part: read.Part})
+	}
+	for id, count := range told.failures {
+		message.Failures = append(message.Failures, failureRecord{Backend: id, Count: count})
+	}
+	payload, err := avro.Marshal(loadSchema, message)
+	return payload, errors.WithStack(err)
+}
+
+func decode(payload []byte) (loads, news, error) {
+	var message loadMessage
+	if err := avro.Unmarshal(loadSchema, payload, &message); err != nil {
+		return nil, news{}, errors.WithStack(err)
+	}
+	work := make(loads, len(message.Backends))
+	for _, each := range message.Backends {
+		work[each.ID] = backend.PeerLoad{Online: each.Online, Batch: each.Batch, PendingTokens: each.Pending}
+	}
+	told := news{reads: make([]backend.Read, 0, len(message.Reads)), failures: make(map[string]int, len(message.Failures))}
+	for _, each := range message.Reads {
+		told.reads = append(told.reads, backend.Read{Backend: each.Backend, Part: each.Part})
+	}
+	for _, each := range message.Failures {
+		told.failures[each.Backend] += each.Count
+	}
+	return work, told, nil
+}
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -21,10 +21,11 @@
 	// yieldInterval is longer than the time in which owners learn of each
 	// other's items, so that what was taken back is not taken back twice.
 	yieldInterval = 150 * time.Millisecond
-	// batchNoise spreads the choices of owners, in milliseconds of cost.
-	batchNoise   = 40
-	refusedPause = 100 * time.Millisecond
-	failedPause  = 200 * time.Millisecond
+	// batchTolerance is the difference in cost, in milliseconds, that does not
+	// matter to batch items.
+	batchTolerance = 40
+	refusedPause   = 100 * time.Millisecond
+	failedPause    = 200 * time.Millisecond
 	// itemTime is how long a back end may work on one item.
 	itemTime = 60 * time.Second
 	// firstPatience and eventPatience bound the silence of a back end before an
@@ -145,7 +146,7 @@
 func (s *Service) chooseFor(service string, prompt []routing.PromptPart, current round) (routing.Candidate, bool) {
 	candidates := s.backends.Candidates(service, prompt, current.now)
 	model := routing.DefaultCostModel()
-	model.NoiseMilliseconds = batchNoise
+	model.ToleranceMilliseconds = batchTolerance
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	withRoom := candidates[:0]
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -45,9 +46,11 @@
 	RequestMilliseconds float64
 	// QueueMilliseconds is the mean wait for a slot per request ahead.
 	QueueMilliseconds float64
-	// NoiseMilliseconds spreads choices made at the same time by daemons that
-	// do not know of each other's yet.
-	NoiseMilliseconds float64
+	// ToleranceMilliseconds is the difference in cost that does not matter:
+	// among candidates within it of the cheapest, one is drawn by its free
+	// slots. Daemons choose at the same time from the same picture, a moment
+	// old; without a draw all would choose the same back end.
+	ToleranceMilliseconds float64
 	// AffinityTokens is the size of a first prompt part from which on requests
 	// prefer the back end that rendezvous hashing names.
 	AffinityTokens int
@@ -55,7 +58,7 @@
 
 // DefaultCostModel returns the weights for services that read prompts.
 func DefaultCostModel() CostModel {
-	return CostModel{TokensPerMillisecond: 85, RequestMilliseconds: 2, QueueMilliseconds: 50, NoiseMilliseconds: 4, AffinityTokens: 2000}
+	return CostModel{TokensPerMillisecond: 85, RequestMilliseconds: 2, QueueMilliseconds: 50, ToleranceMilliseconds: 25, AffinityTokens: 2000}
 }
 
 // Cost estimates the milliseconds until the first token at the candidate.
@@ -68,7 +71,8 @@
 	return read + float64(inFlight)*m.RequestMilliseconds + float64(queued)*m.QueueMilliseconds
 }
 
-// ChooseByCost picks the candidate with the lowest estimated cost. Excluded
+// ChooseByCost picks one of the candidates with nearly the lowest estimated
+// cost. Excluded
 // ones have failed the request already. It reports false when none is left.
 func ChooseByCost(model CostModel, prompt []PromptPart, candidates []Candidate, excluded map[string]bool, random *rand.Rand) (Candidate, bool) {
 	for _, useEjected := range []bool{false, true} {
@@ -80,24 +84,64 @@
 	return Candidate{}, false
 }
 
+// cheapest draws one of the candidates whose cost is nearly the lowest.
 func cheapest(model CostModel, prompt []PromptPart, candidates []Candidate, excluded map[string]bool, useEjected bool, random *rand.Rand) (Candidate, bool) {
-	var best Candidate
-	lowest, found := 0.0, false
+	possible := make([]pricedCandidate, 0, len(candidates))
+	lowest := math.Inf(1)
 	home := model.home(prompt, candidates)
-	for _, candidate := range candidates {
+	for index := range candidates {
+		candidate := &candidates[index]
 		if candidate.Draining || excluded[candidate.ID] || (candidate.Ejected && !useEjected) {
 			continue
 		}
-		cost := model.Cost(candidate) + random.Float64()*model.NoiseMilliseconds
+		cost := model.Cost(*candidate)
 		if candidate.ID == home && candidate.UncachedTokens >= prompt[0].Tokens {
 			// Who reads the part first should be the same for all daemons.
 			cost -= float64(prompt[0].Tokens) / model.TokensPerMillisecond / homeShare
 		}
-		if !found || cost < lowest {
-			best, lowest, found = candidate, cost, true
+		lowest = min(lowest, cost)
+		possible = append(possible, pricedCandidate{candidate: candidate, cost: cost})
+	}
+	if len(possible) == 0 {
+		return Candidate{}, false
+	}
+	near := possible[:0]
+	for _, each := range possible {
+		if each.cost <= lowest+model.ToleranceMilliseconds {
+			near = append(near, each)
+		}
+	}
+	return *draw(near, random), true
+}
+
+type pricedCandidate struct {
+	candidate *Candidate
+	cost      float64
+}
+
+// fullWeight is the weight of a candidate without a free slot, in slots.
+const fullWeight = 0.1
+
+// weight is how likely a candidate is drawn: by its free slots.
+func (c *Candidate) weight() float64 {
+	free := c.Slots - max(c.Online+c.Batch, 0) - c.Waiting
+	return max(float64(free), fullWeight)
+}
+
+// draw picks one of several candidates by weight.
+func draw(candidates []pricedCandidate, random *rand.Rand) *Candidate {
+	total := 0.0
+	for _, each := range candidates {
+		total += each.candidate.weight()
+	}
+	left := random.Float64() * total
+	for _, each := range candidates {
+		left -= each.candidate.weight()
+		if left < 0 {
+			return each.candidate
 		}
 	}
-	return best, found
+	return candidates[len(candidates)-1].candidate
 }
 
 // homeShare is the part, as one in so many, of a large first part's cost that
--- a/internal/routing/cost_test.go
+++ b/internal/routing/cost_test.go
@@ -77,6 +77,27 @@
 	require.False(t, homes[chosen.ID])
 }
 
+// TestChoicesFromOnePictureSpread: daemons that choose at the same moment from
+// the same picture do not all fill the back end that looks best.
+func TestChoicesFromOnePictureSpread(t *testing.T) {
+	const backEnds, choices, slots = 72, 100, 9
+	candidates := []routing.Candidate{}
+	for index := range backEnds {
+		candidates = append(candidates, routing.Candidate{ID: fmt.Sprintf("b%d", index), Slots: slots, Online: 2 + index%3, UncachedTokens: 600})
+	}
+	candidates[0].Online, candidates[1].Online = 0, slots
+	placed := map[string]int{}
+	for seed := range uint64(choices) {
+		chosen, found := routing.ChooseByCost(routing.DefaultCostModel(), nil, candidates, nil, rand.New(rand.NewPCG(seed, seed)))
+		require.True(t, found)
+		placed[chosen.ID]++
+	}
+	require.Zero(t, placed["b1"], "a full back end gets nothing while others have room")
+	for _, candidate := range candidates {
+		require.LessOrEqual(t, placed[candidate.ID], candidate.Slots-candidate.Online, candidate.ID)
+	}
+}
+
 // TestCostRisesWithLoad.
 func TestCostRisesWithLoad(t *testing.T) {
 	model := routing.DefaultCostModel()
