Share room for batch items by what waits; give way by urgency

Cause: on the grown sites items were placed by the number of owners, whatever waited at each, and three passes in a row counted the same free slots, because owners see each other's placements only after 200 to 300 ms; what was too much was taken back by every owner rounding up. Reserve and giving way did not know how much time an item has.

Change: daemons tell how many items wait; room is shared by them once in 300 ms, by back end and by service; items that can still wait leave a slot free, keep under 0.85 of the service and go as soon as no slot is free; urgent ones (time left below what such items take, learnt, and 5 s) use every slot and go only when more work is there than slots. Parts are rounded by chance. Each sending is logged.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -84,11 +84,15 @@
 	// untold are failures that the other daemons were not told yet.
 	untold map[string]int
 	urgent chan struct{}
+	// waiting are this daemon's batch items that wait for a back end, and
+	// waitingElsewhere those of other daemons by who told.
+	waiting          int
+	waitingElsewhere map[string]int
 }
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{states: map[string]*state{}, byService: map[string][]*state{}, urgent: make(chan struct{}, 1), untold: map[string]int{}}
+	return &Set{states: map[string]*state{}, byService: map[string][]*state{}, urgent: make(chan struct{}, 1), untold: map[string]int{}, waitingElsewhere: map[string]int{}}
 }
 
 // Put adds a back end or updates it.
--- a/internal/backend/lease.go
+++ b/internal/backend/lease.go
@@ -106,11 +106,15 @@
 	return loads
 }
 
-// SetPeerLoads replaces what another daemon has in flight. A nil map forgets
-// the daemon.
-func (s *Set) SetPeerLoads(peer string, loads map[string]PeerLoad) {
+// SetPeerLoads replaces what another daemon has in flight and how many batch
+// items wait there. A nil map forgets the daemon.
+func (s *Set) SetPeerLoads(peer string, loads map[string]PeerLoad, waiting int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.waitingElsewhere[peer] = waiting
+	if loads == nil {
+		delete(s.waitingElsewhere, peer)
+	}
 	for id, known := range s.states {
 		load, tells := loads[id]
 		if !tells {
@@ -120,3 +124,30 @@
 		known.peers[peer] = load
 	}
 }
+
+// SetOwnWaiting records how many batch items of this daemon wait for a back
+// end.
+func (s *Set) SetOwnWaiting(count int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.waiting = count
+}
+
+// OwnWaiting returns how many batch items of this daemon wait for a back end.
+func (s *Set) OwnWaiting() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.waiting
+}
+
+// WaitingElsewhere returns how many batch items of other daemons wait for a
+// back end.
+func (s *Set) WaitingElsewhere() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	total := 0
+	for _, count := range s.waitingElsewhere {
+		total += count
+	}
+	return max(total, 0)
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -123,10 +123,10 @@
 
 // send tells this daemon's own loads and news.
 func (e *Exchange) send(now time.Time, audience audience) {
-	work := loads(e.backends.OwnLoads())
+	work := loads{inFlight: e.backends.OwnLoads(), waiting: e.backends.OwnWaiting()}
 	told := news{reads: e.backends.TakeReads(), failures: e.backends.TakeFailures()}
 	isSame := work.equal(e.last) && told.isEmpty()
-	if isSame && (len(work) == 0 || now.Sub(e.sentAt) < max(refreshInterval, audience.interval())) {
+	if isSame && (work.isEmpty() || now.Sub(e.sentAt) < max(refreshInterval, audience.interval())) {
 		return
 	}
 	e.last, e.sentAt = work, now
@@ -181,7 +181,7 @@
 	own := e.relay.othersOf(e.self.Name, fleet)
 	e.heard[othersOfFleet] = now
 	e.mutex.Unlock()
-	e.backends.SetPeerLoads(othersOfFleet, own)
+	e.backends.SetPeerLoads(othersOfFleet, own.inFlight, own.waiting)
 	for name, work := range others {
 		e.tell([]string{name}, keyOthers+e.self.Name, work, pending.forMember(name), now)
 	}
@@ -239,7 +239,7 @@
 	e.mutex.Lock()
 	e.heard[name] = now
 	e.mutex.Unlock()
-	e.backends.SetPeerLoads(name, work)
+	e.backends.SetPeerLoads(name, work.inFlight, work.waiting)
 }
 
 func (e *Exchange) drop(name string) {
@@ -249,7 +249,7 @@
 	e.relay.forgetMember(name)
 	e.mutex.Unlock()
 	if known {
-		e.backends.SetPeerLoads(name, nil)
+		e.backends.SetPeerLoads(name, nil, 0)
 	}
 }
 
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -1,37 +1,52 @@
 package exchange
 
 import (
+	"maps"
+
 	"github.com/hamba/avro/v2"
 	"github.com/pkg/errors"
 
 	"topazpulley/internal/backend"
 )
 
-// loads is work in flight by back end.
-type loads map[string]backend.PeerLoad
+// loads is what daemons have in flight and what waits at them.
+type loads struct {
+	// inFlight is by back end.
+	inFlight map[string]backend.PeerLoad
+	// waiting is the number of batch items that wait for a back end.
+	waiting int
+}
 
-// add counts further work in flight.
-func (l loads) add(other loads) {
-	for id, load := range other {
-		sum := l[id]
+// add counts further work.
+func (l *loads) add(other loads) {
+	l.waiting += other.waiting
+	for id, load := range other.inFlight {
+		sum := l.inFlight[id]
 		sum.Online += load.Online
 		sum.Batch += load.Batch
 		sum.PendingTokens += load.PendingTokens
-		l[id] = sum
+		l.inFlight[id] = sum
+	}
+}
+
+// without returns the work less a part of it.
+func (l loads) without(part loads) loads {
+	left := loads{inFlight: make(map[string]backend.PeerLoad, len(l.inFlight)), waiting: l.waiting - part.waiting}
+	for id, sum := range l.inFlight {
+		taken := part.inFlight[id]
+		sum.Online -= taken.Online
+		sum.Batch -= taken.Batch
+		sum.PendingTokens -= taken.PendingTokens
+		left.inFlight[id] = sum
 	}
+	return left
 }
 
+func (l loads) isEmpty() bool { return len(l.inFlight) == 0 && l.waiting == 0 }
+
 // equal reports whether both hold the same work.
 func (l loads) equal(other loads) bool {
-	if len(l) != len(other) {
-		return false
-	}
-	for id, load := range l {
-		if other[id] != load {
-			return false
-		}
-	}
-	return true
+	return l.waiting == other.waiting && maps.Equal(l.inFlight, other.inFlight)
 }
 
 // news is what is told once: large prompt parts that were sent, and failures
@@ -64,6 +79,7 @@
 	Backends []backendLoad   `avro:"backends"`
 	Reads    []readRecord    `avro:"reads"`
 	Failures []failureRecord `avro:"failures"`
+	Waiting  int             `avro:"waiting"`
 }
 
 type failureRecord struct {
@@ -89,11 +105,12 @@
 	{"name":"reads","type":{"type":"array","items":{"type":"record","name":"read","fields":[
 	{"name":"backend","type":"string"},{"name":"part","type":"string"}]}},"default":[]},
 	{"name":"failures","type":{"type":"array","items":{"type":"record","name":"failure","fields":[
-	{"name":"backend","type":"string"},{"name":"count","type":"int"}]}},"default":[]}]}`)
+	{"name":"backend","type":"string"},{"name":"count","type":"int"}]}},"default":[]},
+	{"name":"waiting","type":"int","default":0}]}`)
 
 func encode(work loads, told news) ([]byte, error) {
-	message := loadMessage{Backends: make([]backendLoad, 0, len(work)), Reads: []readRecord{}, Failures: []failureRecord{}}
-	for id, load := range work {
+	message := loadMessage{Backends: make([]backendLoad, 0, len(work.inFlight)), Reads: []readRecord{}, Failures: []failureRecord{}, Waiting: work.waiting}
+	for id, load := range work.inFlight {
 		if load == (backend.PeerLoad{}) {
 			continue
 		}
@@ -112,11 +129,11 @@
 func decode(payload []byte) (loads, news, error) {
 	var message loadMessage
 	if err := avro.Unmarshal(loadSchema, payload, &message); err != nil {
-		return nil, news{}, errors.WithStack(err)
+		return loads{}, news{}, errors.WithStack(err)
 	}
-	work := make(loads, len(message.Backends))
+	work := loads{inFlight: make(map[string]backend.PeerLoad, len(message.Backends)), waiting: message.Waiting}
 	for _, each := range message.Backends {
-		work[each.ID] = backend.PeerLoad{Online: each.Online, Batch: each.Batch, PendingTokens: each.Pending}
+		work.inFlight[each.ID] = backend.PeerLoad{Online: each.Online, Batch: each.Batch, PendingTokens: each.Pending}
 	}
 	told := news{reads: make([]backend.Read, 0, len(message.Reads)), failures: make(map[string]int, len(message.Failures))}
 	for _, each := range message.Reads {
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"topazpulley/internal/backend"
 )
 
 // relay gathers the loads of a zone's daemons and the totals of other zones, so
@@ -70,7 +72,7 @@
 
 // zoneTotal is the work of all daemons of the zone.
 func (r *relay) zoneTotal() loads {
-	total := loads{}
+	total := loads{inFlight: map[string]backend.PeerLoad{}}
 	for _, each := range r.members {
 		total.add(each.work)
 	}
@@ -87,18 +89,7 @@
 }
 
 // othersOf takes a daemon's own work out of the total of the fleet.
-func (r *relay) othersOf(name string, total loads) loads {
-	others := make(loads, len(total))
-	own := r.members[name].work
-	for id, sum := range total {
-		part := own[id]
-		sum.Online -= part.Online
-		sum.Batch -= part.Batch
-		sum.PendingTokens -= part.PendingTokens
-		others[id] = sum
-	}
-	return others
-}
+func (r *relay) othersOf(name string, total loads) loads { return total.without(r.members[name].work) }
 
 // takeNews returns the news to pass on and forgets them.
 func (r *relay) takeNews() pendingNews {
--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -206,7 +206,7 @@
 
 // isBusy reports whether items run or results wait for their commit.
 func (o *owned) isBusy() bool {
-	if o.runningCount() > 0 {
+	if len(o.running()) > 0 {
 		return true
 	}
 	o.mutex.Lock()
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -20,7 +20,7 @@
 	dispatchInterval = 100 * time.Millisecond
 	// yieldInterval is longer than the time in which owners learn of each
 	// other's items, so that what was taken back is not taken back twice.
-	yieldInterval = 150 * time.Millisecond
+	yieldInterval = 200 * time.Millisecond
 	// batchTolerance is the difference in cost, in milliseconds, that does not
 	// matter to batch items.
 	batchTolerance = 40
@@ -57,20 +57,11 @@
 	}
 }
 
-// round is one pass over the waiting items.
-type round struct {
-	now    time.Time
-	owners int
-	// quotas are how many more items each back end gets in the round.
-	quotas map[string]int
-}
-
 // dispatchWaiting sends items, those due first first.
 func (s *Service) dispatchWaiting() {
 	now := time.Now()
 	s.mutex.Lock()
 	jobs := s.ownedJobs()
-	current := round{now: now, owners: s.ownerCount(), quotas: map[string]int{}}
 	isStopping := s.stopping
 	s.mutex.Unlock()
 	if isStopping || now.Sub(s.dispatchedAt) < dispatchInterval/2 {
@@ -78,58 +69,64 @@
 	}
 	s.dispatchedAt = now
 	sort.Slice(jobs, func(a, b int) bool { return jobs[a].due.Before(jobs[b].due) })
+	ready := []*work{}
 	for _, each := range jobs {
-		for _, waiting := range each.waiting(now) {
-			if !s.dispatch(waiting, current) {
-				break
-			}
-		}
+		ready = append(ready, each.waiting(now)...)
 	}
-}
-
-// ownerCount returns how many daemons own jobs. mutex must be held.
-func (s *Service) ownerCount() int {
-	owners := map[string]bool{s.self.Name: true}
-	for _, held := range s.claims {
-		owners[held.claim.Owner] = true
+	s.placer.begin(len(ready), s.backends.WaitingElsewhere(), now)
+	sent := 0
+	for _, waiting := range ready {
+		if s.dispatch(waiting, now) {
+			sent++
+		}
 	}
-	return len(owners)
+	s.backends.SetOwnWaiting(len(ready) - sent)
 }
 
-// dispatch sends one item if a back end has room; it reports false when none
-// has.
-func (s *Service) dispatch(waiting *work, current round) bool {
+// dispatch sends one item if a back end has room, or gives it up if its time
+// is over. It reports false when the item goes on waiting.
+func (s *Service) dispatch(waiting *work, now time.Time) bool {
 	held := waiting.owner
-	if !held.giveUp.IsZero() && current.now.After(held.giveUp) {
+	if !held.giveUp.IsZero() && now.After(held.giveUp) {
 		held.end(waiting, Result{Item: waiting.item.ID, State: StateAbandoned})
 		return true
 	}
 	matched, service, found := s.routeOf(held.job.Host, waiting.item)
 	if !found {
-		return true // its route is not known here; it waits
+		return false // its route is not known here
 	}
-	chosen, found := s.chooseFor(service, waiting.item.Prompt, current)
+	isUrgent := s.isUrgent(waiting, now)
+	if s.placer.isFull(service, isUrgent) {
+		return false
+	}
+	candidates := s.backends.Candidates(service, waiting.item.Prompt, now)
+	chosen, found := s.placer.choose(service, waiting.item.Prompt, candidates, isUrgent)
 	if !found {
 		return false
 	}
 	lease, found := s.backends.Acquire(chosen.ID, backend.Batch, waiting.item.Prompt)
 	if !found {
-		return true
+		return false
 	}
-	current.quotas[chosen.ID]--
 	ctx, cancel := context.WithCancel(held.ctx)
 	held.mutex.Lock()
-	waiting.state, waiting.backend, waiting.startedAt, waiting.cancel = itemRunning, chosen.ID, current.now, cancel
+	waiting.state, waiting.backend, waiting.startedAt, waiting.cancel = itemRunning, chosen.ID, now, cancel
 	held.mutex.Unlock()
-	s.running.Add(1)
+	s.log.Info("item_sent", "job", held.job.ID, "item", waiting.item.ID, "backend", chosen.ID, "urgent", isUrgent,
+		"due_ms", held.due.Sub(now).Milliseconds(), "last_event", waiting.progress.last(),
+		"online", chosen.Online, "batch", chosen.Batch, "slots", chosen.Slots, "report_age_ms", shownAge(chosen.ReportAge))
 	go func() {
-		defer s.running.Done()
 		defer cancel()
 		s.runItem(ctx, waiting, lease, matched, service)
 	}()
 	return true
 }
 
+// longestAge stands in logs for all that is older, or was never told.
+const longestAge = time.Hour
+
+func shownAge(age time.Duration) int64 { return min(age, longestAge).Milliseconds() }
+
 func (s *Service) routeOf(host string, item Item) (*route.Route, string, bool) {
 	current := s.holder.Current()
 	if current == nil {
@@ -142,25 +139,12 @@
 	return matched, matched.Service(xxhash.Sum64String(item.ID)), true
 }
 
-// chooseFor picks a back end with room for a batch item.
-func (s *Service) chooseFor(service string, prompt []routing.PromptPart, current round) (routing.Candidate, bool) {
-	candidates := s.backends.Candidates(service, prompt, current.now)
-	model := routing.DefaultCostModel()
-	model.ToleranceMilliseconds = batchTolerance
+// isUrgent reports whether an item must run now to end before it is due.
+func (s *Service) isUrgent(waiting *work, now time.Time) bool {
+	ran := waiting.owner.ranFor(waiting, now)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	withRoom := candidates[:0]
-	for _, candidate := range candidates {
-		left, known := current.quotas[candidate.ID]
-		if !known {
-			left = quota(roomForBatch(candidate), current.owners, s.random)
-			current.quotas[candidate.ID] = left
-		}
-		if left > 0 {
-			withRoom = append(withRoom, candidate)
-		}
-	}
-	return routing.ChooseByCost(model, prompt, withRoom, nil, s.random)
+	return s.clock.isUrgent(ran, waiting.owner.due.Sub(now))
 }
 
 // yieldItems takes items back from back ends that have no slot left for
@@ -172,28 +156,47 @@
 	if len(jobs) == 0 {
 		return
 	}
-	running := map[string][]*work{}
+	now := time.Now()
+	running := map[string][]runningItem{}
 	for _, each := range jobs {
-		each.mutex.Lock()
-		for _, item := range each.works {
-			if item.state == itemRunning {
-				running[item.backend] = append(running[item.backend], item)
-			}
+		for _, item := range each.running() {
+			running[item.backend] = append(running[item.backend], runningItem{work: item, isUrgent: s.isUrgent(item, now)})
 		}
-		each.mutex.Unlock()
 	}
 	for _, candidate := range s.loadsOf(running) {
-		count := excess(candidate)
-		for _, item := range running[candidate.ID][:min(count, len(running[candidate.ID]))] {
-			s.log.Info("item_yielded", "job", item.owner.job.ID, "item", item.item.ID, "backend", candidate.ID,
+		for _, item := range s.itemsToYield(candidate, running[candidate.ID]) {
+			s.log.Info("item_yielded", "job", item.owner.job.ID, "item", item.item.ID, "backend", candidate.ID, "urgent", item.isUrgent,
 				"online", candidate.Online, "batch", candidate.Batch, "slots", candidate.Slots, "last_event", item.progress.last())
 			item.cancel()
 		}
 	}
 }
 
+// runningItem is an item at a back end.
+type runningItem struct {
+	*work
+	isUrgent bool
+}
+
+// itemsToYield chooses which of the items at a back end are taken back: those
+// that are not urgent first, and among them those due last.
+func (s *Service) itemsToYield(candidate routing.Candidate, items []runningItem) []runningItem {
+	s.mutex.Lock()
+	mild, strict := excess(candidate, false, s.random), excess(candidate, true, s.random)
+	s.mutex.Unlock()
+	sort.Slice(items, func(a, b int) bool {
+		if items[a].isUrgent != items[b].isUrgent {
+			return items[b].isUrgent
+		}
+		return items[a].owner.due.After(items[b].owner.due)
+	})
+	calm := sort.Search(len(items), func(index int) bool { return items[index].isUrgent })
+	count := max(min(mild, calm), min(strict, len(items)))
+	return items[:count]
+}
+
 // loadsOf returns the load of back ends at which items run.
-func (s *Service) loadsOf(running map[string][]*work) []routing.Candidate {
+func (s *Service) loadsOf(running map[string][]runningItem) []routing.Candidate {
 	services := map[string]bool{}
 	for id := range running {
 		if instance, found := s.backends.Get(id); found {
@@ -263,6 +266,7 @@
 		if errors.Is(err, io.EOF) {
 			s.backends.Succeeded(lease.Instance().ID, time.Now())
 			s.metrics.Items.WithLabelValues(string(StateCompleted)).Inc()
+			s.noteItemTime(running)
 			s.log.Info("item_completed", "job", running.owner.job.ID, "item", running.item.ID, "backend", lease.Instance().ID,
 				"events", running.progress.last(), "took_ms", time.Since(running.startedAt).Milliseconds())
 			running.owner.end(running, Result{Item: running.item.ID, State: StateCompleted, Text: running.progress.text()})
@@ -279,6 +283,14 @@
 	}
 }
 
+// noteItemTime learns from an item that ended how long items run.
+func (s *Service) noteItemTime(ended *work) {
+	ran := ended.owner.ranFor(ended, time.Now())
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.clock.note(ran)
+}
+
 // attemptFailed decides what becomes of an item after a failed attempt.
 func (s *Service) attemptFailed(ctx context.Context, running *work, instance backend.Instance, matched *route.Route, err error) {
 	held := running.owner
--- a/internal/job/owned.go
+++ b/internal/job/owned.go
@@ -26,8 +26,10 @@
 	failures  int
 	backend   string
 	startedAt time.Time
-	cancel    context.CancelFunc
-	progress  progress
+	// ranFor is how long earlier attempts ran.
+	ranFor   time.Duration
+	cancel   context.CancelFunc
+	progress progress
 }
 
 // owned is a job that this daemon runs. mutex guards the fields below it.
@@ -146,17 +148,27 @@
 	return ready
 }
 
-// runningCount returns how many items are at back ends.
-func (o *owned) runningCount() int {
+// running returns the items that are at back ends.
+func (o *owned) running() []*work {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	count := 0
+	found := []*work{}
 	for _, each := range o.works {
 		if each.state == itemRunning {
-			count++
+			found = append(found, each)
 		}
 	}
-	return count
+	return found
+}
+
+// ranFor returns how long an item has run, over all its attempts.
+func (o *owned) ranFor(item *work, now time.Time) time.Duration {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if item.state == itemRunning {
+		return item.ranFor + now.Sub(item.startedAt)
+	}
+	return item.ranFor
 }
 
 // end records the end of an item and sees to its commit.
@@ -182,6 +194,7 @@
 	o.mutex.Lock()
 	if returned.state == itemRunning {
 		returned.state = itemWaiting
+		returned.ranFor += time.Since(returned.startedAt)
 		returned.notBefore = time.Now().Add(pause)
 	}
 	o.mutex.Unlock()
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -62,13 +62,14 @@
 
 	lifetime context.Context
 	end      context.CancelFunc
-	running  sync.WaitGroup
 	wake     chan struct{}
 	// dispatchedAt belongs to the dispatcher's goroutine.
 	dispatchedAt time.Time
+	placer       *placer
 
 	mutex  sync.Mutex
 	random *rand.Rand
+	clock  itemClock
 	// claims are the claim rows as of the version followed. Only the follower
 	// changes them.
 	claims   map[string]versionedClaim
@@ -97,11 +98,13 @@
 		holder: dependencies.Holder, peers: dependencies.Peers, metrics: dependencies.Metrics, log: dependencies.Logger,
 		connections: dependencies.Connections,
 		lifetime:    lifetime, end: end, wake: make(chan struct{}, 1),
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		random: newRandom(), placer: newPlacer(newRandom()),
 		claims: map[string]versionedClaim{}, orphans: map[string]time.Time{}, claimedAt: map[string]time.Time{}, owned: map[string]*owned{}, accepted: map[string]acceptance{},
 	}
 }
 
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // FollowedTable is the table whose changes the service must be told.
 func (s *Service) FollowedTable() string { return tableClaim }
 
