--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -68,13 +68,11 @@
 		return
 	}
 	s.dispatchedAt = now
-	ready := []pacedItem{}
+	sort.Slice(jobs, func(a, b int) bool { return jobs[a].due.Before(jobs[b].due) })
+	ready := []*work{}
 	for _, each := range jobs {
-		for _, waiting := range each.waiting(now) {
-			ready = append(ready, s.paced(waiting, now))
-		}
+		ready = append(ready, each.waiting(now)...)
 	}
-	sortToSend(ready)
 	s.placer.begin(len(ready), s.backends.WaitingElsewhere(), now)
 	sent := 0
 	for _, waiting := range ready {
@@ -87,21 +85,22 @@
 
 // dispatch sends one item if a back end has room, or gives it up if its time
 // is over. It reports false when the item goes on waiting.
-func (s *Service) dispatch(waiting pacedItem, now time.Time) bool {
+func (s *Service) dispatch(waiting *work, now time.Time) bool {
 	held := waiting.owner
 	if !held.giveUp.IsZero() && now.After(held.giveUp) {
-		held.end(waiting.work, Result{Item: waiting.item.ID, State: StateAbandoned})
+		held.end(waiting, Result{Item: waiting.item.ID, State: StateAbandoned})
 		return true
 	}
 	matched, service, found := s.routeOf(held.job.Host, waiting.item)
 	if !found {
 		return false // its route is not known here
 	}
-	if s.placer.isFull(service, waiting.isUrgent()) {
+	isUrgent := s.isUrgent(waiting, now)
+	if s.placer.isFull(service, isUrgent) {
 		return false
 	}
 	candidates := s.backends.Candidates(service, waiting.item.Prompt, now)
-	chosen, found := s.placer.choose(service, waiting.item.Prompt, candidates, waiting.isUrgent())
+	chosen, found := s.placer.choose(service, waiting.item.Prompt, candidates, isUrgent)
 	if !found {
 		return false
 	}
@@ -113,12 +112,12 @@
 	held.mutex.Lock()
 	waiting.state, waiting.backend, waiting.startedAt, waiting.cancel = itemRunning, chosen.ID, now, cancel
 	held.mutex.Unlock()
-	s.log.Info("item_sent", "job", held.job.ID, "item", waiting.item.ID, "backend", chosen.ID, "urgent", waiting.isUrgent(),
+	s.log.Info("item_sent", "job", held.job.ID, "item", waiting.item.ID, "backend", chosen.ID, "urgent", isUrgent,
 		"due_ms", held.due.Sub(now).Milliseconds(), "last_event", waiting.progress.last(),
 		"online", chosen.Online, "batch", chosen.Batch, "slots", chosen.Slots, "report_age_ms", shownAge(chosen.ReportAge))
 	go func() {
 		defer cancel()
-		s.runItem(ctx, waiting.work, lease, matched, service)
+		s.runItem(ctx, waiting, lease, matched, service)
 	}()
 	return true
 }
@@ -140,12 +139,12 @@
 	return matched, matched.Service(xxhash.Sum64String(item.ID)), true
 }
 
-// paced tells how an item stands to its time.
-func (s *Service) paced(item *work, now time.Time) pacedItem {
-	ran := item.owner.ranFor(item, now)
+// isUrgent reports whether an item must run now to end before it is due.
+func (s *Service) isUrgent(waiting *work, now time.Time) bool {
+	ran := waiting.owner.ranFor(waiting, now)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return pacedItem{work: item, urgency: s.clock.urgencyOf(ran, item.owner.due.Sub(now))}
+	return s.clock.isUrgent(ran, waiting.owner.due.Sub(now))
 }
 
 // yieldItems takes items back from back ends that have no slot left for
@@ -158,34 +157,46 @@
 		return
 	}
 	now := time.Now()
-	running := map[string][]pacedItem{}
+	running := map[string][]runningItem{}
 	for _, each := range jobs {
 		for _, item := range each.running() {
-			running[item.backend] = append(running[item.backend], s.paced(item, now))
+			running[item.backend] = append(running[item.backend], runningItem{work: item, isUrgent: s.isUrgent(item, now)})
 		}
 	}
 	for _, candidate := range s.loadsOf(running) {
 		for _, item := range s.itemsToYield(candidate, running[candidate.ID]) {
-			s.log.Info("item_yielded", "job", item.owner.job.ID, "item", item.item.ID, "backend", candidate.ID, "urgent", item.isUrgent(),
+			s.log.Info("item_yielded", "job", item.owner.job.ID, "item", item.item.ID, "backend", candidate.ID, "urgent", item.isUrgent,
 				"online", candidate.Online, "batch", candidate.Batch, "slots", candidate.Slots, "last_event", item.progress.last())
 			item.cancel()
 		}
 	}
 }
 
-// itemsToYield chooses which of the items at a back end are taken back.
-func (s *Service) itemsToYield(candidate routing.Candidate, items []pacedItem) []pacedItem {
+// runningItem is an item at a back end.
+type runningItem struct {
+	*work
+	isUrgent bool
+}
+
+// itemsToYield chooses which of the items at a back end are taken back: those
+// that are not urgent first, and among them those due last.
+func (s *Service) itemsToYield(candidate routing.Candidate, items []runningItem) []runningItem {
 	s.mutex.Lock()
 	mild, strict := excess(candidate, false, s.random), excess(candidate, true, s.random)
 	s.mutex.Unlock()
-	sortToYield(items)
-	calm := sort.Search(len(items), func(index int) bool { return items[index].isUrgent() })
+	sort.Slice(items, func(a, b int) bool {
+		if items[a].isUrgent != items[b].isUrgent {
+			return items[b].isUrgent
+		}
+		return items[a].owner.due.After(items[b].owner.due)
+	})
+	calm := sort.Search(len(items), func(index int) bool { return items[index].isUrgent })
 	count := max(min(mild, calm), min(strict, len(items)))
 	return items[:count]
 }
 
 // loadsOf returns the load of back ends at which items run.
-func (s *Service) loadsOf(running map[string][]pacedItem) []routing.Candidate {
+func (s *Service) loadsOf(running map[string][]runningItem) []routing.Candidate {
 	services := map[string]bool{}
 	for id := range running {
 		if instance, found := s.backends.Get(id); found {
--- a/internal/job/pacing.go
+++ b/internal/job/pacing.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	"topazpulley/internal/routing"
@@ -180,75 +179,9 @@
 	return c.mean
 }
 
-// urgency is how an item stands to the time at which it is due.
-type urgency uint8
-
-const (
-	// urgencyNone tells that the item can wait.
-	urgencyNone urgency = iota
-	// urgencyNow tells that it must run now to end before it is due.
-	urgencyNow
-	// urgencyMissed tells that it cannot end before it is due any more. It goes
-	// behind all others: while there is too little room, running the items that
-	// are due first would make every item late.
-	urgencyMissed
-)
-
-const (
-	// likelyShare and quickShare are the parts of the mean time of an item that
-	// a long and a short one take, leastShare the part that is left at least.
-	likelyShare = 1.5
-	quickShare  = 0.6
-	leastShare  = 0.1
-)
-
-// urgencyOf tells how an item stands that ran for so long already.
-func (c *itemClock) urgencyOf(ran, untilDue time.Duration) urgency {
-	left := func(share float64) time.Duration {
-		mean := float64(c.expected())
-		return time.Duration(max(share*mean-float64(ran), leastShare*mean))
-	}
-	switch {
-	case untilDue < left(quickShare):
-		return urgencyMissed
-	case untilDue-left(likelyShare) < urgentSlack:
-		return urgencyNow
-	}
-	return urgencyNone
-}
-
-// pacedItem is an item with its urgency.
-type pacedItem struct {
-	*work
-	urgency urgency
-}
-
-// isUrgent reports whether the item must run now.
-func (i pacedItem) isUrgent() bool { return i.urgency == urgencyNow }
-
-// sortToSend orders waiting items: what is due first goes first, but behind
-// all that can still end in time comes what cannot.
-func sortToSend(items []pacedItem) {
-	sort.SliceStable(items, func(a, b int) bool {
-		isMissed := items[a].urgency == urgencyMissed
-		if isMissed != (items[b].urgency == urgencyMissed) {
-			return !isMissed
-		}
-		return items[a].owner.due.Before(items[b].owner.due)
-	})
-}
-
-// yieldRank orders the urgencies in which items are taken back.
-var yieldRank = map[urgency]int{urgencyMissed: 0, urgencyNone: 1, urgencyNow: 2}
-
-// sortToYield orders running items: what cannot end in time goes first, then
-// what can wait, the last due first, then what is urgent.
-func sortToYield(items []pacedItem) {
-	sort.SliceStable(items, func(a, b int) bool {
-		first, second := yieldRank[items[a].urgency], yieldRank[items[b].urgency]
-		if first != second {
-			return first < second
-		}
-		return items[a].owner.due.After(items[b].owner.due)
-	})
+// isUrgent reports whether an item that ran for so long already must run now
+// to end before it is due. One past its time is not: nothing is gained by it.
+func (c *itemClock) isUrgent(ran, untilDue time.Duration) bool {
+	left := max(c.expected()*3/2-ran, c.expected()/4)
+	return untilDue > 0 && untilDue-left < urgentSlack
 }
