Tell the store's newest version with every datagram, so that stale reads are noticed

Change: the highest version seen rides on every datagram of the membership protocol (its revision field, unused here so far); a read below it is refused as stale and the caller gets 503.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -64,10 +64,12 @@
 
 // New assembles a daemon. The settings must be valid.
 func New(process settings.Settings, ports Ports, metrics *telemetry.Serving, log *slog.Logger) *Frontend {
-	f := &Frontend{settings: process, log: log, store: table.NewMonotonic(ports.Store), Holder: &route.Holder{}, Backends: backend.NewSet()}
+	store := table.NewMonotonic(ports.Store)
+	f := &Frontend{settings: process, log: log, store: store, Holder: &route.Holder{}, Backends: backend.NewSet()}
 	f.transport = peer.NewTransport(process.Name, process.PeerAddress, process.ClusterKeyBytes(), log)
 	self := f.member()
 	f.node = cluster.NewNode(membership.DefaultConfig(time.Duration(process.ProbeInterval)), self, f.transport, log)
+	shareVersions(f.node, store)
 	f.Core = serving.NewCore(f.Backends, ports.Sender, f.Holder, metrics, log, f.fleetSize)
 	f.Jobs = job.NewService(job.Dependencies{
 		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: ports.Sender,
@@ -87,6 +89,18 @@
 	return f
 }
 
+// shareVersions lets daemons tell each other the newest version of the store
+// that any of them saw, with every datagram, so that a read which lies behind
+// is noticed also by those that have seen nothing newer themselves.
+func shareVersions(node *cluster.Node, store *table.Monotonic) {
+	store.Tell = func(version table.Version) { node.SetRevision(int64(version)) }
+	node.Subscribe(func(event membership.Event) {
+		if event.Kind == membership.EventRevision {
+			store.Raise(table.Version(event.Revision))
+		}
+	})
+}
+
 // member describes this daemon to others. The start time makes its incarnation
 // higher than in any earlier life of the same name.
 func (f *Frontend) member() membership.Member {
