Count an item's failures over all owners of its job

Cause: each owner counted anew; an item that fails at every run was sent max_attempts times by each owner of its job (the bound of three times that many holds for three owners only).

Change: the checkpoint of an item carries its failures; a failure makes one due. TestFailuresAreCountedOverOwners fails before (4 runs of 3), passes after.

--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -327,13 +327,13 @@
 		s.backends.Remove(instance.ID)
 	}
 	if failed.Reason == serving.ReasonError {
-		running.failures++
+		running.progress.fail()
 	}
 	s.metrics.Items.WithLabelValues(failed.Outcome.String()).Inc()
 	s.log.Info("item_attempt_failed", "job", held.job.ID, "item", running.item.ID, "backend", instance.ID, "outcome", failed.Outcome.String(),
-		"reason", string(failed.Reason), "failures", running.failures, "last_event", running.progress.last(), "cause", failed.Cause)
-	if running.failures >= matched.MaxAttempts {
-		s.log.Info("item_abandoned", "job", held.job.ID, "item", running.item.ID, "reason", "failures", "failures", running.failures)
+		"reason", string(failed.Reason), "failures", running.progress.failed(), "last_event", running.progress.last(), "cause", failed.Cause)
+	if running.progress.failed() >= matched.MaxAttempts {
+		s.log.Info("item_abandoned", "job", held.job.ID, "item", running.item.ID, "reason", "failures", "failures", running.progress.failed())
 		held.end(running, Result{Item: running.item.ID, State: StateAbandoned})
 		return
 	}
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -326,6 +326,22 @@
 	require.Equal(t, 3, runner.started("j1-item1"))
 }
 
+// TestFailuresAreCountedOverOwners: an item that fails at every run is sent no
+// more often because its job changes hands.
+func TestFailuresAreCountedOverOwners(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.status["j1-item0"] = 500
+	owner, other := startDaemon(t, "a", store, runner), startDaemon(t, "b", store, runner)
+	require.NoError(t, owner.Submit(t.Context(), newJob("j1", 1)))
+	require.Eventually(t, func() bool { return runner.started("j1-item0") > 0 }, patience, pollTime)
+	owner.Stop(t.Context())
+	require.Eventually(t, func() bool {
+		listed, _ := allResults(t, other, "j1")
+		return len(listed) == 1 && listed[0].State == job.StateAbandoned
+	}, patience, pollTime)
+	require.Equal(t, 3, runner.started("j1-item0"))
+}
+
 // TestRandomStoreFaults: refused, throttled, lost and late calls, two takeovers
 // and broken runs; every accepted job completes with each item once.
 func TestRandomStoreFaults(t *testing.T) {
--- a/internal/job/owned.go
+++ b/internal/job/owned.go
@@ -23,7 +23,6 @@
 	owner     *owned
 	state     itemState
 	notBefore time.Time
-	failures  int
 	backend   string
 	startedAt time.Time
 	// ranFor is how long earlier attempts ran.
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -15,9 +15,9 @@
 	"topazpulley/internal/table"
 )
 
-// tableProgress holds checkpoints of items that run, so that a new owner goes
-// on where the last one stopped. They are a saving only: without them an item
-// is run from its start.
+// tableProgress holds checkpoints of items, so that a new owner goes on where
+// the last one stopped and counts on how often an item failed. Their text is a
+// saving only: without it an item is run from its start.
 const tableProgress = "item_progress"
 
 const (
@@ -40,6 +40,10 @@
 	lastEvent int64
 	saved     int64
 	isSaved   bool
+	// failures counts the attempts that a back end answered with an error, of
+	// all owners; savedFailures is the count in the last checkpoint.
+	failures      int
+	savedFailures int
 }
 
 // add appends an event and reports whether it is the next one.
@@ -58,6 +62,19 @@
 	return true
 }
 
+// fail counts an attempt that a back end answered with an error.
+func (p *progress) fail() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.failures++
+}
+
+func (p *progress) failed() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.failures
+}
+
 func (p *progress) last() int64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -80,35 +97,51 @@
 type checkpoint struct {
 	LastEvent int64  `avro:"last_event"`
 	Text      string `avro:"text"`
+	Failures  int    `avro:"failures"`
 }
 
 var checkpointSchema = avro.MustParse(`{"type":"record","name":"checkpoint","fields":[
-	{"name":"last_event","type":"long"},{"name":"text","type":"string"}]}`)
+	{"name":"last_event","type":"long"},{"name":"text","type":"string"},{"name":"failures","type":"int"}]}`)
 
 func (p *progress) restore(from checkpoint) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.failures, p.savedFailures = from.Failures, from.Failures
+	p.isSaved = from != checkpoint{}
 	if from.LastEvent == 0 {
 		return
 	}
 	p.content, p.hasText = []byte(from.Text), true
-	p.lastEvent, p.saved, p.isSaved = from.LastEvent, from.LastEvent, true
+	p.lastEvent, p.saved = from.LastEvent, from.LastEvent
 }
 
-// due returns a checkpoint if at least so many events came since the last one.
+// due returns a checkpoint if at least so many events came since the last one,
+// or a failure. A text that is too long for a row is left out.
 func (p *progress) due(events int64) (checkpoint, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.content == nil || p.lastEvent-p.saved < events || len(p.content) > checkpointBytes {
+	hasFailed := p.failures > p.savedFailures
+	hasText := p.content != nil && len(p.content) <= checkpointBytes
+	hasNews := hasText && p.lastEvent-p.saved >= events
+	if !hasFailed && !hasNews {
 		return checkpoint{}, false
 	}
-	return checkpoint{LastEvent: p.lastEvent, Text: string(p.content)}, true
+	taken := checkpoint{Failures: p.failures}
+	if hasText {
+		taken.LastEvent, taken.Text = p.lastEvent, string(p.content)
+	}
+	return taken, true
 }
 
-func (p *progress) noteSaved(lastEvent int64) {
+// noteSaved records that a checkpoint may be in the store. What it holds is
+// trusted only when isCertain: a lost answer may leave a row behind.
+func (p *progress) noteSaved(taken checkpoint, isCertain bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.saved, p.isSaved = max(p.saved, lastEvent), true
+	p.isSaved = true
+	if isCertain {
+		p.saved, p.savedFailures = max(p.saved, taken.LastEvent), max(p.savedFailures, taken.Failures)
+	}
 }
 
 // saveAll writes checkpoints of all owned jobs until the context ends.
@@ -129,7 +162,7 @@
 		Partition:  shard(o.job.ID),
 		Conditions: []table.Condition{{Table: tableClaim, Key: o.job.ID, Version: o.claim.version}},
 	}
-	saved := map[*work]int64{}
+	saved := map[*work]checkpoint{}
 	for _, each := range o.unfinished() {
 		taken, isDue := each.progress.due(events)
 		if !isDue || len(saved) == checkpointItems {
@@ -140,13 +173,13 @@
 			continue
 		}
 		transaction.Writes = append(transaction.Writes, table.Write{Table: tableProgress, Key: progressKey(o.job.ID, each.item.ID), Value: value})
-		saved[each] = taken.LastEvent
+		saved[each] = taken
 	}
 	if len(saved) == 0 {
 		return
 	}
-	for each := range saved {
-		each.progress.noteSaved(0) // a lost answer may leave a row behind
+	for each, taken := range saved {
+		each.progress.noteSaved(taken, false)
 	}
 	bounded, cancel := context.WithTimeout(ctx, storeAttempt)
 	defer cancel()
@@ -154,8 +187,8 @@
 		o.service.log.Info("checkpoint_failed", "job", o.job.ID, "items", len(saved), "error", err)
 		return
 	}
-	for each, lastEvent := range saved {
-		each.progress.noteSaved(lastEvent)
+	for each, taken := range saved {
+		each.progress.noteSaved(taken, true)
 	}
 }
 
