One rule for what a failed attempt says of a back end; attempts in a file of their own

serving and job mapped reasons to health in two switches; dispatch.go held placing, giving way and attempts in 339 lines.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -70,7 +70,7 @@
 	self := f.member()
 	f.node = cluster.NewNode(membership.DefaultConfig(time.Duration(process.ProbeInterval)), self, f.transport, log)
 	shareVersions(f.node, store)
-	f.Core = serving.NewCore(f.Backends, ports.Sender, f.Holder, metrics, log, f.fleetSize)
+	f.Core = serving.NewCore(f.Backends, ports.Sender, f.Holder, metrics, log, f.Members)
 	f.Jobs = job.NewService(job.Dependencies{
 		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: ports.Sender,
 		Holder: f.Holder, Peers: peers{node: f.node}, Metrics: metrics, Logger: log, Connections: f.Core.ConnectionShare,
@@ -110,10 +110,8 @@
 	}
 }
 
-func (f *Frontend) fleetSize() int { return len(f.node.Members()) }
-
 // Members returns how many daemons are alive as this one sees them.
-func (f *Frontend) Members() int { return f.fleetSize() }
+func (f *Frontend) Members() int { return len(f.node.Members()) }
 
 // Start starts all duties; they end with the context.
 func (f *Frontend) Start(ctx context.Context) error {
--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -59,7 +59,7 @@
 	isWritten := false
 	for ctx.Err() == nil {
 		isWritten = isWritten || f.writeAddress(ctx)
-		isFound := f.fleetSize() > 1
+		isFound := f.Members() > 1
 		if !isFound {
 			f.readAddresses(ctx)
 		}
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 
 	"topazpulley/internal/backend"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
-	"topazpulley/internal/serving"
-	"topazpulley/internal/watchdog"
 )
 
 const (
@@ -24,16 +20,6 @@
 	// batchTolerance is the difference in cost, in milliseconds, that does not
 	// matter to batch items.
 	batchTolerance = 40
-	refusedPause   = 100 * time.Millisecond
-	failedPause    = 200 * time.Millisecond
-	// itemTime is how long a back end may work on one item.
-	itemTime = 60 * time.Second
-	// firstPatience and eventPatience bound the silence of a back end before an
-	// item's first event and between events.
-	firstPatience = 6 * time.Second
-	eventPatience = 1500 * time.Millisecond
-	// invalidStatus tells that an item can never be done.
-	invalidStatus = 422
 )
 
 // dispatchItems sends waiting items to back ends with room, and takes items
@@ -213,133 +199,3 @@
 	}
 	return loads
 }
-
-// runItem makes one attempt at an item.
-func (s *Service) runItem(ctx context.Context, running *work, lease *backend.Lease, matched *route.Route, service string) {
-	defer s.nudge()
-	defer lease.Release()
-	instance := lease.Instance()
-	bounded, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watched := watchdog.Start(firstPatience, eventPatience, cancel)
-	defer watched.Stop()
-	answer, err := s.sender.Send(bounded, serving.Attempt{
-		Instance: instance, MaxConnections: s.connections(service), ID: running.item.ID, Method: "POST", Target: running.item.Path,
-		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTime,
-		LastEvent: running.progress.last(), Stream: true,
-	})
-	if err == nil {
-		defer answer.Close()
-		if report, told := answer.Load(); told {
-			s.backends.Reported(instance.ID, report, time.Now())
-		}
-		err = s.readItem(running, answer, lease, watched)
-	}
-	if err != nil && watched.Fired() {
-		err = &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonSilent, Cause: err}
-	}
-	if err != nil {
-		s.attemptFailed(ctx, running, instance, matched, err)
-	}
-}
-
-// invalidItemError tells that an item can never be done.
-type invalidItemError struct {
-	status int
-}
-
-// Error implements error.
-func (e *invalidItemError) Error() string { return "the item can never be done" }
-
-// readItem gathers the text of an item.
-func (s *Service) readItem(running *work, answer serving.Answer, lease *backend.Lease, watched *watchdog.Watchdog) error {
-	head := answer.Head()
-	if !head.Successful() || !head.Events {
-		_, _ = answer.Body()
-		if head.Status == invalidStatus {
-			return &invalidItemError{status: head.Status}
-		}
-		return &serving.AttemptError{Outcome: serving.OutcomeFailed, Reason: serving.ReasonError}
-	}
-	for {
-		event, err := answer.Next()
-		if errors.Is(err, io.EOF) {
-			s.backends.Succeeded(lease.Instance().ID, time.Now())
-			s.metrics.Items.WithLabelValues(string(StateCompleted)).Inc()
-			s.noteItemTime(running)
-			s.log.Info("item_completed", "job", running.owner.job.ID, "item", running.item.ID, "backend", lease.Instance().ID,
-				"events", running.progress.last(), "took_ms", time.Since(running.startedAt).Milliseconds())
-			running.owner.end(running, Result{Item: running.item.ID, State: StateCompleted, Text: running.progress.text()})
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if !running.progress.add(event) {
-			return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonSpoiled}
-		}
-		lease.Started()
-		watched.Feed()
-	}
-}
-
-// noteItemTime learns from an item that ended how long items run.
-func (s *Service) noteItemTime(ended *work) {
-	ran := ended.owner.ranFor(ended, time.Now())
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.clock.note(ran)
-}
-
-// attemptFailed decides what becomes of an item after a failed attempt.
-func (s *Service) attemptFailed(ctx context.Context, running *work, instance backend.Instance, matched *route.Route, err error) {
-	held := running.owner
-	if held.ctx.Err() != nil {
-		return
-	}
-	if ctx.Err() != nil {
-		s.metrics.Items.WithLabelValues("yielded").Inc()
-		held.requeue(running, refusedPause)
-		return
-	}
-	var invalid *invalidItemError
-	if errors.As(err, &invalid) {
-		s.metrics.Items.WithLabelValues(string(StateAbandoned)).Inc()
-		s.log.Info("item_abandoned", "job", held.job.ID, "item", running.item.ID, "backend", instance.ID, "reason", "invalid", "status", invalid.status)
-		held.end(running, Result{Item: running.item.ID, State: StateAbandoned})
-		return
-	}
-	s.noteFailure(running, instance, matched, err)
-}
-
-// noteFailure counts a failed attempt against the back end and the item.
-func (s *Service) noteFailure(running *work, instance backend.Instance, matched *route.Route, err error) {
-	held := running.owner
-	failed := &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
-	_ = errors.As(err, &failed)
-	now := time.Now()
-	switch failed.Reason {
-	case serving.ReasonUnreachable:
-		s.backends.Unreachable(instance.ID, now)
-	case serving.ReasonBroken, serving.ReasonSpoiled, serving.ReasonSilent:
-		s.backends.Failed(instance.ID, now)
-	case serving.ReasonOtherInstance:
-		s.backends.Remove(instance.ID)
-	}
-	if failed.Reason == serving.ReasonError {
-		running.progress.fail()
-	}
-	s.metrics.Items.WithLabelValues(failed.Outcome.String()).Inc()
-	s.log.Info("item_attempt_failed", "job", held.job.ID, "item", running.item.ID, "backend", instance.ID, "outcome", failed.Outcome.String(),
-		"reason", string(failed.Reason), "failures", running.progress.failed(), "last_event", running.progress.last(), "cause", failed.Cause)
-	if running.progress.failed() >= matched.MaxAttempts {
-		s.log.Info("item_abandoned", "job", held.job.ID, "item", running.item.ID, "reason", "failures", "failures", running.progress.failed())
-		held.end(running, Result{Item: running.item.ID, State: StateAbandoned})
-		return
-	}
-	pause := failedPause
-	if failed.Outcome == serving.OutcomeNotRun {
-		pause = refusedPause
-	}
-	held.requeue(running, pause)
-}
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -271,18 +271,22 @@
 	if e.caller.Err() != nil {
 		return
 	}
-	now := time.Now()
-	switch failed.Reason {
+	RecordFailure(e.core.Backends, e.last.ID, failed.Reason, time.Now())
+	e.core.Metrics.Attempts.WithLabelValues(failed.Outcome.String(), string(failed.Reason)).Inc()
+	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "outcome", failed.Outcome.String(),
+		"reason", string(failed.Reason), "cause", failed.Cause, "last_event", e.lastEvent)
+}
+
+// RecordFailure records a failed attempt against the back end's health.
+func RecordFailure(backends *backend.Set, id string, reason Reason, now time.Time) {
+	switch reason {
 	case ReasonUnreachable:
-		e.core.Backends.Unreachable(e.last.ID, now)
+		backends.Unreachable(id, now)
 	case ReasonBroken, ReasonSpoiled, ReasonSilent, ReasonError:
-		e.core.Backends.Failed(e.last.ID, now)
+		backends.Failed(id, now)
 	case ReasonOtherInstance:
-		e.core.Backends.Remove(e.last.ID)
+		backends.Remove(id)
 	}
-	e.core.Metrics.Attempts.WithLabelValues(failed.Outcome.String(), string(failed.Reason)).Inc()
-	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "outcome", failed.Outcome.String(),
-		"reason", string(failed.Reason), "cause", failed.Cause, "last_event", e.lastEvent)
 }
 
 func attemptError(err error) *AttemptError {
