--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -42,6 +42,7 @@
 	nextRetry  time.Time
 	nextSync   time.Time
 	lastTick   time.Time
+	startedAt  time.Time
 	gossipTurn int
 	healthLack int
 
@@ -97,6 +98,7 @@
 		items:      map[string]heldItem{},
 		queue:      map[string]*queued{},
 		lastTick:   now,
+		startedAt:  now,
 	}
 	core.nextProbe = now.Add(core.jitter(config.ProbeInterval))
 	core.nextGossip = now.Add(core.jitter(config.GossipInterval))
@@ -331,10 +333,23 @@
 	if isSame || now.Before(c.nextSync) {
 		return
 	}
-	c.nextSync = now.Add(c.config.SyncInterval + c.jitter(c.config.SyncInterval))
+	interval := c.syncInterval(now)
+	c.nextSync = now.Add(interval + c.jitter(interval))
 	c.events = append(c.events, Event{Kind: EventSync, Address: packet.FromAddress})
 }
 
+// syncInterval is short in the first moments of a member's life: a fleet whose
+// members all start at once should know itself within seconds.
+func (c *Core) syncInterval(now time.Time) time.Duration {
+	if now.Sub(c.startedAt) < youthProbes*c.config.ProbeInterval {
+		return c.config.ProbeInterval / 2
+	}
+	return c.config.SyncInterval
+}
+
+// youthProbes is how many probe intervals the first moments last.
+const youthProbes = 16
+
 // randomMembers picks live members other than itself, each at most once.
 func (c *Core) randomMembers(count int, except string) []Member {
 	c.refreshLive()
--- a/internal/scale/network_test.go
+++ b/internal/scale/network_test.go
@@ -18,6 +18,16 @@
 
 var small = Topology{Daemons: 24, Engines: 36, Zones: 3, Regions: 2}
 
+// TestFleetThatStartsAtOnceKnowsItselfSoon, in virtual time: after a restart of
+// all daemons loads are shared again within a few probe intervals.
+func TestFleetThatStartsAtOnceKnowsItselfSoon(t *testing.T) {
+	fleet := Topology{Daemons: 90, Engines: 90, Zones: 3, Regions: 1}
+	network := NewNetwork(fleet, membership.DefaultConfig(500*time.Millisecond), 11)
+	took, ok := network.RunUntil(time.Minute, 100*time.Millisecond, func() bool { return network.everyoneKnows(fleet.Daemons) })
+	require.True(t, ok)
+	require.LessOrEqual(t, took, 4*time.Second)
+}
+
 func TestGroupsThatNeverMetFindTogether(t *testing.T) {
 	network := NewNetwork(small, membership.DefaultConfig(time.Second), 7)
 	network.cut = func(from, to *hollow) bool { return from.index%2 != to.index%2 }
