Place no items before other daemons' work is known

Change: a daemon places items only once it has heard another daemon's work, or 3 s after its start. TestItemsWaitUntilOthersWorkIsKnown.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -88,6 +88,7 @@
 	// waitingElsewhere those of other daemons by who told.
 	waiting          int
 	waitingElsewhere map[string]int
+	hasHeard         bool
 }
 
 // NewSet returns an empty set.
--- a/internal/backend/lease.go
+++ b/internal/backend/lease.go
@@ -112,6 +112,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.waitingElsewhere[peer] = waiting
+	s.hasHeard = s.hasHeard || loads != nil
 	if loads == nil {
 		delete(s.waitingElsewhere, peer)
 	}
@@ -125,6 +126,13 @@
 	}
 }
 
+// HasHeard reports whether any other daemon ever told its work.
+func (s *Set) HasHeard() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.hasHeard
+}
+
 // SetOwnWaiting records how many batch items of this daemon wait for a back
 // end.
 func (s *Set) SetOwnWaiting(count int) {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -41,6 +41,9 @@
 	// rejoinPause is the time between two looks for other daemons while none is
 	// known.
 	rejoinPause = 500 * time.Millisecond
+	// settlingTime is how long the daemons of a fleet that starts at once need
+	// to find each other.
+	settlingTime = 3 * time.Second
 )
 
 // Frontend is one daemon.
@@ -73,7 +76,7 @@
 	f.Core = serving.NewCore(f.Backends, ports.Sender, f.Holder, metrics, log, f.Members)
 	f.Jobs = job.NewService(job.Dependencies{
 		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: ports.Sender,
-		Holder: f.Holder, Peers: peers{node: f.node}, Metrics: metrics, Logger: log, Connections: f.Core.ConnectionShare,
+		Holder: f.Holder, Peers: peers{node: f.node}, Metrics: metrics, Logger: log, Connections: f.Core.ConnectionShare, Settling: settlingTime,
 	})
 	source := newPeerSource(f.node, f.transport)
 	for _, followed := range []*table.Follower{
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -50,7 +50,10 @@
 	jobs := s.ownedJobs()
 	isStopping := s.stopping
 	s.mutex.Unlock()
-	if isStopping || now.Sub(s.dispatchedAt) < dispatchInterval/2 {
+	// When all daemons start at once, owners that know nothing of each other
+	// would all place their items into the same room.
+	isSettled := s.backends.HasHeard() || !now.Before(s.settledAt)
+	if isStopping || !isSettled || now.Sub(s.dispatchedAt) < dispatchInterval/2 {
 		return
 	}
 	s.dispatchedAt = now
--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -171,11 +171,19 @@
 	events int64
 	cancel context.CancelFunc
 	peers  *livePeers
+	// backends is what the daemon knows of the back ends.
+	backends *backend.Set
 }
 
 // startDaemon starts a service over the store. wrap may stand in front of the
 // store for this daemon alone.
 func startDaemon(t *testing.T, name string, store table.Store, runner *runners) *daemon {
+	t.Helper()
+	return startSettling(t, name, store, runner, 0)
+}
+
+// startSettling starts a service that waits so long for news of other daemons.
+func startSettling(t *testing.T, name string, store table.Store, runner *runners, settling time.Duration) *daemon {
 	t.Helper()
 	backends := backend.NewSet()
 	backends.Put(backend.Instance{ID: "one", Service: service, Slots: 100})
@@ -184,11 +192,11 @@
 		Name: "jobs", Host: "host.example", Prefix: "/jobs/", Kind: route.KindJob, MaxAttempts: 3,
 		Targets: []route.Target{{Service: service, Weight: 1}},
 	}}}, time.Now())
-	started := &daemon{name: name, events: runner.events, peers: &livePeers{gone: map[string]bool{}, suspected: map[string]bool{}}}
+	started := &daemon{name: name, events: runner.events, peers: &livePeers{gone: map[string]bool{}, suspected: map[string]bool{}}, backends: backends}
 	monotonic := table.NewMonotonic(store)
 	started.Service = job.NewService(job.Dependencies{
 		Self: job.Self{Name: name, Incarnation: 1}, Store: monotonic, Backends: backends, Sender: runner, Holder: holder,
-		Peers: started.peers, Metrics: telemetry.NewServing(prometheus.NewRegistry()), Logger: quiet, Connections: func(string) int { return 100 },
+		Peers: started.peers, Metrics: telemetry.NewServing(prometheus.NewRegistry()), Logger: quiet, Connections: func(string) int { return 100 }, Settling: settling,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	started.cancel = cancel
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"topazpulley/internal/backend"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/job"
 	"topazpulley/internal/table"
@@ -326,6 +327,22 @@
 	require.Equal(t, 3, runner.started("j1-item1"))
 }
 
+// TestItemsWaitUntilOthersWorkIsKnown: a daemon that has just started places
+// nothing until it hears of other daemons' work, or has waited for it.
+func TestItemsWaitUntilOthersWorkIsKnown(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	patient := startSettling(t, "a", store, runner, time.Hour)
+	accepted := newJob("j1", 3)
+	require.NoError(t, patient.Submit(t.Context(), accepted))
+	require.Never(t, func() bool { return runner.started("j1-item0") > 0 }, 400*time.Millisecond, pollTime)
+	patient.backends.SetPeerLoads("b", map[string]backend.PeerLoad{}, 0)
+	requireAllCompleted(t, patient, accepted)
+	alone := startSettling(t, "c", store, runner, 300*time.Millisecond)
+	second := newJob("j2", 3)
+	require.NoError(t, alone.Submit(t.Context(), second))
+	requireAllCompleted(t, alone, second)
+}
+
 // TestFailuresAreCountedOverOwners: an item that fails at every run is sent no
 // more often because its job changes hands.
 func TestFailuresAreCountedOverOwners(t *testing.T) {
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -45,6 +45,9 @@
 	// Connections is this daemon's share of the connections to one back end of
 	// a service.
 	Connections func(service string) int
+	// Settling is how long after its start the service places no items unless
+	// it has heard of other daemons' work.
+	Settling time.Duration
 }
 
 // Service answers calls about jobs and runs the jobs that this daemon owns.
@@ -59,6 +62,8 @@
 	metrics     *telemetry.Serving
 	log         *slog.Logger
 	connections func(service string) int
+	// settledAt is when items are placed even if no other daemon was heard.
+	settledAt time.Time
 
 	lifetime context.Context
 	end      context.CancelFunc
@@ -96,8 +101,8 @@
 	return &Service{
 		self: dependencies.Self, store: dependencies.Store, backends: dependencies.Backends, sender: dependencies.Sender,
 		holder: dependencies.Holder, peers: dependencies.Peers, metrics: dependencies.Metrics, log: dependencies.Logger,
-		connections: dependencies.Connections,
-		lifetime:    lifetime, end: end, wake: make(chan struct{}, 1),
+		connections: dependencies.Connections, settledAt: time.Now().Add(dependencies.Settling),
+		lifetime: lifetime, end: end, wake: make(chan struct{}, 1),
 		random: newRandom(), placer: newPlacer(newRandom()),
 		claims: map[string]versionedClaim{}, orphans: map[string]time.Time{}, claimedAt: map[string]time.Time{}, owned: map[string]*owned{}, accepted: map[string]acceptance{},
 	}
