List a back end without sorting all of them anew

Each back end listed rebuilt and sorted the lists of all: 3,000 times 3,000 at the start of each daemon.

Ruled out: membership (a fleet of 410 spends 0.17% of a core on it, docs/CAPACITY.md).

Change: a back end is put into its place of a sorted list. TestListsFollowEveryChange holds the lists.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -6,6 +6,7 @@
 package backend
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -101,23 +102,25 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	known, exists := s.states[instance.ID]
-	if !exists {
+	if exists && known.Service == instance.Service {
+		known.Instance = instance
+		return
+	}
+	if exists {
+		s.takeOut(known)
+	} else {
 		known = &state{peers: map[string]PeerLoad{}, prompts: newPromptCache(promptMemory)}
 		s.states[instance.ID] = known
 	}
 	known.Instance = instance
-	s.rebuild()
+	s.putIn(known)
 }
 
 // Remove takes a back end out. Requests in flight there go on.
 func (s *Set) Remove(id string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if _, known := s.states[id]; !known {
-		return
-	}
-	delete(s.states, id)
-	s.rebuild()
+	s.remove(id)
 }
 
 // Retain removes all back ends but those with the ids.
@@ -126,21 +129,35 @@
 	defer s.mutex.Unlock()
 	for id := range s.states {
 		if !ids[id] {
-			delete(s.states, id)
+			s.remove(id)
 		}
 	}
-	s.rebuild()
 }
 
-// rebuild sorts the back ends by service. mutex must be held.
-func (s *Set) rebuild() {
-	s.byService = map[string][]*state{}
-	for _, known := range s.states {
-		s.byService[known.Service] = append(s.byService[known.Service], known)
-	}
-	for _, group := range s.byService {
-		sort.Slice(group, func(a, b int) bool { return group[a].ID < group[b].ID })
+func (s *Set) remove(id string) {
+	known, exists := s.states[id]
+	if !exists {
+		return
 	}
+	delete(s.states, id)
+	s.takeOut(known)
+}
+
+// place is where a back end stands in its service's list, which is in the order
+// of ids. One back end more or less moves the list's end and sorts nothing:
+// thousands are listed when a daemon starts.
+func (s *Set) place(known *state) int {
+	group := s.byService[known.Service]
+	return sort.Search(len(group), func(index int) bool { return group[index].ID >= known.ID })
+}
+
+func (s *Set) putIn(known *state) {
+	s.byService[known.Service] = slices.Insert(s.byService[known.Service], s.place(known), known)
+}
+
+func (s *Set) takeOut(known *state) {
+	at := s.place(known)
+	s.byService[known.Service] = slices.Delete(s.byService[known.Service], at, at+1)
 }
 
 // Get returns a back end.
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -1,10 +1,14 @@
 package backend_test
 
 import (
+	"fmt"
+	"maps"
+	"sort"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"topazpulley/internal/backend"
 	"topazpulley/internal/routing"
@@ -119,3 +123,51 @@
 	_, found := set.Acquire("b", backend.Online, nil)
 	require.False(t, found)
 }
+
+// TestListsFollowEveryChange: whatever comes, moves to another service and
+// goes, each service lists what belongs to it, in the order of ids.
+func TestListsFollowEveryChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := backend.NewSet()
+		expected := map[string]string{}
+		for range rapid.IntRange(1, 60).Draw(t, "changes") {
+			id := fmt.Sprint("b", rapid.IntRange(0, 9).Draw(t, "id"))
+			switch rapid.IntRange(0, 4).Draw(t, "change") {
+			case 0:
+				set.Remove(id)
+				delete(expected, id)
+			case 1:
+				set.Retain(map[string]bool{id: true})
+				maps.DeleteFunc(expected, func(other, _ string) bool { return other != id })
+			default:
+				service := fmt.Sprint("s", rapid.IntRange(0, 1).Draw(t, "service"))
+				set.Put(backend.Instance{ID: id, Service: service, Slots: 1})
+				expected[id] = service
+			}
+		}
+		for _, service := range []string{"s0", "s1"} {
+			ids := []string{}
+			for id, belongs := range expected {
+				if belongs == service {
+					ids = append(ids, id)
+				}
+			}
+			sort.Strings(ids)
+			listed := []string{}
+			for _, candidate := range set.Candidates(service, nil, time.Now()) {
+				listed = append(listed, candidate.ID)
+			}
+			require.Equal(t, ids, listed)
+		}
+	})
+}
+
+// BenchmarkListing is a daemon's start before many back ends.
+func BenchmarkListing(b *testing.B) {
+	for b.Loop() {
+		set := backend.NewSet()
+		for index := range 3000 {
+			set.Put(backend.Instance{ID: fmt.Sprintf("i-%x", index*7919%65536), Service: "s", Slots: 9})
+		}
+	}
+}
