--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -100,4 +100,16 @@
 	'if isAmbiguous(&c.header.Header) {' 'if false {' platform TestBadRequests
 mutant no_instance_check platform/runner.go \
 	'writeField(&request, headerInstance, attempt.Instance.ID)' '' platform 'TestAnswersPassUnchanged|TestLeavingBackEndGetsNothingNew'
+mutant relay_counts_own_work internal/exchange/relay.go \
+	'return total.without(r.members[name].work)' 'return total' internal/exchange TestRelayTellsEachDaemonTheOthersWork
+mutant no_draw internal/routing/cost.go \
+	'return *draw(near, random), true' 'return *near[0].candidate, true' internal/routing TestChoicesFromOnePictureSpread
+mutant no_quota_window internal/job/pacing.go \
+	'if now.Sub(p.since) < quotaWindow {' 'if false {' internal/job TestOwnersDoNotPlaceTwiceIntoTheSameRoom
+mutant no_failure_count internal/job/progress.go \
+	'p.failures, p.savedFailures = from.Failures, from.Failures' '' internal/job TestFailuresAreCountedOverOwners
+mutant no_settling internal/job/dispatch.go \
+	'if isStopping || !isSettled ||' 'if isStopping || !isSettled && false ||' internal/job TestItemsWaitUntilOthersWorkIsKnown
+mutant no_shared_versions internal/frontend/frontend.go \
+	'store.Raise(table.Version(event.Revision))' '' platform TestStaleReadsAreNoticedByWhatOthersSaw
 exit $failed
