Use idle back ends of a single slot for items that can wait

Cause (found on reading): items that can wait leave one slot of a back end free, so a back end with one slot never ran them until they were urgent, and the ceiling of a service with one slot was rounded down to none.

Change: the reserve is never the only slot; the ceiling is rounded up. TestItemsUseIdleBackEndsOfAnySize fails before.

--- a/internal/job/pacing.go
+++ b/internal/job/pacing.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -25,12 +26,13 @@
 	itemTimeWeight  = 0.05
 )
 
-// reserve is how many slots of a back end items leave free.
-func reserve(isUrgent bool) int {
+// reserve is how many of a back end's slots items leave free; the only slot of
+// a back end is theirs while nobody else needs it.
+func reserve(slots int, isUrgent bool) int {
 	if isUrgent {
 		return 0
 	}
-	return freeSlots
+	return min(freeSlots, max(slots-1, 0))
 }
 
 // roomForBatch returns how many more batch items a back end takes.
@@ -38,7 +40,7 @@
 	if candidate.Ejected || candidate.Draining || candidate.Waiting > 0 {
 		return 0
 	}
-	return max(candidate.Slots-reserve(isUrgent)-candidate.Online-candidate.Batch, 0)
+	return max(candidate.Slots-reserve(candidate.Slots, isUrgent)-candidate.Online-candidate.Batch, 0)
 }
 
 // shareOf returns one owner's part of what all owners together should do.
@@ -59,7 +61,7 @@
 // that online requests need: urgent ones only when more work is there than
 // slots. Every owner gives up its part of what is too much.
 func excess(candidate routing.Candidate, isUrgent bool, random *rand.Rand) int {
-	over := candidate.Online + candidate.Batch + reserve(isUrgent) - candidate.Slots
+	over := candidate.Online + candidate.Batch + reserve(candidate.Slots, isUrgent) - candidate.Slots
 	if over <= 0 || candidate.Batch == 0 || candidate.Online == 0 {
 		return 0
 	}
@@ -146,7 +148,7 @@
 		slots += candidate.Slots
 		busy += candidate.Online + candidate.Batch
 	}
-	left = shareOf(int(batchCeiling*float64(slots))-busy, p.own, p.all, p.random)
+	left = shareOf(int(math.Ceil(batchCeiling*float64(slots)))-busy, p.own, p.all, p.random)
 	p.budgets[service] = left
 	return left
 }
--- a/internal/job/pacing_test.go
+++ b/internal/job/pacing_test.go
@@ -51,7 +51,7 @@
 				taken += share
 			}
 		}
-		over := online + batch + reserve(isUrgent) - slots
+		over := online + batch + reserve(slots, isUrgent) - slots
 		if over <= 0 || online == 0 {
 			require.Zero(t, taken)
 			return
@@ -127,6 +127,19 @@
 	require.False(t, found, "no slot is free")
 }
 
+// TestItemsUseIdleBackEndsOfAnySize: also one that has a single slot, however
+// far away the time is at which they are due.
+func TestItemsUseIdleBackEndsOfAnySize(t *testing.T) {
+	for _, slots := range []int{1, 2, 3} {
+		for _, count := range []int{1, 2, 5} {
+			placing := newPlacer(rand.New(rand.NewPCG(6, 6)))
+			placing.begin(1, 0, time.Now())
+			_, found := placing.choose("s", nil, fleetOf(count, slots, 0), false)
+			require.True(t, found, "%d back ends of %d slots", count, slots)
+		}
+	}
+}
+
 // TestUrgencyFollowsTheTimeThatItemsTake.
 func TestUrgencyFollowsTheTimeThatItemsTake(t *testing.T) {
 	clock := itemClock{}
