Bound the tokens that wait on a route over the whole fleet

Weighed: a counter in the acceptance's own transaction (the store's transactions stay in one partition, so all jobs of a route would share one, 200 writes a second); allowances lent to daemons (a job that fits is refused while the room lies elsewhere); a fenced keeper with the count in memory (no acceptance while it changes, 2 to 3 s). Chosen: one total and one reservation a job in the account's partition, changed together under a condition on the total; one daemon commits for all while it is reachable, and nothing rests on it. One store call more for each acceptance; what ended is told at once only when half of the bound is used. A reservation left behind is swept: a job that was never accepted is voided first, so that an acceptance which is carried out late fails.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -15,6 +15,7 @@
 	"topazpulley/internal/job"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
+	"topazpulley/internal/quota"
 	"topazpulley/internal/route"
 	"topazpulley/internal/serving"
 	"topazpulley/internal/settings"
@@ -66,17 +67,23 @@
 }
 
 // New assembles a daemon. The settings must be valid.
-func New(process settings.Settings, ports Ports, metrics *telemetry.Serving, log *slog.Logger) *Frontend {
+func New(process settings.Settings, ports Ports, metrics *telemetry.Serving, quotaMetrics *telemetry.Quota, log *slog.Logger) *Frontend {
 	store := table.NewMonotonic(ports.Store)
 	f := &Frontend{settings: process, log: log, store: store, Holder: &route.Holder{}, Backends: backend.NewSet()}
 	f.transport = peer.NewTransport(process.Name, process.PeerAddress, process.ClusterKeyBytes(), log)
 	self := f.member()
 	f.node = cluster.NewNode(membership.DefaultConfig(time.Duration(process.ProbeInterval)), self, f.transport, log)
 	shareVersions(f.node, store)
+	accounts := quota.NewAccounts(f.store, quotaPeers{node: f.node, transport: f.transport}, quotaMetrics, log)
+	peer.Handle(f.transport, methodQuota, func(ctx context.Context, _ string, request quota.Request) (quota.Answer, error) {
+		return accounts.Serve(ctx, request)
+	})
+	listenForPressure(f.node, accounts)
 	f.Core = serving.NewCore(f.Backends, ports.Sender, f.Holder, metrics, log, f.Members)
 	f.Jobs = job.NewService(job.Dependencies{
 		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: ports.Sender,
 		Holder: f.Holder, Peers: peers{node: f.node}, Metrics: metrics, Logger: log, Connections: f.Core.ConnectionShare, Settling: settlingTime,
+		Quota: accounts,
 	})
 	source := newPeerSource(f.node, f.transport)
 	for _, followed := range []*table.Follower{
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"topazpulley/internal/failure"
 	"topazpulley/internal/periodic"
 	"topazpulley/internal/table"
 )
@@ -20,25 +21,74 @@
 // will run because of this call; any other failure promises nothing. The
 // context bounds how long the store is tried.
 func (s *Service) Submit(ctx context.Context, submitted Job) error {
-	transaction, err := s.acceptanceOf(ctx, submitted)
+	if s.isOpen(submitted.ID) {
+		s.logAcceptance(submitted, "known_already", nil)
+		return nil
+	}
+	held, err := s.reserve(ctx, &submitted)
+	if err != nil && s.isAccepted(ctx, submitted.ID, err) {
+		s.logAcceptance(submitted, "known_already", nil)
+		return nil
+	}
 	if err != nil {
 		s.logAcceptance(submitted, "refused", err)
 		return err
 	}
-	version, isNew, err := s.commitAcceptance(ctx, submitted.ID, transaction)
+	return s.accept(ctx, submitted, held)
+}
+
+// accept commits the acceptance of a job whose tokens are reserved.
+func (s *Service) accept(ctx context.Context, submitted Job, held reservation) error {
+	transaction, err := s.acceptanceOf(ctx, submitted, held)
 	if err != nil {
+		s.release(held)
 		s.logAcceptance(submitted, "refused", err)
 		return err
 	}
-	if !isNew {
+	ended, err := s.commitAcceptance(ctx, submitted.ID, transaction)
+	switch {
+	case err != nil:
+		if failure.From(err).NotRun {
+			s.release(held)
+		}
+		s.logAcceptance(submitted, "refused", err)
+		return err
+	case ended.voided != 0:
+		// The reservation may have been swept together with the last try.
+		held.voided = ended.voided
+		if err := s.reserveAgain(ctx, &submitted, &held); err != nil {
+			s.logAcceptance(submitted, "refused", err)
+			return err
+		}
+		return s.accept(ctx, submitted, held)
+	case !ended.isNew:
+		s.release(held)
 		s.logAcceptance(submitted, "known_already", nil)
 		return nil
 	}
 	s.logAcceptance(submitted, "accepted", nil)
-	s.own(submitted, versionedClaim{claim: s.newClaim(1), version: version}, history{})
+	s.own(submitted, versionedClaim{claim: s.newClaim(1), version: ended.version}, history{settled: held.settlement()})
 	return nil
 }
 
+// isOpen reports whether the job is known to be accepted and not over.
+func (s *Service) isOpen(id string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	_, isClaimed := s.claims[id]
+	return isClaimed || s.owned[id] != nil
+}
+
+// isAccepted reports whether a job that does not fit was accepted earlier, by a
+// call whose answer its caller has not had.
+func (s *Service) isAccepted(ctx context.Context, id string, refused error) bool {
+	if !failure.Is(refused, failure.KindOverloaded) {
+		return false
+	}
+	_, err := s.acceptance(ctx, id)
+	return err == nil
+}
+
 func (s *Service) logAcceptance(submitted Job, outcome string, err error) {
 	s.log.Info("job_submitted", "job", submitted.ID, "items", len(submitted.Items), "outcome", outcome,
 		"took_ms", time.Since(submitted.SubmittedAt).Milliseconds(), "error", err)
@@ -58,11 +108,17 @@
 
 // acceptanceOf makes the transaction that makes a job exist. The rows of its
 // content are part of it, because one call is faster than two.
-func (s *Service) acceptanceOf(ctx context.Context, submitted Job) (table.Transaction, error) {
+func (s *Service) acceptanceOf(ctx context.Context, submitted Job, held reservation) (table.Transaction, error) {
 	transaction := table.Transaction{
 		Partition:  shard(submitted.ID),
 		Conditions: []table.Condition{{Table: tableAccepted, Key: submitted.ID}},
 	}
+	if held.isBounded() {
+		transaction.Conditions = append(transaction.Conditions, table.Condition{Table: tableVoid, Key: submitted.ID, Version: held.voided})
+	}
+	if held.voided != 0 {
+		transaction.Removals = []table.Removal{{Table: tableVoid, Key: submitted.ID}}
+	}
 	content, err := encodeJob(submitted)
 	if err != nil {
 		return transaction, err
@@ -95,9 +151,17 @@
 	return transaction, nil
 }
 
-// commitAcceptance commits until the store tells how it ended. isNew is false
-// when the job existed, be it through an earlier try whose answer was lost.
-func (s *Service) commitAcceptance(ctx context.Context, id string, transaction table.Transaction) (version table.Version, isNew bool, err error) {
+// acceptanceEnd is how the commit of an acceptance ended: it made the job,
+// found that the job exists, or found it voided at a version.
+type acceptanceEnd struct {
+	isNew   bool
+	version table.Version
+	voided  table.Version
+}
+
+// commitAcceptance commits until the store tells how it ended. The job may
+// exist through an earlier try whose answer was lost.
+func (s *Service) commitAcceptance(ctx context.Context, id string, transaction table.Transaction) (acceptanceEnd, error) {
 	isUnsettled := false
 	for {
 		bounded, cancel := context.WithTimeout(ctx, storeAttempt)
@@ -106,18 +170,20 @@
 		var conflict *table.ConflictError
 		switch {
 		case err == nil:
-			return version, true, nil
+			return acceptanceEnd{isNew: true, version: version}, nil
+		case errors.As(err, &conflict) && conflict.Row(tableAccepted, id).Version == 0:
+			return acceptanceEnd{voided: conflict.Row(tableVoid, id).Version}, nil
 		case errors.As(err, &conflict):
 			// The job exists. If this daemon's own lost try made it, the claim
 			// is found by the follower like that of any other owner.
-			return 0, false, nil
+			return acceptanceEnd{}, nil
 		}
 		isUnsettled = isUnsettled || isUnknown(err)
 		if !periodic.SleepAbout(ctx, storePause) {
 			if isUnsettled {
-				return 0, false, outcomeUnknown(err)
+				return acceptanceEnd{}, outcomeUnknown(err)
 			}
-			return 0, false, unavailable(err)
+			return acceptanceEnd{}, unavailable(err)
 		}
 	}
 }
--- a/internal/job/claims.go
+++ b/internal/job/claims.go
@@ -55,15 +55,20 @@
 		}
 	}
 	s.claims, s.followed = claims, version
-	lost := []string{}
+	lost := map[string]dropReason{}
 	for id, held := range s.owned {
-		if found, exists := claims[id]; held.claim.version < version && (!exists || found.version != held.claim.version) {
-			lost = append(lost, id)
+		found, exists := claims[id]
+		switch {
+		case held.claim.version >= version:
+		case !exists:
+			lost[id] = dropClaimRemoved
+		case found.version != held.claim.version:
+			lost[id] = dropClaimLost
 		}
 	}
 	s.mutex.Unlock()
-	for _, id := range lost {
-		s.drop(id, "claim_lost")
+	for id, reason := range lost {
+		s.drop(id, reason)
 	}
 }
 
@@ -101,10 +106,10 @@
 		return
 	}
 	if row.Deleted {
-		s.drop(row.Key, "claim_removed")
+		s.drop(row.Key, dropClaimRemoved)
 		return
 	}
-	s.drop(row.Key, "claim_lost")
+	s.drop(row.Key, dropClaimLost)
 }
 
 // noteClaimChange starts the wait for a job's owner anew. mutex must be held.
--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -35,12 +35,12 @@
 		}
 		err := o.commitBatch(o.ctx, batch, position, isLast)
 		if err != nil {
-			o.service.drop(o.job.ID, "claim_lost")
+			o.service.drop(o.job.ID, dropClaimLost)
 			return
 		}
 		o.advance(len(batch))
 		if isLast {
-			o.service.drop(o.job.ID, "finished")
+			o.service.drop(o.job.ID, dropFinished)
 			return
 		}
 	}
@@ -178,7 +178,7 @@
 	if isDropped {
 		return
 	}
-	o.service.drop(o.job.ID, "stopping")
+	o.service.drop(o.job.ID, dropStopping)
 	value, err := encode(claim{Epoch: held.claim.Epoch})
 	if err != nil {
 		return
--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -16,6 +16,7 @@
 	"topazpulley/internal/backend"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/job"
+	"topazpulley/internal/quota"
 	"topazpulley/internal/route"
 	"topazpulley/internal/serving"
 	"topazpulley/internal/table"
@@ -164,6 +165,15 @@
 	p.gone[name] = true
 }
 
+// alone is the view of a daemon that commits for itself.
+type alone struct{}
+
+func (alone) Keeper(string) (string, bool) { return "", true }
+func (alone) Apply(context.Context, string, quota.Request) (quota.Answer, error) {
+	return quota.Answer{}, context.Canceled
+}
+func (alone) Announce(string) {}
+
 // daemon is one job service with its follower.
 type daemon struct {
 	*job.Service
@@ -184,19 +194,26 @@
 
 // startSettling starts a service that waits so long for news of other daemons.
 func startSettling(t *testing.T, name string, store table.Store, runner *runners, settling time.Duration) *daemon {
+	t.Helper()
+	return startBounded(t, name, store, runner, settling, 0)
+}
+
+// startBounded starts a service on whose route so many tokens may wait.
+func startBounded(t *testing.T, name string, store table.Store, runner *runners, settling time.Duration, limit int64) *daemon {
 	t.Helper()
 	backends := backend.NewSet()
 	backends.Put(backend.Instance{ID: "one", Service: service, Slots: 100})
 	holder := &route.Holder{}
 	holder.Apply(route.Config{Version: 1, Routes: []route.Route{{
-		Name: "jobs", Host: "host.example", Prefix: "/jobs/", Kind: route.KindJob, MaxAttempts: 3,
+		Name: "jobs", Host: "host.example", Prefix: "/jobs/", Kind: route.KindJob, MaxAttempts: 3, MaxQueuedTokens: limit,
 		Targets: []route.Target{{Service: service, Weight: 1}},
 	}}}, time.Now())
 	started := &daemon{name: name, events: runner.events, peers: &livePeers{gone: map[string]bool{}, suspected: map[string]bool{}}, backends: backends}
 	monotonic := table.NewMonotonic(store)
+	accounts := quota.NewAccounts(monotonic, alone{}, telemetry.NewQuota(prometheus.NewRegistry()), quiet)
 	started.Service = job.NewService(job.Dependencies{
 		Self: job.Self{Name: name, Incarnation: 1}, Store: monotonic, Backends: backends, Sender: runner, Holder: holder,
-		Peers: started.peers, Metrics: telemetry.NewServing(prometheus.NewRegistry()), Logger: quiet, Connections: func(string) int { return 100 }, Settling: settling,
+		Peers: started.peers, Metrics: telemetry.NewServing(prometheus.NewRegistry()), Logger: quiet, Connections: func(string) int { return 100 }, Settling: settling, Quota: accounts,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	started.cancel = cancel
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -32,6 +32,9 @@
 	tableContent  = "job_content"
 	tableClaim    = "open_job"
 	tableResult   = "result"
+	// tableVoid holds jobs whose acceptance was given up while its outcome was
+	// unknown; one that is carried out late fails on the row.
+	tableVoid = "void_job"
 )
 
 // shardCount is the number of partitions that jobs are spread over. It must
@@ -66,6 +69,15 @@
 	Items       []Item
 }
 
+// tokens is the size of all items.
+func (j *Job) tokens() int64 {
+	total := int64(0)
+	for _, item := range j.Items {
+		total += int64(item.Tokens)
+	}
+	return total
+}
+
 // State says how an item ended.
 type State string
 
--- a/internal/job/owned.go
+++ b/internal/job/owned.go
@@ -48,6 +48,8 @@
 	committing bool
 	dropped    bool
 	commit     chan struct{}
+	// settled is what the job's account was last told of it.
+	settled settlement
 }
 
 // giveUpMargin keeps clear of daemons' differing clocks.
@@ -59,6 +61,8 @@
 	listed []Result
 	// checkpoints are the progress of items without a result, by item.
 	checkpoints map[string]checkpoint
+	// settled is what the job's account holds; its zero value means unknown.
+	settled settlement
 }
 
 // own starts running a job under a claim.
@@ -67,6 +71,7 @@
 	started := &owned{
 		service: s, job: accepted, due: accepted.SubmittedAt.Add(accepted.Due), ctx: ctx, cancel: cancel,
 		claim: held, committed: len(earlier.listed), commit: make(chan struct{}),
+		settled: earlier.settled,
 	}
 	if accepted.GiveUpAfter > 0 {
 		started.giveUp = accepted.SubmittedAt.Add(accepted.GiveUpAfter + giveUpMargin)
@@ -103,8 +108,25 @@
 	return s.followed >= version && s.claims[id].version != version
 }
 
+// dropReason tells why a job is no longer run here.
+type dropReason string
+
+// The reasons to drop a job.
+const (
+	dropFinished     dropReason = "finished"
+	dropEnded        dropReason = "ended"
+	dropClaimRemoved dropReason = "claim_removed"
+	dropClaimLost    dropReason = "claim_lost"
+	dropStopping     dropReason = "stopping"
+)
+
+// isOver reports whether nobody runs the job any more.
+func (r dropReason) isOver() bool {
+	return r == dropFinished || r == dropEnded || r == dropClaimRemoved
+}
+
 // drop stops running a job whose claim is gone.
-func (s *Service) drop(id, reason string) {
+func (s *Service) drop(id string, reason dropReason) {
 	s.mutex.Lock()
 	held := s.owned[id]
 	delete(s.owned, id)
@@ -117,7 +139,10 @@
 	held.mutex.Unlock()
 	held.cancel()
 	held.announceCommit()
-	s.log.Info("job_dropped", "job", id, "reason", reason, "epoch", held.claim.claim.Epoch, "version", held.claim.version)
+	if reason.isOver() {
+		s.noteOver(held)
+	}
+	s.log.Info("job_dropped", "job", id, "reason", string(reason), "epoch", held.claim.claim.Epoch, "version", held.claim.version)
 }
 
 // nextCommit returns a channel that is closed at the next commit.
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -215,7 +215,7 @@
 		return err
 	}
 	s.log.Info("job_ended", "job", id)
-	s.drop(id, "ended")
+	s.drop(id, dropEnded)
 	return nil
 }
 
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/quota"
 	"topazpulley/internal/route"
 	"topazpulley/internal/serving"
 	"topazpulley/internal/table"
@@ -45,6 +46,8 @@
 	// Connections is this daemon's share of the connections to one back end of
 	// a service.
 	Connections func(service string) int
+	// Quota bounds the tokens that wait on a route; nil means no bounds.
+	Quota *quota.Accounts
 	// Settling is how long after its start the service places no items unless
 	// it has heard of other daemons' work.
 	Settling time.Duration
@@ -71,6 +74,8 @@
 	// dispatchedAt belongs to the dispatcher's goroutine.
 	dispatchedAt time.Time
 	placer       *placer
+	quota        *quota.Accounts
+	sweeper      sweeper
 
 	mutex  sync.Mutex
 	random *rand.Rand
@@ -85,7 +90,10 @@
 	claimedAt map[string]time.Time
 	owned     map[string]*owned
 	accepted  map[string]acceptance
-	stopping  bool
+	// over are jobs that ended here and whose account was not told yet.
+	over       map[string]overJob
+	submission int64
+	stopping   bool
 }
 
 // versionedClaim is a claim with the version of its row, the fence of every
@@ -105,6 +113,7 @@
 		lifetime: lifetime, end: end, wake: make(chan struct{}, 1),
 		random: newRandom(), placer: newPlacer(newRandom()),
 		claims: map[string]versionedClaim{}, orphans: map[string]time.Time{}, claimedAt: map[string]time.Time{}, owned: map[string]*owned{}, accepted: map[string]acceptance{},
+		quota: dependencies.Quota, over: map[string]overJob{}, sweeper: newSweeper(),
 	}
 }
 
@@ -121,6 +130,10 @@
 	}()
 	go s.superviseClaims(ctx)
 	go s.saveAll(ctx)
+	if s.quota != nil {
+		go s.settleAll(ctx)
+		go s.sweepAll(ctx)
+	}
 	s.dispatchItems(ctx)
 }
 
--- /dev/null
+++ b/internal/quota/accounts.go
@@ -0,0 +1,227 @@
+package quota
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"topazpulley/internal/failure"
+	"topazpulley/internal/periodic"
+	"topazpulley/internal/table"
+	"topazpulley/internal/telemetry"
+)
+
+const (
+	// keeperPatience is how long an account's keeper may take. After a failure
+	// it is passed by for keeperRest.
+	keeperPatience = 150 * time.Millisecond
+	keeperRest     = 2 * time.Second
+	// pressedShare is the share of the limit from which on owners tell at once
+	// what ended, and pressedTime how long that holds.
+	pressedShare = 0.5
+	pressedTime  = 5 * time.Second
+	// announceInterval is the shortest time between two announcements.
+	announceInterval = time.Second
+	// settleTime is how long owners that were told just now need to settle.
+	settleTime = 150 * time.Millisecond
+	// listedReservations bounds one page of reservations.
+	listedReservations = 500
+)
+
+// Peers reaches the other daemons.
+type Peers interface {
+	// Keeper returns the address of the daemon that commits for an account, and
+	// whether it is this one.
+	Keeper(account string) (address string, isSelf bool)
+	// Apply asks another daemon to commit operations.
+	Apply(ctx context.Context, address string, request Request) (Answer, error)
+	// Announce tells all daemons that an account is near its limit.
+	Announce(account string)
+}
+
+// Accounts reserves, settles and releases tokens on all accounts. It is safe
+// for concurrent use; mutex guards the fields behind it.
+type Accounts struct {
+	store   Store
+	peers   Peers
+	metrics *telemetry.Quota
+	log     *slog.Logger
+
+	mutex   sync.Mutex
+	ledgers map[string]*ledger
+	// pressedAt and announcedAt are by account, avoided by a keeper's address.
+	pressedSince map[string]time.Time
+	pressedAt    map[string]time.Time
+	announcedAt  map[string]time.Time
+	avoided      map[string]time.Time
+}
+
+// NewAccounts returns accounts over a store.
+func NewAccounts(store Store, peers Peers, metrics *telemetry.Quota, log *slog.Logger) *Accounts {
+	return &Accounts{
+		store: store, peers: peers, metrics: metrics, log: log, ledgers: map[string]*ledger{},
+		pressedSince: map[string]time.Time{}, pressedAt: map[string]time.Time{}, announcedAt: map[string]time.Time{}, avoided: map[string]time.Time{},
+	}
+}
+
+// Reserve adds a job's tokens to an account and reports whether it had none
+// there before. A job that does not fit is refused with a failure that tells
+// when to come back; after any other failure the reservation may come to exist
+// and is to be released.
+func (a *Accounts) Reserve(ctx context.Context, account string, limit Limit, job string, tokens int64, holder string) (isNew bool, err error) {
+	operations := []Operation{{Kind: KindReserve, Job: job, Tokens: tokens, Holder: holder}}
+	started := time.Now()
+	wasPressed := a.isPressedFor(account, settleTime)
+	outcome, err := a.applyOne(ctx, account, limit, operations)
+	if err != nil || outcome.IsGranted {
+		return outcome.IsNew, err
+	}
+	if !wasPressed && tokens <= outcome.Limit && periodic.Sleep(ctx, settleTime) {
+		// Owners have just been told to settle what ended.
+		if outcome, err = a.applyOne(ctx, account, limit, operations); err != nil || outcome.IsGranted {
+			return outcome.IsNew, err
+		}
+	}
+	refused := Refused(account, outcome, retryAfter(tokens, outcome))
+	a.metrics.Refusals.WithLabelValues(account).Inc()
+	a.log.Info("quota_refused", "job", job, "account", account, "tokens", tokens, "waiting", outcome.Waiting, "limit", outcome.Limit,
+		"config", limit.Config, "count_age_ms", time.Since(started).Milliseconds(), "freed_per_second", int64(outcome.FreedPerSecond),
+		"retry_after_ms", failure.From(refused).RetryAfter.Milliseconds())
+	return false, refused
+}
+
+func (a *Accounts) applyOne(ctx context.Context, account string, limit Limit, operations []Operation) (Outcome, error) {
+	outcomes, err := a.Apply(ctx, account, limit, operations)
+	if err != nil {
+		return Outcome{}, err
+	}
+	return outcomes[0], nil
+}
+
+// Apply commits operations on an account: through its keeper, or directly when
+// the keeper does not answer. Repeating operations does no harm.
+func (a *Accounts) Apply(ctx context.Context, account string, limit Limit, operations []Operation) ([]Outcome, error) {
+	outcomes, isAnswered := a.askKeeper(ctx, account, limit, operations)
+	if !isAnswered {
+		var err error
+		outcomes, err = a.ledger(account).apply(ctx, limit, operations)
+		if err != nil {
+			return nil, err
+		}
+	}
+	last := outcomes[len(outcomes)-1]
+	a.metrics.Waiting.WithLabelValues(account).Set(float64(last.Waiting))
+	a.notePressure(account, outcomes, time.Now())
+	return outcomes, nil
+}
+
+// Serve answers a request of another daemon.
+func (a *Accounts) Serve(ctx context.Context, request Request) (Answer, error) {
+	bounded, cancel := context.WithTimeout(ctx, storeAttempt)
+	defer cancel()
+	limit := Limit{Tokens: request.Limit, Config: request.Config}
+	outcomes, err := a.ledger(request.Account).apply(bounded, limit, request.Operations)
+	return Answer{Outcomes: outcomes}, err
+}
+
+func (a *Accounts) askKeeper(ctx context.Context, account string, limit Limit, operations []Operation) ([]Outcome, bool) {
+	address, isSelf := a.peers.Keeper(account)
+	if isSelf || a.isAvoided(address) {
+		return nil, false
+	}
+	bounded, cancel := context.WithTimeout(ctx, keeperPatience)
+	defer cancel()
+	answer, err := a.peers.Apply(bounded, address, Request{Account: account, Limit: limit.Tokens, Config: limit.Config, Operations: operations})
+	if err == nil && len(answer.Outcomes) == len(operations) {
+		return answer.Outcomes, true
+	}
+	a.mutex.Lock()
+	a.avoided[address] = time.Now().Add(keeperRest)
+	a.mutex.Unlock()
+	a.log.Info("quota_keeper_passed_by", "account", account, "keeper", address, "error", err)
+	return nil, false
+}
+
+func (a *Accounts) isAvoided(address string) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return time.Now().Before(a.avoided[address])
+}
+
+func (a *Accounts) ledger(account string) *ledger {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	held := a.ledgers[account]
+	if held == nil {
+		held = newLedger(a.store, account)
+		a.ledgers[account] = held
+	}
+	return held
+}
+
+// notePressure announces an account that is near its limit.
+func (a *Accounts) notePressure(account string, outcomes []Outcome, now time.Time) {
+	isNear := false
+	for _, outcome := range outcomes {
+		isBounded := outcome.Limit > 0
+		isNear = isNear || (isBounded && float64(outcome.Waiting) > pressedShare*float64(outcome.Limit))
+	}
+	if !isNear {
+		return
+	}
+	a.mutex.Lock()
+	mustAnnounce := now.Sub(a.announcedAt[account]) >= announceInterval
+	if mustAnnounce {
+		a.announcedAt[account] = now
+	}
+	a.mutex.Unlock()
+	if mustAnnounce {
+		a.peers.Announce(account)
+	}
+	a.Press(account, now)
+}
+
+// Press notes that an account is near its limit.
+func (a *Accounts) Press(account string, now time.Time) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if now.Sub(a.pressedAt[account]) > pressedTime {
+		a.pressedSince[account] = now
+	}
+	a.pressedAt[account] = now
+}
+
+// IsPressed reports whether owners should settle at once.
+func (a *Accounts) IsPressed(account string) bool { return a.isPressedFor(account, 0) }
+
+// isPressedFor reports whether an account has been near its limit for a while.
+func (a *Accounts) isPressedFor(account string, least time.Duration) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	now := time.Now()
+	return now.Sub(a.pressedAt[account]) <= pressedTime && now.Sub(a.pressedSince[account]) >= least
+}
+
+// Reservations lists an account's reservations.
+func (a *Accounts) Reservations(ctx context.Context, account string) ([]Reservation, error) {
+	found := []Reservation{}
+	from := ""
+	for {
+		page, err := a.store.Read(ctx, table.Range{Table: tableReservation, Partition: account, From: from, Limit: listedReservations})
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range page.Rows {
+			held := reservationRow{}
+			if err := decode(row, &held); err != nil {
+				return nil, err
+			}
+			found = append(found, Reservation{Job: row.Key, Tokens: held.Tokens, Holder: held.Holder, Version: row.Version})
+		}
+		if !page.More || len(page.Rows) == 0 {
+			return found, nil
+		}
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+}
--- /dev/null
+++ b/internal/quota/ledger.go
@@ -0,0 +1,170 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"topazpulley/internal/periodic"
+	"topazpulley/internal/table"
+)
+
+const (
+	// batchOperations bounds one transaction: each operation takes up to two of
+	// the store's 100 entries, and the total takes two.
+	batchOperations = 45
+	storePause      = 40 * time.Millisecond
+	// conflictPause spreads daemons that commit to one account at once.
+	conflictPause = 8 * time.Millisecond
+	storeAttempt  = 900 * time.Millisecond
+)
+
+// pending is operations of one caller that wait for their commit.
+type pending struct {
+	ctx        context.Context
+	operations []Operation
+	// done receives the outcomes; it is buffered.
+	done chan []Outcome
+}
+
+// ledger commits the operations on one account, those that wait at a time in
+// one transaction. mutex guards queue, limit and isRunning; view
+// and freed belong to the goroutine that commits.
+type ledger struct {
+	store   Store
+	account string
+	view    *view
+	freed   *freedRate
+
+	mutex     sync.Mutex
+	queue     []*pending
+	limit     Limit
+	isRunning bool
+}
+
+func newLedger(store Store, account string) *ledger {
+	return &ledger{store: store, account: account, view: newView(), freed: &freedRate{}}
+}
+
+// apply commits operations. When the context ends first, it is unknown whether
+// they were carried out.
+func (l *ledger) apply(ctx context.Context, limit Limit, operations []Operation) ([]Outcome, error) {
+	waiting := &pending{ctx: ctx, operations: operations, done: make(chan []Outcome, 1)}
+	l.enqueue(waiting, limit)
+	select {
+	case outcomes := <-waiting.done:
+		return outcomes, nil
+	case <-ctx.Done():
+		return nil, unavailable(ctx.Err())
+	}
+}
+
+func (l *ledger) enqueue(waiting *pending, limit Limit) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if limit.Config >= l.limit.Config {
+		l.limit = limit
+	}
+	l.queue = append(l.queue, waiting)
+	if !l.isRunning {
+		l.isRunning = true
+		go l.run()
+	}
+}
+
+// run commits until nothing waits.
+func (l *ledger) run() {
+	for {
+		batch, limit := l.take()
+		if len(batch) == 0 {
+			return
+		}
+		l.commit(batch, limit)
+	}
+}
+
+// take returns the callers whose operations go into the next transaction. When
+// there are none, the ledger rests.
+func (l *ledger) take() ([]*pending, Limit) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	batch := []*pending{}
+	count := 0
+	for len(l.queue) > 0 {
+		next := l.queue[0]
+		if len(batch) > 0 && count+len(next.operations) > batchOperations {
+			break
+		}
+		l.queue = l.queue[1:]
+		if next.ctx.Err() == nil {
+			batch = append(batch, next)
+			count += len(next.operations)
+		}
+	}
+	l.isRunning = len(batch) > 0
+	return batch, l.limit
+}
+
+// commit tries until the store has carried the batch out or nobody waits for
+// it any more.
+func (l *ledger) commit(batch []*pending, limit Limit) {
+	for {
+		batch = stillWanted(batch)
+		if len(batch) == 0 {
+			return
+		}
+		made := l.view.planOf(l.account, limit, operationsOf(batch))
+		pause, isDone := l.try(made)
+		if isDone {
+			made.noteRate(l.freed.perSecond(time.Now()))
+			deliver(batch, made.outcomes)
+			return
+		}
+		periodic.SleepAbout(context.Background(), pause)
+	}
+}
+
+// try commits a plan once.
+func (l *ledger) try(made plan) (pause time.Duration, isDone bool) {
+	bounded, cancel := context.WithTimeout(context.Background(), storeAttempt)
+	defer cancel()
+	version, err := l.store.Commit(bounded, made.transaction)
+	var conflict *table.ConflictError
+	switch {
+	case err == nil:
+		l.freed.note(l.view.total.Waiting-made.total.Waiting, time.Now())
+		l.view.committed(made, version)
+		return 0, true
+	case errors.As(err, &conflict) && l.view.refresh(conflict, made.transaction) == nil:
+		return conflictPause, false
+	}
+	return storePause, false
+}
+
+func stillWanted(batch []*pending) []*pending {
+	wanted := batch[:0]
+	for _, each := range batch {
+		if each.ctx.Err() == nil {
+			wanted = append(wanted, each)
+		}
+	}
+	return wanted
+}
+
+func operationsOf(batch []*pending) []Operation {
+	operations := []Operation{}
+	for _, each := range batch {
+		operations = append(operations, each.operations...)
+	}
+	return operations
+}
+
+func deliver(batch []*pending, outcomes []Outcome) {
+	for _, each := range batch {
+		count := len(each.operations)
+		each.done <- outcomes[:count:count]
+		outcomes = outcomes[count:]
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -52,6 +52,9 @@
 	// GiveUpAfter is when an item of a job may be given up, from the job's
 	// submission; 0 means never.
 	GiveUpAfter time.Duration
+	// MaxQueuedTokens bounds the tokens that may wait on a job route, summed
+	// over all daemons; 0 means no bound.
+	MaxQueuedTokens int64
 	// MaxAttempts is the greatest number of back ends that may run one request.
 	MaxAttempts int
 	// Priority is the rank of the route, 0 the highest.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -47,6 +47,17 @@
 	return nil, false
 }
 
+// JobRoutes returns the routes that take jobs.
+func (t *Table) JobRoutes() []*Route {
+	found := []*Route{}
+	for index := range t.config.Routes {
+		if t.config.Routes[index].Kind == KindJob {
+			found = append(found, &t.config.Routes[index])
+		}
+	}
+	return found
+}
+
 // Service returns what is configured of a service.
 func (t *Table) Service(name string) (*Service, bool) {
 	service, found := t.services[name]
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -198,11 +198,13 @@
 	VerdictHeaderTooLarge
 	// VerdictHeaderTimeout tells that the request did not come in time.
 	VerdictHeaderTimeout
+	// VerdictOverQuota promises like VerdictNotRun; too much waits already.
+	VerdictOverQuota
 )
 
 // String returns the name that logs and metrics carry.
 func (v Verdict) String() string {
-	return [...]string{"not_run", "unknown", "timeout", "no_route", "invalid", "too_large", "header_too_large", "header_timeout"}[v]
+	return [...]string{"not_run", "unknown", "timeout", "no_route", "invalid", "too_large", "header_too_large", "header_timeout", "over_quota"}[v]
 }
 
 // Refusal is an answer of the daemon's own.
--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -42,3 +42,21 @@
 	registry.MustRegister(serving.Requests, serving.Attempts, serving.FirstOutput, serving.Duration, serving.Items, serving.StoreCalls, serving.StoreSeconds)
 	return serving
 }
+
+// Quota are the metrics of bounds on waiting work.
+type Quota struct {
+	// Refusals counts jobs that did not fit, by account.
+	Refusals *prometheus.CounterVec
+	// Waiting is the sum of tokens that wait on an account, as last told.
+	Waiting *prometheus.GaugeVec
+}
+
+// NewQuota registers the metrics of bounds on waiting work.
+func NewQuota(registry *prometheus.Registry) *Quota {
+	made := &Quota{
+		Refusals: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "quota_refusals_total", Help: "Jobs refused because too much waits."}, []string{"account"}),
+		Waiting:  prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "quota_waiting_tokens", Help: "Tokens that wait on an account."}, []string{"account"}),
+	}
+	registry.MustRegister(made.Refusals, made.Waiting)
+	return made
+}
