Ask a back end for a place before a request is sent to it

Hypothesis: daemons choose at once from pictures 100 to 300 ms old; where 63 of them share 89 back ends that are four fifths busy, a request often lands behind others at a full one while others have room. The question also finds a dead back end before a request that runs at most once is sent there.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -92,6 +92,9 @@
 	// MaxConnections bounds the connections to one back end from all daemons
 	// together; 0 means no bound.
 	MaxConnections int
+	// ReservationTime is the longest time for which a back end sets a place
+	// aside; 0 means that it does not.
+	ReservationTime time.Duration
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -49,6 +49,9 @@
 	events    int
 	firstAt   time.Time
 
+	// unplaced counts the back ends that had no place for the request.
+	unplaced int
+
 	last    backend.Instance
 	cost    routing.Candidate
 	reason  Reason
@@ -72,6 +75,10 @@
 		if err == nil {
 			return
 		}
+		if isUnplaced(err) {
+			e.excluded[e.last.ID] = true
+			continue
+		}
 		if !e.mayGoOn(ctx, err) {
 			e.giveUp(retryAfterFull, string(e.reason))
 			return
@@ -108,17 +115,21 @@
 	if remaining < minimumRemaining {
 		return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonEnded}
 	}
+	attempt := Attempt{
+		Instance: e.last, MaxConnections: e.core.ConnectionShare(e.request.Service),
+		ID: e.request.ID, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
+		Fields: e.request.Fields, Body: e.request.Body, Remaining: remaining,
+		LastEvent: e.lastEvent, Stream: e.request.Route.Kind == route.KindStream,
+	}
+	if err := e.reserve(ctx, &attempt); err != nil {
+		return err
+	}
 	e.sends++
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watched := e.startWatchdog(cancel)
 	defer watched.Stop()
-	answer, err := e.core.Sender.Send(bounded, Attempt{
-		Instance: e.last, MaxConnections: e.core.ConnectionShare(e.request.Service),
-		ID: e.request.ID, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
-		Fields: e.request.Fields, Body: e.request.Body, Remaining: remaining,
-		LastEvent: e.lastEvent, Stream: e.request.Route.Kind == route.KindStream,
-	})
+	answer, err := e.core.Sender.Send(bounded, attempt)
 	if err != nil {
 		err = explain(watched, err)
 		e.noteFailure(err)
@@ -141,6 +152,34 @@
 	return nil
 }
 
+// reserve asks for a place for an attempt. After some refusals the request is
+// sent without one and waits at the back end.
+func (e *exchange) reserve(ctx context.Context, attempt *Attempt) error {
+	if !attempt.Stream || e.unplaced >= maxReservations {
+		return nil
+	}
+	err := Reserve(ctx, e.core.Sender, e.core.Holder.Current(), attempt, e.request.Tokens)
+	if err == nil {
+		return nil
+	}
+	reason := attemptError(err).Reason
+	if reason != ReasonRefused {
+		e.noteFailure(err)
+		return err
+	}
+	e.core.Metrics.Attempts.WithLabelValues("not_run", string(ReasonNoPlace)).Inc()
+	e.core.Logger.Info("place_refused", "id", e.request.ID, "backend", e.last.ID, "online", e.cost.Online,
+		"batch", e.cost.Batch, "slots", e.cost.Slots, "report_age_ms", min(e.cost.ReportAge, time.Hour).Milliseconds())
+	e.unplaced++
+	if e.unplaced >= maxReservations {
+		clear(e.excluded)
+	}
+	return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonNoPlace, Cause: err}
+}
+
+// isUnplaced reports whether a back end had no place for a request.
+func isUnplaced(err error) bool { return attemptError(err).Reason == ReasonNoPlace }
+
 // startWatchdog arms a watchdog if the request may run elsewhere. For other
 // requests silence is no reason to end an answer.
 func (e *exchange) startWatchdog(cancel func()) *watchdog.Watchdog {
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -35,7 +35,10 @@
 	// Service is where the route sends this request.
 	Service string
 	// Prompt is the parts of the prompt in order; empty for plain services.
-	Prompt  []routing.PromptPart
+	Prompt []routing.PromptPart
+	// Tokens is the size of the prompt and the longest output together; 0 means
+	// unknown.
+	Tokens  int
 	Arrived time.Time
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
@@ -62,6 +65,8 @@
 	LastEvent int64
 	// Stream tells that the answer is a series of events.
 	Stream bool
+	// Place names a place that was set aside at the back end; empty means none.
+	Place string
 }
 
 // Head is the beginning of an answer.
@@ -153,6 +158,8 @@
 	ReasonSilent        Reason = "silent"
 	ReasonEnded         Reason = "ended"
 	ReasonError         Reason = "error"
+	// ReasonNoPlace tells that the back end set no place aside.
+	ReasonNoPlace Reason = "no_place"
 	// ReasonBudget tells that a further attempt was allowed but for the bound
 	// on retries.
 	ReasonBudget Reason = "retry_budget_spent"
--- /dev/null
+++ b/internal/serving/reserve.go
@@ -0,0 +1,52 @@
+package serving
+
+import (
+	"context"
+	"time"
+
+	"topazpulley/internal/route"
+)
+
+const (
+	// maxReservations is how many back ends are asked for a place; then the
+	// request waits at one.
+	maxReservations = 3
+	// reservationTime is how long a place is set aside.
+	reservationTime = 200 * time.Millisecond
+	// reservationPatience bounds one question.
+	reservationPatience = 60 * time.Millisecond
+)
+
+// Reserver sets places aside at back ends.
+type Reserver interface {
+	// Reserve sets a slot and memory for so many tokens aside for a time, and
+	// names the place. An error is an *AttemptError that tells not run.
+	Reserve(ctx context.Context, wanted Reservation) (string, error)
+}
+
+// Reservation is a place that is wanted at a back end.
+type Reservation struct {
+	Attempt
+	Tokens int
+	Time   time.Duration
+}
+
+// Reserve asks a back end for a place for an attempt, if back ends of its
+// service set places aside, and notes the place in the attempt. Daemons choose
+// at once from pictures that are a moment old; only the back end knows. An error
+// tells that the back end has no room or cannot be reached; nothing has run.
+func Reserve(ctx context.Context, sender Sender, table *route.Table, attempt *Attempt, tokens int) error {
+	reserver, canReserve := sender.(Reserver)
+	if !canReserve || tokens == 0 || table == nil {
+		return nil
+	}
+	configured, found := table.Service(attempt.Instance.Service)
+	if !found || configured.ReservationTime <= 0 {
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, reservationPatience)
+	defer cancel()
+	place, err := reserver.Reserve(bounded, Reservation{Attempt: *attempt, Tokens: tokens, Time: min(reservationTime, configured.ReservationTime)})
+	attempt.Place = place
+	return err
+}
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -40,8 +40,13 @@
 
 // script is a sender that treats attempts as drawn. It checks what it is asked.
 type script struct {
-	mutex    sync.Mutex
-	draw     []behaviour
+	mutex sync.Mutex
+	draw  []behaviour
+	// refusals tell which questions for a place are refused, in order; a back
+	// end is unreachable for the question where it says so.
+	refusals []serving.Reason
+	asked    int
+	place    string
 	sends    int
 	runs     int
 	ran      map[string]bool
@@ -60,6 +65,13 @@
 	if attempt.LastEvent != s.lastSeen.last {
 		s.problems = append(s.problems, fmt.Sprintf("asked to go on behind %d, the caller has %d", attempt.LastEvent, s.lastSeen.last))
 	}
+	if attempt.Place != "" && attempt.Place != "place at "+attempt.Instance.ID {
+		s.problems = append(s.problems, "sent with the place of another back end")
+	}
+	if attempt.Place != s.place {
+		s.problems = append(s.problems, "sent without the place that was set aside")
+	}
+	s.place = "" // a place serves once
 	if attempt.Remaining <= 0 {
 		s.problems = append(s.problems, "sent without time")
 	}
@@ -79,6 +91,23 @@
 	return &scripted{behaviour: next, stream: attempt.Stream, next: attempt.LastEvent + 1, instance: attempt.Instance.ID}, nil
 }
 
+// Reserve sets places aside unless it is drawn otherwise.
+func (s *script) Reserve(_ context.Context, wanted serving.Reservation) (string, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	refusal := serving.Reason("")
+	if s.asked < len(s.refusals) {
+		refusal = s.refusals[s.asked]
+	}
+	s.asked++
+	s.place = ""
+	if refusal != "" {
+		return "", &serving.AttemptError{Outcome: serving.OutcomeNotRun, Reason: refusal}
+	}
+	s.place = "place at " + wanted.Instance.ID
+	return s.place, nil
+}
+
 // scripted is an answer.
 type scripted struct {
 	behaviour behaviour
@@ -193,9 +222,14 @@
 			Targets: []route.Target{{Service: "s", Weight: 1}},
 		}
 		caller := &recorder{}
-		sender := &script{draw: draw, ran: map[string]bool{}, lastSeen: caller}
+		refusals := rapid.SliceOfN(rapid.SampledFrom([]serving.Reason{"", serving.ReasonRefused, serving.ReasonUnreachable}), 0, 6).Draw(t, "places")
+		sender := &script{draw: draw, refusals: refusals, ran: map[string]bool{}, lastSeen: caller}
+		core := newCore(sender)
+		if rapid.Bool().Draw(t, "back ends set places aside") {
+			core.Holder.Apply(withPlaces(), time.Now())
+		}
 		now := time.Now()
-		newCore(sender).Serve(context.Background(), serving.Request{ID: "r", Route: policy, Service: "s", Arrived: now, Deadline: now.Add(time.Second)}, caller)
+		core.Serve(context.Background(), serving.Request{ID: "r", Route: policy, Service: "s", Tokens: 10, Arrived: now, Deadline: now.Add(time.Second)}, caller)
 
 		require.Empty(t, sender.problems)
 		require.Equal(t, 1, caller.finished+caller.aborted+caller.whole+len(caller.refusals), "one final answer")
@@ -218,6 +252,47 @@
 	})
 }
 
+// withPlaces configures a service whose back ends set places aside.
+func withPlaces() route.Config {
+	return route.Config{Version: 1, Services: []route.Service{{Name: "s", ReservationTime: time.Second}}}
+}
+
+// TestRequestGoesWhereAPlaceIs: back ends without a place are passed by and
+// never see the request; when several have none, it waits at one.
+func TestRequestGoesWhereAPlaceIs(t *testing.T) {
+	policy := &route.Route{Kind: route.KindStream, Timeout: time.Minute, Objective: time.Second, MaxAttempts: 1, Targets: []route.Target{{Service: "s"}}}
+	for refused, expected := range []string{"place", "place", "place", "none"} {
+		caller := &recorder{}
+		sender := &script{ran: map[string]bool{}, lastSeen: caller}
+		for range refused {
+			sender.refusals = append(sender.refusals, serving.ReasonRefused)
+		}
+		core := newCore(sender)
+		core.Holder.Apply(withPlaces(), time.Now())
+		now := time.Now()
+		core.Serve(context.Background(), serving.Request{ID: "r", Route: policy, Service: "s", Tokens: 10, Arrived: now, Deadline: now.Add(time.Minute)}, caller)
+		require.Empty(t, sender.problems)
+		require.Equal(t, 1, caller.finished)
+		require.Equal(t, 1, sender.sends)
+		isPlaced := sender.asked == refused+1
+		require.Equal(t, expected == "place", isPlaced, "%d refused, %d asked", refused, sender.asked)
+	}
+}
+
+// TestUnreachableBackEndIsNoRun: the question for a place finds it out before
+// a request that runs at most once is sent.
+func TestUnreachableBackEndIsNoRun(t *testing.T) {
+	caller := &recorder{}
+	sender := &script{refusals: []serving.Reason{serving.ReasonBroken}, ran: map[string]bool{}, lastSeen: caller}
+	core := newCore(sender)
+	core.Holder.Apply(withPlaces(), time.Now())
+	policy := &route.Route{Kind: route.KindStream, Timeout: time.Minute, Objective: time.Second, MaxAttempts: 1, Targets: []route.Target{{Service: "s"}}}
+	now := time.Now()
+	core.Serve(context.Background(), serving.Request{ID: "r", Route: policy, Service: "s", Tokens: 10, Arrived: now, Deadline: now.Add(time.Minute)}, caller)
+	require.Equal(t, 1, caller.finished)
+	require.Equal(t, 1, sender.runs)
+}
+
 // TestRetriesAreBounded: when every back end refuses everything, attempts stay
 // near the number of requests.
 func TestRetriesAreBounded(t *testing.T) {
