Items use every free slot and give way at once

Now a back end where online requests wait wakes its items' owners, and other owners are told at once, both what waits and what gave way.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -47,6 +47,8 @@
 const (
 	// promptMemory bounds the prompt parts remembered per back end.
 	promptMemory = 256
+	// assumedPropagation holds until the exchange with other daemons tells.
+	assumedPropagation = 200 * time.Millisecond
 	// reportAge is how long a back end's own report counts.
 	reportAge = 400 * time.Millisecond
 )
@@ -85,16 +87,20 @@
 	// untold are failures that the other daemons were not told yet.
 	untold map[string]int
 	urgent chan struct{}
+	// crowded tells that online requests may wait for this daemon's items.
+	crowded chan struct{}
 	// waiting are this daemon's batch items that wait for a back end, and
 	// waitingElsewhere those of other daemons by who told.
 	waiting          int
 	waitingElsewhere map[string]int
 	hasHeard         bool
+	// propagation is the time until other daemons know of a change here.
+	propagation time.Duration
 }
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{states: map[string]*state{}, byService: map[string][]*state{}, urgent: make(chan struct{}, 1), untold: map[string]int{}, waitingElsewhere: map[string]int{}}
+	return &Set{states: map[string]*state{}, byService: map[string][]*state{}, urgent: make(chan struct{}, 1), crowded: make(chan struct{}, 1), untold: map[string]int{}, waitingElsewhere: map[string]int{}, propagation: assumedPropagation}
 }
 
 // Put adds a back end or updates it.
--- /dev/null
+++ b/internal/backend/crowded_test.go
@@ -0,0 +1,65 @@
+package backend_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/backend"
+)
+
+func isSignalled(wake <-chan struct{}) bool {
+	select {
+	case <-wake:
+		return true
+	default:
+		return false
+	}
+}
+
+func setWithItem(t *testing.T) *backend.Set {
+	t.Helper()
+	set := backend.NewSet()
+	set.Put(backend.Instance{ID: "one", Service: "s", Slots: 2})
+	_, found := set.Acquire("one", backend.Batch, nil)
+	require.True(t, found)
+	return set
+}
+
+// TestOwnerHearsAtOnceOfWaitingOnlineRequests: of its own daemon's, and of
+// other daemons'; not while there is a free slot.
+func TestOwnerHearsAtOnceOfWaitingOnlineRequests(t *testing.T) {
+	set := setWithItem(t)
+	_, _ = set.Acquire("one", backend.Online, nil)
+	require.False(t, isSignalled(set.Crowded()), "every request has a slot")
+	_, _ = set.Acquire("one", backend.Online, nil)
+	require.True(t, isSignalled(set.Crowded()))
+	require.True(t, isSignalled(set.Urgent()), "other owners are told at once")
+
+	set = setWithItem(t)
+	set.SetPeerLoads("other", map[string]backend.PeerLoad{"one": {Online: 1}}, 0)
+	require.False(t, isSignalled(set.Crowded()))
+	set.SetPeerLoads("other", map[string]backend.PeerLoad{"one": {Online: 2}}, 0)
+	require.True(t, isSignalled(set.Crowded()))
+}
+
+// TestItemThatGaveWayIsToldAtOnce, so that no other owner gives way as well.
+func TestItemThatGaveWayIsToldAtOnce(t *testing.T) {
+	set := backend.NewSet()
+	set.Put(backend.Instance{ID: "one", Service: "s", Slots: 1})
+	item, _ := set.Acquire("one", backend.Batch, nil)
+	_, _ = set.Acquire("one", backend.Online, nil)
+	require.True(t, isSignalled(set.Urgent()))
+	item.Release()
+	require.True(t, isSignalled(set.Urgent()))
+	require.True(t, isSignalled(set.Crowded()))
+}
+
+// TestItemsAloneCrowdNobodyOut.
+func TestItemsAloneCrowdNobodyOut(t *testing.T) {
+	set := setWithItem(t)
+	for range 3 {
+		_, _ = set.Acquire("one", backend.Batch, nil)
+	}
+	require.False(t, isSignalled(set.Crowded()))
+}
--- a/internal/backend/lease.go
+++ b/internal/backend/lease.go
@@ -33,15 +33,33 @@
 	s.notePrompt(known, prompt, now)
 	known.pendingTokens += pending
 	known.count(class, 1)
-	if pending >= urgentTokens {
-		select {
-		case s.urgent <- struct{}{}:
-		default:
-		}
+	isCrowded := class == Online && known.isCrowded()
+	if pending >= urgentTokens || isCrowded {
+		signal(s.urgent)
+	}
+	if isCrowded && known.batch > 0 {
+		signal(s.crowded)
 	}
 	return &Lease{set: s, state: known, class: class, pending: pending}, true
 }
 
+// signal wakes a receiver, once for all that happens until it looks.
+func signal(wake chan struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
+// isCrowded reports whether online requests wait for items at the back end.
+func (k *state) isCrowded() bool {
+	online, batch, _ := k.load()
+	return batch > 0 && online > 0 && online+batch > k.Slots
+}
+
+// Crowded is signalled when online requests may wait for this daemon's items.
+func (s *Set) Crowded() <-chan struct{} { return s.crowded }
+
 func (k *state) count(class Class, change int) {
 	if class == Batch {
 		k.batch += change
@@ -77,7 +95,12 @@
 	l.released = true
 	l.set.mutex.Lock()
 	defer l.set.mutex.Unlock()
+	wasCrowded := l.state.isCrowded()
 	l.state.count(l.class, -1)
+	if l.class == Batch && wasCrowded {
+		// Others should not give way a second time.
+		signal(l.set.urgent)
+	}
 }
 
 // Reported records the load that the back end told.
@@ -123,6 +146,9 @@
 			continue
 		}
 		known.peers[peer] = load
+		if known.batch > 0 && known.isCrowded() {
+			signal(s.crowded)
+		}
 	}
 }
 
@@ -159,3 +185,17 @@
 	}
 	return max(total, 0)
 }
+
+// SetPropagation records how long other daemons take to learn of a change.
+func (s *Set) SetPropagation(time time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.propagation = time
+}
+
+// Propagation returns how long other daemons take to learn of a change.
+func (s *Set) Propagation() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.propagation
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -16,6 +16,7 @@
 	"topazpulley/internal/backend"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/membership"
+	"topazpulley/internal/periodic"
 )
 
 // Keys of the hints, before the name of the daemon or zone that they tell of.
@@ -30,6 +31,8 @@
 	// time that each further member adds while all are told directly.
 	sendInterval = 100 * time.Millisecond
 	perMember    = 10 * time.Millisecond
+	// urgentPause is the shortest time between two urgent messages.
+	urgentPause = 10 * time.Millisecond
 	// zoneInterval is the time between two totals for other zones.
 	zoneInterval = 200 * time.Millisecond
 	// refreshInterval is the longest time between two messages of a daemon
@@ -83,6 +86,7 @@
 			return
 		case <-e.backends.Urgent():
 			e.send(time.Now(), e.currentAudience(time.Now()))
+			periodic.Sleep(ctx, urgentPause)
 		case now := <-ticker.C:
 			e.tick(now)
 		}
@@ -113,6 +117,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.audience, e.audienceAt = found, now
+	e.backends.SetPropagation(found.propagation())
 	return found
 }
 
@@ -121,6 +126,14 @@
 	return max(sendInterval, time.Duration(len(a.members))*perMember)
 }
 
+// propagation is the time until all daemons know of a change.
+func (a audience) propagation() time.Duration {
+	if a.isRelayed {
+		return 2 * sendInterval // to the relay, and from it
+	}
+	return a.interval()
+}
+
 // send tells this daemon's own loads and news.
 func (e *Exchange) send(now time.Time, audience audience) {
 	work := loads{inFlight: e.backends.OwnLoads(), waiting: e.backends.OwnWaiting()}
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
 )
@@ -17,6 +18,9 @@
 	// yieldInterval is longer than the time in which owners learn of each
 	// other's items, so that what was taken back is not taken back twice.
 	yieldInterval = 200 * time.Millisecond
+	// crowdedPause is the shortest time between two looks at crowded back ends,
+	// in which others hear of what gave way.
+	crowdedPause = 10 * time.Millisecond
 	// batchTolerance is the difference in cost, in milliseconds, that does not
 	// matter to batch items.
 	batchTolerance = 40
@@ -35,6 +39,9 @@
 			return
 		case <-yield.C:
 			s.yieldItems()
+		case <-s.backends.Crowded():
+			s.yieldItems()
+			periodic.Sleep(ctx, crowdedPause)
 		case <-dispatch.C:
 			s.dispatchWaiting()
 		case <-s.wake:
@@ -62,7 +69,7 @@
 	for _, each := range jobs {
 		ready = append(ready, each.waiting(now)...)
 	}
-	s.placer.begin(len(ready), s.backends.WaitingElsewhere(), now)
+	s.placer.begin(len(ready), s.backends.WaitingElsewhere(), now, s.backends.Propagation()*3/2)
 	sent := 0
 	for _, waiting := range ready {
 		if s.dispatch(waiting, now) {
@@ -84,12 +91,11 @@
 	if !found {
 		return false // its route is not known here
 	}
-	isUrgent := s.isUrgent(waiting, now)
-	if s.placer.isFull(service, isUrgent) {
+	if s.placer.isFull(service) {
 		return false
 	}
 	candidates := s.backends.Candidates(service, waiting.item.Prompt, now)
-	chosen, found := s.placer.choose(service, waiting.item.Prompt, candidates, isUrgent)
+	chosen, found := s.placer.choose(service, waiting.item.Prompt, candidates)
 	if !found {
 		return false
 	}
@@ -101,7 +107,7 @@
 	held.mutex.Lock()
 	waiting.state, waiting.backend, waiting.startedAt, waiting.cancel = itemRunning, chosen.ID, now, cancel
 	held.mutex.Unlock()
-	s.log.Info("item_sent", "job", held.job.ID, "item", waiting.item.ID, "backend", chosen.ID, "urgent", isUrgent,
+	s.log.Info("item_sent", "job", held.job.ID, "item", waiting.item.ID, "backend", chosen.ID,
 		"due_ms", held.due.Sub(now).Milliseconds(), "last_event", waiting.progress.last(),
 		"online", chosen.Online, "batch", chosen.Batch, "slots", chosen.Slots, "report_age_ms", shownAge(chosen.ReportAge))
 	go func() {
@@ -171,7 +177,7 @@
 // that are not urgent first, and among them those due last.
 func (s *Service) itemsToYield(candidate routing.Candidate, items []runningItem) []runningItem {
 	s.mutex.Lock()
-	mild, strict := excess(candidate, false, s.random), excess(candidate, true, s.random)
+	count := excess(candidate, s.random)
 	s.mutex.Unlock()
 	sort.Slice(items, func(a, b int) bool {
 		if items[a].isUrgent != items[b].isUrgent {
@@ -179,9 +185,7 @@
 		}
 		return items[a].owner.due.After(items[b].owner.due)
 	})
-	calm := sort.Search(len(items), func(index int) bool { return items[index].isUrgent })
-	count := max(min(mild, calm), min(strict, len(items)))
-	return items[:count]
+	return items[:min(count, len(items))]
 }
 
 // loadsOf returns the load of back ends at which items run.
