Ask for changes of claims at most twice a second

Hypothesis: jobs come and go ten times a second in a large fleet, and every change of a claim ends the held watch of all 63 daemons: most of the calls to the store. Change: a follower may be paced; claims are asked for at most twice a second (four times at once). Configuration and discovery are not paced.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -9,6 +9,8 @@
 	"log/slog"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"topazpulley/internal/backend"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/exchange"
@@ -39,6 +41,11 @@
 	// watchWait is how long one watch call is held. A watch whose answer is
 	// lost is noticed shortly after.
 	watchWait = 1500 * time.Millisecond
+	// claimWatches is how often a second claims of jobs are asked for, and
+	// claimBurst how often at once: in a large fleet jobs come and go many times
+	// a second, and every change would cost a call of every daemon.
+	claimWatches = 2
+	claimBurst   = 4
 	// rejoinPause is the time between two looks for other daemons while none is
 	// known.
 	rejoinPause = 500 * time.Millisecond
@@ -89,7 +96,7 @@
 	for _, followed := range []*table.Follower{
 		{Table: ports.ConfigTable, Consumer: &configConsumer{ports: ports, holder: f.Holder, log: log}},
 		{Table: ports.InstanceTable, Consumer: &instanceConsumer{ports: ports, backends: f.Backends, log: log}},
-		{Table: f.Jobs.FollowedTable(), Consumer: f.Jobs, Partitioned: true},
+		{Table: f.Jobs.FollowedTable(), Consumer: f.Jobs, Partitioned: true, Pace: rate.NewLimiter(claimWatches, claimBurst)},
 	} {
 		replica := &table.Replica{Consumer: followed.Consumer}
 		source.offer(followed.Table, replica)
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"topazpulley/internal/periodic"
 )
@@ -41,6 +42,9 @@
 	Wait time.Duration
 	// Partitioned tells that the table has partitions besides the empty one.
 	Partitioned bool
+	// Pace bounds how often changes are asked for; nil means no bound. Changes
+	// that come meanwhile are told together by the next call.
+	Pace *rate.Limiter
 	// Peers are asked while the store does not answer; nil means none.
 	Peers Peers
 
@@ -118,6 +122,9 @@
 
 // watch waits for changes once.
 func (f *Follower) watch(ctx context.Context) error {
+	if f.Pace != nil && f.Pace.Wait(ctx) != nil {
+		return nil // the context ends
+	}
 	bounded, cancel := context.WithTimeout(ctx, f.Wait+answerReserve)
 	defer cancel()
 	changes, err := f.Store.Watch(bounded, f.Table, f.seen, f.Wait)
--- a/internal/table/follower_test.go
+++ b/internal/table/follower_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
 
 	"topazpulley/internal/table"
 	"topazpulley/internal/table/tabletest"
@@ -142,3 +144,38 @@
 	require.Len(t, page.Rows, 1)
 	require.Equal(t, "2", string(page.Rows[0].Value))
 }
+
+// TestPacedFollowerAsksLessOftenAndMissesNothing: many changes cost calls by
+// the time that they take and not by their number.
+func TestPacedFollowerAsksLessOftenAndMissesNothing(t *testing.T) {
+	const changes, perSecond, burst = 300, 20, 2
+	store := &countingStore{Memory: tabletest.NewMemory()}
+	seen := &recorder{rows: map[string]string{}}
+	follower := &table.Follower{
+		Store: store, Table: followed, Consumer: seen, Logger: quiet, Wait: 50 * time.Millisecond, Pace: rate.NewLimiter(perSecond, burst),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	started := time.Now()
+	go follower.Run(ctx)
+	for number := range changes {
+		_, err := store.Commit(ctx, table.Transaction{Writes: []table.Write{{Table: followed, Key: "counter", Value: []byte(fmt.Sprint(number))}}})
+		require.NoError(t, err)
+		time.Sleep(time.Millisecond)
+	}
+	require.Eventually(t, func() bool { return seen.value("counter") == fmt.Sprint(changes-1) }, patience, pollTime)
+	cancel()
+	allowed := burst + perSecond*time.Since(started).Seconds() + 1
+	require.LessOrEqual(t, float64(store.watches.Load()), allowed)
+}
+
+// countingStore counts watch calls.
+type countingStore struct {
+	*tabletest.Memory
+	watches atomic.Int64
+}
+
+func (s *countingStore) Watch(ctx context.Context, name string, after table.Version, wait time.Duration) (table.Changes, error) {
+	s.watches.Add(1)
+	return s.Memory.Watch(ctx, name, after, wait)
+}
