Ask more back ends for a place where there are more

Hypothesis: where 89 back ends are four fifths busy, three refusals in a row are common and the request then waits behind others while tens of slots are free. Change: one in eight of a service's back ends is asked, at least three and at most eight.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -177,6 +177,13 @@
 	return known.Instance, true
 }
 
+// Count returns how many back ends a service has.
+func (s *Set) Count(service string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.byService[service])
+}
+
 // Instances returns the back ends of a service, or of all when it is empty.
 func (s *Set) Instances(service string) []Instance {
 	s.mutex.Lock()
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -155,7 +155,8 @@
 // reserve asks for a place for an attempt. After some refusals the request is
 // sent without one and waits at the back end.
 func (e *exchange) reserve(ctx context.Context, attempt *Attempt) error {
-	if !attempt.Stream || e.unplaced >= maxReservations {
+	most := questions(e.core.Backends.Count(e.request.Service))
+	if !attempt.Stream || e.unplaced >= most {
 		return nil
 	}
 	err := Reserve(ctx, e.core.Sender, e.core.Holder.Current(), attempt, e.request.Tokens)
@@ -171,7 +172,7 @@
 	e.core.Logger.Info("place_refused", "id", e.request.ID, "backend", e.last.ID, "online", e.cost.Online,
 		"batch", e.cost.Batch, "slots", e.cost.Slots, "report_age_ms", min(e.cost.ReportAge, time.Hour).Milliseconds())
 	e.unplaced++
-	if e.unplaced >= maxReservations {
+	if e.unplaced >= most {
 		clear(e.excluded)
 	}
 	return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonNoPlace, Cause: err}
--- a/internal/serving/reserve.go
+++ b/internal/serving/reserve.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// maxReservations is how many back ends are asked for a place; then the
-	// request waits at one.
-	maxReservations = 3
+	// leastQuestions and mostQuestions bound how many back ends are asked for a
+	// place, one in questionShare of a service's; then the request waits at one.
+	leastQuestions = 3
+	mostQuestions  = 8
+	questionShare  = 8
 	// reservationTime is how long a place is set aside.
 	reservationTime = 200 * time.Millisecond
 	// reservationPatience bounds one question.
@@ -50,3 +52,9 @@
 	attempt.Place = place
 	return err
 }
+
+// questions is how many back ends are asked for a place where a service has so
+// many: the more there are, the likelier one has room.
+func questions(backends int) int {
+	return min(max(backends/questionShare, leastQuestions), mostQuestions)
+}
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -46,7 +47,9 @@
 	// end is unreachable for the question where it says so.
 	refusals []serving.Reason
 	asked    int
-	place    string
+	// askedAt are the back ends asked for a place, in order.
+	askedAt []string
+	place   string
 	sends    int
 	runs     int
 	ran      map[string]bool
@@ -100,6 +103,7 @@
 		refusal = s.refusals[s.asked]
 	}
 	s.asked++
+	s.askedAt = append(s.askedAt, wanted.Instance.ID)
 	s.place = ""
 	if refusal != "" {
 		return "", &serving.AttemptError{Outcome: serving.OutcomeNotRun, Reason: refusal}
@@ -274,6 +278,8 @@
 		require.Empty(t, sender.problems)
 		require.Equal(t, 1, caller.finished)
 		require.Equal(t, 1, sender.sends)
+		slices.Sort(sender.askedAt)
+		require.Len(t, slices.Compact(sender.askedAt), sender.asked, "asked twice")
 		isPlaced := sender.asked == refused+1
 		require.Equal(t, expected == "place", isPlaced, "%d refused, %d asked", refused, sender.asked)
 	}
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -105,11 +105,36 @@
 mutant no_draw internal/routing/cost.go \
 	'return *draw(near, random), true' 'return *near[0].candidate, true' internal/routing TestChoicesFromOnePictureSpread
 mutant no_quota_window internal/job/pacing.go \
-	'if now.Sub(p.since) < quotaWindow {' 'if false {' internal/job TestOwnersDoNotPlaceTwiceIntoTheSameRoom
+	'if now.Sub(p.since) < window {' 'if false {' internal/job TestOwnersDoNotPlaceTwiceIntoTheSameRoom
 mutant no_failure_count internal/job/progress.go \
 	'p.failures, p.savedFailures = from.Failures, from.Failures' '' internal/job TestFailuresAreCountedOverOwners
 mutant no_settling internal/job/dispatch.go \
 	'if isStopping || !isSettled ||' 'if isStopping || !isSettled && false ||' internal/job TestItemsWaitUntilOthersWorkIsKnown
 mutant no_shared_versions internal/frontend/frontend.go \
 	'store.Raise(table.Version(event.Revision))' '' platform TestStaleReadsAreNoticedByWhatOthersSaw
+mutant no_total_condition internal/quota/plan.go \
+	'Conditions: []table.Condition{{Table: tableTotal, Key: keyTotal, Version: v.totalVersion}},' 'Conditions: []table.Condition{},' internal/quota 'TestTotalNeverPassesTheLimit|TestConcurrentReservationsFillTheAccountExactly'
+mutant foreign_release internal/quota/plan.go \
+	'operation.Kind == KindRelease && operation.Holder != r.Holder' 'false' internal/quota TestReleaseSparesALaterHolder
+mutant no_settling_epoch internal/quota/plan.go \
+	'operation.Kind == KindSettle && operation.Epoch < r.Epoch' 'false' internal/quota TestSettlingUnderALowerEpochChangesNothing
+mutant no_newest_limit internal/quota/plan.go \
+	'if limit.Config >= t.Config {' 'if true {' internal/quota TestNewerLimitHoldsForDaemonsThatDoNotKnowIt
+mutant release_of_earlier_tries internal/job/waiting.go \
+	'if !held.isNew {' 'if !held.isBounded() {' internal/job TestRefusedTryKeepsTheReservationOfAnUnsettledOne
+mutant no_void_condition internal/job/accept.go \
+	'if held.isBounded() {' 'if false {' internal/job TestReservationOfADeadDaemonIsSwept
+mutant resent_counts_twice internal/quota/plan.go \
+	'isNew := held.Tokens == 0' 'isNew := true' internal/job TestResentJobCountsOnceAndIsNeverRefused
+mutant no_place internal/serving/exchange.go \
+	'e.excluded[e.last.ID] = true
+			continue' 'continue' internal/serving TestRequestGoesWhereAPlaceIs
+mutant place_not_sent platform/runner.go \
+	'writeField(&request, headerReservation, attempt.Place)' '' platform TestStreamsTakeAPlaceFirst
+mutant no_crowded_signal internal/backend/lease.go \
+	'if isCrowded && known.batch > 0 {' 'if false {' internal/backend TestOwnerHearsAtOnceOfWaitingOnlineRequests
+mutant items_queue internal/job/pacing.go \
+	'candidate.Draining || candidate.Waiting > 0' 'candidate.Draining' internal/job TestItemsEnterNoFullService
+mutant no_pace internal/table/follower.go \
+	'f.Pace != nil && f.Pace.Wait(ctx) != nil' 'false' internal/table TestPacedFollowerAsksLessOftenAndMissesNothing
 exit $failed
