Remove the scale run and its hollow fleet; keep the fleet tests of membership

Change: topazbench scale, the loopback fleet and its measurements go. The tests that ran on the in-memory network stay as they are, word for word in what they ask, in internal/membership/simulation, whose network is test code now.

--- a/internal/command/emulate.go
+++ b/internal/command/emulate.go
@@ -26,7 +26,7 @@
 	emulate := newNested("emulate", "run stand-ins for the outside systems", []subcommands.Command{&emulatePlatformCommand{}, &emulateEnginesCommand{}, &emulateRelayCommand{}})
 	return []group{
 		{"stand-ins", []subcommands.Command{emulate}},
-		{"measurement", []subcommands.Command{&experimentCommand{}, &scaleCommand{}}},
+		{"measurement", []subcommands.Command{&experimentCommand{}}},
 		{"faults", []subcommands.Command{&chaosCommand{}, &soakCommand{}}},
 		{"", []subcommands.Command{&versionCommand{}}},
 	}
--- a/internal/scale/observe.go
+++ b/internal/membership/simulation/observe_test.go
@@ -1,4 +1,4 @@
-package scale
+package simulation
 
 // everyoneKnows reports whether every daemon that is up sees the number of
 // live members.
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -48,8 +48,8 @@
 	refusals []serving.Reason
 	asked    int
 	// askedAt are the back ends asked for a place, in order.
-	askedAt []string
-	place   string
+	askedAt  []string
+	place    string
 	sends    int
 	runs     int
 	ran      map[string]bool
