Use back ends on whose entries lapsed while the store was away

Cause: the users say that such entries are back within about two seconds of the store's return, and that one still missing then is gone. Entries missing at the return took their back ends out at once. Change: a follower knows whether its table is settled (not while the store is away nor 1.8 s after); until then a missing entry is noted, and its back end is used on. A back end that leaves while the store is there is out at once, as before.

--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"sync"
 	"time"
 
 	"topazpulley/internal/backend"
@@ -40,11 +41,22 @@
 	c.log.Info("configuration_applied", "config", config.Version, "row_version", row.Version, "routes", len(config.Routes), "services", len(config.Services))
 }
 
-// instanceConsumer keeps the set of back ends.
+// instanceConsumer keeps the set of back ends. mutex guards missing, the back
+// ends whose entries lapsed while the store was away: they are used on until it
+// is settled that they are gone.
 type instanceConsumer struct {
 	ports    Ports
 	backends *backend.Set
 	log      *slog.Logger
+	// isSettled tells whether a missing entry means that its back end is gone.
+	isSettled func() bool
+
+	mutex   sync.Mutex
+	missing map[string]bool
+}
+
+func newInstanceConsumer(ports Ports, backends *backend.Set, log *slog.Logger) *instanceConsumer {
+	return &instanceConsumer{ports: ports, backends: backends, log: log, missing: map[string]bool{}, isSettled: func() bool { return true }}
 }
 
 // Replace implements table.Consumer.
@@ -53,7 +65,11 @@
 	for _, row := range rows {
 		listed[row.Key] = true
 	}
-	c.backends.Retain(listed)
+	for _, known := range c.backends.Instances("") {
+		if !listed[known.ID] {
+			c.remove(known.ID, version)
+		}
+	}
 	c.Change(rows, version)
 }
 
@@ -61,17 +77,52 @@
 func (c *instanceConsumer) Change(rows []table.Row, _ table.Version) {
 	for _, row := range rows {
 		if row.Deleted {
-			c.backends.Remove(row.Key)
-			c.log.Info("backend_removed", "backend", row.Key, "row_version", row.Version)
+			c.remove(row.Key, row.Version)
 			continue
 		}
-		instance, err := c.ports.DecodeInstance(row.Key, row.Value)
-		if err != nil {
-			c.log.Error("backend_unreadable", "backend", row.Key, "row_version", row.Version, "error", err)
-			continue
-		}
-		c.backends.Put(instance)
-		c.log.Info("backend_listed", "backend", instance.ID, "service", instance.Service, "address", instance.Address, "zone", instance.Zone,
-			"slots", instance.Slots, "draining", instance.Draining, "row_version", row.Version)
+		c.put(row)
+	}
+}
+
+func (c *instanceConsumer) put(row table.Row) {
+	instance, err := c.ports.DecodeInstance(row.Key, row.Value)
+	if err != nil {
+		c.log.Error("backend_unreadable", "backend", row.Key, "row_version", row.Version, "error", err)
+		return
+	}
+	c.mutex.Lock()
+	delete(c.missing, row.Key)
+	c.mutex.Unlock()
+	c.backends.Put(instance)
+	c.log.Info("backend_listed", "backend", instance.ID, "service", instance.Service, "address", instance.Address, "zone", instance.Zone,
+		"slots", instance.Slots, "draining", instance.Draining, "row_version", row.Version)
+}
+
+// remove takes a back end out, or notes that its entry is missing.
+func (c *instanceConsumer) remove(id string, version table.Version) {
+	if !c.isSettled() {
+		c.mutex.Lock()
+		c.missing[id] = true
+		c.mutex.Unlock()
+		c.log.Info("backend_missing", "backend", id, "row_version", version)
+		return
+	}
+	c.backends.Remove(id)
+	c.log.Info("backend_removed", "backend", id, "row_version", version)
+}
+
+// settle takes the back ends out whose entries are still missing once the table
+// is settled.
+func (c *instanceConsumer) settle() {
+	if !c.isSettled() {
+		return
+	}
+	c.mutex.Lock()
+	gone := c.missing
+	c.missing = map[string]bool{}
+	c.mutex.Unlock()
+	for id := range gone {
+		c.backends.Remove(id)
+		c.log.Info("backend_removed", "backend", id, "reason", "not_back")
 	}
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -17,6 +17,7 @@
 	"topazpulley/internal/job"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/quota"
 	"topazpulley/internal/route"
 	"topazpulley/internal/serving"
@@ -46,6 +47,8 @@
 	// a second, and every change would cost a call of every daemon.
 	claimWatches = 2
 	claimBurst   = 4
+	// settleInterval is the pause between two looks at entries that are missing.
+	settleInterval = 100 * time.Millisecond
 	// rejoinPause is the time between two looks for other daemons while none is
 	// known.
 	rejoinPause = 500 * time.Millisecond
@@ -62,6 +65,7 @@
 	node      *cluster.Node
 	store     table.Store
 	followers []*table.Follower
+	instances *instanceConsumer
 
 	// Holder has the configuration in force.
 	Holder *route.Holder
@@ -93,15 +97,19 @@
 		Quota: accounts,
 	})
 	source := newPeerSource(f.node, f.transport)
+	f.instances = newInstanceConsumer(ports, f.Backends, log)
 	for _, followed := range []*table.Follower{
 		{Table: ports.ConfigTable, Consumer: &configConsumer{ports: ports, holder: f.Holder, log: log}},
-		{Table: ports.InstanceTable, Consumer: &instanceConsumer{ports: ports, backends: f.Backends, log: log}},
+		{Table: ports.InstanceTable, Consumer: f.instances},
 		{Table: f.Jobs.FollowedTable(), Consumer: f.Jobs, Partitioned: true, Pace: rate.NewLimiter(claimWatches, claimBurst)},
 	} {
 		replica := &table.Replica{Consumer: followed.Consumer}
 		source.offer(followed.Table, replica)
 		followed.Store, followed.Consumer, followed.Peers, followed.Logger, followed.Wait = f.store, replica, source, log, watchWait
 		f.followers = append(f.followers, followed)
+		if followed.Table == ports.InstanceTable {
+			f.instances.isSettled = followed.IsSettled
+		}
 	}
 	return f
 }
@@ -141,6 +149,7 @@
 	go loads.Run(ctx)
 	go f.Jobs.Run(ctx)
 	go f.keepFound(ctx)
+	go periodic.Run(ctx, settleInterval, f.instances.settle)
 	for _, follower := range f.followers {
 		go follower.Run(ctx)
 	}
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -52,8 +53,20 @@
 	askedAt   time.Time
 	lost      bool
 	confirmed atomic.Int64
+	// settledAt is when, in Unix nanoseconds, the table holds again all that
+	// belongs there after the store was away.
+	settledAt atomic.Int64
 }
 
+// returnTime is how long those that keep entries in a table need to write them
+// again after the store was away: about two seconds by the platform's word, and
+// short of the two after which a back end that has left must get nothing.
+const returnTime = 1800 * time.Millisecond
+
+// IsSettled reports whether a row that is missing is gone: not while the store
+// is away, nor just after its return, since rows may have lapsed meanwhile.
+func (f *Follower) IsSettled() bool { return time.Now().UnixNano() >= f.settledAt.Load() }
+
 // ConfirmedAt returns when the store last answered a call on the table.
 func (f *Follower) ConfirmedAt() time.Time { return time.Unix(0, f.confirmed.Load()) }
 
@@ -109,9 +122,11 @@
 	}
 	f.lost = isLost
 	if isLost {
+		f.settledAt.Store(math.MaxInt64)
 		f.Logger.Warn("table_lost", "table", f.Table, "version", f.seen, "error", err)
 		return
 	}
+	f.settledAt.Store(time.Now().Add(returnTime).UnixNano())
 	f.Logger.Info("table_regained", "table", f.Table, "version", f.seen)
 }
 
@@ -134,6 +149,7 @@
 	if changes.Version < f.seen {
 		return &Error{Kind: ErrorCompacted, Call: "watch"}
 	}
+	f.note(nil)
 	if len(changes.Rows) > 0 {
 		f.Consumer.Change(changes.Rows, changes.Version)
 	}
@@ -159,6 +175,7 @@
 		}
 		all = append(all, partitioned...)
 	}
+	f.note(nil)
 	f.Consumer.Replace(all, version)
 	f.seen = version
 	f.Logger.Info("table_read", "table", f.Table, "version", version, "rows", len(all))
