Reserve anew under a new holder; a model of the bound on waiting work

Cause: found by the model. A daemon whose acceptance was voided reserved the job's tokens anew under the holder that the sweeper had seen, and the sweeper then freed them: the job was accepted without a reservation. Test: TestSweptReservationIsNotTheNewOne, failed first (0 tokens counted of 50).

--- a/internal/job/waiting.go
+++ b/internal/job/waiting.go
@@ -68,16 +68,19 @@
 	if !isBounded {
 		return reservation{}, nil
 	}
-	held := reservation{account: found, job: submitted.ID, tokens: submitted.tokens(), holder: s.newHolder()}
+	held := reservation{account: found, job: submitted.ID, tokens: submitted.tokens()}
 	err := s.reserveAgain(ctx, submitted, &held)
 	return held, err
 }
 
+// reserveAgain sets the tokens aside under a new holder, so that a sweeper which
+// frees the earlier reservation spares this one.
 func (s *Service) reserveAgain(ctx context.Context, submitted *Job, held *reservation) error {
 	if !held.isBounded() {
 		return nil
 	}
 	var err error
+	held.holder = s.newHolder()
 	held.isNew, err = s.quota.Reserve(ctx, held.account.name, held.account.limit, submitted.ID, held.tokens, held.holder)
 	return err
 }
--- a/internal/job/waiting_test.go
+++ b/internal/job/waiting_test.go
@@ -9,12 +9,15 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
 	"topazpulley/internal/failure"
 	"topazpulley/internal/job"
+	"topazpulley/internal/quota"
 	"topazpulley/internal/table"
 	"topazpulley/internal/table/tabletest"
+	"topazpulley/internal/telemetry"
 )
 
 const itemTokens = 10
@@ -184,3 +187,44 @@
 	require.True(t, failure.From(submit(second, 2, tabletest.FaultRefuse)).NotRun)
 	require.Never(t, func() bool { return waitingTokens(t, store) < 50 }, 500*time.Millisecond, pollTime)
 }
+
+// voidingStore voids a job just before its first acceptance is committed, as
+// the sweeper of another daemon does, and keeps the reservation that it saw.
+type voidingStore struct {
+	*tabletest.Memory
+	once sync.Once
+	seen struct {
+		Holder string `json:"holder"`
+	}
+}
+
+func (s *voidingStore) Commit(ctx context.Context, transaction table.Transaction) (table.Version, error) {
+	isAcceptance := len(transaction.Conditions) > 0 && transaction.Conditions[0].Table == "job"
+	if isAcceptance {
+		s.once.Do(func() { s.voidJob(ctx, transaction) })
+	}
+	return s.Memory.Commit(ctx, transaction)
+}
+
+func (s *voidingStore) voidJob(ctx context.Context, transaction table.Transaction) {
+	id := transaction.Conditions[0].Key
+	page, err := s.Memory.Read(ctx, table.Range{Table: "quota_reservation", Partition: "jobs"})
+	if err != nil || len(page.Rows) != 1 || json.Unmarshal(page.Rows[0].Value, &s.seen) != nil {
+		panic("the job has no reservation")
+	}
+	_, _ = s.Memory.Commit(ctx, table.Transaction{Partition: transaction.Partition, Writes: []table.Write{{Table: "void_job", Key: id, Value: []byte("b")}}})
+}
+
+// TestSweptReservationIsNotTheNewOne: a job is voided, its daemon reserves anew
+// and accepts it; only then the sweeper frees what it saw.
+func TestSweptReservationIsNotTheNewOne(t *testing.T) {
+	store, runner := &voidingStore{Memory: tabletest.NewMemory()}, newRunners()
+	runner.pause = time.Second
+	owner := startBounded(t, "a", store, runner, 0, 50)
+	require.NoError(t, owner.Submit(t.Context(), sizedJob("j1", 5)))
+	require.NotEmpty(t, store.seen.Holder)
+	sweeper := quota.NewAccounts(store, alone{}, telemetry.NewQuota(prometheus.NewRegistry()), quiet)
+	_, err := sweeper.Apply(t.Context(), "jobs", quota.Limit{Tokens: 50, Config: 1}, []quota.Operation{{Kind: quota.KindRelease, Job: "j1", Holder: store.seen.Holder}})
+	require.NoError(t, err)
+	require.EqualValues(t, 50, waitingTokens(t, store))
+}
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -49,4 +49,10 @@
 verify claim violated PROMISE_UNSETTLED
 verify claim violated NO_CLAIM_CHECK
 verify claim violated NO_TAKEOVER
+verify quota holds
+verify quota violated NO_VOID
+verify quota violated RELEASE_ANY
+verify quota violated COUNT_TWICE
+verify quota violated LOST_AT_TAKEOVER
+verify quota violated SAME_HOLDER
 exit $failed
