Keep a fleet that restarts from holding its account's partition busy

Every daemon that took jobs over settled them at once; with members not known yet, or a keeper that did not answer within 150 ms, each committed by itself. The partition takes one call at a time, so calls that conflict kept it busy, and the keeper from answering. Change: only reservations, whose callers wait, pass a keeper by; a job that was taken over is counted already and is settled lazily; a daemon's pause after a commit that came to nothing doubles up to 0.5 s and is halved by a success. Tests: TestOnlyReservationsPassAKeeperBy (failed first), TestCommitsThatComeToNothingComeLessOften.

--- a/internal/job/owned.go
+++ b/internal/job/owned.go
@@ -73,6 +73,9 @@
 		claim: held, committed: len(earlier.listed), commit: make(chan struct{}),
 		settled: earlier.settled,
 	}
+	if started.settled.at.IsZero() {
+		started.settled.at = time.Now()
+	}
 	if accepted.GiveUpAfter > 0 {
 		started.giveUp = accepted.SubmittedAt.Add(accepted.GiveUpAfter + giveUpMargin)
 	}
--- a/internal/job/waiting.go
+++ b/internal/job/waiting.go
@@ -189,15 +189,17 @@
 	return total
 }
 
-// isSettlementDue reports whether the job's account should be told what waits.
+// isSettlementDue reports whether the job's account should be told what waits. A
+// job that was taken over is counted already, with more than waits at worst.
 func (o *owned) isSettlementDue(found account, waiting int64, isPressed bool, now time.Time) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	isKnown := o.settled.account.name == found.name
-	if isKnown && o.settled.tokens == waiting {
+	isTold := o.settled.account.name == found.name
+	if isTold && o.settled.tokens == waiting {
 		return false
 	}
-	return !isKnown || isPressed || now.Sub(o.settled.at) >= settleLazily
+	isCounted := isTold || o.claim.claim.Epoch > 1
+	return !isCounted || isPressed || now.Sub(o.settled.at) >= settleLazily
 }
 
 // settle tells one account.
--- a/internal/quota/accounts.go
+++ b/internal/quota/accounts.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	// keeperPatience is how long an account's keeper may take. After a failure
-	// it is passed by for keeperRest.
+	// keeperPatience is how long an account's keeper may take for a reservation,
+	// whose caller waits, and settlePatience for what can be told again. After a
+	// failure reservations pass it by for keeperRest.
 	keeperPatience = 150 * time.Millisecond
+	settlePatience = time.Second
 	keeperRest     = 2 * time.Second
 	// pressedShare is the share of the limit from which on owners tell at once
 	// what ended, and pressedTime how long that holds.
@@ -99,16 +101,13 @@
 	return outcomes[0], nil
 }
 
-// Apply commits operations on an account: through its keeper, or directly when
-// the keeper does not answer. Repeating operations does no harm.
+// Apply commits operations on an account: through its keeper, or, where a caller
+// waits for a reservation, directly when the keeper does not answer. Repeating
+// operations does no harm.
 func (a *Accounts) Apply(ctx context.Context, account string, limit Limit, operations []Operation) ([]Outcome, error) {
-	outcomes, isAnswered := a.askKeeper(ctx, account, limit, operations)
-	if !isAnswered {
-		var err error
-		outcomes, err = a.ledger(account).apply(ctx, limit, operations)
-		if err != nil {
-			return nil, err
-		}
+	outcomes, err := a.commit(ctx, account, limit, operations)
+	if err != nil {
+		return nil, err
 	}
 	last := outcomes[len(outcomes)-1]
 	a.metrics.Waiting.WithLabelValues(account).Set(float64(last.Waiting))
@@ -116,6 +115,23 @@
 	return outcomes, nil
 }
 
+func (a *Accounts) commit(ctx context.Context, account string, limit Limit, operations []Operation) ([]Outcome, error) {
+	address, isSelf := a.peers.Keeper(account)
+	isReservation := operations[0].Kind == KindReserve
+	if isSelf || (isReservation && a.isAvoided(address)) {
+		return a.ledger(account).apply(ctx, limit, operations)
+	}
+	patience := settlePatience
+	if isReservation {
+		patience = keeperPatience
+	}
+	outcomes, err := a.askKeeper(ctx, address, patience, Request{Account: account, Limit: limit.Tokens, Config: limit.Config, Operations: operations})
+	if err != nil && isReservation {
+		return a.ledger(account).apply(ctx, limit, operations)
+	}
+	return outcomes, err
+}
+
 // Serve answers a request of another daemon.
 func (a *Accounts) Serve(ctx context.Context, request Request) (Answer, error) {
 	bounded, cancel := context.WithTimeout(ctx, storeAttempt)
@@ -125,22 +141,18 @@
 	return Answer{Outcomes: outcomes}, err
 }
 
-func (a *Accounts) askKeeper(ctx context.Context, account string, limit Limit, operations []Operation) ([]Outcome, bool) {
-	address, isSelf := a.peers.Keeper(account)
-	if isSelf || a.isAvoided(address) {
-		return nil, false
-	}
-	bounded, cancel := context.WithTimeout(ctx, keeperPatience)
+func (a *Accounts) askKeeper(ctx context.Context, address string, patience time.Duration, request Request) ([]Outcome, error) {
+	bounded, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	answer, err := a.peers.Apply(bounded, address, Request{Account: account, Limit: limit.Tokens, Config: limit.Config, Operations: operations})
-	if err == nil && len(answer.Outcomes) == len(operations) {
-		return answer.Outcomes, true
+	answer, err := a.peers.Apply(bounded, address, request)
+	if err == nil && len(answer.Outcomes) == len(request.Operations) {
+		return answer.Outcomes, nil
 	}
 	a.mutex.Lock()
 	a.avoided[address] = time.Now().Add(keeperRest)
 	a.mutex.Unlock()
-	a.log.Info("quota_keeper_passed_by", "account", account, "keeper", address, "error", err)
-	return nil, false
+	a.log.Info("quota_keeper_passed_by", "account", request.Account, "keeper", address, "error", err)
+	return nil, unavailable(err)
 }
 
 func (a *Accounts) isAvoided(address string) bool {
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -15,12 +15,28 @@
 	// batchOperations bounds one transaction: each operation takes up to two of
 	// the store's 100 entries, and the total takes two.
 	batchOperations = 45
-	storePause      = 40 * time.Millisecond
-	// conflictPause spreads daemons that commit to one account at once.
-	conflictPause = 8 * time.Millisecond
-	storeAttempt  = 900 * time.Millisecond
+	storeAttempt    = 900 * time.Millisecond
+	// shortestPause and longestPause bound the pause after a commit that came to
+	// nothing. It doubles with each one and is halved by each that succeeds: many
+	// daemons that commit to one account would else keep its partition, which
+	// takes one call at a time, busy with calls that conflict.
+	shortestPause = 8 * time.Millisecond
+	longestPause  = 500 * time.Millisecond
 )
 
+// backoff is the pause of a daemon between commits to one account.
+type backoff struct {
+	pause time.Duration
+}
+
+// failed returns the pause after a commit that came to nothing.
+func (b *backoff) failed() time.Duration {
+	b.pause = min(max(2*b.pause, shortestPause), longestPause)
+	return b.pause
+}
+
+func (b *backoff) succeeded() { b.pause /= 2 }
+
 // pending is operations of one caller that wait for their commit.
 type pending struct {
 	ctx        context.Context
@@ -30,13 +46,14 @@
 }
 
 // ledger commits the operations on one account, those that wait at a time in
-// one transaction. mutex guards queue, limit and isRunning; view
-// and freed belong to the goroutine that commits.
+// one transaction. mutex guards queue, limit and isRunning; view,
+// freed and backoff belong to the goroutine that commits.
 type ledger struct {
 	store   Store
 	account string
 	view    *view
 	freed   *freedRate
+	backoff backoff
 
 	mutex     sync.Mutex
 	queue     []*pending
@@ -116,31 +133,33 @@
 			return
 		}
 		made := l.view.planOf(l.account, limit, operationsOf(batch))
-		pause, isDone := l.try(made)
-		if isDone {
+		if l.try(made) {
+			l.backoff.succeeded()
 			made.noteRate(l.freed.perSecond(time.Now()))
 			deliver(batch, made.outcomes)
 			return
 		}
-		periodic.SleepAbout(context.Background(), pause)
+		periodic.SleepAbout(context.Background(), l.backoff.failed())
 	}
 }
 
-// try commits a plan once.
-func (l *ledger) try(made plan) (pause time.Duration, isDone bool) {
+// try commits a plan once and reports whether the store carried it out. After a
+// conflict the view holds the rows as they stand.
+func (l *ledger) try(made plan) bool {
 	bounded, cancel := context.WithTimeout(context.Background(), storeAttempt)
 	defer cancel()
 	version, err := l.store.Commit(bounded, made.transaction)
 	var conflict *table.ConflictError
-	switch {
-	case err == nil:
-		l.freed.note(l.view.total.Waiting-made.total.Waiting, time.Now())
-		l.view.committed(made, version)
-		return 0, true
-	case errors.As(err, &conflict) && l.view.refresh(conflict, made.transaction) == nil:
-		return conflictPause, false
+	if errors.As(err, &conflict) {
+		// A row that cannot be read leaves the view as it was.
+		_ = l.view.refresh(conflict, made.transaction)
+	}
+	if err != nil {
+		return false
 	}
-	return storePause, false
+	l.freed.note(l.view.total.Waiting-made.total.Waiting, time.Now())
+	l.view.committed(made, version)
+	return true
 }
 
 func stillWanted(batch []*pending) []*pending {
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -99,7 +99,7 @@
 func tryOnce(held *ledger, limit Limit, operation Operation) {
 	for range 3 {
 		made := held.view.planOf(testAccount, limit, []Operation{operation})
-		if _, isDone := held.try(made); isDone {
+		if held.try(made) {
 			return
 		}
 	}
@@ -260,3 +260,36 @@
 	s.mutex.Unlock()
 	return s.Memory.Commit(ctx, transaction)
 }
+
+// TestCommitsThatComeToNothingComeLessOften, and more often again when they
+// succeed.
+func TestCommitsThatComeToNothingComeLessOften(t *testing.T) {
+	held := backoff{}
+	before := time.Duration(0)
+	for range 20 {
+		pause := held.failed()
+		require.GreaterOrEqual(t, pause, before)
+		require.LessOrEqual(t, pause, longestPause)
+		before = pause
+	}
+	require.Equal(t, longestPause, before)
+	held.succeeded()
+	held.succeeded()
+	require.Less(t, held.failed(), longestPause)
+}
+
+// TestOnlyReservationsPassAKeeperBy: after a restart of all daemons every one of
+// them would else settle by itself, and their conflicts would keep the account
+// from everybody.
+func TestOnlyReservationsPassAKeeperBy(t *testing.T) {
+	store := tabletest.NewMemory()
+	peers := &keeperPeers{err: unavailable(nil)}
+	accounts := newAccounts(store, peers)
+	limit := Limit{Tokens: 100, Config: 1}
+	_, err := accounts.Apply(t.Context(), testAccount, limit, []Operation{{Kind: KindSettle, Job: "j", Tokens: 5, Holder: "h"}})
+	require.Error(t, err)
+	require.Zero(t, store.Commits())
+	_, err = accounts.Reserve(t.Context(), testAccount, limit, "j", 5, "h")
+	require.NoError(t, err)
+	require.EqualValues(t, 5, requireSum(t, store))
+}
