--- a/internal/quota/accounts.go
+++ b/internal/quota/accounts.go
@@ -52,7 +52,8 @@
 
 	mutex   sync.Mutex
 	ledgers map[string]*ledger
-	// pressedAt and announcedAt are by account, avoided by a keeper's address.
+	// pressedSince, pressedAt and announcedAt are by account, avoided by a
+	// keeper's address.
 	pressedSince map[string]time.Time
 	pressedAt    map[string]time.Time
 	announcedAt  map[string]time.Time
