Bound calls to the store by what a slow link carries

Every call ended after 900 ms whatever it carried; the same 25 results were sent again without end, beside checkpoints of up to 40 rows a second, and the daemon that took the job over could not read it in 900 ms either.

Ruled out: a lost claim, a commit by another owner, a refused store: the log shows checkpoint_failed and job_takeover_failed with time-outs only.

Change: a call may take as long as its size takes on a slow link; a commit that was not answered is made smaller; checkpoints are bounded to 128 KB a second and the longest unsaved go first; results are read in pages that shrink.

--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -11,11 +11,6 @@
 	"topazpulley/internal/table"
 )
 
-const (
-	storePause   = 60 * time.Millisecond
-	storeAttempt = 900 * time.Millisecond
-)
-
 // Submit accepts a job durably. A nil error means that the job is in the
 // system's keeping; a failure marked as not run promises that nothing of it
 // will run because of this call; any other failure promises nothing. The
@@ -164,9 +159,7 @@
 func (s *Service) commitAcceptance(ctx context.Context, id string, transaction table.Transaction) (acceptanceEnd, error) {
 	isUnsettled := false
 	for {
-		bounded, cancel := context.WithTimeout(ctx, storeAttempt)
-		version, err := s.store.Commit(bounded, transaction)
-		cancel()
+		version, err := s.commit(ctx, transaction)
 		var conflict *table.ConflictError
 		switch {
 		case err == nil:
@@ -198,7 +191,7 @@
 // same object twice does no harm.
 func (s *Service) putObject(ctx context.Context, name string, content []byte) error {
 	for {
-		bounded, cancel := context.WithTimeout(ctx, storeAttempt)
+		bounded, cancel := context.WithTimeout(ctx, attemptTime(len(content)))
 		err := s.store.PutObject(bounded, name, content)
 		cancel()
 		if err == nil {
--- a/internal/job/claims.go
+++ b/internal/job/claims.go
@@ -217,9 +217,7 @@
 	if err != nil {
 		return versionedClaim{}, err
 	}
-	bounded, cancel := context.WithTimeout(ctx, storeAttempt)
-	defer cancel()
-	version, err := s.store.Commit(bounded, table.Transaction{
+	version, err := s.commit(ctx, table.Transaction{
 		Partition:  shard(id),
 		Conditions: []table.Condition{{Table: tableClaim, Key: id, Version: held.version}},
 		Writes:     []table.Write{{Table: tableClaim, Key: id, Value: value}},
--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -16,36 +16,54 @@
 const (
 	// commitDelay gathers results that end close together in one commit.
 	commitDelay = 60 * time.Millisecond
-	// commitResults and commitBytes bound one commit.
+	// commitResults bounds the results of one commit. The store takes 100 rows
+	// in a transaction, and each result names up to three.
 	commitResults = 25
-	commitBytes   = 700 << 10
+	// commitBytes is the most text of one commit: a third of a second of the
+	// slowest links of 30 Mbit/s, in the store's encoding. leastCommitBytes is
+	// what one commit carries however often the store did not answer in time.
+	commitBytes      = 512 << 10
+	leastCommitBytes = 16 << 10
 	// inlineBytes is the longest text that a row holds.
 	inlineBytes = 40 << 10
 )
 
 // commitFinished commits results until none is left.
 func (o *owned) commitFinished() {
-	for {
-		if !periodic.SleepAbout(o.ctx, commitDelay) {
-			return
-		}
+	for periodic.SleepAbout(o.ctx, commitDelay) {
 		batch, position, isLast := o.takeFinished()
 		if len(batch) == 0 {
 			return
 		}
 		err := o.commitBatch(o.ctx, batch, position, isLast)
-		if err != nil {
-			o.service.drop(o.job.ID, dropClaimLost)
+		var lost *claimLostError
+		switch {
+		case errors.As(err, &lost):
+			o.drop(dropClaimLost)
 			return
+		case err != nil:
+			o.noteUncommitted(len(batch), err)
+			continue
 		}
 		o.advance(len(batch))
 		if isLast {
-			o.service.drop(o.job.ID, dropFinished)
+			o.drop(dropFinished)
 			return
 		}
 	}
 }
 
+// noteUncommitted makes the next commit smaller when the store did not answer
+// in time: the link may carry no more.
+func (o *owned) noteUncommitted(count int, err error) {
+	if isUnknown(err) {
+		o.mutex.Lock()
+		o.commitLimit = max(o.commitLimit/2, leastCommitBytes)
+		o.mutex.Unlock()
+	}
+	o.service.log.Info("job_results_not_committed", "job", o.job.ID, "count", count, "error", err)
+}
+
 // takeFinished returns the next results to commit and the position of the
 // first. When there are none, committing ends.
 func (o *owned) takeFinished() (batch []Result, position int, isLast bool) {
@@ -54,7 +72,7 @@
 	size := 0
 	for _, result := range o.finished {
 		size += len(result.Text)
-		if len(batch) == commitResults || (size > commitBytes && len(batch) > 0) {
+		if len(batch) == commitResults || (size > o.commitLimit && len(batch) > 0) {
 			break
 		}
 		batch = append(batch, result)
@@ -70,6 +88,7 @@
 	o.mutex.Lock()
 	o.finished = o.finished[count:]
 	o.committed += count
+	o.commitLimit = min(o.commitLimit*2, commitBytes)
 	committed := o.committed
 	o.mutex.Unlock()
 	o.announceCommit()
@@ -84,40 +103,32 @@
 // Error implements error.
 func (e *claimLostError) Error() string { return "the claim on job " + e.job + " is lost" }
 
-// commitBatch commits results at fixed positions, trying again with the same
-// content until the store tells how it ended.
+// commitBatch tries once to commit results at fixed positions. An earlier try
+// whose answer was lost may have committed them, or more behind them.
 func (o *owned) commitBatch(ctx context.Context, batch []Result, position int, isLast bool) error {
 	transaction, err := o.resultTransaction(ctx, batch, position, isLast)
 	if err != nil {
 		return err
 	}
-	for {
-		bounded, cancel := context.WithTimeout(ctx, storeAttempt)
-		_, err := o.service.store.Commit(bounded, transaction)
-		cancel()
-		var conflict *table.ConflictError
-		if err == nil {
-			return nil
-		}
-		if errors.As(err, &conflict) {
-			return o.settle(conflict, transaction, isLast)
-		}
-		if !periodic.SleepAbout(ctx, storePause) {
-			return errors.WithStack(ctx.Err())
-		}
+	_, err = o.service.commit(ctx, transaction)
+	var conflict *table.ConflictError
+	if errors.As(err, &conflict) {
+		return o.settle(conflict, transaction)
 	}
+	return err
 }
 
 // settle tells an earlier try of the same commit, whose answer was lost, from
-// a lost claim.
-func (o *owned) settle(conflict *table.ConflictError, transaction table.Transaction, isLast bool) error {
+// a lost claim. The claim is gone when the earlier try reached to the last
+// result.
+func (o *owned) settle(conflict *table.ConflictError, transaction table.Transaction) error {
 	for _, write := range transaction.Writes {
 		if !bytes.Equal(conflict.Row(write.Table, write.Key).Value, write.Value) {
 			return &claimLostError{job: o.job.ID}
 		}
 	}
 	held := conflict.Row(tableClaim, o.job.ID).Version
-	if held == o.claim.version || (isLast && held == 0) {
+	if held == o.claim.version || held == 0 {
 		return nil
 	}
 	return &claimLostError{job: o.job.ID}
@@ -178,14 +189,12 @@
 	if isDropped {
 		return
 	}
-	o.service.drop(o.job.ID, dropStopping)
+	o.drop(dropStopping)
 	value, err := encode(claim{Epoch: held.claim.Epoch})
 	if err != nil {
 		return
 	}
-	bounded, end := context.WithTimeout(ctx, storeAttempt)
-	defer end()
-	_, err = o.service.store.Commit(bounded, table.Transaction{
+	_, err = o.service.commit(ctx, table.Transaction{
 		Partition:  shard(o.job.ID),
 		Conditions: []table.Condition{{Table: tableClaim, Key: o.job.ID, Version: held.version}},
 		Writes:     []table.Write{{Table: tableClaim, Key: o.job.ID, Value: value}},
--- a/internal/job/owned.go
+++ b/internal/job/owned.go
@@ -46,8 +46,10 @@
 	committed  int
 	finished   []Result
 	committing bool
-	dropped    bool
-	commit     chan struct{}
+	// commitLimit is the most text of the next commit, in bytes.
+	commitLimit int
+	dropped     bool
+	commit      chan struct{}
 	// settled is what the job's account was last told of it.
 	settled settlement
 }
@@ -70,7 +72,7 @@
 	ctx, cancel := context.WithCancel(s.lifetime)
 	started := &owned{
 		service: s, job: accepted, due: accepted.SubmittedAt.Add(accepted.Due), ctx: ctx, cancel: cancel,
-		claim: held, committed: len(earlier.listed), commit: make(chan struct{}),
+		claim: held, committed: len(earlier.listed), commit: make(chan struct{}), commitLimit: commitBytes,
 		settled: earlier.settled,
 	}
 	if started.settled.at.IsZero() {
@@ -132,20 +134,34 @@
 func (s *Service) drop(id string, reason dropReason) {
 	s.mutex.Lock()
 	held := s.owned[id]
-	delete(s.owned, id)
 	s.mutex.Unlock()
-	if held == nil {
+	if held != nil {
+		held.drop(reason)
+	}
+}
+
+// drop stops running the job under this claim. The daemon may have taken the
+// job up again meanwhile, under a later claim, which is left alone.
+func (o *owned) drop(reason dropReason) {
+	s := o.service
+	s.mutex.Lock()
+	if s.owned[o.job.ID] == o {
+		delete(s.owned, o.job.ID)
+	}
+	s.mutex.Unlock()
+	o.mutex.Lock()
+	isRepeated := o.dropped
+	o.dropped = true
+	o.mutex.Unlock()
+	if isRepeated {
 		return
 	}
-	held.mutex.Lock()
-	held.dropped = true
-	held.mutex.Unlock()
-	held.cancel()
-	held.announceCommit()
+	o.cancel()
+	o.announceCommit()
 	if reason.isOver() {
-		s.noteOver(held)
+		s.noteOver(o)
 	}
-	s.log.Info("job_dropped", "job", id, "reason", string(reason), "epoch", held.claim.claim.Epoch, "version", held.claim.version)
+	s.log.Info("job_dropped", "job", o.job.ID, "reason", string(reason), "epoch", o.claim.claim.Epoch, "version", o.claim.version)
 }
 
 // nextCommit returns a channel that is closed at the next commit.
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -1,7 +1,9 @@
 package job
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -25,9 +27,13 @@
 	// checkpointEvents is how many events an item must have made since its
 	// last checkpoint.
 	checkpointEvents = 16
-	// checkpointItems and checkpointBytes bound one transaction and one row.
+	// checkpointItems bounds the rows of one transaction, and checkpointBytes the
+	// text of one row.
 	checkpointItems = 40
 	checkpointBytes = 40 << 10
+	// checkpointsBytes bounds the text of one transaction: checkpoints save work
+	// and must not keep results waiting on a slow link.
+	checkpointsBytes = 128 << 10
 )
 
 func progressKey(id, item string) string { return id + "/" + item }
@@ -133,6 +139,13 @@
 	return taken, true
 }
 
+// unsaved returns how many events came since the last checkpoint.
+func (p *progress) unsaved() int64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.lastEvent - p.saved
+}
+
 // noteSaved records that a checkpoint may be in the store. What it holds is
 // trusted only when isCertain: a lost answer may leave a row behind.
 func (p *progress) noteSaved(taken checkpoint, isCertain bool) {
@@ -163,11 +176,16 @@
 		Conditions: []table.Condition{{Table: tableClaim, Key: o.job.ID, Version: o.claim.version}},
 	}
 	saved := map[*work]checkpoint{}
-	for _, each := range o.unfinished() {
+	size := 0
+	for _, each := range o.longestUnsaved() {
 		taken, isDue := each.progress.due(events)
-		if !isDue || len(saved) == checkpointItems {
+		if !isDue {
 			continue
 		}
+		size += len(taken.Text)
+		if len(saved) == checkpointItems || (size > checkpointsBytes && len(saved) > 0) {
+			break
+		}
 		value, err := avro.Marshal(checkpointSchema, taken)
 		if err != nil {
 			continue
@@ -181,9 +199,7 @@
 	for each, taken := range saved {
 		each.progress.noteSaved(taken, false)
 	}
-	bounded, cancel := context.WithTimeout(ctx, storeAttempt)
-	defer cancel()
-	if _, err := o.service.store.Commit(bounded, transaction); err != nil {
+	if _, err := o.service.commit(ctx, transaction); err != nil {
 		o.service.log.Info("checkpoint_failed", "job", o.job.ID, "items", len(saved), "error", err)
 		return
 	}
@@ -204,6 +220,18 @@
 	return found
 }
 
+// longestUnsaved returns the unfinished items, those with the most events since
+// their last checkpoint first.
+func (o *owned) longestUnsaved() []*work {
+	found := o.unfinished()
+	unsaved := make(map[*work]int64, len(found))
+	for _, each := range found {
+		unsaved[each] = each.progress.unsaved()
+	}
+	slices.SortStableFunc(found, func(a, b *work) int { return cmp.Compare(unsaved[b], unsaved[a]) })
+	return found
+}
+
 // hasCheckpoint reports whether a row of the item's progress may exist.
 func (o *owned) hasCheckpoint(item string) bool {
 	o.mutex.Lock()
@@ -223,7 +251,7 @@
 	found := map[string]checkpoint{}
 	from := progressKey(id, "")
 	for {
-		rows, err := s.read(ctx, table.Range{Table: tableProgress, Partition: shard(id), From: from, Before: numberedEnd(id)})
+		rows, err := s.readContent(ctx, table.Range{Table: tableProgress, Partition: shard(id), From: from, Before: numberedEnd(id)})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -91,9 +91,7 @@
 }
 
 func (s *Service) results(ctx context.Context, id string, from int) ([]Result, error) {
-	rows, err := s.read(ctx, table.Range{
-		Table: tableResult, Partition: shard(id), From: numberedKey(id, from), Before: numberedEnd(id), Limit: pageResults,
-	})
+	rows, err := s.resultRows(ctx, id, from)
 	if err != nil {
 		return nil, err
 	}
@@ -113,6 +111,21 @@
 	return results, nil
 }
 
+// resultRows reads some rows of results, fewer with each try: what a link
+// carries in the time of one call is not known.
+func (s *Service) resultRows(ctx context.Context, id string, from int) ([]table.Row, error) {
+	var page table.Page
+	limit := pageResults
+	err := s.retryRead(ctx, storeAttempt, func(bounded context.Context) (err error) {
+		page, err = s.store.Read(bounded, table.Range{
+			Table: tableResult, Partition: shard(id), From: numberedKey(id, from), Before: numberedEnd(id), Limit: limit,
+		})
+		limit = max(limit/4, 1)
+		return err
+	})
+	return page.Rows, err
+}
+
 func (s *Service) result(ctx context.Context, row table.Row) (Result, error) {
 	var stored resultRow
 	if err := decode(row, &stored); err != nil {
@@ -127,10 +140,19 @@
 	return result, err
 }
 
-// read reads rows, a few times if the store fails.
+// read reads a row or a few, a few times if the store fails.
 func (s *Service) read(ctx context.Context, wanted table.Range) ([]table.Row, error) {
+	return s.readFor(ctx, storeAttempt, wanted)
+}
+
+// readContent reads rows that together may be as large as a job's content.
+func (s *Service) readContent(ctx context.Context, wanted table.Range) ([]table.Row, error) {
+	return s.readFor(ctx, attemptTime(contentBytes), wanted)
+}
+
+func (s *Service) readFor(ctx context.Context, attempt time.Duration, wanted table.Range) ([]table.Row, error) {
 	var page table.Page
-	err := s.retryRead(ctx, func(bounded context.Context) (err error) {
+	err := s.retryRead(ctx, attempt, func(bounded context.Context) (err error) {
 		page, err = s.store.Read(bounded, wanted)
 		return err
 	})
@@ -139,17 +161,17 @@
 
 func (s *Service) getObject(ctx context.Context, name string) ([]byte, error) {
 	var content []byte
-	err := s.retryRead(ctx, func(bounded context.Context) (err error) {
+	err := s.retryRead(ctx, attemptTime(contentBytes), func(bounded context.Context) (err error) {
 		content, err = s.store.GetObject(bounded, name)
 		return err
 	})
 	return content, err
 }
 
-func (s *Service) retryRead(ctx context.Context, call func(context.Context) error) error {
+func (s *Service) retryRead(ctx context.Context, attempt time.Duration, call func(context.Context) error) error {
 	var err error
 	for range readAttempts {
-		bounded, cancel := context.WithTimeout(ctx, storeAttempt)
+		bounded, cancel := context.WithTimeout(ctx, attempt)
 		err = call(bounded)
 		cancel()
 		if err == nil {
@@ -189,7 +211,7 @@
 		}
 		return decodeJob(content)
 	}
-	rows, err := s.read(ctx, table.Range{Table: tableContent, Partition: shard(id), From: numberedKey(id, 0), Before: numberedEnd(id)})
+	rows, err := s.readContent(ctx, table.Range{Table: tableContent, Partition: shard(id), From: numberedKey(id, 0), Before: numberedEnd(id)})
 	if err != nil {
 		return Job{}, err
 	}
@@ -230,9 +252,7 @@
 // removeClaim tries once to remove a claim. It returns the version that stands
 // in the way, 0 when the claim is gone.
 func (s *Service) removeClaim(ctx context.Context, id string, version table.Version) (table.Version, error) {
-	bounded, cancel := context.WithTimeout(ctx, storeAttempt)
-	defer cancel()
-	_, err := s.store.Commit(bounded, table.Transaction{
+	_, err := s.commit(ctx, table.Transaction{
 		Partition:  shard(id),
 		Conditions: []table.Condition{{Table: tableClaim, Key: id, Version: version}},
 		Removals:   []table.Removal{{Table: tableClaim, Key: id}},
