Follow tables through two daemons of the zone; hand back jobs that cannot be read

Change: in a fleet of more than 40 daemons two of each zone, by rendezvous hashing, follow the tables at the store; the others follow them and go to the store themselves when an upstream is silent or its copy is older than 1.5 s. Changes of back ends are asked for at most four times a second. The rank of a daemon for a job is counted instead of sorted out (295 daemons squared before). Takeovers of several jobs run beside each other; a daemon that fails to read a job twice hands it back. A goroutine of an earlier ownership no longer drops a later one. Owners answer one excess once, and not at every look.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -33,6 +33,20 @@
 	return owners
 }
 
+// Rank returns the place, from 0, that a name has among the candidates in the
+// order of their weights for the key.
+func Rank(key, name string, candidates []string) int {
+	own := xxhash.Sum64String(key + "\x00" + name)
+	rank := 0
+	for _, candidate := range candidates {
+		weight := xxhash.Sum64String(key + "\x00" + candidate)
+		if weight > own || (weight == own && candidate < name) {
+			rank++
+		}
+	}
+	return rank
+}
+
 func remove(names []string, gone string) []string {
 	kept := names[:0]
 	for _, name := range names {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -47,6 +47,10 @@
 	// a second, and every change would cost a call of every daemon.
 	claimWatches = 2
 	claimBurst   = 4
+	// instanceWatches and instanceBurst bound the same for back ends, which are
+	// listed one after the other when many start.
+	instanceWatches = 4
+	instanceBurst   = 4
 	// settleInterval is the pause between two looks at entries that are missing.
 	settleInterval = 100 * time.Millisecond
 	// rejoinPause is the time between two looks for other daemons while none is
@@ -97,18 +101,21 @@
 		Quota: accounts,
 	})
 	source := newPeerSource(f.node, f.transport)
+	followed := newUpstream(f.node, f.transport)
 	f.instances = newInstanceConsumer(ports, f.Backends, log)
-	for _, followed := range []*table.Follower{
+	for _, follower := range []*table.Follower{
 		{Table: ports.ConfigTable, Consumer: &configConsumer{ports: ports, holder: f.Holder, log: log}},
-		{Table: ports.InstanceTable, Consumer: f.instances},
+		{Table: ports.InstanceTable, Consumer: f.instances, Pace: rate.NewLimiter(instanceWatches, instanceBurst)},
 		{Table: f.Jobs.FollowedTable(), Consumer: f.Jobs, Partitioned: true, Pace: rate.NewLimiter(claimWatches, claimBurst)},
 	} {
-		replica := &table.Replica{Consumer: followed.Consumer}
-		source.offer(followed.Table, replica)
-		followed.Store, followed.Consumer, followed.Peers, followed.Logger, followed.Wait = f.store, replica, source, log, watchWait
-		f.followers = append(f.followers, followed)
-		if followed.Table == ports.InstanceTable {
-			f.instances.isSettled = followed.IsSettled
+		replica := &table.Replica{Consumer: follower.Consumer}
+		source.offer(follower.Table, replica)
+		followed.offer(follower.Table, followedCopy{follower: follower, replica: replica})
+		follower.Store, follower.Consumer, follower.Logger, follower.Wait = f.store, replica, log, watchWait
+		follower.Peers, follower.Upstream = source, followed
+		f.followers = append(f.followers, follower)
+		if follower.Table == ports.InstanceTable {
+			f.instances.isSettled = follower.IsSettled
 		}
 	}
 	return f
--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,9 +39,7 @@
 
 // Rank implements job.Peers.
 func (p peers) Rank(key string) int {
-	names := p.node.AllNames()
-	order := duty.Owners(key, names, len(names))
-	return max(slices.Index(order, p.node.Self().Name), 0)
+	return duty.Rank(key, p.node.Self().Name, p.node.AllNames())
 }
 
 // tableMembers is where daemons leave their addresses for others to find.
--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -36,13 +36,41 @@
 	Key       string `avro:"key"`
 	Value     []byte `avro:"value"`
 	Version   int64  `avro:"version"`
+	IsDeleted bool   `avro:"is_deleted"`
+}
+
+// rowRecordSchema is that of rowRecord, for the messages that hold rows.
+const rowRecordSchema = `{"type":"record","name":"row","fields":[{"name":"partition","type":"string"},{"name":"key","type":"string"},
+	{"name":"value","type":"bytes"},{"name":"version","type":"long"},{"name":"is_deleted","type":"boolean"}]}`
+
+// rowRecords makes records of rows.
+func rowRecords(rows []table.Row) []rowRecord {
+	records := make([]rowRecord, 0, len(rows))
+	for _, row := range rows {
+		value := row.Value
+		if value == nil {
+			value = []byte{}
+		}
+		records = append(records, rowRecord{Partition: row.Partition, Key: row.Key, Value: value, Version: int64(row.Version), IsDeleted: row.Deleted})
+	}
+	return records
+}
+
+// tableRows makes rows of a table of records.
+func tableRows(name string, records []rowRecord) []table.Row {
+	rows := make([]table.Row, 0, len(records))
+	for _, each := range records {
+		rows = append(rows, table.Row{
+			Table: name, Partition: each.Partition, Key: each.Key, Value: each.Value, Version: table.Version(each.Version), Deleted: each.IsDeleted,
+		})
+	}
+	return rows
 }
 
 var (
 	newerRequestSchema = avro.MustParse(`{"type":"record","name":"newer_request","fields":[{"name":"table","type":"string"},{"name":"after","type":"long"}]}`)
 	newerAnswerSchema  = avro.MustParse(`{"type":"record","name":"newer_answer","fields":[{"name":"version","type":"long"},
-		{"name":"rows","type":{"type":"array","items":{"type":"record","name":"row","fields":[{"name":"partition","type":"string"},
-		{"name":"key","type":"string"},{"name":"value","type":"bytes"},{"name":"version","type":"long"}]}}}]}`)
+		{"name":"rows","type":{"type":"array","items":` + rowRecordSchema + `}}]}`)
 )
 
 // Schema implements peer.Message.
@@ -79,10 +107,7 @@
 	if !isNewer {
 		return answer, nil
 	}
-	answer.Version = int64(version)
-	for _, row := range rows {
-		answer.Rows = append(answer.Rows, rowRecord{Partition: row.Partition, Key: row.Key, Value: row.Value, Version: int64(row.Version)})
-	}
+	answer.Version, answer.Rows = int64(version), rowRecords(rows)
 	return answer, nil
 }
 
@@ -95,11 +120,7 @@
 		if err != nil || answer.Version == 0 {
 			continue
 		}
-		rows := make([]table.Row, 0, len(answer.Rows))
-		for _, row := range answer.Rows {
-			rows = append(rows, table.Row{Table: name, Partition: row.Partition, Key: row.Key, Value: row.Value, Version: table.Version(row.Version)})
-		}
-		return rows, table.Version(answer.Version), true
+		return tableRows(name, answer.Rows), table.Version(answer.Version), true
 	}
 	return nil, 0, false
 }
--- /dev/null
+++ b/internal/frontend/upstream_test.go
@@ -0,0 +1,111 @@
+package frontend
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/membership"
+	"topazpulley/internal/table"
+	"topazpulley/internal/table/tabletest"
+)
+
+const (
+	patience = 10 * time.Second
+	pollTime = 5 * time.Millisecond
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+func fleetIn(zones, each int) []membership.Member {
+	members := []membership.Member{}
+	for zone := range zones {
+		for index := range each {
+			members = append(members, membership.Member{Name: fmt.Sprintf("d-%d-%d", zone, index), Zone: fmt.Sprint("zone-", zone), State: membership.StateAlive})
+		}
+	}
+	return members
+}
+
+// TestEachZoneOfALargeFleetHasItsUpstreams, which all of its daemons agree on;
+// a suspected daemon is none, and a small fleet has none.
+func TestEachZoneOfALargeFleetHasItsUpstreams(t *testing.T) {
+	members := fleetIn(3, 20)
+	chosen := upstreamsOf("zone-1", members, directFleet)
+	require.Len(t, chosen, upstreamsPerZone)
+	for index := range members {
+		if members[index].Name == chosen[0].Name {
+			members[index].State = membership.StateSuspect
+		}
+	}
+	changed := upstreamsOf("zone-1", members, directFleet)
+	require.Equal(t, chosen[1].Name, changed[0].Name)
+	require.Len(t, changed, upstreamsPerZone)
+	require.Empty(t, upstreamsOf("zone-1", fleetIn(4, 10), directFleet))
+}
+
+// newCopy follows a table of a store in memory.
+func newCopy(t *testing.T, store table.Store) followedCopy {
+	t.Helper()
+	made := followedCopy{replica: &table.Replica{Consumer: discard{}}}
+	made.follower = &table.Follower{Store: store, Table: "t", Consumer: made.replica, Logger: quiet, Wait: 50 * time.Millisecond}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go made.follower.Run(ctx)
+	require.Eventually(t, func() bool { return time.Since(made.follower.ReadAt()) < upstreamAge }, patience, pollTime)
+	return made
+}
+
+type discard struct{}
+
+func (discard) Replace([]table.Row, table.Version) {}
+func (discard) Change([]table.Row, table.Version)  {}
+
+func serverOf(offered followedCopy) *upstream {
+	return &upstream{copies: map[string]followedCopy{"t": offered}}
+}
+
+func put(t *testing.T, store table.Store, key string) {
+	t.Helper()
+	_, err := store.Commit(t.Context(), table.Transaction{Writes: []table.Write{{Table: "t", Key: key, Value: []byte(key)}}})
+	require.NoError(t, err)
+}
+
+// TestUpstreamTellsChangesAsTheyCome: only what changed, as soon as it changed.
+func TestUpstreamTellsChangesAsTheyCome(t *testing.T) {
+	store := tabletest.NewMemory()
+	put(t, store, "a")
+	serving := serverOf(newCopy(t, store))
+	first, err := serving.serve(t.Context(), "", followRequest{Table: "t"})
+	require.NoError(t, err)
+	require.True(t, first.IsWhole)
+	require.Len(t, first.Rows, 1)
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		put(t, store, "b")
+	}()
+	next, err := serving.serve(t.Context(), "", followRequest{Table: "t", After: first.Version, WaitMilliseconds: patience.Milliseconds()})
+	require.NoError(t, err)
+	require.False(t, next.IsWhole)
+	require.Len(t, next.Rows, 1)
+	require.Equal(t, "b", next.Rows[0].Key)
+	require.Greater(t, next.Version, first.Version)
+}
+
+// TestUpstreamWithoutStoreTellsNothing: once the store has not answered for a
+// while, those that follow must look for themselves, however long they would
+// wait.
+func TestUpstreamWithoutStoreTellsNothing(t *testing.T) {
+	store := tabletest.NewMemory()
+	put(t, store, "a")
+	serving := serverOf(newCopy(t, store))
+	store.SetDecide(func(string) tabletest.Fault { return tabletest.FaultRefuse })
+	begun := time.Now()
+	_, err := serving.serve(t.Context(), "", followRequest{Table: "t", After: 99, WaitMilliseconds: patience.Milliseconds()})
+	require.ErrorContains(t, err, "old")
+	require.Less(t, time.Since(begun), patience/2)
+}
--- a/internal/job/claims.go
+++ b/internal/job/claims.go
@@ -1,15 +1,12 @@
 package job
 
 import (
-	"context"
 	"time"
 
-	"topazpulley/internal/periodic"
 	"topazpulley/internal/table"
 )
 
 const (
-	superviseInterval = 200 * time.Millisecond
 	// orphanPause is how long the owner of a job must be gone before the first
 	// daemon in rank takes the job over; each further rank waits rankPause
 	// more, in case those before it cannot.
@@ -118,15 +115,6 @@
 	s.claimedAt[id] = time.Now()
 }
 
-// superviseClaims takes over jobs whose owners are gone.
-func (s *Service) superviseClaims(ctx context.Context) {
-	periodic.Run(ctx, superviseInterval, func() {
-		for id, held := range s.orphaned(time.Now()) {
-			s.takeOver(ctx, id, held)
-		}
-	})
-}
-
 // orphaned returns the claims that this daemon should take over now.
 func (s *Service) orphaned(now time.Time) map[string]versionedClaim {
 	s.mutex.Lock()
@@ -139,7 +127,7 @@
 		if s.owned[id] != nil {
 			continue
 		}
-		if s.isDueForTakeover(id, held.claim, now) {
+		if s.takeovers.mayBegin(id, now) && s.isDueForTakeover(id, held.claim, now) {
 			due[id] = held
 		}
 	}
@@ -175,72 +163,3 @@
 	}
 	return now.Sub(since) >= pause
 }
-
-// takeOver claims a job and goes on with it.
-func (s *Service) takeOver(ctx context.Context, id string, held versionedClaim) {
-	next := held
-	isOwn := held.claim.Owner == s.self.Name && held.claim.Incarnation == s.self.Incarnation
-	if !isOwn {
-		claimed, err := s.claimOver(ctx, id, held)
-		if err != nil {
-			s.log.Info("job_takeover_failed", "job", id, "owner", held.claim.Owner, "epoch", held.claim.Epoch, "error", err)
-			return
-		}
-		next = claimed
-	}
-	accepted, err := s.acceptance(ctx, id)
-	if err != nil {
-		s.log.Info("job_takeover_failed", "job", id, "error", err)
-		return
-	}
-	loaded, err := s.load(ctx, id, accepted)
-	if err != nil {
-		s.log.Info("job_takeover_failed", "job", id, "error", err)
-		return
-	}
-	listed, err := s.allResults(ctx, id, accepted.Total)
-	if err != nil {
-		s.log.Info("job_takeover_failed", "job", id, "error", err)
-		return
-	}
-	checkpoints, err := s.checkpoints(ctx, id)
-	if err != nil {
-		s.log.Info("job_takeover_failed", "job", id, "error", err)
-		return
-	}
-	s.own(loaded, next, history{listed: listed, checkpoints: checkpoints})
-}
-
-func (s *Service) claimOver(ctx context.Context, id string, held versionedClaim) (versionedClaim, error) {
-	next := s.newClaim(held.claim.Epoch + 1)
-	value, err := encode(next)
-	if err != nil {
-		return versionedClaim{}, err
-	}
-	version, err := s.commit(ctx, table.Transaction{
-		Partition:  shard(id),
-		Conditions: []table.Condition{{Table: tableClaim, Key: id, Version: held.version}},
-		Writes:     []table.Write{{Table: tableClaim, Key: id, Value: value}},
-	})
-	if err != nil {
-		return versionedClaim{}, err
-	}
-	s.log.Info("job_taken_over", "job", id, "owner_before", held.claim.Owner, "epoch", next.Epoch, "version", version)
-	return versionedClaim{claim: next, version: version}, nil
-}
-
-// allResults reads everything that is listed of a job.
-func (s *Service) allResults(ctx context.Context, id string, total int) ([]Result, error) {
-	all := []Result{}
-	for len(all) < total {
-		part, err := s.results(ctx, id, len(all))
-		if err != nil {
-			return nil, err
-		}
-		if len(part) == 0 {
-			break
-		}
-		all = append(all, part...)
-	}
-	return all, nil
-}
--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -190,15 +190,7 @@
 		return
 	}
 	o.drop(dropStopping)
-	value, err := encode(claim{Epoch: held.claim.Epoch})
-	if err != nil {
-		return
-	}
-	_, err = o.service.commit(ctx, table.Transaction{
-		Partition:  shard(o.job.ID),
-		Conditions: []table.Condition{{Table: tableClaim, Key: o.job.ID, Version: held.version}},
-		Writes:     []table.Write{{Table: tableClaim, Key: o.job.ID, Value: value}},
-	})
+	_, err := o.service.replaceClaim(ctx, o.job.ID, held.version, claim{Epoch: held.claim.Epoch})
 	o.service.log.Info("job_released", "job", o.job.ID, "error", err)
 }
 
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -69,7 +69,7 @@
 	for _, each := range jobs {
 		ready = append(ready, each.waiting(now)...)
 	}
-	s.placer.begin(len(ready), s.backends.WaitingElsewhere(), now, s.backends.Propagation()*3/2)
+	s.placer.begin(len(ready), s.backends.WaitingElsewhere(), now, s.propagationWindow())
 	sent := 0
 	for _, waiting := range ready {
 		if s.dispatch(waiting, now) {
@@ -79,6 +79,10 @@
 	s.backends.SetOwnWaiting(len(ready) - sent)
 }
 
+// propagationWindow is the time in which owners do not know of each other's
+// latest decisions: that of the news, and half of it for delays on the way.
+func (s *Service) propagationWindow() time.Duration { return s.backends.Propagation() * 3 / 2 }
+
 // dispatch sends one item if a back end has room, or gives it up if its time
 // is over. It reports false when the item goes on waiting.
 func (s *Service) dispatch(waiting *work, now time.Time) bool {
@@ -152,6 +156,8 @@
 		return
 	}
 	now := time.Now()
+	window := s.propagationWindow()
+	s.yielder.forget(now, window)
 	running := map[string][]runningItem{}
 	for _, each := range jobs {
 		for _, item := range each.running() {
@@ -159,7 +165,7 @@
 		}
 	}
 	for _, candidate := range s.loadsOf(running) {
-		for _, item := range s.itemsToYield(candidate, running[candidate.ID]) {
+		for _, item := range s.itemsToYield(candidate, running[candidate.ID], now, window) {
 			s.log.Info("item_yielded", "job", item.owner.job.ID, "item", item.item.ID, "backend", candidate.ID, "urgent", item.isUrgent,
 				"online", candidate.Online, "batch", candidate.Batch, "slots", candidate.Slots, "last_event", item.progress.last())
 			item.cancel()
@@ -175,10 +181,8 @@
 
 // itemsToYield chooses which of the items at a back end are taken back: those
 // that are not urgent first, and among them those due last.
-func (s *Service) itemsToYield(candidate routing.Candidate, items []runningItem) []runningItem {
-	s.mutex.Lock()
-	count := excess(candidate, s.random)
-	s.mutex.Unlock()
+func (s *Service) itemsToYield(candidate routing.Candidate, items []runningItem, now time.Time, window time.Duration) []runningItem {
+	count := s.yielder.share(candidate, now, window)
 	sort.Slice(items, func(a, b int) bool {
 		if items[a].isUrgent != items[b].isUrgent {
 			return items[b].isUrgent
--- a/internal/job/pacing.go
+++ b/internal/job/pacing.go
@@ -39,17 +39,6 @@
 	return count
 }
 
-// excess returns how many of its own items an owner takes back from a back end
-// where online requests wait for a slot. Every owner gives up its part of what
-// is too much.
-func excess(candidate routing.Candidate, random *rand.Rand) int {
-	over := candidate.Online + candidate.Batch - candidate.Slots
-	if over <= 0 || candidate.Batch == 0 || candidate.Online == 0 {
-		return 0
-	}
-	return shareOf(min(over, candidate.Batch), candidate.OwnBatch, candidate.Batch, random)
-}
-
 // placer shares out the room for batch items among the owners. It belongs to
 // the dispatcher's goroutine.
 type placer struct {
--- a/internal/job/pacing_test.go
+++ b/internal/job/pacing_test.go
@@ -47,7 +47,7 @@
 		taken := 0
 		for range rounds {
 			for _, part := range parts {
-				share := excess(routing.Candidate{Slots: slots, Online: online, Batch: batch, OwnBatch: part}, random)
+				share := newYielder(random).share(routing.Candidate{Slots: slots, Online: online, Batch: batch, OwnBatch: part}, time.Now(), window)
 				require.LessOrEqual(t, share, part)
 				require.GreaterOrEqual(t, share, 0)
 				taken += share
@@ -77,7 +77,7 @@
 		require.LessOrEqual(t, candidate.Online+candidate.Batch+room, candidate.Slots)
 		candidate.Batch += room
 		candidate.OwnBatch = candidate.Batch
-		require.Zero(t, excess(candidate, rand.New(rand.NewPCG(5, 5))))
+		require.Zero(t, newYielder(rand.New(rand.NewPCG(5, 5))).share(candidate, time.Now(), window))
 	})
 }
 
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -111,21 +112,42 @@
 	return results, nil
 }
 
-// resultRows reads some rows of results, fewer with each try: what a link
-// carries in the time of one call is not known.
+// resultRows reads some rows of results: fewer after a call that was not
+// answered in time, because the link may carry no more, and more again later.
 func (s *Service) resultRows(ctx context.Context, id string, from int) ([]table.Row, error) {
 	var page table.Page
-	limit := pageResults
 	err := s.retryRead(ctx, storeAttempt, func(bounded context.Context) (err error) {
+		limit := s.pageLimit.current()
 		page, err = s.store.Read(bounded, table.Range{
 			Table: tableResult, Partition: shard(id), From: numberedKey(id, from), Before: numberedEnd(id), Limit: limit,
 		})
-		limit = max(limit/4, 1)
+		s.pageLimit.note(limit, err)
 		return err
 	})
 	return page.Rows, err
 }
 
+// pageLimit is how many results one call reads. The zero value is the most. It
+// is safe for concurrent use.
+type pageLimit struct {
+	// missing is by how many results the limit lies below pageResults.
+	missing atomic.Int64
+}
+
+func (l *pageLimit) current() int { return pageResults - int(l.missing.Load()) }
+
+// note learns from a call that was made with a limit.
+func (l *pageLimit) note(limit int, err error) {
+	next := min(limit*2, pageResults)
+	if err != nil {
+		if !isUnknown(err) {
+			return
+		}
+		next = max(limit/2, 1)
+	}
+	l.missing.Store(int64(pageResults - next))
+}
+
 func (s *Service) result(ctx context.Context, row table.Row) (Result, error) {
 	var stored resultRow
 	if err := decode(row, &stored); err != nil {
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -74,12 +74,13 @@
 	// dispatchedAt belongs to the dispatcher's goroutine.
 	dispatchedAt time.Time
 	placer       *placer
+	yielder      *yielder
 	quota        *quota.Accounts
 	sweeper      sweeper
+	pageLimit    pageLimit
 
-	mutex  sync.Mutex
-	random *rand.Rand
-	clock  itemClock
+	mutex sync.Mutex
+	clock itemClock
 	// claims are the claim rows as of the version followed. Only the follower
 	// changes them.
 	claims   map[string]versionedClaim
@@ -88,6 +89,7 @@
 	// claimedAt is when a claim was last seen to change.
 	orphans   map[string]time.Time
 	claimedAt map[string]time.Time
+	takeovers takeovers
 	owned     map[string]*owned
 	accepted  map[string]acceptance
 	// over are jobs that ended here and whose account was not told yet.
@@ -111,8 +113,8 @@
 		holder: dependencies.Holder, peers: dependencies.Peers, metrics: dependencies.Metrics, log: dependencies.Logger,
 		connections: dependencies.Connections, settledAt: time.Now().Add(dependencies.Settling),
 		lifetime: lifetime, end: end, wake: make(chan struct{}, 1),
-		random: newRandom(), placer: newPlacer(newRandom()),
-		claims: map[string]versionedClaim{}, orphans: map[string]time.Time{}, claimedAt: map[string]time.Time{}, owned: map[string]*owned{}, accepted: map[string]acceptance{},
+		placer: newPlacer(newRandom()), yielder: newYielder(newRandom()),
+		claims: map[string]versionedClaim{}, orphans: map[string]time.Time{}, claimedAt: map[string]time.Time{}, takeovers: newTakeovers(), owned: map[string]*owned{}, accepted: map[string]acceptance{},
 		quota: dependencies.Quota, over: map[string]overJob{}, sweeper: newSweeper(),
 	}
 }
--- a/internal/job/slow_link_test.go
+++ b/internal/job/slow_link_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"topazpulley/internal/job"
 	"topazpulley/internal/table"
 	"topazpulley/internal/table/tabletest"
 )
@@ -57,3 +58,41 @@
 	require.NoError(t, owner.Submit(t.Context(), accepted))
 	requireAllCompleted(t, owner, accepted)
 }
+
+// TestLateGoroutineDropsNoNewerOwnership: a commit that fails after its claim
+// was lost must not end the job that the same daemon has taken up again.
+func TestLateGoroutineDropsNoNewerOwnership(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	owner := startDaemon(t, "a", store, runner)
+	accepted := newJob("j1", 2)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	requireAllCompleted(t, owner, accepted)
+	require.NoError(t, job.DropOlderOwnership(owner.Service, newJob("j2", 1)))
+}
+
+// unreadable is a store of which one daemon cannot read the content of jobs.
+type unreadable struct{ *tabletest.Memory }
+
+func (u unreadable) Read(ctx context.Context, wanted table.Range) (table.Page, error) {
+	if wanted.Table == "job_content" {
+		<-ctx.Done()
+		return table.Page{}, &table.Error{Kind: table.ErrorUnknown, Call: "read", Cause: ctx.Err()}
+	}
+	return u.Memory.Read(ctx, wanted)
+}
+
+// TestJobThatADaemonCannotReadGoesToAnother: a daemon that has claimed an
+// orphaned job and cannot read it leaves it to others.
+func TestJobThatADaemonCannotReadGoesToAnother(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.pause = time.Second
+	owner := startDaemon(t, "a", store, runner)
+	first, second := startDaemon(t, "b", unreadable{store}, runner), startDaemon(t, "c", store, runner)
+	second.peers.rank = 1
+	accepted := newJob("j1", 3)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	owner.cancel()
+	first.peers.kill("a")
+	second.peers.kill("a")
+	requireAllCompleted(t, second, accepted)
+}
--- /dev/null
+++ b/internal/job/yielding_test.go
@@ -0,0 +1,75 @@
+package job
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/routing"
+)
+
+// looks is how often owners look at a crowded back end before they hear of each
+// other: as often as online requests come.
+const looks = 10
+
+// ownerAt is one owner of items at a back end whose others it sees as they were.
+type ownerAt struct {
+	yielder *yielder
+	own     int
+}
+
+func ownersAt(count int) []*ownerAt {
+	owners := []*ownerAt{}
+	for index := range uint64(count) {
+		owners = append(owners, &ownerAt{yielder: newYielder(rand.New(rand.NewPCG(7, index))), own: 1})
+	}
+	return owners
+}
+
+// look lets the owner take items back and returns how many.
+func (o *ownerAt) look(slots, online, others int, now time.Time) int {
+	taken := o.yielder.share(routing.Candidate{ID: "b", Slots: slots, Online: online, Batch: others + o.own, OwnBatch: o.own}, now, window)
+	o.own -= taken
+	return taken
+}
+
+// TestOwnersGiveWayOnceForOneExcess: however often they look before they hear
+// of each other, all owners together take back what is too much, on average.
+func TestOwnersGiveWayOnceForOneExcess(t *testing.T) {
+	const slots, online, rounds = 7, 2, 400
+	taken := 0
+	start := time.Now()
+	for round := range rounds {
+		owners := ownersAt(slots)
+		for look := range looks {
+			for index, owner := range owners {
+				owner.yielder.random = rand.New(rand.NewPCG(uint64(round), uint64(look*slots+index)))
+				taken += owner.look(slots, online, slots-1, start.Add(time.Duration(look)*crowdedPause))
+			}
+		}
+	}
+	require.InDelta(t, float64(online), float64(taken)/rounds, 0.4)
+}
+
+// TestOwnersAnswerFurtherRequestsAtOnce: what comes on top of an excess that
+// was answered is answered without waiting for the window.
+func TestOwnersAnswerFurtherRequestsAtOnce(t *testing.T) {
+	now := time.Now()
+	owner := &ownerAt{yielder: newYielder(rand.New(rand.NewPCG(8, 8))), own: 4}
+	require.Equal(t, 1, owner.look(4, 1, 0, now))
+	require.Equal(t, 1, owner.look(4, 2, 0, now.Add(crowdedPause)))
+	require.Zero(t, owner.look(4, 2, 0, now.Add(2*crowdedPause)))
+}
+
+// TestExcessThatStandsIsAnsweredAgain once all owners have heard of each other.
+func TestExcessThatStandsIsAnsweredAgain(t *testing.T) {
+	now := time.Now()
+	owner := &ownerAt{yielder: newYielder(rand.New(rand.NewPCG(9, 9))), own: 1}
+	taken := 0
+	for look := range 400 {
+		taken += owner.look(7, 1, 6, now.Add(time.Duration(look)*window))
+	}
+	require.Equal(t, 1, taken, "the others took nothing back, so the owner did in the end")
+}
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -28,7 +28,7 @@
 type Consumer interface {
 	// Replace receives all rows as of a version.
 	Replace(rows []Row, version Version)
-	// Change receives changed rows in order.
+	// Change receives changed rows in order, or none when only the version rose.
 	Change(rows []Row, version Version)
 }
 
@@ -48,11 +48,19 @@
 	Pace *rate.Limiter
 	// Peers are asked while the store does not answer; nil means none.
 	Peers Peers
+	// Upstream is followed in place of the store while it is in step; nil means
+	// none.
+	Upstream Upstream
 
-	seen      Version
-	askedAt   time.Time
-	lost      bool
-	confirmed atomic.Int64
+	seen    Version
+	askedAt time.Time
+	lost    bool
+	// directUntil is until when the store is followed although there is an
+	// upstream.
+	directUntil time.Time
+	confirmed   atomic.Int64
+	// readAt is when, in Unix nanoseconds, the store itself last answered.
+	readAt atomic.Int64
 	// settledAt is when, in Unix nanoseconds, the table holds again all that
 	// belongs there after the store was away.
 	settledAt atomic.Int64
@@ -67,13 +75,24 @@
 // is away, nor just after its return, since rows may have lapsed meanwhile.
 func (f *Follower) IsSettled() bool { return time.Now().UnixNano() >= f.settledAt.Load() }
 
-// ConfirmedAt returns when the store last answered a call on the table.
+// ConfirmedAt returns when the store, or an upstream in step with it, last
+// answered a call on the table.
 func (f *Follower) ConfirmedAt() time.Time { return time.Unix(0, f.confirmed.Load()) }
 
+// ReadAt returns when the store itself last answered a call on the table.
+func (f *Follower) ReadAt() time.Time { return time.Unix(0, f.readAt.Load()) }
+
 // Run follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	inStep := false
 	for ctx.Err() == nil {
+		if f.pace(ctx) != nil {
+			return // the context ends
+		}
+		if f.followUpstream(ctx) {
+			inStep = true
+			continue
+		}
 		var err error
 		if inStep {
 			err = f.watch(ctx)
@@ -91,6 +110,14 @@
 	}
 }
 
+// pace waits until changes may be asked for again.
+func (f *Follower) pace(ctx context.Context) error {
+	if f.Pace == nil {
+		return nil
+	}
+	return errors.WithStack(f.Pace.Wait(ctx))
+}
+
 // askPeers takes another daemon's copy of the table if it is newer, and reports
 // whether it did. All versions come from the store's one counter, so that a
 // newer copy is never a step back.
@@ -111,6 +138,12 @@
 	return true
 }
 
+// noteStore notes an answer of the store itself.
+func (f *Follower) noteStore() {
+	f.readAt.Store(time.Now().UnixNano())
+	f.note(nil)
+}
+
 // note logs the loss and the return of the store for this table.
 func (f *Follower) note(err error) {
 	if err == nil {
@@ -137,22 +170,21 @@
 
 // watch waits for changes once.
 func (f *Follower) watch(ctx context.Context) error {
-	if f.Pace != nil && f.Pace.Wait(ctx) != nil {
-		return nil // the context ends
+	wait := f.Wait
+	if f.Upstream != nil && f.Upstream.Serves() {
+		wait = min(wait, servingWait)
 	}
-	bounded, cancel := context.WithTimeout(ctx, f.Wait+answerReserve)
+	bounded, cancel := context.WithTimeout(ctx, wait+answerReserve)
 	defer cancel()
-	changes, err := f.Store.Watch(bounded, f.Table, f.seen, f.Wait)
+	changes, err := f.Store.Watch(bounded, f.Table, f.seen, wait)
 	if err != nil {
 		return err
 	}
 	if changes.Version < f.seen {
 		return &Error{Kind: ErrorCompacted, Call: "watch"}
 	}
-	f.note(nil)
-	if len(changes.Rows) > 0 {
-		f.Consumer.Change(changes.Rows, changes.Version)
-	}
+	f.noteStore()
+	f.Consumer.Change(changes.Rows, changes.Version)
 	f.seen = changes.Version
 	return nil
 }
@@ -175,7 +207,7 @@
 		}
 		all = append(all, partitioned...)
 	}
-	f.note(nil)
+	f.noteStore()
 	f.Consumer.Replace(all, version)
 	f.seen = version
 	f.Logger.Info("table_read", "table", f.Table, "version", version, "rows", len(all))
--- /dev/null
+++ b/internal/table/upstream.go
@@ -0,0 +1,82 @@
+package table
+
+import (
+	"context"
+	"time"
+)
+
+// RelayedChanges are changes of a table as another daemon tells them, which
+// follows the table at the store.
+type RelayedChanges struct {
+	Changes
+	// IsWhole tells that Rows are the whole table and not what changed.
+	IsWhole bool
+	// IsSettled tells that a row which is missing is gone, as far as the other
+	// daemon knows.
+	IsSettled bool
+}
+
+// Upstream is a daemon that follows tables at the store for others. In a large
+// fleet most daemons follow an upstream, so that the store is asked by a few.
+type Upstream interface {
+	// Changes returns the changes of a table behind a version as soon as there
+	// are any, or none when the wait is over. It reports false when this daemon
+	// should follow the store itself. An error tells that the upstream cannot be
+	// reached or does not know the present state of the store.
+	Changes(ctx context.Context, table string, after Version, wait time.Duration) (RelayedChanges, bool, error)
+	// Serves reports whether this daemon is an upstream of others.
+	Serves() bool
+}
+
+const (
+	// upstreamReserve is how long an answer of an upstream may take beyond the
+	// wait: a call within a zone and a turn of a slow machine.
+	upstreamReserve = 400 * time.Millisecond
+	// directTime is how long a daemon follows the store itself after its
+	// upstream failed.
+	directTime = 2 * time.Second
+	// servingWait is how long one watch call of an upstream is held: half of the
+	// age at which its copy is no longer told to others (frontend's
+	// upstreamAge).
+	servingWait = 750 * time.Millisecond
+)
+
+// followUpstream follows the upstream once. It reports false when the store
+// itself should be followed now.
+func (f *Follower) followUpstream(ctx context.Context) bool {
+	if f.Upstream == nil || time.Now().Before(f.directUntil) {
+		return false
+	}
+	bounded, cancel := context.WithTimeout(ctx, f.Wait+upstreamReserve)
+	defer cancel()
+	told, isFollowed, err := f.Upstream.Changes(bounded, f.Table, f.seen, f.Wait)
+	if !isFollowed || ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		f.directUntil = time.Now().Add(directTime)
+		f.Logger.Info("table_upstream_lost", "table", f.Table, "version", f.seen, "error", err)
+		return false
+	}
+	f.take(told)
+	return true
+}
+
+// take hands on what an upstream told. An upstream that lies behind what was
+// read from the store before has no news.
+func (f *Follower) take(told RelayedChanges) {
+	f.note(nil)
+	if told.Version <= f.seen {
+		return
+	}
+	if !told.IsSettled {
+		f.settledAt.Store(time.Now().Add(returnTime).UnixNano())
+	}
+	if told.IsWhole {
+		f.Consumer.Replace(told.Rows, told.Version)
+		f.Logger.Info("table_from_upstream", "table", f.Table, "version", told.Version, "version_before", f.seen, "rows", len(told.Rows))
+	} else {
+		f.Consumer.Change(told.Rows, told.Version)
+	}
+	f.seen = told.Version
+}
