Let one batch item give way for each online request that waits

Change: a request that no back end has a place for has one item give way where it waits: its daemon tells the owner, or the relay of its zone, which draws an owner and, for another zone, that zone's relay. The slot is left to the request.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -89,6 +89,10 @@
 	urgent chan struct{}
 	// crowded tells that online requests may wait for this daemon's items.
 	crowded chan struct{}
+	// preemptions are back ends at which other daemons' items should give way,
+	// and givingWay those at which an item of this daemon should.
+	preemptions chan string
+	givingWay   chan string
 	// waiting are this daemon's batch items that wait for a back end, and
 	// waitingElsewhere those of other daemons by who told.
 	waiting          int
@@ -100,7 +104,11 @@
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{states: map[string]*state{}, byService: map[string][]*state{}, urgent: make(chan struct{}, 1), crowded: make(chan struct{}, 1), untold: map[string]int{}, waitingElsewhere: map[string]int{}, propagation: assumedPropagation}
+	return &Set{
+		states: map[string]*state{}, byService: map[string][]*state{}, urgent: make(chan struct{}, 1), crowded: make(chan struct{}, 1),
+		untold: map[string]int{}, waitingElsewhere: map[string]int{}, propagation: assumedPropagation,
+		preemptions: make(chan string, preemptQueue), givingWay: make(chan string, preemptQueue),
+	}
 }
 
 // Put adds a back end or updates it.
--- /dev/null
+++ b/internal/backend/preempt.go
@@ -0,0 +1,67 @@
+package backend
+
+// preemptQueue bounds the preemptions that wait to be sent or answered. One that
+// does not fit is left out: the item then gives way when its owner hears of the
+// crowded back end.
+const preemptQueue = 64
+
+// Preempt asks for one batch item to be taken from a back end, because an
+// online request waits there. If an item of this daemon runs there, the daemon
+// gives it up itself.
+func (s *Set) Preempt(id string) {
+	s.mutex.Lock()
+	known, exists := s.states[id]
+	isOwn := exists && known.batch > 0
+	s.mutex.Unlock()
+	switch {
+	case !exists:
+	case isOwn:
+		s.GiveWay(id)
+	default:
+		offer(s.preemptions, id)
+	}
+}
+
+// Preemptions returns the channel of the back ends at which items of other
+// daemons should give way.
+func (s *Set) Preemptions() <-chan string { return s.preemptions }
+
+// GiveWay asks this daemon's batch work to take one item back from a back end.
+func (s *Set) GiveWay(id string) { offer(s.givingWay, id) }
+
+// GivingWay returns the channel of the back ends from which this daemon should
+// take an item back.
+func (s *Set) GivingWay() <-chan string { return s.givingWay }
+
+// HasBatch reports whether an item of this daemon runs at a back end.
+func (s *Set) HasBatch(id string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known, exists := s.states[id]
+	return exists && known.batch > 0
+}
+
+// BatchElsewhere returns how many batch items others have at a back end, by who
+// told.
+func (s *Set) BatchElsewhere(id string) map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	found := map[string]int{}
+	known, exists := s.states[id]
+	if !exists {
+		return found
+	}
+	for name, load := range known.peers {
+		if load.Batch > 0 {
+			found[name] = load.Batch
+		}
+	}
+	return found
+}
+
+func offer(queue chan string, id string) {
+	select {
+	case queue <- id:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/backend/preempt_test.go
@@ -0,0 +1,36 @@
+package backend
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestPreemptionGoesToTheOwnerOfAnItem: to this daemon if it has an item there,
+// else to others, and nowhere for a back end that is gone.
+func TestPreemptionGoesToTheOwnerOfAnItem(t *testing.T) {
+	set := NewSet()
+	set.Put(Instance{ID: "one", Service: "s", Slots: 1})
+	set.Preempt("gone")
+	set.Preempt("one")
+	require.Equal(t, "one", <-set.Preemptions())
+	lease, found := set.Acquire("one", Batch, nil)
+	require.True(t, found)
+	set.Preempt("one")
+	require.Equal(t, "one", <-set.GivingWay())
+	require.Empty(t, set.Preemptions())
+	lease.Release()
+	set.SetPeerLoads("b", map[string]PeerLoad{"one": {Batch: 2}}, 0)
+	set.SetPeerLoads("c", map[string]PeerLoad{"one": {Online: 1}}, 0)
+	require.Equal(t, map[string]int{"b": 2}, set.BatchElsewhere("one"))
+}
+
+// TestPreemptionsNeverBlock however many wait.
+func TestPreemptionsNeverBlock(t *testing.T) {
+	set := NewSet()
+	set.Put(Instance{ID: "one", Service: "s", Slots: 1})
+	for range 3 * preemptQueue {
+		set.Preempt("one")
+	}
+	require.Len(t, set.Preemptions(), preemptQueue)
+}
--- a/internal/exchange/audience.go
+++ b/internal/exchange/audience.go
@@ -29,6 +29,8 @@
 	// zoneRelays are the relays of other zones to which this daemon, being a
 	// relay, tells its zone's total.
 	zoneRelays []string
+	// relayOf is the same by zone.
+	relayOf map[string]string
 }
 
 // audienceOf works out whom a daemon tells from the members that it knows.
@@ -58,13 +60,15 @@
 			found.zone = append(found.zone, name)
 		}
 	}
+	found.relayOf = map[string]string{}
 	for zone, others := range names {
 		if zone == self.Zone {
 			continue
 		}
 		// Relays of the same rank talk to each other.
 		if ranked := relaysOf(zone, others); len(ranked) > 0 {
-			found.zoneRelays = append(found.zoneRelays, ranked[min(rank, len(ranked)-1)])
+			found.relayOf[zone] = ranked[min(rank, len(ranked)-1)]
+			found.zoneRelays = append(found.zoneRelays, found.relayOf[zone])
 		}
 	}
 	return found
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +25,9 @@
 	keyMember = "load/"
 	keyZone   = "zone-load/"
 	keyOthers = "others-load/"
+	// keyPreempt stands before the id of a back end at which one item should
+	// give way.
+	keyPreempt = "preempt/"
 )
 
 const (
@@ -65,13 +69,14 @@
 	mutex      sync.Mutex
 	heard      map[string]time.Time
 	relay      *relay
+	random     *rand.Rand
 	audience   audience
 	audienceAt time.Time
 }
 
 // New returns an exchange. It subscribes to the node, which must not run yet.
 func New(node *cluster.Node, backends *backend.Set, log *slog.Logger) *Exchange {
-	made := &Exchange{node: node, backends: backends, log: log, self: node.Self(), directLimit: wholeFleet, heard: map[string]time.Time{}, relay: newRelay()}
+	made := &Exchange{node: node, backends: backends, log: log, self: node.Self(), directLimit: wholeFleet, heard: map[string]time.Time{}, relay: newRelay(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	node.Subscribe(made.receive)
 	return made
 }
@@ -87,6 +92,8 @@
 		case <-e.backends.Urgent():
 			e.send(time.Now(), e.currentAudience(time.Now()))
 			periodic.Sleep(ctx, urgentPause)
+		case id := <-e.backends.Preemptions():
+			e.preempt(id)
 		case now := <-ticker.C:
 			e.tick(now)
 		}
@@ -218,6 +225,10 @@
 }
 
 func (e *Exchange) accept(item membership.Item, now time.Time) {
+	if id, isPreemption := strings.CutPrefix(item.Key, keyPreempt); isPreemption {
+		e.acceptPreemption(id, len(item.Payload) > 0)
+		return
+	}
 	member, isMember := strings.CutPrefix(item.Key, keyMember)
 	zone, isZone := strings.CutPrefix(item.Key, keyZone)
 	isOthers := strings.HasPrefix(item.Key, keyOthers)
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -29,21 +29,28 @@
 type heardLoads struct {
 	work loads
 	at   time.Time
+	// preempted counts the batch items that were asked to give way since, by
+	// back end.
+	preempted map[string]int
 }
 
+// batchAt returns how many batch items there are at a back end that were not
+// asked to give way.
+func (h heardLoads) batchAt(id string) int { return max(h.work.inFlight[id].Batch-h.preempted[id], 0) }
+
 func newRelay() *relay {
 	return &relay{members: map[string]heardLoads{}, zones: map[string]heardLoads{}, pending: map[origin]news{}}
 }
 
 // noteMember replaces what a daemon of the zone has in flight.
 func (r *relay) noteMember(name string, work loads, told news, now time.Time) {
-	r.members[name] = heardLoads{work: work, at: now}
+	r.members[name] = heardLoads{work: work, at: now, preempted: map[string]int{}}
 	r.noteNews(origin{name: name}, told)
 }
 
 // noteZone replaces the total of another zone.
 func (r *relay) noteZone(zone string, work loads, told news, now time.Time) {
-	r.zones[zone] = heardLoads{work: work, at: now}
+	r.zones[zone] = heardLoads{work: work, at: now, preempted: map[string]int{}}
 	r.noteNews(origin{name: zone, isZone: true}, told)
 }
 
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -42,6 +42,8 @@
 		case <-s.backends.Crowded():
 			s.yieldItems()
 			periodic.Sleep(ctx, crowdedPause)
+		case id := <-s.backends.GivingWay():
+			s.giveWay(id)
 		case <-dispatch.C:
 			s.dispatchWaiting()
 		case <-s.wake:
@@ -109,7 +111,7 @@
 	}
 	ctx, cancel := context.WithCancel(held.ctx)
 	held.mutex.Lock()
-	waiting.state, waiting.backend, waiting.startedAt, waiting.cancel = itemRunning, chosen.ID, now, cancel
+	waiting.state, waiting.backend, waiting.startedAt, waiting.cancel, waiting.isYielding = itemRunning, chosen.ID, now, cancel, false
 	held.mutex.Unlock()
 	s.log.Info("item_sent", "job", held.job.ID, "item", waiting.item.ID, "backend", chosen.ID,
 		"due_ms", held.due.Sub(now).Milliseconds(), "last_event", waiting.progress.last(),
@@ -160,7 +162,7 @@
 	s.yielder.forget(now, window)
 	running := map[string][]runningItem{}
 	for _, each := range jobs {
-		for _, item := range each.running() {
+		for _, item := range each.staying() {
 			running[item.backend] = append(running[item.backend], runningItem{work: item, isUrgent: s.isUrgent(item, now)})
 		}
 	}
@@ -168,27 +170,57 @@
 		for _, item := range s.itemsToYield(candidate, running[candidate.ID], now, window) {
 			s.log.Info("item_yielded", "job", item.owner.job.ID, "item", item.item.ID, "backend", candidate.ID, "urgent", item.isUrgent,
 				"online", candidate.Online, "batch", candidate.Batch, "slots", candidate.Slots, "last_event", item.progress.last())
-			item.cancel()
+			item.yield()
 		}
 	}
 }
 
-// runningItem is an item at a back end.
-type runningItem struct {
-	*work
-	isUrgent bool
+// giveWay takes one item back from a back end for an online request that waits
+// there, and leaves its slot alone until all owners have heard of the request.
+func (s *Service) giveWay(id string) {
+	now := time.Now()
+	s.mutex.Lock()
+	jobs := s.ownedJobs()
+	s.mutex.Unlock()
+	items := []runningItem{}
+	for _, each := range jobs {
+		for _, item := range each.staying() {
+			if item.backend == id {
+				items = append(items, runningItem{work: item, isUrgent: s.isUrgent(item, now)})
+			}
+		}
+	}
+	s.placer.avoid(id, now.Add(s.propagationWindow()))
+	if len(items) == 0 {
+		return
+	}
+	sortForYielding(items)
+	chosen := items[0]
+	s.log.Info("item_gave_way", "job", chosen.owner.job.ID, "item", chosen.item.ID, "backend", id, "urgent", chosen.isUrgent, "last_event", chosen.progress.last())
+	chosen.yield()
 }
 
-// itemsToYield chooses which of the items at a back end are taken back: those
-// that are not urgent first, and among them those due last.
-func (s *Service) itemsToYield(candidate routing.Candidate, items []runningItem, now time.Time, window time.Duration) []runningItem {
-	count := s.yielder.share(candidate, now, window)
+// sortForYielding puts those items first that give way first: the ones that are
+// not urgent, and among them those due last.
+func sortForYielding(items []runningItem) {
 	sort.Slice(items, func(a, b int) bool {
 		if items[a].isUrgent != items[b].isUrgent {
 			return items[b].isUrgent
 		}
 		return items[a].owner.due.After(items[b].owner.due)
 	})
+}
+
+// runningItem is an item at a back end.
+type runningItem struct {
+	*work
+	isUrgent bool
+}
+
+// itemsToYield chooses which of the items at a back end are taken back.
+func (s *Service) itemsToYield(candidate routing.Candidate, items []runningItem, now time.Time, window time.Duration) []runningItem {
+	count := s.yielder.share(candidate, now, window)
+	sortForYielding(items)
 	return items[:min(count, len(items))]
 }
 
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -400,3 +400,22 @@
 		requireAllCompleted(t, daemons[1], submitted)
 	}
 }
+
+// TestOneItemGivesWayPerRequest: each online request that waits takes one item
+// from its back end, and the item completes elsewhere or later.
+func TestOneItemGivesWayPerRequest(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.events, runner.pause = 50, 20*time.Millisecond
+	owner := startDaemon(t, "a", store, runner)
+	accepted := newJob("j1", 4)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	require.Eventually(t, func() bool { return owner.backends.OwnLoads()["one"].Batch == len(accepted.Items) }, patience, pollTime)
+	owner.backends.Preempt("one")
+	require.Eventually(t, func() bool { return owner.backends.OwnLoads()["one"].Batch == len(accepted.Items)-1 }, patience, pollTime)
+	requireAllCompleted(t, owner, accepted)
+	again := 0
+	for _, item := range accepted.Items {
+		again += runner.started(item.ID) - 1
+	}
+	require.Equal(t, 1, again, "runs beyond the first")
+}
--- a/internal/job/owned.go
+++ b/internal/job/owned.go
@@ -26,9 +26,19 @@
 	backend   string
 	startedAt time.Time
 	// ranFor is how long earlier attempts ran.
-	ranFor   time.Duration
-	cancel   context.CancelFunc
-	progress progress
+	ranFor time.Duration
+	cancel context.CancelFunc
+	// isYielding tells that the present run was taken back and is about to end.
+	isYielding bool
+	progress   progress
+}
+
+// yield takes a running item back.
+func (w *work) yield() {
+	w.owner.mutex.Lock()
+	w.isYielding = true
+	w.owner.mutex.Unlock()
+	w.cancel()
 }
 
 // owned is a job that this daemon runs. mutex guards the fields below it.
@@ -204,6 +214,20 @@
 	return found
 }
 
+// staying returns the items that are at back ends and were not taken back.
+func (o *owned) staying() []*work {
+	found := []*work{}
+	running := o.running()
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, each := range running {
+		if !each.isYielding {
+			found = append(found, each)
+		}
+	}
+	return found
+}
+
 // ranFor returns how long an item has run, over all its attempts.
 func (o *owned) ranFor(item *work, now time.Time) time.Duration {
 	o.mutex.Lock()
--- a/internal/job/pacing.go
+++ b/internal/job/pacing.go
@@ -52,23 +52,38 @@
 	quotas map[string]int
 	// full are the services that had no room in this pass.
 	full map[string]bool
+	// avoided is until when a back end gets nothing, because an item gave way
+	// there to an online request.
+	avoided map[string]time.Time
+	// now is the time of the pass.
+	now time.Time
 }
 
-func newPlacer(random *rand.Rand) *placer { return &placer{random: random} }
+func newPlacer(random *rand.Rand) *placer {
+	return &placer{random: random, avoided: map[string]time.Time{}}
+}
 
 // begin starts a pass over the waiting items: so many of this owner's and so
 // many of others'. After the window all owners know of each other's placements,
 // and what is left is shared out anew.
 func (p *placer) begin(own, others int, now time.Time, window time.Duration) {
-	p.full = map[string]bool{}
+	p.full, p.now = map[string]bool{}, now
 	if now.Sub(p.since) < window {
 		return
 	}
 	p.since = now
 	p.own, p.all = own, own+others
 	p.quotas = map[string]int{}
+	for id, until := range p.avoided {
+		if !now.Before(until) {
+			delete(p.avoided, id)
+		}
+	}
 }
 
+// avoid leaves a back end alone until a time.
+func (p *placer) avoid(id string, until time.Time) { p.avoided[id] = until }
+
 // isFull reports whether an item found no room at the service in this pass.
 func (p *placer) isFull(service string) bool { return p.full[service] }
 
@@ -93,6 +108,9 @@
 
 // quota is what this owner may still place at the back end in the window.
 func (p *placer) quota(candidate routing.Candidate) int {
+	if p.now.Before(p.avoided[candidate.ID]) {
+		return 0
+	}
 	left, known := p.quotas[candidate.ID]
 	if !known {
 		left = shareOf(roomForBatch(candidate), p.own, p.all, p.random)
--- a/internal/job/pacing_test.go
+++ b/internal/job/pacing_test.go
@@ -160,3 +160,16 @@
 	}
 	require.False(t, clock.isUrgent(0, 10*time.Second), "items turned out to be short")
 }
+
+// TestSlotThatAnItemLeftIsLeftAlone until all owners know of the request for
+// which it gave way.
+func TestSlotThatAnItemLeftIsLeftAlone(t *testing.T) {
+	placing, now := newPlacer(rand.New(rand.NewPCG(10, 10))), time.Now()
+	placing.avoid("b0", now.Add(window))
+	placing.begin(1, 0, now, window)
+	_, found := placing.choose("s", nil, fleetOf(1, 4, 0))
+	require.False(t, found)
+	placing.begin(1, 0, now.Add(window), window)
+	_, found = placing.choose("s", nil, fleetOf(1, 4, 0))
+	require.True(t, found)
+}
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -51,6 +51,9 @@
 	// slots. Daemons choose at the same time from the same picture, a moment
 	// old; without a draw all would choose the same back end.
 	ToleranceMilliseconds float64
+	// GiveWayMilliseconds is what a slot costs that a batch item has yet to
+	// leave; 0 means that items do not give way to the request.
+	GiveWayMilliseconds float64
 	// AffinityTokens is the size of a first prompt part from which on requests
 	// prefer the back end that rendezvous hashing names.
 	AffinityTokens int
@@ -66,9 +69,12 @@
 	inFlight := candidate.Online + candidate.Batch
 	queued := max(inFlight+1-candidate.Slots, 0)
 	queued = max(queued, candidate.Waiting)
-	// A short queue of batch items gives way within a moment.
+	givingWay := 0
+	if m.GiveWayMilliseconds > 0 {
+		givingWay = min(queued, max(candidate.Batch, 0))
+	}
 	read := float64(candidate.PendingTokens+candidate.UncachedTokens) / m.TokensPerMillisecond
-	return read + float64(inFlight)*m.RequestMilliseconds + float64(queued)*m.QueueMilliseconds
+	return read + float64(inFlight)*m.RequestMilliseconds + float64(queued-givingWay)*m.QueueMilliseconds + float64(givingWay)*m.GiveWayMilliseconds
 }
 
 // ChooseByCost picks one of the candidates with nearly the lowest estimated
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -64,11 +64,21 @@
 	served.record()
 }
 
-// choose picks a back end for the request and counts the request there.
-func (c *Core) choose(request *Request, excluded map[string]bool) (*backend.Lease, routing.Candidate, bool) {
+// giveWayCost is what a slot that a batch item has yet to leave costs a request
+// that preempts it, in milliseconds: two datagrams, the end of the item's
+// connection and the start of the request.
+const giveWayCost = 12
+
+// choose picks a back end for the request and counts the request there. One
+// that preempts finds room where batch items run.
+func (c *Core) choose(request *Request, excluded map[string]bool, preempts bool) (*backend.Lease, routing.Candidate, bool) {
 	candidates := c.Backends.Candidates(request.Service, request.Prompt, time.Now())
+	model := routing.DefaultCostModel()
+	if preempts {
+		model.GiveWayMilliseconds = giveWayCost
+	}
 	c.mutex.Lock()
-	chosen, found := routing.ChooseByCost(routing.DefaultCostModel(), request.Prompt, candidates, excluded, c.random)
+	chosen, found := routing.ChooseByCost(model, request.Prompt, candidates, excluded, c.random)
 	c.mutex.Unlock()
 	if !found {
 		return nil, routing.Candidate{}, false
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -61,7 +61,7 @@
 // run sends attempts until the request has its final answer.
 func (e *exchange) run(ctx context.Context) {
 	for {
-		lease, chosen, found := e.core.choose(&e.request, e.excluded)
+		lease, chosen, found := e.core.choose(&e.request, e.excluded, e.preempts())
 		if !found {
 			if e.awaitRoom(ctx) {
 				continue
@@ -70,6 +70,7 @@
 			return
 		}
 		e.last, e.cost = lease.Instance(), chosen
+		e.preempt()
 		err := e.attempt(ctx, lease)
 		lease.Release()
 		if err == nil {
@@ -86,6 +87,30 @@
 	}
 }
 
+// preempts reports whether the request is sent to a back end without asking for
+// a place, so that a batch item gives way if no slot is free there: back ends
+// that were asked had none, or set none aside.
+func (e *exchange) preempts() bool {
+	return !e.asksForPlaces() || e.unplaced >= questions(e.core.Backends.Count(e.request.Service))
+}
+
+func (e *exchange) asksForPlaces() bool {
+	isStream := e.request.Route.Kind == route.KindStream
+	return isStream && SetsPlacesAside(e.core.Sender, e.core.Holder.Current(), e.request.Service) && e.request.Tokens > 0
+}
+
+// preempt has a batch item give way at the chosen back end if the request would
+// wait for a slot there.
+func (e *exchange) preempt() {
+	isFull := e.cost.Online+e.cost.Batch >= e.cost.Slots || e.cost.Waiting > 0
+	if !e.preempts() || !isFull || e.cost.Batch <= 0 {
+		return
+	}
+	e.core.Backends.Preempt(e.last.ID)
+	e.core.Logger.Info("item_preempted", "id", e.request.ID, "backend", e.last.ID, "online", e.cost.Online,
+		"batch", e.cost.Batch, "slots", e.cost.Slots, "waiting", e.cost.Waiting)
+}
+
 // awaitRoom waits a moment for back ends when none can be chosen and reports
 // whether trying again makes sense.
 func (e *exchange) awaitRoom(ctx context.Context) bool {
@@ -155,8 +180,7 @@
 // reserve asks for a place for an attempt. After some refusals the request is
 // sent without one and waits at the back end.
 func (e *exchange) reserve(ctx context.Context, attempt *Attempt) error {
-	most := questions(e.core.Backends.Count(e.request.Service))
-	if !attempt.Stream || e.unplaced >= most {
+	if e.preempts() {
 		return nil
 	}
 	err := Reserve(ctx, e.core.Sender, e.core.Holder.Current(), attempt, e.request.Tokens)
@@ -172,7 +196,7 @@
 	e.core.Logger.Info("place_refused", "id", e.request.ID, "backend", e.last.ID, "online", e.cost.Online,
 		"batch", e.cost.Batch, "slots", e.cost.Slots, "report_age_ms", min(e.cost.ReportAge, time.Hour).Milliseconds())
 	e.unplaced++
-	if e.unplaced >= most {
+	if e.preempts() {
 		clear(e.excluded)
 	}
 	return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonNoPlace, Cause: err}
--- a/internal/serving/reserve.go
+++ b/internal/serving/reserve.go
@@ -33,19 +33,25 @@
 	Time   time.Duration
 }
 
+// SetsPlacesAside reports whether the back ends of a service set places aside.
+func SetsPlacesAside(sender Sender, table *route.Table, service string) bool {
+	if _, canReserve := sender.(Reserver); !canReserve || table == nil {
+		return false
+	}
+	configured, found := table.Service(service)
+	return found && configured.ReservationTime > 0
+}
+
 // Reserve asks a back end for a place for an attempt, if back ends of its
 // service set places aside, and notes the place in the attempt. Daemons choose
 // at once from pictures that are a moment old; only the back end knows. An error
 // tells that the back end has no room or cannot be reached; nothing has run.
 func Reserve(ctx context.Context, sender Sender, table *route.Table, attempt *Attempt, tokens int) error {
-	reserver, canReserve := sender.(Reserver)
-	if !canReserve || tokens == 0 || table == nil {
-		return nil
-	}
-	configured, found := table.Service(attempt.Instance.Service)
-	if !found || configured.ReservationTime <= 0 {
+	if tokens == 0 || !SetsPlacesAside(sender, table, attempt.Instance.Service) {
 		return nil
 	}
+	reserver, _ := sender.(Reserver)
+	configured, _ := table.Service(attempt.Instance.Service)
 	bounded, cancel := context.WithTimeout(ctx, reservationPatience)
 	defer cancel()
 	place, err := reserver.Reserve(bounded, Reservation{Attempt: *attempt, Tokens: tokens, Time: min(reservationTime, configured.ReservationTime)})
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -337,3 +337,28 @@
 	require.Equal(t, serving.VerdictNotRun, caller.refusals[0].Verdict)
 	require.Positive(t, caller.refusals[0].RetryAfter)
 }
+
+// TestWaitingRequestPreemptsOneItem: a request that no back end has a place for
+// waits where batch items run and has one of them give way; one that is placed
+// preempts nothing.
+func TestWaitingRequestPreemptsOneItem(t *testing.T) {
+	policy := &route.Route{Kind: route.KindStream, Timeout: time.Minute, Objective: time.Second, MaxAttempts: 1, Targets: []route.Target{{Service: "s"}}}
+	for _, refused := range []int{0, 3} {
+		caller := &recorder{}
+		sender := &script{ran: map[string]bool{}, lastSeen: caller}
+		for range refused {
+			sender.refusals = append(sender.refusals, serving.ReasonRefused)
+		}
+		core := newCore(sender)
+		core.Holder.Apply(withPlaces(), time.Now())
+		loads := map[string]backend.PeerLoad{}
+		for _, instance := range core.Backends.Instances("s") {
+			loads[instance.ID] = backend.PeerLoad{Batch: instance.Slots}
+		}
+		core.Backends.SetPeerLoads("other", loads, 0)
+		now := time.Now()
+		core.Serve(context.Background(), serving.Request{ID: "r", Route: policy, Service: "s", Tokens: 10, Arrived: now, Deadline: now.Add(time.Minute)}, caller)
+		require.Equal(t, 1, caller.finished)
+		require.Len(t, core.Backends.Preemptions(), min(refused, 1))
+	}
+}
