Call the store through another daemon while it does not serve this one

Ruled out: load (back ends half empty), the links.

Change: table.Forwarding: a call that the store refuses, or that only reads and got no answer, is made by another daemon that the store serves; a commit of unknown outcome is not repeated. A probe finds the store's return.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -83,11 +83,12 @@
 
 // New assembles a daemon. The settings must be valid.
 func New(process settings.Settings, ports Ports, metrics *telemetry.Serving, quotaMetrics *telemetry.Quota, log *slog.Logger) *Frontend {
-	store := table.NewMonotonic(ports.Store)
-	f := &Frontend{settings: process, log: log, store: store, Holder: &route.Holder{}, Backends: backend.NewSet()}
+	f := &Frontend{settings: process, log: log, Holder: &route.Holder{}, Backends: backend.NewSet()}
 	f.transport = peer.NewTransport(process.Name, process.PeerAddress, process.ClusterKeyBytes(), log)
 	self := f.member()
 	f.node = cluster.NewNode(membership.DefaultConfig(time.Duration(process.ProbeInterval)), self, f.transport, log)
+	store := table.NewMonotonic(f.forwardingStore(ports))
+	f.store = store
 	shareVersions(f.node, store)
 	accounts := quota.NewAccounts(f.store, quotaPeers{node: f.node, transport: f.transport}, quotaMetrics, log)
 	peer.Handle(f.transport, methodQuota, func(ctx context.Context, _ string, request quota.Request) (quota.Answer, error) {
@@ -121,6 +122,15 @@
 	return f
 }
 
+// forwardingStore returns the store, called through other daemons while it does
+// not serve this one.
+func (f *Frontend) forwardingStore(ports Ports) *table.Forwarding {
+	throughPeers := newPeerStore(f.node, f.transport, ports.Store)
+	forwarding := &table.Forwarding{Direct: ports.Store, Peers: throughPeers, ProbeTable: ports.ConfigTable, Logger: f.log}
+	throughPeers.isServed = forwarding.IsServed
+	return forwarding
+}
+
 // shareVersions lets daemons tell each other the newest version of the store
 // that any of them saw, with every datagram, so that a read which lies behind
 // is noticed also by those that have seen nothing newer themselves.
--- /dev/null
+++ b/internal/table/forwarding.go
@@ -0,0 +1,159 @@
+package table
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"topazpulley/internal/periodic"
+)
+
+const (
+	// probeInterval is the pause between two looks whether the store serves this
+	// daemon again, and probeTimeout bounds one: a slow store answers in half of
+	// it.
+	probeInterval = 500 * time.Millisecond
+	probeTimeout  = 500 * time.Millisecond
+)
+
+// Forwarding is a store that is called through another daemon while it does not
+// serve this one: it may refuse, throttle or drop some daemons and serve the
+// others. Watches are never forwarded. mutex guards isLost.
+type Forwarding struct {
+	// Direct is the store as this daemon reaches it.
+	Direct Store
+	// Peers makes calls through other daemons. A daemon that cannot help
+	// answers ErrorNotDone.
+	Peers Store
+	// ProbeTable is a table that is read to find out whether the store serves
+	// this daemon again.
+	ProbeTable string
+	Logger     *slog.Logger
+
+	mutex  sync.Mutex
+	isLost bool
+}
+
+var _ Store = (*Forwarding)(nil)
+
+// IsServed reports whether the store serves this daemon, as far as is known.
+func (f *Forwarding) IsServed() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !f.isLost
+}
+
+// note learns from a call to the store itself.
+func (f *Forwarding) note(err error) {
+	isLost := isUnserved(err)
+	f.mutex.Lock()
+	wasLost := f.isLost
+	f.isLost = f.isLost || isLost
+	f.mutex.Unlock()
+	if isLost && !wasLost {
+		f.Logger.Warn("store_path_lost", "error", err)
+		go f.probe()
+	}
+}
+
+// probe reads a row now and then until the store serves this daemon again.
+func (f *Forwarding) probe() {
+	for {
+		periodic.SleepAbout(context.Background(), probeInterval)
+		bounded, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		_, err := f.Direct.Read(bounded, Range{Table: f.ProbeTable, Limit: 1})
+		cancel()
+		if isUnserved(err) {
+			continue
+		}
+		f.mutex.Lock()
+		f.isLost = false
+		f.mutex.Unlock()
+		f.Logger.Info("store_path_regained")
+		return
+	}
+}
+
+// isUnserved tells calls that the store did not serve from those it answered.
+func isUnserved(err error) bool {
+	var failed *Error
+	if !errors.As(err, &failed) {
+		return false
+	}
+	return failed.Kind == ErrorNotDone || failed.Kind == ErrorThrottled || failed.Kind == ErrorUnknown
+}
+
+// isNotDone reports whether a failed call certainly changed nothing.
+func isNotDone(err error) bool {
+	var failed *Error
+	return errors.As(err, &failed) && (failed.Kind == ErrorNotDone || failed.Kind == ErrorThrottled)
+}
+
+// forward makes a call at the store or, while that does not serve this daemon,
+// through another. A call that may have been carried out is not made again
+// unless it only reads.
+func forward[A any](f *Forwarding, isRead bool, call func(Store) (A, error)) (A, error) {
+	if !f.IsServed() {
+		answer, err := call(f.Peers)
+		if !isNotDone(err) {
+			return answer, err
+		}
+	}
+	answer, err := call(f.Direct)
+	f.note(err)
+	mayRepeat := isNotDone(err) || (isRead && isUnserved(err))
+	if !mayRepeat {
+		return answer, err
+	}
+	forwarded, forwardedErr := call(f.Peers)
+	if isNotDone(forwardedErr) {
+		return answer, err
+	}
+	return forwarded, forwardedErr
+}
+
+// Commit implements Store.
+func (f *Forwarding) Commit(ctx context.Context, transaction Transaction) (Version, error) {
+	return forward(f, false, func(store Store) (Version, error) { return store.Commit(ctx, transaction) })
+}
+
+// Read implements Store.
+func (f *Forwarding) Read(ctx context.Context, wanted Range) (Page, error) {
+	return forward(f, true, func(store Store) (Page, error) { return store.Read(ctx, wanted) })
+}
+
+// partitionPage is one answer of Partitions.
+type partitionPage struct {
+	names []string
+	more  bool
+}
+
+// Partitions implements Store.
+func (f *Forwarding) Partitions(ctx context.Context, table, after string) ([]string, bool, error) {
+	page, err := forward(f, true, func(store Store) (partitionPage, error) {
+		names, more, err := store.Partitions(ctx, table, after)
+		return partitionPage{names: names, more: more}, err
+	})
+	return page.names, page.more, err
+}
+
+// Watch implements Store.
+func (f *Forwarding) Watch(ctx context.Context, table string, after Version, wait time.Duration) (Changes, error) {
+	changes, err := f.Direct.Watch(ctx, table, after, wait)
+	f.note(err)
+	return changes, err
+}
+
+// PutObject implements Store. Putting the same object twice does no harm.
+func (f *Forwarding) PutObject(ctx context.Context, name string, content []byte) error {
+	_, err := forward(f, true, func(store Store) (struct{}, error) { return struct{}{}, store.PutObject(ctx, name, content) })
+	return err
+}
+
+// GetObject implements Store.
+func (f *Forwarding) GetObject(ctx context.Context, name string) ([]byte, error) {
+	return forward(f, true, func(store Store) ([]byte, error) { return store.GetObject(ctx, name) })
+}
--- /dev/null
+++ b/internal/table/forwarding_test.go
@@ -0,0 +1,90 @@
+package table_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/table"
+	"topazpulley/internal/table/tabletest"
+)
+
+// faultyStore counts the calls that reach a store.
+type faultyStore struct {
+	*tabletest.Memory
+	fault tabletest.Fault
+	calls int
+}
+
+func newFaultyStore() *faultyStore {
+	made := &faultyStore{Memory: tabletest.NewMemory()}
+	made.SetDecide(func(string) tabletest.Fault {
+		made.calls++
+		return made.fault
+	})
+	return made
+}
+
+func insert(key string) table.Transaction {
+	return table.Transaction{Conditions: []table.Condition{{Table: "t", Key: key}}, Writes: []table.Write{{Table: "t", Key: key, Value: []byte(key)}}}
+}
+
+// TestCallsGoThroughPeersWhileTheStoreRefuses: at once, without a further try at
+// the store, and to the store again once it serves this daemon.
+func TestCallsGoThroughPeersWhileTheStoreRefuses(t *testing.T) {
+	direct, peers := newFaultyStore(), newFaultyStore()
+	store := &table.Forwarding{Direct: direct, Peers: peers, ProbeTable: "t", Logger: quiet}
+	direct.fault = tabletest.FaultRefuse
+	_, err := store.Commit(t.Context(), insert("a"))
+	require.NoError(t, err)
+	require.False(t, store.IsServed())
+	require.Equal(t, 1, peers.calls)
+	page, err := store.Read(t.Context(), table.Range{Table: "t"})
+	require.NoError(t, err)
+	require.Len(t, page.Rows, 1)
+	require.Equal(t, 2, peers.calls)
+	direct.SetDecide(nil)
+	require.Eventually(t, store.IsServed, patience, pollTime)
+	_, err = store.Commit(t.Context(), insert("b"))
+	require.NoError(t, err)
+	require.Equal(t, 2, peers.calls)
+}
+
+// TestCommitOfUnknownOutcomeIsNotMadeAgain: only who asked knows whether that is
+// harmless.
+func TestCommitOfUnknownOutcomeIsNotMadeAgain(t *testing.T) {
+	direct, peers := newFaultyStore(), newFaultyStore()
+	store := &table.Forwarding{Direct: direct, Peers: peers, ProbeTable: "t", Logger: quiet}
+	direct.fault = tabletest.FaultLose
+	_, err := store.Commit(t.Context(), insert("a"))
+	var failed *table.Error
+	require.ErrorAs(t, err, &failed)
+	require.Equal(t, table.ErrorUnknown, failed.Kind)
+	require.Zero(t, peers.calls)
+}
+
+// TestStoreThatServesNobodyIsTriedItself: when no other daemon can help, the
+// error is the store's own.
+func TestStoreThatServesNobodyIsTriedItself(t *testing.T) {
+	direct, peers := newFaultyStore(), newFaultyStore()
+	store := &table.Forwarding{Direct: direct, Peers: peers, ProbeTable: "t", Logger: quiet}
+	direct.fault, peers.fault = tabletest.FaultThrottle, tabletest.FaultRefuse
+	for range 2 {
+		_, err := store.Commit(t.Context(), insert("a"))
+		var failed *table.Error
+		require.ErrorAs(t, err, &failed)
+		require.Equal(t, table.ErrorThrottled, failed.Kind)
+	}
+}
+
+// TestConflictsAreAnswers and no sign of a store that does not serve.
+func TestConflictsAreAnswers(t *testing.T) {
+	direct, peers := newFaultyStore(), newFaultyStore()
+	store := &table.Forwarding{Direct: direct, Peers: peers, ProbeTable: "t", Logger: quiet}
+	_, err := store.Commit(t.Context(), insert("a"))
+	require.NoError(t, err)
+	_, err = store.Commit(t.Context(), insert("a"))
+	var conflict *table.ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.True(t, store.IsServed())
+}
