Prefer back ends with a kept connection, then those of the own zone

Change: among back ends of nearly the same cost and with a free slot, one to which an idle connection is open is taken, else one of the own zone. A question for a place that a kept connection swallowed is asked again on another, because the back end closes idle ones at the same moment.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -100,6 +100,8 @@
 	hasHeard         bool
 	// propagation is the time until other daemons know of a change here.
 	propagation time.Duration
+	// connected returns the back ends to which an idle connection is open.
+	connected func() map[string]bool
 }
 
 // NewSet returns an empty set.
@@ -108,6 +110,7 @@
 		states: map[string]*state{}, byService: map[string][]*state{}, urgent: make(chan struct{}, 1), crowded: make(chan struct{}, 1),
 		untold: map[string]int{}, waitingElsewhere: map[string]int{}, propagation: assumedPropagation,
 		preemptions: make(chan string, preemptQueue), givingWay: make(chan string, preemptQueue),
+		connected: func() map[string]bool { return nil },
 	}
 }
 
@@ -205,14 +208,21 @@
 	return found
 }
 
+// SetConnected sets the function that returns the ids of the back ends to which
+// an idle connection is open. It must be called before the set is used.
+func (s *Set) SetConnected(connected func() map[string]bool) { s.connected = connected }
+
 // Candidates returns a snapshot of a service's back ends for routing.
 func (s *Set) Candidates(service string, prompt []routing.PromptPart, now time.Time) []routing.Candidate {
+	connected := s.connected()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	group := s.byService[service]
 	candidates := make([]routing.Candidate, 0, len(group))
 	for _, known := range group {
-		candidates = append(candidates, known.candidate(prompt, now))
+		candidate := known.candidate(prompt, now)
+		candidate.IsConnected = connected[known.ID]
+		candidates = append(candidates, candidate)
 	}
 	return candidates
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -96,10 +96,14 @@
 	})
 	listenForPressure(f.node, accounts)
 	f.Core = serving.NewCore(f.Backends, ports.Sender, f.Holder, metrics, log, f.Members)
+	f.Core.Zone = process.Zone
+	if connector, keepsConnections := ports.Sender.(serving.Connector); keepsConnections {
+		f.Backends.SetConnected(connector.Connected)
+	}
 	f.Jobs = job.NewService(job.Dependencies{
 		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: ports.Sender,
 		Holder: f.Holder, Peers: peers{node: f.node}, Metrics: metrics, Logger: log, Connections: f.Core.ConnectionShare, Settling: settlingTime,
-		Quota: accounts,
+		Quota: accounts, Zone: process.Zone,
 	})
 	source := newPeerSource(f.node, f.transport)
 	followed := newUpstream(f.node, f.transport)
--- a/internal/job/pacing.go
+++ b/internal/job/pacing.go
@@ -43,6 +43,8 @@
 // the dispatcher's goroutine.
 type placer struct {
 	random *rand.Rand
+	// zone is the daemon's own.
+	zone string
 	// own are the items that wait at this owner, and all those of all owners.
 	own, all int
 	// since is the beginning of the window for which quotas hold.
@@ -59,8 +61,8 @@
 	now time.Time
 }
 
-func newPlacer(random *rand.Rand) *placer {
-	return &placer{random: random, avoided: map[string]time.Time{}}
+func newPlacer(random *rand.Rand, zone string) *placer {
+	return &placer{random: random, zone: zone, avoided: map[string]time.Time{}}
 }
 
 // begin starts a pass over the waiting items: so many of this owner's and so
@@ -96,7 +98,7 @@
 		}
 	}
 	model := routing.DefaultCostModel()
-	model.ToleranceMilliseconds = batchTolerance
+	model.ToleranceMilliseconds, model.Zone = batchTolerance, p.zone
 	chosen, found := routing.ChooseByCost(model, prompt, withRoom, nil, p.random)
 	if !found {
 		p.full[service] = true
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -51,6 +51,8 @@
 	// Settling is how long after its start the service places no items unless
 	// it has heard of other daemons' work.
 	Settling time.Duration
+	// Zone is the daemon's own; empty means that zones do not matter.
+	Zone string
 }
 
 // Service answers calls about jobs and runs the jobs that this daemon owns.
@@ -113,7 +115,7 @@
 		holder: dependencies.Holder, peers: dependencies.Peers, metrics: dependencies.Metrics, log: dependencies.Logger,
 		connections: dependencies.Connections, settledAt: time.Now().Add(dependencies.Settling),
 		lifetime: lifetime, end: end, wake: make(chan struct{}, 1),
-		placer: newPlacer(newRandom()), yielder: newYielder(newRandom()),
+		placer: newPlacer(newRandom(), dependencies.Zone), yielder: newYielder(newRandom()),
 		claims: map[string]versionedClaim{}, orphans: map[string]time.Time{}, claimedAt: map[string]time.Time{}, takeovers: newTakeovers(), owned: map[string]*owned{}, accepted: map[string]acceptance{},
 		quota: dependencies.Quota, over: map[string]overJob{}, sweeper: newSweeper(),
 	}
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -36,6 +36,8 @@
 	PendingTokens int
 	// UncachedTokens are the request's prompt tokens to be read there.
 	UncachedTokens int
+	// IsConnected tells that an idle connection to it is open.
+	IsConnected bool
 }
 
 // CostModel weighs what makes a first token late, in milliseconds.
@@ -54,6 +56,9 @@
 	// GiveWayMilliseconds is what a slot costs that a batch item has yet to
 	// leave; 0 means that items do not give way to the request.
 	GiveWayMilliseconds float64
+	// Zone is the chooser's own: among candidates with nearly the lowest cost
+	// those in it are preferred. Empty means that zones do not matter.
+	Zone string
 	// AffinityTokens is the size of a first prompt part from which on requests
 	// prefer the back end that rendezvous hashing names.
 	AffinityTokens int
@@ -117,7 +122,29 @@
 			near = append(near, each)
 		}
 	}
-	return *draw(near, random), true
+	return *draw(model.preferred(near), random), true
+}
+
+// preferred returns the candidates that cost least beside time: no new
+// connection, and no bytes between zones. One without a free slot is not
+// preferred to any other.
+func (m CostModel) preferred(near []pricedCandidate) []pricedCandidate {
+	for _, isPreferred := range []func(*Candidate) bool{
+		func(candidate *Candidate) bool { return candidate.IsConnected && candidate.Zone == m.Zone },
+		func(candidate *Candidate) bool { return candidate.IsConnected },
+		func(candidate *Candidate) bool { return m.Zone != "" && candidate.Zone == m.Zone },
+	} {
+		found := []pricedCandidate{}
+		for _, each := range near {
+			if isPreferred(each.candidate) && each.candidate.weight() >= 1 {
+				found = append(found, each)
+			}
+		}
+		if len(found) > 0 {
+			return found
+		}
+	}
+	return near
 }
 
 type pricedCandidate struct {
--- a/internal/routing/cost_test.go
+++ b/internal/routing/cost_test.go
@@ -108,3 +108,24 @@
 		require.Greater(t, model.Cost(busier), model.Cost(idle))
 	}
 }
+
+// TestKeptConnectionsAndOwnZoneArePreferred among candidates of nearly the same
+// cost, as long as they have a free slot.
+func TestKeptConnectionsAndOwnZoneArePreferred(t *testing.T) {
+	model := routing.DefaultCostModel()
+	model.Zone = "here"
+	candidates := []routing.Candidate{
+		{ID: "far", Zone: "there", Slots: 4}, {ID: "near", Zone: "here", Slots: 4}, {ID: "kept", Zone: "there", Slots: 4, IsConnected: true},
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	choose := func() string {
+		chosen, found := routing.ChooseByCost(model, nil, candidates, nil, random)
+		require.True(t, found)
+		return chosen.ID
+	}
+	require.Equal(t, "kept", choose())
+	candidates[2].Online = 4
+	require.Equal(t, "near", choose())
+	candidates[1].Online = 4
+	require.Equal(t, "far", choose())
+}
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -24,6 +24,8 @@
 	// Fleet returns the number of daemons that share the back ends'
 	// connections.
 	Fleet func() int
+	// Zone is the daemon's own; empty means that zones do not matter.
+	Zone string
 
 	retries *admission.RetryBudget
 	mutex   sync.Mutex
@@ -74,6 +76,7 @@
 func (c *Core) choose(request *Request, excluded map[string]bool, preempts bool) (*backend.Lease, routing.Candidate, bool) {
 	candidates := c.Backends.Candidates(request.Service, request.Prompt, time.Now())
 	model := routing.DefaultCostModel()
+	model.Zone = c.Zone
 	if preempts {
 		model.GiveWayMilliseconds = giveWayCost
 	}
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -114,6 +114,13 @@
 	Send(ctx context.Context, attempt Attempt) (Answer, error)
 }
 
+// Connector is a Sender that keeps connections to back ends.
+type Connector interface {
+	// Connected returns the ids of the back ends to which an idle connection is
+	// open.
+	Connected() map[string]bool
+}
+
 // Responder is the caller's side of a request. One of Whole, Refuse, Finish
 // and Abort ends it; Begin and Event come before Finish or Abort.
 type Responder interface {
