Preempt wherever a refused request goes

Change: after the refusals a request goes where batch items run and one gives way in any case; a back end without batch items is doubted.

--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -56,6 +56,9 @@
 	// GiveWayMilliseconds is what a slot costs that a batch item has yet to
 	// leave; 0 means that items do not give way to the request.
 	GiveWayMilliseconds float64
+	// DoubtMilliseconds is what a slot costs that looks free after several back
+	// ends which looked so had none: the picture is old.
+	DoubtMilliseconds float64
 	// Zone is the chooser's own: among candidates with nearly the lowest cost
 	// those in it are preferred. Empty means that zones do not matter.
 	Zone string
@@ -74,12 +77,21 @@
 	inFlight := candidate.Online + candidate.Batch
 	queued := max(inFlight+1-candidate.Slots, 0)
 	queued = max(queued, candidate.Waiting)
+	read := float64(candidate.PendingTokens+candidate.UncachedTokens) / m.TokensPerMillisecond
+	return read + float64(inFlight)*m.RequestMilliseconds + m.wait(candidate, queued)
+}
+
+// wait estimates how long a request waits for a slot behind so many others.
+func (m CostModel) wait(candidate Candidate, queued int) float64 {
 	givingWay := 0
 	if m.GiveWayMilliseconds > 0 {
 		givingWay = min(queued, max(candidate.Batch, 0))
 	}
-	read := float64(candidate.PendingTokens+candidate.UncachedTokens) / m.TokensPerMillisecond
-	return read + float64(inFlight)*m.RequestMilliseconds + float64(queued-givingWay)*m.QueueMilliseconds + float64(givingWay)*m.GiveWayMilliseconds
+	wait := float64(queued-givingWay)*m.QueueMilliseconds + float64(givingWay)*m.GiveWayMilliseconds
+	if candidate.Batch > 0 {
+		return wait
+	}
+	return wait + m.DoubtMilliseconds
 }
 
 // ChooseByCost picks one of the candidates with nearly the lowest estimated
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -71,15 +71,35 @@
 // connection and the start of the request.
 const giveWayCost = 12
 
+// doubtCost is what a back end without batch items costs a request that several
+// back ends had no place for, in milliseconds: half of the wait for a slot.
+const doubtCost = 25
+
+// preemption tells what a request may do about batch work.
+type preemption uint8
+
+const (
+	// preemptNothing asks for a free place.
+	preemptNothing preemption = iota
+	// preemptWhereFull has an item give way where no slot looks free.
+	preemptWhereFull
+	// preemptAnywhere has an item give way wherever the request goes: back ends
+	// that looked free had no place.
+	preemptAnywhere
+)
+
 // choose picks a back end for the request and counts the request there. One
 // that preempts finds room where batch items run.
-func (c *Core) choose(request *Request, excluded map[string]bool, preempts bool) (*backend.Lease, routing.Candidate, bool) {
+func (c *Core) choose(request *Request, excluded map[string]bool, allowed preemption) (*backend.Lease, routing.Candidate, bool) {
 	candidates := c.Backends.Candidates(request.Service, request.Prompt, time.Now())
 	model := routing.DefaultCostModel()
 	model.Zone = c.Zone
-	if preempts {
+	if allowed != preemptNothing {
 		model.GiveWayMilliseconds = giveWayCost
 	}
+	if allowed == preemptAnywhere {
+		model.DoubtMilliseconds = doubtCost
+	}
 	c.mutex.Lock()
 	chosen, found := routing.ChooseByCost(model, request.Prompt, candidates, excluded, c.random)
 	c.mutex.Unlock()
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -61,7 +61,7 @@
 // run sends attempts until the request has its final answer.
 func (e *exchange) run(ctx context.Context) {
 	for {
-		lease, chosen, found := e.core.choose(&e.request, e.excluded, e.preempts())
+		lease, chosen, found := e.core.choose(&e.request, e.excluded, e.allowedPreemption())
 		if !found {
 			if e.awaitRoom(ctx) {
 				continue
@@ -87,11 +87,16 @@
 	}
 }
 
-// preempts reports whether the request is sent to a back end without asking for
-// a place, so that a batch item gives way if no slot is free there: back ends
-// that were asked had none, or set none aside.
-func (e *exchange) preempts() bool {
-	return !e.asksForPlaces() || e.unplaced >= questions(e.core.Backends.Count(e.request.Service))
+// allowedPreemption tells what the request may do about batch work. While it
+// asks back ends for a place it does nothing.
+func (e *exchange) allowedPreemption() preemption {
+	switch {
+	case !e.asksForPlaces():
+		return preemptWhereFull
+	case e.unplaced >= questions(e.core.Backends.Count(e.request.Service)):
+		return preemptAnywhere
+	}
+	return preemptNothing
 }
 
 func (e *exchange) asksForPlaces() bool {
@@ -102,8 +107,9 @@
 // preempt has a batch item give way at the chosen back end if the request would
 // wait for a slot there.
 func (e *exchange) preempt() {
+	allowed := e.allowedPreemption()
 	isFull := e.cost.Online+e.cost.Batch >= e.cost.Slots || e.cost.Waiting > 0
-	if !e.preempts() || !isFull || e.cost.Batch <= 0 {
+	if allowed == preemptNothing || e.cost.Batch <= 0 || (allowed == preemptWhereFull && !isFull) {
 		return
 	}
 	e.core.Backends.Preempt(e.last.ID)
@@ -180,7 +186,7 @@
 // reserve asks for a place for an attempt. After some refusals the request is
 // sent without one and waits at the back end.
 func (e *exchange) reserve(ctx context.Context, attempt *Attempt) error {
-	if e.preempts() {
+	if e.allowedPreemption() != preemptNothing {
 		return nil
 	}
 	err := Reserve(ctx, e.core.Sender, e.core.Holder.Current(), attempt, e.request.Tokens)
@@ -196,7 +202,7 @@
 	e.core.Logger.Info("place_refused", "id", e.request.ID, "backend", e.last.ID, "online", e.cost.Online,
 		"batch", e.cost.Batch, "slots", e.cost.Slots, "report_age_ms", min(e.cost.ReportAge, time.Hour).Milliseconds())
 	e.unplaced++
-	if e.preempts() {
+	if e.allowedPreemption() != preemptNothing {
 		clear(e.excluded)
 	}
 	return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonNoPlace, Cause: err}
