Keep long prompts from the streams of others

While a prompt of 40,000 tokens is read, others at the same back end get a token with each piece of it.

Change: each online request at a back end costs 60 ms for a prompt that is read for over 250 ms.

--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -59,6 +59,12 @@
 	// DoubtMilliseconds is what a slot costs that looks free after several back
 	// ends which looked so had none: the picture is old.
 	DoubtMilliseconds float64
+	// DisturbMilliseconds is what each online request at a back end costs a
+	// request whose prompt is read for longer than DisturbFrom milliseconds: while
+	// it is read, the others get a token with each piece of it, and a pause in
+	// their streams is as long as the whole reading.
+	DisturbMilliseconds float64
+	DisturbFrom         float64
 	// Zone is the chooser's own: among candidates with nearly the lowest cost
 	// those in it are preferred. Empty means that zones do not matter.
 	Zone string
@@ -69,7 +75,8 @@
 
 // DefaultCostModel returns the weights for services that read prompts.
 func DefaultCostModel() CostModel {
-	return CostModel{TokensPerMillisecond: 85, RequestMilliseconds: 2, QueueMilliseconds: 50, ToleranceMilliseconds: 25, AffinityTokens: 2000}
+	return CostModel{TokensPerMillisecond: 85, RequestMilliseconds: 2, QueueMilliseconds: 50, ToleranceMilliseconds: 25, AffinityTokens: 2000,
+		DisturbMilliseconds: 60, DisturbFrom: 250}
 }
 
 // Cost estimates the milliseconds until the first token at the candidate.
@@ -78,7 +85,16 @@
 	queued := max(inFlight+1-candidate.Slots, 0)
 	queued = max(queued, candidate.Waiting)
 	read := float64(candidate.PendingTokens+candidate.UncachedTokens) / m.TokensPerMillisecond
-	return read + float64(inFlight)*m.RequestMilliseconds + m.wait(candidate, queued)
+	return read + float64(inFlight)*m.RequestMilliseconds + m.wait(candidate, queued) + m.disturbance(candidate)
+}
+
+// disturbance is what the request would do to the streams at the candidate.
+// Batch items are not disturbed by pauses.
+func (m CostModel) disturbance(candidate Candidate) float64 {
+	if float64(candidate.UncachedTokens)/m.TokensPerMillisecond < m.DisturbFrom {
+		return 0
+	}
+	return float64(max(candidate.Online, 0)) * m.DisturbMilliseconds
 }
 
 // wait estimates how long a request waits for a slot behind so many others.
--- a/internal/routing/cost_test.go
+++ b/internal/routing/cost_test.go
@@ -129,3 +129,19 @@
 	candidates[1].Online = 4
 	require.Equal(t, "far", choose())
 }
+
+// TestLongPromptsLeaveStreamsAlone: a prompt that is read for long goes where no
+// online request runs, beside batch items if need be; a short one does not care.
+func TestLongPromptsLeaveStreamsAlone(t *testing.T) {
+	random := rand.New(rand.NewPCG(2, 2))
+	for tokens, expected := range map[int]string{60_000: "items", 1000: "stream"} {
+		candidates := []routing.Candidate{
+			{ID: "stream", Slots: 8, Online: 1, UncachedTokens: tokens},
+			{ID: "items", Slots: 8, Batch: 16, UncachedTokens: tokens},
+		}
+		candidates[1].Slots = 20
+		chosen, found := routing.ChooseByCost(routing.DefaultCostModel(), nil, candidates, nil, random)
+		require.True(t, found)
+		require.Equal(t, expected, chosen.ID, "%d tokens", tokens)
+	}
+}
