Wake up less often while there is nothing to do

Each daemon woke 40 times a second for its membership, 15 for batch items that most daemons do not have, 10 for entries that are seldom missing, 5 for bounds that are not set.

Change: the membership ticks twice a gossip round; the other loops sleep until there is something. The number of members is counted without copying them.

--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	ticksPerGossip = 4
+	ticksPerGossip = 2
 	syncTimeout    = 3 * time.Second
 )
 
@@ -209,6 +209,13 @@
 	return n.core.Members()
 }
 
+// Count returns how many members are live, this daemon included.
+func (n *Node) Count() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.core.Count()
+}
+
 // Member returns what is known of a name.
 func (n *Node) Member(name string) (membership.Member, bool) {
 	n.mutex.Lock()
--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -1,11 +1,13 @@
 package frontend
 
 import (
+	"context"
 	"log/slog"
 	"sync"
 	"time"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/route"
 	"topazpulley/internal/table"
 )
@@ -53,10 +55,12 @@
 
 	mutex   sync.Mutex
 	missing map[string]bool
+	// hasMissing is signalled when an entry is missing.
+	hasMissing chan struct{}
 }
 
 func newInstanceConsumer(ports Ports, backends *backend.Set, log *slog.Logger) *instanceConsumer {
-	return &instanceConsumer{ports: ports, backends: backends, log: log, missing: map[string]bool{}, isSettled: func() bool { return true }}
+	return &instanceConsumer{ports: ports, backends: backends, log: log, missing: map[string]bool{}, hasMissing: make(chan struct{}, 1), isSettled: func() bool { return true }}
 }
 
 // Replace implements table.Consumer.
@@ -104,6 +108,10 @@
 		c.mutex.Lock()
 		c.missing[id] = true
 		c.mutex.Unlock()
+		select {
+		case c.hasMissing <- struct{}{}:
+		default:
+		}
 		c.log.Info("backend_missing", "backend", id, "row_version", version)
 		return
 	}
@@ -111,6 +119,27 @@
 	c.log.Info("backend_removed", "backend", id, "row_version", version)
 }
 
+// settleAll settles missing entries until the context ends, and sleeps while
+// there are none.
+func (c *instanceConsumer) settleAll(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.hasMissing:
+		}
+		for c.isAnyMissing() && periodic.Sleep(ctx, settleInterval) {
+			c.settle()
+		}
+	}
+}
+
+func (c *instanceConsumer) isAnyMissing() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.missing) > 0
+}
+
 // settle takes the back ends out whose entries are still missing once the table
 // is settled.
 func (c *instanceConsumer) settle() {
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -27,13 +27,19 @@
 )
 
 // dispatchItems sends waiting items to back ends with room, and takes items
-// back from back ends that online requests need.
+// back from back ends that online requests need. A daemon that owns no job, as
+// most do in a large fleet, is woken by its next one only.
 func (s *Service) dispatchItems(ctx context.Context) {
 	dispatch := time.NewTicker(dispatchInterval)
 	defer dispatch.Stop()
 	yield := time.NewTicker(yieldInterval)
 	defer yield.Stop()
+	isIdle := false
 	for {
+		if ownsNone := s.Owned() == 0; ownsNone != isIdle {
+			isIdle = ownsNone
+			s.pauseTickers(isIdle, dispatch, yield)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -52,6 +58,18 @@
 	}
 }
 
+// pauseTickers stops the dispatcher's tickers while no job is owned.
+func (s *Service) pauseTickers(isIdle bool, dispatch, yield *time.Ticker) {
+	if isIdle {
+		dispatch.Stop()
+		yield.Stop()
+		s.backends.SetOwnWaiting(0)
+		return
+	}
+	dispatch.Reset(dispatchInterval)
+	yield.Reset(yieldInterval)
+}
+
 // dispatchWaiting sends items, those due first first.
 func (s *Service) dispatchWaiting() {
 	now := time.Now()
--- a/internal/job/waiting.go
+++ b/internal/job/waiting.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"topazpulley/internal/periodic"
 	"topazpulley/internal/quota"
+	"topazpulley/internal/route"
 	"topazpulley/internal/table"
 )
 
@@ -19,6 +21,8 @@
 	settleTimeout  = time.Second
 	// settleOperations bounds what one call settles.
 	settleOperations = 40
+	// unboundedPause is the pause between two looks whether a route has a bound.
+	unboundedPause = time.Second
 )
 
 // account is where a job's waiting tokens count.
@@ -142,12 +146,25 @@
 // settleAll tells accounts what ended until the context ends.
 func (s *Service) settleAll(ctx context.Context) {
 	periodic.Run(ctx, settleInterval, func() {
+		if !s.hasBounds() {
+			periodic.Sleep(ctx, unboundedPause)
+			return
+		}
 		for name, due := range s.dueSettlements(time.Now()) {
 			s.settle(ctx, name, due)
 		}
 	})
 }
 
+// hasBounds reports whether the waiting tokens of a route are bounded.
+func (s *Service) hasBounds() bool {
+	current := s.holder.Current()
+	if current == nil {
+		return false
+	}
+	return slices.ContainsFunc(current.JobRoutes(), func(each *route.Route) bool { return each.MaxQueuedTokens > 0 })
+}
+
 // dueSettlement is one operation with the job that it settles; the job is nil
 // when it is over.
 type dueSettlement struct {
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -137,6 +137,15 @@
 	return append(members, c.live[position:]...)
 }
 
+// Count returns how many members are live, itself included.
+func (c *Core) Count() int {
+	c.refreshLive()
+	if c.self.Live() {
+		return len(c.live) + 1
+	}
+	return len(c.live)
+}
+
 // refreshLive rebuilds the lists of live members after a change.
 func (c *Core) refreshLive() {
 	if !c.liveStale {
