Leave half of a call's time for another daemon

Change: while there are other daemons the store itself has half of a call's time. TestSilentStoreLeavesTimeForPeers. A test of following an upstream.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -17,7 +17,6 @@
 	"topazpulley/internal/job"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
-	"topazpulley/internal/periodic"
 	"topazpulley/internal/quota"
 	"topazpulley/internal/route"
 	"topazpulley/internal/serving"
@@ -131,6 +130,7 @@
 func (f *Frontend) forwardingStore(ports Ports) *table.Forwarding {
 	throughPeers := newPeerStore(f.node, f.transport, ports.Store)
 	forwarding := &table.Forwarding{Direct: ports.Store, Peers: throughPeers, ProbeTable: ports.ConfigTable, Logger: f.log}
+	forwarding.HasPeers = func() bool { return f.node.Count() > 1 }
 	throughPeers.isServed = forwarding.IsServed
 	return forwarding
 }
@@ -157,7 +157,7 @@
 }
 
 // Members returns how many daemons are alive as this one sees them.
-func (f *Frontend) Members() int { return len(f.node.Members()) }
+func (f *Frontend) Members() int { return f.node.Count() }
 
 // Start starts all duties; they end with the context.
 func (f *Frontend) Start(ctx context.Context) error {
@@ -170,7 +170,7 @@
 	go loads.Run(ctx)
 	go f.Jobs.Run(ctx)
 	go f.keepFound(ctx)
-	go periodic.Run(ctx, settleInterval, f.instances.settle)
+	go f.instances.settleAll(ctx)
 	for _, follower := range f.followers {
 		go follower.Run(ctx)
 	}
--- a/internal/table/forwarding.go
+++ b/internal/table/forwarding.go
@@ -28,6 +28,8 @@
 	// Peers makes calls through other daemons. A daemon that cannot help
 	// answers ErrorNotDone.
 	Peers Store
+	// HasPeers tells whether there are other daemons.
+	HasPeers func() bool
 	// ProbeTable is a table that is read to find out whether the store serves
 	// this daemon again.
 	ProbeTable string
@@ -92,23 +94,39 @@
 	return errors.As(err, &failed) && (failed.Kind == ErrorNotDone || failed.Kind == ErrorThrottled)
 }
 
+// directShare is the part, as one in so many, of a call's time in which the store
+// itself must answer while other daemons could be asked: a store that drops this
+// daemon's calls says nothing.
+const directShare = 2
+
+// directContext bounds a call to the store itself.
+func (f *Forwarding) directContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, isBounded := ctx.Deadline()
+	if !isBounded || f.HasPeers == nil || !f.HasPeers() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Until(deadline)/directShare)
+}
+
 // forward makes a call at the store or, while that does not serve this daemon,
 // through another. A call that may have been carried out is not made again
 // unless it only reads.
-func forward[A any](f *Forwarding, isRead bool, call func(Store) (A, error)) (A, error) {
+func forward[A any](ctx context.Context, f *Forwarding, isRead bool, call func(context.Context, Store) (A, error)) (A, error) {
 	if !f.IsServed() {
-		answer, err := call(f.Peers)
+		answer, err := call(ctx, f.Peers)
 		if !isNotDone(err) {
 			return answer, err
 		}
 	}
-	answer, err := call(f.Direct)
+	bounded, cancel := f.directContext(ctx)
+	defer cancel()
+	answer, err := call(bounded, f.Direct)
 	f.note(err)
 	mayRepeat := isNotDone(err) || (isRead && isUnserved(err))
 	if !mayRepeat {
 		return answer, err
 	}
-	forwarded, forwardedErr := call(f.Peers)
+	forwarded, forwardedErr := call(ctx, f.Peers)
 	if isNotDone(forwardedErr) {
 		return answer, err
 	}
@@ -117,12 +135,12 @@
 
 // Commit implements Store.
 func (f *Forwarding) Commit(ctx context.Context, transaction Transaction) (Version, error) {
-	return forward(f, false, func(store Store) (Version, error) { return store.Commit(ctx, transaction) })
+	return forward(ctx, f, false, func(ctx context.Context, store Store) (Version, error) { return store.Commit(ctx, transaction) })
 }
 
 // Read implements Store.
 func (f *Forwarding) Read(ctx context.Context, wanted Range) (Page, error) {
-	return forward(f, true, func(store Store) (Page, error) { return store.Read(ctx, wanted) })
+	return forward(ctx, f, true, func(ctx context.Context, store Store) (Page, error) { return store.Read(ctx, wanted) })
 }
 
 // partitionPage is one answer of Partitions.
@@ -133,7 +151,7 @@
 
 // Partitions implements Store.
 func (f *Forwarding) Partitions(ctx context.Context, table, after string) ([]string, bool, error) {
-	page, err := forward(f, true, func(store Store) (partitionPage, error) {
+	page, err := forward(ctx, f, true, func(ctx context.Context, store Store) (partitionPage, error) {
 		names, more, err := store.Partitions(ctx, table, after)
 		return partitionPage{names: names, more: more}, err
 	})
@@ -149,11 +167,13 @@
 
 // PutObject implements Store. Putting the same object twice does no harm.
 func (f *Forwarding) PutObject(ctx context.Context, name string, content []byte) error {
-	_, err := forward(f, true, func(store Store) (struct{}, error) { return struct{}{}, store.PutObject(ctx, name, content) })
+	_, err := forward(ctx, f, true, func(ctx context.Context, store Store) (struct{}, error) {
+		return struct{}{}, store.PutObject(ctx, name, content)
+	})
 	return err
 }
 
 // GetObject implements Store.
 func (f *Forwarding) GetObject(ctx context.Context, name string) ([]byte, error) {
-	return forward(f, true, func(store Store) ([]byte, error) { return store.GetObject(ctx, name) })
+	return forward(ctx, f, true, func(ctx context.Context, store Store) ([]byte, error) { return store.GetObject(ctx, name) })
 }
--- a/internal/table/forwarding_test.go
+++ b/internal/table/forwarding_test.go
@@ -1,7 +1,9 @@
 package table_test
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -88,3 +90,25 @@
 	require.ErrorAs(t, err, &conflict)
 	require.True(t, store.IsServed())
 }
+
+// silentStore answers nothing until a call's time is over.
+type silentStore struct{ *tabletest.Memory }
+
+func (silentStore) Read(ctx context.Context, _ table.Range) (table.Page, error) {
+	<-ctx.Done()
+	return table.Page{}, &table.Error{Kind: table.ErrorUnknown, Call: "read", Cause: ctx.Err()}
+}
+
+// TestSilentStoreLeavesTimeForPeers: a read that the store does not answer is
+// made through another daemon within the time of the same call.
+func TestSilentStoreLeavesTimeForPeers(t *testing.T) {
+	peers := newFaultyStore()
+	_, err := peers.Commit(t.Context(), insert("a"))
+	require.NoError(t, err)
+	store := &table.Forwarding{Direct: silentStore{tabletest.NewMemory()}, Peers: peers, HasPeers: func() bool { return true }, ProbeTable: "t", Logger: quiet}
+	bounded, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	page, err := store.Read(bounded, table.Range{Table: "t"})
+	require.NoError(t, err)
+	require.Len(t, page.Rows, 1)
+}
--- /dev/null
+++ b/internal/table/upstream_test.go
@@ -0,0 +1,101 @@
+package table_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/table"
+	"topazpulley/internal/table/tabletest"
+)
+
+var errSilent = errors.New("silent")
+
+// testUpstream tells what a copy of a table holds, unless it is silent.
+type testUpstream struct {
+	copy     *table.Replica
+	isSilent atomic.Bool
+	calls    atomic.Int64
+}
+
+func (u *testUpstream) Serves() bool { return false }
+
+func (u *testUpstream) Changes(ctx context.Context, _ string, after table.Version, wait time.Duration) (table.RelayedChanges, bool, error) {
+	u.calls.Add(1)
+	if u.isSilent.Load() {
+		return table.RelayedChanges{}, true, errSilent
+	}
+	select {
+	case <-u.copy.Changed(after):
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	changes, isWhole := u.copy.ChangesSince(after)
+	return table.RelayedChanges{Changes: changes, IsWhole: isWhole, IsSettled: true}, true, nil
+}
+
+func counter(value string, version table.Version) []table.Row {
+	return []table.Row{{Table: followed, Key: "counter", Value: []byte(value), Version: version}}
+}
+
+// TestFollowerFollowsItsUpstream and asks the store nothing meanwhile; when the
+// upstream fails it goes to the store, and an upstream that lies behind what was
+// read there takes nothing back.
+func TestFollowerFollowsItsUpstream(t *testing.T) {
+	store, seen := tabletest.NewMemory(), &recorder{}
+	calls := atomic.Int64{}
+	store.SetDecide(func(string) tabletest.Fault {
+		calls.Add(1)
+		return tabletest.FaultNone
+	})
+	upstream := &testUpstream{copy: &table.Replica{Consumer: &recorder{}}}
+	upstream.copy.Replace(counter("1", 1), 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	follower := &table.Follower{Store: store, Table: followed, Consumer: seen, Logger: quiet, Wait: 50 * time.Millisecond, Upstream: upstream}
+	go follower.Run(ctx)
+	require.Eventually(t, func() bool { return seen.value("counter") == "1" }, patience, pollTime)
+	upstream.copy.Change(counter("2", 2), 2)
+	require.Eventually(t, func() bool { return seen.value("counter") == "2" }, patience, pollTime)
+	require.Zero(t, calls.Load())
+	require.True(t, follower.ReadAt().IsZero() || time.Since(follower.ReadAt()) > patience, "a copy of a copy is not told on")
+
+	upstream.isSilent.Store(true)
+	for _, value := range []string{"3", "4"} {
+		put(t, store, "", "counter", value)
+	}
+	require.Eventually(t, func() bool { return seen.value("counter") == "4" }, patience, pollTime)
+	require.Positive(t, calls.Load())
+	upstream.isSilent.Store(false)
+	before := upstream.calls.Load()
+	require.Eventually(t, func() bool { return upstream.calls.Load() > before+3 }, patience, pollTime)
+	require.Equal(t, "4", seen.value("counter"))
+}
+
+// TestReplicaTellsChangesOrAll: what came behind a version while it is kept, all
+// rows when it is not.
+func TestReplicaTellsChangesOrAll(t *testing.T) {
+	kept := &table.Replica{Consumer: &recorder{}}
+	kept.Replace(counter("1", 5), 5)
+	changes, isWhole := kept.ChangesSince(0)
+	require.True(t, isWhole)
+	require.Len(t, changes.Rows, 1)
+	for version := table.Version(6); version < 6000; version++ {
+		kept.Change(counter("x", version), version)
+	}
+	changes, isWhole = kept.ChangesSince(5990)
+	require.False(t, isWhole)
+	require.Len(t, changes.Rows, 9)
+	require.Equal(t, table.Version(5999), changes.Version)
+	changes, isWhole = kept.ChangesSince(10)
+	require.True(t, isWhole)
+	require.Len(t, changes.Rows, 1)
+	kept.Change(nil, 7000)
+	changes, _ = kept.ChangesSince(5999)
+	require.Empty(t, changes.Rows)
+	require.Equal(t, table.Version(7000), changes.Version)
+}
