--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -103,7 +103,7 @@
 mutant relay_counts_own_work internal/exchange/relay.go \
 	'return total.without(r.members[name].work)' 'return total' internal/exchange TestRelayTellsEachDaemonTheOthersWork
 mutant no_draw internal/routing/cost.go \
-	'return *draw(near, random), true' 'return *near[0].candidate, true' internal/routing TestChoicesFromOnePictureSpread
+	'return *draw(model.preferred(near), random), true' 'return *near[0].candidate, true' internal/routing TestChoicesFromOnePictureSpread
 mutant no_quota_window internal/job/pacing.go \
 	'if now.Sub(p.since) < window {' 'if false {' internal/job TestOwnersDoNotPlaceTwiceIntoTheSameRoom
 mutant no_failure_count internal/job/progress.go \
@@ -136,5 +136,23 @@
 mutant items_queue internal/job/pacing.go \
 	'candidate.Draining || candidate.Waiting > 0' 'candidate.Draining' internal/job TestItemsEnterNoFullService
 mutant no_pace internal/table/follower.go \
-	'f.Pace != nil && f.Pace.Wait(ctx) != nil' 'false' internal/table TestPacedFollowerAsksLessOftenAndMissesNothing
+	'return errors.WithStack(f.Pace.Wait(ctx))' 'return nil' internal/table TestPacedFollowerAsksLessOftenAndMissesNothing
+mutant no_forwarding internal/table/forwarding.go \
+	'mayRepeat := isNotDone(err) || (isRead && isUnserved(err))' 'mayRepeat := false' internal/table TestCallsGoThroughPeersWhileTheStoreRefuses
+mutant unknown_commit_repeated internal/table/forwarding.go \
+	'(isRead && isUnserved(err))' 'isUnserved(err)' internal/table TestCommitOfUnknownOutcomeIsNotMadeAgain
+mutant helper_without_store internal/frontend/peerstore.go \
+	'if !p.isServed() {' 'if false {' internal/frontend TestHelperMakesEveryCall
+mutant stale_upstream internal/frontend/upstream.go \
+	'if !now.Before(expires) {' 'if false {' internal/frontend TestUpstreamWithoutStoreTellsNothing
+mutant preempted_twice internal/exchange/relay.go \
+	'max(h.work.inFlight[id].Batch-h.preempted[id], 0)' 'h.work.inFlight[id].Batch' internal/exchange TestEachPreemptionTakesAnotherItem
+mutant no_preemption internal/serving/exchange.go \
+	'	e.core.Backends.Preempt(e.last.ID)' '' internal/serving TestWaitingRequestPreemptsOneItem
+mutant late_drop internal/job/owned.go \
+	'if s.owned[o.job.ID] == o {' 'if true {' internal/job TestLateGoroutineDropsNoNewerOwnership
+mutant no_give_back internal/job/takeover.go \
+	's.giveBack(ctx, id, claimed)' '' internal/job TestJobThatADaemonCannotReadGoesToAnother
+mutant excess_answered_at_once internal/job/yielding.go \
+	'if now.Sub(since) < window {' 'if now.Sub(since) < 0 {' internal/job TestExcessMustStand
 exit $failed
