One record for rows between daemons; places and messages in files of their own

Rows that follow an upstream and rows of calls made for others were two records with their own schemas. internal/serving/exchange.go had grown to 446 lines. No change of behaviour.

--- a/internal/frontend/peerstore.go
+++ b/internal/frontend/peerstore.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/hamba/avro/v2"
 	"github.com/pkg/errors"
 
 	"topazpulley/internal/cluster"
@@ -21,96 +20,6 @@
 // storeHelpers is how many daemons are asked to make a call, in turn.
 const storeHelpers = 2
 
-// storeOperation names a call to the store.
-type storeOperation string
-
-const (
-	storeCommit     storeOperation = "commit"
-	storeRead       storeOperation = "read"
-	storePartitions storeOperation = "partitions"
-	storePutObject  storeOperation = "put_object"
-	storeGetObject  storeOperation = "get_object"
-)
-
-// storeRequest is a call to the store that another daemon makes.
-type storeRequest struct {
-	Operation    string           `avro:"operation"`
-	Table        string           `avro:"table"`
-	Partition    string           `avro:"partition"`
-	From         string           `avro:"from"`
-	Before       string           `avro:"before"`
-	Limit        int              `avro:"limit"`
-	Name         string           `avro:"name"`
-	Content      []byte           `avro:"content"`
-	Conditions   []conditionInput `avro:"conditions"`
-	Writes       []writeInput     `avro:"writes"`
-	Removals     []removalInput   `avro:"removals"`
-	Milliseconds int64            `avro:"milliseconds"`
-}
-
-type conditionInput struct {
-	Table   string `avro:"table"`
-	Key     string `avro:"key"`
-	Version int64  `avro:"version"`
-}
-
-type writeInput struct {
-	Table string `avro:"table"`
-	Key   string `avro:"key"`
-	Value []byte `avro:"value"`
-}
-
-type removalInput struct {
-	Table string `avro:"table"`
-	Key   string `avro:"key"`
-}
-
-// storeAnswer is how the call ended. ErrorKind is -1 without an error; the rows
-// of a conflict bear the names of their tables.
-type storeAnswer struct {
-	ErrorKind  int              `avro:"error_kind"`
-	IsConflict bool             `avro:"is_conflict"`
-	Version    int64            `avro:"version"`
-	Rows       []storeRowRecord `avro:"rows"`
-	More       bool             `avro:"more"`
-	Partitions []string         `avro:"partitions"`
-	Content    []byte           `avro:"content"`
-}
-
-type storeRowRecord struct {
-	Table     string `avro:"table"`
-	Partition string `avro:"partition"`
-	Key       string `avro:"key"`
-	Value     []byte `avro:"value"`
-	Version   int64  `avro:"version"`
-}
-
-// noError is the ErrorKind of a call that succeeded.
-const noError = -1
-
-var (
-	storeRequestSchema = avro.MustParse(`{"type":"record","name":"store_request","fields":[{"name":"operation","type":"string"},
-		{"name":"table","type":"string"},{"name":"partition","type":"string"},{"name":"from","type":"string"},{"name":"before","type":"string"},
-		{"name":"limit","type":"int"},{"name":"name","type":"string"},{"name":"content","type":"bytes"},
-		{"name":"conditions","type":{"type":"array","items":{"type":"record","name":"condition","fields":[{"name":"table","type":"string"},
-		{"name":"key","type":"string"},{"name":"version","type":"long"}]}}},
-		{"name":"writes","type":{"type":"array","items":{"type":"record","name":"write","fields":[{"name":"table","type":"string"},
-		{"name":"key","type":"string"},{"name":"value","type":"bytes"}]}}},
-		{"name":"removals","type":{"type":"array","items":{"type":"record","name":"removal","fields":[{"name":"table","type":"string"},
-		{"name":"key","type":"string"}]}}},{"name":"milliseconds","type":"long"}]}`)
-	storeAnswerSchema = avro.MustParse(`{"type":"record","name":"store_answer","fields":[{"name":"error_kind","type":"int"},
-		{"name":"is_conflict","type":"boolean"},{"name":"version","type":"long"},
-		{"name":"rows","type":{"type":"array","items":{"type":"record","name":"store_row","fields":[{"name":"table","type":"string"},
-		{"name":"partition","type":"string"},{"name":"key","type":"string"},{"name":"value","type":"bytes"},{"name":"version","type":"long"}]}}},
-		{"name":"more","type":"boolean"},{"name":"partitions","type":{"type":"array","items":"string"}},{"name":"content","type":"bytes"}]}`)
-)
-
-// Schema implements peer.Message.
-func (storeRequest) Schema() avro.Schema { return storeRequestSchema }
-
-// Schema implements peer.Message.
-func (storeAnswer) Schema() avro.Schema { return storeAnswerSchema }
-
 // peerStore makes calls to the store through other daemons, and for them.
 type peerStore struct {
 	node      *cluster.Node
@@ -150,7 +59,7 @@
 	case storeRead:
 		page, err := p.direct.Read(ctx, table.Range{Table: request.Table, Partition: request.Partition, From: request.From, Before: request.Before, Limit: request.Limit})
 		answer := emptyAnswer(err)
-		answer.Version, answer.More, answer.Rows = int64(page.Version), page.More, storeRows(page.Rows)
+		answer.Version, answer.More, answer.Rows = int64(page.Version), page.More, rowRecords(page.Rows)
 		return answer
 	case storePartitions:
 		names, more, err := p.direct.Partitions(ctx, request.Table, request.From)
@@ -168,68 +77,6 @@
 	return emptyAnswer(&table.Error{Kind: table.ErrorInvalid, Call: request.Operation})
 }
 
-// emptyAnswer tells how a call ended.
-func emptyAnswer(err error) storeAnswer {
-	answer := storeAnswer{ErrorKind: noError, Rows: []storeRowRecord{}, Partitions: []string{}, Content: []byte{}}
-	var conflict *table.ConflictError
-	var failed *table.Error
-	switch {
-	case err == nil:
-	case errors.As(err, &conflict):
-		answer.IsConflict, answer.Rows = true, storeRows(conflict.Rows)
-	case errors.As(err, &failed):
-		answer.ErrorKind = int(failed.Kind)
-	default:
-		answer.ErrorKind = int(table.ErrorUnknown)
-	}
-	return answer
-}
-
-// failure returns the error that an answer tells of, or nil.
-func (a storeAnswer) failure(operation storeOperation) error {
-	if a.IsConflict {
-		return &table.ConflictError{Rows: a.tableRows()}
-	}
-	if a.ErrorKind == noError {
-		return nil
-	}
-	return &table.Error{Kind: table.ErrorKind(a.ErrorKind), Call: string(operation)}
-}
-
-func storeRows(rows []table.Row) []storeRowRecord {
-	records := make([]storeRowRecord, 0, len(rows))
-	for _, row := range rows {
-		record := storeRowRecord{Table: row.Table, Partition: row.Partition, Key: row.Key, Value: row.Value, Version: int64(row.Version)}
-		if record.Value == nil {
-			record.Value = []byte{}
-		}
-		records = append(records, record)
-	}
-	return records
-}
-
-func (a storeAnswer) tableRows() []table.Row {
-	rows := make([]table.Row, 0, len(a.Rows))
-	for _, each := range a.Rows {
-		rows = append(rows, table.Row{Table: each.Table, Partition: each.Partition, Key: each.Key, Value: each.Value, Version: table.Version(each.Version)})
-	}
-	return rows
-}
-
-func (r storeRequest) transaction() table.Transaction {
-	transaction := table.Transaction{Partition: r.Partition}
-	for _, each := range r.Conditions {
-		transaction.Conditions = append(transaction.Conditions, table.Condition{Table: each.Table, Key: each.Key, Version: table.Version(each.Version)})
-	}
-	for _, each := range r.Writes {
-		transaction.Writes = append(transaction.Writes, table.Write{Table: each.Table, Key: each.Key, Value: each.Value})
-	}
-	for _, each := range r.Removals {
-		transaction.Removals = append(transaction.Removals, table.Removal{Table: each.Table, Key: each.Key})
-	}
-	return transaction
-}
-
 // call has another daemon make a call. A daemon that the store does not serve
 // either is passed by; after one that did not answer, nothing is known.
 func (p *peerStore) call(ctx context.Context, operation storeOperation, request storeRequest) (storeAnswer, error) {
@@ -300,7 +147,7 @@
 	if err != nil {
 		return table.Page{}, err
 	}
-	return table.Page{Rows: answer.tableRows(), More: answer.More, Version: table.Version(answer.Version)}, nil
+	return table.Page{Rows: tableRows(answer.Rows), More: answer.More, Version: table.Version(answer.Version)}, nil
 }
 
 // Partitions implements table.Store.
--- a/internal/frontend/peerstore_test.go
+++ b/internal/frontend/peerstore_test.go
@@ -45,7 +45,7 @@
 	require.Equal(t, table.Version(committed.Version), conflict.Row("t", "a").Version)
 
 	read := throughWire(t, helper, storeRequest{Operation: string(storeRead), Table: "t", Partition: "p", Milliseconds: 1000})
-	require.Equal(t, "1", string(read.tableRows()[0].Value))
+	require.Equal(t, "1", string(tableRows(read.Rows)[0].Value))
 	listed := throughWire(t, helper, storeRequest{Operation: string(storePartitions), Table: "t", Milliseconds: 1000})
 	require.Equal(t, []string{"p"}, listed.Partitions)
 
--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -32,6 +32,7 @@
 }
 
 type rowRecord struct {
+	Table     string `avro:"table"`
 	Partition string `avro:"partition"`
 	Key       string `avro:"key"`
 	Value     []byte `avro:"value"`
@@ -40,7 +41,7 @@
 }
 
 // rowRecordSchema is that of rowRecord, for the messages that hold rows.
-const rowRecordSchema = `{"type":"record","name":"row","fields":[{"name":"partition","type":"string"},{"name":"key","type":"string"},
+const rowRecordSchema = `{"type":"record","name":"row","fields":[{"name":"table","type":"string"},{"name":"partition","type":"string"},{"name":"key","type":"string"},
 	{"name":"value","type":"bytes"},{"name":"version","type":"long"},{"name":"is_deleted","type":"boolean"}]}`
 
 // rowRecords makes records of rows.
@@ -51,17 +52,17 @@
 		if value == nil {
 			value = []byte{}
 		}
-		records = append(records, rowRecord{Partition: row.Partition, Key: row.Key, Value: value, Version: int64(row.Version), IsDeleted: row.Deleted})
+		records = append(records, rowRecord{Table: row.Table, Partition: row.Partition, Key: row.Key, Value: value, Version: int64(row.Version), IsDeleted: row.Deleted})
 	}
 	return records
 }
 
-// tableRows makes rows of a table of records.
-func tableRows(name string, records []rowRecord) []table.Row {
+// tableRows makes rows of records.
+func tableRows(records []rowRecord) []table.Row {
 	rows := make([]table.Row, 0, len(records))
 	for _, each := range records {
 		rows = append(rows, table.Row{
-			Table: name, Partition: each.Partition, Key: each.Key, Value: each.Value, Version: table.Version(each.Version), Deleted: each.IsDeleted,
+			Table: each.Table, Partition: each.Partition, Key: each.Key, Value: each.Value, Version: table.Version(each.Version), Deleted: each.IsDeleted,
 		})
 	}
 	return rows
@@ -120,7 +121,7 @@
 		if err != nil || answer.Version == 0 {
 			continue
 		}
-		return tableRows(name, answer.Rows), table.Version(answer.Version), true
+		return tableRows(answer.Rows), table.Version(answer.Version), true
 	}
 	return nil, 0, false
 }
--- a/internal/frontend/upstream.go
+++ b/internal/frontend/upstream.go
@@ -152,7 +152,7 @@
 		return table.RelayedChanges{}, true, err
 	}
 	return table.RelayedChanges{
-		Changes: table.Changes{Rows: tableRows(name, answer.Rows), Version: table.Version(answer.Version)},
+		Changes: table.Changes{Rows: tableRows(answer.Rows), Version: table.Version(answer.Version)},
 		IsWhole: answer.IsWhole, IsSettled: answer.IsSettled,
 	}, true, nil
 }
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -75,19 +75,6 @@
 // back ends had no place for, in milliseconds: half of the wait for a slot.
 const doubtCost = 25
 
-// preemption tells what a request may do about batch work.
-type preemption uint8
-
-const (
-	// preemptNothing asks for a free place.
-	preemptNothing preemption = iota
-	// preemptWhereFull has an item give way where no slot looks free.
-	preemptWhereFull
-	// preemptAnywhere has an item give way wherever the request goes: back ends
-	// that looked free had no place.
-	preemptAnywhere
-)
-
 // choose picks a back end for the request and counts the request there. One
 // that preempts finds room where batch items run.
 func (c *Core) choose(request *Request, excluded map[string]bool, allowed preemption) (*backend.Lease, routing.Candidate, bool) {
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -87,36 +87,6 @@
 	}
 }
 
-// allowedPreemption tells what the request may do about batch work. While it
-// asks back ends for a place it does nothing.
-func (e *exchange) allowedPreemption() preemption {
-	switch {
-	case !e.asksForPlaces():
-		return preemptWhereFull
-	case e.unplaced >= questions(e.core.Backends.Count(e.request.Service)):
-		return preemptAnywhere
-	}
-	return preemptNothing
-}
-
-func (e *exchange) asksForPlaces() bool {
-	isStream := e.request.Route.Kind == route.KindStream
-	return isStream && SetsPlacesAside(e.core.Sender, e.core.Holder.Current(), e.request.Service) && e.request.Tokens > 0
-}
-
-// preempt has a batch item give way at the chosen back end if the request would
-// wait for a slot there.
-func (e *exchange) preempt() {
-	allowed := e.allowedPreemption()
-	isFull := e.cost.Online+e.cost.Batch >= e.cost.Slots || e.cost.Waiting > 0
-	if allowed == preemptNothing || e.cost.Batch <= 0 || (allowed == preemptWhereFull && !isFull) {
-		return
-	}
-	e.core.Backends.Preempt(e.last.ID)
-	e.core.Logger.Info("item_preempted", "id", e.request.ID, "backend", e.last.ID, "online", e.cost.Online,
-		"batch", e.cost.Batch, "slots", e.cost.Slots, "waiting", e.cost.Waiting)
-}
-
 // awaitRoom waits a moment for back ends when none can be chosen and reports
 // whether trying again makes sense.
 func (e *exchange) awaitRoom(ctx context.Context) bool {
@@ -183,34 +153,6 @@
 	return nil
 }
 
-// reserve asks for a place for an attempt. After some refusals the request is
-// sent without one and waits at the back end.
-func (e *exchange) reserve(ctx context.Context, attempt *Attempt) error {
-	if e.allowedPreemption() != preemptNothing {
-		return nil
-	}
-	err := Reserve(ctx, e.core.Sender, e.core.Holder.Current(), attempt, e.request.Tokens)
-	if err == nil {
-		return nil
-	}
-	reason := attemptError(err).Reason
-	if reason != ReasonRefused {
-		e.noteFailure(err)
-		return err
-	}
-	e.core.Metrics.Attempts.WithLabelValues("not_run", string(ReasonNoPlace)).Inc()
-	e.core.Logger.Info("place_refused", "id", e.request.ID, "backend", e.last.ID, "online", e.cost.Online,
-		"batch", e.cost.Batch, "slots", e.cost.Slots, "report_age_ms", min(e.cost.ReportAge, time.Hour).Milliseconds())
-	e.unplaced++
-	if e.allowedPreemption() != preemptNothing {
-		clear(e.excluded)
-	}
-	return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonNoPlace, Cause: err}
-}
-
-// isUnplaced reports whether a back end had no place for a request.
-func isUnplaced(err error) bool { return attemptError(err).Reason == ReasonNoPlace }
-
 // startWatchdog arms a watchdog if the request may run elsewhere. For other
 // requests silence is no reason to end an answer.
 func (e *exchange) startWatchdog(cancel func()) *watchdog.Watchdog {
--- a/internal/serving/reserve.go
+++ b/internal/serving/reserve.go
@@ -33,13 +33,18 @@
 	Time   time.Duration
 }
 
-// SetsPlacesAside reports whether the back ends of a service set places aside.
-func SetsPlacesAside(sender Sender, table *route.Table, service string) bool {
-	if _, canReserve := sender.(Reserver); !canReserve || table == nil {
-		return false
+// placesOf returns who sets places aside at the back ends of a service, and for
+// how long at most. It reports false when they set none aside.
+func placesOf(sender Sender, table *route.Table, service string) (Reserver, time.Duration, bool) {
+	reserver, canReserve := sender.(Reserver)
+	if !canReserve || table == nil {
+		return nil, 0, false
 	}
 	configured, found := table.Service(service)
-	return found && configured.ReservationTime > 0
+	if !found || configured.ReservationTime <= 0 {
+		return nil, 0, false
+	}
+	return reserver, configured.ReservationTime, true
 }
 
 // Reserve asks a back end for a place for an attempt, if back ends of its
@@ -47,14 +52,13 @@
 // at once from pictures that are a moment old; only the back end knows. An error
 // tells that the back end has no room or cannot be reached; nothing has run.
 func Reserve(ctx context.Context, sender Sender, table *route.Table, attempt *Attempt, tokens int) error {
-	if tokens == 0 || !SetsPlacesAside(sender, table, attempt.Instance.Service) {
+	reserver, longest, found := placesOf(sender, table, attempt.Instance.Service)
+	if tokens == 0 || !found {
 		return nil
 	}
-	reserver, _ := sender.(Reserver)
-	configured, _ := table.Service(attempt.Instance.Service)
 	bounded, cancel := context.WithTimeout(ctx, reservationPatience)
 	defer cancel()
-	place, err := reserver.Reserve(bounded, Reservation{Attempt: *attempt, Tokens: tokens, Time: min(reservationTime, configured.ReservationTime)})
+	place, err := reserver.Reserve(bounded, Reservation{Attempt: *attempt, Tokens: tokens, Time: min(reservationTime, longest)})
 	attempt.Place = place
 	return err
 }
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -147,7 +147,7 @@
 	'if !now.Before(expires) {' 'if false {' internal/frontend TestUpstreamWithoutStoreTellsNothing
 mutant preempted_twice internal/exchange/relay.go \
 	'max(h.work.inFlight[id].Batch-h.preempted[id], 0)' 'h.work.inFlight[id].Batch' internal/exchange TestEachPreemptionTakesAnotherItem
-mutant no_preemption internal/serving/exchange.go \
+mutant no_preemption internal/serving/place.go \
 	'	e.core.Backends.Preempt(e.last.ID)' '' internal/serving TestWaitingRequestPreemptsOneItem
 mutant late_drop internal/job/owned.go \
 	'if s.owned[o.job.ID] == o {' 'if true {' internal/job TestLateGoroutineDropsNoNewerOwnership
