--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -67,8 +67,10 @@
 	transport *peer.Transport
 	node      *cluster.Node
 	store     table.Store
-	followers []*table.Follower
-	instances *instanceConsumer
+	// forwarding is what store calls; it runs while the daemon does.
+	forwarding *table.Forwarding
+	followers  []*table.Follower
+	instances  *instanceConsumer
 
 	// Holder has the configuration in force.
 	Holder *route.Holder
@@ -86,7 +88,8 @@
 	f.transport = peer.NewTransport(process.Name, process.PeerAddress, process.ClusterKeyBytes(), log)
 	self := f.member()
 	f.node = cluster.NewNode(membership.DefaultConfig(time.Duration(process.ProbeInterval)), self, f.transport, log)
-	store := table.NewMonotonic(f.forwardingStore(ports))
+	f.forwarding = f.forwardingStore(ports)
+	store := table.NewMonotonic(f.forwarding)
 	f.store = store
 	shareVersions(f.node, store)
 	accounts := quota.NewAccounts(f.store, quotaPeers{node: f.node, transport: f.transport}, quotaMetrics, log)
@@ -129,7 +132,7 @@
 // not serve this one.
 func (f *Frontend) forwardingStore(ports Ports) *table.Forwarding {
 	throughPeers := newPeerStore(f.node, f.transport, ports.Store)
-	forwarding := &table.Forwarding{Direct: ports.Store, Peers: throughPeers, ProbeTable: ports.ConfigTable, Logger: f.log}
+	forwarding := table.NewForwarding(ports.Store, throughPeers, ports.ConfigTable, f.log)
 	forwarding.HasPeers = func() bool { return f.node.Count() > 1 }
 	throughPeers.isServed = forwarding.IsServed
 	return forwarding
@@ -170,6 +173,7 @@
 	go loads.Run(ctx)
 	go f.Jobs.Run(ctx)
 	go f.keepFound(ctx)
+	go f.forwarding.Run(ctx)
 	go f.instances.settleAll(ctx)
 	for _, follower := range f.followers {
 		go follower.Run(ctx)
--- a/internal/table/forwarding.go
+++ b/internal/table/forwarding.go
@@ -35,12 +35,39 @@
 	ProbeTable string
 	Logger     *slog.Logger
 
+	// lost is signalled when the store stops to serve this daemon.
+	lost chan struct{}
+
 	mutex  sync.Mutex
 	isLost bool
 }
 
 var _ Store = (*Forwarding)(nil)
 
+// NewForwarding returns a store that calls the store itself, or peers. Run finds
+// out when the store serves this daemon again.
+func NewForwarding(direct, peers Store, probeTable string, logger *slog.Logger) *Forwarding {
+	return &Forwarding{
+		Direct: direct, Peers: peers, HasPeers: func() bool { return false }, ProbeTable: probeTable, Logger: logger,
+		lost: make(chan struct{}, 1),
+	}
+}
+
+// Run reads a row now and then while the store does not serve this daemon, until
+// the context ends.
+func (f *Forwarding) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.lost:
+		}
+		for !f.IsServed() && periodic.SleepAbout(ctx, probeInterval) {
+			f.probe(ctx)
+		}
+	}
+}
+
 // IsServed reports whether the store serves this daemon, as far as is known.
 func (f *Forwarding) IsServed() bool {
 	f.mutex.Lock()
@@ -55,28 +82,28 @@
 	wasLost := f.isLost
 	f.isLost = f.isLost || isLost
 	f.mutex.Unlock()
-	if isLost && !wasLost {
-		f.Logger.Warn("store_path_lost", "error", err)
-		go f.probe()
+	if !isLost || wasLost {
+		return
+	}
+	f.Logger.Warn("store_path_lost", "error", err)
+	select {
+	case f.lost <- struct{}{}:
+	default:
 	}
 }
 
-// probe reads a row now and then until the store serves this daemon again.
-func (f *Forwarding) probe() {
-	for {
-		periodic.SleepAbout(context.Background(), probeInterval)
-		bounded, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		_, err := f.Direct.Read(bounded, Range{Table: f.ProbeTable, Limit: 1})
-		cancel()
-		if isUnserved(err) {
-			continue
-		}
-		f.mutex.Lock()
-		f.isLost = false
-		f.mutex.Unlock()
-		f.Logger.Info("store_path_regained")
+// probe finds out once whether the store serves this daemon again.
+func (f *Forwarding) probe(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := f.Direct.Read(bounded, Range{Table: f.ProbeTable, Limit: 1})
+	if isUnserved(err) {
 		return
 	}
+	f.mutex.Lock()
+	f.isLost = false
+	f.mutex.Unlock()
+	f.Logger.Info("store_path_regained")
 }
 
 // isUnserved tells calls that the store did not serve from those it answered.
@@ -102,7 +129,7 @@
 // directContext bounds a call to the store itself.
 func (f *Forwarding) directContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	deadline, isBounded := ctx.Deadline()
-	if !isBounded || f.HasPeers == nil || !f.HasPeers() {
+	if !isBounded || !f.HasPeers() {
 		return context.WithCancel(ctx)
 	}
 	return context.WithTimeout(ctx, time.Until(deadline)/directShare)
--- a/internal/table/forwarding_test.go
+++ b/internal/table/forwarding_test.go
@@ -27,6 +27,13 @@
 	return made
 }
 
+func newForwarding(t *testing.T, direct, peers table.Store) *table.Forwarding {
+	t.Helper()
+	made := table.NewForwarding(direct, peers, "t", quiet)
+	go made.Run(t.Context())
+	return made
+}
+
 func insert(key string) table.Transaction {
 	return table.Transaction{Conditions: []table.Condition{{Table: "t", Key: key}}, Writes: []table.Write{{Table: "t", Key: key, Value: []byte(key)}}}
 }
@@ -35,7 +42,7 @@
 // the store, and to the store again once it serves this daemon.
 func TestCallsGoThroughPeersWhileTheStoreRefuses(t *testing.T) {
 	direct, peers := newFaultyStore(), newFaultyStore()
-	store := &table.Forwarding{Direct: direct, Peers: peers, ProbeTable: "t", Logger: quiet}
+	store := newForwarding(t, direct, peers)
 	direct.fault = tabletest.FaultRefuse
 	_, err := store.Commit(t.Context(), insert("a"))
 	require.NoError(t, err)
@@ -56,7 +63,7 @@
 // harmless.
 func TestCommitOfUnknownOutcomeIsNotMadeAgain(t *testing.T) {
 	direct, peers := newFaultyStore(), newFaultyStore()
-	store := &table.Forwarding{Direct: direct, Peers: peers, ProbeTable: "t", Logger: quiet}
+	store := newForwarding(t, direct, peers)
 	direct.fault = tabletest.FaultLose
 	_, err := store.Commit(t.Context(), insert("a"))
 	var failed *table.Error
@@ -69,7 +76,7 @@
 // error is the store's own.
 func TestStoreThatServesNobodyIsTriedItself(t *testing.T) {
 	direct, peers := newFaultyStore(), newFaultyStore()
-	store := &table.Forwarding{Direct: direct, Peers: peers, ProbeTable: "t", Logger: quiet}
+	store := newForwarding(t, direct, peers)
 	direct.fault, peers.fault = tabletest.FaultThrottle, tabletest.FaultRefuse
 	for range 2 {
 		_, err := store.Commit(t.Context(), insert("a"))
@@ -82,7 +89,7 @@
 // TestConflictsAreAnswers and no sign of a store that does not serve.
 func TestConflictsAreAnswers(t *testing.T) {
 	direct, peers := newFaultyStore(), newFaultyStore()
-	store := &table.Forwarding{Direct: direct, Peers: peers, ProbeTable: "t", Logger: quiet}
+	store := newForwarding(t, direct, peers)
 	_, err := store.Commit(t.Context(), insert("a"))
 	require.NoError(t, err)
 	_, err = store.Commit(t.Context(), insert("a"))
@@ -105,7 +112,8 @@
 	peers := newFaultyStore()
 	_, err := peers.Commit(t.Context(), insert("a"))
 	require.NoError(t, err)
-	store := &table.Forwarding{Direct: silentStore{tabletest.NewMemory()}, Peers: peers, HasPeers: func() bool { return true }, ProbeTable: "t", Logger: quiet}
+	store := newForwarding(t, silentStore{tabletest.NewMemory()}, peers)
+	store.HasPeers = func() bool { return true }
 	bounded, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	page, err := store.Read(bounded, table.Range{Table: "t"})
