--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -244,6 +244,8 @@
 	store, runner := tabletest.NewMemory(), newRunners()
 	runner.pause = 40 * time.Millisecond
 	owner, other := startDaemon(t, "a", deafStore{store}, runner), startDaemon(t, "b", store, runner)
+	// Its one read of the claims must be over, or it tells the owner of the end.
+	require.Eventually(t, func() bool { return owner.Followed() > 0 }, patience, pollTime)
 	require.NoError(t, owner.Submit(t.Context(), newJob("j1", 100)))
 	require.NoError(t, other.End(t.Context(), "j1"))
 	before, _ := allResults(t, other, "j1")
