--- a/internal/exchange/audience.go
+++ b/internal/exchange/audience.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// wholeFleet is the largest fleet in which every daemon tells all others. In
-	// a larger one each tells the relays of its zone.
-	wholeFleet = 40
+	// WholeFleet is the largest fleet in which every daemon tells all others, and
+	// does for itself what a few daemons of a zone do for the others in a larger
+	// one. At 40 daemons a daemon reads 100 messages a second.
+	WholeFleet = 40
 	// relaysPerZone is how many daemons of a zone gather its loads: when one is
 	// lost, the other's sums still come.
 	relaysPerZone = 2
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -76,7 +76,7 @@
 
 // New returns an exchange. It subscribes to the node, which must not run yet.
 func New(node *cluster.Node, backends *backend.Set, log *slog.Logger) *Exchange {
-	made := &Exchange{node: node, backends: backends, log: log, self: node.Self(), directLimit: wholeFleet, heard: map[string]time.Time{}, relay: newRelay(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	made := &Exchange{node: node, backends: backends, log: log, self: node.Self(), directLimit: WholeFleet, heard: map[string]time.Time{}, relay: newRelay(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	node.Subscribe(made.receive)
 	return made
 }
--- a/internal/exchange/relay_test.go
+++ b/internal/exchange/relay_test.go
@@ -96,10 +96,10 @@
 // TestEveryZoneHasRelaysThatAllAgreeOn, that reach every daemon of their zone,
 // and the relays of each other zone.
 func TestEveryZoneHasRelaysThatAllAgreeOn(t *testing.T) {
-	members := fleet(wholeFleet + 5)
+	members := fleet(WholeFleet + 5)
 	relays := map[string][]string{}
 	for _, self := range members {
-		found := audienceOf(self, members, wholeFleet)
+		found := audienceOf(self, members, WholeFleet)
 		require.True(t, found.isRelayed)
 		require.Empty(t, found.members)
 		require.Len(t, found.relays, relaysPerZone)
@@ -109,7 +109,7 @@
 		require.Equal(t, relays[self.Zone], found.relays)
 	}
 	for _, self := range members {
-		found := audienceOf(self, members, wholeFleet)
+		found := audienceOf(self, members, WholeFleet)
 		if !found.isRelay(self.Name) {
 			require.Empty(t, found.zone)
 			require.Empty(t, found.zoneRelays)
@@ -125,10 +125,10 @@
 
 // TestSmallFleetsTellAllDirectly.
 func TestSmallFleetsTellAllDirectly(t *testing.T) {
-	members := fleet(wholeFleet)
-	found := audienceOf(members[0], members, wholeFleet)
+	members := fleet(WholeFleet)
+	found := audienceOf(members[0], members, WholeFleet)
 	require.False(t, found.isRelayed)
-	require.Len(t, found.members, wholeFleet-1)
+	require.Len(t, found.members, WholeFleet-1)
 }
 
 // TestLoadsSurviveTheWire.
--- a/internal/frontend/upstream.go
+++ b/internal/frontend/upstream.go
@@ -11,6 +11,7 @@
 
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/duty"
+	"topazpulley/internal/exchange"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
@@ -21,9 +22,6 @@
 	// methodFollow is the method of the peer protocol by which a daemon follows
 	// another's copy of a table.
 	methodFollow = "table.follow"
-	// directFleet is the largest fleet in which every daemon follows the tables
-	// at the store: the same up to which all tell each other their loads.
-	directFleet = 40
 	// upstreamsPerZone is how many daemons of a zone follow the tables for the
 	// others: when one is lost, half of the zone moves to the other.
 	upstreamsPerZone = 2
@@ -112,7 +110,7 @@
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	if now.Sub(u.chosenAt) >= choiceAge {
-		u.chosen, u.chosenAt = upstreamsOf(u.self.Zone, u.node.Members(), directFleet), now
+		u.chosen, u.chosenAt = upstreamsOf(u.self.Zone, u.node.Members(), exchange.WholeFleet), now
 	}
 	return u.chosen
 }
--- a/internal/frontend/upstream_test.go
+++ b/internal/frontend/upstream_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"topazpulley/internal/exchange"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/table"
 	"topazpulley/internal/table/tabletest"
@@ -35,17 +36,17 @@
 // a suspected daemon is none, and a small fleet has none.
 func TestEachZoneOfALargeFleetHasItsUpstreams(t *testing.T) {
 	members := fleetIn(3, 20)
-	chosen := upstreamsOf("zone-1", members, directFleet)
+	chosen := upstreamsOf("zone-1", members, exchange.WholeFleet)
 	require.Len(t, chosen, upstreamsPerZone)
 	for index := range members {
 		if members[index].Name == chosen[0].Name {
 			members[index].State = membership.StateSuspect
 		}
 	}
-	changed := upstreamsOf("zone-1", members, directFleet)
+	changed := upstreamsOf("zone-1", members, exchange.WholeFleet)
 	require.Equal(t, chosen[1].Name, changed[0].Name)
 	require.Len(t, changed, upstreamsPerZone)
-	require.Empty(t, upstreamsOf("zone-1", fleetIn(4, 10), directFleet))
+	require.Empty(t, upstreamsOf("zone-1", fleetIn(4, 10), exchange.WholeFleet))
 }
 
 // newCopy follows a table of a store in memory.
