Stop a daemon's peer protocol once

A daemon that a test had stopped or killed was killed again at the test's end, and gnet's client closes its descriptors by number at each stop: those numbers belonged to other listeners by then.

Change: Transport.Stop works once.

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -43,8 +43,9 @@
 	handlers map[string]handler
 	onPacket func(membership.Packet)
 
-	booted chan error
-	engine gnet.Engine
+	booted   chan error
+	engine   gnet.Engine
+	stopOnce sync.Once
 	// udp is set once the transport has started; datagrams that come or go
 	// before are lost.
 	udp     atomic.Pointer[net.UDPConn]
@@ -147,8 +148,12 @@
 	return nil
 }
 
-// Stop closes all listeners and connections.
-func (t *Transport) Stop() {
+// Stop closes all listeners and connections. Further calls do nothing: gnet's
+// client closes its descriptors by number at each stop, and by then the numbers
+// may belong to others.
+func (t *Transport) Stop() { t.stopOnce.Do(t.stop) }
+
+func (t *Transport) stop() {
 	t.cancel()
 	deadline, cancel := context.WithTimeout(context.Background(), bootTimeout)
 	defer cancel()
