--- a/internal/job/yielding.go
+++ b/internal/job/yielding.go
@@ -8,20 +8,27 @@
 )
 
 // yielder decides how many of its own items an owner takes back from a back
-// end that stays crowded although requests which wait preempt items themselves:
-// a preemption was lost, or the item's owner was not known. The picture that
-// shows the excess is a moment old, so that an excess must stand for the time in
-// which owners hear of each other; then each takes back its part of it, once, and
-// not at every look until the others hear of it. It belongs to the dispatcher's
+// end where online requests wait for a slot, beside those that requests preempt
+// themselves once back ends have refused them. Owners learn of each other's
+// decisions only a moment later. Until then a look shows the same excess again,
+// less only what this owner took back itself; answering it anew at every look
+// would take back many times what is too much. It belongs to the dispatcher's
 // goroutine.
 type yielder struct {
 	random *rand.Rand
-	// since is when an excess was first seen, or last answered, by back end.
-	since map[string]time.Time
+	// answered is the excess that has been answered, by back end.
+	answered map[string]answeredExcess
+}
+
+// answeredExcess is an excess of which this owner has taken back its part.
+type answeredExcess struct {
+	at time.Time
+	// left is what the other owners have yet to take back.
+	left int
 }
 
 func newYielder(random *rand.Rand) *yielder {
-	return &yielder{random: random, since: map[string]time.Time{}}
+	return &yielder{random: random, answered: map[string]answeredExcess{}}
 }
 
 // crowding returns how many batch items a back end has too many: those that
@@ -35,34 +42,31 @@
 }
 
 // share returns how many of its own items the owner takes back now: its part of
-// an excess that has stood for the window in which all owners hear of each other.
+// the excess that was not there before, or that still stands after the window
+// in which all owners hear of each other.
 func (y *yielder) share(candidate routing.Candidate, now time.Time, window time.Duration) int {
 	excess := crowding(candidate)
 	if excess == 0 {
-		delete(y.since, candidate.ID)
-		return 0
-	}
-	since, isKnown := y.since[candidate.ID]
-	if !isKnown {
-		y.since[candidate.ID] = now
+		delete(y.answered, candidate.ID)
 		return 0
 	}
-	if now.Sub(since) < window {
-		return 0
+	answered := y.answered[candidate.ID]
+	isFresh := now.Sub(answered.at) < window
+	if !isFresh {
+		answered = answeredExcess{at: now}
 	}
-	y.since[candidate.ID] = now
-	return min(shareOf(excess, candidate.OwnBatch, candidate.Batch, y.random), candidate.OwnBatch)
+	answered.left = min(answered.left, excess)
+	count := min(shareOf(excess-answered.left, candidate.OwnBatch, candidate.Batch, y.random), candidate.OwnBatch)
+	answered.left = excess - count
+	y.answered[candidate.ID] = answered
+	return count
 }
 
-// forgetWindows is for how many windows an excess is remembered that is not
-// looked at again, because no own item runs there any more.
-const forgetWindows = 3
-
-// forget drops what was not looked at for long.
+// forget drops what is older than the window.
 func (y *yielder) forget(now time.Time, window time.Duration) {
-	for id, since := range y.since {
-		if now.Sub(since) >= forgetWindows*window {
-			delete(y.since, id)
+	for id, answered := range y.answered {
+		if now.Sub(answered.at) >= window {
+			delete(y.answered, id)
 		}
 	}
 }
