Give a store that has answered lately the whole time of a call

The store is 41 times slow from 10.8 to 13.9 s; a call that has half of its time ends while the store works on it and is made again, which makes the store slower.

Change: a store that answered within the last three seconds has the whole time; only one that has not is left after half. TestSlowStoreHasTheWholeTime.

--- a/internal/table/forwarding.go
+++ b/internal/table/forwarding.go
@@ -21,7 +21,7 @@
 
 // Forwarding is a store that is called through another daemon while it does not
 // serve this one: it may refuse, throttle or drop some daemons and serve the
-// others. Watches are never forwarded. mutex guards isLost.
+// others. Watches are never forwarded. mutex guards the fields behind it.
 type Forwarding struct {
 	// Direct is the store as this daemon reaches it.
 	Direct Store
@@ -40,6 +40,8 @@
 
 	mutex  sync.Mutex
 	isLost bool
+	// answeredAt is when the store itself last answered a call.
+	answeredAt time.Time
 }
 
 var _ Store = (*Forwarding)(nil)
@@ -75,12 +77,22 @@
 	return !f.isLost
 }
 
+// hasAnswered reports whether the store itself has answered lately.
+func (f *Forwarding) hasAnswered() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return time.Since(f.answeredAt) < answerAge
+}
+
 // note learns from a call to the store itself.
 func (f *Forwarding) note(err error) {
 	isLost := isUnserved(err)
 	f.mutex.Lock()
 	wasLost := f.isLost
 	f.isLost = f.isLost || isLost
+	if !isLost {
+		f.answeredAt = time.Now()
+	}
 	f.mutex.Unlock()
 	if !isLost || wasLost {
 		return
@@ -101,7 +113,7 @@
 		return
 	}
 	f.mutex.Lock()
-	f.isLost = false
+	f.isLost, f.answeredAt = false, time.Now()
 	f.mutex.Unlock()
 	f.Logger.Info("store_path_regained")
 }
@@ -121,15 +133,21 @@
 	return errors.As(err, &failed) && (failed.Kind == ErrorNotDone || failed.Kind == ErrorThrottled)
 }
 
-// directShare is the part, as one in so many, of a call's time in which the store
-// itself must answer while other daemons could be asked: a store that drops this
-// daemon's calls says nothing.
-const directShare = 2
+const (
+	// directShare is the part, as one in so many, of a call's time in which the
+	// store itself must answer while other daemons could be asked: a store that
+	// drops this daemon's calls says nothing.
+	directShare = 2
+	// answerAge is how long an answer shows that the store serves this daemon. A
+	// store that is slow needs a call's whole time, and a call that is made again
+	// makes it slower.
+	answerAge = 3 * time.Second
+)
 
 // directContext bounds a call to the store itself.
 func (f *Forwarding) directContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	deadline, isBounded := ctx.Deadline()
-	if !isBounded || !f.HasPeers() {
+	if !isBounded || !f.HasPeers() || f.hasAnswered() {
 		return context.WithCancel(ctx)
 	}
 	return context.WithTimeout(ctx, time.Until(deadline)/directShare)
--- a/internal/table/forwarding_test.go
+++ b/internal/table/forwarding_test.go
@@ -120,3 +120,34 @@
 	require.NoError(t, err)
 	require.Len(t, page.Rows, 1)
 }
+
+// slowStore answers reads after most of a call's time.
+type slowStore struct {
+	*tabletest.Memory
+	pause time.Duration
+}
+
+func (s *slowStore) Read(ctx context.Context, wanted table.Range) (table.Page, error) {
+	select {
+	case <-ctx.Done():
+		return table.Page{}, &table.Error{Kind: table.ErrorUnknown, Call: "read", Cause: ctx.Err()}
+	case <-time.After(s.pause):
+		return s.Memory.Read(ctx, wanted)
+	}
+}
+
+// TestSlowStoreHasTheWholeTime: one that has answered lately is waited for, and
+// its calls are not made again through others.
+func TestSlowStoreHasTheWholeTime(t *testing.T) {
+	peers, slow := newFaultyStore(), &slowStore{Memory: tabletest.NewMemory()}
+	store := newForwarding(t, slow, peers)
+	store.HasPeers = func() bool { return true }
+	_, err := store.Read(t.Context(), table.Range{Table: "t"})
+	require.NoError(t, err)
+	slow.pause = 700 * time.Millisecond
+	bounded, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err = store.Read(bounded, table.Range{Table: "t"})
+	require.NoError(t, err)
+	require.Zero(t, peers.calls)
+}
