--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -4,6 +4,9 @@
 package duty
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -13,7 +16,7 @@
 func Owner(key string, candidates []string) string {
 	owner, best := "", uint64(0)
 	for _, candidate := range candidates {
-		weight := xxhash.Sum64String(key + "\x00" + candidate)
+		weight := weightOf(key, candidate)
 		if owner == "" || weight > best || (weight == best && candidate < owner) {
 			owner, best = candidate, weight
 		}
@@ -21,38 +24,41 @@
 	return owner
 }
 
-// Owners returns up to count candidates with the highest weights.
+// Owners returns up to count candidates with the highest weights, the highest
+// first.
 func Owners(key string, candidates []string, count int) []string {
-	remaining := append([]string(nil), candidates...)
-	owners := []string{}
-	for len(owners) < count && len(remaining) > 0 {
-		owner := Owner(key, remaining)
-		owners = append(owners, owner)
-		remaining = remove(remaining, owner)
+	weighted := make([]weightedCandidate, 0, len(candidates))
+	for _, candidate := range candidates {
+		weighted = append(weighted, weightedCandidate{name: candidate, weight: weightOf(key, candidate)})
+	}
+	slices.SortFunc(weighted, func(a, b weightedCandidate) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
+	})
+	owners := make([]string, 0, min(count, len(weighted)))
+	for _, each := range weighted[:min(count, len(weighted))] {
+		owners = append(owners, each.name)
 	}
 	return owners
 }
 
+// weightedCandidate is a candidate with its weight for a key.
+type weightedCandidate struct {
+	name   string
+	weight uint64
+}
+
+func weightOf(key, candidate string) uint64 { return xxhash.Sum64String(key + "\x00" + candidate) }
+
 // Rank returns the place, from 0, that a name has among the candidates in the
 // order of their weights for the key.
 func Rank(key, name string, candidates []string) int {
-	own := xxhash.Sum64String(key + "\x00" + name)
+	own := weightOf(key, name)
 	rank := 0
 	for _, candidate := range candidates {
-		weight := xxhash.Sum64String(key + "\x00" + candidate)
+		weight := weightOf(key, candidate)
 		if weight > own || (weight == own && candidate < name) {
 			rank++
 		}
 	}
 	return rank
 }
-
-func remove(names []string, gone string) []string {
-	kept := names[:0]
-	for _, name := range names {
-		if name != gone {
-			kept = append(kept, name)
-		}
-	}
-	return kept
-}
--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -40,7 +40,7 @@
 	if !c.holder.Apply(config, time.Now()) {
 		return
 	}
-	c.log.Info("configuration_applied", "config", config.Version, "row_version", row.Version, "routes", len(config.Routes), "services", len(config.Services))
+	c.log.Info("configuration_applied", "config", config.Version, "row_version", row.Version, "routes", len(config.Routes), "services", len(config.Services), "tenants", len(config.Tenants))
 }
 
 // instanceConsumer keeps the set of back ends. mutex guards missing, the back
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/time/rate"
 
+	"topazpulley/internal/access"
 	"topazpulley/internal/backend"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/exchange"
@@ -18,6 +19,7 @@
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
 	"topazpulley/internal/quota"
+	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/route"
 	"topazpulley/internal/serving"
 	"topazpulley/internal/settings"
@@ -71,6 +73,8 @@
 	forwarding *table.Forwarding
 	followers  []*table.Follower
 	instances  *instanceConsumer
+	// limitFleet is the fleet among which limits of tenants are kept.
+	limitFleet *ratelimit.ClusterFleet
 
 	// Holder has the configuration in force.
 	Holder *route.Holder
@@ -80,10 +84,19 @@
 	Core *serving.Core
 	// Jobs answers calls about jobs and runs them.
 	Jobs *job.Service
+	// Gate identifies callers.
+	Gate *access.Gate
+}
+
+// Metrics are those of the parts of a daemon.
+type Metrics struct {
+	Serving *telemetry.Serving
+	Quota   *telemetry.Quota
+	Tenants *telemetry.Tenants
 }
 
 // New assembles a daemon. The settings must be valid.
-func New(process settings.Settings, ports Ports, metrics *telemetry.Serving, quotaMetrics *telemetry.Quota, log *slog.Logger) *Frontend {
+func New(process settings.Settings, ports Ports, metrics Metrics, log *slog.Logger) *Frontend {
 	f := &Frontend{settings: process, log: log, Holder: &route.Holder{}, Backends: backend.NewSet()}
 	f.transport = peer.NewTransport(process.Name, process.PeerAddress, process.ClusterKeyBytes(), log)
 	self := f.member()
@@ -92,19 +105,22 @@
 	store := table.NewMonotonic(f.forwarding)
 	f.store = store
 	shareVersions(f.node, store)
-	accounts := quota.NewAccounts(f.store, quotaPeers{node: f.node, transport: f.transport}, quotaMetrics, log)
+	accounts := quota.NewAccounts(f.store, quotaPeers{node: f.node, transport: f.transport}, metrics.Quota, log)
 	peer.Handle(f.transport, methodQuota, func(ctx context.Context, _ string, request quota.Request) (quota.Answer, error) {
 		return accounts.Serve(ctx, request)
 	})
 	listenForPressure(f.node, accounts)
-	f.Core = serving.NewCore(f.Backends, ports.Sender, f.Holder, metrics, log, f.Members)
+	f.Core = serving.NewCore(f.Backends, ports.Sender, f.Holder, metrics.Serving, log, f.Members)
 	f.Core.Zone = process.Zone
+	f.limitFleet = ratelimit.NewClusterFleet(f.node, f.transport)
+	f.Core.Limits = ratelimit.New(f.limitFleet, ratelimit.ToleranceOf(process), metrics.Tenants, log)
+	f.limitFleet.Handle(f.Core.Limits)
 	if connector, keepsConnections := ports.Sender.(serving.Connector); keepsConnections {
 		f.Backends.SetConnected(connector.Connected)
 	}
 	f.Jobs = job.NewService(job.Dependencies{
 		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: ports.Sender,
-		Holder: f.Holder, Peers: peers{node: f.node}, Metrics: metrics, Logger: log, Connections: f.Core.ConnectionShare, Settling: settlingTime,
+		Holder: f.Holder, Peers: peers{node: f.node}, Metrics: metrics.Serving, Logger: log, Connections: f.Core.ConnectionShare, Settling: settlingTime,
 		Quota: accounts, Zone: process.Zone,
 	})
 	source := newPeerSource(f.node, f.transport)
@@ -116,7 +132,7 @@
 		{Table: f.Jobs.FollowedTable(), Consumer: f.Jobs, Partitioned: true, Pace: rate.NewLimiter(claimWatches, claimBurst)},
 	} {
 		replica := &table.Replica{Consumer: follower.Consumer}
-		source.offer(follower.Table, replica)
+		source.offer(follower.Table, followedCopy{follower: follower, replica: replica})
 		followed.offer(follower.Table, followedCopy{follower: follower, replica: replica})
 		follower.Store, follower.Consumer, follower.Logger, follower.Wait = f.store, replica, log, watchWait
 		follower.Peers, follower.Upstream = source, followed
@@ -124,6 +140,9 @@
 		if follower.Table == ports.InstanceTable {
 			f.instances.isSettled = follower.IsSettled
 		}
+		if follower.Table == ports.ConfigTable {
+			f.Gate = &access.Gate{RevocationBound: time.Duration(process.RevocationBound), ConfirmedAt: follower.ConfirmedAt}
+		}
 	}
 	return f
 }
--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -11,6 +11,7 @@
 	"topazpulley/internal/job"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/periodic"
+	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/table"
 )
 
@@ -90,10 +91,13 @@
 		return
 	}
 	seeds := append([]string(nil), f.settings.Seeds...)
+	registered := []ratelimit.Daemon{}
 	for _, row := range page.Rows {
 		if row.Key != f.settings.Name {
 			seeds = append(seeds, string(row.Value))
+			registered = append(registered, ratelimit.Daemon{Name: row.Key, Address: string(row.Value)})
 		}
 	}
 	f.node.SetSeeds(seeds)
+	f.limitFleet.SetRegistered(registered)
 }
--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/hamba/avro/v2"
 
@@ -25,10 +26,13 @@
 	After int64  `avro:"after"`
 }
 
-// newerAnswer is a copy of a table; Version is 0 if it is not newer.
+// newerAnswer is a copy of a table. Rows are given only if it is newer; Version
+// is 0 if the table is not followed.
 type newerAnswer struct {
-	Version int64       `avro:"version"`
-	Rows    []rowRecord `avro:"rows"`
+	Version         int64       `avro:"version"`
+	IsNewer         bool        `avro:"is_newer"`
+	AgeMilliseconds int64       `avro:"age_milliseconds"`
+	Rows            []rowRecord `avro:"rows"`
 }
 
 type rowRecord struct {
@@ -71,6 +75,7 @@
 var (
 	newerRequestSchema = avro.MustParse(`{"type":"record","name":"newer_request","fields":[{"name":"table","type":"string"},{"name":"after","type":"long"}]}`)
 	newerAnswerSchema  = avro.MustParse(`{"type":"record","name":"newer_answer","fields":[{"name":"version","type":"long"},
+		{"name":"is_newer","type":"boolean"},{"name":"age_milliseconds","type":"long"},
 		{"name":"rows","type":{"type":"array","items":` + rowRecordSchema + `}}]}`)
 )
 
@@ -85,45 +90,53 @@
 type peerSource struct {
 	node      *cluster.Node
 	transport *peer.Transport
-	copies    map[string]*table.Replica
+	copies    map[string]followedCopy
 }
 
 var _ table.Peers = (*peerSource)(nil)
 
 func newPeerSource(node *cluster.Node, transport *peer.Transport) *peerSource {
-	source := &peerSource{node: node, transport: transport, copies: map[string]*table.Replica{}}
+	source := &peerSource{node: node, transport: transport, copies: map[string]followedCopy{}}
 	peer.Handle(transport, methodNewer, source.answer)
 	return source
 }
 
-func (s *peerSource) offer(name string, replica *table.Replica) { s.copies[name] = replica }
+func (s *peerSource) offer(name string, offered followedCopy) { s.copies[name] = offered }
 
 func (s *peerSource) answer(_ context.Context, _ string, request newerRequest) (newerAnswer, error) {
 	answer := newerAnswer{Rows: []rowRecord{}}
-	replica, offered := s.copies[request.Table]
-	if !offered {
+	held, isOffered := s.copies[request.Table]
+	if !isOffered {
 		return answer, nil
 	}
-	rows, version, isNewer := replica.Since(table.Version(request.After))
-	if !isNewer {
-		return answer, nil
-	}
-	answer.Version, answer.Rows = int64(version), rowRecords(rows)
+	answer.AgeMilliseconds = time.Since(held.follower.ConfirmedAt()).Milliseconds()
+	rows, version, isNewer := held.replica.Since(table.Version(request.After))
+	answer.Version, answer.IsNewer, answer.Rows = int64(version), isNewer, rowRecords(rows)
 	return answer, nil
 }
 
 // Newer implements table.Peers: it asks some live daemons, chosen anew each
 // time.
-func (s *peerSource) Newer(ctx context.Context, name string, after table.Version) ([]table.Row, table.Version, bool) {
+func (s *peerSource) Newer(ctx context.Context, name string, after table.Version) (table.PeerCopy, bool) {
+	latest, isFound := table.PeerCopy{}, false
 	for _, member := range s.some() {
 		request := newerRequest{Table: name, After: int64(after)}
 		answer, err := peer.Call[newerRequest, newerAnswer](ctx, s.transport, member.Address, methodNewer, request)
 		if err != nil || answer.Version == 0 {
 			continue
 		}
-		return tableRows(answer.Rows), table.Version(answer.Version), true
+		held := table.PeerCopy{
+			Rows: tableRows(answer.Rows), IsNewer: answer.IsNewer, Version: table.Version(answer.Version),
+			Age: time.Duration(answer.AgeMilliseconds) * time.Millisecond,
+		}
+		if held.IsNewer {
+			return held, true
+		}
+		if !isFound || held.Age < latest.Age {
+			latest, isFound = held, true
+		}
 	}
-	return nil, 0, false
+	return latest, isFound
 }
 
 func (s *peerSource) some() []membership.Member {
--- a/internal/frontend/upstream.go
+++ b/internal/frontend/upstream.go
@@ -45,17 +45,19 @@
 
 // followAnswer is what changed, or the whole table.
 type followAnswer struct {
-	Version   int64       `avro:"version"`
-	IsWhole   bool        `avro:"is_whole"`
-	IsSettled bool        `avro:"is_settled"`
-	Rows      []rowRecord `avro:"rows"`
+	Version   int64 `avro:"version"`
+	IsWhole   bool  `avro:"is_whole"`
+	IsSettled bool  `avro:"is_settled"`
+	// AgeMilliseconds is how long ago the store answered the upstream.
+	AgeMilliseconds int64       `avro:"age_milliseconds"`
+	Rows            []rowRecord `avro:"rows"`
 }
 
 var (
 	followRequestSchema = avro.MustParse(`{"type":"record","name":"follow_request","fields":[{"name":"table","type":"string"},
 		{"name":"after","type":"long"},{"name":"wait_milliseconds","type":"long"}]}`)
 	followAnswerSchema = avro.MustParse(`{"type":"record","name":"follow_answer","fields":[{"name":"version","type":"long"},
-		{"name":"is_whole","type":"boolean"},{"name":"is_settled","type":"boolean"},
+		{"name":"is_whole","type":"boolean"},{"name":"is_settled","type":"boolean"},{"name":"age_milliseconds","type":"long"},
 		{"name":"rows","type":{"type":"array","items":` + rowRecordSchema + `}}]}`)
 )
 
@@ -151,7 +153,7 @@
 	}
 	return table.RelayedChanges{
 		Changes: table.Changes{Rows: tableRows(answer.Rows), Version: table.Version(answer.Version)},
-		IsWhole: answer.IsWhole, IsSettled: answer.IsSettled,
+		IsWhole: answer.IsWhole, IsSettled: answer.IsSettled, Age: time.Duration(answer.AgeMilliseconds) * time.Millisecond,
 	}, true, nil
 }
 
@@ -181,6 +183,7 @@
 	changes, isWhole := offered.replica.ChangesSince(after)
 	return followAnswer{
 		Version: int64(changes.Version), IsWhole: isWhole, IsSettled: offered.follower.IsSettled(), Rows: rowRecords(changes.Rows),
+		AgeMilliseconds: time.Since(offered.follower.ReadAt()).Milliseconds(),
 	}, nil
 }
 
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -16,14 +16,12 @@
 // will run because of this call; any other failure promises nothing. The
 // context bounds how long the store is tried.
 func (s *Service) Submit(ctx context.Context, submitted Job) error {
-	if s.isOpen(submitted.ID) {
-		s.logAcceptance(submitted, "known_already", nil)
-		return nil
+	if known, isOpen := s.openTenant(submitted.ID); isOpen {
+		return s.acknowledgeKnown(submitted, known)
 	}
 	held, err := s.reserve(ctx, &submitted)
-	if err != nil && s.isAccepted(ctx, submitted.ID, err) {
-		s.logAcceptance(submitted, "known_already", nil)
-		return nil
+	if known, isAccepted := s.acceptedTenant(ctx, submitted.ID, err); isAccepted {
+		return s.acknowledgeKnown(submitted, known)
 	}
 	if err != nil {
 		s.logAcceptance(submitted, "refused", err)
@@ -58,11 +56,10 @@
 		return s.accept(ctx, submitted, held)
 	case !ended.isNew:
 		s.release(held)
-		s.logAcceptance(submitted, "known_already", nil)
-		return nil
+		return s.acknowledgeKnown(submitted, ended.tenant)
 	}
 	s.logAcceptance(submitted, "accepted", nil)
-	s.own(submitted, versionedClaim{claim: s.newClaim(1), version: ended.version}, history{settled: held.settlement()})
+	s.own(submitted, versionedClaim{claim: s.newClaim(1, submitted.Tenant), version: ended.version}, history{settled: held.settlement()})
 	return nil
 }
 
@@ -74,23 +71,46 @@
 	return isClaimed || s.owned[id] != nil
 }
 
-// isAccepted reports whether a job that does not fit was accepted earlier, by a
-// call whose answer its caller has not had.
-func (s *Service) isAccepted(ctx context.Context, id string, refused error) bool {
+// openTenant returns whose a job is that is known to be accepted and not over.
+func (s *Service) openTenant(id string) (tenant string, isOpen bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if held := s.owned[id]; held != nil {
+		return held.job.Tenant, true
+	}
+	held, isClaimed := s.claims[id]
+	return held.claim.Tenant, isClaimed
+}
+
+// acceptedTenant returns whose a job is that does not fit and was accepted
+// earlier, by a call whose answer its caller has not had.
+func (s *Service) acceptedTenant(ctx context.Context, id string, refused error) (tenant string, isAccepted bool) {
 	if !failure.Is(refused, failure.KindOverloaded) {
-		return false
+		return "", false
 	}
-	_, err := s.acceptance(ctx, id)
-	return err == nil
+	accepted, err := s.acceptance(ctx, id)
+	return accepted.Tenant, err == nil
+}
+
+// acknowledgeKnown ends the call for a job that was accepted before. Another
+// tenant's job is none that the caller could have sent.
+func (s *Service) acknowledgeKnown(submitted Job, tenant string) error {
+	if !mayAccess(tenant, submitted.Tenant) {
+		err := notFound(submitted.ID)
+		s.logAcceptance(submitted, "refused", err)
+		return err
+	}
+	s.logAcceptance(submitted, "known_already", nil)
+	return nil
 }
 
 func (s *Service) logAcceptance(submitted Job, outcome string, err error) {
-	s.log.Info("job_submitted", "job", submitted.ID, "items", len(submitted.Items), "outcome", outcome,
+	s.log.Info("job_submitted", "job", submitted.ID, "tenant", submitted.Tenant, "items", len(submitted.Items), "outcome", outcome,
 		"took_ms", time.Since(submitted.SubmittedAt).Milliseconds(), "error", err)
 }
 
-func (s *Service) newClaim(epoch int64) claim {
-	return claim{Owner: s.self.Name, Incarnation: s.self.Incarnation, Epoch: epoch}
+func (s *Service) newClaim(epoch int64, tenant string) claim {
+	return claim{Owner: s.self.Name, Incarnation: s.self.Incarnation, Epoch: epoch, Tenant: tenant}
 }
 
 const (
@@ -118,7 +138,7 @@
 	if err != nil {
 		return transaction, err
 	}
-	row := acceptance{Total: len(submitted.Items)}
+	row := acceptance{Total: len(submitted.Items), Tenant: submitted.Tenant}
 	if len(content) > contentBytes {
 		row.Object = objectName(submitted.ID, content)
 		if err := s.putObject(ctx, row.Object, content); err != nil {
@@ -130,7 +150,7 @@
 	if err != nil {
 		return transaction, err
 	}
-	claimed, err := encode(s.newClaim(1))
+	claimed, err := encode(s.newClaim(1, submitted.Tenant))
 	if err != nil {
 		return transaction, err
 	}
@@ -152,6 +172,8 @@
 	isNew   bool
 	version table.Version
 	voided  table.Version
+	// tenant is that of a job which exists already.
+	tenant string
 }
 
 // commitAcceptance commits until the store tells how it ended. The job may
@@ -169,7 +191,7 @@
 		case errors.As(err, &conflict):
 			// The job exists. If this daemon's own lost try made it, the claim
 			// is found by the follower like that of any other owner.
-			return acceptanceEnd{}, nil
+			return acceptanceEnd{tenant: tenantOfRow(conflict.Row(tableAccepted, id))}, nil
 		}
 		isUnsettled = isUnsettled || isUnknown(err)
 		if !periodic.SleepAbout(ctx, storePause) {
--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -36,7 +36,7 @@
 	watched := watchdog.Start(firstPatience, eventPatience, cancel)
 	defer watched.Stop()
 	answer, err := s.sender.Send(bounded, serving.Attempt{
-		Instance: instance, MaxConnections: s.connections(service), ID: running.item.ID, Method: "POST", Target: running.item.Path,
+		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Method: "POST", Target: running.item.Path,
 		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTime,
 		LastEvent: running.progress.last(), Stream: true,
 	})
--- a/internal/job/codec.go
+++ b/internal/job/codec.go
@@ -21,7 +21,8 @@
 		{"name":"fields","type":{"type":"array","items":{"type":"record","name":"field","fields":[
 			{"name":"name","type":"string"},{"name":"value","type":"string"}]}}},
 		{"name":"prompt","type":{"type":"array","items":{"type":"record","name":"part","fields":[
-			{"name":"id","type":"string"},{"name":"tokens","type":"long"}]}}}]}}}]}`)
+			{"name":"id","type":"string"},{"name":"tokens","type":"long"}]}}}]}}},
+	{"name":"tenant","type":"string","default":""}]}`)
 
 type jobRecord struct {
 	ID          string       `avro:"id"`
@@ -30,6 +31,7 @@
 	DueMs       int64        `avro:"due_ms"`
 	GiveUpMs    int64        `avro:"give_up_ms"`
 	Items       []itemRecord `avro:"items"`
+	Tenant      string       `avro:"tenant"`
 }
 
 type itemRecord struct {
@@ -54,7 +56,7 @@
 func encodeJob(job Job) ([]byte, error) {
 	record := jobRecord{
 		ID: job.ID, Host: job.Host, SubmittedMs: job.SubmittedAt.UnixMilli(),
-		DueMs: job.Due.Milliseconds(), GiveUpMs: job.GiveUpAfter.Milliseconds(), Items: []itemRecord{},
+		DueMs: job.Due.Milliseconds(), GiveUpMs: job.GiveUpAfter.Milliseconds(), Items: []itemRecord{}, Tenant: job.Tenant,
 	}
 	for _, item := range job.Items {
 		record.Items = append(record.Items, recordOf(item))
@@ -83,7 +85,7 @@
 		return Job{}, failure.Wrap(err, failure.KindInternal, "bad_job_content", "the content of a job cannot be read")
 	}
 	job := Job{
-		ID: record.ID, Host: record.Host, SubmittedAt: time.UnixMilli(record.SubmittedMs),
+		ID: record.ID, Host: record.Host, Tenant: record.Tenant, SubmittedAt: time.UnixMilli(record.SubmittedMs),
 		Due: milliseconds(record.DueMs), GiveUpAfter: milliseconds(record.GiveUpMs),
 	}
 	for _, item := range record.Items {
--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -190,7 +190,7 @@
 		return
 	}
 	o.drop(dropStopping)
-	_, err := o.service.replaceClaim(ctx, o.job.ID, held.version, claim{Epoch: held.claim.Epoch})
+	_, err := o.service.replaceClaim(ctx, o.job.ID, held.version, claim{Epoch: held.claim.Epoch, Tenant: held.claim.Tenant})
 	o.service.log.Info("job_released", "job", o.job.ID, "error", err)
 }
 
--- a/internal/job/export_test.go
+++ b/internal/job/export_test.go
@@ -12,12 +12,12 @@
 // DropOlderOwnership owns a job twice in a row and lets the first ownership end
 // afterwards, as a goroutine does that was waiting for the store.
 func DropOlderOwnership(s *Service, owned Job) error {
-	s.own(owned, versionedClaim{claim: s.newClaim(1), version: 1 << 40}, history{})
+	s.own(owned, versionedClaim{claim: s.newClaim(1, owned.Tenant), version: 1 << 40}, history{})
 	s.mutex.Lock()
 	older := s.owned[owned.ID]
 	s.mutex.Unlock()
 	s.drop(owned.ID, dropClaimLost)
-	s.own(owned, versionedClaim{claim: s.newClaim(3), version: 1<<40 + 1}, history{})
+	s.own(owned, versionedClaim{claim: s.newClaim(3, owned.Tenant), version: 1<<40 + 1}, history{})
 	older.drop(dropClaimLost)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -62,6 +62,9 @@
 	ID string
 	// Host is the host name under which the job was submitted.
 	Host string
+	// Tenant is the name of the tenant that submitted the job; empty means that
+	// anybody may read and end it.
+	Tenant string
 	// SubmittedAt is by the time of day of the daemon that accepted the job.
 	SubmittedAt time.Time
 	Due         time.Duration
@@ -107,6 +110,8 @@
 type acceptance struct {
 	Total  int    `json:"total"`
 	Object string `json:"object,omitempty"`
+	// Tenant is that of the job.
+	Tenant string `json:"tenant,omitempty"`
 }
 
 // claim is the row that names the owner of an open job.
@@ -116,6 +121,8 @@
 	Incarnation int64 `json:"incarnation"`
 	// Epoch counts the owners.
 	Epoch int64 `json:"epoch"`
+	// Tenant is that of the job.
+	Tenant string `json:"tenant,omitempty"`
 }
 
 // resultRow is a result in the store. A long text lies in an object.
--- a/internal/job/sweep.go
+++ b/internal/job/sweep.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"topazpulley/internal/failure"
@@ -42,8 +44,12 @@
 			return
 		}
 		for _, each := range current.JobRoutes() {
-			if each.MaxQueuedTokens > 0 && s.sweeper.isDue(each.Name, s.peers.Rank(each.Name), time.Now()) {
-				s.sweepAccount(ctx, each, current.Version())
+			if each.MaxQueuedTokens <= 0 || !s.sweeper.isDue(each.Name, s.peers.Rank(each.Name), time.Now()) {
+				continue
+			}
+			limit := quota.Limit{Tokens: each.MaxQueuedTokens, Config: current.Version()}
+			for _, name := range s.accountsOf(ctx, each, current) {
+				s.sweepAccount(ctx, name, limit)
 			}
 		}
 	})
@@ -59,19 +65,36 @@
 	return true
 }
 
-func (s *Service) sweepAccount(ctx context.Context, swept *route.Route, config int64) {
+// accountsOf returns the accounts of a route: one, or those of its tenants that
+// have reservations.
+func (s *Service) accountsOf(ctx context.Context, matched *route.Route, current *route.Table) []string {
+	if current.Tenants().Count() == 0 {
+		return []string{matched.Name}
+	}
+	bounded, cancel := context.WithTimeout(ctx, sweepTimeout)
+	defer cancel()
+	reserved, err := s.quota.Reserved(bounded)
+	if err != nil {
+		s.log.Info("sweep_failed", "account", matched.Name, "error", err)
+		return nil
+	}
+	return slices.DeleteFunc(reserved, func(name string) bool {
+		return name != matched.Name && !strings.HasPrefix(name, matched.Name+quota.TenantSeparator)
+	})
+}
+
+func (s *Service) sweepAccount(ctx context.Context, account string, limit quota.Limit) {
 	bounded, cancel := context.WithTimeout(ctx, sweepTimeout)
 	defer cancel()
-	listed, err := s.quota.Reservations(bounded, swept.Name)
+	listed, err := s.quota.Reservations(bounded, account)
 	if err != nil {
-		s.log.Info("sweep_failed", "account", swept.Name, "error", err)
+		s.log.Info("sweep_failed", "account", account, "error", err)
 		return
 	}
-	limit := quota.Limit{Tokens: swept.MaxQueuedTokens, Config: config}
-	for _, each := range s.sweeper.overdue(swept.Name, s.withoutJob(listed), time.Now()) {
+	for _, each := range s.sweeper.overdue(account, s.withoutJob(listed), time.Now()) {
 		if s.isLeftBehind(bounded, each.Job) {
-			_, err := s.quota.Apply(bounded, swept.Name, limit, []quota.Operation{{Kind: quota.KindRelease, Job: each.Job, Holder: each.Holder}})
-			s.log.Info("reservation_swept", "job", each.Job, "account", swept.Name, "tokens", each.Tokens, "holder", each.Holder, "row_version", each.Version, "error", err)
+			_, err := s.quota.Apply(bounded, account, limit, []quota.Operation{{Kind: quota.KindRelease, Job: each.Job, Holder: each.Holder}})
+			s.log.Info("reservation_swept", "job", each.Job, "account", account, "tokens", each.Tokens, "holder", each.Holder, "row_version", each.Version, "error", err)
 		}
 	}
 }
--- a/internal/job/takeover.go
+++ b/internal/job/takeover.go
@@ -117,7 +117,7 @@
 	if held.claim.Owner == s.self.Name && held.claim.Incarnation == s.self.Incarnation {
 		return held, nil
 	}
-	next := s.newClaim(held.claim.Epoch + 1)
+	next := s.newClaim(held.claim.Epoch+1, held.claim.Tenant)
 	version, err := s.replaceClaim(ctx, id, held.version, next)
 	if err != nil {
 		return versionedClaim{}, err
@@ -160,7 +160,7 @@
 
 // giveBack lets another daemon take over a job that this one cannot read.
 func (s *Service) giveBack(ctx context.Context, id string, held versionedClaim) {
-	version, err := s.replaceClaim(ctx, id, held.version, claim{Epoch: held.claim.Epoch})
+	version, err := s.replaceClaim(ctx, id, held.version, claim{Epoch: held.claim.Epoch, Tenant: held.claim.Tenant})
 	s.log.Info("job_given_back", "job", id, "epoch", held.claim.Epoch, "version", version, "error", err)
 }
 
--- /dev/null
+++ b/internal/job/tenant.go
@@ -0,0 +1,69 @@
+package job
+
+import (
+	"context"
+	"time"
+
+	"topazpulley/internal/table"
+)
+
+// TenantJobs answers a tenant's calls about jobs: those of other tenants do not
+// exist for it.
+type TenantJobs struct {
+	service *Service
+	tenant  string
+}
+
+// Of returns the jobs of a tenant by its name; an empty name stands for callers
+// that no tenant is known of.
+func (s *Service) Of(tenant string) TenantJobs { return TenantJobs{service: s, tenant: tenant} }
+
+// Results is Service.Results for the tenant's own jobs.
+func (t TenantJobs) Results(ctx context.Context, id string, from int, wait time.Duration) (Page, error) {
+	if err := t.check(ctx, id); err != nil {
+		return Page{}, err
+	}
+	return t.service.Results(ctx, id, from, wait)
+}
+
+// Body is Service.Body for the tenant's own jobs.
+func (t TenantJobs) Body(ctx context.Context, id, item string) ([]byte, error) {
+	if err := t.check(ctx, id); err != nil {
+		return nil, err
+	}
+	return t.service.Body(ctx, id, item)
+}
+
+// End is Service.End for the tenant's own jobs.
+func (t TenantJobs) End(ctx context.Context, id string) error {
+	if err := t.check(ctx, id); err != nil {
+		return err
+	}
+	return t.service.End(ctx, id)
+}
+
+func (t TenantJobs) check(ctx context.Context, id string) error {
+	accepted, err := t.service.acceptance(ctx, id)
+	if err != nil {
+		return err
+	}
+	if !mayAccess(accepted.Tenant, t.tenant) {
+		t.service.log.Info("job_call_of_other_tenant", "job", id, "tenant", t.tenant)
+		return notFound(id)
+	}
+	return nil
+}
+
+// mayAccess reports whether a caller may deal with the job of an owner. A job
+// without a tenant is open to all.
+func mayAccess(owner, caller string) bool { return owner == "" || owner == caller }
+
+// tenantOfRow returns whose a job is by its acceptance. A row that cannot be read
+// belongs to nobody, so that its sender is not told that the job is missing.
+func tenantOfRow(row table.Row) string {
+	var accepted acceptance
+	if err := decode(row, &accepted); err != nil {
+		return ""
+	}
+	return accepted.Tenant
+}
--- a/internal/job/waiting.go
+++ b/internal/job/waiting.go
@@ -42,7 +42,16 @@
 	if !found || matched.MaxQueuedTokens <= 0 {
 		return account{}, false
 	}
-	return account{name: matched.Name, limit: quota.Limit{Tokens: matched.MaxQueuedTokens, Config: current.Version()}}, true
+	return account{name: accountName(matched, job.Tenant), limit: quota.Limit{Tokens: matched.MaxQueuedTokens, Config: current.Version()}}, true
+}
+
+// accountName names the account of a tenant on a route. Without tenants all
+// jobs of a route share one.
+func accountName(matched *route.Route, tenant string) string {
+	if tenant == "" {
+		return matched.Name
+	}
+	return matched.Name + quota.TenantSeparator + tenant
 }
 
 // reservation is tokens that were set aside for a job before its acceptance.
--- a/internal/quota/accounts.go
+++ b/internal/quota/accounts.go
@@ -87,7 +87,7 @@
 		}
 	}
 	refused := Refused(account, outcome, retryAfter(tokens, outcome))
-	a.metrics.Refusals.WithLabelValues(account).Inc()
+	a.metrics.Refusals.WithLabelValues(routeOf(account)).Inc()
 	a.log.Info("quota_refused", "job", job, "account", account, "tokens", tokens, "waiting", outcome.Waiting, "limit", outcome.Limit,
 		"config", limit.Config, "count_age_ms", time.Since(started).Milliseconds(), "freed_per_second", int64(outcome.FreedPerSecond),
 		"retry_after_ms", failure.From(refused).RetryAfter.Milliseconds())
@@ -111,7 +111,7 @@
 		return nil, err
 	}
 	last := outcomes[len(outcomes)-1]
-	a.metrics.Waiting.WithLabelValues(account).Set(float64(last.Waiting))
+	a.metrics.Waiting.WithLabelValues(routeOf(account)).Set(float64(last.Waiting))
 	a.notePressure(account, outcomes, time.Now())
 	return outcomes, nil
 }
@@ -238,3 +238,18 @@
 		from = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
 }
+
+// Reserved lists the accounts that have reservations.
+func (a *Accounts) Reserved(ctx context.Context) ([]string, error) {
+	all := []string{}
+	for after := ""; ; after = all[len(all)-1] {
+		page, more, err := a.store.Partitions(ctx, tableReservation, after)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page...)
+		if !more || len(page) == 0 {
+			return all, nil
+		}
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"topazpulley/internal/failure"
@@ -31,6 +32,17 @@
 	keyTotal = "total"
 )
 
+// TenantSeparator stands in the name of an account between the route and the
+// tenant, where tenants have accounts of their own. Metrics are by route: there
+// may be thousands of tenants.
+const TenantSeparator = "/tenant/"
+
+// routeOf returns the route of an account.
+func routeOf(account string) string {
+	route, _, _ := strings.Cut(account, TenantSeparator)
+	return route
+}
+
 // Limit is the bound of an account by one version of the configuration.
 type Limit struct {
 	// Tokens is the bound; 0 means none.
@@ -95,6 +107,7 @@
 type Store interface {
 	Commit(ctx context.Context, transaction table.Transaction) (table.Version, error)
 	Read(ctx context.Context, wanted table.Range) (table.Page, error)
+	Partitions(ctx context.Context, name, after string) ([]string, bool, error)
 }
 
 // Refused is the failure of a job that does not fit.
--- /dev/null
+++ b/internal/ratelimit/limiter_test.go
@@ -0,0 +1,206 @@
+package ratelimit
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hamba/avro/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"topazpulley/internal/telemetry"
+	"topazpulley/internal/tenant"
+)
+
+// TestBucketGrantsNoMoreThanFlowedIn in any span, whatever is asked, charged and
+// given back within what was granted.
+func TestBucketGrantsNoMoreThanFlowedIn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		own := share{perSecond: rapid.Float64Range(0.1, 50).Draw(t, "rate"), capacity: rapid.Float64Range(1, 30).Draw(t, "capacity")}
+		own.limitPerSecond = own.perSecond
+		now := time.Unix(1000, 0)
+		held := newBucket(own, now)
+		granted := []time.Time{}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "millis")) * time.Millisecond)
+			if held.take(own, now) {
+				granted = append(granted, now)
+				continue
+			}
+			wait := held.wait(own, now)
+			require.Positive(t, wait)
+			require.LessOrEqual(t, wait, longestWait)
+		}
+		for first := range granted {
+			for last := first; last < len(granted); last++ {
+				span := granted[last].Sub(granted[first]).Seconds()
+				require.LessOrEqual(t, float64(last-first+1), own.capacity+own.perSecond*span+1e-6)
+			}
+		}
+	})
+}
+
+// TestRefusedRequestsAreToldDifferentTimes: one for each request that flows in.
+func TestRefusedRequestsAreToldDifferentTimes(t *testing.T) {
+	own := share{perSecond: 10, limitPerSecond: 10, capacity: 1}
+	now := time.Unix(1000, 0)
+	held := newBucket(own, now)
+	last := time.Duration(0)
+	for range 10 {
+		require.False(t, held.take(own, now))
+		wait := held.wait(own, now)
+		require.Greater(t, wait, last)
+		last = wait
+	}
+	require.InDelta(t, 1.0, last.Seconds(), 0.01)
+}
+
+// TestSharesStayWithinTheTolerance: the parts of a limit, the start after two
+// losses of all keepers, and what stands in, for limits of all sizes.
+func TestSharesStayWithinTheTolerance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := tenant.Limit{PerSecond: rapid.Float64Range(0.1, 5000).Draw(t, "rate"), Burst: rapid.Float64Range(0, 5000).Draw(t, "burst")}
+		parts := tolerance.parts(limit, mostParts)
+		capacity, start, rate := 0.0, 0.0, 0.0
+		for range parts {
+			part := tolerance.part(limit, parts, 1)
+			capacity, start, rate = capacity+part.capacity, start+part.start, rate+part.perSecond
+		}
+		require.InDelta(t, limit.PerSecond, rate, limit.PerSecond/1e6)
+		excess := tolerance.excess(limit)
+		require.LessOrEqual(t, capacity+2*start, limit.Burst+excess+1e-6)
+		require.GreaterOrEqual(t, capacity, limit.Burst, "a burst that is allowed is refused")
+		alone := tolerance.alone(limit, 60)
+		require.LessOrEqual(t, 15*alone.start, excess*startShare+1e-6, "a quarter of the fleet reaches no keeper")
+	})
+}
+
+// loneFleet is a daemon that reaches nobody.
+type loneFleet struct{ view View }
+
+func (f loneFleet) Self() string { return "self" }
+func (f loneFleet) View() View   { return f.view }
+func (f loneFleet) Ask(ctx context.Context, _ string, _ Request) (Answer, error) {
+	<-ctx.Done()
+	return Answer{}, errUnreachable{}
+}
+
+func newLone(view View) *Limiter {
+	return New(loneFleet{view: view}, tolerance, telemetry.NewTenants(prometheus.NewRegistry()), quiet)
+}
+
+// TestDaemonThatReachesNoKeeper grants its share of the rate and nothing beyond,
+// and decides within the patience of a request.
+func TestDaemonThatReachesNoKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		others := []Daemon{}
+		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
+			others = append(others, Daemon{Name: name, Address: name})
+		}
+		limited := newLone(View{Daemons: others, Reach: 1, IsKnown: true})
+		granted := 0
+		end := time.Now().Add(20 * time.Second)
+		for time.Now().Before(end) {
+			started := time.Now()
+			made := limited.Admit(t.Context(), "t", limitOf(10))
+			require.LessOrEqual(t, time.Since(started), admissionPatience+keeperPatience)
+			require.Equal(t, SourceShare, made.Source)
+			if made.IsAdmitted {
+				granted++
+			} else {
+				require.Positive(t, made.RetryAfter)
+				require.LessOrEqual(t, made.RetryAfter, retryAfterAlone)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.InDelta(t, 20*aloneRate, granted, 5, "a tenth of 10 a second for 20 s")
+	})
+}
+
+// TestUnknownFleetGrantsNextToNothing: a daemon that has just started and knows
+// nobody may be one of many.
+func TestUnknownFleetGrantsNextToNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limited := newLone(View{Daemons: []Daemon{{Name: "self", Address: "self"}}, Reach: 1})
+		granted := 0
+		for range 100 {
+			if limited.Admit(t.Context(), "t", limitOf(10)).IsAdmitted {
+				granted++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.LessOrEqual(t, granted, 2)
+		// Asked by others meanwhile, it does not take itself for the only keeper.
+		answer := limited.Serve(takeRequest("other", limitOf(10)))
+		require.True(t, answer.IsStandIn)
+	})
+}
+
+// TestNoLimitAsksNobody.
+func TestNoLimitAsksNobody(t *testing.T) {
+	limited := newLone(View{})
+	made := limited.Admit(t.Context(), "t", Limit{})
+	require.True(t, made.IsAdmitted)
+	require.Equal(t, SourceUnlimited, made.Source)
+	limited.Return(made, "t", Limit{})
+}
+
+// TestReturnedRequestsLeaveRoom, and charged ones take it.
+func TestReturnedRequestsLeaveRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limited := newLone(View{Daemons: []Daemon{{Name: "self", Address: "self"}}, Reach: 1, IsKnown: true})
+		limit := limitOf(1)
+		granted := []Decision{}
+		for made := limited.Admit(t.Context(), "t", limit); made.IsAdmitted; made = limited.Admit(t.Context(), "t", limit) {
+			granted = append(granted, made)
+		}
+		require.NotEmpty(t, granted)
+		time.Sleep(longestRest)
+		limited.Return(granted[0], "t", limit)
+		synctest.Wait()
+		again := limited.Admit(t.Context(), "t", limit)
+		require.True(t, again.IsAdmitted)
+		limited.Charge(again, "t", limit)
+		synctest.Wait()
+		time.Sleep(1100 * time.Millisecond)
+		require.False(t, limited.Admit(t.Context(), "t", limit).IsAdmitted, "the charged run is not counted")
+	})
+}
+
+// TestOldLimitsReplaceNoNewerOnes.
+func TestOldLimitsReplaceNoNewerOnes(t *testing.T) {
+	limited := newLone(View{Daemons: []Daemon{{Name: "self", Address: "self"}}, Reach: 1, IsKnown: true})
+	newer, older := limitOf(10), limitOf(1000)
+	newer.Config = 7
+	require.EqualValues(t, 7, limited.Serve(takeRequest("t", newer)).Config)
+	require.EqualValues(t, 7, limited.Serve(takeRequest("t", older)).Config)
+}
+
+// TestMessagesSurviveTheWire.
+func TestMessagesSurviveTheWire(t *testing.T) {
+	request := Request{Operation: OperationReturn, Tenant: "t", PerSecond: 1.5, Burst: 2, Config: 3}
+	encoded, err := avro.Marshal(request.Schema(), request)
+	require.NoError(t, err)
+	var readRequest Request
+	require.NoError(t, avro.Unmarshal(readRequest.Schema(), encoded, &readRequest))
+	require.Equal(t, request, readRequest)
+	answer := Answer{IsGranted: true, WaitMilliseconds: 4, Level: 0.5, Config: 6, IsStandIn: true}
+	encoded, err = avro.Marshal(answer.Schema(), answer)
+	require.NoError(t, err)
+	var readAnswer Answer
+	require.NoError(t, avro.Unmarshal(readAnswer.Schema(), encoded, &readAnswer))
+	require.Equal(t, answer, readAnswer)
+}
+
+// TestEveryDaemonAgreesOnTheKeepers, also where the pool is a part of the fleet.
+func TestEveryDaemonAgreesOnTheKeepers(t *testing.T) {
+	model := newModel(200)
+	first := newRankings(modelView{model: model, name: "d00"}).of("t", time.Now())
+	second := newRankings(modelView{model: model, name: "d150"}).of("t", time.Now())
+	require.Equal(t, first.daemons, second.daemons)
+	require.Len(t, first.daemons, mostParts+standIns)
+	require.Equal(t, 200, first.fleet)
+}
--- /dev/null
+++ b/internal/ratelimit/ranking.go
@@ -0,0 +1,93 @@
+package ratelimit
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"topazpulley/internal/duty"
+)
+
+const (
+	// mostParts is into how many parts a limit is split at most: when a keeper is
+	// lost, two thirds of the limit are granted at once, which is what tenants
+	// use whose limit is half as much again as their usual rate.
+	mostParts = 3
+	// standIns is how many further daemons may stand in for keepers.
+	standIns = 3
+	// keeperPool bounds the daemons that keep limits, so that each daemon of a
+	// large fleet talks to that many others only.
+	keeperPool = 64
+	// rankingAge is how long the order of daemons for a tenant is used.
+	rankingAge = 500 * time.Millisecond
+	// poolKey is the key by which the pool is drawn.
+	poolKey = "rate-limit-pool"
+)
+
+// ranking is the order of daemons for one tenant: keepers first, then those that
+// stand in for them.
+type ranking struct {
+	daemons []Daemon
+	// fleet is how many daemons there are.
+	fleet int
+	// reach and isKnown are those of the view.
+	reach   float64
+	isKnown bool
+	at      time.Time
+}
+
+// rank returns a daemon's place, from 0, or -1.
+func (r ranking) rank(name string) int {
+	return slices.IndexFunc(r.daemons, func(daemon Daemon) bool { return daemon.Name == name })
+}
+
+// rankings are the orders by tenant, worked out anew now and then. mutex guards
+// byTenant and pool.
+type rankings struct {
+	fleet Fleet
+
+	mutex    sync.Mutex
+	byTenant map[string]ranking
+	pool     ranking
+}
+
+func newRankings(fleet Fleet) *rankings {
+	return &rankings{fleet: fleet, byTenant: map[string]ranking{}}
+}
+
+// of returns the order of daemons for a tenant.
+func (r *rankings) of(name string, now time.Time) ranking {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if now.Sub(r.pool.at) >= rankingAge {
+		seen := r.fleet.View()
+		r.pool = ranking{daemons: pick(poolKey, seen.Daemons, keeperPool), fleet: len(seen.Daemons), reach: seen.Reach, isKnown: seen.IsKnown, at: now}
+		clear(r.byTenant)
+	}
+	found, isFresh := r.byTenant[name]
+	if !isFresh {
+		found = r.pool
+		found.daemons = pick(name, r.pool.daemons, mostParts+standIns)
+		r.byTenant[name] = found
+	}
+	return found
+}
+
+// pick returns the daemons with the highest weights for a key, the highest
+// first.
+func pick(key string, daemons []Daemon, count int) []Daemon {
+	if key == poolKey && len(daemons) <= count {
+		return daemons // their order does not matter
+	}
+	names := make([]string, 0, len(daemons))
+	byName := make(map[string]Daemon, len(daemons))
+	for _, daemon := range daemons {
+		names = append(names, daemon.Name)
+		byName[daemon.Name] = daemon
+	}
+	picked := make([]Daemon, 0, count)
+	for _, name := range duty.Owners(key, names, count) {
+		picked = append(picked, byName[name])
+	}
+	return picked
+}
--- /dev/null
+++ b/internal/ratelimit/simulation_test.go
@@ -0,0 +1,382 @@
+package ratelimit
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/telemetry"
+	"topazpulley/internal/tenant"
+)
+
+var (
+	quiet = slog.New(slog.DiscardHandler)
+	// tolerance is that of the users' sheet.
+	tolerance = Tolerance{Window: 5 * time.Second, Share: 0.1, Requests: 20}
+)
+
+// errUnreachable is the failure of a question that is lost.
+type errUnreachable struct{}
+
+func (errUnreachable) Error() string { return "unreachable" }
+
+// daemonState is one daemon of a simulated fleet.
+type daemonState struct {
+	name    string
+	limiter *Limiter
+	isDown  bool
+	// side is the part of a cut on which the daemon stands.
+	side      int
+	startedAt time.Time
+	// wakesAt is when a paused daemon goes on.
+	wakesAt time.Time
+}
+
+// fleetModel is a fleet in virtual time: who hears whom, who is down or paused,
+// and when the others notice.
+type fleetModel struct {
+	mutex   sync.Mutex
+	daemons map[string]*daemonState
+	names   []string
+	// noticeTime is how long others go on taking a lost daemon for a live one.
+	noticeTime time.Duration
+	lostAt     map[string]time.Time
+	latency    time.Duration
+	// sent are the times at which requests were admitted.
+	sent []time.Time
+}
+
+// modelView is the fleet as one daemon sees it.
+type modelView struct {
+	model *fleetModel
+	name  string
+}
+
+func (v modelView) Self() string { return v.name }
+
+func (v modelView) View() View {
+	v.model.mutex.Lock()
+	defer v.model.mutex.Unlock()
+	self := v.model.daemons[v.name]
+	seen := []Daemon{}
+	for _, name := range v.model.names {
+		if v.model.isSeen(self, v.model.daemons[name]) {
+			seen = append(seen, Daemon{Name: name, Address: name})
+		}
+	}
+	return View{Daemons: seen, Reach: float64(len(seen)) / float64(len(v.model.names)), IsKnown: true}
+}
+
+// isSeen reports whether a daemon takes another for a live one. mutex is held.
+func (m *fleetModel) isSeen(self, other *daemonState) bool {
+	isLost := other.isDown || other.side != self.side || time.Now().Before(other.wakesAt)
+	lostAt, isNoted := m.lostAt[other.name]
+	if !isLost {
+		return true
+	}
+	return isNoted && time.Since(lostAt) < m.noticeTime
+}
+
+func (v modelView) Ask(ctx context.Context, address string, request Request) (Answer, error) {
+	v.model.mutex.Lock()
+	self, other := v.model.daemons[v.name], v.model.daemons[address]
+	isReached := !other.isDown && other.side == self.side
+	pause := v.model.latency + max(time.Until(other.wakesAt), 0)
+	keeper := other.limiter
+	v.model.mutex.Unlock()
+	if !isReached {
+		<-ctx.Done()
+		return Answer{}, errUnreachable{}
+	}
+	select {
+	case <-time.After(pause):
+	case <-ctx.Done():
+		// The keeper may answer later, to nobody.
+		go func() {
+			time.Sleep(pause)
+			keeper.Serve(request)
+		}()
+		return Answer{}, errUnreachable{}
+	}
+	return keeper.Serve(request), nil
+}
+
+func newModel(count int) *fleetModel {
+	model := &fleetModel{daemons: map[string]*daemonState{}, lostAt: map[string]time.Time{}, noticeTime: 1500 * time.Millisecond, latency: 2 * time.Millisecond}
+	for index := range count {
+		name := fmt.Sprintf("d%02d", index)
+		model.names = append(model.names, name)
+		model.daemons[name] = &daemonState{name: name}
+		model.start(name)
+	}
+	return model
+}
+
+// start gives a daemon a new life without memory.
+func (m *fleetModel) start(name string) {
+	limiter := New(modelView{model: m, name: name}, tolerance, telemetry.NewTenants(prometheus.NewRegistry()), quiet)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	state := m.daemons[name]
+	state.limiter, state.isDown, state.startedAt = limiter, false, time.Now()
+}
+
+func (m *fleetModel) stop(name string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.daemons[name].isDown = true
+	m.lostAt[name] = time.Now()
+}
+
+func (m *fleetModel) pause(name string, length time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.daemons[name].wakesAt = time.Now().Add(length)
+	m.lostAt[name] = time.Now()
+}
+
+// cut puts daemons on another side for a time.
+func (m *fleetModel) cut(names []string, side int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, name := range names {
+		m.daemons[name].side = side
+		m.lostAt[name] = time.Now()
+	}
+}
+
+// request sends one request of the tenant to a daemon drawn at random, if it is
+// up and not paused.
+func (m *fleetModel) request(random *rand.Rand, limit Limit) Decision {
+	m.mutex.Lock()
+	name := m.names[random.IntN(len(m.names))]
+	state := m.daemons[name]
+	limiter := state.limiter
+	isDown := state.isDown || time.Now().Before(state.wakesAt)
+	m.mutex.Unlock()
+	if isDown {
+		return Decision{}
+	}
+	made := limiter.Admit(context.Background(), "t", limit)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if made.IsAdmitted && m.daemons[name].limiter == limiter && !m.daemons[name].isDown {
+		m.sent = append(m.sent, time.Now())
+	}
+	return made
+}
+
+// traffic sends requests at a rate until the time is over, and returns how many
+// were refused.
+func (m *fleetModel) traffic(random *rand.Rand, limit Limit, perSecond float64, length time.Duration) int {
+	end := time.Now().Add(length)
+	refused := 0
+	var mutex sync.Mutex
+	var group sync.WaitGroup
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+		seed := random.Uint64()
+		group.Go(func() {
+			made := m.request(rand.New(rand.NewPCG(seed, 1)), limit)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if !made.IsAdmitted {
+				refused++
+			}
+		})
+	}
+	group.Wait()
+	return refused
+}
+
+// mostInAWindow is the greatest number of admitted requests in any window.
+func (m *fleetModel) mostInAWindow(window time.Duration) int {
+	most, first := 0, 0
+	for last, at := range m.sent {
+		for at.Sub(m.sent[first]) >= window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+func limitOf(perSecond float64) Limit {
+	return Limit{Limit: tenant.Limit{PerSecond: perSecond, Burst: perSecond}, Config: 1}
+}
+
+// bound is what the users' sheet allows in a window.
+func bound(limit Limit) float64 {
+	return (limit.PerSecond*tolerance.Window.Seconds()+limit.Burst)*(1+tolerance.Share) + tolerance.Requests
+}
+
+// scenario is what happens to a fleet while a tenant sends many times its limit.
+type scenario struct {
+	name string
+	run  func(model *fleetModel, random *rand.Rand)
+}
+
+func scenarios() []scenario {
+	return []scenario{
+		{"calm", func(*fleetModel, *rand.Rand) {}},
+		{"all lose power", func(model *fleetModel, _ *rand.Rand) {
+			time.Sleep(4 * time.Second)
+			for _, name := range model.names {
+				model.stop(name)
+			}
+			time.Sleep(800 * time.Millisecond)
+			for _, name := range model.names {
+				model.start(name)
+			}
+		}},
+		{"all lose power twice", func(model *fleetModel, _ *rand.Rand) {
+			for range 2 {
+				time.Sleep(2 * time.Second)
+				for _, name := range model.names {
+					model.stop(name)
+				}
+				time.Sleep(400 * time.Millisecond)
+				for _, name := range model.names {
+					model.start(name)
+				}
+			}
+		}},
+		{"keepers are paused and wake", func(model *fleetModel, _ *rand.Rand) {
+			time.Sleep(3 * time.Second)
+			for _, keeper := range pick("t", allOf(model), mostParts) {
+				model.pause(keeper.Name, 3*time.Second)
+				time.Sleep(500 * time.Millisecond)
+			}
+		}},
+		{"keepers die one after the other", func(model *fleetModel, _ *rand.Rand) {
+			for range 3 {
+				time.Sleep(time.Second)
+				for _, keeper := range pick("t", allOf(model), mostParts) {
+					model.stop(keeper.Name)
+					time.Sleep(300 * time.Millisecond)
+					model.start(keeper.Name)
+				}
+			}
+		}},
+		{"a sixth is cut off together", func(model *fleetModel, random *rand.Rand) {
+			time.Sleep(3 * time.Second)
+			names := append([]string(nil), model.names...)
+			random.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
+			gone := names[:len(names)/6]
+			model.cut(gone, 1)
+			time.Sleep(5 * time.Second)
+			model.cut(gone, 0)
+		}},
+		{"a sixth is cut off, each alone", func(model *fleetModel, random *rand.Rand) {
+			time.Sleep(3 * time.Second)
+			names := append([]string(nil), model.names...)
+			random.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
+			for side, name := range names[:len(names)/6] {
+				model.cut([]string{name}, side+1)
+			}
+			time.Sleep(5 * time.Second)
+			model.cut(names, 0)
+		}},
+	}
+}
+
+func allOf(model *fleetModel) []Daemon {
+	all := []Daemon{}
+	for _, name := range model.names {
+		all = append(all, Daemon{Name: name, Address: name})
+	}
+	return all
+}
+
+// TestNoWindowPassesTheLimit: whatever happens to the fleet while a tenant sends
+// many times its limit, no window of the users' sheet holds more requests than
+// it allows.
+func TestNoWindowPassesTheLimit(t *testing.T) {
+	const length = 14 * time.Second
+	for _, perSecond := range []float64{3, 12, 60} {
+		for _, each := range scenarios() {
+			for seed := range uint64(3) {
+				t.Run(fmt.Sprintf("%s at %g a second, seed %d", each.name, perSecond, seed), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						random := rand.New(rand.NewPCG(seed, 2))
+						model := newModel(60)
+						limit := limitOf(perSecond)
+						done := make(chan struct{})
+						go func() {
+							defer close(done)
+							each.run(model, rand.New(rand.NewPCG(seed, 3)))
+						}()
+						model.traffic(random, limit, 5*perSecond, length)
+						<-done
+						require.LessOrEqual(t, float64(model.mostInAWindow(tolerance.Window)), bound(limit))
+						require.Greater(t, len(model.sent), int(perSecond*length.Seconds()/3), "hardly anything was admitted")
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestUsualTrafficIsNotRefused: a tenant that sends five eighths of its limit in
+// the mean, twice as much for 2.4 s in every 6, is refused nothing.
+func TestUsualTrafficIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 2))
+		model := newModel(60)
+		limit := limitOf(12)
+		usual := limit.PerSecond / 1.6
+		model.traffic(random, limit, 0.39*usual, 5*time.Second)
+		refused := 0
+		for range 5 {
+			refused += model.traffic(random, limit, 1.91*usual, 2400*time.Millisecond)
+			refused += model.traffic(random, limit, 0.39*usual, 3600*time.Millisecond)
+		}
+		require.LessOrEqual(t, refused, 2, "of %d", len(model.sent))
+	})
+}
+
+// TestLostKeeperCostsLittle: while a keeper is lost and nobody has noticed yet,
+// usual traffic is refused nothing.
+func TestLostKeeperCostsLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 2))
+		model := newModel(60)
+		limit := limitOf(12)
+		model.traffic(random, limit, 4, 6*time.Second)
+		model.stop(pick("t", allOf(model), mostParts)[1].Name)
+		refused := model.traffic(random, limit, limit.PerSecond/1.6, 6*time.Second)
+		require.LessOrEqual(t, refused, 3, "of %d", len(model.sent))
+	})
+}
+
+// TestFallingLimit: what a tenant may send falls far below what it sends, and
+// every daemon applies the newest limit that any has heard of.
+func TestFallingLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 2))
+		model := newModel(20)
+		model.traffic(random, limitOf(40), 30, 6*time.Second)
+		lower := limitOf(5)
+		lower.Config = 2
+		for range 30 {
+			model.request(random, lower)
+		}
+		model.sent = nil
+		// Daemons that still know the older limit ask keepers that know better.
+		model.traffic(random, limitOf(40), 30, 10*time.Second)
+		require.LessOrEqual(t, float64(model.mostInAWindow(tolerance.Window)), bound(lower))
+		model.sent = nil
+		raised := limitOf(40)
+		raised.Config = 3
+		refused := model.traffic(random, raised, 20, 6*time.Second)
+		require.Less(t, refused, 40, "of %d", len(model.sent))
+	})
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,11 +1,13 @@
 // Package route holds the routing configuration that is in force: routes by
-// host and path prefix, services, and limits on callers. A Table is compiled
+// host and path prefix, services, tenants, and limits on callers. A Table is compiled
 // once from a Config and never changes; Holder swaps whole tables, and their
 // versions only rise.
 package route
 
 import (
 	"time"
+
+	"topazpulley/internal/tenant"
 )
 
 // Kind says what may be done with a request of a route.
@@ -59,6 +61,9 @@
 	MaxAttempts int
 	// Priority is the rank of the route, 0 the highest.
 	Priority int
+	// KeyOptional lets callers without a key use the route although the
+	// configuration has tenants.
+	KeyOptional bool
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -66,6 +71,19 @@
 	return r.Kind == KindRepeatable || (r.Kind == KindStream && r.Resumable)
 }
 
+// IsOfHost reports whether the route belongs to a host name, which may carry a
+// port.
+func (r *Route) IsOfHost(host string) bool { return r.Host == canonicalHost(host) }
+
+// PriorityFor returns the rank of a tenant's requests on the route; the caller
+// may be nil.
+func (r *Route) PriorityFor(caller *tenant.Tenant) int {
+	if caller != nil && caller.HasPriority {
+		return caller.Priority
+	}
+	return r.Priority
+}
+
 // Service picks one target by a number that is spread evenly over all values,
 // such as a hash of the request's id.
 func (r *Route) Service(spread uint64) string {
@@ -110,5 +128,7 @@
 	Version  int64
 	Routes   []Route
 	Services []Service
-	Limits   Limits
+	// Tenants may call; without any, everybody may.
+	Tenants []tenant.Tenant
+	Limits  Limits
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"topazpulley/internal/tenant"
 )
 
 // Table is a compiled Config. It never changes.
@@ -12,11 +14,12 @@
 	config   Config
 	byHost   map[string][]*Route
 	services map[string]*Service
+	tenants  *tenant.Directory
 }
 
 // Compile builds the table of a configuration.
 func Compile(config Config) *Table {
-	table := &Table{config: config, byHost: map[string][]*Route{}, services: map[string]*Service{}}
+	table := &Table{config: config, byHost: map[string][]*Route{}, services: map[string]*Service{}, tenants: tenant.NewDirectory(config.Tenants)}
 	for index := range config.Routes {
 		compiled := &config.Routes[index]
 		table.byHost[compiled.Host] = append(table.byHost[compiled.Host], compiled)
@@ -36,6 +39,9 @@
 // Limits returns the bounds on callers.
 func (t *Table) Limits() Limits { return t.config.Limits }
 
+// Tenants returns who may call.
+func (t *Table) Tenants() *tenant.Directory { return t.tenants }
+
 // Match returns the route of the host whose prefix begins the path and is the
 // longest. The host may carry a port.
 func (t *Table) Match(host, path string) (*Route, bool) {
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -9,6 +9,7 @@
 
 	"topazpulley/internal/admission"
 	"topazpulley/internal/backend"
+	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/telemetry"
@@ -26,6 +27,8 @@
 	Fleet func() int
 	// Zone is the daemon's own; empty means that zones do not matter.
 	Zone string
+	// Limits bounds the requests of tenants; nil means no bounds.
+	Limits *ratelimit.Limiter
 
 	retries *admission.RetryBudget
 	mutex   sync.Mutex
@@ -61,8 +64,12 @@
 		core: c, request: request, responder: responder, caller: ctx, end: end,
 		excluded: map[string]bool{}, lastEvent: request.LastEvent,
 	}
+	if !served.admit(bounded) {
+		return
+	}
 	c.retries.Earn()
 	served.run(bounded)
+	served.settle()
 	served.record()
 }
 
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -9,6 +9,7 @@
 
 	"topazpulley/internal/backend"
 	"topazpulley/internal/periodic"
+	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/watchdog"
@@ -52,6 +53,9 @@
 	// unplaced counts the back ends that had no place for the request.
 	unplaced int
 
+	// admission is what the request was granted of its tenant's limit.
+	admission ratelimit.Decision
+
 	last    backend.Instance
 	cost    routing.Candidate
 	reason  Reason
@@ -117,7 +121,7 @@
 		return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonEnded}
 	}
 	attempt := Attempt{
-		Instance: e.last, MaxConnections: e.core.ConnectionShare(e.request.Service),
+		Instance: e.last, Tenant: e.request.tenantName(), MaxConnections: e.core.ConnectionShare(e.request.Service),
 		ID: e.request.ID, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Fields: e.request.Fields, Body: e.request.Body, Remaining: remaining,
 		LastEvent: e.lastEvent, Stream: e.request.Route.Kind == route.KindStream,
@@ -332,6 +336,9 @@
 		e.reason = ReasonBudget
 		return false
 	}
+	if failed.Outcome != OutcomeNotRun {
+		e.chargeRun()
+	}
 	return true
 }
 
@@ -382,7 +389,8 @@
 		e.core.Metrics.FirstOutput.WithLabelValues(e.request.Service).Observe(first.Seconds())
 	}
 	e.core.Logger.Info("request_ended", "id", e.request.ID, "outcome", e.outcome, "reason", string(e.reason),
-		"route", e.request.Route.Name, "config", e.request.ConfigVersion, "backend", e.last.ID, "sends", e.sends, "runs", e.runs,
+		"route", e.request.Route.Name, "config", e.request.ConfigVersion, "tenant", e.request.tenantName(), "limit_source", string(e.admission.Source),
+		"limit_level", e.admission.Level, "limit_ms", e.admission.Took.Milliseconds(), "backend", e.last.ID, "sends", e.sends, "runs", e.runs,
 		"online", e.cost.Online, "batch", e.cost.Batch, "slots", e.cost.Slots, "pending_tokens", e.cost.PendingTokens,
 		"uncached_tokens", e.cost.UncachedTokens, "report_age_ms", min(e.cost.ReportAge, time.Hour).Milliseconds(), "events", e.events, "first_ms", first.Milliseconds(), "took_ms", took.Milliseconds())
 }
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -11,6 +11,7 @@
 	"topazpulley/internal/backend"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
+	"topazpulley/internal/tenant"
 )
 
 // Field is one header field that is passed on end to end.
@@ -30,6 +31,8 @@
 	Fields []Field
 	Body   []byte
 	Route  *route.Route
+	// Tenant is who calls; nil where nobody has to say so.
+	Tenant *tenant.Tenant
 	// ConfigVersion is the version of the configuration that Route is from.
 	ConfigVersion int64
 	// Service is where the route sends this request.
@@ -47,9 +50,20 @@
 	LastEvent int64
 }
 
+// tenantName is the name that back ends are told; empty means none.
+func (r *Request) tenantName() string {
+	if r.Tenant == nil {
+		return ""
+	}
+	return r.Tenant.Name
+}
+
 // Attempt is one dispatch of a request to a back end.
 type Attempt struct {
 	Instance backend.Instance
+	// Tenant is the name of the tenant for which the request is made; empty means
+	// none.
+	Tenant string
 	// MaxConnections bounds this daemon's connections to the back end.
 	MaxConnections int
 	ID             string
@@ -214,11 +228,16 @@
 	VerdictHeaderTimeout
 	// VerdictOverQuota promises like VerdictNotRun; too much waits already.
 	VerdictOverQuota
+	// VerdictOverRate promises like VerdictNotRun; the tenant has used up its
+	// limit.
+	VerdictOverRate
+	// VerdictUnauthorized tells that the call carries no key that is known.
+	VerdictUnauthorized
 )
 
 // String returns the name that logs and metrics carry.
 func (v Verdict) String() string {
-	return [...]string{"not_run", "unknown", "timeout", "no_route", "invalid", "too_large", "header_too_large", "header_timeout", "over_quota"}[v]
+	return [...]string{"not_run", "unknown", "timeout", "no_route", "invalid", "too_large", "header_too_large", "header_timeout", "over_quota", "over_rate", "unauthorized"}[v]
 }
 
 // Refusal is an answer of the daemon's own.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,6 +84,16 @@
 	// TLSCertificateFile and TLSKeyFile switch TLS 1.3 on when both are set.
 	TLSCertificateFile string `toml:"tls_certificate_file"`
 	TLSKeyFile         string `toml:"tls_key_file"`
+	// RateWindow, RateToleranceShare and RateToleranceRequests tell by how much the
+	// requests of a tenant may pass its limit: by a part of what the limit allows
+	// in any window of that length, and by some requests.
+	RateWindow            Duration `toml:"rate_window"`
+	RateToleranceShare    float64  `toml:"rate_tolerance_share"`
+	RateToleranceRequests float64  `toml:"rate_tolerance_requests"`
+	// RevocationBound is how long after a key was taken away no daemon may serve
+	// it any more, whether or not it has heard of that; 0 means no bound. Used
+	// with StoreAddress.
+	RevocationBound Duration `toml:"revocation_bound"`
 	// ProbeInterval is the time between two membership probes.
 	ProbeInterval Duration `toml:"probe_interval"`
 	// StopLinger is how long a stopping daemon goes on accepting requests.
@@ -104,6 +114,10 @@
 	defaultOperations     = 50
 	defaultMaxConnections = 4096
 	defaultMaxBodyBytes   = 64 << 20
+	// What tenants may pass their limits by, unless the operator says otherwise.
+	defaultRateWindow            = Duration(5 * time.Second)
+	defaultRateToleranceShare    = 0.1
+	defaultRateToleranceRequests = 20
 )
 
 // Default returns settings with every optional value filled in.
@@ -117,6 +131,9 @@
 		PlatformOperationsPerSecond: defaultOperations,
 		MaxConnections:              defaultMaxConnections,
 		MaxBodyBytes:                defaultMaxBodyBytes,
+		RateWindow:                  defaultRateWindow,
+		RateToleranceShare:          defaultRateToleranceShare,
+		RateToleranceRequests:       defaultRateToleranceRequests,
 	}
 }
 
@@ -220,12 +237,29 @@
 	if s.MaxConnections <= 0 || s.MaxBodyBytes <= 0 {
 		return invalid("max_connections, max_body_bytes", "give positive numbers")
 	}
+	if err := s.validateLimits(); err != nil {
+		return err
+	}
 	if (s.TLSCertificateFile == "") != (s.TLSKeyFile == "") {
 		return invalid("tls_certificate_file, tls_key_file", "set both or neither")
 	}
 	return nil
 }
 
+// validateLimits checks what the operator allows tenants.
+func (s *Settings) validateLimits() error {
+	if s.RateWindow <= 0 {
+		return invalid("rate_window", "give a positive duration")
+	}
+	if s.RateToleranceShare < 0 || s.RateToleranceRequests < 0 {
+		return invalid("rate_tolerance_share, rate_tolerance_requests", "give numbers that are not negative")
+	}
+	if s.RevocationBound < 0 {
+		return invalid("revocation_bound", "give a positive duration, or leave it out for no bound")
+	}
+	return nil
+}
+
 // validateServices checks what the daemon needs to know of its store or of the
 // platform's services.
 func (s *Settings) validateServices() error {
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -75,8 +75,8 @@
 // is away, nor just after its return, since rows may have lapsed meanwhile.
 func (f *Follower) IsSettled() bool { return time.Now().UnixNano() >= f.settledAt.Load() }
 
-// ConfirmedAt returns when the store, or an upstream in step with it, last
-// answered a call on the table.
+// ConfirmedAt returns when the table, as it was handed on, was last known to be
+// the present state: by an answer of the store, or of a daemon that had one.
 func (f *Follower) ConfirmedAt() time.Time { return time.Unix(0, f.confirmed.Load()) }
 
 // ReadAt returns when the store itself last answered a call on the table.
@@ -128,27 +128,37 @@
 	f.askedAt = time.Now()
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	rows, version, found := f.Peers.Newer(bounded, f.Table, f.seen)
-	if !found || version <= f.seen {
+	held, found := f.Peers.Newer(bounded, f.Table, f.seen)
+	if !found {
 		return false
 	}
-	f.Consumer.Replace(rows, version)
-	f.Logger.Info("table_from_peer", "table", f.Table, "version", version, "version_before", f.seen, "rows", len(rows))
-	f.seen = version
-	return true
+	isTaken := held.IsNewer && held.Version > f.seen
+	if isTaken {
+		f.Consumer.Replace(held.Rows, held.Version)
+		f.Logger.Info("table_from_peer", "table", f.Table, "version", held.Version, "version_before", f.seen, "rows", len(held.Rows), "age_ms", held.Age.Milliseconds())
+		f.seen = held.Version
+	}
+	f.noteConfirmed(held.Age)
+	return isTaken
+}
+
+// noteConfirmed notes that the table was the present state so long ago.
+func (f *Follower) noteConfirmed(age time.Duration) {
+	at := time.Now().Add(-age).UnixNano()
+	if at > f.confirmed.Load() {
+		f.confirmed.Store(at)
+	}
 }
 
 // noteStore notes an answer of the store itself.
 func (f *Follower) noteStore() {
 	f.readAt.Store(time.Now().UnixNano())
+	f.noteConfirmed(0)
 	f.note(nil)
 }
 
 // note logs the loss and the return of the store for this table.
 func (f *Follower) note(err error) {
-	if err == nil {
-		f.confirmed.Store(time.Now().UnixNano())
-	}
 	isLost := err != nil && !isCompacted(err)
 	if isLost == f.lost {
 		return
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // Replica keeps a copy of a followed table, for daemons that cannot reach the
@@ -130,19 +131,32 @@
 	return rows
 }
 
-// Since returns all rows if the copy is newer than a version.
-func (r *Replica) Since(after Version) ([]Row, Version, bool) {
+// Since returns the version of the copy, and all rows if it is newer than a
+// version.
+func (r *Replica) Since(after Version) (rows []Row, version Version, isNewer bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.version <= after {
-		return nil, 0, false
+		return nil, r.version, false
 	}
 	return r.all(), r.version, true
 }
 
 // Peers is the second source of a followed table: the copies of other daemons.
 type Peers interface {
-	// Newer returns all rows of a table as a daemon holds them, if some daemon
-	// that was asked holds a version above the given one.
-	Newer(ctx context.Context, table string, after Version) ([]Row, Version, bool)
+	// Newer returns the copy of a daemon that holds a version above the given one,
+	// if some daemon that was asked does, else the copy that was confirmed last.
+	// It reports false when no daemon answered.
+	Newer(ctx context.Context, table string, after Version) (PeerCopy, bool)
+}
+
+// PeerCopy is another daemon's copy of a table.
+type PeerCopy struct {
+	// Rows are the whole table if IsNewer is set, else none.
+	Rows    []Row
+	IsNewer bool
+	Version Version
+	// Age is how long ago the store last told the other daemon that its copy is
+	// the present state.
+	Age time.Duration
 }
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -14,6 +14,8 @@
 	// IsSettled tells that a row which is missing is gone, as far as the other
 	// daemon knows.
 	IsSettled bool
+	// Age is how long ago the store last answered the other daemon.
+	Age time.Duration
 }
 
 // Upstream is a daemon that follows tables at the store for others. In a large
@@ -65,6 +67,7 @@
 // take hands on what an upstream told. An upstream that lies behind what was
 // read from the store before has no news.
 func (f *Follower) take(told RelayedChanges) {
+	f.noteConfirmed(told.Age)
 	f.note(nil)
 	if told.Version <= f.seen {
 		return
--- /dev/null
+++ b/internal/telemetry/tenants.go
@@ -0,0 +1,99 @@
+package telemetry
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+const (
+	// shownTenants is how many tenants have series of their own: those with the
+	// most requests. All others are summed up under otherTenants.
+	shownTenants = 10
+	otherTenants = "other"
+	// countedTenants bounds the tenants that are counted one by one; later ones
+	// count as others until the next start.
+	countedTenants = 4096
+)
+
+// tenantCounts are one tenant's requests since the start.
+type tenantCounts struct {
+	admitted, refused float64
+}
+
+// Tenants counts the requests of tenants with a limit, with a bounded number of
+// series. mutex guards the fields behind it.
+type Tenants struct {
+	description *prometheus.Desc
+
+	mutex    sync.Mutex
+	byTenant map[string]tenantCounts
+	others   tenantCounts
+}
+
+var _ prometheus.Collector = (*Tenants)(nil)
+
+// NewTenants registers the metrics of limits on tenants.
+func NewTenants(registry *prometheus.Registry) *Tenants {
+	made := &Tenants{
+		description: prometheus.NewDesc(namespace+"_tenant_requests_total", "Requests of tenants with a limit: the busiest tenants, and the rest.", []string{"tenant", "outcome"}, nil),
+		byTenant:    map[string]tenantCounts{},
+	}
+	registry.MustRegister(made)
+	return made
+}
+
+// Count counts one request.
+func (t *Tenants) Count(name string, isAdmitted bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	counts, isCounted := t.byTenant[name]
+	if !isCounted && len(t.byTenant) >= countedTenants {
+		t.others.add(isAdmitted)
+		return
+	}
+	counts.add(isAdmitted)
+	t.byTenant[name] = counts
+}
+
+func (c *tenantCounts) add(isAdmitted bool) {
+	if isAdmitted {
+		c.admitted++
+		return
+	}
+	c.refused++
+}
+
+// Describe implements prometheus.Collector.
+func (t *Tenants) Describe(descriptions chan<- *prometheus.Desc) { descriptions <- t.description }
+
+// Collect implements prometheus.Collector.
+func (t *Tenants) Collect(metrics chan<- prometheus.Metric) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	names := make([]string, 0, len(t.byTenant))
+	for name := range t.byTenant {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(a, b int) bool {
+		first, second := t.byTenant[names[a]], t.byTenant[names[b]]
+		return first.admitted+first.refused > second.admitted+second.refused
+	})
+	rest := t.others
+	for index, name := range names {
+		counts := t.byTenant[name]
+		if index < shownTenants {
+			t.emit(metrics, name, counts)
+			continue
+		}
+		rest.admitted += counts.admitted
+		rest.refused += counts.refused
+	}
+	t.emit(metrics, otherTenants, rest)
+}
+
+func (t *Tenants) emit(metrics chan<- prometheus.Metric, name string, counts tenantCounts) {
+	metrics <- prometheus.MustNewConstMetric(t.description, prometheus.CounterValue, counts.admitted, name, "admitted")
+	metrics <- prometheus.MustNewConstMetric(t.description, prometheus.CounterValue, counts.refused, name, "refused")
+}
--- /dev/null
+++ b/internal/tenant/tenant_test.go
@@ -0,0 +1,57 @@
+package tenant_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/failure"
+	"topazpulley/internal/tenant"
+)
+
+func directory() *tenant.Directory {
+	return tenant.NewDirectory([]tenant.Tenant{
+		{Name: "a", Keys: []tenant.Digest{tenant.DigestOf("a1"), tenant.DigestOf("a2")}},
+		{Name: "b", Keys: []tenant.Digest{tenant.DigestOf("b1"), tenant.DigestOf("a1")}},
+		{Name: "without keys"},
+	})
+}
+
+// TestKeysFindTheirTenant: each of several keys, and no other text.
+func TestKeysFindTheirTenant(t *testing.T) {
+	cases := map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "", "": "", "A1": "", "a1 ": ""}
+	for key, name := range cases {
+		found, isKnown := directory().Identify(key)
+		require.Equal(t, name != "", isKnown, key)
+		if isKnown {
+			require.Equal(t, name, found.Name)
+		}
+	}
+	require.Equal(t, 3, directory().Count())
+	require.ElementsMatch(t, []string{"a", "b", "without keys"}, directory().Names())
+}
+
+// TestNoDirectoryKnowsNobody.
+func TestNoDirectoryKnowsNobody(t *testing.T) {
+	var none *tenant.Directory
+	_, isKnown := none.Identify("a1")
+	require.False(t, isKnown)
+	_, isKnown = none.Named("a")
+	require.False(t, isKnown)
+	require.Zero(t, none.Count())
+	require.Empty(t, none.Names())
+}
+
+// TestDigestsAreReadFromHexadecimal, and nothing else is.
+func TestDigestsAreReadFromHexadecimal(t *testing.T) {
+	sum := sha256.Sum256([]byte("key"))
+	digest, err := tenant.ParseDigest(hex.EncodeToString(sum[:]))
+	require.NoError(t, err)
+	require.Equal(t, tenant.DigestOf("key"), digest)
+	for _, text := range []string{"", "00", "zz", hex.EncodeToString(append(sum[:], 0))} {
+		_, err := tenant.ParseDigest(text)
+		require.True(t, failure.Is(err, failure.KindInvalid), text)
+	}
+}
