One tenant, key and limit code for both doors

The OpenAI-like door bounded each tenant by a bucket a daemon, so that N daemons allowed N times the limit, and looked keys up in its own way. It now finds tenants in internal/tenant and asks internal/ratelimit; what never ran is given back. Concurrency stays a bound of each daemon, as its setting says (admission.Concurrency). TestTenantIsHeldToItsRateAndConcurrency covered both: its part on concurrency stays, its part on the rate is held by the tests of internal/ratelimit and TestLimitHoldsOverAllDaemons, over a fleet and not one daemon.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -116,21 +116,19 @@
 	require.NoError(t, <-admitted)
 }
 
-func TestTenantIsHeldToItsRateAndConcurrency(t *testing.T) {
-	tenants := admission.NewTenants()
-	limit := admission.TenantLimit{RequestsPerSecond: 1, Concurrency: 2}
-	require.NoError(t, tenants.Acquire("a", limit, start))
-	require.NoError(t, tenants.Acquire("a", limit, start))
-	require.Equal(t, "tenant_concurrency", failure.From(tenants.Acquire("a", limit, start)).Code)
-	require.NoError(t, tenants.Acquire("b", limit, start), "another tenant is not concerned")
-	tenants.Release("a")
-	require.NoError(t, tenants.Acquire("a", limit, start))
-	tenants.Release("a")
-	err := failure.From(tenants.Acquire("a", limit, start))
-	require.Equal(t, "tenant_rate", err.Code)
+func TestTenantIsHeldToItsConcurrency(t *testing.T) {
+	tenants := admission.NewConcurrency()
+	require.NoError(t, tenants.Acquire("a", 2))
+	require.NoError(t, tenants.Acquire("a", 2))
+	err := failure.From(tenants.Acquire("a", 2))
+	require.Equal(t, "tenant_concurrency", err.Code)
 	require.True(t, err.NotRun)
 	require.Positive(t, err.RetryAfter)
-	require.NoError(t, tenants.Acquire("a", limit, start.Add(10*time.Second)))
+	require.NoError(t, tenants.Acquire("b", 2), "another tenant is not concerned")
+	tenants.Release("a")
+	require.NoError(t, tenants.Acquire("a", 2))
+	require.Error(t, tenants.Acquire("a", 2))
+	require.NoError(t, tenants.Acquire("a", 0), "no bound")
 }
 
 func TestRetryBudgetBoundsRetries(t *testing.T) {
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -9,6 +9,7 @@
 
 	"topazpulley/internal/failure"
 	"topazpulley/internal/settings"
+	"topazpulley/internal/tenant"
 )
 
 // Role says which phases of inference an engine performs.
@@ -40,6 +41,9 @@
 	Models map[string]Model `toml:"models"`
 	// Tenants by name.
 	Tenants map[string]Tenant `toml:"tenants"`
+
+	// directory finds tenants by key; Parse makes it.
+	directory *tenant.Directory
 }
 
 // Service is a group of engines that answer the same calls.
@@ -89,7 +93,8 @@
 type Tenant struct {
 	// KeyDigest is the SHA-256, in hexadecimal, of the tenant's API key.
 	KeyDigest string `toml:"key_digest"`
-	// RequestsPerSecond is the sustained online rate; 0 means no limit.
+	// RequestsPerSecond is the sustained online rate, summed over all daemons; 0
+	// means no limit.
 	RequestsPerSecond float64 `toml:"requests_per_second"`
 	// Concurrency bounds online requests in flight per daemon; 0 means no limit.
 	Concurrency int `toml:"concurrency"`
@@ -117,9 +122,35 @@
 	if err := parsed.Validate(text); err != nil {
 		return nil, err
 	}
+	directory, err := parsed.compileTenants()
+	if err != nil {
+		return nil, err
+	}
+	parsed.directory = directory
 	return parsed, nil
 }
 
+// burstSeconds is how many seconds of its rate a tenant may use at once.
+const burstSeconds = 2
+
+// compileTenants makes the tenants findable by their keys.
+func (b *Bundle) compileTenants() (*tenant.Directory, error) {
+	compiled := []tenant.Tenant{}
+	for _, name := range sortedKeys(b.Tenants) {
+		each := b.Tenants[name]
+		digest, err := tenant.ParseDigest(each.KeyDigest)
+		if err != nil {
+			return nil, err
+		}
+		limit := tenant.Limit{PerSecond: each.RequestsPerSecond, Burst: each.RequestsPerSecond * burstSeconds}
+		compiled = append(compiled, tenant.Tenant{Name: name, Keys: []tenant.Digest{digest}, Limit: limit})
+	}
+	return tenant.NewDirectory(compiled), nil
+}
+
+// Directory finds the bundle's tenants by key.
+func (b *Bundle) Directory() *tenant.Directory { return b.directory }
+
 // provision fills in the defaults.
 func (b *Bundle) provision() {
 	for name, service := range b.Services {
--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -16,10 +16,10 @@
 func TestExampleIsValid(t *testing.T) {
 	parsed, err := bundle.Parse(harness.ExampleBundle("1"))
 	require.NoError(t, err)
-	tenant, known := parsed.TenantForKey(harness.ExampleKey)
+	tenant, known := parsed.Directory().Identify(harness.ExampleKey)
 	require.True(t, known)
-	require.Equal(t, "example", tenant)
-	_, known = parsed.TenantForKey("another key")
+	require.Equal(t, "example", tenant.Name)
+	_, known = parsed.Directory().Identify("another key")
 	require.False(t, known)
 }
 
--- a/internal/bundle/signature.go
+++ b/internal/bundle/signature.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/ed25519"
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
 	"sort"
 
@@ -71,20 +70,6 @@
 	return nil
 }
 
-// TenantForKey finds the tenant whose key digest fits the API key. Every
-// digest is compared in constant time.
-func (b *Bundle) TenantForKey(key string) (string, bool) {
-	sum := sha256.Sum256([]byte(key))
-	presented := []byte(hex.EncodeToString(sum[:]))
-	found := ""
-	for name, tenant := range b.Tenants {
-		if subtle.ConstantTimeCompare(presented, []byte(tenant.KeyDigest)) == 1 {
-			found = name
-		}
-	}
-	return found, found != ""
-}
-
 // Difference lists the names that differ between two bundles, for operators.
 func Difference(before, after *Bundle) []string {
 	changes := []string{}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"topazpulley/internal/machines"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
+	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/registry"
 	"topazpulley/internal/revision"
 	"topazpulley/internal/routing"
@@ -83,10 +84,14 @@
 	d.coordinator = batch.NewCoordinator(store, d.node, d.transport, d.holder.TenantWeight, log)
 	d.supervisor = supervisor.New(d.node, d.registry, d.holder, engines, d.worker, log)
 	metrics := telemetry.NewMetrics()
+	limitFleet := ratelimit.NewClusterFleet(d.node, d.transport)
+	limits := ratelimit.New(limitFleet, ratelimit.ToleranceOf(process), telemetry.NewTenants(metrics.Registry), log)
+	limitFleet.Handle(limits)
+	limitFleet.SetRegistered(nil) // seeds and the machine list find the others, if there are any
 	d.gateway = gateway.New(lifetime, gateway.Dependencies{
 		Settings: process, Node: d.node, Transport: d.transport, Registry: d.registry, Holder: d.holder, Log: revision.NewLog(client), Watcher: d.watcher,
 		Platform: client, Engines: engines, Store: store, Coordinator: d.coordinator, Worker: d.worker, Yielder: d.supervisor,
-		Metrics: metrics, Logger: log, Routing: options.Routing, WithoutHints: options.WithoutHints, Describe: d.duties,
+		Limits: limits, Metrics: metrics, Logger: log, Routing: options.Routing, WithoutHints: options.WithoutHints, Describe: d.duties,
 	})
 	d.registerGauges(metrics, client)
 	d.node.Subscribe(d.registry.Receive)
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -15,6 +15,7 @@
 	"topazpulley/internal/bundle"
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
+	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/routing"
 )
 
@@ -132,7 +133,7 @@
 	}
 	input := append(json.RawMessage(nil), body.Input()...)
 	request := onlineRequest{
-		id: "req-" + ulid.Make().String(), tenant: c.tenant, service: service, policy: policy,
+		id: "req-" + ulid.Make().String(), tenant: c.tenant, limit: c.limit, service: service, policy: policy,
 		model: body.Model, input: input, maxTokens: body.TokenLimit(),
 		repeatable: isRepeatable(c.call), prefixHash: routing.PrefixHash(engine.PromptText(input)), arrived: now,
 	}
@@ -212,7 +213,7 @@
 	if found {
 		return g.beginStored(ctx, request, stored)
 	}
-	release, err := g.admit(ctx, request, deadline)
+	admitted, err := g.admit(ctx, request, deadline)
 	if err != nil {
 		return nil, err
 	}
@@ -220,38 +221,66 @@
 	begun := &run{gateway: g, request: request, source: source, store: g.storerFor(request, key)}
 	begun.finish = func(err error) {
 		source.close()
-		release(source)
+		admitted.release(source, err)
 		g.countOutcome(request.service, err)
 	}
 	begun.first, err = source.next(ctx)
 	if err != nil {
 		source.close()
-		release(source)
+		admitted.release(source, err)
 		return nil, err
 	}
 	return begun, nil
 }
 
-// admit passes the tenant's and the service's limits. The returned function
-// ends the admission.
-func (g *Gateway) admit(ctx context.Context, request onlineRequest, deadline time.Time) (func(*generation), error) {
-	limit := admission.TenantLimit{}
-	if _, active := g.Holder.Current(); active != nil {
-		tenant := active.Tenants[request.tenant]
-		limit = admission.TenantLimit{RequestsPerSecond: tenant.RequestsPerSecond, Concurrency: tenant.Concurrency}
-	}
-	if err := g.tenants.Acquire(request.tenant, limit, request.arrived); err != nil {
-		return nil, err
-	}
-	limiter := g.limiter(request.service, request.policy)
-	if err := limiter.Acquire(ctx, time.Now(), deadline); err != nil {
-		g.tenants.Release(request.tenant)
-		return nil, err
+// admittance is what a request was granted: room within its tenant's limit and
+// concurrency, and within the service's adaptive limit.
+type admittance struct {
+	gateway *Gateway
+	request onlineRequest
+	limiter *admission.Limiter
+	limit   ratelimit.Limit
+	granted ratelimit.Decision
+}
+
+// admit passes the tenant's and the service's limits. After a nil error the
+// caller must call release.
+func (g *Gateway) admit(ctx context.Context, request onlineRequest, deadline time.Time) (admittance, error) {
+	current, active := g.Holder.Current()
+	concurrency := 0
+	if active != nil {
+		concurrency = active.Tenants[request.tenant].Concurrency
+	}
+	if err := g.inUse.Acquire(request.tenant, concurrency); err != nil {
+		return admittance{}, err
+	}
+	made := admittance{gateway: g, request: request, limiter: g.limiter(request.service, request.policy)}
+	made.limit = ratelimit.Limit{Limit: request.limit, Config: current.Number}
+	made.granted = g.Limits.Admit(ctx, request.tenant, made.limit)
+	if !made.granted.IsAdmitted {
+		g.inUse.Release(request.tenant)
+		return admittance{}, failure.New(failure.KindOverloaded, "tenant_rate", "the tenant is above %.3g requests a second: slow down", request.limit.PerSecond).
+			WithNotRun().WithRetryAfter(made.granted.RetryAfter)
+	}
+	if err := made.limiter.Acquire(ctx, time.Now(), deadline); err != nil {
+		made.giveBack(err)
+		return admittance{}, err
+	}
+	return made, nil
+}
+
+// release ends the admission of a request that ended with an error, or nil.
+func (a admittance) release(source *generation, err error) {
+	a.limiter.Release(time.Now(), source.firstToken, time.Since(a.request.arrived), source.overloaded)
+	a.giveBack(err)
+}
+
+// giveBack returns what a request that never ran was granted of its limit.
+func (a admittance) giveBack(err error) {
+	a.gateway.inUse.Release(a.request.tenant)
+	if err != nil && failure.From(err).NotRun {
+		a.gateway.Limits.Return(a.granted, a.request.tenant, a.limit)
 	}
-	return func(source *generation) {
-		limiter.Release(time.Now(), source.firstToken, time.Since(request.arrived), source.overloaded)
-		g.tenants.Release(request.tenant)
-	}, nil
 }
 
 // limiter returns the service's limiter, whose maximum is the capacity of the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,12 +24,14 @@
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/peer"
+	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/registry"
 	"topazpulley/internal/revision"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/settings"
 	"topazpulley/internal/storage"
 	"topazpulley/internal/telemetry"
+	"topazpulley/internal/tenant"
 )
 
 // Headers of the callers' protocol.
@@ -77,9 +79,11 @@
 	Coordinator *batch.Coordinator
 	Worker      *batch.Worker
 	Yielder     Yielder
-	Metrics     *telemetry.Metrics
-	Logger      *slog.Logger
-	Routing     routing.Policy
+	// Limits bounds the requests of tenants over the whole fleet.
+	Limits  *ratelimit.Limiter
+	Metrics *telemetry.Metrics
+	Logger  *slog.Logger
+	Routing routing.Policy
 	// WithoutHints leaves out yield hints, for experiments.
 	WithoutHints bool
 	// Describe adds duty descriptions to the status page.
@@ -91,7 +95,7 @@
 	Dependencies
 	server   *fasthttp.Server
 	forward  *fasthttp.Client
-	tenants  *admission.Tenants
+	inUse    *admission.Concurrency
 	retries  *admission.RetryBudget
 	metrics  fasthttp.RequestHandler
 	lifetime context.Context
@@ -112,7 +116,7 @@
 func New(lifetime context.Context, dependencies Dependencies) *Gateway {
 	gateway := &Gateway{
 		Dependencies: dependencies,
-		tenants:      admission.NewTenants(),
+		inUse:        admission.NewConcurrency(),
 		retries:      admission.NewRetryBudget(retryShare, retryReserve),
 		router:       routing.NewRouter(dependencies.Routing, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		limiters:     map[string]*admission.Limiter{},
@@ -221,7 +225,7 @@
 		writeFailure(call, failure.New(failure.KindUnavailable, "not_ready", "the daemon has no configuration yet").WithNotRun().WithRetryAfter(time.Second))
 		return
 	}
-	tenant, active, err := g.authenticate(call)
+	found, active, err := g.authenticate(call)
 	if err != nil {
 		writeFailure(call, err)
 		return
@@ -232,7 +236,7 @@
 		g.active.Add(-1)
 		g.inFlight.Done()
 	})
-	caller := &caller{gateway: g, call: call, tenant: tenant, active: active, path: path, finish: finish}
+	caller := &caller{gateway: g, call: call, tenant: found.Name, limit: found.Limit, active: active, path: path, finish: finish}
 	if !caller.dispatch() {
 		finish()
 	}
@@ -244,6 +248,7 @@
 	gateway *Gateway
 	call    *fasthttp.RequestCtx
 	tenant  string
+	limit   tenant.Limit
 	active  *bundle.Bundle
 	path    string
 	finish  func()
@@ -279,14 +284,14 @@
 	return header[len(bearerPrefix):]
 }
 
-func (g *Gateway) authenticate(call *fasthttp.RequestCtx) (string, *bundle.Bundle, error) {
+func (g *Gateway) authenticate(call *fasthttp.RequestCtx) (*tenant.Tenant, *bundle.Bundle, error) {
 	_, active := g.Holder.Current()
 	if active == nil {
-		return "", nil, failure.New(failure.KindUnavailable, "no_configuration", "no bundle is in force yet").WithNotRun().WithRetryAfter(time.Second)
+		return nil, nil, failure.New(failure.KindUnavailable, "no_configuration", "no bundle is in force yet").WithNotRun().WithRetryAfter(time.Second)
 	}
-	tenant, known := active.TenantForKey(bearerToken(call))
+	found, known := active.Directory().Identify(bearerToken(call))
 	if !known {
-		return "", nil, failure.New(failure.KindUnauthorized, "bad_key", "the API key is not known: send it as a bearer token").WithNotRun()
+		return nil, nil, failure.New(failure.KindUnauthorized, "bad_key", "the API key is not known: send it as a bearer token").WithNotRun()
 	}
-	return tenant, active, nil
+	return found, active, nil
 }
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -12,6 +12,7 @@
 	"topazpulley/internal/registry"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/supervisor"
+	"topazpulley/internal/tenant"
 )
 
 const (
@@ -32,6 +33,7 @@
 type onlineRequest struct {
 	id         string
 	tenant     string
+	limit      tenant.Limit
 	service    string
 	policy     bundle.Policy
 	model      string
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -56,7 +56,7 @@
 		return onlineRequest{}, now, err
 	}
 	request := onlineRequest{
-		id: "req-" + ulid.Make().String(), tenant: c.tenant, service: name, policy: service.Policy,
+		id: "req-" + ulid.Make().String(), tenant: c.tenant, limit: c.limit, service: name, policy: service.Policy,
 		input: append(json.RawMessage(nil), c.call.PostBody()...), repeatable: isRepeatable(c.call), arrived: now,
 	}
 	return request, deadline, nil
@@ -75,13 +75,14 @@
 			return engine.CallAnswer{}, failure.New(failure.KindOutcomeUnknown, codeOutcomeUnknown, "the call was sent once already; it was not sent again")
 		}
 	}
-	release, err := g.admit(ctx, request, deadline)
+	admitted, err := g.admit(ctx, request, deadline)
 	if err != nil {
 		return engine.CallAnswer{}, err
 	}
 	attempts := g.newGeneration(request, g.recorderFor(request, key))
-	defer release(attempts)
-	return attempts.call(ctx, call)
+	answer, err := attempts.call(ctx, call)
+	admitted.release(attempts, err)
+	return answer, err
 }
 
 // call sends a plain call, trying other engines as the outcomes allow.
