Ask keepers for every request, so that whoever comes first has the room

A daemon refused a tenant for up to 250 ms after each refusal, without asking. Requests that the limit had room for were refused there, and later ones granted elsewhere. Now it does so only where refusals follow each other within 50 ms.

Also: a link between daemons that leaves calls without any answer for 2.5 s is closed and opened anew (connections may go silent without a reset); the test fails without.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -15,8 +15,13 @@
 	"topazpulley/internal/failure"
 )
 
+// silentTime is how long a link may leave a call without any answer before it is
+// given up: connections can go silent without a reset while new ones work. Calls
+// that are held by design end within two seconds.
+const silentTime = 2500 * time.Millisecond
+
 // link is the calling side of one connection. mutex guards connection,
-// pending and broken.
+// pending, broken and askedAt.
 type link struct {
 	address    string
 	connection gnet.Conn
@@ -30,6 +35,9 @@
 	nextID  int64
 	pending map[int64]chan envelope
 	broken  bool
+	// askedAt is when the first call was made since anything was last heard; zero
+	// means that nothing is waited for.
+	askedAt time.Time
 }
 
 // linkEvents handles the traffic of all links.
@@ -94,6 +102,10 @@
 	l.mutex.Lock()
 	waiting, known := l.pending[answer.ID]
 	delete(l.pending, answer.ID)
+	l.askedAt = time.Time{}
+	if len(l.pending) > 0 {
+		l.askedAt = time.Now()
+	}
 	l.mutex.Unlock()
 	if known {
 		waiting <- answer
@@ -107,6 +119,9 @@
 	if l.broken {
 		return 0, nil, false
 	}
+	if l.askedAt.IsZero() {
+		l.askedAt = time.Now()
+	}
 	l.nextID++
 	waiting := make(chan envelope, 1)
 	l.pending[l.nextID] = waiting
@@ -119,6 +134,14 @@
 	delete(l.pending, id)
 }
 
+// isSilent reports whether calls on the link have gone without any answer for too
+// long.
+func (l *link) isSilent(now time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return !l.askedAt.IsZero() && now.Sub(l.askedAt) >= silentTime
+}
+
 // dropLink forgets a link and fails its pending calls by closing their
 // channels.
 func (t *Transport) dropLink(held *link) {
@@ -244,6 +267,8 @@
 	return reply, decode(reply.Schema(), answer.Body, &reply)
 }
 
+// roundTrip makes one call. A call that ends without an answer on a link that has
+// long been silent closes the link, so that the next one opens another.
 func (t *Transport) roundTrip(ctx context.Context, address string, call envelope) (envelope, error) {
 	held, err := t.connect(ctx, address)
 	if err != nil {
@@ -269,6 +294,10 @@
 		}
 		return answer, nil
 	case <-ctx.Done():
+		if held.isSilent(time.Now()) {
+			t.log.Info("peer_link_silent", "peer", address, "method", call.Method)
+			t.closeLink(held)
+		}
 		return envelope{}, failure.Wrap(ctx.Err(), failure.KindUnavailable, "peer_timeout", "daemon at %s did not answer in time", address)
 	}
 }
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -21,7 +21,11 @@
 	admissionPatience = 100 * time.Millisecond
 	// tellPatience bounds what is told to a keeper after the decision.
 	tellPatience = 500 * time.Millisecond
-	// longestRest is how long a daemon refuses a tenant without asking, at most.
+	// restAfter is the time between two refusals of a tenant below which a daemon
+	// spares the keepers: it refuses the tenant without asking until there will be
+	// room, but no longer than longestRest. Slower than that every request is
+	// asked for, because whoever comes first should have the room.
+	restAfter   = 50 * time.Millisecond
 	longestRest = 250 * time.Millisecond
 	// retryAfterAlone is the advice to callers of a daemon that reaches no keeper:
 	// another daemon may.
@@ -52,6 +56,8 @@
 
 // refusal is what keepers told of a tenant that has used up its limit.
 type refusal struct {
+	at time.Time
+	// until is when the tenant is asked for again.
 	until  time.Time
 	config int64
 }
@@ -278,9 +284,14 @@
 	return told.until.Sub(now)
 }
 
-// rest refuses a tenant here until a keeper has room for it again.
+// rest notes a refusal and, if refusals follow each other closely, refuses the
+// tenant here until a keeper has room for it again.
 func (l *Limiter) rest(name string, made Decision, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.refused[name] = refusal{until: now.Add(min(made.RetryAfter, longestRest)), config: made.Config}
+	noted := refusal{at: now, config: made.Config}
+	if now.Sub(l.refused[name].at) < restAfter {
+		noted.until = now.Add(min(made.RetryAfter, longestRest))
+	}
+	l.refused[name] = noted
 }
