Requests wait for places at the daemon; items make room until one is found

A request that found no place queued at one back end, behind those that were late already.

(1) A request has an item give way for every second back end without a place, until it has one. (2) An owner that was asked to give way sends no items for 250 ms. (3) A request waits at its daemon and goes on asking, more often the nearer its objective, seldom once it is late, and queues at a back end after four objectives. Refusals of places are counted in the request's last line and no longer logged one by one.

--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -21,6 +21,10 @@
 	// crowdedPause is the shortest time between two looks at crowded back ends,
 	// in which others hear of what gave way.
 	crowdedPause = 10 * time.Millisecond
+	// givenWayPause is how long an owner sends no items after it was asked to give
+	// way: online requests find no places, and free slots that it knows of are
+	// taken. Bursts bring such questions many times a second.
+	givenWayPause = 250 * time.Millisecond
 	// batchTolerance is the difference in cost, in milliseconds, that does not
 	// matter to batch items.
 	batchTolerance = 40
@@ -83,6 +87,10 @@
 	if isStopping || !isSettled || now.Sub(s.dispatchedAt) < dispatchInterval/2 {
 		return
 	}
+	if s.placer.isPaused(now) {
+		s.backends.SetOwnWaiting(s.waitingItems(jobs, now))
+		return
+	}
 	s.dispatchedAt = now
 	sort.Slice(jobs, func(a, b int) bool { return jobs[a].due.Before(jobs[b].due) })
 	ready := []*work{}
@@ -99,6 +107,15 @@
 	s.backends.SetOwnWaiting(len(ready) - sent)
 }
 
+// waitingItems counts the items that could be sent.
+func (s *Service) waitingItems(jobs []*owned, now time.Time) int {
+	count := 0
+	for _, each := range jobs {
+		count += len(each.waiting(now))
+	}
+	return count
+}
+
 // propagationWindow is the time in which owners do not know of each other's
 // latest decisions: that of the news, and half of it for delays on the way.
 func (s *Service) propagationWindow() time.Duration { return s.backends.Propagation() * 3 / 2 }
@@ -209,6 +226,7 @@
 		}
 	}
 	s.placer.avoid(id, now.Add(s.propagationWindow()))
+	s.placer.pause(now.Add(givenWayPause))
 	if len(items) == 0 {
 		return
 	}
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -421,3 +421,20 @@
 	}
 	require.Equal(t, 1, again, "runs beyond the first")
 }
+
+// TestOwnerThatGaveWaySendsNothingForAWhile: online requests find no places, so
+// that a slot which looks free elsewhere is one of theirs.
+func TestOwnerThatGaveWaySendsNothingForAWhile(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.events, runner.pause = 100, 20*time.Millisecond
+	owner := startDaemon(t, "a", store, runner)
+	accepted := newJob("j1", 4)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	require.Eventually(t, func() bool { return owner.backends.OwnLoads()["one"].Batch == len(accepted.Items) }, patience, pollTime)
+	owner.backends.Put(backend.Instance{ID: "two", Service: service, Slots: 100})
+	owner.backends.Preempt("one")
+	gaveWayAt := time.Now()
+	require.Eventually(t, func() bool { return owner.backends.OwnLoads()["two"].Batch == 1 }, patience, time.Millisecond)
+	require.Greater(t, time.Since(gaveWayAt), 200*time.Millisecond)
+	requireAllCompleted(t, owner, accepted)
+}
--- a/internal/job/pacing.go
+++ b/internal/job/pacing.go
@@ -57,6 +57,8 @@
 	// avoided is until when a back end gets nothing, because an item gave way
 	// there to an online request.
 	avoided map[string]time.Time
+	// pausedUntil is until when nothing is placed anywhere.
+	pausedUntil time.Time
 	// now is the time of the pass.
 	now time.Time
 }
@@ -86,6 +88,11 @@
 // avoid leaves a back end alone until a time.
 func (p *placer) avoid(id string, until time.Time) { p.avoided[id] = until }
 
+// pause places nothing until a time.
+func (p *placer) pause(until time.Time) { p.pausedUntil = until }
+
+func (p *placer) isPaused(now time.Time) bool { return now.Before(p.pausedUntil) }
+
 // isFull reports whether an item found no room at the service in this pass.
 func (p *placer) isFull(service string) bool { return p.full[service] }
 
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -82,9 +82,19 @@
 // back ends had no place for, in milliseconds: half of the wait for a slot.
 const doubtCost = 25
 
-// choose picks a back end for the request and counts the request there. One
-// that preempts finds room where batch items run.
+// choose picks a back end for the request and counts the request there.
 func (c *Core) choose(request *Request, excluded map[string]bool, allowed preemption) (*backend.Lease, routing.Candidate, bool) {
+	chosen, found := c.pick(request, excluded, allowed)
+	if !found {
+		return nil, routing.Candidate{}, false
+	}
+	lease, found := c.Backends.Acquire(chosen.ID, backend.Online, request.Prompt)
+	return lease, chosen, found
+}
+
+// pick picks a back end for the request. One that preempts finds room where
+// batch items run.
+func (c *Core) pick(request *Request, excluded map[string]bool, allowed preemption) (routing.Candidate, bool) {
 	candidates := c.Backends.Candidates(request.Service, request.Prompt, time.Now())
 	model := routing.DefaultCostModel()
 	model.Zone = c.Zone
@@ -95,13 +105,8 @@
 		model.DoubtMilliseconds = doubtCost
 	}
 	c.mutex.Lock()
-	chosen, found := routing.ChooseByCost(model, request.Prompt, candidates, excluded, c.random)
-	c.mutex.Unlock()
-	if !found {
-		return nil, routing.Candidate{}, false
-	}
-	lease, found := c.Backends.Acquire(chosen.ID, backend.Online, request.Prompt)
-	return lease, chosen, found
+	defer c.mutex.Unlock()
+	return routing.ChooseByCost(model, request.Prompt, candidates, excluded, c.random)
 }
 
 // spareDaemons is the reserve for daemons that join without being known yet.
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -50,8 +50,15 @@
 	events    int
 	firstAt   time.Time
 
-	// unplaced counts the back ends that had no place for the request.
+	// unplaced counts the back ends that had no place for the request, and waited
+	// is how long it waited for one since.
 	unplaced int
+	waited   time.Duration
+	// held is a place that was found after a wait and is not used yet.
+	held heldPlace
+	// isQueued tells that the request waits for no place any more, but in a back
+	// end's own queue.
+	isQueued bool
 
 	// admission is what the request was granted of its tenant's limit.
 	admission ratelimit.Decision
@@ -65,7 +72,10 @@
 // run sends attempts until the request has its final answer.
 func (e *exchange) run(ctx context.Context) {
 	for {
-		lease, chosen, found := e.core.choose(&e.request, e.excluded, e.allowedPreemption())
+		if e.mustAwaitPlace() {
+			e.awaitPlace(ctx)
+		}
+		lease, chosen, found := e.target()
 		if !found {
 			if e.awaitRoom(ctx) {
 				continue
@@ -74,7 +84,9 @@
 			return
 		}
 		e.last, e.cost = lease.Instance(), chosen
-		e.preempt()
+		if e.held.name == "" {
+			e.preempt()
+		}
 		err := e.attempt(ctx, lease)
 		lease.Release()
 		if err == nil {
@@ -91,6 +103,15 @@
 	}
 }
 
+// target returns the back end to which the request goes next and counts it there.
+func (e *exchange) target() (*backend.Lease, routing.Candidate, bool) {
+	if e.held.name == "" {
+		return e.core.choose(&e.request, e.excluded, e.allowedPreemption())
+	}
+	lease, found := e.core.Backends.Acquire(e.held.candidate.ID, backend.Online, e.request.Prompt)
+	return lease, e.held.candidate, found
+}
+
 // awaitRoom waits a moment for back ends when none can be chosen and reports
 // whether trying again makes sense.
 func (e *exchange) awaitRoom(ctx context.Context) bool {
@@ -126,7 +147,9 @@
 		Fields: e.request.Fields, Body: e.request.Body, Remaining: remaining,
 		LastEvent: e.lastEvent, Stream: e.request.Route.Kind == route.KindStream,
 	}
-	if err := e.reserve(ctx, &attempt); err != nil {
+	if e.held.name != "" {
+		attempt.Place, e.held = e.held.name, heldPlace{}
+	} else if err := e.reserve(ctx, &attempt); err != nil {
 		return err
 	}
 	e.sends++
@@ -390,7 +413,7 @@
 	}
 	e.core.Logger.Info("request_ended", "id", e.request.ID, "outcome", e.outcome, "reason", string(e.reason),
 		"route", e.request.Route.Name, "config", e.request.ConfigVersion, "tenant", e.request.tenantName(), "limit_source", string(e.admission.Source),
-		"limit_level", e.admission.Level, "limit_ms", e.admission.Took.Milliseconds(), "backend", e.last.ID, "sends", e.sends, "runs", e.runs,
+		"limit_level", e.admission.Level, "limit_ms", e.admission.Took.Milliseconds(), "unplaced", e.unplaced, "waited_ms", e.waited.Milliseconds(), "queued", e.isQueued, "backend", e.last.ID, "sends", e.sends, "runs", e.runs,
 		"online", e.cost.Online, "batch", e.cost.Batch, "slots", e.cost.Slots, "pending_tokens", e.cost.PendingTokens,
 		"uncached_tokens", e.cost.UncachedTokens, "report_age_ms", min(e.cost.ReportAge, time.Hour).Milliseconds(), "events", e.events, "first_ms", first.Milliseconds(), "took_ms", took.Milliseconds())
 }
--- a/internal/serving/place.go
+++ b/internal/serving/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"topazpulley/internal/route"
 )
@@ -67,15 +66,26 @@
 		e.noteFailure(err)
 		return err
 	}
-	e.core.Metrics.Attempts.WithLabelValues("not_run", string(ReasonNoPlace)).Inc()
-	e.core.Logger.Info("place_refused", "id", e.request.ID, "backend", e.last.ID, "online", e.cost.Online,
-		"batch", e.cost.Batch, "slots", e.cost.Slots, "report_age_ms", min(e.cost.ReportAge, time.Hour).Milliseconds())
-	e.unplaced++
+	e.noteUnplaced()
 	if e.allowedPreemption() != preemptNothing {
 		clear(e.excluded)
 	}
 	return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonNoPlace, Cause: err}
 }
 
+// preemptEvery is after how many back ends without a place one more batch item is
+// asked to give way: one back end without a place may be chance, and what daemons
+// know of items may be old, so that some are asked for in vain.
+const preemptEvery = 2
+
+// noteUnplaced counts a back end that had no place for the request.
+func (e *exchange) noteUnplaced() {
+	e.core.Metrics.Attempts.WithLabelValues("not_run", string(ReasonNoPlace)).Inc()
+	e.unplaced++
+	if e.unplaced%preemptEvery == 0 {
+		e.preemptForPlace()
+	}
+}
+
 // isUnplaced reports whether a back end had no place for a request.
 func isUnplaced(err error) bool { return attemptError(err).Reason == ReasonNoPlace }
