Wait for the fleet to be known before a limit is decided at a start

A daemon that has just started knows nobody, and its own share of a limit is next to nothing.

Change: a request waits up to 500 ms until the daemon has read which daemons there are. TestRequestsWaitUntilTheFleetIsKnown fails without.

--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/telemetry"
 	"topazpulley/internal/tenant"
 )
@@ -30,6 +31,10 @@
 	// retryAfterAlone is the advice to callers of a daemon that reaches no keeper:
 	// another daemon may.
 	retryAfterAlone = 300 * time.Millisecond
+	// fleetPatience bounds the wait of a request until a daemon that has just
+	// started knows the fleet: two calls to a store that many ask at once.
+	fleetPatience = 500 * time.Millisecond
+	fleetPoll     = 10 * time.Millisecond
 	// assumedFleet is the size that is assumed of a fleet that is not known yet.
 	assumedFleet = 100
 )
@@ -86,7 +91,7 @@
 	if wait := l.restOf(name, limit.Config, now); wait > 0 {
 		return Decision{RetryAfter: wait, Source: SourceRecent, Config: limit.Config}
 	}
-	order := l.rankings.of(name, now)
+	order := l.awaitFleet(ctx, name, now)
 	if !order.isKnown || len(order.daemons) == 0 {
 		return l.decideAlone(name, limit, order, now)
 	}
@@ -105,6 +110,17 @@
 	return asking.best
 }
 
+// awaitFleet returns the order of daemons for a tenant. A daemon that has just
+// started learns the fleet within moments; a request waits for that, because
+// nobody can tell what is left of its tenant's limit.
+func (l *Limiter) awaitFleet(ctx context.Context, name string, started time.Time) ranking {
+	order := l.rankings.of(name, started)
+	for !order.isKnown && time.Since(started) < fleetPatience && periodic.Sleep(ctx, fleetPoll) {
+		order = l.rankings.of(name, time.Now())
+	}
+	return order
+}
+
 func (l *Limiter) partsOf(limit Limit, order ranking) int {
 	return min(l.tolerance.parts(limit.Limit, mostParts), len(order.daemons))
 }
--- a/internal/ratelimit/ranking.go
+++ b/internal/ratelimit/ranking.go
@@ -59,7 +59,7 @@
 func (r *rankings) of(name string, now time.Time) ranking {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if now.Sub(r.pool.at) >= rankingAge {
+	if now.Sub(r.pool.at) >= rankingAge || !r.pool.isKnown {
 		seen := r.fleet.View()
 		r.pool = ranking{daemons: pick(poolKey, seen.Daemons, keeperPool), fleet: len(seen.Daemons), reach: seen.Reach, isKnown: seen.IsKnown, at: now}
 		clear(r.byTenant)
