Find the fleet faster at a start; model and mutants of limits

Each daemon wrote its address before it read the others', and 60 writes to one partition take a third of a second; one seed was pinged a second.

Change: read first; a member that joins pings three seeds every 100 ms until it has found one. spec/ratelimit.pml holds to the full state space, and fails when a new keeper starts with a full bucket, when a stand-in grants a whole part, and without a capacity. Mutants for keys, tenants, limits, waiting and links.

--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -56,11 +56,13 @@
 func (f *Frontend) keepFound(ctx context.Context) {
 	isWritten := false
 	for ctx.Err() == nil {
-		isWritten = isWritten || f.writeAddress(ctx)
 		isFound := f.Members() > 1
 		if !isFound {
+			// Reading comes first: the writes of a fleet that starts at once wait
+			// for each other.
 			f.readAddresses(ctx)
 		}
+		isWritten = isWritten || f.writeAddress(ctx)
 		if isWritten && isFound {
 			return
 		}
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -273,7 +273,7 @@
 		out = append(out, c.tellAccused()...)
 	}
 	if !now.Before(c.nextRetry) {
-		c.nextRetry = now.Add(c.config.ReconnectInterval)
+		c.nextRetry = now.Add(c.reconnectInterval(now))
 		out = append(out, c.reconnect(now)...)
 		c.forget(now)
 	}
@@ -347,10 +347,34 @@
 	c.events = append(c.events, Event{Kind: EventSync, Address: packet.FromAddress})
 }
 
+// isYoung reports whether the member is in the first moments of its life.
+func (c *Core) isYoung(now time.Time) bool {
+	return now.Sub(c.startedAt) < youthProbes*c.config.ProbeInterval
+}
+
+// isJoining reports whether the member has just started and has found nobody yet.
+func (c *Core) isJoining(now time.Time) bool { return c.liveCount <= 1 && c.isYoung(now) }
+
+// reconnectInterval is short while the member joins: it is of little use to
+// others, and they to it, before they know of each other.
+func (c *Core) reconnectInterval(now time.Time) time.Duration {
+	if c.isJoining(now) {
+		return c.config.ProbeInterval / joinsPerProbe
+	}
+	return c.config.ReconnectInterval
+}
+
+const (
+	// joinsPerProbe is how often a member that joins pings seeds within a probe
+	// interval, and joinSeeds how many each time.
+	joinsPerProbe = 5
+	joinSeeds     = 3
+)
+
 // syncInterval is short in the first moments of a member's life: a fleet whose
 // members all start at once should know itself within seconds.
 func (c *Core) syncInterval(now time.Time) time.Duration {
-	if now.Sub(c.startedAt) < youthProbes*c.config.ProbeInterval {
+	if c.isYoung(now) {
 		return c.config.ProbeInterval / 2
 	}
 	return c.config.SyncInterval
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -147,3 +147,28 @@
 	core.Tick(now.Add(50 * time.Millisecond))
 	require.Zero(t, core.Statistics().Suspicions)
 }
+
+// TestJoiningMemberAsksSeveralSeedsAtOnce and again within a tenth of a second;
+// one that has found others, or has been alone for long, asks one now and then.
+func TestJoiningMemberAsksSeveralSeedsAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pings := func(core *membership.Core, from time.Time, length time.Duration) int {
+		count := 0
+		for at := from; at.Before(from.Add(length)); at = at.Add(50 * time.Millisecond) {
+			for _, datagram := range core.Tick(at) {
+				if datagram.Packet.Kind == membership.PacketPing {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	core := membership.New(membership.DefaultConfig(500*time.Millisecond), member("a", 1, membership.StateAlive), rand.New(rand.NewPCG(1, 2)), now)
+	core.SetSeeds([]string{"b", "c", "d", "e", "f"})
+	require.GreaterOrEqual(t, pings(core, now, 500*time.Millisecond), 12)
+	require.LessOrEqual(t, pings(core, now.Add(time.Minute), 2*time.Second), 3)
+	joined := membership.New(membership.DefaultConfig(500*time.Millisecond), member("a", 1, membership.StateAlive), rand.New(rand.NewPCG(1, 2)), now)
+	joined.SetSeeds([]string{"b", "c", "d", "e", "f"})
+	joined.Receive(now, gossip("b", member("b", 1, membership.StateAlive)))
+	require.LessOrEqual(t, pings(joined, now, 2*time.Second), 8)
+}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -141,16 +141,14 @@
 	c.ringIndex = 0
 }
 
-// reconnect pings one dead member and one seed that no live member accounts
-// for, so that groups that lost each other, or never met, find together.
+// reconnect pings one dead member and a seed that no live member accounts
+// for, or some, so that groups that lost each other, or never met, find together.
 func (c *Core) reconnect(now time.Time) []Datagram {
 	addresses := []string{}
 	if dead, found := c.randomDead(); found {
 		addresses = append(addresses, dead.Address)
 	}
-	if strangers := c.unknownSeeds(); len(strangers) > 0 {
-		addresses = append(addresses, strangers[c.random.IntN(len(strangers))])
-	}
+	addresses = append(addresses, c.someSeeds(now)...)
 	out := []Datagram{}
 	for _, address := range addresses {
 		if address == c.self.Address {
@@ -163,6 +161,18 @@
 	return out
 }
 
+// someSeeds draws from the seeds that no live member accounts for: one, or some
+// while the member joins.
+func (c *Core) someSeeds(now time.Time) []string {
+	strangers := c.unknownSeeds()
+	c.random.Shuffle(len(strangers), func(a, b int) { strangers[a], strangers[b] = strangers[b], strangers[a] })
+	count := 1
+	if c.isJoining(now) {
+		count = joinSeeds
+	}
+	return strangers[:min(count, len(strangers))]
+}
+
 // unknownSeeds returns the seeds that are no live member's address.
 func (c *Core) unknownSeeds() []string {
 	live := make(map[string]bool, c.liveCount)
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -55,4 +55,8 @@
 verify quota violated COUNT_TWICE
 verify quota violated LOST_AT_TAKEOVER
 verify quota violated SAME_HOLDER
+verify ratelimit holds
+verify ratelimit violated FULL_START
+verify ratelimit violated FULL_STAND_IN
+verify ratelimit violated NO_CAPACITY
 exit $failed
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -147,12 +147,38 @@
 	'if !now.Before(expires) {' 'if false {' internal/frontend TestUpstreamWithoutStoreTellsNothing
 mutant preempted_twice internal/exchange/relay.go \
 	'max(h.work.inFlight[id].Batch-h.preempted[id], 0)' 'h.work.inFlight[id].Batch' internal/exchange TestEachPreemptionTakesAnotherItem
-mutant no_preemption internal/serving/place.go \
-	'	e.core.Backends.Preempt(e.last.ID)' '' internal/serving TestWaitingRequestPreemptsOneItem
+mutant no_preemption internal/serving/await.go \
+	'	e.core.Backends.Preempt(chosen.ID)' '' internal/serving TestWaitingRequestPreemptsItems
+mutant no_pause_after_giving_way internal/job/dispatch.go \
+	'	s.placer.pause(now.Add(givenWayPause))' '' internal/job TestOwnerThatGaveWaySendsNothingForAWhile
+mutant queues_without_waiting internal/serving/exchange.go \
+	'if e.mustAwaitPlace() {' 'if false {' internal/serving TestRequestWithoutAPlaceQueuesInTheEnd
 mutant late_drop internal/job/owned.go \
 	'if s.owned[o.job.ID] == o {' 'if true {' internal/job TestLateGoroutineDropsNoNewerOwnership
 mutant no_give_back internal/job/takeover.go \
 	's.giveBack(ctx, id, claimed)' '' internal/job TestJobThatADaemonCannotReadGoesToAnother
 mutant excess_answered_at_every_look internal/job/yielding.go \
 	'answered.left = min(answered.left, excess)' 'answered.left = 0' internal/job TestOwnersGiveWayOnceForOneExcess
+mutant key_passed_on platform/runner.go \
+	'headerTenant, headerKey:' 'headerTenant:' platform TestBackEndsAreToldTheTenantAndNoKey
+mutant callers_tenant_believed platform/runner.go \
+	'headerReservation, headerTenant, headerKey:' 'headerReservation, headerKey:' platform TestBackEndsAreToldTheTenantAndNoKey
+mutant no_tenant_on_items internal/job/attempt.go \
+	'Tenant: running.owner.job.Tenant, ' '' platform TestBackEndsAreToldTheTenantAndNoKey
+mutant jobs_of_all_tenants internal/job/tenant.go \
+	'owner == "" || owner == caller' 'true' platform TestJobsBelongToTheirTenant
+mutant keys_trusted_for_ever internal/access/access.go \
+	'age < g.RevocationBound-revocationReserve' 'true' internal/access TestUnconfirmedKeysAreNotTrustedForLong
+mutant full_start internal/ratelimit/share.go \
+	'start: startShare * excess' 'start: limit.Burst + excess' internal/ratelimit TestNoWindowPassesTheLimit
+mutant full_stand_in internal/ratelimit/share.go \
+	'standInShare = 0.25' 'standInShare = 1.0' internal/ratelimit TestNoWindowPassesTheLimit
+mutant both_sides_of_a_cut_grant_all internal/ratelimit/share.go \
+	'scaled(reach / float64(parts))' 'scaled(1 / float64(parts))' internal/ratelimit TestNoWindowPassesTheLimit
+mutant old_limit_wins internal/ratelimit/keeper.go \
+	'limit.Config >= held.limit.Config' 'true' internal/ratelimit TestOldLimitsReplaceNoNewerOnes
+mutant nothing_given_back internal/serving/admit.go \
+	'		e.core.Limits.Return(e.admission, e.request.Tenant.Name, e.limit())' '' platform TestRequestThatNeverRanCostsNoLimit
+mutant silent_link_kept internal/peer/link.go \
+	'if held.isSilent(time.Now()) {' 'if false {' internal/peer TestSilentLinkIsReplaced
 exit $failed
