--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -160,9 +160,11 @@
 mutant excess_answered_at_every_look internal/job/yielding.go \
 	'answered.left = min(answered.left, excess)' 'answered.left = 0' internal/job TestOwnersGiveWayOnceForOneExcess
 mutant key_passed_on platform/runner.go \
-	'headerTenant, headerKey:' 'headerTenant:' platform TestBackEndsAreToldTheTenantAndNoKey
+	'headerTenant, headerKey:' 'headerTenant:' platform TestNoKeyLeavesWithAnAttempt
 mutant callers_tenant_believed platform/runner.go \
-	'headerReservation, headerTenant, headerKey:' 'headerReservation, headerKey:' platform TestBackEndsAreToldTheTenantAndNoKey
+	'headerReservation, headerTenant, headerKey:' 'headerReservation, headerKey:' platform TestNoKeyLeavesWithAnAttempt
+mutant key_stored platform/answer.go \
+	'name != headerKey && ' '' platform TestNoKeyIsStoredWithAJob
 mutant no_tenant_on_items internal/job/attempt.go \
 	'Tenant: running.owner.job.Tenant, ' '' platform TestBackEndsAreToldTheTenantAndNoKey
 mutant jobs_of_all_tenants internal/job/tenant.go \
