Ask others when a back end leaves with the place it has set aside

Found in reading: the request kept the lost place and tried it again until its objective was over, then was refused. TestBackEndThatLeavesWithThePlace fails without.

--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -108,8 +108,12 @@
 	if e.held.name == "" {
 		return e.core.choose(&e.request, e.excluded, e.allowedPreemption())
 	}
-	lease, found := e.core.Backends.Acquire(e.held.candidate.ID, backend.Online, e.request.Prompt)
-	return lease, e.held.candidate, found
+	candidate := e.held.candidate
+	lease, found := e.core.Backends.Acquire(candidate.ID, backend.Online, e.request.Prompt)
+	if !found {
+		e.held = heldPlace{} // the back end left with the place
+	}
+	return lease, candidate, found
 }
 
 // awaitRoom waits a moment for back ends when none can be chosen and reports
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -368,6 +368,38 @@
 	require.Positive(t, caller.refusals[0].RetryAfter)
 }
 
+// leavingScript is a script whose back ends leave right after they have set their
+// first place aside.
+type leavingScript struct {
+	*script
+	core *serving.Core
+	left bool
+}
+
+func (s *leavingScript) Reserve(ctx context.Context, wanted serving.Reservation) (string, error) {
+	place, err := s.script.Reserve(ctx, wanted)
+	if err == nil && !s.left {
+		s.left = true
+		s.core.Backends.Remove(wanted.Instance.ID)
+		s.script.place = ""
+	}
+	return place, err
+}
+
+// TestBackEndThatLeavesWithThePlace: the request goes on to ask others at once.
+func TestBackEndThatLeavesWithThePlace(t *testing.T) {
+	policy := &route.Route{Kind: route.KindStream, Timeout: time.Minute, Objective: time.Second, MaxAttempts: 1, Targets: []route.Target{{Service: "s"}}}
+	caller := &recorder{}
+	sender := &leavingScript{script: &script{ran: map[string]bool{}, lastSeen: caller, refusals: []serving.Reason{serving.ReasonRefused, serving.ReasonRefused, serving.ReasonRefused}}}
+	sender.core = newCore(sender)
+	sender.core.Holder.Apply(withPlaces(), time.Now())
+	now := time.Now()
+	sender.core.Serve(context.Background(), serving.Request{ID: "r", Route: policy, Service: "s", Tokens: 10, Arrived: now, Deadline: now.Add(time.Minute)}, caller)
+	require.True(t, sender.left)
+	require.Equal(t, 1, caller.finished)
+	require.Less(t, time.Since(now), policy.Objective)
+}
+
 // TestWaitingRequestPreemptsItems: a request that back ends have no place for has
 // batch items give way where some run, one for every two such back ends, until it
 // is placed; one that is placed at once preempts nothing.
