--- a/internal/batch/model_test.go
+++ b/internal/batch/model_test.go
@@ -263,3 +263,25 @@
 	require.True(t, failure.HasCode(err, "key_reused"))
 	require.True(t, failure.From(err).NotRun)
 }
+
+// TestNothingIsCommittedAfterACancel: an owner that has not heard of the end of
+// its job commits nothing more.
+func TestNothingIsCommittedAfterACancel(t *testing.T) {
+	store := batch.NewStore(storage.NewClient(&emulator.InProcess{Platform: emulator.NewPlatform()}, manyCalls))
+	job := batch.Job{ID: modelJob, Tenant: "tenant", Key: "key", Items: 2, ChunkSize: 2, Chunks: 1, State: batch.StateRunning}
+	_, err := store.Create(t.Context(), job, "digest")
+	require.NoError(t, err)
+	created, version, err := store.Job(t.Context(), modelJob)
+	require.NoError(t, err)
+	held, err := store.Claim(t.Context(), created, version, 0, "owner")
+	require.NoError(t, err)
+	held, err = store.Commit(t.Context(), held, batch.Segment{Items: []int{0}}, [][]byte{[]byte("before")})
+	require.NoError(t, err)
+	_, err = store.Cancel(t.Context(), modelJob, time.Now())
+	require.NoError(t, err)
+	_, err = store.Commit(t.Context(), held, batch.Segment{Sequence: 1, Items: []int{1}}, [][]byte{[]byte("after")})
+	require.True(t, failure.HasCode(err, batch.CodeJobEnded), "%v", err)
+	chunks, err := store.Chunks(t.Context(), modelJob)
+	require.NoError(t, err)
+	require.Len(t, chunks[0].Segments, 1)
+}
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -30,7 +30,7 @@
 mutant no_chunk_condition internal/batch/store.go \
 	'{Key: next.Key(), Version: held.Version},' '' internal/batch TestChunkModel
 mutant no_job_condition internal/batch/store.go \
-	'{Key: stateKey(next.Job), Version: held.JobVersion},' '' internal/batch TestChunkModel
+	'{Key: stateKey(next.Job), Version: held.JobVersion},' '' internal/batch 'TestChunkModel|TestNothingIsCommittedAfterACancel'
 mutant no_intent_check internal/batch/chunk.go \
 	'if exists {' 'if false {' internal/batch 'TestIntentIsReplacedOnlyByItsOwnRefusal'
 mutant no_epoch_check internal/batch/chunk.go \
