--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -22,6 +22,8 @@
 	// item's first event and between events.
 	firstPatience = 6 * time.Second
 	eventPatience = 1500 * time.Millisecond
+	// itemMethod is the method of every item's request.
+	itemMethod = "POST"
 	// invalidStatus tells that an item can never be done.
 	invalidStatus = 422
 )
@@ -36,7 +38,7 @@
 	watched := watchdog.Start(firstPatience, eventPatience, cancel)
 	defer watched.Stop()
 	answer, err := s.sender.Send(bounded, serving.Attempt{
-		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Method: "POST", Target: running.item.Path,
+		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Method: itemMethod, Target: running.item.Path,
 		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTime,
 		LastEvent: running.progress.last(), Stream: true,
 	})
@@ -136,7 +138,7 @@
 		serving.RecordFailure(s.backends, instance.ID, failed.Reason, time.Now())
 	}
 	s.metrics.Items.WithLabelValues(failed.Outcome.String()).Inc()
-	s.log.Info("item_attempt_failed", "job", held.job.ID, "item", running.item.ID, "backend", instance.ID, "outcome", failed.Outcome.String(),
+	s.log.Info("item_attempt_failed", "job", held.job.ID, "item", running.item.ID, "fingerprint", running.fingerprint().String(), "backend", instance.ID, "outcome", failed.Outcome.String(),
 		"reason", string(failed.Reason), "failures", running.progress.failed(), "last_event", running.progress.last(), "cause", failed.Cause)
 	if running.progress.failed() >= matched.MaxAttempts {
 		s.log.Info("item_abandoned", "job", held.job.ID, "item", running.item.ID, "reason", "failures", "failures", running.progress.failed())
--- a/internal/job/owned.go
+++ b/internal/job/owned.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"topazpulley/internal/quarantine"
 	"topazpulley/internal/table"
 )
 
@@ -33,6 +34,11 @@
 	progress   progress
 }
 
+// fingerprint identifies the item's content whatever its id.
+func (w *work) fingerprint() quarantine.Fingerprint {
+	return quarantine.FingerprintOf(itemMethod, w.item.Path, w.owner.job.Tenant, w.item.Body)
+}
+
 // yield takes a running item back.
 func (w *work) yield() {
 	w.owner.mutex.Lock()
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -62,7 +62,7 @@
 	defer cancel()
 	served := &exchange{
 		core: c, request: request, responder: responder, caller: ctx, end: end,
-		excluded: map[string]bool{}, lastEvent: request.LastEvent,
+		excluded: map[string]bool{}, lastEvent: request.LastEvent, fingerprint: request.fingerprint(),
 	}
 	if !served.admit(bounded) {
 		return
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -9,6 +9,7 @@
 
 	"topazpulley/internal/backend"
 	"topazpulley/internal/periodic"
+	"topazpulley/internal/quarantine"
 	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
@@ -41,14 +42,16 @@
 	caller    context.Context
 	end       time.Time
 
-	excluded  map[string]bool
-	sends     int
-	runs      int
-	unknown   bool
-	begun     bool
-	lastEvent int64
-	events    int
-	firstAt   time.Time
+	excluded map[string]bool
+	sends    int
+	runs     int
+	unknown  bool
+	begun    bool
+	// fingerprint identifies the request's content whatever its id.
+	fingerprint quarantine.Fingerprint
+	lastEvent   int64
+	events      int
+	firstAt     time.Time
 
 	// unplaced counts the back ends that had no place for the request, and waited
 	// is how long it waited for one since.
@@ -316,7 +319,7 @@
 	}
 	RecordFailure(e.core.Backends, e.last.ID, failed.Reason, time.Now())
 	e.core.Metrics.Attempts.WithLabelValues(failed.Outcome.String(), string(failed.Reason)).Inc()
-	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "outcome", failed.Outcome.String(),
+	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "fingerprint", e.fingerprint.String(), "backend", e.last.ID, "outcome", failed.Outcome.String(),
 		"reason", string(failed.Reason), "cause", failed.Cause, "last_event", e.lastEvent)
 }
 
@@ -415,7 +418,7 @@
 		first = e.firstAt.Sub(e.request.Arrived)
 		e.core.Metrics.FirstOutput.WithLabelValues(e.request.Service).Observe(first.Seconds())
 	}
-	e.core.Logger.Info("request_ended", "id", e.request.ID, "outcome", e.outcome, "reason", string(e.reason),
+	e.core.Logger.Info("request_ended", "id", e.request.ID, "fingerprint", e.fingerprint.String(), "outcome", e.outcome, "reason", string(e.reason),
 		"route", e.request.Route.Name, "config", e.request.ConfigVersion, "tenant", e.request.tenantName(), "limit_source", string(e.admission.Source),
 		"limit_level", e.admission.Level, "limit_ms", e.admission.Took.Milliseconds(), "unplaced", e.unplaced, "waited_ms", e.waited.Milliseconds(), "queued", e.isQueued, "backend", e.last.ID, "sends", e.sends, "runs", e.runs,
 		"online", e.cost.Online, "batch", e.cost.Batch, "slots", e.cost.Slots, "pending_tokens", e.cost.PendingTokens,
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/quarantine"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/tenant"
@@ -58,6 +59,11 @@
 	return r.Tenant.Name
 }
 
+// fingerprint identifies the request's content whatever its id.
+func (r *Request) fingerprint() quarantine.Fingerprint {
+	return quarantine.FingerprintOf(r.Method, r.Target, r.tenantName(), r.Body)
+}
+
 // Attempt is one dispatch of a request to a back end.
 type Attempt struct {
 	Instance backend.Instance
