Quarantine requests under which back ends end

Cause: what was known of an attempt lived for one call in one daemon, so that a request which ends whoever runs it was new to every daemon each time it came. Ruled out: our own retries (sends=1 each time), batch items (none without output at the ends), back ends ending by themselves (one request without output at every end).

Change: every attempt passes one sender that asks a guard. When an attempt breaks, the back end is asked for a connection; if its machine refuses, all that was in flight there is evidence, told to all daemons by datagram and written as one row a request and back end, which every daemon follows and finds at its start. Three ends without a good end between them quarantine the request for ten minutes; runs that had given output count half. A good end takes the evidence back everywhere.

Before: 12 of 12 further sends reached back ends; after: none (TestRequestThatEndsBackEndsIsStopped, off the list of known failures).

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -18,6 +18,7 @@
 	"topazpulley/internal/job"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
+	"topazpulley/internal/quarantine"
 	"topazpulley/internal/quota"
 	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/route"
@@ -86,6 +87,10 @@
 	Jobs *job.Service
 	// Gate identifies callers.
 	Gate *access.Gate
+	// Quarantine tells which requests are not sent to back ends.
+	Quarantine *quarantine.Guard
+
+	recorder *quarantine.Recorder
 }
 
 // Metrics are those of the parts of a daemon.
@@ -93,6 +98,8 @@
 	Serving *telemetry.Serving
 	Quota   *telemetry.Quota
 	Tenants *telemetry.Tenants
+	// Quarantine is that of requests that end back ends.
+	Quarantine *telemetry.Quarantine
 }
 
 // New assembles a daemon. The settings must be valid.
@@ -110,8 +117,11 @@
 		return accounts.Serve(ctx, request)
 	})
 	listenForPressure(f.node, accounts)
-	f.Core = serving.NewCore(f.Backends, ports.Sender, f.Holder, metrics.Serving, log, f.Members)
+	f.addQuarantine(metrics.Quarantine)
+	sender := serving.NewGuardedSender(ports.Sender, f.Quarantine, f.Backends, log)
+	f.Core = serving.NewCore(f.Backends, sender, f.Holder, metrics.Serving, log, f.Members)
 	f.Core.Zone = process.Zone
+	f.Core.Quarantine = f.Quarantine
 	f.limitFleet = ratelimit.NewClusterFleet(f.node, f.transport)
 	f.Core.Limits = ratelimit.New(f.limitFleet, ratelimit.ToleranceOf(process), metrics.Tenants, log)
 	f.limitFleet.Handle(f.Core.Limits)
@@ -119,9 +129,9 @@
 		f.Backends.SetConnected(connector.Connected)
 	}
 	f.Jobs = job.NewService(job.Dependencies{
-		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: ports.Sender,
+		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: sender,
 		Holder: f.Holder, Peers: peers{node: f.node}, Metrics: metrics.Serving, Logger: log, Connections: f.Core.ConnectionShare, Settling: settlingTime,
-		Quota: accounts, Zone: process.Zone,
+		Quota: accounts, Zone: process.Zone, Quarantine: f.Quarantine,
 	})
 	source := newPeerSource(f.node, f.transport)
 	followed := newUpstream(f.node, f.transport)
@@ -129,12 +139,16 @@
 	for _, follower := range []*table.Follower{
 		{Table: ports.ConfigTable, Consumer: &configConsumer{ports: ports, holder: f.Holder, log: log}},
 		{Table: ports.InstanceTable, Consumer: f.instances, Pace: rate.NewLimiter(instanceWatches, instanceBurst)},
+		{Table: quarantine.TableName, Consumer: f.Quarantine, Wait: evidenceWait},
 		{Table: f.Jobs.FollowedTable(), Consumer: f.Jobs, Partitioned: true, Pace: rate.NewLimiter(claimWatches, claimBurst)},
 	} {
 		replica := &table.Replica{Consumer: follower.Consumer}
 		source.offer(follower.Table, followedCopy{follower: follower, replica: replica})
 		followed.offer(follower.Table, followedCopy{follower: follower, replica: replica})
-		follower.Store, follower.Consumer, follower.Logger, follower.Wait = f.store, replica, log, watchWait
+		follower.Store, follower.Consumer, follower.Logger = f.store, replica, log
+		if follower.Wait == 0 {
+			follower.Wait = watchWait
+		}
 		follower.Peers, follower.Upstream = source, followed
 		f.followers = append(f.followers, follower)
 		if follower.Table == ports.InstanceTable {
@@ -194,6 +208,8 @@
 	go f.keepFound(ctx)
 	go f.forwarding.Run(ctx)
 	go f.instances.settleAll(ctx)
+	go f.recorder.Run(ctx)
+	go f.expireEvidence(ctx)
 	for _, follower := range f.followers {
 		go follower.Run(ctx)
 	}
--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -16,6 +16,9 @@
 const (
 	refusedPause = 100 * time.Millisecond
 	failedPause  = 200 * time.Millisecond
+	// quarantinedPause is how long an item rests before it is looked at again while
+	// it is quarantined: a quarantine may be lifted at any time.
+	quarantinedPause = time.Second
 	// itemTime is how long a back end may work on one item.
 	itemTime = 60 * time.Second
 	// firstPatience and eventPatience bound the silence of a back end before an
@@ -38,7 +41,7 @@
 	watched := watchdog.Start(firstPatience, eventPatience, cancel)
 	defer watched.Stop()
 	answer, err := s.sender.Send(bounded, serving.Attempt{
-		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Method: itemMethod, Target: running.item.Path,
+		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Fingerprint: running.fingerprint, Method: itemMethod, Target: running.item.Path,
 		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTime,
 		LastEvent: running.progress.last(), Stream: true,
 	})
@@ -138,8 +141,8 @@
 		serving.RecordFailure(s.backends, instance.ID, failed.Reason, time.Now())
 	}
 	s.metrics.Items.WithLabelValues(failed.Outcome.String()).Inc()
-	s.log.Info("item_attempt_failed", "job", held.job.ID, "item", running.item.ID, "fingerprint", running.fingerprint().String(), "backend", instance.ID, "outcome", failed.Outcome.String(),
-		"reason", string(failed.Reason), "failures", running.progress.failed(), "last_event", running.progress.last(), "cause", failed.Cause)
+	s.log.Info("item_attempt_failed", "job", held.job.ID, "item", running.item.ID, "backend", instance.ID, "outcome", failed.Outcome.String(),
+		"reason", string(failed.Reason), "failures", running.progress.failed(), "last_event", running.progress.last(), "cause", failed.Cause, "fingerprint", running.fingerprint.String())
 	if running.progress.failed() >= matched.MaxAttempts {
 		s.log.Info("item_abandoned", "job", held.job.ID, "item", running.item.ID, "reason", "failures", "failures", running.progress.failed())
 		held.end(running, Result{Item: running.item.ID, State: StateAbandoned})
@@ -149,5 +152,8 @@
 	if failed.Outcome == serving.OutcomeNotRun {
 		pause = refusedPause
 	}
+	if failed.Reason == serving.ReasonQuarantined {
+		pause = quarantinedPause
+	}
 	held.requeue(running, pause)
 }
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -132,7 +132,7 @@
 	if !found {
 		return false // its route is not known here
 	}
-	if s.placer.isFull(service) {
+	if s.restQuarantined(waiting, now) || s.placer.isFull(service) {
 		return false
 	}
 	candidates := s.backends.Candidates(service, waiting.item.Prompt, now)
@@ -158,6 +158,29 @@
 	return true
 }
 
+// restQuarantined has an item that is quarantined wait, and reports whether it
+// is. It takes no part of the room, and is given up when its time is over.
+func (s *Service) restQuarantined(waiting *work, now time.Time) bool {
+	if s.quarantine == nil {
+		return false
+	}
+	verdict, isHeld := s.quarantine.Verdict(waiting.fingerprint)
+	if !isHeld {
+		return false
+	}
+	waiting.owner.mutex.Lock()
+	waiting.notBefore = now.Add(quarantinedPause)
+	isTold := waiting.isQuarantined
+	waiting.isQuarantined = true
+	waiting.owner.mutex.Unlock()
+	if isTold {
+		return true
+	}
+	s.log.Info("item_quarantined", "job", waiting.owner.job.ID, "item", waiting.item.ID, "fingerprint", waiting.fingerprint.String(),
+		"backends", len(verdict.Instances), "until", verdict.Until.UTC().Format(time.RFC3339))
+	return true
+}
+
 // longestAge stands in logs for all that is older, or was never told.
 const longestAge = time.Hour
 
--- a/internal/job/owned.go
+++ b/internal/job/owned.go
@@ -20,23 +20,22 @@
 
 // work is one item of an owned job. owned.mutex guards it, but for progress.
 type work struct {
-	item      Item
-	owner     *owned
-	state     itemState
-	notBefore time.Time
-	backend   string
-	startedAt time.Time
+	item  Item
+	owner *owned
+	// fingerprint identifies the item's content whatever its id.
+	fingerprint quarantine.Fingerprint
+	state       itemState
+	notBefore   time.Time
+	backend     string
+	startedAt   time.Time
 	// ranFor is how long earlier attempts ran.
 	ranFor time.Duration
 	cancel context.CancelFunc
 	// isYielding tells that the present run was taken back and is about to end.
 	isYielding bool
 	progress   progress
-}
-
-// fingerprint identifies the item's content whatever its id.
-func (w *work) fingerprint() quarantine.Fingerprint {
-	return quarantine.FingerprintOf(itemMethod, w.item.Path, w.owner.job.Tenant, w.item.Body)
+	// isQuarantined tells that the item was found quarantined, which is logged once.
+	isQuarantined bool
 }
 
 // yield takes a running item back.
@@ -107,6 +106,7 @@
 			state = itemFinished
 		}
 		begun := &work{item: item, owner: started, state: state}
+		begun.fingerprint = quarantine.FingerprintOf(itemMethod, item.Path, accepted.Tenant, item.Body)
 		begun.progress.restore(earlier.checkpoints[item.ID])
 		started.works = append(started.works, begun)
 	}
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/quarantine"
 	"topazpulley/internal/quota"
 	"topazpulley/internal/route"
 	"topazpulley/internal/serving"
@@ -53,6 +54,8 @@
 	Settling time.Duration
 	// Zone is the daemon's own; empty means that zones do not matter.
 	Zone string
+	// Quarantine tells which items are not sent to back ends; nil means that all are.
+	Quarantine *quarantine.Guard
 }
 
 // Service answers calls about jobs and runs the jobs that this daemon owns.
@@ -78,6 +81,7 @@
 	placer       *placer
 	yielder      *yielder
 	quota        *quota.Accounts
+	quarantine   *quarantine.Guard
 	sweeper      sweeper
 	pageLimit    pageLimit
 
@@ -117,7 +121,7 @@
 		lifetime: lifetime, end: end, wake: make(chan struct{}, 1),
 		placer: newPlacer(newRandom(), dependencies.Zone), yielder: newYielder(newRandom()),
 		claims: map[string]versionedClaim{}, orphans: map[string]time.Time{}, claimedAt: map[string]time.Time{}, takeovers: newTakeovers(), owned: map[string]*owned{}, accepted: map[string]acceptance{},
-		quota: dependencies.Quota, over: map[string]overJob{}, sweeper: newSweeper(),
+		quota: dependencies.Quota, quarantine: dependencies.Quarantine, over: map[string]overJob{}, sweeper: newSweeper(),
 	}
 }
 
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
+
+	"github.com/pkg/errors"
 )
 
 // fingerprintBytes is the length of a fingerprint: 128 bits of a cryptographic
@@ -34,3 +36,12 @@
 
 // String returns the fingerprint in hexadecimal, as logs and rows carry it.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// ParseFingerprint reads what String wrote.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	content, err := hex.DecodeString(text)
+	if err != nil {
+		return Fingerprint{}, errors.WithStack(err)
+	}
+	return fingerprintFrom(content)
+}
--- a/internal/serving/await.go
+++ b/internal/serving/await.go
@@ -54,6 +54,9 @@
 	latest := e.request.Arrived.Add(min(e.request.Route.Objective*queueAfter, longestAwait))
 	asked := 0
 	for periodic.SleepAbout(ctx, e.askPause(time.Now())) {
+		if _, isHeld := e.quarantined(); isHeld {
+			return
+		}
 		if !time.Now().Before(latest) {
 			break
 		}
@@ -101,7 +104,7 @@
 	if !found {
 		return false
 	}
-	attempt := Attempt{Instance: instance, MaxConnections: e.core.ConnectionShare(e.request.Service)}
+	attempt := Attempt{Instance: instance, Fingerprint: e.fingerprint, MaxConnections: e.core.ConnectionShare(e.request.Service)}
 	if err := Reserve(ctx, e.core.Sender, e.core.Holder.Current(), &attempt, e.request.Tokens); err != nil {
 		e.noteUnplaced()
 		if reason := attemptError(err).Reason; reason != ReasonRefused && ctx.Err() == nil {
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -9,6 +9,7 @@
 
 	"topazpulley/internal/admission"
 	"topazpulley/internal/backend"
+	"topazpulley/internal/quarantine"
 	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
@@ -29,6 +30,9 @@
 	Zone string
 	// Limits bounds the requests of tenants; nil means no bounds.
 	Limits *ratelimit.Limiter
+	// Quarantine tells which requests are not sent to back ends; nil means that all
+	// are. Sender asks it too: here it only saves a wait that must end in a refusal.
+	Quarantine *quarantine.Guard
 
 	retries *admission.RetryBudget
 	mutex   sync.Mutex
@@ -64,6 +68,10 @@
 		core: c, request: request, responder: responder, caller: ctx, end: end,
 		excluded: map[string]bool{}, lastEvent: request.LastEvent, fingerprint: request.fingerprint(),
 	}
+	if served.refuseQuarantined() {
+		served.record()
+		return
+	}
 	if !served.admit(bounded) {
 		return
 	}
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -75,6 +75,9 @@
 // run sends attempts until the request has its final answer.
 func (e *exchange) run(ctx context.Context) {
 	for {
+		if e.refuseQuarantined() {
+			return
+		}
 		if e.mustAwaitPlace() {
 			e.awaitPlace(ctx)
 		}
@@ -100,6 +103,9 @@
 			continue
 		}
 		if !e.mayGoOn(ctx, err) {
+			if e.refuseQuarantined() {
+				return
+			}
 			e.giveUp(retryAfterFull, string(e.reason))
 			return
 		}
@@ -150,7 +156,7 @@
 	}
 	attempt := Attempt{
 		Instance: e.last, Tenant: e.request.tenantName(), MaxConnections: e.core.ConnectionShare(e.request.Service),
-		ID: e.request.ID, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
+		ID: e.request.ID, Fingerprint: e.fingerprint, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Fields: e.request.Fields, Body: e.request.Body, Remaining: remaining,
 		LastEvent: e.lastEvent, Stream: e.request.Route.Kind == route.KindStream,
 	}
@@ -319,8 +325,8 @@
 	}
 	RecordFailure(e.core.Backends, e.last.ID, failed.Reason, time.Now())
 	e.core.Metrics.Attempts.WithLabelValues(failed.Outcome.String(), string(failed.Reason)).Inc()
-	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "fingerprint", e.fingerprint.String(), "backend", e.last.ID, "outcome", failed.Outcome.String(),
-		"reason", string(failed.Reason), "cause", failed.Cause, "last_event", e.lastEvent)
+	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "outcome", failed.Outcome.String(),
+		"reason", string(failed.Reason), "cause", failed.Cause, "last_event", e.lastEvent, "fingerprint", e.fingerprint.String())
 }
 
 // RecordFailure records a failed attempt against the back end's health.
@@ -355,7 +361,7 @@
 			e.runs++
 		}
 	}
-	if ctx.Err() != nil || e.sends >= maxSends || time.Until(e.end) < minimumRemaining {
+	if failed.Reason == ReasonQuarantined || ctx.Err() != nil || e.sends >= maxSends || time.Until(e.end) < minimumRemaining {
 		return false
 	}
 	isAllowed := failed.Outcome == OutcomeNotRun || (e.request.Route.Repeatable() && e.runs < e.request.Route.MaxAttempts)
@@ -382,8 +388,34 @@
 	return isListed
 }
 
+// quarantined returns the verdict on the request if it is quarantined.
+func (e *exchange) quarantined() (quarantine.Verdict, bool) {
+	if e.core.Quarantine == nil {
+		return quarantine.Verdict{}, false
+	}
+	return e.core.Quarantine.Verdict(e.fingerprint)
+}
+
+// refuseQuarantined answers a request that is quarantined, and reports whether it
+// did.
+func (e *exchange) refuseQuarantined() bool {
+	verdict, isHeld := e.quarantined()
+	if !isHeld {
+		return false
+	}
+	e.reason = ReasonQuarantined
+	e.core.Quarantine.Refused(e.request.Service)
+	e.giveUpWith(VerdictQuarantined, time.Until(verdict.Until), string(ReasonQuarantined))
+	return true
+}
+
 // giveUp tells the caller the one thing that is known.
 func (e *exchange) giveUp(retryAfter time.Duration, code string) {
+	e.giveUpWith(VerdictNotRun, retryAfter, code)
+}
+
+// giveUpWith does the same; notRun is the verdict if nothing has run.
+func (e *exchange) giveUpWith(notRun Verdict, retryAfter time.Duration, code string) {
 	if e.caller.Err() != nil {
 		e.outcome = "caller_gone"
 		e.responder.Abort()
@@ -394,7 +426,7 @@
 		e.responder.Abort()
 		return
 	}
-	refusal := Refusal{Verdict: VerdictNotRun, RetryAfter: retryAfter, Code: code}
+	refusal := Refusal{Verdict: notRun, RetryAfter: retryAfter, Code: code}
 	isOver := time.Until(e.end) < minimumRemaining
 	switch {
 	case e.unknown && isOver:
@@ -418,8 +450,8 @@
 		first = e.firstAt.Sub(e.request.Arrived)
 		e.core.Metrics.FirstOutput.WithLabelValues(e.request.Service).Observe(first.Seconds())
 	}
-	e.core.Logger.Info("request_ended", "id", e.request.ID, "fingerprint", e.fingerprint.String(), "outcome", e.outcome, "reason", string(e.reason),
-		"route", e.request.Route.Name, "config", e.request.ConfigVersion, "tenant", e.request.tenantName(), "limit_source", string(e.admission.Source),
+	e.core.Logger.Info("request_ended", "id", e.request.ID, "outcome", e.outcome, "reason", string(e.reason),
+		"route", e.request.Route.Name, "config", e.request.ConfigVersion, "tenant", e.request.tenantName(), "fingerprint", e.fingerprint.String(), "limit_source", string(e.admission.Source),
 		"limit_level", e.admission.Level, "limit_ms", e.admission.Took.Milliseconds(), "unplaced", e.unplaced, "waited_ms", e.waited.Milliseconds(), "queued", e.isQueued, "backend", e.last.ID, "sends", e.sends, "runs", e.runs,
 		"online", e.cost.Online, "batch", e.cost.Batch, "slots", e.cost.Slots, "pending_tokens", e.cost.PendingTokens,
 		"uncached_tokens", e.cost.UncachedTokens, "report_age_ms", min(e.cost.ReportAge, time.Hour).Milliseconds(), "events", e.events, "first_ms", first.Milliseconds(), "took_ms", took.Milliseconds())
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -73,11 +73,13 @@
 	// MaxConnections bounds this daemon's connections to the back end.
 	MaxConnections int
 	ID             string
-	Method         string
-	Target         string
-	Host           string
-	Fields         []Field
-	Body           []byte
+	// Fingerprint identifies the request's content whatever its id.
+	Fingerprint quarantine.Fingerprint
+	Method      string
+	Target      string
+	Host        string
+	Fields      []Field
+	Body        []byte
 	// Remaining is how long the back end may work.
 	Remaining time.Duration
 	// LastEvent asks a stream to go on behind this event; 0 means from the
@@ -187,6 +189,9 @@
 	ReasonError         Reason = "error"
 	// ReasonNoPlace tells that the back end set no place aside.
 	ReasonNoPlace Reason = "no_place"
+	// ReasonQuarantined tells that back ends have ended under the request, so that
+	// no further one is sent it.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonBudget tells that a further attempt was allowed but for the bound
 	// on retries.
 	ReasonBudget Reason = "retry_budget_spent"
@@ -239,11 +244,15 @@
 	VerdictOverRate
 	// VerdictUnauthorized tells that the call carries no key that is known.
 	VerdictUnauthorized
+	// VerdictQuarantined promises, for this call, like VerdictNotRun: back ends ended
+	// under earlier calls of the same request, and until the time to come back is
+	// over it is not sent to any.
+	VerdictQuarantined
 )
 
 // String returns the name that logs and metrics carry.
 func (v Verdict) String() string {
-	return [...]string{"not_run", "unknown", "timeout", "no_route", "invalid", "too_large", "header_too_large", "header_timeout", "over_quota", "over_rate", "unauthorized"}[v]
+	return [...]string{"not_run", "unknown", "timeout", "no_route", "invalid", "too_large", "header_too_large", "header_timeout", "over_quota", "over_rate", "unauthorized", "quarantined"}[v]
 }
 
 // Refusal is an answer of the daemon's own.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -94,6 +94,10 @@
 	// it any more, whether or not it has heard of that; 0 means no bound. Used
 	// with StoreAddress.
 	RevocationBound Duration `toml:"revocation_bound"`
+	// QuarantineCrashes is how many back ends must have ended under a request for it
+	// to be sent to no further one, and QuarantineTime how long that holds.
+	QuarantineCrashes int      `toml:"quarantine_crashes"`
+	QuarantineTime    Duration `toml:"quarantine_time"`
 	// ProbeInterval is the time between two membership probes.
 	ProbeInterval Duration `toml:"probe_interval"`
 	// StopLinger is how long a stopping daemon goes on accepting requests.
@@ -118,6 +122,10 @@
 	defaultRateWindow            = Duration(5 * time.Second)
 	defaultRateToleranceShare    = 0.1
 	defaultRateToleranceRequests = 20
+	// Three ends of different back ends with no good end between them are hardly
+	// chance; ten minutes let an engineer see the request and mend its cause.
+	defaultQuarantineCrashes = 3
+	defaultQuarantineTime    = Duration(10 * time.Minute)
 )
 
 // Default returns settings with every optional value filled in.
@@ -134,6 +142,8 @@
 		RateWindow:                  defaultRateWindow,
 		RateToleranceShare:          defaultRateToleranceShare,
 		RateToleranceRequests:       defaultRateToleranceRequests,
+		QuarantineCrashes:           defaultQuarantineCrashes,
+		QuarantineTime:              defaultQuarantineTime,
 	}
 }
 
@@ -254,6 +264,9 @@
 	if s.RateToleranceShare < 0 || s.RateToleranceRequests < 0 {
 		return invalid("rate_tolerance_share, rate_tolerance_requests", "give numbers that are not negative")
 	}
+	if s.QuarantineCrashes < 1 || s.QuarantineTime <= 0 {
+		return invalid("quarantine_crashes, quarantine_time", "give a positive number and a positive duration")
+	}
 	if s.RevocationBound < 0 {
 		return invalid("revocation_bound", "give a positive duration, or leave it out for no bound")
 	}
--- /dev/null
+++ b/internal/telemetry/quarantine.go
@@ -0,0 +1,25 @@
+package telemetry
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Quarantine holds the metrics of requests that end back ends.
+type Quarantine struct {
+	// Evidence counts back ends that ended under a request, by where that was
+	// learnt.
+	Evidence *prometheus.CounterVec
+	// Quarantined counts requests that were quarantined.
+	Quarantined prometheus.Counter
+	// Refused counts attempts that did not reach a back end, by service.
+	Refused *prometheus.CounterVec
+}
+
+// NewQuarantine registers the metrics of quarantines.
+func NewQuarantine(registry *prometheus.Registry) *Quarantine {
+	made := &Quarantine{
+		Evidence:    prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "crash_evidence_total", Help: "Requests that were in flight at back ends that ended."}, []string{"source"}),
+		Quarantined: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "quarantines_total", Help: "Requests quarantined because back ends ended under them."}),
+		Refused:     prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "quarantine_refusals_total", Help: "Attempts of quarantined requests that no back end was sent."}, []string{"service"}),
+	}
+	registry.MustRegister(made.Evidence, made.Quarantined, made.Refused)
+	return made
+}
