Tell callers 'not run' only if no back end may have begun

Causes, each brought about by a test that failed before: - OpenAI-like door: the verdict looked at tokens and resumptions, not at what had been sent. An answer of another attempt, a connection broken before the head or the first token, then refusals elsewhere: 429 'not run'. The same in plain calls. - the same door: an engine's rejection after such an attempt was 'not run'. - the same door: a refusal with a code that the protocol does not know counted as not run. - the same door: 429 and 503 without the promise (stopping, too many results); a request that may have run went to another zone, whose 'not run' was passed on. - users' door: a refusal that names no request, on a kept connection, was taken for the answer to the request just sent. - users' door: the end of a job whose commit had no answer was 503; a job sent again that does not fit was 429 while the store did not tell whether it exists. - the other way round: an attempt that never connected before its watchdog's time was over was taken for one that may have run.

Change: runs.Record is written where bytes leave for a back end and read where a verdict is made, by both doors. 429 and 503 carry the promise always. Property tests over random sequences of attempts on both doors, 12 mutants. Also: tests of the quarantine over restarts, without store, of batch items, of innocents beside a culprit, of lost answers; 6 mutants.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -196,8 +196,12 @@
 		return &AttemptError{Outcome: OutcomeUnknown, Code: refusal.Code}
 	case RefusalBadRequest:
 		return &AttemptError{Outcome: OutcomeInvalid, Code: refusal.Code}
+	case RefusalDraining, RefusalLoading, RefusalFull, RefusalNoModel, RefusalStaleFence:
+		return &AttemptError{Outcome: OutcomeNotRun, Code: refusal.Code}
 	}
-	return &AttemptError{Outcome: OutcomeNotRun, Code: refusal.Code}
+	// A code that this protocol does not know promises nothing: an engine may have
+	// begun and failed.
+	return &AttemptError{Outcome: OutcomeUnknown, Code: refusal.Code}
 }
 
 // read moves events from the response to the channel and closes it at the end.
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -90,8 +90,13 @@
 // Unwrap returns the cause, or nil.
 func (e *Error) Unwrap() error { return e.cause }
 
-// Status returns the HTTP status for the failure.
+// Status returns the HTTP status for the failure. Callers repeat a request on 429
+// and 503 as one that has not run, so that these are given with that promise only.
 func (e *Error) Status() int {
+	isPromise := e.Kind == KindOverloaded || e.Kind == KindUnavailable
+	if isPromise && !e.NotRun {
+		return http.StatusBadGateway
+	}
 	if status, known := statusByKind[e.Kind]; known {
 		return status
 	}
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -86,13 +86,18 @@
 	return false
 }
 
-// refuse answers a request that could not begin. A request that no engine of
-// this zone can serve goes to another zone.
+// mayBeServedElsewhere reports whether a request that was given up here goes to
+// another zone: no engine of this one can serve it, and it has not run here. What
+// another zone's daemon says of it, such as "not run", is said of its own attempts.
+func mayBeServedElsewhere(err error) bool {
+	isUnserved := failure.HasCode(err, codeNoEngine) || failure.HasCode(err, codeEnginesFull)
+	return isUnserved && failure.From(err).NotRun
+}
+
+// refuse answers a request that could not begin.
 func (c *caller) refuse(request onlineRequest, err error) bool {
-	if failure.HasCode(err, codeNoEngine) || failure.HasCode(err, codeEnginesFull) {
-		if c.spill(request.service) {
-			return false
-		}
+	if mayBeServedElsewhere(err) && c.spill(request.service) {
+		return false
 	}
 	c.gateway.countOutcome(request.service, err)
 	writeFailure(c.call, err)
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -11,6 +11,7 @@
 	"topazpulley/internal/failure"
 	"topazpulley/internal/registry"
 	"topazpulley/internal/routing"
+	"topazpulley/internal/runs"
 	"topazpulley/internal/supervisor"
 	"topazpulley/internal/tenant"
 )
@@ -55,12 +56,14 @@
 	request onlineRequest
 	record  intentRecorder
 
-	tokens     []string
-	stream     *engine.Stream
-	view       registry.Engine
-	attempt    int
-	attemptID  string
-	resumes    int
+	tokens    []string
+	stream    *engine.Stream
+	view      registry.Engine
+	attempt   int
+	attemptID string
+	resumes   int
+	// ran is what is known of whether engines ran the request.
+	ran        runs.Record
 	excluded   map[string]bool
 	overloaded bool
 	firstToken time.Duration
@@ -140,7 +143,7 @@
 		n.attemptID = fmt.Sprintf("%s-%d", n.request.id, n.attempt)
 		if n.record != nil {
 			if err := n.record(ctx, view, n.attemptID); err != nil {
-				return err
+				return n.ran.Refuse(failure.From(err))
 			}
 		}
 		err = n.send(ctx)
@@ -157,18 +160,28 @@
 func (n *generation) send(ctx context.Context) error {
 	n.gateway.Registry.Begin(n.view.Name)
 	n.gateway.hintYield(n.view)
+	n.ran.Sent()
 	stream, err := n.gateway.Engines.Generate(ctx, n.view.Machine.Address, engine.GenerateRequest{
 		AttemptID: n.attemptID, Model: n.request.model, Input: n.request.input,
 		MaxTokens: n.request.maxTokens, Priority: engine.PriorityOnline, Continue: n.tokens,
 	})
 	if err != nil {
 		n.gateway.Registry.End(n.view.Name, isEngineFault(err), time.Now())
+		n.noteOutcome(err)
 		return err
 	}
 	n.stream = stream
 	return nil
 }
 
+// noteOutcome notes an attempt that an engine refused or that never left.
+func (n *generation) noteOutcome(err error) {
+	switch engine.OutcomeOf(err) {
+	case engine.OutcomeNotRun, engine.OutcomeInvalid:
+		n.ran.NeverRan()
+	}
+}
+
 // isEngineFault tells failures that count against an engine from refusals that
 // are part of its normal life.
 func isEngineFault(err error) bool {
@@ -185,7 +198,7 @@
 	n.gateway.Metrics.Retries.WithLabelValues(engine.CodeOf(err)).Inc()
 	switch engine.OutcomeOf(err) {
 	case engine.OutcomeInvalid:
-		return failure.Wrap(err, failure.KindInvalid, engine.CodeOf(err), "the engine rejected the request").WithNotRun()
+		return n.rejected(err)
 	case engine.OutcomeNotRun:
 		n.overloaded = n.overloaded || engine.CodeOf(err) == engine.RefusalFull
 		n.excluded[n.view.Name] = true
@@ -194,6 +207,11 @@
 	return n.unknown(ctx, err)
 }
 
+// rejected makes the final answer of a request that an engine found wrong.
+func (n *generation) rejected(err error) error {
+	return n.ran.Refuse(failure.Wrap(err, failure.KindInvalid, engine.CodeOf(err), "the engine rejected the request"))
+}
+
 // broken handles a stream that failed after it opened.
 func (n *generation) broken(ctx context.Context, err error) error {
 	if engine.CodeOf(err) == engine.CodeWrongID {
@@ -252,16 +270,18 @@
 
 func (n *generation) expired(cause error) error {
 	if n.gateway.lifetime.Err() != nil {
-		return failure.Wrap(cause, failure.KindUnavailable, "stopping", "the daemon is stopping")
+		return n.ran.Refuse(failure.Wrap(cause, failure.KindUnavailable, "stopping", "the daemon is stopping"))
+	}
+	expired := failure.Wrap(cause, failure.KindDeadline, codeDeadlineReached, "the request's deadline passed")
+	if !n.ran.MayHaveRun() {
+		return expired.WithNotRun()
 	}
-	return failure.Wrap(cause, failure.KindDeadline, codeDeadlineReached, "the request's deadline passed")
+	return expired
 }
 
 // giveUp makes the final answer of a request that no engine took.
 func (n *generation) giveUp(code, message string) error {
-	err := failure.New(failure.KindOverloaded, code, "%s", message).WithRetryAfter(noEngineRetry)
-	err.NotRun = len(n.tokens) == 0 && n.resumes == 0
-	return err
+	return n.ran.Refuse(failure.New(failure.KindOverloaded, code, "%s", message).WithRetryAfter(noEngineRetry))
 }
 
 // choose picks an engine, waiting up to the queue timeout for one with room.
@@ -276,7 +296,7 @@
 			n.excluded = map[string]bool{}
 		}
 		if !anyServing && n.attempt == 0 {
-			return view, failure.New(failure.KindUnavailable, codeNoEngine, "no engine in zone %s serves this", n.gateway.Settings.Zone).WithNotRun().WithRetryAfter(noEngineRetry)
+			return view, n.ran.Refuse(failure.New(failure.KindUnavailable, codeNoEngine, "no engine in zone %s serves this", n.gateway.Settings.Zone).WithRetryAfter(noEngineRetry))
 		}
 		if time.Now().After(patience) || ctx.Err() != nil {
 			n.overloaded = true
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -113,12 +113,16 @@
 	call.AttemptID = fmt.Sprintf("%s-%d", n.request.id, n.attempt)
 	if n.record != nil {
 		if err := n.record(ctx, view, call.AttemptID); err != nil {
-			return engine.CallAnswer{}, err
+			return engine.CallAnswer{}, n.ran.Refuse(failure.From(err))
 		}
 	}
 	n.gateway.Registry.Begin(view.Name)
+	n.ran.Sent()
 	answer, err := n.gateway.Engines.Call(ctx, view.Machine.Address, call)
 	n.gateway.Registry.End(view.Name, err != nil && isEngineFault(err), time.Now())
+	if err != nil {
+		n.noteOutcome(err)
+	}
 	return answer, err
 }
 
@@ -133,8 +137,11 @@
 		n.gateway.Metrics.Dropped.Inc()
 	}
 	n.excluded[n.view.Name] = true
-	if engine.OutcomeOf(err) == engine.OutcomeNotRun {
+	switch engine.OutcomeOf(err) {
+	case engine.OutcomeNotRun:
 		return nil
+	case engine.OutcomeInvalid:
+		return n.rejected(err)
 	}
 	if ctx.Err() != nil {
 		return n.expired(err)
--- a/internal/gateway/spill.go
+++ b/internal/gateway/spill.go
@@ -205,7 +205,7 @@
 
 func isDialFailure(err error) bool {
 	_, isDial := err.(*fasthttp.ErrDialWithUpstream)
-	return isDial || err == fasthttp.ErrDialTimeout
+	return isDial || err == fasthttp.ErrDialTimeout || err == fasthttp.ErrNoFreeConns
 }
 
 func (c *caller) copyAnswer(response *fasthttp.Response) {
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -20,16 +20,29 @@
 		return s.acknowledgeKnown(submitted, known)
 	}
 	held, err := s.reserve(ctx, &submitted)
-	if known, isAccepted := s.acceptedTenant(ctx, submitted.ID, err); isAccepted {
-		return s.acknowledgeKnown(submitted, known)
-	}
 	if err != nil {
-		s.logAcceptance(submitted, "refused", err)
-		return err
+		return s.refuseUnlessAccepted(ctx, submitted, err)
 	}
 	return s.accept(ctx, submitted, held)
 }
 
+// refuseUnlessAccepted refuses a job for which no tokens could be reserved. It may
+// have been accepted by an earlier call whose answer its caller has not had; while
+// the store does not tell, nothing is promised of a job that does not fit.
+func (s *Service) refuseUnlessAccepted(ctx context.Context, submitted Job, refused error) error {
+	if failure.Is(refused, failure.KindOverloaded) {
+		accepted, err := s.acceptance(ctx, submitted.ID)
+		switch {
+		case err == nil:
+			return s.acknowledgeKnown(submitted, accepted.Tenant)
+		case !failure.Is(err, failure.KindNotFound):
+			refused = outcomeUnknown(err)
+		}
+	}
+	s.logAcceptance(submitted, "refused", refused)
+	return refused
+}
+
 // accept commits the acceptance of a job whose tokens are reserved.
 func (s *Service) accept(ctx context.Context, submitted Job, held reservation) error {
 	transaction, err := s.acceptanceOf(ctx, submitted, held)
@@ -82,16 +95,6 @@
 	return held.claim.Tenant, isClaimed
 }
 
-// acceptedTenant returns whose a job is that does not fit and was accepted
-// earlier, by a call whose answer its caller has not had.
-func (s *Service) acceptedTenant(ctx context.Context, id string, refused error) (tenant string, isAccepted bool) {
-	if !failure.Is(refused, failure.KindOverloaded) {
-		return "", false
-	}
-	accepted, err := s.acceptance(ctx, id)
-	return accepted.Tenant, err == nil
-}
-
 // acknowledgeKnown ends the call for a job that was accepted before. Another
 // tenant's job is none that the caller could have sent.
 func (s *Service) acknowledgeKnown(submitted Job, tenant string) error {
--- a/internal/job/export_test.go
+++ b/internal/job/export_test.go
@@ -1,6 +1,15 @@
 package job
 
-import "topazpulley/internal/table"
+import (
+	"context"
+
+	"topazpulley/internal/table"
+)
+
+// RefuseUnlessAccepted refuses a job that does not fit.
+func (s *Service) RefuseUnlessAccepted(ctx context.Context, submitted Job, refused error) error {
+	return s.refuseUnlessAccepted(ctx, submitted, refused)
+}
 
 // Followed returns the version up to which the service has heard of claims.
 func (s *Service) Followed() table.Version {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -170,4 +170,8 @@
 	return failure.Wrap(cause, failure.KindOutcomeUnknown, "acceptance_unknown", "the store did not tell whether the job was accepted: send it again")
 }
 
+func endUnknown(cause error) error {
+	return failure.Wrap(cause, failure.KindOutcomeUnknown, "end_unknown", "the store did not tell whether the job was ended: end it again")
+}
+
 const retryAfterStore = 500 * time.Millisecond
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -101,6 +101,57 @@
 	requireAllCompleted(t, owner, accepted)
 }
 
+// TestUnsettledEndIsNeverPromisedNotDone: the store loses the answer to the end of
+// a job and then refuses. The caller was told 503, "not done", while the job had
+// ended or was about to.
+func TestUnsettledEndIsNeverPromisedNotDone(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	owner := startDaemon(t, "a", store, runner)
+	accepted := newJob("j1", 5)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	first := true
+	store.SetDecide(func(call string) tabletest.Fault {
+		switch {
+		case call == "commit" && first:
+			first = false
+			return tabletest.FaultLate
+		case call == "commit":
+			return tabletest.FaultRefuse
+		}
+		return tabletest.FaultNone
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	err := owner.End(ctx, accepted.ID)
+	require.Error(t, err)
+	require.False(t, failure.From(err).NotRun, "promised not done although the end may take effect")
+}
+
+// TestResentJobIsNotRefusedUnlessItIsKnownToBeNew: a job that does not fit is sent
+// again after its acceptance, whose answer was lost. While the store does not tell
+// whether the job exists, 429 would promise that no part of it runs.
+func TestResentJobIsNotRefusedUnlessItIsKnownToBeNew(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	owner := startDaemon(t, "a", store, runner)
+	store.SetDecide(func(call string) tabletest.Fault {
+		if call == "read" {
+			return tabletest.FaultRefuse
+		}
+		return tabletest.FaultNone
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	full := failure.New(failure.KindOverloaded, "too_much_waits", "too much waits").WithNotRun()
+	err := owner.RefuseUnlessAccepted(ctx, newJob("j1", 5), full)
+	require.Error(t, err)
+	require.False(t, failure.From(err).NotRun)
+	store.SetDecide(nil)
+	err = owner.RefuseUnlessAccepted(t.Context(), newJob("j1", 5), full)
+	require.True(t, failure.From(err).NotRun, "it is known not to exist")
+	require.NoError(t, owner.Submit(t.Context(), newJob("j1", 5)))
+	require.NoError(t, owner.RefuseUnlessAccepted(t.Context(), newJob("j1", 5), full))
+}
+
 // TestRefusedJobNeverRuns: every try was refused.
 func TestRefusedJobNeverRuns(t *testing.T) {
 	store, runner := tabletest.NewMemory(), newRunners()
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -251,8 +251,8 @@
 		return err
 	}
 	version, err := s.claimVersion(ctx, id)
-	for err == nil && version != 0 {
-		version, err = s.removeClaim(ctx, id, version)
+	if err == nil {
+		err = s.removeClaim(ctx, id, version)
 	}
 	if err != nil {
 		s.log.Info("job_end_failed", "job", id, "error", err)
@@ -271,23 +271,33 @@
 	return rows[0].Version, nil
 }
 
-// removeClaim tries once to remove a claim. It returns the version that stands
-// in the way, 0 when the claim is gone.
-func (s *Service) removeClaim(ctx context.Context, id string, version table.Version) (table.Version, error) {
-	_, err := s.commit(ctx, table.Transaction{
-		Partition:  shard(id),
-		Conditions: []table.Condition{{Table: tableClaim, Key: id, Version: version}},
-		Removals:   []table.Removal{{Table: tableClaim, Key: id}},
-	})
-	var conflict *table.ConflictError
-	switch {
-	case err == nil:
-		return 0, nil
-	case errors.As(err, &conflict):
-		return conflict.Row(tableClaim, id).Version, nil
-	}
-	if !periodic.SleepAbout(ctx, storePause) {
-		return version, unavailable(err)
+// removeClaim removes a claim, which had a version, until the store tells that it
+// is gone. A try without an answer may take effect later: after one, a failure
+// promises nothing.
+func (s *Service) removeClaim(ctx context.Context, id string, version table.Version) error {
+	isUnsettled := false
+	for version != 0 {
+		_, err := s.commit(ctx, table.Transaction{
+			Partition:  shard(id),
+			Conditions: []table.Condition{{Table: tableClaim, Key: id, Version: version}},
+			Removals:   []table.Removal{{Table: tableClaim, Key: id}},
+		})
+		var conflict *table.ConflictError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &conflict):
+			version = conflict.Row(tableClaim, id).Version
+			continue
+		}
+		isUnsettled = isUnsettled || isUnknown(err)
+		if periodic.SleepAbout(ctx, storePause) {
+			continue
+		}
+		if isUnsettled {
+			return endUnknown(err)
+		}
+		return unavailable(err)
 	}
-	return version, nil
+	return nil
 }
--- /dev/null
+++ b/internal/runs/runs_test.go
@@ -0,0 +1,36 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"topazpulley/internal/failure"
+)
+
+// TestRecordIsTrue: whatever becomes of the attempts, the record tells that the
+// request may have run exactly if one attempt's end is not known to be "never ran".
+func TestRecordIsTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		record, unknown := Record{}, 0
+		for range rapid.IntRange(0, 8).Draw(t, "attempts") {
+			record.Sent()
+			require.True(t, record.MayHaveRun(), "while it is under way")
+			if rapid.Bool().Draw(t, "never ran") {
+				record.NeverRan()
+			} else {
+				unknown++
+			}
+		}
+		require.Equal(t, unknown > 0, record.MayHaveRun())
+		refused := record.Refuse(failure.New(failure.KindOverloaded, "full", "all are full").WithRetryAfter(time.Second))
+		require.Equal(t, unknown == 0, refused.NotRun)
+		require.Equal(t, "full", refused.Code)
+		if unknown > 0 {
+			require.Equal(t, failure.KindOutcomeUnknown, refused.Kind)
+			require.Zero(t, refused.RetryAfter)
+		}
+	})
+}
--- a/internal/serving/admit.go
+++ b/internal/serving/admit.go
@@ -43,8 +43,7 @@
 
 // settle gives the tenant back what a request was granted that never ran.
 func (e *exchange) settle() {
-	mayHaveRun := e.unknown || e.runs > 0 || e.begun
-	if e.core.Limits != nil && e.request.Tenant != nil && !mayHaveRun {
+	if e.core.Limits != nil && e.request.Tenant != nil && !e.ran.MayHaveRun() {
 		e.core.Limits.Return(e.admission, e.request.Tenant.Name, e.limit())
 	}
 }
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -13,6 +13,7 @@
 	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
+	"topazpulley/internal/runs"
 	"topazpulley/internal/watchdog"
 )
 
@@ -44,9 +45,11 @@
 
 	excluded map[string]bool
 	sends    int
-	runs     int
-	unknown  bool
-	begun    bool
+	// runs counts the runs that the route's greatest number allows for; ran is what
+	// is known of whether any attempt ran.
+	runs  int
+	ran   runs.Record
+	begun bool
 	// fingerprint identifies the request's content whatever its id.
 	fingerprint quarantine.Fingerprint
 	lastEvent   int64
@@ -166,6 +169,7 @@
 		return err
 	}
 	e.sends++
+	e.ran.Sent()
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watched := e.startWatchdog(cancel)
@@ -173,6 +177,9 @@
 	answer, err := e.core.Sender.Send(bounded, attempt)
 	if err != nil {
 		err = explain(watched, err)
+		if attemptError(err).Outcome == OutcomeNotRun {
+			e.ran.NeverRan()
+		}
 		e.noteFailure(err)
 		return err
 	}
@@ -206,9 +213,10 @@
 	return watchdog.Start(patience, patience, cancel)
 }
 
-// explain names silence as the reason of a failure that a watchdog caused.
+// explain names silence as the reason of a failure that a watchdog caused. An
+// attempt that never left has not run, whatever ended it.
 func explain(watched *watchdog.Watchdog, err error) error {
-	if !watched.Fired() {
+	if !watched.Fired() || attemptError(err).Outcome == OutcomeNotRun {
 		return err
 	}
 	return &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonSilent, Cause: err}
@@ -356,7 +364,6 @@
 	e.reason = failed.Reason
 	e.excluded[e.last.ID] = true
 	if failed.Outcome != OutcomeNotRun {
-		e.unknown = true
 		if e.counts(failed) {
 			e.runs++
 		}
@@ -429,9 +436,9 @@
 	refusal := Refusal{Verdict: notRun, RetryAfter: retryAfter, Code: code}
 	isOver := time.Until(e.end) < minimumRemaining
 	switch {
-	case e.unknown && isOver:
+	case e.ran.MayHaveRun() && isOver:
 		refusal = Refusal{Verdict: VerdictTimeout, Code: code}
-	case e.unknown:
+	case e.ran.MayHaveRun():
 		refusal = Refusal{Verdict: VerdictUnknown, Code: code}
 	}
 	e.outcome = refusal.Verdict.String()
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -183,4 +183,43 @@
 	'		e.core.Limits.Return(e.admission, e.request.Tenant.Name, e.limit())' '' platform TestRequestThatNeverRanCostsNoLimit
 mutant silent_link_kept internal/peer/link.go \
 	'if held.isSilent(time.Now()) {' 'if false {' internal/peer TestSilentLinkIsReplaced
+mutant every_refusal_promises internal/runs/runs.go \
+	'return r.sent > r.neverRan' 'return false' internal/gateway 'TestNotRunIsTrueAfterUnknownAttempts'
+mutant sends_not_noted internal/serving/exchange.go \
+	'	e.ran.Sent()' '' internal/serving TestPromisesOverRandomAttempts
+mutant generations_not_noted internal/gateway/generation.go \
+	'	n.ran.Sent()' '' internal/gateway TestNotRunIsTrueAfterUnknownAttempts
+mutant calls_not_noted internal/gateway/plain.go \
+	'	n.ran.Sent()' '' internal/gateway TestNotRunIsTrueAfterUnknownAttempts
+mutant refusals_not_noted internal/gateway/generation.go \
+	'		n.ran.NeverRan()' '' internal/gateway TestNotRunIsTrueAfterUnknownAttempts
+mutant odd_refusal_believed internal/engine/client.go \
+	'	return &AttemptError{Outcome: OutcomeUnknown, Code: refusal.Code}
+}' '	return &AttemptError{Outcome: OutcomeNotRun, Code: refusal.Code}
+}' internal/gateway TestNotRunIsTrueAfterUnknownAttempts
+mutant status_promises internal/failure/failure.go \
+	'if isPromise && !e.NotRun {' 'if isPromise && false {' internal/gateway TestOnlyPromisesHaveTheirStatus
+mutant unsent_taken_for_silent internal/serving/exchange.go \
+	'|| attemptError(err).Outcome == OutcomeNotRun {' '{' internal/serving TestPromisesOverRandomAttempts
+mutant stray_refusal_believed platform/runner.go \
+	'echoed == "" && a.connection.isReused && isRefusal(&a.header)' 'false' platform TestStrayRefusalIsNoPromise
+mutant unsettled_end_promised internal/job/read.go \
+	'		if isUnsettled {' '		if false {' internal/job TestUnsettledEndIsNeverPromisedNotDone
+mutant resent_job_refused_blindly internal/job/accept.go \
+	'			refused = outcomeUnknown(err)' '' internal/job TestResentJobIsNotRefusedUnlessItIsKnownToBeNew
+mutant spilled_after_an_attempt internal/gateway/completions.go \
+	'isUnserved && failure.From(err).NotRun' 'isUnserved' internal/gateway TestRequestThatMayHaveRunGoesToNoOtherZone
+mutant crash_alone_quarantines internal/quarantine/ledger.go \
+	'known.weight < l.policy.Crashes*wholeWeight' 'known.weight < wholeWeight' internal/quarantine TestThreeEndedBackEndsQuarantine
+mutant evidence_not_spread internal/quarantine/guard.go \
+	'	g.Receive(seen, SourceSelf)
+	g.send(seen)' '	g.Receive(seen, SourceSelf)' platform TestRequestThatEndsBackEndsIsStopped
+mutant good_end_ignored internal/quarantine/guard.go \
+	'	if isSuspect {' '	if isSuspect && false {' internal/quarantine TestGoodEndTakesTheQuarantineBack
+mutant earlier_success_ignored internal/quarantine/guard.go \
+	'if g.hasSucceeded(run.Fingerprint, now) {' 'if false {' internal/quarantine TestRequestThatSucceedsElsewhereIsNeverQuarantined
+mutant quarantined_sent internal/serving/guarded.go \
+	'if _, isHeld := s.guard.Verdict(attempt.Fingerprint); !isHeld {' 'if true {' internal/serving TestGuardedSenderRefusesWhateverTheWay
+mutant every_break_is_a_crash internal/serving/guarded.go \
+	'	if !hasEnded {' '	if false {' platform TestBrokenAnswersOfLiveBackEndsAreNoEvidence
 exit $failed
