--- a/internal/batch/task.go
+++ b/internal/batch/task.go
@@ -11,6 +11,7 @@
 
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
+	"topazpulley/internal/quarantine"
 )
 
 // Task is one item of a claimed chunk on its way to a result. It is owned by
@@ -47,6 +48,11 @@
 // Service returns the service that runs the task.
 func (t *Task) Service() string { return t.chunk.job.Service }
 
+// Fingerprint identifies the item's content whatever its attempt.
+func (t *Task) Fingerprint() quarantine.Fingerprint {
+	return engine.GenerationFingerprint(t.Item.Body.Model, t.chunk.job.Tenant, t.Item.Body.Input())
+}
+
 // RequestID identifies the item in results.
 func (t *Task) RequestID() string {
 	return fmt.Sprintf("%s-%d", t.chunk.job.ID, t.chunk.number*t.chunk.job.ChunkSize+t.Index)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"topazpulley/internal/machines"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
+	"topazpulley/internal/quarantine"
 	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/registry"
 	"topazpulley/internal/revision"
@@ -78,12 +79,13 @@
 	client := storage.NewClient(storage.NewHTTPClient(process.PlatformURL), process.PlatformOperationsPerSecond)
 	store := batch.NewStore(client)
 	engines := engine.NewClient(engineStallTimeout)
+	metrics := telemetry.NewMetrics()
+	engines.Quarantine = d.newQuarantine(metrics)
 	d.watcher = revision.NewWatcher(d.holder, client, d.node, d.transport, d.verify, log)
 	d.machines = machines.NewWatcher(client, d.node, d.registry, process.Seeds, log)
 	d.worker = batch.NewWorker(store, d.node, d.transport, log)
 	d.coordinator = batch.NewCoordinator(store, d.node, d.transport, d.holder.TenantWeight, log)
 	d.supervisor = supervisor.New(d.node, d.registry, d.holder, engines, d.worker, log)
-	metrics := telemetry.NewMetrics()
 	limitFleet := ratelimit.NewClusterFleet(d.node, d.transport)
 	limits := ratelimit.New(limitFleet, ratelimit.ToleranceOf(process), telemetry.NewTenants(metrics.Registry), log)
 	limitFleet.Handle(limits)
@@ -101,6 +103,16 @@
 	return d
 }
 
+// newQuarantine makes the guard that keeps requests from engines. What it learns is
+// told to all daemons; nothing is stored.
+func (d *Daemon) newQuarantine(metrics *telemetry.Metrics) *quarantine.Guard {
+	policy := quarantine.Policy{Crashes: d.settings.QuarantineCrashes, Time: time.Duration(d.settings.QuarantineTime)}
+	spreader := quarantine.NewClusterSpreader(d.node, nil, d.log)
+	guard := quarantine.NewGuard(policy, spreader, telemetry.NewQuarantine(metrics.Registry), d.log)
+	spreader.Listen(guard)
+	return guard
+}
+
 // member describes this daemon to others. The start time makes its
 // incarnation higher than in any earlier life of the same name.
 func (d *Daemon) member() membership.Member {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"topazpulley/internal/quarantine"
 )
 
 // Outcome says what is known of an attempt that did not answer whole.
@@ -45,6 +47,9 @@
 	CodeIncomplete = "incomplete_answer"
 	CodeAbandoned  = "abandoned"
 	CodeForgotten  = "attempt_forgotten"
+	// CodeQuarantined tells that engines have ended under the request, so that no
+	// further one is sent it.
+	CodeQuarantined = "quarantined"
 )
 
 // Error implements error.
@@ -98,6 +103,8 @@
 	http *fasthttp.Client
 	// StallTimeout bounds the time between two events of a stream.
 	StallTimeout time.Duration
+	// Quarantine tells which requests are not sent to engines; nil means that all are.
+	Quarantine *quarantine.Guard
 }
 
 // NewClient returns a client whose streams fail after stallTimeout without an
@@ -138,15 +145,27 @@
 	events    chan Event
 	readError error
 	finished  bool
+	// fingerprint identifies the request; zero for a resumed attempt.
+	fingerprint quarantine.Fingerprint
+	hadOutput   bool
 }
 
 // Generate sends the request and returns its stream.
 func (c *Client) Generate(ctx context.Context, address string, request GenerateRequest) (*Stream, error) {
+	if err := c.refuseQuarantined(request.Fingerprint); err != nil {
+		return nil, err
+	}
 	body, err := json.Marshal(request)
 	if err != nil {
 		return nil, &AttemptError{Outcome: OutcomeInvalid, Code: RefusalBadRequest, cause: err}
 	}
-	return c.open(ctx, address, request.AttemptID, len(request.Continue), fasthttp.MethodPost, PathGenerate, body)
+	stream, err := c.open(ctx, address, request.AttemptID, len(request.Continue), fasthttp.MethodPost, PathGenerate, body)
+	if err != nil {
+		c.noteBroken(ctx, address, request.Fingerprint, err, false)
+		return nil, err
+	}
+	stream.fingerprint = request.Fingerprint
+	return stream, nil
 }
 
 // Resume attaches to an attempt that the engine holds, from a token index on.
@@ -239,7 +258,9 @@
 	case event, open := <-s.events:
 		if !open {
 			s.finished = true
-			return Event{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete, cause: s.readError}
+			err := &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete, cause: s.readError}
+			s.client.noteBroken(ctx, s.address, s.fingerprint, err, s.hadOutput)
+			return Event{}, err
 		}
 		return s.check(event)
 	case <-stall.C:
@@ -258,12 +279,14 @@
 		if event.Count != s.next {
 			return Event{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete}
 		}
+		s.client.noteSucceeded(s.fingerprint, event)
 		return event, nil
 	}
 	if event.Index != s.next {
 		return Event{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete}
 	}
 	s.next++
+	s.hadOutput = true
 	return event, nil
 }
 
@@ -355,6 +378,8 @@
 	Method    string
 	Path      string
 	Body      []byte
+	// Fingerprint identifies the call's content whatever its attempt.
+	Fingerprint quarantine.Fingerprint
 }
 
 // CallAnswer is the answer of a plain service.
@@ -365,6 +390,19 @@
 
 // Call sends a request to a plain service. The answer must echo the attempt.
 func (c *Client) Call(ctx context.Context, address string, call CallRequest) (CallAnswer, error) {
+	if err := c.refuseQuarantined(call.Fingerprint); err != nil {
+		return CallAnswer{}, err
+	}
+	answer, err := c.callOnce(ctx, address, call)
+	if err != nil {
+		c.noteBroken(ctx, address, call.Fingerprint, err, false)
+		return answer, err
+	}
+	c.noteSucceeded(call.Fingerprint, Event{})
+	return answer, nil
+}
+
+func (c *Client) callOnce(ctx context.Context, address string, call CallRequest) (CallAnswer, error) {
 	request := fasthttp.AcquireRequest()
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -6,6 +6,8 @@
 import (
 	"encoding/json"
 	"strings"
+
+	"topazpulley/internal/quarantine"
 )
 
 // Paths of the engines' HTTP protocol.
@@ -46,6 +48,9 @@
 	// Continue holds tokens that an earlier attempt produced; generation goes
 	// on after them and token indexes count from their number.
 	Continue []string `json:"continue,omitempty"`
+	// Fingerprint identifies the request's content whatever its attempt; engines are
+	// not told.
+	Fingerprint quarantine.Fingerprint `json:"-"`
 }
 
 // Event is one server-sent event of a generation.
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -9,6 +9,7 @@
 	"topazpulley/internal/bundle"
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
+	"topazpulley/internal/quarantine"
 	"topazpulley/internal/registry"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/runs"
@@ -45,6 +46,11 @@
 	arrived    time.Time
 }
 
+// fingerprint identifies the request's content whatever its id.
+func (r onlineRequest) fingerprint() quarantine.Fingerprint {
+	return engine.GenerationFingerprint(r.model, r.tenant, r.input)
+}
+
 // intentRecorder makes the dispatch of a request that may not be repeated
 // durable. It returns nil only when the attempt may be sent.
 type intentRecorder func(ctx context.Context, view registry.Engine, attemptID string) error
@@ -163,7 +169,7 @@
 	n.ran.Sent()
 	stream, err := n.gateway.Engines.Generate(ctx, n.view.Machine.Address, engine.GenerateRequest{
 		AttemptID: n.attemptID, Model: n.request.model, Input: n.request.input,
-		MaxTokens: n.request.maxTokens, Priority: engine.PriorityOnline, Continue: n.tokens,
+		MaxTokens: n.request.maxTokens, Priority: engine.PriorityOnline, Continue: n.tokens, Fingerprint: n.request.fingerprint(),
 	})
 	if err != nil {
 		n.gateway.Registry.End(n.view.Name, isEngineFault(err), time.Now())
@@ -196,6 +202,9 @@
 // opened. A nil return means: try on, or go on with the stream if it is set.
 func (n *generation) refused(ctx context.Context, err error) error {
 	n.gateway.Metrics.Retries.WithLabelValues(engine.CodeOf(err)).Inc()
+	if engine.CodeOf(err) == engine.CodeQuarantined {
+		return n.quarantined()
+	}
 	switch engine.OutcomeOf(err) {
 	case engine.OutcomeInvalid:
 		return n.rejected(err)
@@ -212,6 +221,13 @@
 	return n.ran.Refuse(failure.Wrap(err, failure.KindInvalid, engine.CodeOf(err), "the engine rejected the request"))
 }
 
+// quarantined makes the final answer of a request that is sent to no engine.
+func (n *generation) quarantined() error {
+	return n.ran.Refuse(failure.New(failure.KindUnavailable, engine.CodeQuarantined,
+		"engines ended while they ran this request earlier; calls before Retry-After are sent to none").
+		WithRetryAfter(time.Duration(n.gateway.Settings.QuarantineTime)))
+}
+
 // broken handles a stream that failed after it opened.
 func (n *generation) broken(ctx context.Context, err error) error {
 	if engine.CodeOf(err) == engine.CodeWrongID {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -12,6 +12,7 @@
 	"topazpulley/internal/bundle"
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
+	"topazpulley/internal/quarantine"
 )
 
 // callService answers a call of a plain service: the path is the service's
@@ -33,6 +34,7 @@
 	defer cancel()
 	answer, err := c.gateway.callPlain(ctx, request, deadline, engine.CallRequest{
 		Method: string(c.call.Method()), Path: "/" + rest, Body: request.input,
+		Fingerprint: quarantine.FingerprintOf(string(c.call.Method()), name+"/"+rest, c.tenant, request.input),
 	}, c.call.Request.Header.Peek(HeaderIdempotencyKey))
 	if err != nil {
 		c.refuse(request, err)
@@ -137,6 +139,9 @@
 		n.gateway.Metrics.Dropped.Inc()
 	}
 	n.excluded[n.view.Name] = true
+	if code == engine.CodeQuarantined {
+		return n.quarantined()
+	}
 	switch engine.OutcomeOf(err) {
 	case engine.OutcomeNotRun:
 		return nil
--- a/internal/gateway/promise_test.go
+++ b/internal/gateway/promise_test.go
@@ -11,9 +11,11 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -22,6 +24,7 @@
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/membership"
+	"topazpulley/internal/quarantine"
 	"topazpulley/internal/registry"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/settings"
@@ -276,6 +279,76 @@
 	})
 }
 
+// TestRequestThatEndsEnginesIsStopped: a request that may be repeated and ends
+// every engine that runs it went on to the next one up to twelve times in one
+// call, and again in the next.
+func TestRequestThatEndsEnginesIsStopped(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		t.Run(fmt.Sprint("repeatable ", repeatable), func(t *testing.T) { requireStopped(t, repeatable) })
+	}
+}
+
+func requireStopped(t *testing.T, repeatable bool) {
+	engines := []*endingEngine{}
+	gateway := newPromiseGateway(t, &scriptedEngine{})
+	for _, name := range []string{"e1", "e2", "e3", "dead"} {
+		gateway.Registry.Apply(membership.Item{Key: registry.PrefixMachine + name, Version: 2, Payload: registry.MachineRecord{Service: testService, Removed: true}.Encode()})
+	}
+	for number := range 8 {
+		ending := newEndingEngine(t)
+		engines = append(engines, ending)
+		name := fmt.Sprintf("ending%d", number)
+		gateway.Registry.Apply(membership.Item{Key: registry.PrefixMachine + name, Payload: registry.MachineRecord{Address: ending.address, Service: testService}.Encode()})
+		record := registry.EngineRecord{Up: true, State: string(engine.StateReady), Models: []string{"m@1"}}
+		gateway.Registry.Apply(membership.Item{Key: registry.PrefixEngine + name, Payload: record.Encode()})
+	}
+	policy := quarantine.Policy{Crashes: 3, Time: time.Minute}
+	metrics := telemetry.NewQuarantine(prometheus.NewRegistry())
+	gateway.Engines.Quarantine = quarantine.NewGuard(policy, nil, metrics, slog.New(slog.DiscardHandler))
+	var last error
+	for range 6 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		last = drain(ctx, gateway.newGeneration(promiseRequest(repeatable), nil))
+		cancel()
+		require.Error(t, last)
+		time.Sleep(50 * time.Millisecond)
+	}
+	ended := 0
+	for _, each := range engines {
+		if each.hasEnded.Load() {
+			ended++
+		}
+	}
+	require.Equal(t, 3, ended)
+	require.True(t, failure.HasCode(last, engine.CodeQuarantined))
+	require.True(t, failure.From(last).NotRun, "this call was sent to no engine")
+	require.Positive(t, failure.From(last).RetryAfter)
+}
+
+// endingEngine ends with all its connections when it begins to run a request.
+type endingEngine struct {
+	address  string
+	listener net.Listener
+	hasEnded atomic.Bool
+}
+
+func newEndingEngine(t *testing.T) *endingEngine {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	made := &endingEngine{address: listener.Addr().String(), listener: listener}
+	go func() { _ = http.Serve(listener, made) }()
+	t.Cleanup(func() { _ = listener.Close() })
+	return made
+}
+
+// ServeHTTP implements http.Handler.
+func (e *endingEngine) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
+	e.hasEnded.Store(true)
+	_ = e.listener.Close()
+	breakOff(writer)
+}
+
 // TestOnlyPromisesHaveTheirStatus: callers of this interface repeat on 429 and 503.
 func TestOnlyPromisesHaveTheirStatus(t *testing.T) {
 	for _, kind := range []failure.Kind{failure.KindOverloaded, failure.KindUnavailable} {
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -52,10 +52,6 @@
 	return &Guard{log: log, metrics: metrics, spread: spread, ledger: NewLedger(policy), successes: newSuccesses()}
 }
 
-// SetSpreader sets who carries what this daemon learns. It must be called before
-// the guard is used.
-func (g *Guard) SetSpreader(spread Spreader) { g.spread = spread }
-
 // Verdict reports whether a request must not reach back ends.
 func (g *Guard) Verdict(fingerprint Fingerprint) (Verdict, bool) {
 	g.mutex.Lock()
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -103,7 +103,7 @@
 func requestFor(task *batch.Task, attemptID string) engine.GenerateRequest {
 	return engine.GenerateRequest{
 		AttemptID: attemptID, Model: task.Item.Body.Model, Input: task.Item.Body.Input(),
-		MaxTokens: task.Item.Body.TokenLimit(), Priority: engine.PriorityBatch, Continue: task.Tokens,
+		MaxTokens: task.Item.Body.TokenLimit(), Priority: engine.PriorityBatch, Continue: task.Tokens, Fingerprint: task.Fingerprint(),
 	}
 }
 
@@ -132,6 +132,10 @@
 // retryLater gives the task back. Only attempts that broke off count against
 // it; refusals and preemptions do not.
 func (l *engineLoop) retryLater(ctx context.Context, task *batch.Task, err error) {
+	if engine.CodeOf(err) == engine.CodeQuarantined {
+		l.failQuarantined(task)
+		return
+	}
 	if engine.OutcomeOf(err) == engine.OutcomeInvalid {
 		l.supervisor.worker.Fail(task, failure.Wrap(err, failure.KindInvalid, engine.CodeOf(err), "the engine rejected the item"))
 		return
@@ -155,6 +159,12 @@
 	l.supervisor.worker.GiveBack(task)
 }
 
+// failQuarantined ends an item that is sent to no engine any more.
+func (l *engineLoop) failQuarantined(task *batch.Task) {
+	l.supervisor.log.Info("batch_item_quarantined", "request", task.RequestID(), "failures", task.Failures)
+	l.supervisor.worker.Fail(task, failure.New(failure.KindEngineFailed, engine.CodeQuarantined, "engines ended while they ran this item"))
+}
+
 // runOnce runs an item that may not be repeated: the intent is durable before
 // the item is sent, and after that it is only ever resumed.
 func (l *engineLoop) runOnce(ctx context.Context, view registry.Engine, task *batch.Task) {
@@ -176,6 +186,10 @@
 	if err == nil || ctx.Err() != nil {
 		return
 	}
+	if engine.CodeOf(err) == engine.CodeQuarantined {
+		l.failQuarantined(task)
+		return
+	}
 	if engine.OutcomeOf(err) == engine.OutcomeNotRun {
 		l.pause()
 		task.Earlier, task.Refused = nil, intent.AttemptID
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -222,4 +222,6 @@
 	'if _, isHeld := s.guard.Verdict(attempt.Fingerprint); !isHeld {' 'if true {' internal/serving TestGuardedSenderRefusesWhateverTheWay
 mutant every_break_is_a_crash internal/serving/guarded.go \
 	'	if !hasEnded {' '	if false {' platform TestBrokenAnswersOfLiveBackEndsAreNoEvidence
+mutant quarantined_sent_to_engines internal/engine/quarantine.go \
+	'if _, isHeld := c.Quarantine.Verdict(fingerprint); !isHeld {' 'if true {' internal/gateway TestRequestThatEndsEnginesIsStopped
 exit $failed
