--- a/internal/backend/preempt.go
+++ b/internal/backend/preempt.go
@@ -9,13 +9,10 @@
 // online request waits there. If an item of this daemon runs there, the daemon
 // gives it up itself.
 func (s *Set) Preempt(id string) {
-	s.mutex.Lock()
-	known, exists := s.states[id]
-	isOwn := exists && known.batch > 0
-	s.mutex.Unlock()
+	_, isKnown := s.Get(id)
 	switch {
-	case !exists:
-	case isOwn:
+	case !isKnown:
+	case s.HasBatch(id):
 		s.GiveWay(id)
 	default:
 		offer(s.preemptions, id)
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -194,7 +194,7 @@
 		case errors.As(err, &conflict):
 			// The job exists. If this daemon's own lost try made it, the claim
 			// is found by the follower like that of any other owner.
-			return acceptanceEnd{tenant: tenantOfRow(conflict.Row(tableAccepted, id))}, nil
+			return acceptanceEnd{tenant: s.tenantOfRow(conflict.Row(tableAccepted, id))}, nil
 		}
 		isUnsettled = isUnsettled || isUnknown(err)
 		if !periodic.SleepAbout(ctx, storePause) {
--- a/internal/job/tenant.go
+++ b/internal/job/tenant.go
@@ -60,9 +60,10 @@
 
 // tenantOfRow returns whose a job is by its acceptance. A row that cannot be read
 // belongs to nobody, so that its sender is not told that the job is missing.
-func tenantOfRow(row table.Row) string {
+func (s *Service) tenantOfRow(row table.Row) string {
 	var accepted acceptance
 	if err := decode(row, &accepted); err != nil {
+		s.log.Error("acceptance_unreadable", "job", row.Key, "row_version", row.Version, "error", err)
 		return ""
 	}
 	return accepted.Tenant
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -75,15 +75,6 @@
 // port.
 func (r *Route) IsOfHost(host string) bool { return r.Host == canonicalHost(host) }
 
-// PriorityFor returns the rank of a tenant's requests on the route; the caller
-// may be nil.
-func (r *Route) PriorityFor(caller *tenant.Tenant) int {
-	if caller != nil && caller.HasPriority {
-		return caller.Priority
-	}
-	return r.Priority
-}
-
 // Service picks one target by a number that is spread evenly over all values,
 // such as a hash of the request's id.
 func (r *Route) Service(spread uint64) string {
--- a/internal/serving/await.go
+++ b/internal/serving/await.go
@@ -84,12 +84,9 @@
 // preemptForPlace has one batch item give way where the request would go.
 func (e *exchange) preemptForPlace() {
 	chosen, found := e.core.pick(&e.request, e.excluded, preemptAnywhere)
-	if !found || chosen.Batch <= 0 {
-		return
+	if found && chosen.Batch > 0 {
+		e.preemptAt(chosen)
 	}
-	e.core.Backends.Preempt(chosen.ID)
-	e.core.Logger.Info("item_preempted", "id", e.request.ID, "backend", chosen.ID, "online", chosen.Online,
-		"batch", chosen.Batch, "slots", chosen.Slots, "waiting", chosen.Waiting)
 }
 
 // askForPlace asks one back end and reports whether it set a place aside.
--- a/internal/serving/place.go
+++ b/internal/serving/place.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"topazpulley/internal/route"
+	"topazpulley/internal/routing"
 )
 
 // preemption tells what a request may do about batch work.
@@ -46,9 +47,14 @@
 	if allowed == preemptNothing || e.cost.Batch <= 0 || (allowed == preemptWhereFull && !isFull) {
 		return
 	}
-	e.core.Backends.Preempt(e.last.ID)
-	e.core.Logger.Info("item_preempted", "id", e.request.ID, "backend", e.last.ID, "online", e.cost.Online,
-		"batch", e.cost.Batch, "slots", e.cost.Slots, "waiting", e.cost.Waiting)
+	e.preemptAt(e.cost)
+}
+
+// preemptAt has one batch item give way at a back end.
+func (e *exchange) preemptAt(chosen routing.Candidate) {
+	e.core.Backends.Preempt(chosen.ID)
+	e.core.Logger.Info("item_preempted", "id", e.request.ID, "backend", chosen.ID, "online", chosen.Online,
+		"batch", chosen.Batch, "slots", chosen.Slots, "waiting", chosen.Waiting)
 }
 
 // reserve asks for a place for an attempt. After some refusals the request is
