--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -148,7 +148,7 @@
 mutant preempted_twice internal/exchange/relay.go \
 	'max(h.work.inFlight[id].Batch-h.preempted[id], 0)' 'h.work.inFlight[id].Batch' internal/exchange TestEachPreemptionTakesAnotherItem
 mutant no_preemption internal/serving/await.go \
-	'	e.core.Backends.Preempt(chosen.ID)' '' internal/serving TestWaitingRequestPreemptsItems
+	'		e.preemptAt(chosen)' '' internal/serving TestWaitingRequestPreemptsItems
 mutant no_pause_after_giving_way internal/job/dispatch.go \
 	'	s.placer.pause(now.Add(givenWayPause))' '' internal/job TestOwnerThatGaveWaySendsNothingForAWhile
 mutant queues_without_waiting internal/serving/exchange.go \
