--- a/internal/serving/guarded.go
+++ b/internal/serving/guarded.go
@@ -94,17 +94,14 @@
 	if ctx.Err() != nil || attemptError(err).Reason != ReasonBroken {
 		return
 	}
-	instance, isListed := s.backends.Get(attempt.Instance.ID)
-	if !isListed || instance.Draining {
-		return // it ends as planned
-	}
 	checker, canCheck := s.sender.(LiveChecker)
 	if !canCheck {
 		return
 	}
+	id := attempt.Instance.ID
 	s.mutex.Lock()
-	_, isBeingChecked := s.broken[instance.ID]
-	s.broken[instance.ID] = append(s.broken[instance.ID], quarantine.Run{Fingerprint: attempt.Fingerprint, HadOutput: hadOutput})
+	_, isBeingChecked := s.broken[id]
+	s.broken[id] = append(s.broken[id], quarantine.Run{Fingerprint: attempt.Fingerprint, HadOutput: hadOutput})
 	s.mutex.Unlock()
 	if !isBeingChecked {
 		go s.check(checker, attempt)
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -224,4 +224,8 @@
 	'	if !hasEnded {' '	if false {' platform TestBrokenAnswersOfLiveBackEndsAreNoEvidence
 mutant quarantined_sent_to_engines internal/engine/quarantine.go \
 	'if _, isHeld := c.Quarantine.Verdict(fingerprint); !isHeld {' 'if true {' internal/gateway TestRequestThatEndsEnginesIsStopped
+mutant silent_store_connections_kept platform/store.go \
+	'			s.client.CloseIdleConnections()' '' platform TestSilentStoreConnectionsCostOneCall
+mutant silent_back_end_connections_kept platform/runner.go \
+	'			s.pool.discardIdle(attempt.Instance.ID)' '' platform TestSilentBackEndConnectionsCostOneRequest
 exit $failed
