--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -288,11 +288,7 @@
 	if n.gateway.lifetime.Err() != nil {
 		return n.ran.Refuse(failure.Wrap(cause, failure.KindUnavailable, "stopping", "the daemon is stopping"))
 	}
-	expired := failure.Wrap(cause, failure.KindDeadline, codeDeadlineReached, "the request's deadline passed")
-	if !n.ran.MayHaveRun() {
-		return expired.WithNotRun()
-	}
-	return expired
+	return n.ran.Mark(failure.Wrap(cause, failure.KindDeadline, codeDeadlineReached, "the request's deadline passed"))
 }
 
 // giveUp makes the final answer of a request that no engine took.
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -29,6 +29,15 @@
 // MayHaveRun reports whether some attempt may have run.
 func (r *Record) MayHaveRun() bool { return r.sent > r.neverRan }
 
+// Mark adds the promise that nothing has run to a failure, if that is true, and
+// leaves it as it is otherwise.
+func (r *Record) Mark(failed *failure.Error) *failure.Error {
+	if r.MayHaveRun() {
+		return failed
+	}
+	return failed.WithNotRun()
+}
+
 // Refuse makes the failure of a request that is given up: the given one, with the
 // promise that nothing has run, if that is true, else one that promises nothing
 // and keeps the code.
--- /dev/null
+++ b/internal/serving/verdict.go
@@ -0,0 +1,76 @@
+package serving
+
+import (
+	"time"
+
+	"topazpulley/internal/quarantine"
+)
+
+// quarantined returns the verdict on the request if it is quarantined.
+func (e *exchange) quarantined() (quarantine.Verdict, bool) {
+	if e.core.Quarantine == nil {
+		return quarantine.Verdict{}, false
+	}
+	return e.core.Quarantine.Verdict(e.fingerprint)
+}
+
+// refuseQuarantined answers a request that is quarantined, and reports whether it
+// did.
+func (e *exchange) refuseQuarantined() bool {
+	verdict, isHeld := e.quarantined()
+	if !isHeld {
+		return false
+	}
+	e.reason = ReasonQuarantined
+	e.core.Quarantine.Refused(e.request.Service)
+	e.giveUpWith(VerdictQuarantined, time.Until(verdict.Until), string(ReasonQuarantined))
+	return true
+}
+
+// giveUp tells the caller the one thing that is known.
+func (e *exchange) giveUp(retryAfter time.Duration, code string) {
+	e.giveUpWith(VerdictNotRun, retryAfter, code)
+}
+
+// giveUpWith does the same; notRun is the verdict if nothing has run.
+func (e *exchange) giveUpWith(notRun Verdict, retryAfter time.Duration, code string) {
+	if e.caller.Err() != nil {
+		e.outcome = "caller_gone"
+		e.responder.Abort()
+		return
+	}
+	if e.begun {
+		e.outcome = "broken_off"
+		e.responder.Abort()
+		return
+	}
+	refusal := Refusal{Verdict: notRun, RetryAfter: retryAfter, Code: code}
+	isOver := time.Until(e.end) < minimumRemaining
+	switch {
+	case e.ran.MayHaveRun() && isOver:
+		refusal = Refusal{Verdict: VerdictTimeout, Code: code}
+	case e.ran.MayHaveRun():
+		refusal = Refusal{Verdict: VerdictUnknown, Code: code}
+	}
+	e.outcome = refusal.Verdict.String()
+	if err := e.responder.Refuse(refusal); err != nil {
+		e.outcome = "caller_gone"
+	}
+}
+
+// record writes the request's one line and its metrics.
+func (e *exchange) record() {
+	took := time.Since(e.request.Arrived)
+	e.core.Metrics.Requests.WithLabelValues(e.request.Service, e.outcome).Inc()
+	e.core.Metrics.Duration.WithLabelValues(e.request.Service).Observe(took.Seconds())
+	first := time.Duration(0)
+	if !e.firstAt.IsZero() {
+		first = e.firstAt.Sub(e.request.Arrived)
+		e.core.Metrics.FirstOutput.WithLabelValues(e.request.Service).Observe(first.Seconds())
+	}
+	e.core.Logger.Info("request_ended", "id", e.request.ID, "outcome", e.outcome, "reason", string(e.reason),
+		"route", e.request.Route.Name, "config", e.request.ConfigVersion, "tenant", e.request.tenantName(), "fingerprint", e.fingerprint.String(), "limit_source", string(e.admission.Source),
+		"limit_level", e.admission.Level, "limit_ms", e.admission.Took.Milliseconds(), "unplaced", e.unplaced, "waited_ms", e.waited.Milliseconds(), "queued", e.isQueued, "backend", e.last.ID, "sends", e.sends, "runs", e.runs,
+		"online", e.cost.Online, "batch", e.cost.Batch, "slots", e.cost.Slots, "pending_tokens", e.cost.PendingTokens,
+		"uncached_tokens", e.cost.UncachedTokens, "report_age_ms", min(e.cost.ReportAge, time.Hour).Milliseconds(), "events", e.events, "first_ms", first.Milliseconds(), "took_ms", took.Milliseconds())
+}
