--- a/cmd/topazpulley/main.go
+++ b/cmd/topazpulley/main.go
@@ -5,6 +5,8 @@
 import (
 	"os"
 
+	_ "topazpulley/internal/command/ignorehangup" // before what starts slowly
+
 	"topazpulley/internal/command"
 )
 
