--- a/internal/serving/promise_test.go
+++ b/internal/serving/promise_test.go
@@ -118,3 +118,29 @@
 		}
 	})
 }
+
+// TestPromiseFollowsWhatWasSent: two of the cases that the random test draws, for
+// sure: a connection that could not be made before the watchdog's time was over, and
+// a connection that broke before the first byte of an answer.
+func TestPromiseFollowsWhatWasSent(t *testing.T) {
+	for _, drawn := range []struct {
+		first     end
+		kind      route.Kind
+		isPromise bool
+	}{
+		{neverConnects, route.KindRepeatable, true},
+		{unknownBeforeFirstByte, route.KindOnce, false},
+	} {
+		sender, told := &attempts{draw: []end{drawn.first}}, &recorder{}
+		synctest.Test(t, func(t *testing.T) {
+			now := time.Now()
+			policy := &route.Route{
+				Kind: drawn.kind, Timeout: 2 * time.Second, Objective: 60 * time.Millisecond, MaxAttempts: 3,
+				Targets: []route.Target{{Service: "s", Weight: 1}},
+			}
+			newCore(sender).Serve(t.Context(), serving.Request{ID: "r", Route: policy, Service: "s", Arrived: now, Deadline: now.Add(5 * time.Second)}, told)
+		})
+		require.Len(t, told.refusals, 1)
+		require.Equal(t, drawn.isPromise, isPromise(told.refusals[0].Verdict), told.refusals[0].Code)
+	}
+}
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -186,7 +186,7 @@
 mutant every_refusal_promises internal/runs/runs.go \
 	'return r.sent > r.neverRan' 'return false' internal/gateway 'TestNotRunIsTrueAfterUnknownAttempts'
 mutant sends_not_noted internal/serving/exchange.go \
-	'	e.ran.Sent()' '' internal/serving TestPromisesOverRandomAttempts
+	'	e.ran.Sent()' '' internal/serving 'TestPromisesOverRandomAttempts|TestPromiseFollowsWhatWasSent'
 mutant generations_not_noted internal/gateway/generation.go \
 	'	n.ran.Sent()' '' internal/gateway TestNotRunIsTrueAfterUnknownAttempts
 mutant calls_not_noted internal/gateway/plain.go \
@@ -200,7 +200,7 @@
 mutant status_promises internal/failure/failure.go \
 	'if isPromise && !e.NotRun {' 'if isPromise && false {' internal/gateway TestOnlyPromisesHaveTheirStatus
 mutant unsent_taken_for_silent internal/serving/exchange.go \
-	'|| attemptError(err).Outcome == OutcomeNotRun {' '{' internal/serving TestPromisesOverRandomAttempts
+	'|| attemptError(err).Outcome == OutcomeNotRun {' '{' internal/serving 'TestPromisesOverRandomAttempts|TestPromiseFollowsWhatWasSent'
 mutant stray_refusal_believed platform/runner.go \
 	'echoed == "" && a.connection.isReused && isRefusal(&a.header)' 'false' platform TestStrayRefusalIsNoPromise
 mutant unsettled_end_promised internal/job/read.go \
