--- a/internal/engine/quarantine.go
+++ b/internal/engine/quarantine.go
@@ -4,23 +4,15 @@
 	"context"
 	"fmt"
 	"net"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"topazpulley/internal/quarantine"
 )
 
-const (
-	// crashWindow is the time in which ends of one address are one end: engines of
-	// this protocol have no id of their own for each start, and take longer than this
-	// to load their models again.
-	crashWindow = 10 * time.Second
-	// liveCheckTimeout bounds the question whether an engine has ended. Its machine
-	// refuses connections within a round trip if it has; silence tells nothing.
-	liveCheckTimeout = 500 * time.Millisecond
-)
+// crashWindow is the time in which ends of one address are one end: engines of
+// this protocol have no id of their own for each start, and take longer than this
+// to load their models again.
+const crashWindow = 10 * time.Second
 
 // GenerationFingerprint identifies a generation by its content, online or batch.
 func GenerationFingerprint(model, tenant string, input []byte) quarantine.Fingerprint {
@@ -63,10 +55,10 @@
 
 // hasEnded reports whether an engine's machine answers that nothing listens there.
 func hasEnded(address string) bool {
-	connection, err := net.DialTimeout("tcp", address, liveCheckTimeout)
+	connection, err := net.DialTimeout("tcp", address, quarantine.LiveCheckTimeout)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return quarantine.TellsEnd(err)
 	}
-	_ = connection.Close()
+	_ = connection.Close() // nothing was sent on it
 	return false
 }
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -58,21 +58,6 @@
 	writeJSON(call, answer)
 }
 
-// operateQuarantine lists what is quarantined, after lifting one quarantine if that
-// is asked for.
-func (g *Gateway) operateQuarantine(call *fasthttp.RequestCtx, fingerprint string) (any, error) {
-	guard := g.Engines.Quarantine
-	if guard == nil {
-		return quarantine.Listing{Quarantined: []quarantine.Entry{}}, nil
-	}
-	if call.IsDelete() {
-		if err := guard.LiftNamed(fingerprint); err != nil {
-			return nil, err
-		}
-	}
-	return guard.List(), nil
-}
-
 func (g *Gateway) operate(ctx context.Context, call *fasthttp.RequestCtx, path string) (any, error) {
 	switch {
 	case path == PathRevisions && call.IsPost():
@@ -80,7 +65,7 @@
 	case path == PathHistory:
 		return g.Log.History(ctx, historyLimit)
 	case strings.HasPrefix(path, quarantine.PathAdmin):
-		return g.operateQuarantine(call, strings.TrimPrefix(path, quarantine.PathAdmin+"/"))
+		return g.Engines.Quarantine.Operate(call.IsDelete(), path)
 	case path == PathStatus:
 		return g.status(), nil
 	case path == PathBundle:
--- a/internal/quarantine/admin.go
+++ b/internal/quarantine/admin.go
@@ -52,6 +52,17 @@
 	return nil
 }
 
+// Operate answers an operator's call behind either door: it lifts the quarantine that
+// a DELETE names, and lists what is quarantined then.
+func (g *Guard) Operate(isDelete bool, path string) (Listing, error) {
+	if isDelete {
+		if err := g.LiftNamed(strings.TrimPrefix(path, PathAdmin+"/")); err != nil {
+			return Listing{}, err
+		}
+	}
+	return g.List(), nil
+}
+
 // AdminHandler answers operators' calls whose bearer token is the key.
 func AdminHandler(guard *Guard, key string) fasthttp.RequestHandler {
 	return func(call *fasthttp.RequestCtx) {
@@ -60,13 +71,12 @@
 			refuse(call, failure.New(failure.KindUnauthorized, "bad_key", "send the cluster key as a bearer token"))
 			return
 		}
-		if call.IsDelete() {
-			if err := guard.LiftNamed(strings.TrimPrefix(string(call.Path()), PathAdmin+"/")); err != nil {
-				refuse(call, failure.From(err))
-				return
-			}
+		listing, err := guard.Operate(call.IsDelete(), string(call.Path()))
+		if err != nil {
+			refuse(call, failure.From(err))
+			return
 		}
-		answer(call, fasthttp.StatusOK, guard.List())
+		answer(call, fasthttp.StatusOK, listing)
 	}
 }
 
--- a/internal/serving/guarded.go
+++ b/internal/serving/guarded.go
@@ -13,15 +13,10 @@
 	"topazpulley/internal/quarantine"
 )
 
-const (
-	// gatherTime is how long the runs that broke at one back end are gathered before
-	// it is asked whether it lives: all of its connections break within
-	// milliseconds when it ends.
-	gatherTime = 20 * time.Millisecond
-	// liveCheckTimeout bounds the question. Where a process has ended, its machine
-	// refuses connections within a round trip; silence tells nothing.
-	liveCheckTimeout = 500 * time.Millisecond
-)
+// gatherTime is how long the runs that broke at one back end are gathered before
+// it is asked whether it lives: all of its connections break within
+// milliseconds when it ends.
+const gatherTime = 20 * time.Millisecond
 
 // LiveChecker is a Sender that can tell whether a back end's process has ended.
 type LiveChecker interface {
@@ -113,7 +108,7 @@
 func (s *GuardedSender) check(checker LiveChecker, attempt Attempt) {
 	started := time.Now()
 	time.Sleep(gatherTime)
-	bounded, cancel := context.WithTimeout(context.Background(), liveCheckTimeout)
+	bounded, cancel := context.WithTimeout(context.Background(), quarantine.LiveCheckTimeout)
 	defer cancel()
 	hasEnded := checker.HasEnded(bounded, attempt)
 	id := attempt.Instance.ID
