Sight: how old an owner's knowledge of its claims is

Cause: nothing told how old the copy of a followed table was, so that an owner that acts on old claims could not be told from an end that was forgotten. Change: a follower knows for how long its copy may not have been the present state, by a clock that counts sleep (boottime), from before the answer was made: the store's own clock in its answers tells when a held one was made (storeClock), and an upstream tells its copy's age at the call. It is noted behind the consumer, not before it. Before: no line; after: claims_age_ms on both lines.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -89,6 +89,9 @@
 	Gate *access.Gate
 	// Quarantine tells which requests are not sent to back ends.
 	Quarantine *quarantine.Guard
+	// ClaimsAge returns for how long the claims of jobs, as this daemon knows them, may
+	// not have been the present state.
+	ClaimsAge func() time.Duration
 
 	recorder *quarantine.Recorder
 }
@@ -128,11 +131,14 @@
 	if connector, keepsConnections := ports.Sender.(serving.Connector); keepsConnections {
 		f.Backends.SetConnected(connector.Connected)
 	}
+	claims := &table.Follower{Table: job.ClaimTable, Partitioned: true, Pace: rate.NewLimiter(claimWatches, claimBurst)}
+	f.ClaimsAge = claims.Age
 	f.Jobs = job.NewService(job.Dependencies{
 		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: sender,
 		Holder: f.Holder, Peers: peers{node: f.node}, Metrics: metrics.Serving, Logger: log, Connections: f.Core.ConnectionShare, Settling: settlingTime,
-		Quota: accounts, Zone: process.Zone, Quarantine: f.Quarantine,
+		Quota: accounts, Zone: process.Zone, Quarantine: f.Quarantine, ClaimsAge: claims.Age,
 	})
+	claims.Consumer = f.Jobs
 	source := newPeerSource(f.node, f.transport)
 	followed := newUpstream(f.node, f.transport)
 	f.instances = newInstanceConsumer(ports, f.Backends, log)
@@ -140,7 +146,7 @@
 		{Table: ports.ConfigTable, Consumer: &configConsumer{ports: ports, holder: f.Holder, log: log}},
 		{Table: ports.InstanceTable, Consumer: f.instances, Pace: rate.NewLimiter(instanceWatches, instanceBurst)},
 		{Table: quarantine.TableName, Consumer: f.Quarantine, Wait: evidenceWait},
-		{Table: f.Jobs.FollowedTable(), Consumer: f.Jobs, Partitioned: true, Pace: rate.NewLimiter(claimWatches, claimBurst)},
+		claims,
 	} {
 		replica := &table.Replica{Consumer: follower.Consumer}
 		source.offer(follower.Table, followedCopy{follower: follower, replica: replica})
--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -109,7 +109,7 @@
 	if !isOffered {
 		return answer, nil
 	}
-	answer.AgeMilliseconds = time.Since(held.follower.ConfirmedAt()).Milliseconds()
+	answer.AgeMilliseconds = roundUp(held.follower.Age())
 	rows, version, isNewer := held.replica.Since(table.Version(request.After))
 	answer.Version, answer.IsNewer, answer.Rows = int64(version), isNewer, rowRecords(rows)
 	return answer, nil
--- a/internal/frontend/upstream.go
+++ b/internal/frontend/upstream.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hamba/avro/v2"
 
+	"topazpulley/internal/boottime"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/duty"
 	"topazpulley/internal/exchange"
@@ -48,7 +49,8 @@
 	Version   int64 `avro:"version"`
 	IsWhole   bool  `avro:"is_whole"`
 	IsSettled bool  `avro:"is_settled"`
-	// AgeMilliseconds is how long ago the store answered the upstream.
+	// AgeMilliseconds is for how long, when the call came, the upstream's copy may
+	// not have been the present state; negative if it was confirmed during the call.
 	AgeMilliseconds int64       `avro:"age_milliseconds"`
 	Rows            []rowRecord `avro:"rows"`
 }
@@ -172,6 +174,7 @@
 
 // serve answers a daemon that follows this one.
 func (u *upstream) serve(ctx context.Context, _ string, request followRequest) (followAnswer, error) {
+	called := boottime.Now()
 	offered, isOffered := u.copies[request.Table]
 	if !isOffered {
 		return followAnswer{}, failure.New(failure.KindNotFound, "no_table", "table %q is not followed", request.Table).WithNotRun()
@@ -180,28 +183,33 @@
 	if err := offered.await(ctx, after, time.Duration(request.WaitMilliseconds)*time.Millisecond); err != nil {
 		return followAnswer{}, err
 	}
+	// The age is asked for before the copy is read: what is told is at least as new.
+	age := offered.follower.StoreAge() - boottime.Now().Sub(called)
 	changes, isWhole := offered.replica.ChangesSince(after)
 	return followAnswer{
 		Version: int64(changes.Version), IsWhole: isWhole, IsSettled: offered.follower.IsSettled(), Rows: rowRecords(changes.Rows),
-		AgeMilliseconds: time.Since(offered.follower.ReadAt()).Milliseconds(),
+		AgeMilliseconds: roundUp(age),
 	}, nil
 }
 
+// roundUp returns a duration in whole milliseconds, never too short.
+func roundUp(span time.Duration) int64 { return (span + time.Millisecond - 1).Milliseconds() }
+
 // await waits until rows have changed behind a version, or for the whole wait.
 // It fails as soon as the copy is too old to be told to others.
 func (c followedCopy) await(ctx context.Context, after table.Version, wait time.Duration) error {
 	end := time.Now().Add(wait)
 	changed := c.replica.Changed(after)
 	for {
-		now := time.Now()
-		expires := c.follower.ReadAt().Add(upstreamAge)
-		if !now.Before(expires) {
-			return failure.New(failure.KindUnavailable, "upstream_stale", "the copy is %s old", now.Sub(expires.Add(-upstreamAge))).WithNotRun()
+		age := c.follower.StoreAge()
+		if age >= upstreamAge {
+			return failure.New(failure.KindUnavailable, "upstream_stale", "the copy is %s old", age).WithNotRun()
 		}
-		if !now.Before(end) {
+		left := time.Until(end)
+		if left <= 0 {
 			return nil
 		}
-		timer := time.NewTimer(min(end.Sub(now), expires.Sub(now)))
+		timer := time.NewTimer(min(left, upstreamAge-age))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/internal/frontend/upstream_test.go
+++ b/internal/frontend/upstream_test.go
@@ -57,7 +57,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go made.follower.Run(ctx)
-	require.Eventually(t, func() bool { return time.Since(made.follower.ReadAt()) < upstreamAge }, patience, pollTime)
+	require.Eventually(t, func() bool { return made.follower.StoreAge() < upstreamAge }, patience, pollTime)
 	return made
 }
 
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -150,7 +150,7 @@
 	held.mutex.Unlock()
 	s.log.Info("item_sent", "job", held.job.ID, "item", waiting.item.ID, "backend", chosen.ID,
 		"due_ms", held.due.Sub(now).Milliseconds(), "last_event", waiting.progress.last(),
-		"online", chosen.Online, "batch", chosen.Batch, "slots", chosen.Slots, "report_age_ms", shownAge(chosen.ReportAge))
+		"online", chosen.Online, "batch", chosen.Batch, "slots", chosen.Slots, "report_age_ms", shownAge(chosen.ReportAge), "claims_age_ms", shownAge(s.claimsAge()))
 	go func() {
 		defer cancel()
 		s.runItem(ctx, waiting, lease, matched, service)
--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -221,15 +221,17 @@
 	}}}, time.Now())
 	started := &daemon{name: name, events: runner.events, peers: &livePeers{gone: map[string]bool{}, suspected: map[string]bool{}}, backends: backends}
 	monotonic := table.NewMonotonic(store)
+	follower := &table.Follower{Store: monotonic, Logger: quiet, Wait: 100 * time.Millisecond, Partitioned: true}
 	accounts := quota.NewAccounts(monotonic, alone{}, telemetry.NewQuota(prometheus.NewRegistry()), quiet)
 	started.Service = job.NewService(job.Dependencies{
 		Self: job.Self{Name: name, Incarnation: 1}, Store: monotonic, Backends: backends, Sender: runner, Holder: holder,
 		Peers: started.peers, Metrics: telemetry.NewServing(prometheus.NewRegistry()), Logger: quiet, Connections: func(string) int { return 100 }, Settling: settling, Quota: accounts,
+		ClaimsAge: follower.Age,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	started.cancel = cancel
 	t.Cleanup(cancel)
-	follower := &table.Follower{Store: monotonic, Table: started.FollowedTable(), Consumer: started.Service, Logger: quiet, Wait: 100 * time.Millisecond, Partitioned: true}
+	follower.Table, follower.Consumer = job.ClaimTable, started.Service
 	go follower.Run(ctx)
 	go started.Run(ctx)
 	return started
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -26,11 +26,14 @@
 	"topazpulley/internal/table"
 )
 
+// ClaimTable is the table whose changes a Service must be told.
+const ClaimTable = "open_job"
+
 // Tables of the store.
 const (
 	tableAccepted = "job"
 	tableContent  = "job_content"
-	tableClaim    = "open_job"
+	tableClaim    = ClaimTable
 	tableResult   = "result"
 	// tableVoid holds jobs whose acceptance was given up while its outcome was
 	// unknown; one that is carried out late fails on the row.
--- a/internal/job/owned.go
+++ b/internal/job/owned.go
@@ -177,7 +177,7 @@
 	if reason.isOver() {
 		s.noteOver(o)
 	}
-	s.log.Info("job_dropped", "job", o.job.ID, "reason", string(reason), "epoch", o.claim.claim.Epoch, "version", o.claim.version)
+	s.log.Info("job_dropped", "job", o.job.ID, "reason", string(reason), "epoch", o.claim.claim.Epoch, "version", o.claim.version, "claims_age_ms", shownAge(s.claimsAge()))
 }
 
 // nextCommit returns a channel that is closed at the next commit.
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -247,6 +247,7 @@
 // End ends a job: its claim is removed, and nothing more of it is run. Ending
 // a job that has ended is no error.
 func (s *Service) End(ctx context.Context, id string) error {
+	started := time.Now()
 	if _, err := s.acceptance(ctx, id); err != nil {
 		return err
 	}
@@ -255,10 +256,10 @@
 		err = s.removeClaim(ctx, id, version)
 	}
 	if err != nil {
-		s.log.Info("job_end_failed", "job", id, "error", err)
+		s.log.Info("job_end_failed", "job", id, "took_ms", time.Since(started).Milliseconds(), "error", err)
 		return err
 	}
-	s.log.Info("job_ended", "job", id)
+	s.log.Info("job_ended", "job", id, "claim_version", version, "took_ms", time.Since(started).Milliseconds())
 	s.drop(id, dropEnded)
 	return nil
 }
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -56,6 +56,9 @@
 	Zone string
 	// Quarantine tells which items are not sent to back ends; nil means that all are.
 	Quarantine *quarantine.Guard
+	// ClaimsAge returns for how long the claims, as the service was told of them, may
+	// not have been the present state.
+	ClaimsAge func() time.Duration
 }
 
 // Service answers calls about jobs and runs the jobs that this daemon owns.
@@ -82,6 +85,7 @@
 	yielder      *yielder
 	quota        *quota.Accounts
 	quarantine   *quarantine.Guard
+	claimsAge    func() time.Duration
 	sweeper      sweeper
 	pageLimit    pageLimit
 
@@ -121,15 +125,12 @@
 		lifetime: lifetime, end: end, wake: make(chan struct{}, 1),
 		placer: newPlacer(newRandom(), dependencies.Zone), yielder: newYielder(newRandom()),
 		claims: map[string]versionedClaim{}, orphans: map[string]time.Time{}, claimedAt: map[string]time.Time{}, takeovers: newTakeovers(), owned: map[string]*owned{}, accepted: map[string]acceptance{},
-		quota: dependencies.Quota, quarantine: dependencies.Quarantine, over: map[string]overJob{}, sweeper: newSweeper(),
+		quota: dependencies.Quota, quarantine: dependencies.Quarantine, claimsAge: dependencies.ClaimsAge, over: map[string]overJob{}, sweeper: newSweeper(),
 	}
 }
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// FollowedTable is the table whose changes the service must be told.
-func (s *Service) FollowedTable() string { return tableClaim }
-
 // Run takes over orphaned jobs and dispatches items until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	go func() {
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
+	"topazpulley/internal/boottime"
 	"topazpulley/internal/periodic"
 )
 
@@ -51,6 +52,8 @@
 	// Upstream is followed in place of the store while it is in step; nil means
 	// none.
 	Upstream Upstream
+	// Clock is the system's if it is nil.
+	Clock boottime.Clock
 
 	seen    Version
 	askedAt time.Time
@@ -58,9 +61,11 @@
 	// directUntil is until when the store is followed although there is an
 	// upstream.
 	directUntil time.Time
-	confirmed   atomic.Int64
-	// readAt is when, in Unix nanoseconds, the store itself last answered.
-	readAt atomic.Int64
+	// confirmed is the moment, as a boottime.Instant, at which the table as it was
+	// handed on was certainly the present state; told is the same by the store's own
+	// answers alone. Zero means never.
+	confirmed atomic.Int64
+	told      atomic.Int64
 	// settledAt is when, in Unix nanoseconds, the table holds again all that
 	// belongs there after the store was away.
 	settledAt atomic.Int64
@@ -75,12 +80,35 @@
 // is away, nor just after its return, since rows may have lapsed meanwhile.
 func (f *Follower) IsSettled() bool { return time.Now().UnixNano() >= f.settledAt.Load() }
 
-// ConfirmedAt returns when the table, as it was handed on, was last known to be
-// the present state: by an answer of the store, or of a daemon that had one.
-func (f *Follower) ConfirmedAt() time.Time { return time.Unix(0, f.confirmed.Load()) }
+// Age returns for how long the table, as it was handed on, may not have been the
+// present state, by answers of the store or of a daemon that had one. It is never
+// too short: it counts from a moment before the answer was made, and goes on while
+// the machine sleeps.
+func (f *Follower) Age() time.Duration { return f.since(f.confirmed.Load()) }
 
-// ReadAt returns when the store itself last answered a call on the table.
-func (f *Follower) ReadAt() time.Time { return time.Unix(0, f.readAt.Load()) }
+// StoreAge is Age by the store's own answers alone.
+func (f *Follower) StoreAge() time.Duration { return f.since(f.told.Load()) }
+
+// ConfirmedAt returns when the table, as it was handed on, was certainly the
+// present state.
+func (f *Follower) ConfirmedAt() time.Time { return time.Now().Add(-f.Age()) }
+
+// never is the age, a century, of a table of which nothing was told.
+const never = 100 * 365 * 24 * time.Hour
+
+func (f *Follower) since(instant int64) time.Duration {
+	if instant == 0 {
+		return never
+	}
+	return f.now().Sub(boottime.Instant(instant))
+}
+
+func (f *Follower) now() boottime.Instant {
+	if f.Clock == nil {
+		return boottime.Now()
+	}
+	return f.Clock()
+}
 
 // Run follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -126,6 +154,7 @@
 		return false
 	}
 	f.askedAt = time.Now()
+	started := f.now()
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	held, found := f.Peers.Newer(bounded, f.Table, f.seen)
@@ -138,23 +167,23 @@
 		f.Logger.Info("table_from_peer", "table", f.Table, "version", held.Version, "version_before", f.seen, "rows", len(held.Rows), "age_ms", held.Age.Milliseconds())
 		f.seen = held.Version
 	}
-	f.noteConfirmed(held.Age)
+	f.noteConfirmed(started.Add(-held.Age))
 	return isTaken
 }
 
-// noteConfirmed notes that the table was the present state so long ago.
-func (f *Follower) noteConfirmed(age time.Duration) {
-	at := time.Now().Add(-age).UnixNano()
-	if at > f.confirmed.Load() {
-		f.confirmed.Store(at)
+// noteConfirmed notes a moment at which the table, as it was handed on, was the
+// present state. It is called behind the consumer, never before: who asks for the
+// age must find at least what it speaks of.
+func (f *Follower) noteConfirmed(at boottime.Instant) {
+	if int64(at) > f.confirmed.Load() {
+		f.confirmed.Store(int64(at))
 	}
 }
 
-// noteStore notes an answer of the store itself.
-func (f *Follower) noteStore() {
-	f.readAt.Store(time.Now().UnixNano())
-	f.noteConfirmed(0)
-	f.note(nil)
+// noteStore is noteConfirmed for an answer of the store itself.
+func (f *Follower) noteStore(at boottime.Instant) {
+	f.told.Store(int64(at))
+	f.noteConfirmed(at)
 }
 
 // note logs the loss and the return of the store for this table.
@@ -186,6 +215,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, wait+answerReserve)
 	defer cancel()
+	started := f.now()
 	changes, err := f.Store.Watch(bounded, f.Table, f.seen, wait)
 	if err != nil {
 		return err
@@ -193,9 +223,10 @@
 	if changes.Version < f.seen {
 		return &Error{Kind: ErrorCompacted, Call: "watch"}
 	}
-	f.noteStore()
+	f.note(nil)
 	f.Consumer.Change(changes.Rows, changes.Version)
 	f.seen = changes.Version
+	f.noteStore(max(started, changes.AsOf))
 	return nil
 }
 
@@ -203,6 +234,7 @@
 // version is that of a read before the partitions are listed, so that changes
 // made meanwhile are seen again as changes.
 func (f *Follower) read(ctx context.Context) (bool, error) {
+	started := f.now()
 	all, version, err := f.readPartition(ctx, "")
 	if err != nil {
 		return false, err
@@ -217,9 +249,10 @@
 		}
 		all = append(all, partitioned...)
 	}
-	f.noteStore()
+	f.note(nil)
 	f.Consumer.Replace(all, version)
 	f.seen = version
+	f.noteStore(started)
 	f.Logger.Info("table_read", "table", f.Table, "version", version, "rows", len(all))
 	return true, nil
 }
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -156,7 +156,7 @@
 	Rows    []Row
 	IsNewer bool
 	Version Version
-	// Age is how long ago the store last told the other daemon that its copy is
-	// the present state.
+	// Age is for how long, when the call came, the other daemon's copy may not have
+	// been the present state.
 	Age time.Duration
 }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -8,6 +8,8 @@
 	"context"
 	"strings"
 	"time"
+
+	"topazpulley/internal/boottime"
 )
 
 // Version orders the states of a table; one counter rises with every
@@ -81,6 +83,9 @@
 	Rows []Row
 	// Version is where to continue.
 	Version Version
+	// AsOf is a moment at which nothing but these rows had changed behind the version
+	// that was given; zero means unknown.
+	AsOf boottime.Instant
 }
 
 // Store is the durable store. Every call makes one attempt.
--- a/internal/table/tabletest/memory.go
+++ b/internal/table/tabletest/memory.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"topazpulley/internal/boottime"
 	"topazpulley/internal/table"
 )
 
@@ -277,7 +278,7 @@
 	if after < m.oldest {
 		return table.Changes{}, nil, failed(table.ErrorCompacted, "watch")
 	}
-	changes := table.Changes{Version: m.version}
+	changes := table.Changes{Version: m.version, AsOf: boottime.Now()}
 	for _, row := range m.history {
 		if row.Table == name && row.Version > after {
 			changes.Rows = append(changes.Rows, row)
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -14,7 +14,9 @@
 	// IsSettled tells that a row which is missing is gone, as far as the other
 	// daemon knows.
 	IsSettled bool
-	// Age is how long ago the store last answered the other daemon.
+	// Age is for how long, when the call came, the other daemon's copy may not have
+	// been the present state, by the store's own answers. It is negative if the copy
+	// was confirmed while the call was held.
 	Age time.Duration
 }
 
@@ -51,6 +53,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, f.Wait+upstreamReserve)
 	defer cancel()
+	started := f.now()
 	told, isFollowed, err := f.Upstream.Changes(bounded, f.Table, f.seen, f.Wait)
 	if !isFollowed || ctx.Err() != nil {
 		return false
@@ -61,13 +64,13 @@
 		return false
 	}
 	f.take(told)
+	f.noteConfirmed(started.Add(-told.Age))
 	return true
 }
 
 // take hands on what an upstream told. An upstream that lies behind what was
 // read from the store before has no news.
 func (f *Follower) take(told RelayedChanges) {
-	f.noteConfirmed(told.Age)
 	f.note(nil)
 	if told.Version <= f.seen {
 		return
--- a/internal/table/upstream_test.go
+++ b/internal/table/upstream_test.go
@@ -62,7 +62,7 @@
 	upstream.copy.Change(counter("2", 2), 2)
 	require.Eventually(t, func() bool { return seen.value("counter") == "2" }, patience, pollTime)
 	require.Zero(t, calls.Load())
-	require.True(t, follower.ReadAt().IsZero() || time.Since(follower.ReadAt()) > patience, "a copy of a copy is not told on")
+	require.Greater(t, follower.StoreAge(), patience, "a copy of a copy is not told on")
 
 	upstream.isSilent.Store(true)
 	for _, value := range []string{"3", "4"} {
