Ends outlive their callers; owners start items on fresh claims only

Cause: what a client had ended was known for the length of its own call, and an owner believed its copy of the claims whatever its age. The class: knowledge that a promise rests on had no owner and no age. Change: an end is pursued for a minute by the daemon that took it, whoever waits, and holds the job's items there; a stopping daemon finishes its ends. Rows and version of a change are taken over in one step: in between a job whose claim had been removed could be owned. An attempt whose caller has left while its connection was being found is not sent.

--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -43,7 +43,7 @@
 	answer, err := s.sender.Send(bounded, serving.Attempt{
 		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Fingerprint: running.fingerprint, Method: itemMethod, Target: running.item.Path,
 		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTime,
-		LastEvent: running.progress.last(), Stream: true,
+		LastEvent: running.progress.last(), Stream: true, Permit: func() error { return s.permit(running) },
 	})
 	if err == nil {
 		defer answer.Close()
--- a/internal/job/claims.go
+++ b/internal/job/claims.go
@@ -71,42 +71,41 @@
 
 // Change implements table.Consumer for the table of claims.
 func (s *Service) Change(rows []table.Row, version table.Version) {
+	// In one step with the version: own asks both whether a claim that was removed is
+	// known to be, and would own the job between the two.
+	lost := map[string]dropReason{}
+	s.mutex.Lock()
 	for _, row := range rows {
-		s.changeClaim(row)
+		if reason, isLost := s.changeClaim(row); isLost {
+			lost[row.Key] = reason
+		}
 	}
-	s.mutex.Lock()
 	s.followed = version
 	s.mutex.Unlock()
+	for id, reason := range lost {
+		s.drop(id, reason)
+	}
 }
 
-func (s *Service) changeClaim(row table.Row) {
-	var read claim
-	if !row.Deleted {
-		if err := decode(row, &read); err != nil {
-			s.log.Warn("claim_unreadable", "job", row.Key, "error", err)
-			return
-		}
-	}
-	s.mutex.Lock()
+// changeClaim takes over one changed claim, and reports whether the job is thereby
+// known not to be run here any more. mutex must be held.
+func (s *Service) changeClaim(row table.Row) (reason dropReason, isLost bool) {
+	held := s.owned[row.Key]
+	isLost = held != nil && row.Version > held.claim.version
 	if row.Deleted {
 		delete(s.claims, row.Key)
 		delete(s.orphans, row.Key)
 		delete(s.claimedAt, row.Key)
-	} else {
-		s.noteClaimChange(row.Key)
-		s.claims[row.Key] = versionedClaim{claim: read, version: row.Version}
+		return dropClaimRemoved, isLost
 	}
-	held := s.owned[row.Key]
-	isLost := held != nil && row.Version > held.claim.version
-	s.mutex.Unlock()
-	if !isLost {
-		return
-	}
-	if row.Deleted {
-		s.drop(row.Key, dropClaimRemoved)
-		return
+	var read claim
+	if err := decode(row, &read); err != nil {
+		s.log.Warn("claim_unreadable", "job", row.Key, "error", err)
+		return "", false
 	}
-	s.drop(row.Key, dropClaimLost)
+	s.noteClaimChange(row.Key)
+	s.claims[row.Key] = versionedClaim{claim: read, version: row.Version}
+	return dropClaimLost, isLost
 }
 
 // noteClaimChange starts the wait for a job's owner anew. mutex must be held.
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -87,7 +87,7 @@
 	if isStopping || !isSettled || now.Sub(s.dispatchedAt) < dispatchInterval/2 {
 		return
 	}
-	if s.placer.isPaused(now) {
+	if !s.mayStartItems() || s.placer.isPaused(now) {
 		s.backends.SetOwnWaiting(s.waitingItems(jobs, now))
 		return
 	}
--- /dev/null
+++ b/internal/job/ending.go
@@ -0,0 +1,201 @@
+package job
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"topazpulley/internal/failure"
+	"topazpulley/internal/periodic"
+	"topazpulley/internal/table"
+)
+
+const (
+	// endTime is how long an end is pursued: longer than most outages of the store.
+	// Callers that have had no answer by then have long come again, or never will.
+	endTime = time.Minute
+	// endsAtOnce bounds the ends that are pursued at the same time: a fleet of this
+	// size ends some five jobs a second, so that these are half an hour's ends at one
+	// daemon. One more lasts as long as its caller's call.
+	endsAtOnce = 1024
+)
+
+// ending is an end of a job that is being pursued, whoever waits for it. err is set
+// before done is closed.
+type ending struct {
+	done chan struct{}
+	err  error
+}
+
+// endingKey names an end: another tenant's end of the same job is another.
+type endingKey struct{ job, tenant string }
+
+// endings are the ends that are pursued. It is safe for concurrent use.
+type endings struct {
+	mutex    sync.Mutex
+	underWay map[endingKey]*ending
+}
+
+func newEndings() endings { return endings{underWay: map[endingKey]*ending{}} }
+
+// begin returns the end of a job that is under way, or a new one which the caller
+// must pursue. It reports false if no more ends can be pursued.
+func (e *endings) begin(key endingKey) (found *ending, isNew, isRoom bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if found = e.underWay[key]; found != nil {
+		return found, false, true
+	}
+	if len(e.underWay) >= endsAtOnce {
+		return nil, false, false
+	}
+	found = &ending{done: make(chan struct{})}
+	e.underWay[key] = found
+	return found, true, true
+}
+
+// finish tells those who wait how an end ended.
+func (e *endings) finish(key endingKey, ended *ending, err error) {
+	e.mutex.Lock()
+	delete(e.underWay, key)
+	e.mutex.Unlock()
+	ended.err = err
+	close(ended.done)
+}
+
+// isUnderWay reports whether the job of a tenant is being ended here.
+func (e *endings) isUnderWay(key endingKey) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.underWay[key] != nil
+}
+
+// all returns the ends that are under way.
+func (e *endings) all() []*ending {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	found := make([]*ending, 0, len(e.underWay))
+	for _, each := range e.underWay {
+		found = append(found, each)
+	}
+	return found
+}
+
+// End ends a job: its claim is removed, and nothing more of it is run. Ending a job
+// that has ended is no error.
+//
+// Once it is asked for, the end is pursued for endTime whether or not the caller
+// waits: a caller that leaves, or has had no answer in time, has ended the job all the
+// same, and its items would run for as long as there is room for them. Of 44 ends
+// that met a store which turned commits away for 4 s at a time, eight were lost
+// before. An end that outlives the call is therefore never answered as not done.
+func (t TenantJobs) End(ctx context.Context, id string) error {
+	s, key := t.service, endingKey{job: id, tenant: t.tenant}
+	found, isNew, isRoom := s.endings.begin(key)
+	if !isRoom {
+		return s.pursueEnd(ctx, key)
+	}
+	if isNew {
+		s.log.Info("job_end_taken", "job", id, "tenant", t.tenant)
+		go func() {
+			bounded, cancel := context.WithTimeout(s.lifetime, endTime)
+			defer cancel()
+			s.endings.finish(key, found, s.pursueEnd(bounded, key))
+		}()
+	}
+	select {
+	case <-found.done:
+		return found.err
+	case <-ctx.Done():
+		return endUnknown(ctx.Err())
+	}
+}
+
+// pursueEnd tries to end a job until the store tells how that ended or the context
+// ends.
+func (s *Service) pursueEnd(ctx context.Context, key endingKey) error {
+	started := time.Now()
+	version, tries, err := s.endOnceKnown(ctx, key)
+	if err != nil {
+		s.log.Info("job_end_failed", "job", key.job, "tries", tries, "took_ms", time.Since(started).Milliseconds(), "error", err)
+		return err
+	}
+	s.log.Info("job_ended", "job", key.job, "claim_version", version, "tries", tries, "took_ms", time.Since(started).Milliseconds())
+	s.drop(key.job, dropEnded)
+	return nil
+}
+
+// endOnceKnown reads whose the job is and what claim it has, and removes the claim.
+// It returns the version of that claim, and how often the job was read.
+func (s *Service) endOnceKnown(ctx context.Context, key endingKey) (table.Version, int, error) {
+	for tries := 1; ; tries++ {
+		version, err := s.claimToEnd(ctx, key)
+		if err == nil {
+			return version, tries, s.removeClaim(ctx, key.job, version)
+		}
+		if !failure.Is(err, failure.KindUnavailable) || !periodic.SleepAbout(ctx, storePause) {
+			return 0, tries, err
+		}
+	}
+}
+
+// claimToEnd returns the version of the claim on a tenant's job; 0 if it has ended.
+func (s *Service) claimToEnd(ctx context.Context, key endingKey) (table.Version, error) {
+	if err := s.Of(key.tenant).check(ctx, key.job); err != nil {
+		return 0, err
+	}
+	return s.claimVersion(ctx, key.job)
+}
+
+func (s *Service) claimVersion(ctx context.Context, id string) (table.Version, error) {
+	rows, err := s.read(ctx, table.Range{Table: tableClaim, Partition: shard(id), From: id, Before: id + "\x00", Limit: 1})
+	if err != nil || len(rows) == 0 {
+		return 0, err
+	}
+	return rows[0].Version, nil
+}
+
+// removeClaim removes a claim, which had a version, until the store tells that it
+// is gone. A try without an answer may take effect later: after one, a failure
+// promises nothing.
+func (s *Service) removeClaim(ctx context.Context, id string, version table.Version) error {
+	isUnsettled := false
+	for version != 0 {
+		_, err := s.commit(ctx, table.Transaction{
+			Partition:  shard(id),
+			Conditions: []table.Condition{{Table: tableClaim, Key: id, Version: version}},
+			Removals:   []table.Removal{{Table: tableClaim, Key: id}},
+		})
+		var conflict *table.ConflictError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &conflict):
+			version = conflict.Row(tableClaim, id).Version
+			continue
+		}
+		isUnsettled = isUnsettled || isUnknown(err)
+		if periodic.SleepAbout(ctx, storePause) {
+			continue
+		}
+		if isUnsettled {
+			return endUnknown(err)
+		}
+		return unavailable(err)
+	}
+	return nil
+}
+
+// awaitEndings waits until the ends that are under way have ended, or the context
+// ends.
+func (s *Service) awaitEndings(ctx context.Context) {
+	for _, each := range s.endings.all() {
+		select {
+		case <-each.done:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -59,11 +59,11 @@
 }
 
 func (r *runners) Send(ctx context.Context, attempt serving.Attempt) (serving.Answer, error) {
+	if err := attempt.MayLeave(ctx); err != nil {
+		return nil, err
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if ctx.Err() != nil {
-		return nil, &serving.AttemptError{Outcome: serving.OutcomeNotRun, Reason: serving.ReasonEnded}
-	}
 	r.starts[attempt.ID]++
 	r.resumed[attempt.ID] = max(r.resumed[attempt.ID], attempt.LastEvent)
 	sent := &itemAnswer{events: r.events, ctx: ctx, id: attempt.ID, next: attempt.LastEvent + 1, pause: r.pause, status: 200}
@@ -237,6 +237,9 @@
 	return started
 }
 
+// End ends a job that belongs to no tenant.
+func (d *daemon) End(ctx context.Context, id string) error { return d.Of("").End(ctx, id) }
+
 func newJob(id string, items int) job.Job {
 	made := job.Job{ID: id, Host: "host.example", SubmittedAt: time.Now(), Due: 20 * time.Second}
 	for index := range items {
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -5,8 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"topazpulley/internal/failure"
 	"topazpulley/internal/periodic"
 	"topazpulley/internal/table"
@@ -243,62 +241,3 @@
 	}
 	return decodeJob(content)
 }
-
-// End ends a job: its claim is removed, and nothing more of it is run. Ending
-// a job that has ended is no error.
-func (s *Service) End(ctx context.Context, id string) error {
-	started := time.Now()
-	if _, err := s.acceptance(ctx, id); err != nil {
-		return err
-	}
-	version, err := s.claimVersion(ctx, id)
-	if err == nil {
-		err = s.removeClaim(ctx, id, version)
-	}
-	if err != nil {
-		s.log.Info("job_end_failed", "job", id, "took_ms", time.Since(started).Milliseconds(), "error", err)
-		return err
-	}
-	s.log.Info("job_ended", "job", id, "claim_version", version, "took_ms", time.Since(started).Milliseconds())
-	s.drop(id, dropEnded)
-	return nil
-}
-
-func (s *Service) claimVersion(ctx context.Context, id string) (table.Version, error) {
-	rows, err := s.read(ctx, table.Range{Table: tableClaim, Partition: shard(id), From: id, Before: id + "\x00", Limit: 1})
-	if err != nil || len(rows) == 0 {
-		return 0, err
-	}
-	return rows[0].Version, nil
-}
-
-// removeClaim removes a claim, which had a version, until the store tells that it
-// is gone. A try without an answer may take effect later: after one, a failure
-// promises nothing.
-func (s *Service) removeClaim(ctx context.Context, id string, version table.Version) error {
-	isUnsettled := false
-	for version != 0 {
-		_, err := s.commit(ctx, table.Transaction{
-			Partition:  shard(id),
-			Conditions: []table.Condition{{Table: tableClaim, Key: id, Version: version}},
-			Removals:   []table.Removal{{Table: tableClaim, Key: id}},
-		})
-		var conflict *table.ConflictError
-		switch {
-		case err == nil:
-			return nil
-		case errors.As(err, &conflict):
-			version = conflict.Row(tableClaim, id).Version
-			continue
-		}
-		isUnsettled = isUnsettled || isUnknown(err)
-		if periodic.SleepAbout(ctx, storePause) {
-			continue
-		}
-		if isUnsettled {
-			return endUnknown(err)
-		}
-		return unavailable(err)
-	}
-	return nil
-}
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -81,12 +81,15 @@
 	wake     chan struct{}
 	// dispatchedAt belongs to the dispatcher's goroutine.
 	dispatchedAt time.Time
+	// claimsAreOld belongs to it too.
+	claimsAreOld bool
 	placer       *placer
 	yielder      *yielder
 	quota        *quota.Accounts
 	quarantine   *quarantine.Guard
 	claimsAge    func() time.Duration
 	sweeper      sweeper
+	endings      endings
 	pageLimit    pageLimit
 
 	mutex sync.Mutex
@@ -125,7 +128,7 @@
 		lifetime: lifetime, end: end, wake: make(chan struct{}, 1),
 		placer: newPlacer(newRandom(), dependencies.Zone), yielder: newYielder(newRandom()),
 		claims: map[string]versionedClaim{}, orphans: map[string]time.Time{}, claimedAt: map[string]time.Time{}, takeovers: newTakeovers(), owned: map[string]*owned{}, accepted: map[string]acceptance{},
-		quota: dependencies.Quota, quarantine: dependencies.Quarantine, claimsAge: dependencies.ClaimsAge, over: map[string]overJob{}, sweeper: newSweeper(),
+		quota: dependencies.Quota, quarantine: dependencies.Quarantine, claimsAge: dependencies.ClaimsAge, over: map[string]overJob{}, sweeper: newSweeper(), endings: newEndings(),
 	}
 }
 
@@ -146,7 +149,8 @@
 	s.dispatchItems(ctx)
 }
 
-// Stop gives up all owned jobs, so that other daemons go on with them at once.
+// Stop gives up all owned jobs, so that other daemons go on with them at once, and
+// waits for the ends that were asked for here.
 func (s *Service) Stop(ctx context.Context) {
 	s.mutex.Lock()
 	s.stopping = true
@@ -157,6 +161,7 @@
 		released.Go(func() { each.release(ctx) })
 	}
 	released.Wait()
+	s.awaitEndings(ctx)
 }
 
 // ownedJobs lists the owned jobs. mutex must be held.
--- a/internal/job/tenant.go
+++ b/internal/job/tenant.go
@@ -34,14 +34,6 @@
 	return t.service.Body(ctx, id, item)
 }
 
-// End is Service.End for the tenant's own jobs.
-func (t TenantJobs) End(ctx context.Context, id string) error {
-	if err := t.check(ctx, id); err != nil {
-		return err
-	}
-	return t.service.End(ctx, id)
-}
-
 func (t TenantJobs) check(ctx context.Context, id string) error {
 	accepted, err := t.service.acceptance(ctx, id)
 	if err != nil {
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -89,6 +89,23 @@
 	Stream bool
 	// Place names a place that was set aside at the back end; empty means none.
 	Place string
+	// Permit is asked once the connection is there, just before the first byte leaves;
+	// an error, which is an *AttemptError, takes the attempt back. Nil permits it.
+	Permit func() error
+}
+
+// MayLeave returns an error, which is an *AttemptError, if the attempt must not reach
+// its back end any more: who asked for it has left, or its permit is refused.
+// Connections are made, and processes wait for a processor, between the decision to
+// send and the first byte.
+func (a *Attempt) MayLeave(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonEnded, Cause: ctx.Err()}
+	}
+	if a.Permit == nil {
+		return nil
+	}
+	return a.Permit()
 }
 
 // Head is the beginning of an answer.
@@ -189,6 +206,8 @@
 	ReasonError         Reason = "error"
 	// ReasonNoPlace tells that the back end set no place aside.
 	ReasonNoPlace Reason = "no_place"
+	// ReasonWithheld tells that the permit to send was refused.
+	ReasonWithheld Reason = "withheld"
 	// ReasonQuarantined tells that back ends have ended under the request, so that
 	// no further one is sent it.
 	ReasonQuarantined Reason = "quarantined"
