--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -59,11 +59,11 @@
 }
 
 func (r *runners) Send(ctx context.Context, attempt serving.Attempt) (serving.Answer, error) {
+	if err := attempt.MayLeave(ctx); err != nil {
+		return nil, err
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if ctx.Err() != nil {
-		return nil, &serving.AttemptError{Outcome: serving.OutcomeNotRun, Reason: serving.ReasonEnded}
-	}
 	r.starts[attempt.ID]++
 	r.resumed[attempt.ID] = max(r.resumed[attempt.ID], attempt.LastEvent)
 	sent := &itemAnswer{events: r.events, ctx: ctx, id: attempt.ID, next: attempt.LastEvent + 1, pause: r.pause, status: 200}
@@ -221,20 +221,25 @@
 	}}}, time.Now())
 	started := &daemon{name: name, events: runner.events, peers: &livePeers{gone: map[string]bool{}, suspected: map[string]bool{}}, backends: backends}
 	monotonic := table.NewMonotonic(store)
+	follower := &table.Follower{Store: monotonic, Logger: quiet, Wait: 100 * time.Millisecond, Partitioned: true}
 	accounts := quota.NewAccounts(monotonic, alone{}, telemetry.NewQuota(prometheus.NewRegistry()), quiet)
 	started.Service = job.NewService(job.Dependencies{
 		Self: job.Self{Name: name, Incarnation: 1}, Store: monotonic, Backends: backends, Sender: runner, Holder: holder,
 		Peers: started.peers, Metrics: telemetry.NewServing(prometheus.NewRegistry()), Logger: quiet, Connections: func(string) int { return 100 }, Settling: settling, Quota: accounts,
+		ClaimsAge: follower.Age,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	started.cancel = cancel
 	t.Cleanup(cancel)
-	follower := &table.Follower{Store: monotonic, Table: started.FollowedTable(), Consumer: started.Service, Logger: quiet, Wait: 100 * time.Millisecond, Partitioned: true}
+	follower.Table, follower.Consumer = job.ClaimTable, started.Service
 	go follower.Run(ctx)
 	go started.Run(ctx)
 	return started
 }
 
+// End ends a job that belongs to no tenant.
+func (d *daemon) End(ctx context.Context, id string) error { return d.Of("").End(ctx, id) }
+
 func newJob(id string, items int) job.Job {
 	made := job.Job{ID: id, Host: "host.example", SubmittedAt: time.Now(), Due: 20 * time.Second}
 	for index := range items {
