Claims: an upstream holds their calls for 0.75 s

Cause: held for 1.5 s, behind an upstream whose own call is held for 0.75 s, a copy of the claims grew older than 2 s in a fleet that was not harmed, and owners started no items until the next answer. Change: the calls for claims are held for half as long; those to the store are not.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -49,6 +49,10 @@
 	// a second, and every change would cost a call of every daemon.
 	claimWatches = 2
 	claimBurst   = 4
+	// claimRelayWait is how long an upstream holds a call for claims. Items are started
+	// only while the claims are known to be fresh; with calls held for watchWait, owners
+	// of a fleet that is not harmed found them too old ten times a minute.
+	claimRelayWait = 750 * time.Millisecond
 	// instanceWatches and instanceBurst bound the same for back ends, which are
 	// listed one after the other when many start.
 	instanceWatches = 4
@@ -131,7 +135,7 @@
 	if connector, keepsConnections := ports.Sender.(serving.Connector); keepsConnections {
 		f.Backends.SetConnected(connector.Connected)
 	}
-	claims := &table.Follower{Table: job.ClaimTable, Partitioned: true, Pace: rate.NewLimiter(claimWatches, claimBurst)}
+	claims := &table.Follower{Table: job.ClaimTable, Partitioned: true, RelayWait: claimRelayWait, Pace: rate.NewLimiter(claimWatches, claimBurst)}
 	f.ClaimsAge = claims.Age
 	f.Jobs = job.NewService(job.Dependencies{
 		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: sender,
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -42,6 +42,9 @@
 	Logger   *slog.Logger
 	// Wait is how long one watch call may be held.
 	Wait time.Duration
+	// RelayWait is how long one call to an upstream may be held; 0 means Wait. What an
+	// upstream tells may be as old as a call of its own.
+	RelayWait time.Duration
 	// Partitioned tells that the table has partitions besides the empty one.
 	Partitioned bool
 	// Pace bounds how often changes are asked for; nil means no bound. Changes
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -51,10 +52,11 @@
 	if f.Upstream == nil || time.Now().Before(f.directUntil) {
 		return false
 	}
-	bounded, cancel := context.WithTimeout(ctx, f.Wait+upstreamReserve)
+	wait := cmp.Or(f.RelayWait, f.Wait)
+	bounded, cancel := context.WithTimeout(ctx, wait+upstreamReserve)
 	defer cancel()
 	started := f.now()
-	told, isFollowed, err := f.Upstream.Changes(bounded, f.Table, f.seen, f.Wait)
+	told, isFollowed, err := f.Upstream.Changes(bounded, f.Table, f.seen, wait)
 	if !isFollowed || ctx.Err() != nil {
 		return false
 	}
