Failing tests: what a daemon ended is taken up again, items of a pending end are placed

Cause, not mended here: an orphan is told by the followed table alone, so that a claim which this daemon has just removed itself counts as its own, left behind by an acceptance without an answer. The hold on items of a job that is being ended is asked for at the last moment only, and under the name of who asked for the end. Ruled out: the permit lets these items pass because the claims are fresh enough (the removal is younger than their age), not because it is not asked.

--- a/internal/job/end_test.go
+++ b/internal/job/end_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/serving"
 	"topazpulley/internal/table"
 	"topazpulley/internal/table/tabletest"
 )
@@ -126,3 +128,74 @@
 		require.Equal(t, 1, runner.started(item.ID))
 	}
 }
+
+// TestDaemonDoesNotTakeUpAgainWhatItEnded.
+//
+// What users saw: back ends ran items of jobs that their clients had ended.
+// Order of events: a job is ended at its owner, which removes the claim,
+// acknowledges the end and drops the job; its copy of the claims, which is paced,
+// still shows the claim as its own; the next look for orphans takes the job for one
+// of its own whose acceptance was not answered, and all its items start again, until
+// the copy shows the removal. Cause: what a daemon's own commit has changed is not
+// known to the daemon before the followed table tells it. Evidence: this test; with
+// watches that come half a second late, as the pace of the claims has them, 100 of
+// 200 items started again in 10 of 18 plays, 0.1 to 0.4 s behind the acknowledgement.
+func TestDaemonDoesNotTakeUpAgainWhatItEnded(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.pause = time.Minute
+	muted := &mutedStore{Store: store}
+	owner := startDaemon(t, "a", muted, runner)
+	require.NoError(t, owner.Submit(t.Context(), newJob("j1", 200)))
+	require.Eventually(t, func() bool { return runner.total() == 100 }, patience, pollTime)
+	muted.isMuted.Store(true)
+	time.Sleep(lastWatch) // the call that is held goes on
+	require.NoError(t, owner.End(t.Context(), "j1"))
+	before := runner.total()
+	time.Sleep(time.Second)
+	require.Equal(t, before, runner.total(), "items of a job were sent by the daemon that had ended it")
+	require.Zero(t, owner.Owned())
+}
+
+// countingSender counts what is asked of a sender.
+type countingSender struct {
+	serving.Sender
+	asked atomic.Int64
+}
+
+func (c *countingSender) Send(ctx context.Context, attempt serving.Attempt) (serving.Answer, error) {
+	c.asked.Add(1)
+	return c.Sender.Send(ctx, attempt)
+}
+
+// TestItemsOfAJobThatIsBeingEndedAreNotPlaced.
+//
+// What was found in review: while an end is pursued at the owner, each item is
+// placed, takes a slot and a connection, is withheld and comes back 100 ms later, for
+// as long as the store turns the end away. Evidence: 750 placings of 50 items in 3 s.
+// Each takes room from other jobs for a moment, and may make a connection. A job that
+// belongs to no tenant may be ended by any, and its items were not even withheld
+// then, because the end is kept under the name of who asked for it.
+func TestItemsOfAJobThatIsBeingEndedAreNotPlaced(t *testing.T) {
+	for name, tenant := range map[string]string{"by a caller without a name": "", "by a tenant": "acme"} {
+		t.Run(name, func(t *testing.T) {
+			store, runner := tabletest.NewMemory(), newRunners()
+			sender := &countingSender{Sender: runner}
+			owner := startSending(t, "a", store, sender)
+			owner.backends.Put(room(0))
+			require.NoError(t, owner.Submit(t.Context(), newJob("j1", 50)))
+			store.SetDecide(func(call string) tabletest.Fault {
+				if call == "commit" {
+					return tabletest.FaultThrottle
+				}
+				return tabletest.FaultNone
+			})
+			left, leave := context.WithCancel(t.Context())
+			leave()
+			require.Error(t, owner.Of(tenant).End(left, "j1"))
+			owner.backends.Put(room(100))
+			time.Sleep(time.Second)
+			assert.Zero(t, sender.asked.Load(), "items were placed")
+			assert.Zero(t, runner.total(), "items were sent")
+		})
+	}
+}
--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -211,6 +211,19 @@
 
 // startBounded starts a service on whose route so many tokens may wait.
 func startBounded(t *testing.T, name string, store table.Store, runner *runners, settling time.Duration, limit int64) *daemon {
+	t.Helper()
+	started := startSender(t, name, store, runner, settling, limit)
+	started.events = runner.events
+	return started
+}
+
+// startSending starts a service that sends through a sender.
+func startSending(t *testing.T, name string, store table.Store, sender serving.Sender) *daemon {
+	t.Helper()
+	return startSender(t, name, store, sender, 0, 0)
+}
+
+func startSender(t *testing.T, name string, store table.Store, sender serving.Sender, settling time.Duration, limit int64) *daemon {
 	t.Helper()
 	backends := backend.NewSet()
 	backends.Put(backend.Instance{ID: "one", Service: service, Slots: 100})
@@ -219,12 +232,12 @@
 		Name: "jobs", Host: "host.example", Prefix: "/jobs/", Kind: route.KindJob, MaxAttempts: 3, MaxQueuedTokens: limit,
 		Targets: []route.Target{{Service: service, Weight: 1}},
 	}}}, time.Now())
-	started := &daemon{name: name, events: runner.events, peers: &livePeers{gone: map[string]bool{}, suspected: map[string]bool{}}, backends: backends}
+	started := &daemon{name: name, peers: &livePeers{gone: map[string]bool{}, suspected: map[string]bool{}}, backends: backends}
 	monotonic := table.NewMonotonic(store)
 	follower := &table.Follower{Store: monotonic, Logger: quiet, Wait: 100 * time.Millisecond, Partitioned: true}
 	accounts := quota.NewAccounts(monotonic, alone{}, telemetry.NewQuota(prometheus.NewRegistry()), quiet)
 	started.Service = job.NewService(job.Dependencies{
-		Self: job.Self{Name: name, Incarnation: 1}, Store: monotonic, Backends: backends, Sender: runner, Holder: holder,
+		Self: job.Self{Name: name, Incarnation: 1}, Store: monotonic, Backends: backends, Sender: sender, Holder: holder,
 		Peers: started.peers, Metrics: telemetry.NewServing(prometheus.NewRegistry()), Logger: quiet, Connections: func(string) int { return 100 }, Settling: settling, Quota: accounts,
 		ClaimsAge: follower.Age,
 	})
