--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -135,7 +135,7 @@
 	if connector, keepsConnections := ports.Sender.(serving.Connector); keepsConnections {
 		f.Backends.SetConnected(connector.Connected)
 	}
-	claims := &table.Follower{Table: job.ClaimTable, Partitioned: true, RelayWait: claimRelayWait, Pace: rate.NewLimiter(claimWatches, claimBurst)}
+	claims := newClaimFollower()
 	f.ClaimsAge = claims.Age
 	f.Jobs = job.NewService(job.Dependencies{
 		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: sender,
@@ -202,6 +202,14 @@
 	}
 }
 
+// newClaimFollower returns a follower of the claims of jobs; its consumer and sources
+// are set by its user.
+func newClaimFollower() *table.Follower {
+	return &table.Follower{
+		Table: job.ClaimTable, Partitioned: true, Wait: watchWait, RelayWait: claimRelayWait, Pace: rate.NewLimiter(claimWatches, claimBurst),
+	}
+}
+
 // Members returns how many daemons are alive as this one sees them.
 func (f *Frontend) Members() int { return f.node.Count() }
 
@@ -236,6 +244,10 @@
 	f.node.Leave()
 }
 
+// AwaitEnds waits until the ends of jobs that callers asked for here have ended, or
+// the context ends.
+func (f *Frontend) AwaitEnds(ctx context.Context) { f.Jobs.AwaitEnds(ctx) }
+
 // Close ends the peer protocol.
 func (f *Frontend) Close() { f.transport.Stop() }
 
--- a/internal/frontend/upstream.go
+++ b/internal/frontend/upstream.go
@@ -183,8 +183,10 @@
 	if err := offered.await(ctx, after, time.Duration(request.WaitMilliseconds)*time.Millisecond); err != nil {
 		return followAnswer{}, err
 	}
-	// The age is asked for before the copy is read: what is told is at least as new.
-	age := offered.follower.StoreAge() - boottime.Now().Sub(called)
+	// In this order a process that is held up between any two steps tells an age that
+	// is too great, never one that is too small.
+	held := boottime.Now().Sub(called)
+	age := offered.follower.StoreAge() - held
 	changes, isWhole := offered.replica.ChangesSince(after)
 	return followAnswer{
 		Version: int64(changes.Version), IsWhole: isWhole, IsSettled: offered.follower.IsSettled(), Rows: rowRecords(changes.Rows),
--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -31,8 +31,8 @@
 	invalidStatus = 422
 )
 
-// runItem makes one attempt at an item.
-func (s *Service) runItem(ctx context.Context, running *work, lease *backend.Lease, matched *route.Route, service string) {
+// runItem makes one attempt at an item, if it is permitted once the connection is there.
+func (s *Service) runItem(ctx context.Context, running *work, lease *backend.Lease, matched *route.Route, service string, permit func() error) {
 	defer s.nudge()
 	defer lease.Release()
 	instance := lease.Instance()
@@ -43,7 +43,7 @@
 	answer, err := s.sender.Send(bounded, serving.Attempt{
 		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Fingerprint: running.fingerprint, Method: itemMethod, Target: running.item.Path,
 		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTime,
-		LastEvent: running.progress.last(), Stream: true, Permit: func() error { return s.permit(running) },
+		LastEvent: running.progress.last(), Stream: true, Permit: permit,
 	})
 	if err == nil {
 		defer answer.Close()
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -95,7 +95,9 @@
 	sort.Slice(jobs, func(a, b int) bool { return jobs[a].due.Before(jobs[b].due) })
 	ready := []*work{}
 	for _, each := range jobs {
-		ready = append(ready, each.waiting(now)...)
+		if !s.endings.isHeld(each.job.ID) {
+			ready = append(ready, each.waiting(now)...)
+		}
 	}
 	s.placer.begin(len(ready), s.backends.WaitingElsewhere(), now, s.propagationWindow())
 	sent := 0
@@ -148,12 +150,18 @@
 	held.mutex.Lock()
 	waiting.state, waiting.backend, waiting.startedAt, waiting.cancel, waiting.isYielding = itemRunning, chosen.ID, now, cancel, false
 	held.mutex.Unlock()
-	s.log.Info("item_sent", "job", held.job.ID, "item", waiting.item.ID, "backend", chosen.ID,
-		"due_ms", held.due.Sub(now).Milliseconds(), "last_event", waiting.progress.last(),
-		"online", chosen.Online, "batch", chosen.Batch, "slots", chosen.Slots, "report_age_ms", shownAge(chosen.ReportAge), "claims_age_ms", shownAge(s.claimsAge()))
+	permit := func() error {
+		err := s.permit(waiting)
+		if err == nil {
+			s.log.Info("item_sent", "job", held.job.ID, "item", waiting.item.ID, "backend", chosen.ID,
+				"due_ms", held.due.Sub(now).Milliseconds(), "last_event", waiting.progress.last(),
+				"online", chosen.Online, "batch", chosen.Batch, "slots", chosen.Slots, "report_age_ms", shownAge(chosen.ReportAge), "claims_age_ms", shownAge(s.claimsAge()))
+		}
+		return err
+	}
 	go func() {
 		defer cancel()
-		s.runItem(ctx, waiting, lease, matched, service)
+		s.runItem(ctx, waiting, lease, matched, service, permit)
 	}()
 	return true
 }
--- a/internal/job/ending.go
+++ b/internal/job/ending.go
@@ -27,6 +27,8 @@
 type ending struct {
 	done chan struct{}
 	err  error
+	// isHolding tells that the end holds the job's items. endings.mutex guards it.
+	isHolding bool
 }
 
 // endingKey names an end: another tenant's end of the same job is another.
@@ -36,9 +38,14 @@
 type endings struct {
 	mutex    sync.Mutex
 	underWay map[endingKey]*ending
+	// held counts, by job, the ends that were found to be allowed: no item of the job
+	// is started here meanwhile.
+	held map[string]int
 }
 
-func newEndings() endings { return endings{underWay: map[endingKey]*ending{}} }
+func newEndings() endings {
+	return endings{underWay: map[endingKey]*ending{}, held: map[string]int{}}
+}
 
 // begin returns the end of a job that is under way, or a new one which the caller
 // must pursue. It reports false if no more ends can be pursued.
@@ -60,16 +67,34 @@
 func (e *endings) finish(key endingKey, ended *ending, err error) {
 	e.mutex.Lock()
 	delete(e.underWay, key)
+	if ended.isHolding {
+		e.held[key.job]--
+		if e.held[key.job] == 0 {
+			delete(e.held, key.job)
+		}
+	}
 	e.mutex.Unlock()
 	ended.err = err
 	close(ended.done)
 }
 
-// isUnderWay reports whether the job of a tenant is being ended here.
-func (e *endings) isUnderWay(key endingKey) bool {
+// hold has no item of the job start here until the end has ended.
+func (e *endings) hold(key endingKey) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	holding := e.underWay[key]
+	if holding == nil || holding.isHolding {
+		return
+	}
+	holding.isHolding = true
+	e.held[key.job]++
+}
+
+// isHeld reports whether the job is being ended here.
+func (e *endings) isHeld(job string) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.underWay[key] != nil
+	return e.held[job] > 0
 }
 
 // all returns the ends that are under way.
@@ -133,13 +158,17 @@
 // endOnceKnown reads whose the job is and what claim it has, and removes the claim.
 // It returns the version of that claim, and how often the job was read.
 func (s *Service) endOnceKnown(ctx context.Context, key endingKey) (table.Version, int, error) {
+	if owner, isOpen := s.openTenant(key.job); isOpen && mayAccess(owner, key.tenant) {
+		s.endings.hold(key)
+	}
+	pause := newEndPause()
 	for tries := 1; ; tries++ {
 		version, err := s.claimToEnd(ctx, key)
 		if err == nil {
 			removed, err := s.removeClaim(ctx, key.job, version)
 			return removed, tries, err
 		}
-		if !failure.Is(err, failure.KindUnavailable) || !periodic.SleepAbout(ctx, storePause) {
+		if !failure.Is(err, failure.KindUnavailable) || !pause.sleep(ctx) {
 			return 0, tries, err
 		}
 	}
@@ -150,6 +179,7 @@
 	if err := s.Of(key.tenant).check(ctx, key.job); err != nil {
 		return 0, err
 	}
+	s.endings.hold(key)
 	return s.claimVersion(ctx, key.job)
 }
 
@@ -167,6 +197,7 @@
 func (s *Service) removeClaim(ctx context.Context, id string, version table.Version) (table.Version, error) {
 	removed := version
 	isUnsettled := false
+	pause := newEndPause()
 	for version != 0 {
 		_, err := s.commit(ctx, table.Transaction{
 			Partition:  shard(id),
@@ -183,7 +214,7 @@
 			continue
 		}
 		isUnsettled = isUnsettled || isUnknown(err)
-		if periodic.SleepAbout(ctx, storePause) {
+		if pause.sleep(ctx) {
 			continue
 		}
 		if isUnsettled {
@@ -194,9 +225,25 @@
 	return removed, nil
 }
 
-// awaitEndings waits until the ends that are under way have ended, or the context
-// ends.
-func (s *Service) awaitEndings(ctx context.Context) {
+// longestEndPause is the longest pause between two tries of an end. Ends that a store
+// turns away for a minute must not keep it busy: twenty of them made 328 calls a second
+// with a pause of 60 ms.
+const longestEndPause = time.Second
+
+// endPause is the pause between two tries of an end, which doubles.
+type endPause struct{ next time.Duration }
+
+func newEndPause() endPause { return endPause{next: storePause} }
+
+// sleep waits and reports false when the context ends.
+func (p *endPause) sleep(ctx context.Context) bool {
+	pause := p.next
+	p.next = min(2*pause, longestEndPause)
+	return periodic.SleepAbout(ctx, pause)
+}
+
+// AwaitEnds waits until the ends that are under way have ended, or the context ends.
+func (s *Service) AwaitEnds(ctx context.Context) {
 	for _, each := range s.endings.all() {
 		select {
 		case <-each.done:
--- a/internal/job/permit.go
+++ b/internal/job/permit.go
@@ -52,7 +52,7 @@
 		return withheld(withheldDropped, age)
 	case age > claimsAgeLimit:
 		return withheld(withheldOldClaims, age)
-	case s.endings.isUnderWay(endingKey{job: held.job.ID, tenant: held.job.Tenant}):
+	case s.endings.isHeld(held.job.ID):
 		return withheld(withheldEnding, age)
 	}
 	return nil
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -152,8 +152,7 @@
 	s.dispatchItems(ctx)
 }
 
-// Stop gives up all owned jobs, so that other daemons go on with them at once, and
-// waits for the ends that were asked for here.
+// Stop gives up all owned jobs, so that other daemons go on with them at once.
 func (s *Service) Stop(ctx context.Context) {
 	s.mutex.Lock()
 	s.stopping = true
@@ -164,7 +163,6 @@
 		released.Go(func() { each.release(ctx) })
 	}
 	released.Wait()
-	s.awaitEndings(ctx)
 }
 
 // ownedJobs lists the owned jobs. mutex must be held.
--- a/internal/table/tabletest/memory.go
+++ b/internal/table/tabletest/memory.go
@@ -263,7 +263,8 @@
 		case <-ctx.Done():
 			return table.Changes{}, failed(table.ErrorUnknown, "watch")
 		case <-timer.C:
-			return changes, nil
+			changes, _, err = m.changesAfter(name, after)
+			return changes, err
 		case <-changed:
 		}
 	}
