The test of claims in calm runs in its own time

Cause: it measured ages against a limit by the real clock, and a busy machine could fail it. Change: the same test in virtual time, over a minute in place of six seconds; an upstream relates its age by its follower's clock.

--- a/internal/frontend/calm_test.go
+++ b/internal/frontend/calm_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -20,9 +21,12 @@
 	// storeTime is a round trip to a store near by.
 	storeTime = 2 * time.Millisecond
 	// calmTime is several turns of the longest watch.
-	calmTime = 6 * time.Second
+	calmTime = time.Minute
 )
 
+// virtualNow is a clock that runs with the test's time.
+func virtualNow() boottime.Instant { return boottime.Instant(time.Now().UnixNano()) }
+
 // calmStore is a store in which nothing changes; its answers tell when they were
 // made, which for a watch without changes is the end of the wait.
 type calmStore struct{ table.Store }
@@ -30,7 +34,7 @@
 func (c calmStore) Watch(ctx context.Context, name string, after table.Version, wait time.Duration) (table.Changes, error) {
 	time.Sleep(storeTime / 2)
 	changes, err := c.Store.Watch(ctx, name, after, wait)
-	changes.AsOf = boottime.Now()
+	changes.AsOf = virtualNow()
 	time.Sleep(storeTime / 2)
 	return changes, err
 }
@@ -62,17 +66,24 @@
 // wrong, because its call is held for 1.5 s on top of the upstream's own 0.75 s. For
 // up to 15 % of the time it started no items. The turns of both stay in step, so that
 // it is the same daemons all the time.
-func TestClaimsAreFreshInCalm(t *testing.T) {
+func TestClaimsAreFreshInCalm(t *testing.T) { synctest.Test(t, claimsAreFreshInCalm) }
+
+func claimsAreFreshInCalm(t *testing.T) {
 	store := calmStore{tabletest.NewMemory()}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
 	follow := func(consumer table.Consumer, through table.Upstream) *table.Follower {
 		made := newClaimFollower()
-		made.Store, made.Table, made.Consumer, made.Logger, made.Upstream = store, "t", consumer, quiet, through
-		go made.Run(t.Context())
+		made.Store, made.Table, made.Consumer, made.Logger, made.Upstream, made.Clock = store, "t", consumer, quiet, through, virtualNow
+		running.Go(func() { made.Run(ctx) })
 		return made
 	}
 	offered := followedCopy{replica: &table.Replica{Consumer: discard{}}}
 	offered.follower = follow(offered.replica, servingOthers{})
-	require.Eventually(t, func() bool { return offered.follower.StoreAge() < upstreamAge }, patience, pollTime)
+	time.Sleep(time.Second)
+	require.Less(t, offered.follower.StoreAge(), upstreamAge)
 	followers := []*table.Follower{}
 	for range 12 {
 		followers = append(followers, follow(discard{}, following{serverOf(offered)}))
@@ -95,5 +106,6 @@
 		})
 	}
 	watched.Wait()
+	t.Log("oldest", oldest)
 	require.Less(t, oldest, startLimit, "a daemon starts no items although nothing is wrong")
 }
--- a/internal/frontend/upstream.go
+++ b/internal/frontend/upstream.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hamba/avro/v2"
 
-	"topazpulley/internal/boottime"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/duty"
 	"topazpulley/internal/exchange"
@@ -174,18 +173,18 @@
 
 // serve answers a daemon that follows this one.
 func (u *upstream) serve(ctx context.Context, _ string, request followRequest) (followAnswer, error) {
-	called := boottime.Now()
 	offered, isOffered := u.copies[request.Table]
 	if !isOffered {
 		return followAnswer{}, failure.New(failure.KindNotFound, "no_table", "table %q is not followed", request.Table).WithNotRun()
 	}
+	called := offered.follower.Now()
 	after := table.Version(request.After)
 	if err := offered.await(ctx, after, time.Duration(request.WaitMilliseconds)*time.Millisecond); err != nil {
 		return followAnswer{}, err
 	}
 	// In this order a process that is held up between any two steps tells an age that
 	// is too great, never one that is too small.
-	held := boottime.Now().Sub(called)
+	held := offered.follower.Now().Sub(called)
 	age := offered.follower.StoreAge() - held
 	changes, isWhole := offered.replica.ChangesSince(after)
 	return followAnswer{
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -103,10 +103,11 @@
 	if instant == 0 {
 		return never
 	}
-	return f.now().Sub(boottime.Instant(instant))
+	return f.Now().Sub(boottime.Instant(instant))
 }
 
-func (f *Follower) now() boottime.Instant {
+// Now is the present moment by the follower's clock.
+func (f *Follower) Now() boottime.Instant {
 	if f.Clock == nil {
 		return boottime.Now()
 	}
@@ -157,7 +158,7 @@
 		return false
 	}
 	f.askedAt = time.Now()
-	started := f.now()
+	started := f.Now()
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	held, found := f.Peers.Newer(bounded, f.Table, f.seen)
@@ -218,7 +219,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, wait+answerReserve)
 	defer cancel()
-	started := f.now()
+	started := f.Now()
 	changes, err := f.Store.Watch(bounded, f.Table, f.seen, wait)
 	if err != nil {
 		return err
@@ -237,7 +238,7 @@
 // version is that of a read before the partitions are listed, so that changes
 // made meanwhile are seen again as changes.
 func (f *Follower) read(ctx context.Context) (bool, error) {
-	started := f.now()
+	started := f.Now()
 	all, version, err := f.readPartition(ctx, "")
 	if err != nil {
 		return false, err
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -55,7 +55,7 @@
 	wait := cmp.Or(f.RelayWait, f.Wait)
 	bounded, cancel := context.WithTimeout(ctx, wait+upstreamReserve)
 	defer cancel()
-	started := f.now()
+	started := f.Now()
 	told, isFollowed, err := f.Upstream.Changes(bounded, f.Table, f.seen, wait)
 	if !isFollowed || ctx.Err() != nil {
 		return false
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -92,6 +92,8 @@
 	f.seen' 'f.noteStore(f.now())
 	f.Consumer.Change(changes.Rows, changes.Version)
 	f.seen' internal/table TestAgeIsNeverTooShort
+mutant claims_held_as_long_as_others internal/frontend/frontend.go \
+	'RelayWait: claimRelayWait, ' '' internal/frontend TestClaimsAreFreshInCalm
 mutant no_look_before_the_first_byte platform/runner.go \
 	'if err := attempt.MayLeave(ctx); err != nil {' 'if err := error(nil); err != nil {' platform TestAttemptThatMayNotLeaveIsNotWritten
 mutant promise_unsettled internal/job/accept.go \
