Model of the end of a job and the owner's copy of the claims

Holds; violated without the age, with ages from receipt, and when what a commit told is not held against the copy.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -49,6 +49,10 @@
 verify claim violated PROMISE_UNSETTLED
 verify claim violated NO_CLAIM_CHECK
 verify claim violated NO_TAKEOVER
+verify ended holds
+verify ended violated ANY_AGE
+verify ended violated AGE_FROM_RECEIPT
+verify ended violated NOT_HELD_AGAINST_THE_COPY
 verify quota holds
 verify quota violated NO_VOID
 verify quota violated RELEASE_ANY
