What goes to a back end or a caller is exactly one message

Cause: callers' words were written into messages as they were, and the library that reads heads forgives bare line feeds, folded lines, blanks around colons and targets of any form; what it made of them was passed on. A job's item could carry a request of its own. Answers to HEAD, 204 and 304 had bodies written behind them, which a caller reads as its next answer.

Ruled out: net/http's reader, which forgives as much and keeps no order of fields; a reader of our own in place of fasthttp's, since a check of the lines before it leaves it nothing to forgive.

Change: internal/httphead checks heads by line before the library reads them, and writes all heads that were written by hand; a message with a word that does not fit is never given out (reason "malformed", not run). Items are checked before anything is reserved or stored, and stored ones when their job is owned: they are given up as abandoned. Fields that Connection names are dropped (RFC 9110 section 7.6.1); one that is meant for the back end is refused there. Refusals carry the kind as code, are logged as request_malformed and counted by kind. Tokens, values and hosts are judged by golang.org/x/net/http/httpguts.

--- /dev/null
+++ b/internal/httphead/read.go
@@ -0,0 +1,111 @@
+package httphead
+
+import (
+	"bufio"
+	"bytes"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	lineEnd = "\r\n"
+	version = "HTTP/1.1"
+	// oldVersion is the only other version in which callers may ask.
+	oldVersion = "HTTP/1.0"
+)
+
+// PeekRequest waits for the whole head of a request and returns its bytes without
+// taking them from the reader, so that a library can read them. An error is a
+// *Fault, with the bytes that came so far, or what the reader says; bufio.ErrBufferFull
+// tells that the head is larger than the reader's buffer. Empty lines before the
+// request line are passed over (RFC 9112 section 2.2).
+func PeekRequest(reader *bufio.Reader) ([]byte, error) {
+	head, start, err := peekLines(reader)
+	if err != nil {
+		return head, err
+	}
+	return head, checkRequest(string(head[start:]))
+}
+
+// peekLines waits for the empty line behind the request line and the fields, and
+// tells where the request line starts. Line ends are checked as they come: a head
+// with other line ends has no end to wait for.
+func peekLines(reader *bufio.Reader) (head []byte, start int, err error) {
+	checked := 0
+	for wanted := 1; ; wanted = len(head) + 1 {
+		if _, err := reader.Peek(wanted); err != nil {
+			return head, start, errors.WithStack(err)
+		}
+		head, _ = reader.Peek(reader.Buffered())
+		for {
+			length := bytes.IndexByte(head[checked:], '\n') + 1
+			if length == 0 {
+				break
+			}
+			line := head[checked : checked+length]
+			if !bytes.HasSuffix(line, []byte(lineEnd)) {
+				return head, start, fault(KindLineEnd, string(line))
+			}
+			checked += length
+			isEmpty := length == len(lineEnd)
+			switch {
+			case isEmpty && start == checked-length:
+				start = checked
+			case isEmpty:
+				return head[:checked], start, nil
+			}
+		}
+	}
+}
+
+// checkRequest checks a whole head.
+func checkRequest(head string) error {
+	first, rest, _ := strings.Cut(head, lineEnd)
+	if err := checkRequestLine(first); err != nil {
+		return err
+	}
+	for rest != lineEnd {
+		var line string
+		line, rest, _ = strings.Cut(rest, lineEnd)
+		if err := checkFieldLine(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkRequestLine(line string) error {
+	method, rest, _ := strings.Cut(line, " ")
+	target, spoken, _ := strings.Cut(rest, " ")
+	if spoken != version && spoken != oldVersion {
+		return fault(KindRequestLine, line)
+	}
+	if err := CheckMethod(method); err != nil {
+		return err
+	}
+	return CheckTarget(target)
+}
+
+func checkFieldLine(line string) error {
+	if strings.IndexAny(line[:1], blanks) == 0 {
+		return fault(KindFolded, line)
+	}
+	name, value, hasColon := strings.Cut(line, ":")
+	if !hasColon {
+		return fault(KindFieldName, line)
+	}
+	return CheckField(name, strings.Trim(value, blanks))
+}
+
+// FieldOf returns the value of the first field of a name in a head that need not be
+// well formed, for logs.
+func FieldOf(head []byte, name string) string {
+	for line := range bytes.Lines(head) {
+		found, value, _ := bytes.Cut(line, []byte(":"))
+		if strings.EqualFold(string(found), name) {
+			return shown(string(bytes.TrimSpace(value)))
+		}
+	}
+	return ""
+}
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -124,6 +124,12 @@
 // is over. It reports false when the item goes on waiting.
 func (s *Service) dispatch(waiting *work, now time.Time) bool {
 	held := waiting.owner
+	if waiting.malformed != nil {
+		s.metrics.Items.WithLabelValues(string(StateAbandoned)).Inc()
+		s.log.Info("item_abandoned", "job", held.job.ID, "item", waiting.item.ID, "reason", "malformed", "error", waiting.malformed)
+		held.end(waiting, Result{Item: waiting.item.ID, State: StateAbandoned})
+		return true
+	}
 	if !held.giveUp.IsZero() && now.After(held.giveUp) {
 		held.end(waiting, Result{Item: waiting.item.ID, State: StateAbandoned})
 		return true
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 
 	"topazpulley/internal/failure"
+	"topazpulley/internal/httphead"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/serving"
 	"topazpulley/internal/table"
@@ -60,6 +61,26 @@
 	Tokens int
 }
 
+// Check reports an item whose words cannot be sent as one request. An error is a
+// *httphead.Fault.
+func (i *Item) Check() error {
+	if err := httphead.CheckTarget(i.Path); err != nil {
+		return err
+	}
+	if err := httphead.CheckField(idField, i.ID); err != nil {
+		return err
+	}
+	for _, field := range i.Fields {
+		if err := httphead.CheckField(field.Name, field.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// idField stands for the field that carries an item's id to a back end.
+const idField = "id"
+
 // Job is an accepted job.
 type Job struct {
 	ID string
--- a/internal/job/owned.go
+++ b/internal/job/owned.go
@@ -34,6 +34,9 @@
 	// isYielding tells that the present run was taken back and is about to end.
 	isYielding bool
 	progress   progress
+	// malformed tells why the item can never be sent: jobs that were accepted by
+	// versions which did not check their items may hold such.
+	malformed error
 	// isQuarantined tells that the item was found quarantined, which is logged once.
 	isQuarantined bool
 }
@@ -105,7 +108,7 @@
 		if done[item.ID] {
 			state = itemFinished
 		}
-		begun := &work{item: item, owner: started, state: state}
+		begun := &work{item: item, owner: started, state: state, malformed: item.Check()}
 		begun.fingerprint = quarantine.FingerprintOf(itemMethod, item.Path, accepted.Tenant, item.Body)
 		begun.progress.restore(earlier.checkpoints[item.ID])
 		started.works = append(started.works, begun)
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -208,6 +208,8 @@
 	ReasonNoPlace Reason = "no_place"
 	// ReasonWithheld tells that the permit to send was refused.
 	ReasonWithheld Reason = "withheld"
+	// ReasonMalformed tells that the attempt cannot be written as one request.
+	ReasonMalformed Reason = "malformed"
 	// ReasonQuarantined tells that back ends have ended under the request, so that
 	// no further one is sent it.
 	ReasonQuarantined Reason = "quarantined"
--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -20,6 +20,8 @@
 	StoreCalls *prometheus.CounterVec
 	// StoreSeconds observes the time of calls to the store.
 	StoreSeconds *prometheus.HistogramVec
+	// Malformed counts callers' requests that were refused as malformed, by kind.
+	Malformed *prometheus.CounterVec
 }
 
 // NewServing registers the metrics of the online core.
@@ -38,8 +40,9 @@
 		Items:        counter("job_item_attempts_total", "Ended attempts of batch items.", "outcome"),
 		StoreCalls:   counter("store_calls_total", "Calls to the store.", "call", "outcome"),
 		StoreSeconds: histogram("store_call_seconds", "Time of calls to the store.", "call"),
+		Malformed:    counter("malformed_requests_total", "Callers' requests refused as malformed.", "kind"),
 	}
-	registry.MustRegister(serving.Requests, serving.Attempts, serving.FirstOutput, serving.Duration, serving.Items, serving.StoreCalls, serving.StoreSeconds)
+	registry.MustRegister(serving.Requests, serving.Attempts, serving.FirstOutput, serving.Duration, serving.Items, serving.StoreCalls, serving.StoreSeconds, serving.Malformed)
 	return serving
 }
 
