Records from outside are read by their real size

Cause: two, both found by the fuzz tests of the daemons' calls and by reading on. A record that claims a list of six thousand million parts made the library take the memory for it, and the process ended with "out of memory", which no recover catches (an 8-byte body of a sync call, or a datagram; both need the cluster key). And the library reads no part of over 1 MiB unless told to, but writes them: a job whose item has a body of 2 MiB was accepted with 202, and neither its body nor, after its owner had gone, its content could be read again.

Ruled out: one larger limit for all, by which an unsealed hello of a few bytes could claim tens of MiB; a configuration for each call, which compiles its decoders anew.

Change: internal/avrocodec reads all records of datagrams, calls, gossip and the store, with limits by the size class of the record. The recover of peer.decode moves there.

--- a/internal/batch/coordinator.go
+++ b/internal/batch/coordinator.go
@@ -13,6 +13,7 @@
 
 	"github.com/hamba/avro/v2"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/duty"
 	"topazpulley/internal/failure"
@@ -290,7 +291,7 @@
 	if err != nil {
 		return 0, backlog, failure.Wrap(err, failure.KindInvalid, "bad_backlog", "the backlog key is malformed")
 	}
-	err = avro.Unmarshal(backlogSchema, item.Payload, &backlog)
+	err = avrocodec.Unmarshal(backlogSchema, item.Payload, &backlog)
 	return shard, backlog, err
 }
 
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -6,6 +6,7 @@
 	"github.com/hamba/avro/v2"
 	"github.com/pkg/errors"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/backend"
 )
 
@@ -128,7 +129,7 @@
 
 func decode(payload []byte) (loads, news, error) {
 	var message loadMessage
-	if err := avro.Unmarshal(loadSchema, payload, &message); err != nil {
+	if err := avrocodec.Unmarshal(loadSchema, payload, &message); err != nil {
 		return loads{}, news{}, errors.WithStack(err)
 	}
 	work := loads{inFlight: make(map[string]backend.PeerLoad, len(message.Backends)), waiting: message.Waiting}
--- a/internal/gateway/spill.go
+++ b/internal/gateway/spill.go
@@ -14,6 +14,7 @@
 	"github.com/hamba/avro/v2"
 	"github.com/valyala/fasthttp"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/duty"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/membership"
@@ -126,7 +127,7 @@
 	for _, item := range items {
 		zone := strings.TrimSuffix(strings.TrimPrefix(item.Key, prefixZone), "/"+service)
 		aggregate := zoneAggregate{}
-		if avro.Unmarshal(aggregateSchema, item.Payload, &aggregate) != nil || zone == g.Settings.Zone || aggregate.Free == 0 {
+		if avrocodec.Unmarshal(aggregateSchema, item.Payload, &aggregate) != nil || zone == g.Settings.Zone || aggregate.Free == 0 {
 			continue
 		}
 		zones = append(zones, zone)
--- a/internal/job/codec.go
+++ b/internal/job/codec.go
@@ -6,6 +6,7 @@
 	"github.com/hamba/avro/v2"
 	"github.com/pkg/errors"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/serving"
@@ -81,7 +82,7 @@
 
 func decodeJob(content []byte) (Job, error) {
 	var record jobRecord
-	if err := avro.Unmarshal(jobSchema, content, &record); err != nil {
+	if err := avrocodec.Unmarshal(jobSchema, content, &record); err != nil {
 		return Job{}, failure.Wrap(err, failure.KindInternal, "bad_job_content", "the content of a job cannot be read")
 	}
 	job := Job{
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -11,6 +11,7 @@
 	"github.com/hamba/avro/v2"
 	"github.com/pkg/errors"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/periodic"
 	"topazpulley/internal/serving"
@@ -257,7 +258,7 @@
 		}
 		for _, row := range rows {
 			var read checkpoint
-			if err := avro.Unmarshal(checkpointSchema, row.Value, &read); err != nil {
+			if err := avrocodec.Unmarshal(checkpointSchema, row.Value, &read); err != nil {
 				return nil, failure.Wrap(errors.WithStack(err), failure.KindInternal, "bad_checkpoint", "row %s cannot be read", row.Key)
 			}
 			found[strings.TrimPrefix(row.Key, progressKey(id, ""))] = read
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -13,6 +13,7 @@
 	"github.com/hamba/avro/v2"
 	"github.com/pkg/errors"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/membership"
 )
@@ -88,25 +89,12 @@
 	if subtle.ConstantTimeCompare(sealed[1:1+macBytes], authenticate(key, body)) != 1 {
 		return packet, failure.New(failure.KindUnauthorized, "bad_datagram_key", "the datagram is not sealed with the cluster key")
 	}
-	if err := decode(packetSchema, body, &packet); err != nil {
+	if err := avrocodec.Unmarshal(packetSchema, body, &packet); err != nil {
 		return membership.Packet{}, err
 	}
 	return packet, nil
 }
 
-// decode turns panics of the decoder on malformed input into errors.
-func decode(schema avro.Schema, body []byte, target any) (err error) {
-	defer func() {
-		if recovered := recover(); recovered != nil {
-			err = failure.New(failure.KindInvalid, "bad_avro", "the message cannot be decoded")
-		}
-	}()
-	if err := avro.Unmarshal(schema, body, target); err != nil {
-		return failure.Wrap(err, failure.KindInvalid, "bad_avro", "the message cannot be decoded")
-	}
-	return nil
-}
-
 func authenticate(key []byte, parts ...[]byte) []byte {
 	mac := hmac.New(sha256.New, key)
 	for _, part := range parts {
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/hamba/avro/v2"
 	"github.com/stretchr/testify/require"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/membership"
 )
 
@@ -79,7 +82,53 @@
 func FuzzEnvelope(f *testing.F) {
 	framed, _ := encodeEnvelope(envelope{ID: 1, Method: "m", Body: []byte("b"), Failure: []wireFailure{{Kind: "k"}}})
 	f.Add(framed[frameHeadBytes:])
-	f.Fuzz(func(_ *testing.T, body []byte) { _ = decode(envelopeSchema, body, &envelope{}) })
+	f.Fuzz(func(_ *testing.T, body []byte) { _ = avrocodec.Unmarshal(envelopeSchema, body, &envelope{}) })
+}
+
+// FuzzCalls: the messages of a connection are read or refused, whatever was sent.
+func FuzzCalls(f *testing.F) {
+	opened, _ := avro.Marshal(helloSchema, hello{Version: 1, Name: "a", Nonce: []byte("n"), MAC: []byte("m")})
+	f.Add(opened)
+	answered, _ := avro.Marshal(syncAnswerSchema, SyncAnswerMessage{membership.SyncAnswer{Digests: []int64{1}, Members: samplePacket().Members, Items: samplePacket().Items}})
+	f.Add(answered)
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		_ = avrocodec.Unmarshal(helloSchema, body, &hello{})
+		_ = avrocodec.Unmarshal(syncRequestSchema, body, &SyncRequestMessage{})
+		_ = avrocodec.Unmarshal(syncAnswerSchema, body, &SyncAnswerMessage{})
+		_ = avrocodec.Unmarshal(syncPushSchema, body, &SyncPushMessage{})
+	})
+}
+
+// FuzzReceive: a member that takes any datagram goes on, and what it sends can be
+// read by another.
+func FuzzReceive(f *testing.F) {
+	key := make([]byte, 32)
+	sealed, _ := SealDatagram(key, samplePacket())
+	f.Add(sealed[1+macBytes:])
+	relayed, _ := SealDatagram(key, membership.Packet{Kind: membership.PacketPing + 2, From: "b", FromAddress: "127.0.0.1:2", Target: "c", TargetAddress: "127.0.0.1:3", Digest: -1})
+	f.Add(relayed[1+macBytes:])
+	f.Fuzz(func(t *testing.T, body []byte) {
+		whole := append([]byte{ProtocolVersion}, authenticate(key, body)...)
+		packet, err := OpenDatagram(key, append(whole, body...))
+		if err != nil {
+			return
+		}
+		now := time.Unix(1000, 0)
+		self := membership.Member{Name: "a", Address: "127.0.0.1:1", Zone: "zone", Incarnation: 1, State: membership.StateAlive}
+		core := membership.New(membership.DefaultConfig(time.Second), self, rand.New(rand.NewPCG(1, 2)), now)
+		sent := core.Receive(now, packet)
+		for range 5 {
+			now = now.Add(time.Second)
+			sent = append(sent, core.Tick(now)...)
+		}
+		require.Equal(t, "a", core.Self().Name)
+		for _, datagram := range sent {
+			sealed, err := SealDatagram(key, datagram.Packet)
+			require.NoError(t, err)
+			_, err = OpenDatagram(key, sealed)
+			require.NoError(t, err)
+		}
+	})
 }
 
 // TestDatagramsBeforeTheStartAreLost: peers may be heard, and answered, before
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -12,6 +12,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/pkg/errors"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/failure"
 )
 
@@ -78,7 +79,7 @@
 		return true
 	}
 	answer := envelope{}
-	if decode(envelopeSchema, body, &answer) != nil {
+	if avrocodec.Unmarshal(envelopeSchema, body, &answer) != nil {
 		return false
 	}
 	held.deliver(answer)
@@ -264,7 +265,7 @@
 	if len(answer.Failure) > 0 {
 		return reply, fromWire(answer.Failure[0])
 	}
-	return reply, decode(reply.Schema(), answer.Body, &reply)
+	return reply, avrocodec.Unmarshal(reply.Schema(), answer.Body, &reply)
 }
 
 // roundTrip makes one call. A call that ends without an answer on a link that has
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -16,6 +16,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/pkg/errors"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/membership"
 )
@@ -77,7 +78,7 @@
 func Handle[Q, A Message](transport *Transport, method string, answer func(ctx context.Context, from string, request Q) (A, error)) {
 	transport.handlers[method] = func(ctx context.Context, from string, body []byte) ([]byte, error) {
 		var request Q
-		if err := decode(request.Schema(), body, &request); err != nil {
+		if err := avrocodec.Unmarshal(request.Schema(), body, &request); err != nil {
 			return nil, err
 		}
 		reply, err := answer(ctx, from, request)
@@ -262,7 +263,7 @@
 		return t.acceptHello(connection, side, body)
 	}
 	call := envelope{}
-	if decode(envelopeSchema, body, &call) != nil {
+	if avrocodec.Unmarshal(envelopeSchema, body, &call) != nil {
 		return false
 	}
 	go t.answerCall(connection, side.peerName, call)
@@ -271,7 +272,7 @@
 
 func (t *Transport) acceptHello(connection gnet.Conn, side *serverSide, body []byte) bool {
 	opening := hello{}
-	err := decode(helloSchema, body, &opening)
+	err := avrocodec.Unmarshal(helloSchema, body, &opening)
 	expected := authenticate(t.key, side.nonce, opening.Nonce, []byte(opening.Name))
 	if err != nil || opening.Version != ProtocolVersion || subtle.ConstantTimeCompare(expected, opening.MAC) != 1 {
 		t.refused.Add(1)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -5,6 +5,8 @@
 
 	"github.com/hamba/avro/v2"
 	"github.com/pkg/errors"
+
+	"topazpulley/internal/avrocodec"
 )
 
 // Evidence is one back end that ended while a request was in flight there.
@@ -80,7 +82,7 @@
 
 func decodeEvidence(content []byte) (Evidence, error) {
 	var record evidenceRecord
-	if err := avro.Unmarshal(evidenceSchema, content, &record); err != nil {
+	if err := avrocodec.Unmarshal(evidenceSchema, content, &record); err != nil {
 		return Evidence{}, errors.WithStack(err)
 	}
 	return record.evidence()
@@ -102,7 +104,7 @@
 // DecodeNotice decodes what EncodeNotice made.
 func DecodeNotice(content []byte) (Notice, error) {
 	var record noticeRecord
-	if err := avro.Unmarshal(noticeSchema, content, &record); err != nil {
+	if err := avrocodec.Unmarshal(noticeSchema, content, &record); err != nil {
 		return Notice{}, errors.WithStack(err)
 	}
 	notice := Notice{}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -12,6 +12,7 @@
 	"github.com/hamba/avro/v2"
 	"github.com/pkg/errors"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/engine"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/storage"
@@ -209,19 +210,19 @@
 	switch {
 	case strings.HasPrefix(item.Key, PrefixMachine):
 		record := MachineRecord{}
-		if avro.Unmarshal(machineSchema, item.Payload, &record) == nil {
+		if avrocodec.Unmarshal(machineSchema, item.Payload, &record) == nil {
 			r.update(item.Key[len(PrefixMachine):], func(view *Engine) { view.Machine = record })
 			r.signal()
 		}
 	case strings.HasPrefix(item.Key, PrefixEngine):
 		record := EngineRecord{}
-		if avro.Unmarshal(engineSchema, item.Payload, &record) == nil {
+		if avrocodec.Unmarshal(engineSchema, item.Payload, &record) == nil {
 			r.update(item.Key[len(PrefixEngine):], func(view *Engine) { view.Record, view.Known = record, true })
 			r.signal()
 		}
 	case strings.HasPrefix(item.Key, PrefixLoad):
 		record := LoadRecord{}
-		if avro.Unmarshal(loadSchema, item.Payload, &record) == nil {
+		if avrocodec.Unmarshal(loadSchema, item.Payload, &record) == nil {
 			r.change(item.Key[len(PrefixLoad):], func(held *entry) { held.reported(record, time.Now()) })
 		}
 	}
--- a/internal/supervisor/waves.go
+++ b/internal/supervisor/waves.go
@@ -10,6 +10,7 @@
 
 	"github.com/hamba/avro/v2"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/duty"
 	"topazpulley/internal/engine"
 	"topazpulley/internal/membership"
@@ -50,7 +51,7 @@
 		return
 	}
 	record := waveRecord{}
-	if avro.Unmarshal(waveSchema, item.Payload, &record) != nil {
+	if avrocodec.Unmarshal(waveSchema, item.Payload, &record) != nil {
 		return
 	}
 	w.set(strings.TrimPrefix(item.Key, prefixWave), record)
