Ends of known culprits are held against nobody else

Cause: the end of a back end was held against all that ran there, also once it was known which request had caused it.

Ruled out: doubts about bytes (every item left as it came: 350 of 350 compared), forgetting of good ends (long items have none for up to ten seconds).

Change: an end with a certain cause (a request held for ends before its output) counts no more against runs that had given output there. What is held stays a function of the evidence alone: daemons agree whatever the order.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -43,19 +43,13 @@
 	isStored bool
 }
 
-func (c crash) weight() int {
-	if c.hadOutput {
-		return halfWeight
-	}
-	return wholeWeight
-}
-
 // suspect is a request under which back ends ended.
 type suspect struct {
 	// crashes are by back end: each counts once, however many daemons saw it.
 	crashes map[string]crash
-	weight  int
-	lastAt  time.Time
+	// early is how many of them ended before the run had given output.
+	early  int
+	lastAt time.Time
 }
 
 // Verdict tells why a request is quarantined.
@@ -73,11 +67,17 @@
 type Ledger struct {
 	policy   Policy
 	suspects map[Fingerprint]*suspect
+	// explained is by back end how many requests certainly ended it: those that are
+	// held for what they ended before they had given output. Such an end is not held
+	// against runs that had given output there: long ones are cut beside one culprit
+	// after the other, and would be taken for one. It is held against runs without
+	// output all the same, so that no culprit hides behind another.
+	explained map[string]int
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger(policy Policy) *Ledger {
-	return &Ledger{policy: policy, suspects: map[Fingerprint]*suspect{}}
+	return &Ledger{policy: policy, suspects: map[Fingerprint]*suspect{}, explained: map[string]int{}}
 }
 
 // Add takes evidence in and reports whether it was new. isStored tells that it
@@ -100,16 +100,55 @@
 			added.at = earlier.at
 		}
 	}
-	known.crashes[evidence.Instance] = added
-	known.sum()
+	l.change(known, func() { known.crashes[evidence.Instance] = added })
 	return !isKnown || added.hadOutput != earlier.hadOutput
 }
 
-// sum adds the evidence up.
+// change applies a change to a suspect's crashes.
+func (l *Ledger) change(known *suspect, apply func()) {
+	l.explain(known, -1)
+	apply()
+	known.sum()
+	l.explain(known, 1)
+}
+
+// explain adds to how often the ends of a suspect's back ends are explained by it.
+func (l *Ledger) explain(known *suspect, count int) {
+	if known.early < l.policy.Crashes {
+		return
+	}
+	for instance, each := range known.crashes {
+		if each.hadOutput {
+			continue
+		}
+		l.explained[instance] += count
+		if l.explained[instance] == 0 {
+			delete(l.explained, instance)
+		}
+	}
+}
+
+// weight is the evidence against a suspect.
+func (l *Ledger) weight(known *suspect) int {
+	weight := 0
+	for instance, each := range known.crashes {
+		switch {
+		case !each.hadOutput:
+			weight += wholeWeight
+		case l.explained[instance] == 0:
+			weight += halfWeight
+		}
+	}
+	return weight
+}
+
+// sum adds up what does not depend on other suspects.
 func (s *suspect) sum() {
-	s.weight, s.lastAt = 0, time.Time{}
+	s.early, s.lastAt = 0, time.Time{}
 	for _, each := range s.crashes {
-		s.weight += each.weight()
+		if !each.hadOutput {
+			s.early++
+		}
 		if each.at.After(s.lastAt) {
 			s.lastAt = each.at
 		}
@@ -123,12 +162,14 @@
 	}
 	var least *suspect
 	var leastOf Fingerprint
+	leastWeight := 0
 	for fingerprint, each := range l.suspects {
-		if least == nil || each.weight < least.weight || (each.weight == least.weight && each.lastAt.Before(least.lastAt)) {
-			least, leastOf = each, fingerprint
+		weight := l.weight(each)
+		if least == nil || weight < leastWeight || (weight == leastWeight && each.lastAt.Before(least.lastAt)) {
+			least, leastOf, leastWeight = each, fingerprint, weight
 		}
 	}
-	delete(l.suspects, leastOf)
+	l.Clear(leastOf)
 }
 
 // Remove takes back the evidence of one back end.
@@ -137,8 +178,7 @@
 	if !exists {
 		return
 	}
-	delete(known.crashes, instance)
-	known.sum()
+	l.change(known, func() { delete(known.crashes, instance) })
 	if len(known.crashes) == 0 {
 		delete(l.suspects, fingerprint)
 	}
@@ -151,6 +191,7 @@
 	if !exists {
 		return nil
 	}
+	l.explain(known, -1)
 	delete(l.suspects, fingerprint)
 	return known.instances()
 }
@@ -170,7 +211,7 @@
 // Verdict reports whether a request is quarantined.
 func (l *Ledger) Verdict(fingerprint Fingerprint, now time.Time) (Verdict, bool) {
 	known, exists := l.suspects[fingerprint]
-	if !exists || known.weight < l.policy.Crashes*wholeWeight {
+	if !exists || l.weight(known) < l.policy.Crashes*wholeWeight {
 		return Verdict{}, false
 	}
 	until := known.lastAt.Add(l.policy.Time)
