Test: a daemon whose port is taken fails at its start and names the address

Asked: whether a port taken between its choice and its use could be why a deployment once did not come up within a minute. Shown: it is not.

--- /dev/null
+++ b/internal/harness/listen_test.go
@@ -0,0 +1,36 @@
+package harness_test
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/failure"
+)
+
+// TestDaemonThatCannotListenSaysSo: a deployment once "did not come up within 1m0s", and
+// a port that somebody else held was suspected. It is not that: whichever port of a
+// daemon is taken, its start fails at once and names the address.
+func TestDaemonThatCannotListenSaysSo(t *testing.T) {
+	running := start(t, []string{"a"}, 2, 2)
+	process := running.Settings[1]
+	require.NoError(t, running.Daemons[1].Kill())
+	for name, taken := range map[string]struct {
+		take func() (io.Closer, error)
+		code string
+	}{
+		"callers' port": {func() (io.Closer, error) { return net.Listen("tcp", process.HTTPAddress) }, "http_listen"},
+		"peers' port":   {func() (io.Closer, error) { return net.Listen("tcp", process.PeerAddress) }, "peer_listen"},
+		"datagrams":     {func() (io.Closer, error) { return net.ListenPacket("udp", process.PeerAddress) }, "peer_listen"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			holder, err := taken.take()
+			require.NoError(t, err)
+			defer func() { _ = holder.Close() }()
+			err = running.StartDaemon(1)
+			require.True(t, failure.HasCode(err, taken.code), "%v", err)
+		})
+	}
+}
