The soak judges ended jobs by time, from what back ends see

Cause: the soak looked at ended jobs in calm only, ended one job in five after its first results were read, and its callers always waited. An owner that went on with a job whose claim was removed was not noticed by its promise.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -16,6 +16,9 @@
 	"topazpulley/platform/platformtest/soak"
 )
 
+// maxDaemons bounds the daemons of a soak: 64 of some 45 MB each.
+const maxDaemons = 64
+
 // soakCommand harms real daemons at random and checks the promises.
 type soakCommand struct {
 	binary    string
@@ -25,6 +28,9 @@
 	total     time.Duration
 	span      time.Duration
 	daemons   int
+	backEnds  int
+	playName  string
+	jobItems  int
 	tries     int
 }
 
@@ -51,14 +57,20 @@
 	flags.StringVar(&c.seeds, "seeds", "", "play the seeds of this `file`")
 	flags.DurationVar(&c.total, "total", 5*time.Minute, "how long fresh seeds are played")
 	flags.DurationVar(&c.span, "span", 20*time.Second, "how long faults and load of one seed last")
-	flags.IntVar(&c.daemons, "daemons", 5, "`number` of daemons, 2 to 20")
+	flags.IntVar(&c.daemons, "daemons", 5, "`number` of daemons, 2 to 64")
+	flags.IntVar(&c.backEnds, "backends", 0, "`number` of back ends for items; 0 means a few")
+	flags.StringVar(&c.playName, "play", "", "instead of a seed's faults, jobs that are ended while the `play` goes on: calm, pause or throttle")
+	flags.IntVar(&c.jobItems, "items", 0, "`number` of items of a play's jobs; 0 means few")
 	flags.IntVar(&c.tries, "shrink", 0, "look for fewer faults that still fail, in so many `tries`")
 }
 
 // Execute implements subcommands.Command.
 func (c *soakCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.daemons < 2 || c.daemons > 20 {
-		return fail(failure.New(failure.KindInvalid, "bad_daemons", "--daemons must be 2 to 20"))
+	if c.daemons < 2 || c.daemons > maxDaemons {
+		return fail(failure.New(failure.KindInvalid, "bad_daemons", "--daemons must be 2 to %d", maxDaemons))
+	}
+	if !soak.Play(c.playName).IsKnown() {
+		return fail(failure.New(failure.KindInvalid, "bad_play", "--play must be calm, pause or throttle"))
 	}
 	held, err := c.playAll(ctx)
 	if err != nil {
@@ -128,7 +140,7 @@
 	if err := os.MkdirAll(directory, 0o700); err != nil {
 		return false, failure.Wrap(err, failure.KindInternal, "soak_directory", "cannot make %s", directory)
 	}
-	options := soak.Options{Binary: c.binary, Directory: directory, Seed: seed, Span: c.span, Daemons: c.daemons}
+	options := soak.Options{Binary: c.binary, Directory: directory, Seed: seed, Span: c.span, Daemons: c.daemons, ItemBackEnds: c.backEnds, Play: soak.Play(c.playName), JobItems: c.jobItems}
 	report, err := soak.Run(ctx, options)
 	if err != nil {
 		return false, err
--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -45,4 +45,16 @@
 	for index'
 replace internal/job/commit.go 'transaction.Conditions = append(transaction.Conditions, table.Condition{Table: tableResult, Key: key})' ''
 soak no_fence
+
+replace internal/job/permit.go '	case isDropped:' '	case isDropped && age < 0:'
+replace internal/job/permit.go 'case age > claimsAgeLimit:' 'case age < 0:'
+replace internal/job/permit.go 'case s.endings.isUnderWay(' 'case age < 0 && s.endings.isUnderWay('
+replace internal/job/permit.go 'isOld := age > claimsAgeLimit' 'isOld := age < 0'
+replace internal/job/claims.go 'isLost = held != nil && row.Version > held.claim.version' 'isLost = held == nil && row.Version < 0'
+replace internal/job/claims.go 'case !exists:
+			lost[id] = dropClaimRemoved' 'case !exists:'
+soak runs_on_after_its_end
+
+replace internal/job/ending.go 'context.WithTimeout(s.lifetime, endTime)' 'context.WithTimeout(ctx, endTime)'
+soak end_forgotten_with_its_caller
 exit $failed
