A daemon that has heard nothing for a while misses no job

Cause: a read of a job that found nothing was answered 404 whatever the daemon's knowledge of the store's versions. Ruled out: a loss. The jobs were there, and read a moment later.

--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,24 @@
 	return held.nextCommit()
 }
 
+// missing returns the error of a job that was not found. The read may have been an old
+// one: whoever has heard nothing for a while, as behind a pause, does not know the
+// versions by which that is told, and cannot be sure.
+func (s *Service) missing(id string) error {
+	if age := s.claimsAge(); age > claimsAgeLimit {
+		return unavailable(&unsureError{claimsAge: age})
+	}
+	return notFound(id)
+}
+
+// unsureError tells that nothing is known for sure of what was not found.
+type unsureError struct{ claimsAge time.Duration }
+
+// Error implements error.
+func (e *unsureError) Error() string {
+	return "the read may be old: claims_age_ms=" + strconv.FormatInt(shownAge(e.claimsAge), 10)
+}
+
 // acceptance returns a job's acceptance row, which never changes.
 func (s *Service) acceptance(ctx context.Context, id string) (acceptance, error) {
 	s.mutex.Lock()
@@ -77,7 +96,7 @@
 		return acceptance{}, err
 	}
 	if len(rows) == 0 || rows[0].Key != id {
-		return acceptance{}, notFound(id)
+		return acceptance{}, s.missing(id)
 	}
 	var read acceptance
 	if err := decode(rows[0], &read); err != nil {
