--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # Takes one mechanism away at a time, in a scratch copy, and expects the fault
 # soak to notice within a few minutes of fresh seeds. Not part of the tests: it
-# takes minutes, and seeds are drawn anew.
+# takes minutes, and seeds are drawn anew. Names behind the seconds choose mutants:
+#   test/soak-mutants.sh 240 other_body other_id
 set -eu
 cd "$(dirname "$0")/.."
 work=$(mktemp -d)
@@ -9,14 +10,21 @@
 git ls-files -co --exclude-standard | tar -cf - -T - | tar -xf - -C "$work"
 failed=0
 limit=${1:-180}
+[ $# -eq 0 ] || shift
+chosen=$*
 
 # replace FILE OLD NEW
 replace() {
-	OLD=$2 NEW=$3 perl -0pi -e 'BEGIN { $found = 0 } $found += s/\Q$ENV{OLD}\E/$ENV{NEW}/; END { exit($found ? 0 : 1) }' "$work/$1"
+	OLD=$2 NEW=$3 perl -0pi -e 'BEGIN { $found = 0 } $found += s/\Q$ENV{OLD}\E/$ENV{NEW}/; END { exit($found ? 0 : 1) }' "$work/$1" ||
+		{ echo "soak_mutant file=$1 verdict=NO_PLACE text=$2" && exit 1; }
 }
 
+# restore takes the mutant back.
+restore() { git ls-files -co --exclude-standard | tar -cf - -T - | tar -xf - -C "$work"; }
+
 # soak NAME plays fresh seeds until one breaks a promise or the limit is over.
 soak() {
+	case " $chosen " in "  " | *" $1 "*) ;; *) restore && return ;; esac
 	verdict=SURVIVED
 	(cd "$work" && go build -o bin/ ./cmd/...)
 	began=$(date +%s)
@@ -27,15 +35,16 @@
 		fi
 	done
 	case $verdict in SURVIVED | DID_NOT_RUN) failed=1 ;; esac
-	echo "soak_mutant name=$1 seconds=$(($(date +%s) - began)) verdict=$verdict"
-	git ls-files -co --exclude-standard | tar -cf - -T - | tar -xf - -C "$work"
+	at=$(grep -m1 -o 'at_ms=[0-9]*' "$work/log" || true)
+	echo "soak_mutant name=$1 seconds=$(($(date +%s) - began)) verdict=$verdict last_seed_$at"
+	restore
 }
 
 replace internal/serving/exchange.go 'if !isAllowed {' 'if isAllowed == e.begun && e.begun {'
 soak no_not_run_rule
 
 replace internal/serving/exchange.go 'LastEvent: e.lastEvent, Stream:' 'LastEvent: 0, Stream:'
-replace internal/serving/exchange.go 'event.ID != 0 && event.ID != e.lastEvent+1' 'false'
+replace internal/serving/relay.go 'event.ID != 0 && event.ID != e.lastEvent+1' 'false'
 soak no_resume_check
 
 replace internal/job/commit.go 'Conditions: []table.Condition{{Table: tableClaim, Key: o.job.ID, Version: o.claim.version}},
@@ -45,4 +54,20 @@
 	for index'
 replace internal/job/commit.go 'transaction.Conditions = append(transaction.Conditions, table.Condition{Table: tableResult, Key: key})' ''
 soak no_fence
+
+# What reaches a back end is what a caller sent.
+replace platform/runner.go 'attempt.Target + " HTTP' 'attempt.Target + "?x=1 HTTP'
+soak other_target
+
+replace platform/runner.go 'request.Write(attempt.Body)' 'request.Write(bytes.Repeat([]byte("z"), len(attempt.Body)))'
+soak other_body
+
+replace platform/runner.go 'if !isSetHere(field.Name) {' 'if !isSetHere(field.Name) && field.Name != headerPrompt && field.Name != "X-Topazpulley-Model" {'
+soak dropped_fields
+
+replace platform/runner.go 'writeField(&request, headerRequestID, attempt.ID)' 'writeField(&request, headerRequestID, attempt.ID+"-x")'
+soak other_id
+
+replace platform/answer.go 'return false // answered before the whole request was read' 'return true'
+soak reused_early
 exit $failed
