The other door: files are named by ids, services get the target as it came

Cause: the id of a file, from a path or a batch's input_file_id, went into an object's name as it was, and fasthttp's client resolves "..", "?" and "#" in paths: "../TENANT/file-..." named another tenant's file, or any object. Calls of plain services were sent the decoded and shortened path, with line breaks made spaces, and no query.

Ruled out: completions, chats and batch items reach engines as JSON alone; attempt ids are made here; the answers' heads are written by fasthttp from fixed words.

Change: ids of another form than given out are "no_file"; names of objects are one escaped word but for their slashes, and the store's client leaves paths alone; the target behind a plain service's name is passed on as the caller wrote it, checked by httphead, and refused with 400 "bad_target" where it cannot be. The engine's client refuses a call of other words as invalid before it connects.

Before: "../example/file-..." was accepted as an input file, and "/a%2Fb/../c?d=..." reached the engine as "/a/c".

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"topazpulley/internal/httphead"
 	"topazpulley/internal/quarantine"
 )
 
@@ -382,6 +383,15 @@
 	Fingerprint quarantine.Fingerprint
 }
 
+// check reports a call whose words would reach the engine as others. An error is a
+// *httphead.Fault.
+func (c *CallRequest) check() error {
+	if err := httphead.CheckMethod(c.Method); err != nil {
+		return err
+	}
+	return httphead.CheckTarget(c.Path)
+}
+
 // CallAnswer is the answer of a plain service.
 type CallAnswer struct {
 	ContentType string
@@ -403,6 +413,9 @@
 }
 
 func (c *Client) callOnce(ctx context.Context, address string, call CallRequest) (CallAnswer, error) {
+	if err := call.check(); err != nil {
+		return CallAnswer{}, &AttemptError{Outcome: OutcomeInvalid, Code: RefusalBadRequest, cause: err}
+	}
 	request := fasthttp.AcquireRequest()
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -101,3 +101,18 @@
 	_, err = engine.NewClient(time.Second).Generate(t.Context(), listener.Addr().String(), engine.GenerateRequest{AttemptID: "mine"})
 	require.Equal(t, engine.OutcomeUnknown, engine.OutcomeOf(err))
 }
+
+// TestCallOfOtherWordsIsNotSent: the library that writes fields makes spaces of line
+// breaks, so that an engine would get a path that nobody had sent.
+func TestCallOfOtherWordsIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	for _, call := range []engine.CallRequest{{Method: "POST", Path: "/a\r\nX-Call-Method: GET"}, {Method: "POST", Path: "/a b"}, {Method: "P\nST", Path: "/a"}} {
+		_, err := engine.NewClient(time.Second).Call(t.Context(), listener.Addr().String(), call)
+		require.Equal(t, engine.OutcomeInvalid, engine.OutcomeOf(err))
+	}
+	require.NoError(t, listener.(*net.TCPListener).SetDeadline(time.Now()))
+	_, err = listener.Accept()
+	require.Error(t, err, "a connection was made")
+}
--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -166,7 +166,7 @@
 func (c *caller) readInput(body batchRequest) (batch.Input, error) {
 	ctx, cancel := context.WithTimeout(c.gateway.lifetime, readInputTimeout)
 	defer cancel()
-	content, err := c.gateway.Platform.GetObject(ctx, batch.FileObject(c.tenant, body.InputFileID))
+	content, err := c.uploaded(ctx, body.InputFileID)
 	if failure.Is(err, failure.KindNotFound) {
 		return batch.Input{}, failure.New(failure.KindNotFound, "no_file", "file %q does not exist: upload it first", body.InputFileID)
 	}
--- a/internal/gateway/files.go
+++ b/internal/gateway/files.go
@@ -18,6 +18,7 @@
 	fileTimeout      = 2 * time.Minute
 	outputFilePrefix = "output-"
 	errorFilePrefix  = "errors-"
+	filePrefix       = "file-"
 	contentSuffix    = "/content"
 	purposeBatch     = "batch"
 )
@@ -58,7 +59,7 @@
 		writeFailure(c.call, platformDown(nil))
 		return
 	}
-	id := "file-" + ulid.Make().String()
+	id := filePrefix + ulid.Make().String()
 	ctx, cancel := context.WithTimeout(c.gateway.lifetime, recordTimeout)
 	defer cancel()
 	if err := c.gateway.Platform.Put(ctx, batch.FileObject(c.tenant, id), content); err != nil {
@@ -103,7 +104,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.gateway.lifetime, recordTimeout)
 	defer cancel()
-	content, err := c.gateway.Platform.GetObject(ctx, batch.FileObject(c.tenant, id))
+	content, err := c.uploaded(ctx, id)
 	if err != nil {
 		writeFailure(c.call, err)
 		return false
@@ -113,6 +114,16 @@
 	return false
 }
 
+// uploaded reads a file of the caller's tenant. Ids are given out here; one of
+// another form, such as a path, names no file.
+func (c *caller) uploaded(ctx context.Context, id string) ([]byte, error) {
+	given, hasPrefix := strings.CutPrefix(id, filePrefix)
+	if _, err := ulid.ParseStrict(given); err != nil || !hasPrefix {
+		return nil, failure.New(failure.KindNotFound, "no_file", "file %q does not exist: upload it first", id).WithNotRun()
+	}
+	return c.gateway.Platform.GetObject(ctx, batch.FileObject(c.tenant, id))
+}
+
 // readResults streams the committed results of a job: the completed items or
 // the failed ones.
 func (c *caller) readResults(id string, wantErrors bool) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -260,8 +260,8 @@
 		return c.complete()
 	case c.path == "/v1/models":
 		c.listModels()
-	case strings.HasPrefix(c.path, "/v1/services/"):
-		c.callService(strings.TrimPrefix(c.path, "/v1/services/"))
+	case strings.HasPrefix(c.path, servicesPrefix):
+		c.callService(strings.TrimPrefix(c.path, servicesPrefix))
 	case strings.HasPrefix(c.path, "/v1/requests/"):
 		c.readRequest(strings.TrimPrefix(c.path, "/v1/requests/"))
 	case c.path == "/v1/files" || strings.HasPrefix(c.path, "/v1/files/"):
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -12,18 +12,26 @@
 	"topazpulley/internal/bundle"
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
+	"topazpulley/internal/httphead"
 	"topazpulley/internal/quarantine"
 )
 
+const servicesPrefix = "/v1/services/"
+
 // callService answers a call of a plain service: the path is the service's
 // name and the rest is passed on.
 func (c *caller) callService(path string) {
-	name, rest, _ := strings.Cut(path, "/")
+	name, _, _ := strings.Cut(path, "/")
 	service, known := c.active.Services[name]
 	if !known || service.Kind != bundle.KindPlain {
 		writeFailure(c.call, failure.New(failure.KindNotFound, "unknown_service", "there is no plain service %q", name).WithNotRun())
 		return
 	}
+	target, err := c.serviceTarget(name)
+	if err != nil {
+		writeFailure(c.call, err)
+		return
+	}
 	request, deadline, err := c.parseCall(name, service)
 	if err != nil {
 		writeFailure(c.call, err)
@@ -33,8 +41,8 @@
 	ctx, cancel := context.WithDeadline(c.gateway.lifetime, deadline)
 	defer cancel()
 	answer, err := c.gateway.callPlain(ctx, request, deadline, engine.CallRequest{
-		Method: string(c.call.Method()), Path: "/" + rest, Body: request.input,
-		Fingerprint: quarantine.FingerprintOf(string(c.call.Method()), name+"/"+rest, c.tenant, request.input),
+		Method: string(c.call.Method()), Path: target, Body: request.input,
+		Fingerprint: quarantine.FingerprintOf(string(c.call.Method()), name+target, c.tenant, request.input),
 	}, c.call.Request.Header.Peek(HeaderIdempotencyKey))
 	if err != nil {
 		c.refuse(request, err)
@@ -45,6 +53,20 @@
 	c.call.SetBody(answer.Body)
 }
 
+// serviceTarget is the target of a call behind the service's name as the caller
+// wrote it, with its query: the engine gets that and no other.
+func (c *caller) serviceTarget(name string) (string, error) {
+	target, isPlain := strings.CutPrefix(string(c.call.RequestURI()), servicesPrefix+name)
+	if !strings.HasPrefix(target, "/") {
+		target = "/" + target
+	}
+	err := httphead.CheckTarget(target)
+	if !isPlain || err != nil {
+		return "", failure.Wrap(err, failure.KindInvalid, "bad_target", "the path cannot be passed on as it is").WithNotRun()
+	}
+	return target, nil
+}
+
 func (c *caller) parseCall(name string, service bundle.Service) (onlineRequest, time.Time, error) {
 	now := time.Now()
 	if err := c.gateway.refuseWhenCutOff(service); err != nil {
--- a/internal/storage/http.go
+++ b/internal/storage/http.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,6 +46,7 @@
 			NoDefaultUserAgentHeader:      true,
 			MaxIdemponentCallAttempts:     1,
 			DisableHeaderNamesNormalizing: false,
+			DisablePathNormalizing:        true,
 		},
 	}
 }
@@ -136,15 +138,21 @@
 	return rows, nil
 }
 
+// objectPath is the path of an object. A name is one word of it, but for its
+// slashes.
+func objectPath(name string) string {
+	return PathObjects + strings.ReplaceAll(url.PathEscape(name), "%2F", "/")
+}
+
 // Put implements Objects.
 func (c *HTTPClient) Put(ctx context.Context, name string, content []byte) error {
-	_, err := c.call(ctx, fasthttp.MethodPut, PathObjects+name, content, nil)
+	_, err := c.call(ctx, fasthttp.MethodPut, objectPath(name), content, nil)
 	return err
 }
 
 // getObject reads an object with extra request headers.
 func (c *HTTPClient) getObject(ctx context.Context, name string, header map[string]string) ([]byte, error) {
-	reply, err := c.call(ctx, fasthttp.MethodGet, PathObjects+name, nil, header)
+	reply, err := c.call(ctx, fasthttp.MethodGet, objectPath(name), nil, header)
 	if err != nil {
 		return nil, err
 	}
