Sleep counts against callers' deadlines

Cause: the steady clock stands still while a machine is suspended. A request in hand at that time was sent on with the time that its caller would have waited had nobody slept, and its own end came late by as much: work for callers who had left.

Change: one mark by both clocks at a request's arrival; what is left is asked again just before the first byte leaves, so that a slow dial is taken off too; one look every 200 ms tells requests in hand of a sleep, and those whose time is over end.

Each of the three tests fails with its mechanism taken away (mutants sleep_leaves_time, old_time_told, asleep_timers_believed).

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -14,9 +14,34 @@
 // lies before all that a process can have seen.
 type Instant time.Duration
 
-// Clock tells the present moment.
+// Clock tells the present moment. The nil clock is the system's.
 type Clock func() Instant
 
+// Mark is a moment by this clock and by the steady one, between which only sleep
+// makes a difference. The zero value marks no moment.
+type Mark struct {
+	steady time.Time
+	at     Instant
+}
+
+// IsZero reports whether no moment was marked.
+func (m Mark) IsZero() bool { return m.steady.IsZero() }
+
+// Mark marks the present moment.
+func (c Clock) Mark() Mark { return Mark{steady: time.Now(), at: c.now()} }
+
+// SleptSince returns for how long the machine has slept since a moment.
+func (c Clock) SleptSince(earlier Mark) time.Duration {
+	return max(c.now().Sub(earlier.at)-time.Since(earlier.steady), 0)
+}
+
+func (c Clock) now() Instant {
+	if c == nil {
+		return Now()
+	}
+	return c()
+}
+
 // processStart stands in for the machine's start where its clock cannot be read.
 var processStart = time.Now()
 
--- a/internal/boottime/boottime_test.go
+++ b/internal/boottime/boottime_test.go
@@ -1,7 +1,11 @@
 package boottime_test
 
 import (
+	"context"
+	"log/slog"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -18,3 +22,57 @@
 	require.LessOrEqual(t, passed, time.Since(steady)+time.Millisecond)
 	require.Equal(t, before.Add(passed).Sub(before), passed)
 }
+
+// TestOnlySleepIsCounted: time that goes by while the machine is awake is none, and
+// neither is a clock that lags behind.
+func TestOnlySleepIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started, slept := time.Now(), time.Duration(0)
+		clock := boottime.Clock(func() boottime.Instant { return boottime.Instant(time.Since(started) + slept) })
+		mark := clock.Mark()
+		require.False(t, mark.IsZero())
+		time.Sleep(time.Minute)
+		require.Zero(t, clock.SleptSince(mark))
+		slept = 5 * time.Second
+		require.Equal(t, 5*time.Second, clock.SleptSince(mark))
+		require.Zero(t, clock.SleptSince(clock.Mark()))
+		slept = -time.Second
+		require.Zero(t, clock.SleptSince(mark))
+	})
+	require.True(t, boottime.Mark{}.IsZero())
+	require.Less(t, boottime.Clock(nil).SleptSince(boottime.Clock(nil).Mark()), time.Minute)
+}
+
+// TestSleepIsTold: each one once, to those that listen, and no pause of the process.
+func TestSleepIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var slept atomic.Int64
+		started := time.Now()
+		wakeups := boottime.NewWakeups(func() boottime.Instant {
+			return boottime.Instant(time.Since(started)) + boottime.Instant(slept.Load())
+		}, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go wakeups.Run(ctx)
+		told, toldAnother := 0, 0
+		stop := wakeups.Notify(func() { told++ })
+		wakeups.Notify(func() { toldAnother++ })
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Zero(t, told)
+		for range 2 {
+			slept.Add(int64(time.Second))
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}
+		require.Equal(t, 2, told)
+		stop()
+		slept.Add(int64(time.Minute))
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.Equal(t, 2, told)
+		require.Equal(t, 3, toldAnother)
+	})
+	var none *boottime.Wakeups
+	none.Notify(func() {})()
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -13,6 +13,7 @@
 
 	"topazpulley/internal/access"
 	"topazpulley/internal/backend"
+	"topazpulley/internal/boottime"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/exchange"
 	"topazpulley/internal/job"
@@ -123,6 +124,7 @@
 	f.addQuarantine(metrics.Quarantine)
 	sender := serving.NewGuardedSender(ports.Sender, f.Quarantine, f.Backends, log)
 	f.Core = serving.NewCore(f.Backends, sender, f.Holder, metrics.Serving, log, f.Members)
+	f.Core.Wakeups = boottime.NewWakeups(nil, log)
 	f.Core.Zone = process.Zone
 	f.Core.Quarantine = f.Quarantine
 	f.limitFleet = ratelimit.NewClusterFleet(f.node, f.transport)
@@ -211,6 +213,7 @@
 	go f.node.Run(ctx)
 	go loads.Run(ctx)
 	go f.Jobs.Run(ctx)
+	go f.Core.Wakeups.Run(ctx)
 	go f.keepFound(ctx)
 	go f.forwarding.Run(ctx)
 	go f.instances.settleAll(ctx)
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -9,6 +9,7 @@
 
 	"topazpulley/internal/admission"
 	"topazpulley/internal/backend"
+	"topazpulley/internal/boottime"
 	"topazpulley/internal/quarantine"
 	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/route"
@@ -33,6 +34,11 @@
 	// Quarantine tells which requests are not sent to back ends; nil means that all
 	// are. Sender asks it too: here it only saves a wait that must end in a refusal.
 	Quarantine *quarantine.Guard
+	// Clock counts the time for which the machine sleeps; nil means the system's.
+	Clock boottime.Clock
+	// Wakeups tells that the machine has slept; nil means that this is not noticed
+	// while a request waits.
+	Wakeups *boottime.Wakeups
 
 	retries *admission.RetryBudget
 	mutex   sync.Mutex
@@ -62,12 +68,24 @@
 	if request.Deadline.Before(end) {
 		end = request.Deadline
 	}
+	arrived := request.ArrivedMark
+	if arrived.IsZero() {
+		arrived = c.Clock.Mark()
+	}
 	bounded, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	served := &exchange{
-		core: c, request: request, responder: responder, caller: ctx, end: end,
+		core: c, request: request, responder: responder, caller: ctx, end: end, arrived: arrived,
 		excluded: map[string]bool{}, lastEvent: request.LastEvent, fingerprint: request.fingerprint(),
 	}
+	// Timers stand still while the machine sleeps, callers do not: a request whose time
+	// is over ends as soon as that is noticed.
+	stop := c.Wakeups.Notify(func() {
+		if served.remaining() < minimumRemaining {
+			cancel()
+		}
+	})
+	defer stop()
 	if served.refuseQuarantined() {
 		served.record()
 		return
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/boottime"
 	"topazpulley/internal/periodic"
 	"topazpulley/internal/quarantine"
 	"topazpulley/internal/ratelimit"
@@ -41,6 +42,8 @@
 	responder Responder
 	caller    context.Context
 	end       time.Time
+	// arrived is when the request came, by a clock that counts sleep too.
+	arrived boottime.Mark
 
 	excluded map[string]bool
 	sends    int
@@ -149,17 +152,23 @@
 	return true
 }
 
+// remaining is how long the caller still waits. Time for which the machine slept
+// counts: for the caller it went by.
+func (e *exchange) remaining() time.Duration {
+	return time.Until(e.end) - e.core.Clock.SleptSince(e.arrived)
+}
+
 // attempt sends the request to one back end. It returns nil when the request
 // has its final answer.
 func (e *exchange) attempt(ctx context.Context, lease *backend.Lease) error {
-	remaining := time.Until(e.end)
+	remaining := e.remaining()
 	if remaining < minimumRemaining {
 		return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonEnded}
 	}
 	attempt := Attempt{
 		Instance: e.last, Tenant: e.request.tenantName(), MaxConnections: e.core.ConnectionShare(e.request.Service),
 		ID: e.request.ID, Fingerprint: e.fingerprint, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
-		Fields: e.request.Fields, Body: e.request.Body, Remaining: remaining,
+		Fields: e.request.Fields, Body: e.request.Body, Remaining: remaining, TimeLeft: e.remaining,
 		LastEvent: e.lastEvent, Stream: e.request.Route.Kind == route.KindStream,
 	}
 	if e.held.name != "" {
@@ -265,7 +274,7 @@
 			e.runs++
 		}
 	}
-	if failed.Reason == ReasonQuarantined || ctx.Err() != nil || e.sends >= maxSends || time.Until(e.end) < minimumRemaining {
+	if failed.Reason == ReasonQuarantined || ctx.Err() != nil || e.sends >= maxSends || e.remaining() < minimumRemaining {
 		return false
 	}
 	isAllowed := failed.Outcome == OutcomeNotRun || (e.request.Route.Repeatable() && e.runs < e.request.Route.MaxAttempts)
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -54,7 +54,7 @@
 // elsewhere and not passed on.
 func (e *exchange) mayRepeatFailure(head Head) bool {
 	isServerFault := head.Status >= 500
-	return isServerFault && e.request.Route.Repeatable() && e.runs+1 < e.request.Route.MaxAttempts && time.Until(e.end) > minimumRemaining
+	return isServerFault && e.request.Route.Repeatable() && e.runs+1 < e.request.Route.MaxAttempts && e.remaining() > minimumRemaining
 }
 
 // relay passes events on as they come.
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/boottime"
 	"topazpulley/internal/quarantine"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
@@ -44,6 +45,9 @@
 	// unknown.
 	Tokens  int
 	Arrived time.Time
+	// ArrivedMark is Arrived by a clock that counts sleep too; zero means the moment
+	// at which it is served.
+	ArrivedMark boottime.Mark
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 	// LastEvent is the last event of the stream that the caller has; 0 means
@@ -82,6 +86,10 @@
 	Body        []byte
 	// Remaining is how long the back end may work.
 	Remaining time.Duration
+	// TimeLeft tells how long that is at the moment at which it is called: the machine
+	// may have slept, or a connection may have taken its time, since Remaining was set.
+	// Nil means that it does not change.
+	TimeLeft func() time.Duration
 	// LastEvent asks a stream to go on behind this event; 0 means from the
 	// start.
 	LastEvent int64
@@ -95,13 +103,19 @@
 }
 
 // MayLeave returns an error, which is an *AttemptError, if the attempt must not reach
-// its back end any more: who asked for it has left, or its permit is refused.
-// Connections are made, and processes wait for a processor, between the decision to
+// its back end any more: who asked for it has left, its time is over, or its permit
+// is refused. It also brings what is left of its time up to date. Connections are made, and processes wait for a processor, between the decision to
 // send and the first byte.
 func (a *Attempt) MayLeave(ctx context.Context) error {
 	if ctx.Err() != nil {
 		return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonEnded, Cause: ctx.Err()}
 	}
+	if a.TimeLeft != nil {
+		a.Remaining = min(a.Remaining, a.TimeLeft())
+		if a.Remaining < minimumRemaining {
+			return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonEnded}
+		}
+	}
 	if a.Permit == nil {
 		return nil
 	}
--- a/internal/serving/verdict.go
+++ b/internal/serving/verdict.go
@@ -45,7 +45,7 @@
 		return
 	}
 	refusal := Refusal{Verdict: notRun, RetryAfter: retryAfter, Code: code}
-	isOver := time.Until(e.end) < minimumRemaining
+	isOver := e.remaining() < minimumRemaining
 	switch {
 	case e.ran.MayHaveRun() && isOver:
 		refusal = Refusal{Verdict: VerdictTimeout, Code: code}
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -234,4 +234,10 @@
 	'			s.pool.discardIdle(attempt.Instance.ID)' '' platform TestSilentBackEndConnectionsCostOneRequest
 mutant hangup_ends_a_start cmd/topazpulley/main.go \
 	'	_ "topazpulley/internal/command/ignorehangup" // before what starts slowly' '' cmd/topazpulley TestHangupDoesNotEndAStartingDaemon
+mutant sleep_leaves_time internal/serving/exchange.go \
+	'time.Until(e.end) - e.core.Clock.SleptSince(e.arrived)' 'time.Until(e.end)' internal/serving TestBackEndsAreToldTheTimeThatIsLeftAfterASleep
+mutant old_time_told internal/serving/request.go \
+	'	if a.TimeLeft != nil {' '	if false {' internal/serving TestNothingIsSentForACallerThatLeftDuringASleep
+mutant asleep_timers_believed internal/serving/core.go \
+	'		if served.remaining() < minimumRemaining {' '		if false {' internal/serving TestRequestsWhoseTimeIsOverEndAfterASleep
 exit $failed
