A daemon that has heard nothing for a while misses no job

Cause: a read of a job that found nothing was answered 404 whatever the daemon's knowledge of the store's versions. Behind a pause, with the store serving old reads, two jobs that had been accepted elsewhere were answered 404 (soak); an end there would have been too. Ruled out: a loss. The jobs were there, and their owner went on with them.

--- a/internal/job/tenant.go
+++ b/internal/job/tenant.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"topazpulley/internal/failure"
 	"topazpulley/internal/table"
 )
 
@@ -37,7 +39,7 @@
 func (t TenantJobs) check(ctx context.Context, id string) error {
 	accepted, err := t.service.acceptance(ctx, id)
 	if err != nil {
-		return err
+		return t.service.unlessUnsure(err)
 	}
 	if !mayAccess(accepted.Tenant, t.tenant) {
 		t.service.log.Info("job_call_of_other_tenant", "job", id, "tenant", t.tenant)
@@ -46,6 +48,24 @@
 	return nil
 }
 
+// unlessUnsure returns the error of a job that was not found, or that nothing is known
+// for sure: the read may have been an old one. Whoever has heard nothing for a while, as
+// behind a pause, does not know the versions by which that is told.
+func (s *Service) unlessUnsure(err error) error {
+	if age := s.claimsAge(); failure.Is(err, failure.KindNotFound) && age > claimsAgeLimit {
+		return unavailable(&unsureError{claimsAge: age})
+	}
+	return err
+}
+
+// unsureError tells that nothing is known for sure of what was not found.
+type unsureError struct{ claimsAge time.Duration }
+
+// Error implements error.
+func (e *unsureError) Error() string {
+	return "the read may be old: claims_age_ms=" + strconv.FormatInt(shownAge(e.claimsAge), 10)
+}
+
 // mayAccess reports whether a caller may deal with the job of an owner. A job
 // without a tenant is open to all.
 func mayAccess(owner, caller string) bool { return owner == "" || owner == caller }
