--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -8,7 +8,7 @@
 trap 'rm -rf "$work"' EXIT
 git ls-files -co --exclude-standard | tar -cf - -T - | tar -xf - -C "$work"
 failed=0
-limit=${1:-180}
+limit=${1:-240}
 
 # replace FILE OLD NEW
 replace() {
@@ -35,7 +35,7 @@
 soak no_not_run_rule
 
 replace internal/serving/exchange.go 'LastEvent: e.lastEvent, Stream:' 'LastEvent: 0, Stream:'
-replace internal/serving/exchange.go 'event.ID != 0 && event.ID != e.lastEvent+1' 'false'
+replace internal/serving/relay.go 'event.ID != 0 && event.ID != e.lastEvent+1' 'false'
 soak no_resume_check
 
 replace internal/job/commit.go 'Conditions: []table.Condition{{Table: tableClaim, Key: o.job.ID, Version: o.claim.version}},
