Connections that rested over a sleep are not used

Cause: how long a kept connection to a back end may rest was measured by the steady clock, which stands still while the machine is suspended. Its back end closed it meanwhile; where the machine did not hear that, a request was sent on it and its outcome was unknown.

Ruled out: looking whether the connection is quiet, which sees a close that was heard only.

Change: the moment until which it is used is one of internal/boottime, whose clock a test suspends for 10 and 60 s. The test fails with the steady clock's answer (mutant rested_over_a_sleep).

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -28,14 +28,15 @@
 func (m Mark) IsZero() bool { return m.steady.IsZero() }
 
 // Mark marks the present moment.
-func (c Clock) Mark() Mark { return Mark{steady: time.Now(), at: c.now()} }
+func (c Clock) Mark() Mark { return Mark{steady: time.Now(), at: c.Now()} }
 
 // SleptSince returns for how long the machine has slept since a moment.
 func (c Clock) SleptSince(earlier Mark) time.Duration {
-	return max(c.now().Sub(earlier.at)-time.Since(earlier.steady), 0)
+	return max(c.Now().Sub(earlier.at)-time.Since(earlier.steady), 0)
 }
 
-func (c Clock) now() Instant {
+// Now returns the present moment.
+func (c Clock) Now() Instant {
 	if c == nil {
 		return Now()
 	}
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -240,4 +240,6 @@
 	'	if a.TimeLeft != nil {' '	if false {' internal/serving TestNothingIsSentForACallerThatLeftDuringASleep
 mutant asleep_timers_believed internal/serving/core.go \
 	'		if served.remaining() < minimumRemaining {' '		if false {' internal/serving TestRequestsWhoseTimeIsOverEndAfterASleep
+mutant rested_over_a_sleep platform/pool.go \
+	'p.clock.Now() < last.usedUntil' 'last.usedUntil > 0' platform TestConnectionsThatRestedOverASleepAreNotUsed
 exit $failed
