--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -230,4 +230,18 @@
 	'			s.pool.discardIdle(attempt.Instance.ID)' '' platform TestSilentBackEndConnectionsCostOneRequest
 mutant hangup_ends_a_start cmd/topazpulley/main.go \
 	'	_ "topazpulley/internal/command/ignorehangup" // before what starts slowly' '' cmd/topazpulley TestHangupDoesNotEndAStartingDaemon
+mutant line_breaks_written internal/httphead/write.go \
+	'	w.note(CheckField(name, value))' '' platform TestAttemptThatIsNoRequestIsNotWritten
+mutant bare_line_feeds_let_in internal/httphead/read.go \
+	'if !bytes.HasSuffix(line, []byte(lineEnd)) {' 'if false {' platform TestMalformedHeadIsRefused
+mutant items_not_checked platform/jobs.go \
+	'return item, item.Check()' 'return item, nil' platform TestJobCarriesNoSecondRequest
+mutant stored_items_not_checked internal/job/dispatch.go \
+	'	if waiting.malformed != nil {' '	if false {' internal/job TestStoredItemThatIsNoRequestIsGivenUp/path
+mutant hop_fields_passed_on platform/requests.go \
+	' && !options[field]' ' && !options[""]' platform TestProperHeadIsPassedOnAsItCame
+mutant bodies_behind_answers_to_head internal/httphead/write.go \
+	'isToHead || IsBodyless(status)' 'IsBodyless(status)' platform TestHeadRequestHasOneAnswer
+mutant file_ids_are_paths internal/gateway/files.go \
+	'err != nil || !hasPrefix' 'err != nil && !hasPrefix && false' internal/harness TestFileIDsNameFilesOnly
 exit $failed
