--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -127,6 +127,31 @@
 	require.False(t, failure.From(err).NotRun, "promised not done although the end may take effect")
 }
 
+// TestUnsettledEndOfADaemonThatStopsIsNeverPromisedNotDone: the end is given up with
+// the daemon while its caller waits.
+func TestUnsettledEndOfADaemonThatStopsIsNeverPromisedNotDone(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.pause = time.Minute
+	owner := startDaemon(t, "a", store, runner)
+	accepted := newJob("j1", 5)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	first := true
+	store.SetDecide(func(call string) tabletest.Fault {
+		switch {
+		case call == "commit" && first:
+			first = false
+			return tabletest.FaultLate
+		case call == "commit":
+			return tabletest.FaultRefuse
+		}
+		return tabletest.FaultNone
+	})
+	time.AfterFunc(300*time.Millisecond, owner.cancel)
+	err := owner.End(t.Context(), accepted.ID)
+	require.Error(t, err)
+	require.False(t, failure.From(err).NotRun, "promised not done although the end may take effect")
+}
+
 // TestResentJobIsNotRefusedUnlessItIsKnownToBeNew: a job that does not fit is sent
 // again after its acceptance, whose answer was lost. While the store does not tell
 // whether the job exists, 429 would promise that no part of it runs.
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -89,7 +89,7 @@
 	'const claimsAgeLimit = 2 * time.Second' 'const claimsAgeLimit = time.Hour' internal/job TestOwnerThatHearsNothingStartsNoItemsAfterTheEnd
 mutant age_noted_before_the_rows internal/table/follower.go \
 	'f.Consumer.Change(changes.Rows, changes.Version)
-	f.seen' 'f.noteStore(f.now())
+	f.seen' 'f.noteStore(f.Now())
 	f.Consumer.Change(changes.Rows, changes.Version)
 	f.seen' internal/table TestAgeIsNeverTooShort
 mutant claims_held_as_long_as_others internal/frontend/frontend.go \
@@ -111,10 +111,10 @@
 mutant no_caller_watch platform/ingress.go \
 	'	leave()
 }' '}' platform TestCallerThatLeavesStopsTheRun
-mutant no_framing_check platform/ingress.go \
-	'if isAmbiguous(&c.header.Header) {' 'if false {' platform TestBadRequests
+mutant no_framing_check platform/fields.go \
+	'if framings > 1 ||' 'if framings > 2 ||' platform TestBadRequests
 mutant no_instance_check platform/runner.go \
-	'writeField(&request, headerInstance, attempt.Instance.ID)' '' platform 'TestAnswersPassUnchanged|TestLeavingBackEndGetsNothingNew'
+	'request.Field(headerInstance, attempt.Instance.ID)' '' platform 'TestAnswersPassUnchanged|TestLeavingBackEndGetsNothingNew'
 mutant relay_counts_own_work internal/exchange/relay.go \
 	'return total.without(r.members[name].work)' 'return total' internal/exchange TestRelayTellsEachDaemonTheOthersWork
 mutant no_draw internal/routing/cost.go \
@@ -145,7 +145,7 @@
 	'e.excluded[e.last.ID] = true
 			continue' 'continue' internal/serving TestRequestGoesWhereAPlaceIs
 mutant place_not_sent platform/runner.go \
-	'writeField(&request, headerReservation, attempt.Place)' '' platform TestStreamsTakeAPlaceFirst
+	'request.Field(headerReservation, attempt.Place)' '' platform TestStreamsTakeAPlaceFirst
 mutant no_crowded_signal internal/backend/lease.go \
 	'if isCrowded && known.batch > 0 {' 'if false {' internal/backend TestOwnerHearsAtOnceOfWaitingOnlineRequests
 mutant items_queue internal/job/pacing.go \
@@ -159,7 +159,7 @@
 mutant helper_without_store internal/frontend/peerstore.go \
 	'if !p.isServed() {' 'if false {' internal/frontend TestHelperMakesEveryCall
 mutant stale_upstream internal/frontend/upstream.go \
-	'if !now.Before(expires) {' 'if false {' internal/frontend TestUpstreamWithoutStoreTellsNothing
+	'if age >= upstreamAge {' 'if false {' internal/frontend TestUpstreamWithoutStoreTellsNothing
 mutant preempted_twice internal/exchange/relay.go \
 	'max(h.work.inFlight[id].Batch-h.preempted[id], 0)' 'h.work.inFlight[id].Batch' internal/exchange TestEachPreemptionTakesAnotherItem
 mutant no_preemption internal/serving/await.go \
@@ -178,7 +178,7 @@
 	'headerTenant, headerKey:' 'headerTenant:' platform TestNoKeyLeavesWithAnAttempt
 mutant callers_tenant_believed platform/runner.go \
 	'headerReservation, headerTenant, headerKey:' 'headerReservation, headerKey:' platform TestNoKeyLeavesWithAnAttempt
-mutant key_stored platform/answer.go \
+mutant key_stored platform/fields.go \
 	'name != headerKey && ' '' platform TestNoKeyIsStoredWithAJob
 mutant no_tenant_on_items internal/job/attempt.go \
 	'Tenant: running.owner.job.Tenant, ' '' platform TestBackEndsAreToldTheTenantAndNoKey
@@ -218,8 +218,10 @@
 	'|| attemptError(err).Outcome == OutcomeNotRun {' '{' internal/serving 'TestPromisesOverRandomAttempts|TestPromiseFollowsWhatWasSent'
 mutant stray_refusal_believed platform/runner.go \
 	'echoed == "" && a.connection.isReused && isRefusal(&a.header)' 'false' platform TestStrayRefusalIsNoPromise
-mutant unsettled_end_promised internal/job/read.go \
-	'		if isUnsettled {' '		if false {' internal/job TestUnsettledEndIsNeverPromisedNotDone
+mutant pursued_end_promised internal/job/ending.go \
+	'return endUnknown(ctx.Err())' 'return unavailable(ctx.Err())' internal/job TestUnsettledEndIsNeverPromisedNotDone
+mutant unsettled_end_promised internal/job/ending.go \
+	'		if isUnsettled {' '		if false {' internal/job TestUnsettledEndOfADaemonThatStopsIsNeverPromisedNotDone
 mutant resent_job_refused_blindly internal/job/accept.go \
 	'			refused = outcomeUnknown(err)' '' internal/job TestResentJobIsNotRefusedUnlessItIsKnownToBeNew
 mutant spilled_after_an_attempt internal/gateway/completions.go \
