--- a/internal/harness/listen_test.go
+++ b/internal/harness/listen_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -26,10 +27,15 @@
 		"datagrams":     {func() (io.Closer, error) { return net.ListenPacket("udp", process.PeerAddress) }, "peer_listen"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			holder, err := taken.take()
-			require.NoError(t, err)
+			// A start that failed before may not have closed its listener yet.
+			var holder io.Closer
+			require.Eventually(t, func() bool {
+				held, err := taken.take()
+				holder = held
+				return err == nil
+			}, wideBound, 10*time.Millisecond)
 			defer func() { _ = holder.Close() }()
-			err = running.StartDaemon(1)
+			err := running.StartDaemon(1)
 			require.True(t, failure.HasCode(err, taken.code), "%v", err)
 		})
 	}
