--- a/internal/job/ending.go
+++ b/internal/job/ending.go
@@ -125,6 +125,7 @@
 	}
 	if isNew {
 		s.log.Info("job_end_taken", "job", id, "tenant", t.tenant)
+		s.holdIfKnown(key) // before the caller is answered: from then on it has ended the job
 		go func() {
 			bounded, cancel := context.WithTimeout(s.lifetime, endTime)
 			defer cancel()
@@ -139,6 +140,14 @@
 	}
 }
 
+// holdIfKnown holds the items of a job that is known here to be open and that the
+// tenant may end.
+func (s *Service) holdIfKnown(key endingKey) {
+	if owner, isOpen := s.openTenant(key.job); isOpen && mayAccess(owner, key.tenant) {
+		s.endings.hold(key)
+	}
+}
+
 // pursueEnd tries to end a job until the store tells how that ended or the context
 // ends.
 func (s *Service) pursueEnd(ctx context.Context, key endingKey) error {
@@ -162,9 +171,6 @@
 // endOnceKnown reads whose the job is and what claim it has, and removes the claim.
 // It returns that claim, and how often the job was read.
 func (s *Service) endOnceKnown(ctx context.Context, key endingKey) (versionedClaim, int, error) {
-	if owner, isOpen := s.openTenant(key.job); isOpen && mayAccess(owner, key.tenant) {
-		s.endings.hold(key)
-	}
 	pause := newEndPause()
 	for tries := 1; ; tries++ {
 		held, err := s.claimToEnd(ctx, key)
