mutants.sh names at its end the mutants that no test noticed

Change: the names and verdicts are printed in the last line. Tried with a mutant that changes nothing (SURVIVED) and one whose place is missing (NOT_FOUND): both named, exit status 1.

--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -8,6 +8,7 @@
 trap 'rm -rf "$work"' EXIT
 git ls-files -co --exclude-standard | tar -cf - -T - | tar -xf - -C "$work"
 failed=0
+unnoticed=""
 
 # mutant NAME FILE OLD NEW PACKAGE TEST
 mutant() {
@@ -22,7 +23,7 @@
 	elif ! grep -q -- '--- FAIL' "$work/log"; then
 		verdict=DID_NOT_RUN
 	fi
-	[ "$verdict" = ok ] || { failed=1; cat "$work/log" 2>/dev/null | tail -20; }
+	[ "$verdict" = ok ] || { failed=1; unnoticed="$unnoticed $name=$verdict"; tail -20 "$work/log" 2>/dev/null || true; }
 	echo "mutant name=$name test=$test verdict=$verdict"
 	cp "$work/original" "$work/$file"
 }
@@ -273,4 +274,5 @@
 	'isToHead || IsBodyless(status)' 'IsBodyless(status)' platform TestHeadRequestHasOneAnswer
 mutant file_ids_are_paths internal/gateway/files.go \
 	'err != nil || !hasPrefix' 'err != nil && !hasPrefix && false' internal/harness TestFileIDsNameFilesOnly
+[ "$failed" = 0 ] || echo "mutants not noticed:$unnoticed"
 exit $failed
