--- a/internal/table/tabletest/memory.go
+++ b/internal/table/tabletest/memory.go
@@ -30,6 +30,20 @@
 	FaultLate
 )
 
+// CommitFaults returns a choice of faults that treats the next commit in one way and all
+// later ones in another. Calls that are no commits have none.
+func CommitFaults(next, later Fault) func(call string) Fault {
+	chosen := next
+	return func(call string) Fault {
+		if call != "commit" {
+			return FaultNone
+		}
+		fault := chosen
+		chosen = later
+		return fault
+	}
+}
+
 type rowKey struct{ table, partition, key string }
 
 // Memory is a store in memory. It is safe for concurrent use.
