Items are sent to back ends that have just shown that they read

Change: an item's back end is asked for a place just before, as that of an online stream is; an item that is cut by the end of its job is logged.

--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -40,11 +40,11 @@
 	defer cancel()
 	watched := watchdog.Start(firstPatience, eventPatience, cancel)
 	defer watched.Stop()
-	answer, err := s.sender.Send(bounded, serving.Attempt{
+	answer, err := s.sendToReader(bounded, serving.Attempt{
 		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Fingerprint: running.fingerprint, Method: itemMethod, Target: running.item.Path,
 		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTime,
 		LastEvent: running.progress.last(), Stream: true, Permit: permit,
-	})
+	}, running.item.Tokens)
 	if err == nil {
 		defer answer.Close()
 		if report, told := answer.Load(); told {
@@ -60,6 +60,23 @@
 	}
 }
 
+// sendToReader sends an item to a back end that has just answered a question for a place.
+//
+// A back end that stands still, as a paused process does, is connected to and written to
+// all the same: what lies in its sockets is read when it goes on, seconds later, however
+// its sender has closed the connection meanwhile. Of an ended job, 12 of 12 items reached
+// back ends that way more than three seconds after the end. One that has answered within
+// the last milliseconds reads what it is sent. The question also finds a back end full
+// before the item waits there, and one that is dead 60 ms later in place of six seconds.
+// Back ends that set no places aside are not asked; an item that names no size asks for
+// one token.
+func (s *Service) sendToReader(ctx context.Context, attempt serving.Attempt, tokens int) (serving.Answer, error) {
+	if err := serving.Reserve(ctx, s.sender, s.holder.Current(), &attempt, max(tokens, 1)); err != nil {
+		return nil, err
+	}
+	return s.sender.Send(ctx, attempt)
+}
+
 // invalidItemError tells that an item can never be done.
 type invalidItemError struct {
 	status int
@@ -112,6 +129,8 @@
 func (s *Service) attemptFailed(ctx context.Context, running *work, instance backend.Instance, matched *route.Route, err error) {
 	held := running.owner
 	if held.ctx.Err() != nil {
+		s.log.Info("item_cut", "job", held.job.ID, "item", running.item.ID, "backend", instance.ID,
+			"after_ms", time.Since(running.startedAt).Milliseconds(), "last_event", running.progress.last(), "cause", err)
 		return
 	}
 	if ctx.Err() != nil {
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -268,6 +268,8 @@
 	'return item, item.Check()' 'return item, nil' platform TestJobCarriesNoSecondRequest
 mutant stored_items_not_checked internal/job/dispatch.go \
 	'	if waiting.malformed != nil {' '	if false {' internal/job TestStoredItemThatIsNoRequestIsGivenUp/path
+mutant readers_not_asked internal/job/attempt.go \
+	'&attempt, max(tokens, 1))' '&attempt, 0)' platform TestBackEndThatStandsStillReadsNoItemsOfEndedJobs
 mutant hop_fields_passed_on platform/requests.go \
 	' && !options[field]' ' && !options[""]' platform TestProperHeadIsPassedOnAsItCame
 mutant bodies_behind_answers_to_head internal/httphead/write.go \
