--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -200,13 +200,16 @@
 
 func shownAge(age time.Duration) int64 { return min(age, longestAge).Milliseconds() }
 
+// routeOf returns the job route of an item and the service that the item goes to. The
+// configuration may have given the item's path to a route for online requests since the
+// job was accepted: items may run more than once, such requests may not.
 func (s *Service) routeOf(host string, item Item) (*route.Route, string, bool) {
 	current := s.holder.Current()
 	if current == nil {
 		return nil, "", false
 	}
 	matched, found := current.Match(host, item.Path)
-	if !found {
+	if !found || matched.Kind != route.KindJob {
 		return nil, "", false
 	}
 	return matched, matched.Service(xxhash.Sum64String(item.ID)), true
