CONNECT to a path is refused

RFC 9110 section 9.3.6 gives CONNECT a host and a port as its target, and behind an answer of success every byte belongs to the tunnel. One with a path was passed on to a back end, body and all: a back end or a caller that knows tunnels reads what stands behind the head, or behind the answer, as something else.

Before: the new case of TestMalformedHeadIsRefused failed with 502, the back end's reader of the tests took no such request. After: 400, kind method.

--- a/internal/httphead/check.go
+++ b/internal/httphead/check.go
@@ -1,6 +1,7 @@
 package httphead
 
 import (
+	"net/http"
 	"net/url"
 	"strings"
 
@@ -35,6 +36,16 @@
 
 func isNotForTargets(char rune) bool { return char <= ' ' || char == 0x7f || char == '#' }
 
+// checkNoTunnel reports a CONNECT to a path. Its target names a host and a port (RFC 9110
+// section 9.3.6), and behind an answer of success every byte belongs to the tunnel: a
+// reader that knows this sees other messages behind it than one that does not.
+func checkNoTunnel(method string) error {
+	if method == http.MethodConnect {
+		return fault(KindMethod, method)
+	}
+	return nil
+}
+
 // CheckHost reports a host that cannot be one.
 func CheckHost(host string) error {
 	if !httpguts.ValidHostHeader(host) {
--- a/internal/httphead/read.go
+++ b/internal/httphead/read.go
@@ -84,7 +84,10 @@
 	if err := CheckMethod(method); err != nil {
 		return err
 	}
-	return CheckTarget(target)
+	if err := CheckTarget(target); err != nil {
+		return err
+	}
+	return checkNoTunnel(method)
 }
 
 func checkFieldLine(line string) error {
--- a/internal/httphead/write.go
+++ b/internal/httphead/write.go
@@ -32,6 +32,7 @@
 	w := &Writer{message: make([]byte, 0, headBytes+size), isRequest: true}
 	w.note(CheckMethod(method))
 	w.note(CheckTarget(target))
+	w.note(checkNoTunnel(method))
 	w.note(CheckHost(host))
 	w.line(method, " ", target, " ", version)
 	w.line(fieldHost, ": ", host)
