The origin of each request that reaches a back end is in the log; refused input is counted on both doors

Cause: a back end knows a request's id (an engine: an attempt's) and nothing else. The users' door wrote one line at a request's end, which names the last back end only and is missing where the process ends before; items had neither epoch nor attempt; the OpenAI-like door and its batches wrote no line of an attempt at all, and a request passed to another zone got another id there. Malformed input was counted at the users' door for heads only, at the other not at all.

Ruled out: a line for each question for a place: they carry no id, run nothing, and come every 5 to 20 ms of a wait.

--- a/internal/batch/task.go
+++ b/internal/batch/task.go
@@ -42,6 +42,12 @@
 	return fmt.Sprintf("%s-%d-%d-%d-%d", held.Chunk.Job, held.Chunk.Number, t.Index, held.Chunk.Epoch, t.Attempts)
 }
 
+// Job returns the id of the job that the task is of.
+func (t *Task) Job() string { return t.chunk.job.ID }
+
+// Epoch returns the epoch of the ownership of the task's chunk.
+func (t *Task) Epoch() int64 { return t.chunk.held().Chunk.Epoch }
+
 // Context ends when the task's chunk is lost or its job has ended.
 func (t *Task) Context() context.Context { return t.chunk.context }
 
--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -69,29 +69,29 @@
 	case id != "" && action == "" && c.call.IsGet():
 		c.readBatch(id)
 	default:
-		writeFailure(c.call, failure.New(failure.KindNotFound, "no_path", "jobs are created by POST /v1/batches, read by GET /v1/batches/{id} and cancelled by POST /v1/batches/{id}/cancel").WithNotRun())
+		c.gateway.writeFailure(c.call, failure.New(failure.KindNotFound, "no_path", "jobs are created by POST /v1/batches, read by GET /v1/batches/{id} and cancelled by POST /v1/batches/{id}/cancel").WithNotRun())
 	}
 }
 
 func (c *caller) createBatch() {
 	job, digest, manifest, err := c.prepareJob()
 	if err != nil {
-		writeFailure(c.call, failure.From(err).WithNotRun())
+		c.gateway.writeFailure(c.call, failure.From(err).WithNotRun())
 		return
 	}
 	ctx, cancel := context.WithTimeout(c.gateway.lifetime, createJobTimeout)
 	defer cancel()
 	if err := c.gateway.Store.PutManifest(ctx, job, manifest); err != nil {
-		writeFailure(c.call, platformDown(err))
+		c.gateway.writeFailure(c.call, platformDown(err))
 		return
 	}
 	accepted, err := c.gateway.Store.Create(ctx, job, digest)
 	if failure.Is(err, failure.KindUnavailable) {
-		writeFailure(c.call, c.gateway.unsettledJob(err))
+		c.gateway.writeFailure(c.call, c.gateway.unsettledJob(err))
 		return
 	}
 	if err != nil {
-		writeFailure(c.call, err)
+		c.gateway.writeFailure(c.call, err)
 		return
 	}
 	c.gateway.Logger.Info("job_accepted", "job", accepted.ID, "tenant", accepted.Tenant, "items", accepted.Items, "chunks", accepted.Chunks)
@@ -194,14 +194,14 @@
 
 func (c *caller) cancelBatch(id string) {
 	if _, err := c.ownJob(id); err != nil {
-		writeFailure(c.call, err)
+		c.gateway.writeFailure(c.call, err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(c.gateway.lifetime, createJobTimeout)
 	defer cancel()
 	job, err := c.gateway.Store.Cancel(ctx, id, time.Now())
 	if err != nil {
-		writeFailure(c.call, err)
+		c.gateway.writeFailure(c.call, err)
 		return
 	}
 	c.gateway.Logger.Info("job_cancelled", "job", id, "state", job.State)
@@ -212,7 +212,7 @@
 func (c *caller) readBatch(id string) {
 	job, err := c.ownJob(id)
 	if err != nil {
-		writeFailure(c.call, err)
+		c.gateway.writeFailure(c.call, err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(c.gateway.lifetime, statusReadTimeout)
@@ -220,7 +220,7 @@
 	var chunks []batch.Chunk
 	if job.State != batch.StateDone {
 		if chunks, err = c.gateway.Store.Chunks(ctx, id); err != nil {
-			writeFailure(c.call, err)
+			c.gateway.writeFailure(c.call, err)
 			return
 		}
 	}
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -63,13 +63,13 @@
 func (c *caller) complete() bool {
 	request, stream, deadline, err := c.parseCompletion()
 	if err != nil {
-		writeFailure(c.call, err)
+		c.gateway.writeFailure(c.call, err)
 		return false
 	}
 	c.call.Response.Header.Set(HeaderRequestID, request.id)
 	key, err := idempotencyKey(c.call)
 	if err != nil {
-		writeFailure(c.call, err)
+		c.gateway.writeFailure(c.call, err)
 		return false
 	}
 	ctx, cancel := context.WithDeadline(c.gateway.lifetime, deadline)
@@ -100,7 +100,7 @@
 		return false
 	}
 	c.gateway.countOutcome(request.service, err)
-	writeFailure(c.call, err)
+	c.gateway.writeFailure(c.call, err)
 	return false
 }
 
@@ -138,7 +138,7 @@
 	}
 	input := append(json.RawMessage(nil), body.Input()...)
 	request := onlineRequest{
-		id: "req-" + ulid.Make().String(), tenant: c.tenant, limit: c.limit, service: service, policy: policy,
+		id: "req-" + ulid.Make().String(), origin: originOf(c.call), tenant: c.tenant, limit: c.limit, service: service, policy: policy,
 		model: body.Model, input: input, maxTokens: body.TokenLimit(),
 		repeatable: isRepeatable(c.call), prefixHash: routing.PrefixHash(engine.PromptText(input)), arrived: now,
 	}
@@ -315,7 +315,7 @@
 	}
 	run.finish(err)
 	if err != nil {
-		writeFailure(c.call, err)
+		c.gateway.writeFailure(c.call, err)
 		return
 	}
 	c.call.SetContentType("application/json")
--- a/internal/gateway/files.go
+++ b/internal/gateway/files.go
@@ -44,7 +44,7 @@
 	case rest != "" && c.call.IsGet():
 		c.describeFile(rest)
 	default:
-		writeFailure(c.call, failure.New(failure.KindNotFound, "no_path", "files are uploaded by POST /v1/files and read by GET /v1/files/{id}/content").WithNotRun())
+		c.gateway.writeFailure(c.call, failure.New(failure.KindNotFound, "no_path", "files are uploaded by POST /v1/files and read by GET /v1/files/{id}/content").WithNotRun())
 	}
 	return false
 }
@@ -52,18 +52,18 @@
 func (c *caller) uploadFile() {
 	content, name, err := c.fileContent()
 	if err != nil {
-		writeFailure(c.call, err)
+		c.gateway.writeFailure(c.call, err)
 		return
 	}
 	if !c.gateway.Platform.Available() {
-		writeFailure(c.call, platformDown(nil))
+		c.gateway.writeFailure(c.call, platformDown(nil))
 		return
 	}
 	id := filePrefix + ulid.Make().String()
 	ctx, cancel := context.WithTimeout(c.gateway.lifetime, recordTimeout)
 	defer cancel()
 	if err := c.gateway.Platform.Put(ctx, batch.FileObject(c.tenant, id), content); err != nil {
-		writeFailure(c.call, platformDown(err))
+		c.gateway.writeFailure(c.call, platformDown(err))
 		return
 	}
 	writeJSON(c.call, fileObject{ID: id, Object: "file", Bytes: len(content), CreatedAt: time.Now().Unix(), Filename: name, Purpose: purposeBatch})
@@ -106,7 +106,7 @@
 	defer cancel()
 	content, err := c.uploaded(ctx, id)
 	if err != nil {
-		writeFailure(c.call, err)
+		c.gateway.writeFailure(c.call, err)
 		return false
 	}
 	c.call.SetContentType("application/jsonl")
@@ -128,7 +128,7 @@
 // the failed ones.
 func (c *caller) readResults(id string, wantErrors bool) bool {
 	if _, err := c.ownJob(id); err != nil {
-		writeFailure(c.call, err)
+		c.gateway.writeFailure(c.call, err)
 		return false
 	}
 	gateway, finish := c.gateway, c.finish
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,11 +174,11 @@
 	var tooSmall *fasthttp.ErrSmallBuffer
 	switch {
 	case err == fasthttp.ErrBodyTooLarge:
-		writeFailure(call, failure.New(failure.KindTooLarge, "body_too_large", "the request body exceeds %d bytes", g.Settings.MaxBodyBytes).WithNotRun())
+		g.writeFailure(call, failure.New(failure.KindTooLarge, "body_too_large", "the request body exceeds %d bytes", g.Settings.MaxBodyBytes).WithNotRun())
 	case isSmallBuffer(err, &tooSmall):
-		writeFailure(call, failure.New(failure.KindTooLarge, "headers_too_large", "the request headers exceed %d bytes", headerLimit).WithNotRun())
+		g.writeFailure(call, failure.New(failure.KindTooLarge, "headers_too_large", "the request headers exceed %d bytes", headerLimit).WithNotRun())
 	default:
-		writeFailure(call, failure.New(failure.KindInvalid, "bad_http", "the request cannot be read or was not sent in time").WithNotRun())
+		g.writeFailure(call, failure.New(failure.KindInvalid, "bad_http", "the request cannot be read or was not sent in time").WithNotRun())
 	}
 }
 
@@ -222,12 +222,12 @@
 
 func (g *Gateway) handleCaller(call *fasthttp.RequestCtx, path string) {
 	if !g.ready.Load() {
-		writeFailure(call, failure.New(failure.KindUnavailable, "not_ready", "the daemon has no configuration yet").WithNotRun().WithRetryAfter(time.Second))
+		g.writeFailure(call, failure.New(failure.KindUnavailable, "not_ready", "the daemon has no configuration yet").WithNotRun().WithRetryAfter(time.Second))
 		return
 	}
 	found, active, err := g.authenticate(call)
 	if err != nil {
-		writeFailure(call, err)
+		g.writeFailure(call, err)
 		return
 	}
 	g.inFlight.Add(1)
@@ -269,7 +269,7 @@
 	case c.path == "/v1/batches" || strings.HasPrefix(c.path, "/v1/batches/"):
 		c.batches(strings.TrimPrefix(strings.TrimPrefix(c.path, "/v1/batches"), "/"))
 	default:
-		writeFailure(c.call, failure.New(failure.KindNotFound, "no_path", "there is nothing at %s", c.path).WithNotRun())
+		c.gateway.writeFailure(c.call, failure.New(failure.KindNotFound, "no_path", "there is nothing at %s", c.path).WithNotRun())
 	}
 	return false
 }
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -13,6 +13,7 @@
 	"topazpulley/internal/registry"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/runs"
+	"topazpulley/internal/serving"
 	"topazpulley/internal/supervisor"
 	"topazpulley/internal/tenant"
 )
@@ -34,6 +35,7 @@
 // onlineRequest is one admitted online generation.
 type onlineRequest struct {
 	id         string
+	origin     origin
 	tenant     string
 	limit      tenant.Limit
 	service    string
@@ -167,6 +169,7 @@
 	n.gateway.Registry.Begin(n.view.Name)
 	n.gateway.hintYield(n.view)
 	n.ran.Sent()
+	n.gateway.noteSent(n.request, n.view, n.attemptID, n.attempt, serving.KindOfSend(n.attempt, int64(len(n.tokens))))
 	stream, err := n.gateway.Engines.Generate(ctx, n.view.Machine.Address, engine.GenerateRequest{
 		AttemptID: n.attemptID, Model: n.request.model, Input: n.request.input,
 		MaxTokens: n.request.maxTokens, Priority: engine.PriorityOnline, Continue: n.tokens, Fingerprint: n.request.fingerprint(),
@@ -275,6 +278,7 @@
 		return false
 	}
 	n.resumes++
+	n.gateway.noteSent(n.request, n.view, n.attemptID, n.attempt, serving.SendResumption)
 	stream, err := n.gateway.Engines.Resume(ctx, n.view.Machine.Address, n.attemptID, len(n.tokens))
 	if err != nil {
 		return false
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -14,6 +14,7 @@
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/registry"
+	"topazpulley/internal/serving"
 	"topazpulley/internal/storage"
 )
 
@@ -118,6 +119,8 @@
 	if record.Digest != request.digest() {
 		return nil, false, keyReused(key)
 	}
+	view := registry.Engine{Name: record.Engine, Machine: registry.MachineRecord{Address: record.Address}}
+	g.noteSent(request, view, record.AttemptID, 1, serving.SendResumption)
 	stream, err := g.Engines.Resume(g.lifetime, record.Address, record.AttemptID, 0)
 	if err != nil {
 		return nil, false, failure.Wrap(err, failure.KindOutcomeUnknown, codeOutcomeUnknown, "the request was sent once and its outcome cannot be learnt; it was not sent again")
@@ -270,7 +273,7 @@
 	defer cancel()
 	result, err := c.gateway.readResult(ctx, c.tenant, key)
 	if err != nil {
-		writeFailure(c.call, err)
+		c.gateway.writeFailure(c.call, err)
 		return
 	}
 	c.call.SetContentType("application/json")
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -45,14 +45,14 @@
 	token := []byte(bearerToken(call))
 	expected := []byte(g.Settings.OperatorToken)
 	if len(expected) == 0 || subtle.ConstantTimeCompare(token, expected) != 1 {
-		writeFailure(call, failure.New(failure.KindUnauthorized, "bad_operator_token", "send the operator token as a bearer token").WithNotRun())
+		g.writeFailure(call, failure.New(failure.KindUnauthorized, "bad_operator_token", "send the operator token as a bearer token").WithNotRun())
 		return
 	}
 	ctx, cancel := context.WithTimeout(g.lifetime, operatorTimeout)
 	defer cancel()
 	answer, err := g.operate(ctx, call, operatorPrefix+path)
 	if err != nil {
-		writeFailure(call, err)
+		g.writeFailure(call, err)
 		return
 	}
 	writeJSON(call, answer)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -14,6 +14,7 @@
 	"topazpulley/internal/failure"
 	"topazpulley/internal/httphead"
 	"topazpulley/internal/quarantine"
+	"topazpulley/internal/serving"
 )
 
 const servicesPrefix = "/v1/services/"
@@ -24,17 +25,17 @@
 	name, _, _ := strings.Cut(path, "/")
 	service, known := c.active.Services[name]
 	if !known || service.Kind != bundle.KindPlain {
-		writeFailure(c.call, failure.New(failure.KindNotFound, "unknown_service", "there is no plain service %q", name).WithNotRun())
+		c.gateway.writeFailure(c.call, failure.New(failure.KindNotFound, "unknown_service", "there is no plain service %q", name).WithNotRun())
 		return
 	}
 	target, err := c.serviceTarget(name)
 	if err != nil {
-		writeFailure(c.call, err)
+		c.gateway.writeFailure(c.call, err)
 		return
 	}
 	request, deadline, err := c.parseCall(name, service)
 	if err != nil {
-		writeFailure(c.call, err)
+		c.gateway.writeFailure(c.call, err)
 		return
 	}
 	c.call.Response.Header.Set(HeaderRequestID, request.id)
@@ -80,7 +81,7 @@
 		return onlineRequest{}, now, err
 	}
 	request := onlineRequest{
-		id: "req-" + ulid.Make().String(), tenant: c.tenant, limit: c.limit, service: name, policy: service.Policy,
+		id: "req-" + ulid.Make().String(), origin: originOf(c.call), tenant: c.tenant, limit: c.limit, service: name, policy: service.Policy,
 		input: append(json.RawMessage(nil), c.call.PostBody()...), repeatable: isRepeatable(c.call), arrived: now,
 	}
 	return request, deadline, nil
@@ -142,6 +143,7 @@
 	}
 	n.gateway.Registry.Begin(view.Name)
 	n.ran.Sent()
+	n.gateway.noteSent(n.request, view, call.AttemptID, n.attempt, serving.KindOfSend(n.attempt, 0))
 	answer, err := n.gateway.Engines.Call(ctx, view.Machine.Address, call)
 	n.gateway.Registry.End(view.Name, err != nil && isEngineFault(err), time.Now())
 	if err != nil {
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -20,9 +20,13 @@
 	Healthy bool `json:"healthy"`
 }
 
-// writeFailure answers with a typed failure.
-func writeFailure(call *fasthttp.RequestCtx, err error) {
+// writeFailure answers with a typed failure, and counts input that is refused as
+// malformed by its code: codes of such failures are words of the program, not of callers.
+func (g *Gateway) writeFailure(call *fasthttp.RequestCtx, err error) {
 	typed := failure.From(err)
+	if typed.Kind == failure.KindInvalid || typed.Kind == failure.KindTooLarge {
+		g.Metrics.Malformed.WithLabelValues(typed.Code).Inc()
+	}
 	call.Response.ResetBody()
 	writeJSON(call, ErrorBody{Error: typed})
 	call.SetStatusCode(typed.Status())
--- a/internal/gateway/spill.go
+++ b/internal/gateway/spill.go
@@ -192,6 +192,9 @@
 		fasthttp.ReleaseResponse(response)
 		return c.forwardFailed(err)
 	}
+	// The other daemon gives the request an id of its own, which its lines carry.
+	c.gateway.Logger.Info("request_forwarded", "zone", member.Zone, "to", member.Name, "status", response.StatusCode(),
+		"answered_as", string(response.Header.Peek(HeaderRequestID)), "caller", c.call.RemoteAddr().String(), "tenant", c.tenant)
 	c.copyAnswer(response)
 	return true
 }
@@ -200,7 +203,7 @@
 	if isDialFailure(err) {
 		return false
 	}
-	writeFailure(c.call, failure.Wrap(err, failure.KindOutcomeUnknown, codeOutcomeUnknown, "the request was forwarded to another zone and its outcome cannot be learnt"))
+	c.gateway.writeFailure(c.call, failure.Wrap(err, failure.KindOutcomeUnknown, codeOutcomeUnknown, "the request was forwarded to another zone and its outcome cannot be learnt"))
 	return true
 }
 
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -114,7 +114,7 @@
 
 func (c *caller) listModels() {
 	if !c.call.IsGet() {
-		writeFailure(c.call, failure.New(failure.KindInvalid, "bad_method", "models are listed by GET").WithNotRun())
+		c.gateway.writeFailure(c.call, failure.New(failure.KindInvalid, "bad_method", "models are listed by GET").WithNotRun())
 		return
 	}
 	list := modelList{Object: "list", Data: []modelItem{}}
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -11,6 +11,7 @@
 	"topazpulley/internal/periodic"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
+	"topazpulley/internal/serving"
 )
 
 const (
@@ -159,8 +160,9 @@
 	permit := func() error {
 		err := s.permit(waiting)
 		if err == nil {
-			s.log.Info("item_sent", "job", held.job.ID, "item", waiting.item.ID, "backend", chosen.ID,
-				"due_ms", held.due.Sub(now).Milliseconds(), "last_event", waiting.progress.last(),
+			number, epoch := held.countSend(waiting)
+			s.log.Info("item_sent", "job", held.job.ID, "item", waiting.item.ID, "backend", chosen.ID, "epoch", epoch, "attempt", number,
+				"kind", string(serving.KindOfSend(number, waiting.progress.last())), "due_ms", held.due.Sub(now).Milliseconds(), "last_event", waiting.progress.last(),
 				"online", chosen.Online, "batch", chosen.Batch, "slots", chosen.Slots, "report_age_ms", shownAge(chosen.ReportAge), "claims_age_ms", shownAge(s.claimsAge()))
 		}
 		return err
@@ -172,6 +174,15 @@
 	return true
 }
 
+// countSend counts an attempt at an item that is about to leave, and returns its number
+// and the epoch of the ownership under which it leaves.
+func (o *owned) countSend(leaving *work) (number int, epoch int64) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	leaving.sends++
+	return leaving.sends, o.claim.claim.Epoch
+}
+
 // restQuarantined has an item that is quarantined wait, and reports whether it
 // is. It takes no part of the room, and is given up when its time is over.
 func (s *Service) restQuarantined(waiting *work, now time.Time) bool {
--- a/internal/job/owned.go
+++ b/internal/job/owned.go
@@ -30,6 +30,8 @@
 	startedAt   time.Time
 	// ranFor is how long earlier attempts ran.
 	ranFor time.Duration
+	// sends counts the attempts that this owner has let leave.
+	sends  int
 	cancel context.CancelFunc
 	// isYielding tells that the present run was taken back and is about to end.
 	isYielding bool
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -176,6 +176,10 @@
 	} else if err := e.reserve(ctx, &attempt); err != nil {
 		return err
 	}
+	attempt.Permit = func() error {
+		e.noteSent(&attempt)
+		return nil
+	}
 	e.sends++
 	e.ran.Sent()
 	bounded, cancel := context.WithCancel(ctx)
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -25,7 +25,9 @@
 // Request is one caller's request, read in full.
 type Request struct {
 	// ID is the caller's; every attempt at a back end carries it.
-	ID     string
+	ID string
+	// Caller is the address of the connection on which the request came, for logs.
+	Caller string
 	Method string
 	// Target is the request target as the caller sent it.
 	Target string
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -9,6 +9,7 @@
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/registry"
+	"topazpulley/internal/serving"
 )
 
 const (
@@ -88,7 +89,9 @@
 
 // runRepeatable runs an item that may be cancelled, continued and run again.
 func (l *engineLoop) runRepeatable(ctx context.Context, view registry.Engine, task *batch.Task) {
-	stream, err := l.supervisor.engines.Generate(ctx, view.Machine.Address, requestFor(task, task.AttemptID()))
+	attemptID := task.AttemptID()
+	l.noteSent(task, batch.Intent{Engine: l.name, Address: view.Machine.Address, AttemptID: attemptID}, serving.KindOfSend(task.Attempts, int64(len(task.Tokens))))
+	stream, err := l.supervisor.engines.Generate(ctx, view.Machine.Address, requestFor(task, attemptID))
 	if err == nil {
 		var end engine.Event
 		end, err = collect(ctx, stream, task)
@@ -100,6 +103,13 @@
 	l.retryLater(ctx, task, err)
 }
 
+// noteSent logs where an attempt comes from before it leaves: an engine knows the
+// attempt's id only.
+func (l *engineLoop) noteSent(task *batch.Task, sent batch.Intent, kind serving.SendKind) {
+	l.supervisor.log.Info("item_sent", "job", task.Job(), "item", task.RequestID(), "attempt_id", sent.AttemptID, "engine", sent.Engine,
+		"address", sent.Address, "epoch", task.Epoch(), "attempt", task.Attempts, "kind", string(kind))
+}
+
 func requestFor(task *batch.Task, attemptID string) engine.GenerateRequest {
 	return engine.GenerateRequest{
 		AttemptID: attemptID, Model: task.Item.Body.Model, Input: task.Item.Body.Input(),
@@ -175,6 +185,7 @@
 		return
 	}
 	task.Earlier = &intent
+	l.noteSent(task, intent, serving.KindOfSend(task.Attempts, 0))
 	stream, err := l.supervisor.engines.Generate(ctx, view.Machine.Address, requestFor(task, intent.AttemptID))
 	if err != nil && engine.OutcomeOf(err) == engine.OutcomeInvalid {
 		l.supervisor.worker.Fail(task, err)
@@ -224,6 +235,7 @@
 func (l *engineLoop) resumeOnly(ctx context.Context, task *batch.Task, intent batch.Intent) {
 	for range resumeTries {
 		task.Tokens = nil
+		l.noteSent(task, intent, serving.SendResumption)
 		stream, err := l.supervisor.engines.Resume(ctx, intent.Address, intent.AttemptID, 0)
 		if err == nil {
 			err = l.collectAndFinish(ctx, stream, task)
--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -40,7 +40,7 @@
 		Items:        counter("job_item_attempts_total", "Ended attempts of batch items.", "outcome"),
 		StoreCalls:   counter("store_calls_total", "Calls to the store.", "call", "outcome"),
 		StoreSeconds: histogram("store_call_seconds", "Time of calls to the store.", "call"),
-		Malformed:    counter("malformed_requests_total", "Callers' requests refused as malformed.", "kind"),
+		Malformed:    newMalformed(),
 	}
 	registry.MustRegister(serving.Requests, serving.Attempts, serving.FirstOutput, serving.Duration, serving.Items, serving.StoreCalls, serving.StoreSeconds, serving.Malformed)
 	return serving
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -22,6 +22,13 @@
 	Dropped prometheus.Counter
 	// Spilled counts requests forwarded to another zone, by that zone.
 	Spilled *prometheus.CounterVec
+	// Malformed counts callers' requests that were refused as malformed, by kind.
+	Malformed *prometheus.CounterVec
+}
+
+// newMalformed makes the counter that both interfaces have.
+func newMalformed() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "malformed_requests_total", Help: "Callers' requests refused as malformed."}, []string{"kind"})
 }
 
 const namespace = "topazpulley"
@@ -37,11 +44,12 @@
 		FirstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "first_token_seconds", Help: "Time from arrival to the first token.", Buckets: firstTokenBuckets,
 		}, []string{"service"}),
-		Retries: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "retries_total", Help: "Further attempts of online requests."}, []string{"reason"}),
-		Dropped: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "foreign_answers_total", Help: "Engine answers with another attempt's id, dropped."}),
-		Spilled: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "spilled_requests_total", Help: "Requests forwarded to another zone."}, []string{"zone"}),
+		Retries:   prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "retries_total", Help: "Further attempts of online requests."}, []string{"reason"}),
+		Dropped:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "foreign_answers_total", Help: "Engine answers with another attempt's id, dropped."}),
+		Spilled:   prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "spilled_requests_total", Help: "Requests forwarded to another zone."}, []string{"zone"}),
+		Malformed: newMalformed(),
 	}
-	metrics.Registry.MustRegister(metrics.Requests, metrics.FirstToken, metrics.Retries, metrics.Dropped, metrics.Spilled)
+	metrics.Registry.MustRegister(metrics.Requests, metrics.FirstToken, metrics.Retries, metrics.Dropped, metrics.Spilled, metrics.Malformed)
 	return metrics
 }
 
