Requests end on time also after short sleeps of the machine

Cause: on a wake only requests whose time was over already were ended; one with time left kept its timer of the steady clock, which had stood still. A request of 4 s whose machine slept 1 s while it ran was held, with its work at the back end, 1 s longer than its caller waited: the test measures 4 s awake where 3 s were left (subtest 1s; 5s and 60s passed before).

Ruled out: the time told to back ends (it counts sleep already).

Change: boottime.Wakeups.WithDeadline moves the end by what was slept, for both doors. serving.Core uses it.

Tests and checks: TestRequestsWhoseTimeIsOverEndAfterASleep now plays 1, 5 and 60 s (60 s before). The mutant asleep_timers_believed names the code that stands in place of the old; only_ended_times_noticed is new.

--- a/internal/boottime/boottime_test.go
+++ b/internal/boottime/boottime_test.go
@@ -76,3 +76,49 @@
 	var none *boottime.Wakeups
 	none.Notify(func() {})()
 }
+
+// TestDeadlinesCountSleep: each sleep brings the end nearer by as much, one that takes
+// all the time ends the context at once, and one after the end does nothing.
+func TestDeadlinesCountSleep(t *testing.T) {
+	for name, each := range map[string]struct {
+		sleeps []time.Duration
+		awake  time.Duration
+	}{
+		"none":         {nil, 10 * time.Second},
+		"1s":           {[]time.Duration{time.Second}, 9 * time.Second},
+		"5s":           {[]time.Duration{5 * time.Second}, 5 * time.Second},
+		"1s and 5s":    {[]time.Duration{time.Second, 5 * time.Second}, 4 * time.Second},
+		"60s":          {[]time.Duration{time.Minute}, time.Second},
+		"5s and again": {[]time.Duration{5 * time.Second, 5 * time.Second}, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var slept atomic.Int64
+				started := time.Now()
+				clock := boottime.Clock(func() boottime.Instant {
+					return boottime.Instant(time.Since(started)) + boottime.Instant(slept.Load())
+				})
+				wakeups := boottime.NewWakeups(clock, slog.New(slog.DiscardHandler))
+				lifetime, stop := context.WithCancel(t.Context())
+				defer stop()
+				go wakeups.Run(lifetime)
+				bounded, cancel := wakeups.WithDeadline(t.Context(), started.Add(10*time.Second), clock.Mark())
+				defer cancel()
+				for number, span := range each.sleeps {
+					time.AfterFunc(time.Duration(number+1)*time.Second, func() { slept.Add(int64(span)) })
+				}
+				<-bounded.Done()
+				require.GreaterOrEqual(t, time.Since(started), each.awake)
+				require.LessOrEqual(t, time.Since(started), each.awake+500*time.Millisecond)
+				cancel()
+				slept.Add(int64(time.Minute))
+				time.Sleep(time.Second)
+			})
+		})
+	}
+	var none *boottime.Wakeups
+	bounded, cancel := none.WithDeadline(t.Context(), time.Now().Add(time.Minute), boottime.Mark{})
+	require.NoError(t, bounded.Err())
+	cancel()
+	require.Error(t, bounded.Err())
+}
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -72,20 +72,12 @@
 	if arrived.IsZero() {
 		arrived = c.Clock.Mark()
 	}
-	bounded, cancel := context.WithDeadline(ctx, end)
+	bounded, cancel := c.Wakeups.WithDeadline(ctx, end, arrived)
 	defer cancel()
 	served := &exchange{
 		core: c, request: request, responder: responder, caller: ctx, end: end, arrived: arrived,
 		excluded: map[string]bool{}, lastEvent: request.LastEvent, fingerprint: request.fingerprint(),
 	}
-	// Timers stand still while the machine sleeps, callers do not: a request whose time
-	// is over ends as soon as that is noticed.
-	stop := c.Wakeups.Notify(func() {
-		if served.remaining() < minimumRemaining {
-			cancel()
-		}
-	})
-	defer stop()
 	if served.refuseQuarantined() {
 		served.record()
 		return
--- a/internal/serving/sleep_test.go
+++ b/internal/serving/sleep_test.go
@@ -36,6 +36,8 @@
 	beforeSend time.Duration
 	// isSilent has every attempt go unanswered until its context ends.
 	isSilent bool
+	// whileSilent is how long the machine sleeps a second after the request came.
+	whileSilent time.Duration
 	// failsFirst has the first attempt refused after such a sleep.
 	failsFirst time.Duration
 
@@ -77,7 +79,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go core.Wakeups.Run(ctx)
 		if sender.isSilent {
-			time.AfterFunc(time.Second, func() { sender.machine.sleep(time.Minute) })
+			time.AfterFunc(time.Second, func() { sender.machine.sleep(sender.whileSilent) })
 		}
 		policy := &route.Route{Kind: route.KindOnce, Timeout: time.Minute, Objective: time.Second, MaxAttempts: 1, Targets: []route.Target{{Service: "s"}}}
 		now := time.Now()
@@ -117,11 +119,21 @@
 	}
 }
 
-// TestRequestsWhoseTimeIsOverEndAfterASleep: its timers would hold them, and the
-// work at back ends, as long as if the machine had been awake.
+// TestRequestsWhoseTimeIsOverEndAfterASleep: their timers would hold them, and the work at
+// back ends, as long as if the machine had been awake. Three of four seconds are left
+// when it falls asleep.
 func TestRequestsWhoseTimeIsOverEndAfterASleep(t *testing.T) {
-	caller, took := serveAsleep(t, &sleeping{isSilent: true})
-	require.Less(t, took, 2*time.Second, "four seconds were left when the machine fell asleep for a minute")
-	require.Len(t, caller.refusals, 1)
-	require.Equal(t, serving.VerdictTimeout, caller.refusals[0].Verdict)
+	for span, awake := range map[time.Duration]time.Duration{
+		time.Second:     sleepersPatience - time.Second,
+		5 * time.Second: time.Second,
+		time.Minute:     time.Second,
+	} {
+		t.Run(span.String(), func(t *testing.T) {
+			caller, took := serveAsleep(t, &sleeping{isSilent: true, whileSilent: span})
+			require.LessOrEqual(t, took, awake+500*time.Millisecond)
+			require.GreaterOrEqual(t, took, awake)
+			require.Len(t, caller.refusals, 1)
+			require.Equal(t, serving.VerdictTimeout, caller.refusals[0].Verdict)
+		})
+	}
 }
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -255,8 +255,10 @@
 	'time.Until(e.end) - e.core.Clock.SleptSince(e.arrived)' 'time.Until(e.end)' internal/serving TestBackEndsAreToldTheTimeThatIsLeftAfterASleep
 mutant old_time_told internal/serving/request.go \
 	'	if a.TimeLeft != nil {' '	if false {' internal/serving TestNothingIsSentForACallerThatLeftDuringASleep
-mutant asleep_timers_believed internal/serving/core.go \
-	'		if served.remaining() < minimumRemaining {' '		if false {' internal/serving TestRequestsWhoseTimeIsOverEndAfterASleep
+mutant asleep_timers_believed internal/boottime/deadline.go \
+	'max(time.Until(e.deadline)-slept, 0)' 'max(time.Until(e.deadline), 0)' internal/serving TestRequestsWhoseTimeIsOverEndAfterASleep
+mutant only_ended_times_noticed internal/boottime/deadline.go \
+	'	if e.isStopped {' '	if e.isStopped || slept < time.Until(e.deadline) {' internal/serving TestRequestsWhoseTimeIsOverEndAfterASleep
 mutant rested_over_a_sleep platform/pool.go \
 	'p.clock.Now() < last.usedUntil' 'last.usedUntil > 0' platform TestConnectionsThatRestedOverASleepAreNotUsed
 mutant line_breaks_written internal/httphead/write.go \
