Good ends before a sleep of the machine prove nothing

Cause: how long a good end speaks for a request (5 to 10 s) was measured by the steady clock, which stands still while the machine sleeps: a daemon that woke after a minute cleared a request of evidence, on all daemons, by a good end of a minute ago, so that it ended one back end more.

Ruled out: how long evidence counts and a quarantine lasts (told by the time of day; longer by the sleep on this daemon only, which refuses and harms nothing).

Change: Guard.Clock, the clock that counts sleep, for good ends.

Before: with the steady clock in its place TestGoodEndsBeforeASleepProveNothing fails for 10 and 60 s. After: passes for 1, 5 (still speak), 10 and 60 s (do not).

--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"topazpulley/internal/boottime"
 	"topazpulley/internal/telemetry"
 )
 
@@ -36,6 +37,9 @@
 // store for those that are cut off or start later. It is safe for concurrent
 // use.
 type Guard struct {
+	// Clock counts the time since good ends; nil is the system's. It is set before use.
+	Clock boottime.Clock
+
 	log     *slog.Logger
 	metrics *telemetry.Quarantine
 	spread  Spreader
@@ -79,7 +83,7 @@
 	now := time.Now()
 	seen := Notice{}
 	for _, run := range runs {
-		if g.hasSucceeded(run.Fingerprint, now) {
+		if g.hasSucceeded(run.Fingerprint) {
 			continue
 		}
 		seen.Evidence = append(seen.Evidence, Evidence{Fingerprint: run.Fingerprint, Instance: instance, HadOutput: run.HadOutput, At: now})
@@ -91,10 +95,10 @@
 	g.send(seen)
 }
 
-func (g *Guard) hasSucceeded(fingerprint Fingerprint, now time.Time) bool {
+func (g *Guard) hasSucceeded(fingerprint Fingerprint) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.successes.has(fingerprint, now)
+	return g.successes.has(fingerprint, g.Clock.Now())
 }
 
 // Receive takes in what another daemon tells, or what this one saw.
@@ -121,7 +125,7 @@
 	_, wasHeld := g.ledger.Verdict(evidence.Fingerprint, now)
 	isNew := g.ledger.Add(evidence, source == SourceStore)
 	verdict, isHeld := g.ledger.Verdict(evidence.Fingerprint, now)
-	hasSucceeded := g.successes.has(evidence.Fingerprint, now)
+	hasSucceeded := g.successes.has(evidence.Fingerprint, g.Clock.Now())
 	g.mutex.Unlock()
 	if !isNew {
 		return false
@@ -141,7 +145,7 @@
 // ends whoever runs it never does, so all evidence against it falls.
 func (g *Guard) Succeeded(fingerprint Fingerprint) {
 	g.mutex.Lock()
-	g.successes.note(fingerprint, time.Now())
+	g.successes.note(fingerprint, g.Clock.Now())
 	isSuspect := g.ledger.IsSuspect(fingerprint)
 	g.mutex.Unlock()
 	if isSuspect {
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
+	"topazpulley/internal/boottime"
 	"topazpulley/internal/table"
 	"topazpulley/internal/telemetry"
 )
@@ -128,16 +129,32 @@
 
 // TestGoodEndsOfLongAgoProveNothing: a change of the model may turn a request bad.
 func TestGoodEndsOfLongAgoProveNothing(t *testing.T) {
-	known, popular := newSuccesses(), numbered(1)
-	known.note(popular, testStart)
-	require.True(t, known.has(popular, testStart.Add(successTime-time.Millisecond)))
-	require.False(t, known.has(popular, testStart.Add(2*successTime)))
+	known, popular, start := newSuccesses(), numbered(1), boottime.Now()
+	known.note(popular, start)
+	require.True(t, known.has(popular, start.Add(successTime-time.Millisecond)))
+	require.False(t, known.has(popular, start.Add(2*successTime)))
 	for number := range 10 * maxSuccesses {
-		known.note(numbered(number), testStart)
+		known.note(numbered(number), start)
 	}
 	require.LessOrEqual(t, len(known.newer)+len(known.older), 2*maxSuccesses)
 }
 
+// TestGoodEndsBeforeASleepProveNothing: the machine of a daemon that saw a good end
+// sleeps, and when it wakes the request ends back ends under it. It saw the good end a
+// minute ago, and only its own steady clock says that this was just now.
+func TestGoodEndsBeforeASleepProveNothing(t *testing.T) {
+	for span, isHeld := range map[time.Duration]bool{time.Second: false, 5 * time.Second: false, 2 * successTime: true, time.Minute: true} {
+		t.Run(span.String(), func(t *testing.T) {
+			f, content, slept := newFleet(3), numbered(1), time.Duration(0)
+			f.guards[1].Clock = func() boottime.Instant { return boottime.Now().Add(slept) }
+			f.guards[1].Succeeded(content)
+			slept = span
+			f.crash(content, 3)
+			require.Equal(t, isHeld, f.held(content) == 3)
+		})
+	}
+}
+
 func TestLiftByHand(t *testing.T) {
 	f, innocent := newFleet(3), numbered(1)
 	f.crash(innocent, 3)
--- a/internal/quarantine/successes.go
+++ b/internal/quarantine/successes.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"time"
+
+	"topazpulley/internal/boottime"
+)
 
 const (
 	// successTime is how long, at least, and twice it how long at most, a good end of
@@ -18,14 +22,16 @@
 // generations: the older one is dropped as a whole.
 type successes struct {
 	newer, older map[Fingerprint]struct{}
-	turnedAt     time.Time
+	// turnedAt is by the clock that counts sleep: a good end of long ago must not speak
+	// for a request because the machine slept meanwhile.
+	turnedAt boottime.Instant
 }
 
 func newSuccesses() *successes {
 	return &successes{newer: map[Fingerprint]struct{}{}, older: map[Fingerprint]struct{}{}}
 }
 
-func (s *successes) turn(now time.Time) {
+func (s *successes) turn(now boottime.Instant) {
 	elapsed := now.Sub(s.turnedAt)
 	if elapsed < successTime && len(s.newer) < maxSuccesses {
 		return
@@ -38,12 +44,12 @@
 	s.turnedAt = now
 }
 
-func (s *successes) note(fingerprint Fingerprint, now time.Time) {
+func (s *successes) note(fingerprint Fingerprint, now boottime.Instant) {
 	s.turn(now)
 	s.newer[fingerprint] = struct{}{}
 }
 
-func (s *successes) has(fingerprint Fingerprint, now time.Time) bool {
+func (s *successes) has(fingerprint Fingerprint, now boottime.Instant) bool {
 	s.turn(now)
 	if _, isNewer := s.newer[fingerprint]; isNewer {
 		return true
