The OpenAI-like door counts what the machine slept

Cause: the contexts of requests, and the HTTP client's own time-outs of calls to engines, go by the steady clock, which stands still while the machine sleeps; and a call to an engine was not left when its context ended. A request of 40 s whose machine slept for a minute was held for 40 s after the wake, whether a call, a generation without head or one behind its first token (test, five cases: 40.0 s each), and an attempt decided before a sleep of 5 s or a minute was sent after it for a caller of 4 s who was gone (1 attempt, expected 0).

Ruled out: deadlines handed on; attempts at engines carry none.

Change: the same Wakeups.WithDeadline as at the users' door; a look at the time that is left just before an attempt is sent; engine.Client stops waiting for the head of an answer when the context ends, reads the late answer away, and cancels an abandoned generation.

After: all cases end within 15 s bounds (6.7 s for the whole package under the race detector); with 20 s in place of 40 in the test as it stands.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"topazpulley/internal/batch"
+	"topazpulley/internal/boottime"
 	"topazpulley/internal/bundle"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/engine"
@@ -53,6 +54,7 @@
 	coordinator *batch.Coordinator
 	supervisor  *supervisor.Supervisor
 	gateway     *gateway.Gateway
+	wakeups     *boottime.Wakeups
 	lifetime    context.Context
 	cancel      context.CancelFunc
 	listener    net.Listener
@@ -73,7 +75,7 @@
 		options.Routing = routing.PolicyFull
 	}
 	lifetime, cancel := context.WithCancel(context.Background())
-	d := &Daemon{settings: process, log: log, lifetime: lifetime, cancel: cancel, registry: registry.New(), holder: revision.NewHolder()}
+	d := &Daemon{settings: process, log: log, lifetime: lifetime, cancel: cancel, registry: registry.New(), holder: revision.NewHolder(), wakeups: boottime.NewWakeups(nil, log)}
 	d.transport = peer.NewTransport(process.Name, process.PeerAddress, process.ClusterKeyBytes(), log)
 	d.node = cluster.NewNode(membership.DefaultConfig(time.Duration(process.ProbeInterval)), d.member(), d.transport, log)
 	client := storage.NewClient(storage.NewHTTPClient(process.PlatformURL), process.PlatformOperationsPerSecond)
@@ -93,7 +95,7 @@
 	d.gateway = gateway.New(lifetime, gateway.Dependencies{
 		Settings: process, Node: d.node, Transport: d.transport, Registry: d.registry, Holder: d.holder, Log: revision.NewLog(client), Watcher: d.watcher,
 		Platform: client, Engines: engines, Store: store, Coordinator: d.coordinator, Worker: d.worker, Yielder: d.supervisor,
-		Limits: limits, Metrics: metrics, Logger: log, Routing: options.Routing, WithoutHints: options.WithoutHints, Describe: d.duties,
+		Limits: limits, Metrics: metrics, Logger: log, Wakeups: d.wakeups, Routing: options.Routing, WithoutHints: options.WithoutHints, Describe: d.duties,
 	})
 	d.registerGauges(metrics, client)
 	d.node.Subscribe(d.registry.Receive)
@@ -163,7 +165,7 @@
 		return err
 	}
 	for _, run := range []func(context.Context){
-		d.node.Run, d.machines.Run, d.watcher.Run, d.worker.Run, d.coordinator.Run, d.supervisor.Run, d.gateway.RunAggregates, d.becomeReady,
+		d.node.Run, d.machines.Run, d.watcher.Run, d.worker.Run, d.coordinator.Run, d.supervisor.Run, d.gateway.RunAggregates, d.wakeups.Run, d.becomeReady,
 	} {
 		go run(d.lifetime)
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -163,6 +163,7 @@
 	stream, err := c.open(ctx, address, request.AttemptID, len(request.Continue), fasthttp.MethodPost, PathGenerate, body)
 	if err != nil {
 		c.noteBroken(ctx, address, request.Fingerprint, err, false)
+		c.cancelAbandoned(address, request.AttemptID, err)
 		return nil, err
 	}
 	stream.fingerprint = request.Fingerprint
@@ -177,14 +178,12 @@
 
 func (c *Client) open(ctx context.Context, address, attemptID string, from int, method, path string, body []byte) (*Stream, error) {
 	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	response := fasthttp.AcquireResponse()
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + address + path)
 	request.SetBodyRaw(body)
-	if err := c.http.DoDeadline(request, response, streamDeadline(ctx)); err != nil {
-		fasthttp.ReleaseResponse(response)
-		return nil, sendFailure(err)
+	response, err := c.do(ctx, request)
+	if err != nil {
+		return nil, err
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
 		defer fasthttp.ReleaseResponse(response)
@@ -195,13 +194,6 @@
 	return stream, nil
 }
 
-func streamDeadline(ctx context.Context) time.Time {
-	if deadline, set := ctx.Deadline(); set {
-		return deadline
-	}
-	return time.Now().Add(maxStreamSeconds * time.Second)
-}
-
 func refusalFailure(response *fasthttp.Response) error {
 	content, _ := io.ReadAll(io.LimitReader(response.BodyStream(), maxEventLineBytes))
 	refusal := Refusal{}
@@ -417,18 +409,17 @@
 		return CallAnswer{}, &AttemptError{Outcome: OutcomeInvalid, Code: RefusalBadRequest, cause: err}
 	}
 	request := fasthttp.AcquireRequest()
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.SetRequestURI("http://" + address + PathCall)
 	request.Header.Set(HeaderAttempt, call.AttemptID)
 	request.Header.Set(HeaderPath, call.Path)
 	request.Header.Set(HeaderMethod, call.Method)
 	request.SetBodyRaw(call.Body)
-	if err := c.http.DoDeadline(request, response, streamDeadline(ctx)); err != nil {
-		return CallAnswer{}, sendFailure(err)
+	response, err := c.do(ctx, request)
+	if err != nil {
+		return CallAnswer{}, err
 	}
+	defer fasthttp.ReleaseResponse(response)
 	if response.StatusCode() != fasthttp.StatusOK {
 		return CallAnswer{}, refusalFailure(response)
 	}
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -72,7 +72,7 @@
 		writeFailure(c.call, err)
 		return false
 	}
-	ctx, cancel := context.WithDeadline(c.gateway.lifetime, deadline)
+	ctx, cancel := c.gateway.untilDeadline(request, deadline)
 	run, err := c.gateway.begin(ctx, request, key, deadline)
 	if err != nil {
 		cancel()
@@ -140,7 +140,7 @@
 	request := onlineRequest{
 		id: "req-" + ulid.Make().String(), tenant: c.tenant, limit: c.limit, service: service, policy: policy,
 		model: body.Model, input: input, maxTokens: body.TokenLimit(),
-		repeatable: isRepeatable(c.call), prefixHash: routing.PrefixHash(engine.PromptText(input)), arrived: now,
+		repeatable: isRepeatable(c.call), prefixHash: routing.PrefixHash(engine.PromptText(input)), arrived: now, arrivedMark: c.gateway.Clock.Mark(),
 	}
 	return request, body.Stream, deadline, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"topazpulley/internal/admission"
 	"topazpulley/internal/batch"
+	"topazpulley/internal/boottime"
 	"topazpulley/internal/bundle"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/engine"
@@ -83,6 +84,11 @@
 	Limits  *ratelimit.Limiter
 	Metrics *telemetry.Metrics
 	Logger  *slog.Logger
+	// Clock counts also the time for which the machine slept; nil is the system's.
+	Clock boottime.Clock
+	// Wakeups tells that the machine has slept; nil means that this is not noticed before
+	// timers fire.
+	Wakeups *boottime.Wakeups
 	Routing routing.Policy
 	// WithoutHints leaves out yield hints, for experiments.
 	WithoutHints bool
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"topazpulley/internal/boottime"
 	"topazpulley/internal/bundle"
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
@@ -44,6 +45,8 @@
 	repeatable bool
 	prefixHash uint64
 	arrived    time.Time
+	// arrivedMark is the same moment by a clock that counts sleep too.
+	arrivedMark boottime.Mark
 }
 
 // fingerprint identifies the request's content whatever its id.
@@ -152,6 +155,9 @@
 				return n.ran.Refuse(failure.From(err))
 			}
 		}
+		if err := n.mayLeave(ctx); err != nil {
+			return err
+		}
 		err = n.send(ctx)
 		if err == nil {
 			return nil
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -38,7 +38,7 @@
 		return
 	}
 	c.call.Response.Header.Set(HeaderRequestID, request.id)
-	ctx, cancel := context.WithDeadline(c.gateway.lifetime, deadline)
+	ctx, cancel := c.gateway.untilDeadline(request, deadline)
 	defer cancel()
 	answer, err := c.gateway.callPlain(ctx, request, deadline, engine.CallRequest{
 		Method: string(c.call.Method()), Path: target, Body: request.input,
@@ -81,7 +81,7 @@
 	}
 	request := onlineRequest{
 		id: "req-" + ulid.Make().String(), tenant: c.tenant, limit: c.limit, service: name, policy: service.Policy,
-		input: append(json.RawMessage(nil), c.call.PostBody()...), repeatable: isRepeatable(c.call), arrived: now,
+		input: append(json.RawMessage(nil), c.call.PostBody()...), repeatable: isRepeatable(c.call), arrived: now, arrivedMark: c.gateway.Clock.Mark(),
 	}
 	return request, deadline, nil
 }
@@ -140,6 +140,9 @@
 			return engine.CallAnswer{}, n.ran.Refuse(failure.From(err))
 		}
 	}
+	if err := n.mayLeave(ctx); err != nil {
+		return engine.CallAnswer{}, err
+	}
 	n.gateway.Registry.Begin(view.Name)
 	n.ran.Sent()
 	answer, err := n.gateway.Engines.Call(ctx, view.Machine.Address, call)
--- a/internal/gateway/promise_test.go
+++ b/internal/gateway/promise_test.go
@@ -20,6 +20,7 @@
 	"pgregory.net/rapid"
 
 	"topazpulley/internal/admission"
+	"topazpulley/internal/boottime"
 	"topazpulley/internal/bundle"
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
@@ -190,7 +191,8 @@
 func promiseRequest(repeatable bool) onlineRequest {
 	return onlineRequest{
 		id: "r", service: testService, model: "m", input: json.RawMessage(`"prompt"`), maxTokens: 4, repeatable: repeatable, arrived: time.Now(),
-		policy: bundle.Policy{OnlineLimit: 100, QueueTimeout: settings.Duration(30 * time.Millisecond)},
+		arrivedMark: boottime.Clock(nil).Mark(),
+		policy:      bundle.Policy{OnlineLimit: 100, QueueTimeout: settings.Duration(30 * time.Millisecond)},
 	}
 }
 
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -259,6 +259,14 @@
 	'max(time.Until(e.deadline)-slept, 0)' 'max(time.Until(e.deadline), 0)' internal/serving TestRequestsWhoseTimeIsOverEndAfterASleep
 mutant only_ended_times_noticed internal/boottime/deadline.go \
 	'	if e.isStopped {' '	if e.isStopped || slept < time.Until(e.deadline) {' internal/serving TestRequestsWhoseTimeIsOverEndAfterASleep
+mutant asleep_timers_believed_by_the_gateway internal/gateway/deadline.go \
+	'g.Wakeups.WithDeadline(g.lifetime, deadline, request.arrivedMark)' 'context.WithDeadline(g.lifetime, deadline)' internal/gateway TestRequestsWhoseTimeIsOverEndAfterASleep
+mutant engines_waited_for_after_a_sleep internal/engine/send.go \
+	'	case <-ctx.Done():' '	case <-context.Background().Done():' internal/gateway TestRequestsWhoseTimeIsOverEndAfterASleep
+mutant sent_after_a_sleep internal/gateway/deadline.go \
+	'isBounded && time.Until(deadline)' 'isBounded && false && time.Until(deadline)' internal/gateway TestNothingIsSentForACallerThatLeftDuringASleep
+mutant good_ends_outlive_sleep internal/quarantine/guard.go \
+	'g.successes.note(fingerprint, g.Clock.Now())' 'g.successes.note(fingerprint, g.Clock.Now().Add(time.Hour))' internal/quarantine TestGoodEndsBeforeASleepProveNothing
 mutant rested_over_a_sleep platform/pool.go \
 	'p.clock.Now() < last.usedUntil' 'last.usedUntil > 0' platform TestConnectionsThatRestedOverASleepAreNotUsed
 mutant line_breaks_written internal/httphead/write.go \
