--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -59,7 +59,7 @@
 	flags.DurationVar(&c.span, "span", 20*time.Second, "how long faults and load of one seed last")
 	flags.IntVar(&c.daemons, "daemons", 5, "`number` of daemons, 2 to 64")
 	flags.IntVar(&c.backEnds, "backends", 0, "`number` of back ends for items; 0 means a few")
-	flags.StringVar(&c.playName, "play", "", "instead of a seed's faults, jobs that are ended while the `play` goes on: calm, pause, throttle, cut-off or lost-end")
+	flags.StringVar(&c.playName, "play", "", "instead of a seed's faults, jobs that are ended while the `play` goes on: calm, pause, throttle, cut-off, lost-end or standstill")
 	flags.IntVar(&c.jobItems, "items", 0, "`number` of items of a play's jobs; 0 means few")
 	flags.IntVar(&c.tries, "shrink", 0, "look for fewer faults that still fail, in so many `tries`")
 }
@@ -70,7 +70,7 @@
 		return fail(failure.New(failure.KindInvalid, "bad_daemons", "--daemons must be 2 to %d", maxDaemons))
 	}
 	if !soak.Play(c.playName).IsKnown() {
-		return fail(failure.New(failure.KindInvalid, "bad_play", "--play must be calm, pause, throttle, cut-off or lost-end"))
+		return fail(failure.New(failure.KindInvalid, "bad_play", "--play must be calm, pause, throttle, cut-off, lost-end or standstill"))
 	}
 	held, err := c.playAll(ctx)
 	if err != nil {
