A read of a table does not confirm that it is the present state

While the store forgets its history, watches are cut and reads lie behind, by three seconds on the users' page. A read that is as old as what a daemon knows cannot be told from the present state, and was counted as that: the claims of a daemon were said to be fresh for as long as reads lay behind, and an owner that nobody told could start items of an ended job for the two seconds of the limit and three more, beyond the users' three. The same age decides whether keys of callers are trusted.

Ruled out: that versions heard from other daemons close this alone. They refuse such a read once the version of the removal is known, which it is not behind a removal whose answer was lost; nothing bounds how long that takes.

Change: a read confirms nothing; the watch behind it, which goes on from what was read and is refused if the history is gone, is held for 10 ms and does. One more call to the store for each read of a table.

Before: TestStaleReadConfirmsNothing failed five times of five, with an age of 1 to 5 ms for a state that had been over for 80 to 151 ms. After: five of five.

--- a/internal/table/age_test.go
+++ b/internal/table/age_test.go
@@ -70,3 +70,45 @@
 	slept.Store(int64(time.Minute))
 	require.GreaterOrEqual(t, witness.follower.Age(), time.Minute)
 }
+
+// deafStore forgets the history while it is deaf: watches are told that it is gone, also
+// those that had an answer.
+type deafStore struct {
+	table.Store
+	isDeaf atomic.Bool
+}
+
+func (s *deafStore) Watch(ctx context.Context, name string, after table.Version, wait time.Duration) (table.Changes, error) {
+	changes, err := s.Store.Watch(ctx, name, after, wait)
+	if s.isDeaf.Load() {
+		return table.Changes{}, &table.Error{Kind: table.ErrorCompacted, Call: "watch"}
+	}
+	return changes, err
+}
+
+// TestStaleReadConfirmsNothing: while the store forgets its history, reads lie behind.
+// One that is as old as what is known cannot be told from the present state; it was
+// counted as that, and a table from which a row had gone was said to be fresh for as long
+// as reads lay behind.
+func TestStaleReadConfirmsNothing(t *testing.T) {
+	const behind = 600 * time.Millisecond
+	memory, witness := tabletest.NewMemory(), &recorder{}
+	store := &deafStore{Store: memory}
+	follower := &table.Follower{Store: table.NewMonotonic(store), Table: followed, Consumer: witness, Logger: quiet, Wait: 50 * time.Millisecond}
+	go follower.Run(t.Context())
+	put(t, memory, "", "claim", "held")
+	require.Eventually(t, func() bool { return witness.value("claim") == "held" && follower.Age() < time.Second }, patience, pollTime)
+	memory.Freeze()
+	store.isDeaf.Store(true)
+	removed := time.Now()
+	put(t, memory, "", "claim", "")
+	for time.Since(removed) < behind {
+		least := time.Since(removed)
+		require.Greater(t, follower.Age(), least, "what is gone is said to be there")
+		time.Sleep(pollTime)
+	}
+	require.Equal(t, "held", witness.value("claim"))
+	memory.Thaw()
+	store.isDeaf.Store(false)
+	require.Eventually(t, func() bool { return witness.value("claim") == "" && follower.Age() < behind }, patience, pollTime)
+}
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -58,9 +58,11 @@
 	// Clock is the system's if it is nil.
 	Clock boottime.Clock
 
-	seen    Version
-	askedAt time.Time
-	lost    bool
+	seen Version
+	// isUnconfirmed tells that the table was read since the last watch.
+	isUnconfirmed bool
+	askedAt       time.Time
+	lost          bool
 	// directUntil is until when the store is followed although there is an
 	// upstream.
 	directUntil time.Time
@@ -219,6 +221,9 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, wait+answerReserve)
 	defer cancel()
+	if f.isUnconfirmed {
+		wait = min(wait, confirmingWait)
+	}
 	started := f.Now()
 	changes, err := f.Store.Watch(bounded, f.Table, f.seen, wait)
 	if err != nil {
@@ -229,16 +234,21 @@
 	}
 	f.note(nil)
 	f.Consumer.Change(changes.Rows, changes.Version)
-	f.seen = changes.Version
+	f.seen, f.isUnconfirmed = changes.Version, false
 	f.noteStore(max(started, changes.AsOf))
 	return nil
 }
 
-// read reads the whole table. A state older than what was seen is refused. The
+// confirmingWait is how long the watch behind a read is held: it is there to confirm the
+// read and not to wait.
+const confirmingWait = 10 * time.Millisecond
+
+// read reads the whole table. A state older than what was seen is refused; one that is
+// as old may lie behind, for three seconds while the store forgets its history, so that
+// only the next watch, which goes on from it, confirms the present state. The
 // version is that of a read before the partitions are listed, so that changes
 // made meanwhile are seen again as changes.
 func (f *Follower) read(ctx context.Context) (bool, error) {
-	started := f.Now()
 	all, version, err := f.readPartition(ctx, "")
 	if err != nil {
 		return false, err
@@ -255,8 +265,7 @@
 	}
 	f.note(nil)
 	f.Consumer.Replace(all, version)
-	f.seen = version
-	f.noteStore(started)
+	f.seen, f.isUnconfirmed = version, true
 	f.Logger.Info("table_read", "table", f.Table, "version", version, "rows", len(all))
 	return true, nil
 }
