Connections that fall silent: the missing tests, each kind also one way

docs/design/0015 named what no test showed: a caller's connection that falls silent while it rests and with a request under way, a back end that falls silent in the middle of a resumable stream, and each kind one way. The stand-in link silences open connections in one direction alone while new ones work.

Not shown: the kernel's probes to a caller (45 s) and the 10 s of a write that nobody takes, since a test's link is a process whose kernel answers probes and takes bytes.

--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -19,7 +19,8 @@
 type swallowing struct {
 	listener net.Listener
 	mutex    sync.Mutex
-	open     []*silenced
+	// back and forth are the open connections towards callers and towards the target.
+	back, forth []*silenced
 }
 
 // silenced passes bytes on until it is muted.
@@ -55,22 +56,33 @@
 				_ = accepted.Close()
 				continue
 			}
-			back := &silenced{Conn: accepted}
+			back, forth := &silenced{Conn: accepted}, &silenced{Conn: onward}
 			made.mutex.Lock()
-			made.open = append(made.open, back)
+			made.back, made.forth = append(made.back, back), append(made.forth, forth)
 			made.mutex.Unlock()
-			go func() { _, _ = io.Copy(onward, accepted) }()
+			go func() { _, _ = io.Copy(forth, accepted) }()
 			go func() { _, _ = io.Copy(back, onward) }()
 		}
 	}()
 	return made
 }
 
-// mute makes all present connections silent towards the caller.
-func (s *swallowing) mute() {
+// muteBack makes all present connections silent towards the caller.
+func (s *swallowing) muteBack() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for _, each := range s.open {
+	mute(s.back)
+}
+
+// muteForth makes all present connections silent towards the target.
+func (s *swallowing) muteForth() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	mute(s.forth)
+}
+
+func mute(directions []*silenced) {
+	for _, each := range directions {
 		each.mutex.Lock()
 		each.isMuted = true
 		each.mutex.Unlock()
@@ -91,8 +103,20 @@
 }
 
 // TestSilentLinkIsReplaced: a connection that falls silent without a reset fails
-// calls for a bounded time only; the next call opens another.
+// calls for a bounded time only; the next call opens another. So it is when answers
+// are lost, when calls are, and when both.
 func TestSilentLinkIsReplaced(t *testing.T) {
+	for name, silence := range map[string]func(*swallowing){
+		"answers":   (*swallowing).muteBack,
+		"calls":     (*swallowing).muteForth,
+		"both ways": func(proxy *swallowing) { proxy.muteBack(); proxy.muteForth() },
+	} {
+		t.Run(name, func(t *testing.T) { requireSilentLinkIsReplaced(t, silence) })
+	}
+}
+
+func requireSilentLinkIsReplaced(t *testing.T, silence func(*swallowing)) {
+	t.Helper()
 	_, target := startTransport(t, "b")
 	caller, _ := startTransport(t, "a")
 	proxy := newSwallowing(t, target)
@@ -103,7 +127,7 @@
 		return err
 	}
 	require.Eventually(t, func() bool { return call() == nil }, 10*time.Second, 10*time.Millisecond)
-	proxy.mute()
+	silence(proxy)
 	require.Error(t, call())
 	require.Eventually(t, func() bool { return call() == nil }, 10*time.Second, 50*time.Millisecond)
 }
