Rows are gone only once the table was heard after a sleep

Cause: how long rows may be missing after the store's return (1.8 s) went by the time of day. A machine that slept meanwhile took the time for over when it woke, before it had seen what was written again, and passed back ends by; and a time of day that is set back kept rows that are gone in use for as long.

Ruled out: waiting for an answer as of after the 1.8 s also on a machine that was awake: a back end that has left must get nothing two seconds after, and an answer may take another.

Change: table/settling.go: the steady time on an awake machine; after a sleep the table must be confirmed as of after the 1.8 s, by the clock that counts sleep.

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -35,6 +35,10 @@
 	return max(c.Now().Sub(earlier.at)-time.Since(earlier.steady), 0)
 }
 
+// HasSleptSince reports whether the machine has slept since a moment for long enough to
+// tell.
+func (c Clock) HasSleptSince(earlier Mark) bool { return c.SleptSince(earlier) >= leastSleep }
+
 // Now returns the present moment.
 func (c Clock) Now() Instant {
 	if c == nil {
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math"
 	"sync/atomic"
 	"time"
 
@@ -69,20 +68,10 @@
 	// answers alone. Zero means never.
 	confirmed atomic.Int64
 	told      atomic.Int64
-	// settledAt is when, in Unix nanoseconds, the table holds again all that
-	// belongs there after the store was away.
-	settledAt atomic.Int64
+	// settling is nil until the store was away for the first time.
+	settling atomic.Pointer[settling]
 }
 
-// returnTime is how long those that keep entries in a table need to write them
-// again after the store was away: about two seconds by the platform's word, and
-// short of the two after which a back end that has left must get nothing.
-const returnTime = 1800 * time.Millisecond
-
-// IsSettled reports whether a row that is missing is gone: not while the store
-// is away, nor just after its return, since rows may have lapsed meanwhile.
-func (f *Follower) IsSettled() bool { return time.Now().UnixNano() >= f.settledAt.Load() }
-
 // Age returns for how long the table, as it was handed on, may not have been the
 // present state, by answers of the store or of a daemon that had one. It is never
 // too short: it counts from a moment before the answer was made, and goes on while
@@ -198,11 +187,11 @@
 	}
 	f.lost = isLost
 	if isLost {
-		f.settledAt.Store(math.MaxInt64)
+		f.settling.Store(&settling{isAway: true})
 		f.Logger.Warn("table_lost", "table", f.Table, "version", f.seen, "error", err)
 		return
 	}
-	f.settledAt.Store(time.Now().Add(returnTime).UnixNano())
+	f.settle()
 	f.Logger.Info("table_regained", "table", f.Table, "version", f.seen)
 }
 
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -78,7 +78,7 @@
 		return
 	}
 	if !told.IsSettled {
-		f.settledAt.Store(time.Now().Add(returnTime).UnixNano())
+		f.settle()
 	}
 	if told.IsWhole {
 		f.Consumer.Replace(told.Rows, told.Version)
