Limits hold while no keeper is heard, and around sleeps

Cause: a daemon that reaches neither a keeper nor who stands in decides by a share of its own, whose start assumed that a quarter of the daemons do so at once. Where the machines of the three keepers and three that stand in sleep or freeze together for a second, all do: at 60 requests a second a window of 5 s held 433 to 445 requests where 416 are allowed (7 runs of the new test; with a plain freeze in place of the sleep 445: it is not the clock).

Ruled out: the clock of the buckets. Also tried: half in place of a quarter (419 of 416), and a bucket that holds no more than its start (passes, but a tenant with a small limit would get a fifth of its usual requests from a daemon that is cut off for long).

Change: the start of such shares is bounded for all daemons. Limiter takes its clock as a field, so that the simulation can stop it.

After: the package 6 of 6 times, and once under the race detector.

Tests and checks: TestSharesStayWithinTheTolerance now asks for all 60 daemons where it asked for 15; mutant alone_as_if_few_were, seen to fail it.

--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -51,6 +51,9 @@
 	// part; own those by which it decides while it reaches no keeper.
 	keeping *buckets
 	own     *buckets
+	// now is the steady clock, which stands still while the machine sleeps: what flows
+	// in meanwhile others grant.
+	now func() time.Time
 
 	mutex sync.Mutex
 	// silentUntil is by the name of a daemon that did not answer.
@@ -72,17 +75,18 @@
 	return &Limiter{
 		fleet: fleet, tolerance: tolerance, metrics: metrics, log: log, rankings: newRankings(fleet),
 		keeping: newBuckets(), own: newBuckets(), silentUntil: map[string]time.Time{}, refused: map[string]refusal{},
+		now: time.Now,
 	}
 }
 
 // Admit decides on one request of a tenant.
 func (l *Limiter) Admit(ctx context.Context, name string, limit Limit) Decision {
-	started := time.Now()
+	started := l.now()
 	if !limit.IsBounded() {
 		return Decision{IsAdmitted: true, Source: SourceUnlimited, Config: limit.Config}
 	}
 	made := l.decide(ctx, name, limit, started)
-	made.Took = time.Since(started)
+	made.Took = l.now().Sub(started)
 	l.metrics.Count(name, made.IsAdmitted)
 	return made
 }
@@ -100,12 +104,12 @@
 	asking := round{limiter: l, request: takeRequest(name, limit)}
 	asking.askKeepers(bounded, order, l.partsOf(limit, order))
 	if !asking.isHeard {
-		alone := l.decideAlone(name, limit, order, time.Now())
+		alone := l.decideAlone(name, limit, order, l.now())
 		alone.Asked, alone.Silent = asking.best.Asked, asking.best.Silent
 		return alone
 	}
 	if !asking.best.IsAdmitted {
-		l.rest(name, asking.best, time.Now())
+		l.rest(name, asking.best, l.now())
 	}
 	return asking.best
 }
@@ -115,8 +119,8 @@
 // nobody can tell what is left of its tenant's limit.
 func (l *Limiter) awaitFleet(ctx context.Context, name string, started time.Time) ranking {
 	order := l.rankings.of(name, started)
-	for !order.isKnown && time.Since(started) < fleetPatience && periodic.Sleep(ctx, fleetPoll) {
-		order = l.rankings.of(name, time.Now())
+	for !order.isKnown && l.now().Sub(started) < fleetPatience && periodic.Sleep(ctx, fleetPoll) {
+		order = l.rankings.of(name, l.now())
 	}
 	return order
 }
@@ -183,14 +187,14 @@
 	if keeper.Name == l.fleet.Self() {
 		return l.Serve(request), nil
 	}
-	if l.isSilent(keeper.Name, time.Now()) {
+	if l.isSilent(keeper.Name, l.now()) {
 		return Answer{}, silentError(keeper.Name)
 	}
 	bounded, cancel := context.WithTimeout(ctx, keeperPatience)
 	defer cancel()
 	answer, err := l.fleet.Ask(bounded, keeper.Address, request)
 	if err != nil && ctx.Err() == nil {
-		l.noteSilent(keeper.Name, err, time.Now())
+		l.noteSilent(keeper.Name, err, l.now())
 	}
 	return answer, err
 }
@@ -203,7 +207,7 @@
 
 // Serve answers a request of another daemon, or of this one.
 func (l *Limiter) Serve(request Request) Answer {
-	now := time.Now()
+	now := l.now()
 	order := l.rankings.of(request.Tenant, now)
 	limit := Limit{Limit: tenant.Limit{PerSecond: request.PerSecond, Burst: request.Burst}, Config: request.Config}
 	rank := order.rank(l.fleet.Self())
@@ -255,9 +259,9 @@
 	}
 	request := takeRequest(name, limit)
 	request.Operation = operation
-	order := l.rankings.of(name, time.Now())
+	order := l.rankings.of(name, l.now())
 	if made.Source == SourceShare {
-		l.applyAlone(operation, name, limit, order, time.Now())
+		l.applyAlone(operation, name, limit, order, l.now())
 		return
 	}
 	rank := order.rank(made.Keeper)
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -76,7 +76,7 @@
 		require.LessOrEqual(t, capacity+2*start, limit.Burst+excess+1e-6)
 		require.GreaterOrEqual(t, capacity, limit.Burst, "a burst that is allowed is refused")
 		alone := tolerance.alone(limit, 60)
-		require.LessOrEqual(t, 15*alone.start, excess*startShare+1e-6, "a quarter of the fleet reaches no keeper")
+		require.LessOrEqual(t, 60*alone.start, excess*startShare+1e-6, "no daemon of the fleet reaches a keeper")
 	})
 }
 
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -38,10 +38,12 @@
 	// for a keeper that others cannot reach, and which may be at work all the
 	// same.
 	standInShare = 0.25
-	// aloneShare is the part of the daemons that may reach no keeper at once: a
-	// sixth are cut off together, and some may be overloaded. What such daemons
-	// grant at the start stays within startShare of the excess.
-	aloneShare = 0.25
+	// aloneShare is the part of the daemons that may reach no keeper at once: all, if
+	// the machines of the keepers and of those that stand in for them sleep or freeze
+	// together. What such daemons grant at the start stays within startShare of the
+	// excess. With a quarter, a window of 5 s at 60 requests a second held 433 to 445
+	// after 1 s without keepers, of 416 that are allowed.
+	aloneShare = 1.0
 	// aloneRate is the part of its even share of the rate that such a daemon
 	// grants: what tenants use whose limit is half as much again as their usual
 	// rate. The keepers that others reach go on granting the whole.
--- a/internal/ratelimit/simulation_test.go
+++ b/internal/ratelimit/simulation_test.go
@@ -38,6 +38,8 @@
 	startedAt time.Time
 	// wakesAt is when a paused daemon goes on.
 	wakesAt time.Time
+	// slept is for how long its machine has slept, by which its steady clock lags.
+	slept time.Duration
 }
 
 // fleetModel is a fleet in virtual time: who hears whom, who is down or paused,
@@ -123,6 +125,7 @@
 // start gives a daemon a new life without memory.
 func (m *fleetModel) start(name string) {
 	limiter := New(modelView{model: m, name: name}, tolerance, telemetry.NewTenants(prometheus.NewRegistry()), quiet)
+	limiter.now = func() time.Time { return m.steadyClock(name) }
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	state := m.daemons[name]
@@ -143,6 +146,24 @@
 	m.lostAt[name] = time.Now()
 }
 
+// sleep pauses a daemon with its steady clock, which other pauses leave running.
+func (m *fleetModel) sleep(name string, length time.Duration) {
+	m.pause(name, length)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.daemons[name].slept += length
+}
+
+// steadyClock is a daemon's steady clock, which stands still while its machine sleeps.
+// Nothing asks a sleeping daemon.
+func (m *fleetModel) steadyClock(name string) time.Time {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	state := m.daemons[name]
+	asleep := max(time.Until(state.wakesAt), 0)
+	return time.Now().Add(min(asleep, state.slept) - state.slept)
+}
+
 // cut puts daemons on another side for a time.
 func (m *fleetModel) cut(names []string, side int) {
 	m.mutex.Lock()
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -269,6 +269,8 @@
 	'g.successes.note(fingerprint, g.Clock.Now())' 'g.successes.note(fingerprint, g.Clock.Now().Add(time.Hour))' internal/quarantine TestGoodEndsBeforeASleepProveNothing
 mutant asleep_is_settled internal/table/settling.go \
 	'boottime.Instant(f.confirmed.Load()) >= last.wholeAt' 'f.Now() >= last.wholeAt' internal/table TestRowsThatAreNotBackYetAreNotGone
+mutant alone_as_if_few_were internal/ratelimit/share.go \
+	'aloneShare = 1.0' 'aloneShare = 0.25' internal/ratelimit TestSharesStayWithinTheTolerance
 mutant rested_over_a_sleep platform/pool.go \
 	'p.clock.Now() < last.usedUntil' 'last.usedUntil > 0' platform TestConnectionsThatRestedOverASleepAreNotUsed
 mutant line_breaks_written internal/httphead/write.go \
