An owner that takes an end tells the daemon that would take the job over

Cause: the owner of a job may be the daemon that took its end; then the end lived in one memory still. A client that ends a job where it sent it always meets this. Change: the owner tells its successor in the order of takeovers (Successor), which holds the items and pursues the end as an owner does. A daemon that owns a job need not have it in its copy of the claims yet (openClaim).

--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -47,6 +47,17 @@
 	return duty.Rank(key, p.node.Self().Name, p.node.AllNames())
 }
 
+// Successor implements job.Peers.
+func (p peers) Successor(key string) string {
+	self := p.node.Self().Name
+	for _, name := range duty.Owners(key, p.node.AllNames(), 2) {
+		if name != self {
+			return name
+		}
+	}
+	return ""
+}
+
 // tableMembers is where daemons leave their addresses for others to find.
 const tableMembers = "member"
 
--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -158,6 +158,8 @@
 	// suspected are daemons that are not heard.
 	suspected map[string]bool
 	rank      int
+	// successor is who takes jobs over from this daemon.
+	successor string
 }
 
 func (p *livePeers) Liveness(name string, _ int64) job.Liveness {
@@ -180,6 +182,8 @@
 
 func (p *livePeers) Rank(string) int { return p.rank }
 
+func (p *livePeers) Successor(string) string { return p.successor }
+
 func (p *livePeers) TellEnded(owner, job string, version table.Version) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/job/handover.go
+++ b/internal/job/handover.go
@@ -23,21 +23,38 @@
 }
 
 // tellOwner tells the owner of a job that its end is wanted, if the owner is known here
-// and the tenant may end the job. It is asked at each try that the store turned away: the
-// owner may not have been reached, or another one may have taken the job over.
+// and the tenant may end the job; the owner itself tells the daemon that would take the
+// job over. It is asked at each try that the store turned away: the owner may not have been
+// reached, or another one may have taken the job over.
 func (s *Service) tellOwner(ctx context.Context, key endingKey) {
-	s.mutex.Lock()
-	held, isClaimed := s.claims[key.job]
-	s.mutex.Unlock()
-	owner := held.claim.Owner
-	if !isClaimed || owner == "" || owner == s.self.Name || !mayAccess(held.claim.Tenant, key.tenant) {
+	held, isOpen := s.openClaim(key.job)
+	if !isOpen || !mayAccess(held.Tenant, key.tenant) {
+		return
+	}
+	told := held.Owner
+	if told == s.self.Name {
+		told = s.peers.Successor(key.job)
+	}
+	if told == "" {
 		return
 	}
 	remaining := endTime
 	if deadline, isBounded := ctx.Deadline(); isBounded {
 		remaining = min(remaining, time.Until(deadline))
 	}
-	s.peers.TellWantedEnd(owner, WantedEnd{Job: key.job, Tenant: key.tenant, Remaining: remaining})
+	s.peers.TellWantedEnd(told, WantedEnd{Job: key.job, Tenant: key.tenant, Remaining: remaining})
+}
+
+// openClaim returns the claim on a job that is known to be accepted and not over: its own,
+// which the copy may not have yet, or that of the copy.
+func (s *Service) openClaim(id string) (held claim, isOpen bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if owned := s.owned[id]; owned != nil {
+		return claim{Owner: s.self.Name, Tenant: owned.job.Tenant}, true
+	}
+	found, isClaimed := s.claims[id]
+	return found.claim, isClaimed
 }
 
 // HeardWantedEnd takes an end that another daemon has taken: it holds the job's items
--- a/internal/job/handover_test.go
+++ b/internal/job/handover_test.go
@@ -118,6 +118,29 @@
 	require.Eventually(t, func() bool { return !taker.KnowsOpen("j1") }, patience, pollTime, "the job goes on")
 }
 
+// TestEndOutlivesTheOwnerThatTookIt: the owner itself takes the end and dies. Before the
+// daemon was told that takes the job over, it sent 100 of 100 items.
+func TestEndOutlivesTheOwnerThatTookIt(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.pause = time.Minute
+	owner, next := startDaemon(t, "a", store, runner), startDaemon(t, "b", store, runner)
+	owner.peers.reach(next)
+	owner.peers.successor = "b"
+	owner.backends.Put(room(0))
+	accepted := newJob("j1", 100)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	requireKnown(t, store, owner, next)
+	store.SetDecide(throttleCommits)
+	endAndLeave(t, owner, "", "j1")
+	time.Sleep(lastWatch) // the end is taken, and turned away
+	owner.kill(t)
+	next.peers.kill("a")
+	store.SetDecide(nil)
+	time.Sleep(cancelTime)
+	assert.Zero(t, runner.total(), "items of the ended job were sent")
+	require.Eventually(t, func() bool { return !next.KnowsOpen("j1") && next.Owned() == 0 }, patience, pollTime, "the job goes on")
+}
+
 // TestWantedEndOfAnotherTenantIsNotHeard: neither where it is taken nor by the owner.
 func TestWantedEndOfAnotherTenantIsNotHeard(t *testing.T) {
 	store, runner := tabletest.NewMemory(), newRunners()
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -35,6 +35,9 @@
 	// TellWantedEnd tells a daemon, without waiting, that the end of a job which it owns
 	// is wanted and not done yet.
 	TellWantedEnd(owner string, wanted WantedEnd)
+	// Successor is the daemon that should take over the key if this one is gone; empty
+	// means that none is known.
+	Successor(key string) string
 	// Rank is this daemon's place, from 0, among the live daemons in the order
 	// in which they should take over the key.
 	Rank(key string) int
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -274,7 +274,9 @@
 mutant file_ids_are_paths internal/gateway/files.go \
 	'err != nil || !hasPrefix' 'err != nil && !hasPrefix && false' internal/harness TestFileIDsNameFilesOnly
 mutant wanted_end_not_told internal/job/handover.go \
-	'if !isClaimed ||' 'if isClaimed ||' internal/job TestOwnerPursuesTheEndThatADaemonTookAndDied
+	'if !isOpen ||' 'if isOpen ||' internal/job TestOwnerPursuesTheEndThatADaemonTookAndDied
+mutant successor_not_told internal/job/handover.go \
+	'told = s.peers.Successor(key.job)' 'told = ""' internal/job TestEndOutlivesTheOwnerThatTookIt
 mutant next_owner_not_told internal/job/ending.go \
 	'	s.tellOwner(ctx, key)
 	return pause.sleep(ctx)' '	return pause.sleep(ctx)' internal/job TestNextOwnerIsToldOfAWantedEnd
