Answers are whole or look cut, on both doors; work ends with its caller behind the OpenAI-like door

Causes and mends, each with a test seen to fail before: - An answer over 64 MiB was cut there and passed on as whole, whatever its framing (67,108,864 of 67,108,865 bytes, three framings). httphead.ReadBody, one limit for both doors, makes it a spoiled answer (platform TestLongAnswerIsNotCut). Engines' answers had no limit. - Callers in HTTP/1.0 got chunks, on both doors (TestOldCallersGetNoChunks in platform and gateway). Their streams end with the connection; cut ones with a reset. - A forwarded answer that broke off was ended in proper form (four cases of four: TestForwardedAnswerThatBreaksOffIsNotWhole). The connection is reset. - Found on the way: the server's write time-out counts from a stream's beginning, so that each one was cut after 30 s (TestLongStreamIsNotCutByTheWriteTimeout, played with 0.3 s: cut in its first parts). It counts for each part now, as at the users' door. - Found on the way: a forwarded target was normalized: /a%2Fb/../c came as /a/c (TestForwardedTargetIsAsItCame). - A target in absolute form was served here and made a wrong address when forwarded. It is refused by the users' door's rule and code (TestTargetInAbsoluteFormIsRefused). - A whole answer's run went on without its caller: not ended within 15 s. The library tells nothing of the connection while a call is handled, so its state is asked five times a second. Answers under a key run on: their caller may come back (TestCallerOfAWholeAnswerThatLeavesEndsItsGeneration). An attempt whose answer has not begun is cancelled (TestCallerThatLeavesBeforeTheAnswerEndsTheAttempt: fails without). - attempt_failed there too, so that a retry's reason is in the log.

Ruled out: answering HTTP/1.0 from memory with a length (no events until the end). Left: calls of plain services that were sent run on; the engines' protocol cannot end them.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -31,6 +31,17 @@
 	OutcomeInvalid
 )
 
+// String returns the name that logs carry.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeNotRun:
+		return "not_run"
+	case OutcomeInvalid:
+		return "invalid"
+	}
+	return "unknown"
+}
+
 // AttemptError is the failure of one attempt on one engine.
 type AttemptError struct {
 	Outcome Outcome
@@ -367,8 +378,7 @@
 
 func readBody(response *fasthttp.Response) ([]byte, error) {
 	if stream := response.BodyStream(); stream != nil {
-		content, err := io.ReadAll(stream)
-		return content, errors.WithStack(err)
+		return httphead.ReadBody(stream, httphead.AnswerBytes)
 	}
 	return append([]byte(nil), response.Body()...), nil
 }
--- /dev/null
+++ b/internal/gateway/choose.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"topazpulley/internal/failure"
+	"topazpulley/internal/registry"
+	"topazpulley/internal/routing"
+	"topazpulley/internal/supervisor"
+)
+
+const (
+	roomPollInterval = 5 * time.Millisecond
+	hintInterval     = 50 * time.Millisecond
+)
+
+// choose picks an engine, waiting up to the queue timeout for one with room.
+func (n *generation) choose(ctx context.Context) (registry.Engine, error) {
+	patience := time.Now().Add(time.Duration(n.request.policy.QueueTimeout))
+	for {
+		view, found, anyServing := n.gateway.route(n.request, n.excluded)
+		if found {
+			return view, nil
+		}
+		if !anyServing && len(n.excluded) > 0 && n.request.repeatable {
+			n.excluded = map[string]bool{}
+		}
+		if !anyServing && n.attempt == 0 {
+			return view, n.ran.Refuse(failure.New(failure.KindUnavailable, codeNoEngine, "no engine in zone %s serves this", n.gateway.Settings.Zone).WithRetryAfter(noEngineRetry))
+		}
+		if hasLeft(ctx) {
+			return view, n.expired(ctx, context.Cause(ctx))
+		}
+		if time.Now().After(patience) || ctx.Err() != nil {
+			n.overloaded = true
+			return view, n.giveUp(codeEnginesFull, "every engine is at its limit")
+		}
+		time.Sleep(roomPollInterval)
+	}
+}
+
+// route chooses among the zone's engines of a service. anyServing tells whether
+// some engine could serve the request if it had room.
+func (g *Gateway) route(request onlineRequest, excluded map[string]bool) (view registry.Engine, found, anyServing bool) {
+	engines := g.Registry.OfService(request.service)
+	query := routing.Request{Model: request.model, PrefixHash: request.prefixHash, OnlineLimit: request.policy.OnlineLimit, Excluded: excluded}
+	now := time.Now()
+	g.mutex.Lock()
+	view, found = g.router.Choose(query, engines, now)
+	if !found {
+		query.UseEjected = true
+		view, found = g.router.Choose(query, engines, now)
+	}
+	g.mutex.Unlock()
+	if found {
+		return view, true, true
+	}
+	query.OnlineLimit = 0
+	return view, false, len(routing.Eligible(query, engines, now)) > 0
+}
+
+// hintYield tells the engine's supervisor of the request ahead of the engine's
+// lagging report, if the engine runs batch work.
+func (g *Gateway) hintYield(view registry.Engine) {
+	if g.WithoutHints || (view.Load.Batch == 0 && view.Load.BatchWindow == 0) {
+		return
+	}
+	g.mutex.Lock()
+	isRecent := time.Since(g.hintedAt[view.Name]) < hintInterval
+	if !isRecent {
+		g.hintedAt[view.Name] = time.Now()
+	}
+	g.mutex.Unlock()
+	if isRecent {
+		return
+	}
+	online := routing.Load(view) + 1
+	if view.Record.Supervisor == g.Settings.Name {
+		g.Yielder.Yield(view.Name, online)
+		return
+	}
+	g.Node.Hint(view.Record.Supervisor, supervisor.YieldItem(view.Name, online))
+}
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -72,7 +72,7 @@
 		c.gateway.writeFailure(c.call, err)
 		return false
 	}
-	ctx, cancel := context.WithDeadline(c.gateway.lifetime, deadline)
+	ctx, cancel := c.context(deadline, key)
 	run, err := c.gateway.begin(ctx, request, key, deadline)
 	if err != nil {
 		cancel()
@@ -342,10 +342,12 @@
 	writer := chunkWriter{id: run.request.id, model: run.request.model, chat: c.path == batch.EndpointChatCompletions, created: time.Now().Unix()}
 	c.call.SetContentType("text/event-stream")
 	c.call.Response.Header.Set("Cache-Control", "no-cache")
-	c.call.SetBodyStreamWriter(func(output *bufio.Writer) {
+	c.streamBody(func(output *bufio.Writer) error {
 		defer finish()
 		defer cancel()
+		// A stream that failed ends with its failure and without the end marker.
 		run.finish(run.stream(ctx, output, writer))
+		return nil
 	})
 	return true
 }
@@ -361,7 +363,7 @@
 		r.tokens = append(r.tokens, event.Token)
 		writer.token(output, event.Token, len(r.tokens) == 1)
 		if err := output.Flush(); err != nil {
-			return failure.Wrap(err, failure.KindCancelled, "caller_left", "the caller closed the connection")
+			return failure.Wrap(err, failure.KindCancelled, codeCallerLeft, "the caller closed the connection")
 		}
 		var err error
 		if event, err = r.source.next(ctx); err != nil {
--- a/internal/gateway/files.go
+++ b/internal/gateway/files.go
@@ -133,7 +133,7 @@
 	}
 	gateway, finish := c.gateway, c.finish
 	c.call.SetContentType("application/jsonl")
-	c.call.SetBodyStreamWriter(func(output *bufio.Writer) {
+	c.streamBody(func(output *bufio.Writer) error {
 		defer finish()
 		ctx, cancel := context.WithTimeout(gateway.lifetime, fileTimeout)
 		defer cancel()
@@ -142,6 +142,7 @@
 			gateway.Logger.Warn("results_read_failed", "job", id, "error", err)
 			writeEvent(output, ErrorBody{Error: failure.From(err)})
 		}
+		return nil
 	})
 	return true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
+	"topazpulley/internal/httphead"
 	"topazpulley/internal/peer"
 	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/registry"
@@ -193,6 +194,10 @@
 	if g.stopping.Load() {
 		call.SetConnectionClose()
 	}
+	if err := httphead.CheckTarget(string(call.RequestURI())); err != nil {
+		g.refuseTarget(call, err)
+		return
+	}
 	path := string(call.Path())
 	switch path {
 	case "/healthz":
@@ -217,6 +222,12 @@
 	g.handleCaller(call, path)
 }
 
+// refuseTarget refuses a target that is no path with an optional query, as the other
+// interface does: passed on to another zone, one in absolute form made an address of two.
+func (g *Gateway) refuseTarget(call *fasthttp.RequestCtx, err error) {
+	g.writeFailure(call, failure.Wrap(err, failure.KindInvalid, string(httphead.KindTarget), "the target is no path with an optional query").WithNotRun())
+}
+
 // isCutOff reports whether the daemon could not confirm its revision lately.
 func (g *Gateway) isCutOff() bool { return time.Since(g.Holder.ConfirmedAt()) > cutOffAfter }
 
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -11,10 +11,8 @@
 	"topazpulley/internal/failure"
 	"topazpulley/internal/quarantine"
 	"topazpulley/internal/registry"
-	"topazpulley/internal/routing"
 	"topazpulley/internal/runs"
 	"topazpulley/internal/serving"
-	"topazpulley/internal/supervisor"
 	"topazpulley/internal/tenant"
 )
 
@@ -22,14 +20,13 @@
 	maxAttempts         = 12
 	resumeAttempts      = 5
 	resumePause         = 200 * time.Millisecond
-	roomPollInterval    = 5 * time.Millisecond
-	hintInterval        = 50 * time.Millisecond
 	noEngineRetry       = 2 * time.Second
 	codeNoEngine        = "no_engine"
 	codeEnginesFull     = "engines_full"
 	codeRetryBudget     = "retry_budget_spent"
 	codeOutcomeUnknown  = "outcome_unknown"
 	codeDeadlineReached = "deadline"
+	codeCallerLeft      = "caller_left"
 )
 
 // onlineRequest is one admitted online generation.
@@ -170,6 +167,8 @@
 	n.gateway.hintYield(n.view)
 	n.ran.Sent()
 	n.gateway.noteSent(n.request, n.view, n.attemptID, n.attempt, serving.KindOfSend(n.attempt, int64(len(n.tokens))))
+	stop := context.AfterFunc(ctx, func() { n.endUnanswered(ctx) })
+	defer stop()
 	stream, err := n.gateway.Engines.Generate(ctx, n.view.Machine.Address, engine.GenerateRequest{
 		AttemptID: n.attemptID, Model: n.request.model, Input: n.request.input,
 		MaxTokens: n.request.maxTokens, Priority: engine.PriorityOnline, Continue: n.tokens, Fingerprint: n.request.fingerprint(),
@@ -183,6 +182,15 @@
 	return nil
 }
 
+// endUnanswered tells the engine to stop an attempt whose answer has not begun, if the
+// caller has left: an engine that has no room begins to answer when it gets some, and
+// would run the request for nobody.
+func (n *generation) endUnanswered(ctx context.Context) {
+	if hasLeft(ctx) {
+		n.gateway.Engines.Cancel(n.view.Machine.Address, n.attemptID)
+	}
+}
+
 // noteOutcome notes an attempt that an engine refused or that never left.
 func (n *generation) noteOutcome(err error) {
 	switch engine.OutcomeOf(err) {
@@ -204,6 +212,7 @@
 // refused handles an attempt that did not start or broke before its stream
 // opened. A nil return means: try on, or go on with the stream if it is set.
 func (n *generation) refused(ctx context.Context, err error) error {
+	n.noteFailed(n.attemptID, err)
 	n.gateway.Metrics.Retries.WithLabelValues(engine.CodeOf(err)).Inc()
 	if engine.CodeOf(err) == engine.CodeQuarantined {
 		return n.quarantined()
@@ -236,6 +245,7 @@
 	if engine.CodeOf(err) == engine.CodeWrongID {
 		n.gateway.Metrics.Dropped.Inc()
 	}
+	n.noteFailed(n.attemptID, err)
 	isFault := ctx.Err() == nil
 	n.endStream(isFault)
 	n.gateway.Metrics.Retries.WithLabelValues(engine.CodeOf(err)).Inc()
@@ -247,7 +257,7 @@
 // continues elsewhere from the delivered tokens, another one ends as unknown.
 func (n *generation) unknown(ctx context.Context, cause error) error {
 	if ctx.Err() != nil {
-		return n.expired(cause)
+		return n.expired(ctx, cause)
 	}
 	tries := 1
 	if !n.request.repeatable {
@@ -261,7 +271,7 @@
 			return nil
 		}
 		if ctx.Err() != nil {
-			return n.expired(cause)
+			return n.expired(ctx, cause)
 		}
 	}
 	if !n.request.repeatable {
@@ -288,10 +298,13 @@
 	return true
 }
 
-func (n *generation) expired(cause error) error {
+func (n *generation) expired(ctx context.Context, cause error) error {
 	if n.gateway.lifetime.Err() != nil {
 		return n.ran.Refuse(failure.Wrap(cause, failure.KindUnavailable, "stopping", "the daemon is stopping"))
 	}
+	if hasLeft(ctx) {
+		return n.ran.Mark(failure.Wrap(cause, failure.KindCancelled, codeCallerLeft, "the caller closed the connection"))
+	}
 	return n.ran.Mark(failure.Wrap(cause, failure.KindDeadline, codeDeadlineReached, "the request's deadline passed"))
 }
 
@@ -299,68 +312,3 @@
 func (n *generation) giveUp(code, message string) error {
 	return n.ran.Refuse(failure.New(failure.KindOverloaded, code, "%s", message).WithRetryAfter(noEngineRetry))
 }
-
-// choose picks an engine, waiting up to the queue timeout for one with room.
-func (n *generation) choose(ctx context.Context) (registry.Engine, error) {
-	patience := time.Now().Add(time.Duration(n.request.policy.QueueTimeout))
-	for {
-		view, found, anyServing := n.gateway.route(n.request, n.excluded)
-		if found {
-			return view, nil
-		}
-		if !anyServing && len(n.excluded) > 0 && n.request.repeatable {
-			n.excluded = map[string]bool{}
-		}
-		if !anyServing && n.attempt == 0 {
-			return view, n.ran.Refuse(failure.New(failure.KindUnavailable, codeNoEngine, "no engine in zone %s serves this", n.gateway.Settings.Zone).WithRetryAfter(noEngineRetry))
-		}
-		if time.Now().After(patience) || ctx.Err() != nil {
-			n.overloaded = true
-			return view, n.giveUp(codeEnginesFull, "every engine is at its limit")
-		}
-		time.Sleep(roomPollInterval)
-	}
-}
-
-// route chooses among the zone's engines of a service. anyServing tells whether
-// some engine could serve the request if it had room.
-func (g *Gateway) route(request onlineRequest, excluded map[string]bool) (view registry.Engine, found, anyServing bool) {
-	engines := g.Registry.OfService(request.service)
-	query := routing.Request{Model: request.model, PrefixHash: request.prefixHash, OnlineLimit: request.policy.OnlineLimit, Excluded: excluded}
-	now := time.Now()
-	g.mutex.Lock()
-	view, found = g.router.Choose(query, engines, now)
-	if !found {
-		query.UseEjected = true
-		view, found = g.router.Choose(query, engines, now)
-	}
-	g.mutex.Unlock()
-	if found {
-		return view, true, true
-	}
-	query.OnlineLimit = 0
-	return view, false, len(routing.Eligible(query, engines, now)) > 0
-}
-
-// hintYield tells the engine's supervisor of the request ahead of the engine's
-// lagging report, if the engine runs batch work.
-func (g *Gateway) hintYield(view registry.Engine) {
-	if g.WithoutHints || (view.Load.Batch == 0 && view.Load.BatchWindow == 0) {
-		return
-	}
-	g.mutex.Lock()
-	isRecent := time.Since(g.hintedAt[view.Name]) < hintInterval
-	if !isRecent {
-		g.hintedAt[view.Name] = time.Now()
-	}
-	g.mutex.Unlock()
-	if isRecent {
-		return
-	}
-	online := routing.Load(view) + 1
-	if view.Record.Supervisor == g.Settings.Name {
-		g.Yielder.Yield(view.Name, online)
-		return
-	}
-	g.Node.Hint(view.Record.Supervisor, supervisor.YieldItem(view.Name, online))
-}
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/valyala/fasthttp"
 
+	"topazpulley/internal/engine"
 	"topazpulley/internal/registry"
 	"topazpulley/internal/serving"
 )
@@ -28,3 +29,10 @@
 		"attempt", number, "kind", string(kind), "caller", request.origin.caller, "from_zone", request.origin.zone,
 		"tenant", request.tenant, "service", request.service)
 }
+
+// noteFailed logs why an attempt gave no answer, or no further one: what follows is
+// decided by it.
+func (n *generation) noteFailed(attemptID string, err error) {
+	n.gateway.Logger.Info("attempt_failed", "id", n.request.id, "attempt_id", attemptID, "engine", n.view.Name, "attempt", n.attempt,
+		"outcome", engine.OutcomeOf(err).String(), "code", engine.CodeOf(err), "tokens", len(n.tokens), "error", err)
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -39,12 +39,13 @@
 		return
 	}
 	c.call.Response.Header.Set(HeaderRequestID, request.id)
-	ctx, cancel := context.WithDeadline(c.gateway.lifetime, deadline)
+	key := string(c.call.Request.Header.Peek(HeaderIdempotencyKey))
+	ctx, cancel := c.context(deadline, key)
 	defer cancel()
 	answer, err := c.gateway.callPlain(ctx, request, deadline, engine.CallRequest{
 		Method: string(c.call.Method()), Path: target, Body: request.input,
 		Fingerprint: quarantine.FingerprintOf(string(c.call.Method()), name+target, c.tenant, request.input),
-	}, c.call.Request.Header.Peek(HeaderIdempotencyKey))
+	}, key)
 	if err != nil {
 		c.refuse(request, err)
 		return
@@ -89,8 +90,7 @@
 
 // callPlain sends a call to an engine, with the same limits, retries and
 // outcomes as a generation.
-func (g *Gateway) callPlain(ctx context.Context, request onlineRequest, deadline time.Time, call engine.CallRequest, keyHeader []byte) (engine.CallAnswer, error) {
-	key := string(keyHeader)
+func (g *Gateway) callPlain(ctx context.Context, request onlineRequest, deadline time.Time, call engine.CallRequest, key string) (engine.CallAnswer, error) {
 	if !request.repeatable && key != "" {
 		_, found, err := g.earlierAttempt(ctx, request, key)
 		if err != nil {
@@ -148,6 +148,7 @@
 	n.gateway.Registry.End(view.Name, err != nil && isEngineFault(err), time.Now())
 	if err != nil {
 		n.noteOutcome(err)
+		n.noteFailed(call.AttemptID, err)
 	}
 	return answer, err
 }
@@ -173,7 +174,7 @@
 		return n.rejected(err)
 	}
 	if ctx.Err() != nil {
-		return n.expired(err)
+		return n.expired(ctx, err)
 	}
 	if !n.request.repeatable {
 		return failure.Wrap(err, failure.KindOutcomeUnknown, codeOutcomeUnknown, "the call was sent once and its outcome cannot be learnt; it was not sent again")
--- a/internal/gateway/spill.go
+++ b/internal/gateway/spill.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hamba/avro/v2"
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"topazpulley/internal/avrocodec"
@@ -48,6 +49,7 @@
 	return &fasthttp.Client{
 		MaxConnsPerHost: maxConnsPerAddress, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
 		StreamResponseBody: true, TLSConfig: forwardTLS(process),
+		DisablePathNormalizing: true, // the engine gets the target that its caller wrote
 	}
 }
 
@@ -184,12 +186,14 @@
 	if c.gateway.Settings.TLSCertificateFile != "" {
 		scheme = "https://"
 	}
+	request.URI().DisablePathNormalizing = true
 	request.SetRequestURI(scheme + member.HTTPAddress + string(c.call.RequestURI()))
 	request.Header.SetHost(member.HTTPAddress)
 	request.Header.Set(HeaderHop, c.gateway.Settings.Zone)
 	err := c.gateway.forward.DoDeadline(request, response, time.Now().Add(maxDeadline))
 	if err != nil {
 		fasthttp.ReleaseResponse(response)
+		c.gateway.Logger.Info("request_forward_failed", "zone", member.Zone, "to", member.Name, "caller", c.call.RemoteAddr().String(), "tenant", c.tenant, "error", err)
 		return c.forwardFailed(err)
 	}
 	// The other daemon gives the request an id of its own, which its lines carry.
@@ -220,22 +224,29 @@
 			c.call.Response.Header.SetBytesV(name, value)
 		}
 	}
-	c.call.SetBodyStreamWriter(func(output *bufio.Writer) {
+	c.streamBody(func(output *bufio.Writer) error {
 		defer fasthttp.ReleaseResponse(response)
-		copyFlushing(output, response.BodyStream())
+		return copyFlushing(output, response.BodyStream())
 	})
 }
 
-// copyFlushing passes every read on at once, as streams need.
-func copyFlushing(output *bufio.Writer, input io.Reader) {
+// copyFlushing passes every read on at once, as streams need. An error tells that the
+// input broke off or that the output is not taken.
+func copyFlushing(output *bufio.Writer, input io.Reader) error {
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		count, err := input.Read(buffer)
-		if _, writeErr := output.Write(buffer[:count]); writeErr != nil || output.Flush() != nil {
-			return
+		if _, writeErr := output.Write(buffer[:count]); writeErr != nil {
+			return errors.WithStack(writeErr)
+		}
+		if flushErr := output.Flush(); flushErr != nil {
+			return errors.WithStack(flushErr)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
 		}
 		if err != nil {
-			return
+			return errors.WithStack(err)
 		}
 	}
 }
--- /dev/null
+++ b/internal/gateway/stream_test.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"topazpulley/internal/membership"
+	"topazpulley/internal/settings"
+)
+
+// serveCalls answers each call of a fresh server with what handle does for its caller.
+func serveCalls(t *testing.T, writeTimeout time.Duration, handle func(*caller)) string {
+	t.Helper()
+	gateway := newPromiseGateway(t, &scriptedEngine{})
+	gateway.Settings.Zone = "a"
+	gateway.forward = newForwardClient(settings.Settings{})
+	server := &fasthttp.Server{
+		WriteTimeout: writeTimeout,
+		Handler:      func(call *fasthttp.RequestCtx) { handle(&caller{gateway: gateway, call: call}) },
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+	return listener.Addr().String()
+}
+
+// askRaw sends a request in a version of HTTP and returns all that comes until the
+// connection ends.
+func askRaw(t *testing.T, address, target, version string) (string, error) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET "+target+" "+version+"\r\nHost: a\r\nConnection: close\r\n\r\n")
+	require.NoError(t, err)
+	content, err := io.ReadAll(conn)
+	return string(content), err
+}
+
+// TestOldCallersGetNoChunks: callers that ask in HTTP/1.0 know no chunks.
+func TestOldCallersGetNoChunks(t *testing.T) {
+	address := serveCalls(t, time.Second, func(c *caller) {
+		c.call.SetContentType("text/event-stream")
+		c.streamBody(func(output *bufio.Writer) error {
+			_, err := output.WriteString("data: [DONE]\n\n")
+			return err
+		})
+	})
+	got, err := askRaw(t, address, "/", "HTTP/1.0")
+	require.NoError(t, err)
+	head, body, _ := strings.Cut(got, "\r\n\r\n")
+	require.Equal(t, "data: [DONE]\n\n", body)
+	require.NotContains(t, head, "Transfer-Encoding")
+	require.Contains(t, head, "Content-Type: text/event-stream")
+	got, err = askRaw(t, address, "/", "HTTP/1.1")
+	require.NoError(t, err)
+	require.Contains(t, got, "Transfer-Encoding: chunked")
+	require.Contains(t, got, "data: [DONE]\n\n")
+}
+
+// TestLongStreamIsNotCutByTheWriteTimeout: the time that a caller may take to read a
+// part of its answer was counted from the beginning of the answer, so that a stream was
+// cut after 30 s though its caller read all the time.
+func TestLongStreamIsNotCutByTheWriteTimeout(t *testing.T) {
+	const parts, pause = 12, 100 * time.Millisecond
+	for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		address := serveCalls(t, parts*pause/4, func(c *caller) {
+			c.streamBody(func(output *bufio.Writer) error {
+				for number := range parts {
+					time.Sleep(pause)
+					if _, err := fmt.Fprintf(output, "part %d\n", number); err != nil {
+						return err
+					}
+					if err := output.Flush(); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+		})
+		got, err := askRaw(t, address, "/", version)
+		require.NoError(t, err, version)
+		require.Contains(t, got, fmt.Sprintf("part %d\n", parts-1), version)
+	}
+}
+
+// TestForwardedAnswerThatBreaksOffIsNotWhole: an answer of another zone that broke off
+// was ended in proper form, and looked complete.
+func TestForwardedAnswerThatBreaksOffIsNotWhole(t *testing.T) {
+	for name, length := range map[string]string{"chunks": "", "length": "1000"} {
+		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			t.Run(name+" "+version, func(t *testing.T) {
+				other := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+					if length != "" {
+						writer.Header().Set("Content-Length", length)
+					}
+					_, _ = writer.Write([]byte("the beginning"))
+					writer.(http.Flusher).Flush()
+					breakOff(writer)
+				}))
+				defer other.Close()
+				address := serveCalls(t, time.Second, func(c *caller) {
+					c.forwardTo(membership.Member{HTTPAddress: strings.TrimPrefix(other.URL, "http://")})
+				})
+				conn, err := net.Dial("tcp", address)
+				require.NoError(t, err)
+				defer func() { _ = conn.Close() }()
+				_, err = io.WriteString(conn, "GET / "+version+"\r\nHost: a\r\n\r\n")
+				require.NoError(t, err)
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					return
+				}
+				content, err := io.ReadAll(response.Body)
+				require.Error(t, err, "looks whole: %q", content)
+			})
+		}
+	}
+}
+
+// TestForwardedTargetIsAsItCame: a target was normalized on its way to another zone, so
+// that the engine there got another one than its caller had sent; and one in absolute
+// form made an address of two.
+func TestForwardedTargetIsAsItCame(t *testing.T) {
+	got := make(chan string, 1)
+	other := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) { got <- request.RequestURI }))
+	defer other.Close()
+	address := serveCalls(t, time.Second, func(c *caller) {
+		c.forwardTo(membership.Member{HTTPAddress: strings.TrimPrefix(other.URL, "http://")})
+	})
+	for _, target := range []string{"/v1/services/meter/a%2Fb/../c?d=e%0d&f", "//h/v1/", "/v1/a%41"} {
+		_, err := askRaw(t, address, target, "HTTP/1.1")
+		require.NoError(t, err)
+		select {
+		case received := <-got:
+			require.Equal(t, target, received)
+		case <-time.After(5 * time.Second):
+			require.Fail(t, "nothing was forwarded", target)
+		}
+	}
+}
+
+// serveEngine serves an engine and returns its address.
+func serveEngine(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return strings.TrimPrefix(server.URL, "http://")
+}
--- a/internal/harness/callers_test.go
+++ b/internal/harness/callers_test.go
@@ -130,6 +130,39 @@
 	}, wideBound, pollEvery)
 }
 
+// TestCallerOfAWholeAnswerThatLeavesEndsItsGeneration: the engine worked on to the end
+// for nobody. One whose answer stays readable under its caller's key runs on.
+func TestCallerOfAWholeAnswerThatLeavesEndsItsGeneration(t *testing.T) {
+	running := start(t, []string{"a"}, 1, 1)
+	leave := func(prompt string, tokens int, fields string) {
+		body := fmt.Sprintf(`{"model":"%s","prompt":"%s","max_tokens":%d}`, harness.ExampleModel, prompt, tokens)
+		before := len(running.Fleet.Ledger())
+		connection, err := net.Dial("tcp", running.Daemons[0].HTTPAddress())
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(connection, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n%s", harness.ExampleKey, fields, len(body), body)
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return len(running.Fleet.Ledger()) > before }, wideBound, pollEvery)
+		require.NoError(t, connection.Close())
+	}
+	finish := func(prompt string) string {
+		for _, each := range running.Fleet.Ledger() {
+			if strings.Contains(each.Prompt, prompt) {
+				return each.Finish
+			}
+		}
+		return ""
+	}
+	leave("leaving", 60000, "")
+	require.Eventually(t, func() bool { return finish("leaving") == engine.FinishCancelled }, wideBound/4, pollEvery)
+	leave("coming back", 1500, gateway.HeaderIdempotencyKey+": key\r\n"+gateway.HeaderRepeatable+": false\r\n")
+	require.Eventually(t, func() bool { return finish("coming back") != "" }, wideBound, pollEvery)
+	require.NotEqual(t, engine.FinishCancelled, finish("coming back"))
+	require.Eventually(t, func() bool {
+		_, err := running.Caller(0, harness.ExampleKey).Call("GET", "/v1/requests/key", nil)
+		return err == nil
+	}, wideBound, pollEvery)
+}
+
 func TestBadBundlesChangeNothing(t *testing.T) {
 	running := start(t, []string{"a"}, 1, 1)
 	operator := running.Operator(0)
--- a/internal/harness/words_test.go
+++ b/internal/harness/words_test.go
@@ -76,3 +76,17 @@
 	require.Equal(t, 400, status)
 	require.Contains(t, content, "bad_target")
 }
+
+// TestTargetInAbsoluteFormIsRefused, as on the other interface: it was served here, and
+// made a wrong address of a request that another zone was to serve.
+func TestTargetInAbsoluteFormIsRefused(t *testing.T) {
+	running := start(t, []string{"a"}, 1, 1)
+	address := running.Daemons[0].HTTPAddress()
+	for target, code := range map[string]string{"http://" + address + "/v1/models": "target", "/v1/models#a": "target", "*": "bad_http"} {
+		status, content := callRaw(t, address, "GET", target)
+		require.Equal(t, 400, status, "%s: %s", target, content)
+		require.Contains(t, content, `"code":"`+code+`"`)
+	}
+	status, content := callRaw(t, address, "GET", "/v1/models?a=b")
+	require.Equal(t, 200, status, content)
+}
--- a/internal/httphead/write.go
+++ b/internal/httphead/write.go
@@ -94,6 +94,10 @@
 	return w.end()
 }
 
+// UntilClose ends the head of a message whose body ends with the connection, for readers
+// that know no chunks, and reports whether it has a body at all.
+func (w *Writer) UntilClose() (head []byte, hasBody bool, err error) { return w.end() }
+
 func (w *Writer) end() (head []byte, hasBody bool, err error) {
 	if w.err != nil {
 		return nil, false, w.err
