--- a/internal/gateway/deadline.go
+++ b/internal/gateway/deadline.go
@@ -15,11 +15,11 @@
 // sent: the machine may have slept since it was decided, and nothing has noticed yet.
 func (n *generation) mayLeave(ctx context.Context) error {
 	if ctx.Err() != nil {
-		return n.expired(ctx.Err())
+		return n.expired(ctx, ctx.Err())
 	}
 	deadline, isBounded := ctx.Deadline()
 	if isBounded && time.Until(deadline) <= n.gateway.Clock.SleptSince(n.request.arrivedMark) {
-		return n.expired(context.DeadlineExceeded)
+		return n.expired(ctx, context.DeadlineExceeded)
 	}
 	return nil
 }
