A generation that may run once goes on when its caller does not wait for the head

Found in review; the new case of TestRequestsWhoseTimeIsOverEndAfterASleep fails before (1 cancelled) and passes after.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -163,7 +163,7 @@
 	stream, err := c.open(ctx, address, request.AttemptID, len(request.Continue), fasthttp.MethodPost, PathGenerate, body)
 	if err != nil {
 		c.noteBroken(ctx, address, request.Fingerprint, err, false)
-		c.cancelAbandoned(address, request.AttemptID, err)
+		c.cancelAbandoned(address, request, err)
 		return nil, err
 	}
 	stream.fingerprint = request.Fingerprint
--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -51,6 +51,9 @@
 	// Fingerprint identifies the request's content whatever its attempt; engines are
 	// not told.
 	Fingerprint quarantine.Fingerprint `json:"-"`
+	// IsOnce tells that the request may not be sent again: the attempt goes on when its
+	// caller does not wait for it, and may be resumed. Engines are not told.
+	IsOnce bool `json:"-"`
 }
 
 // Event is one server-sent event of a generation.
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -42,10 +42,10 @@
 }
 
 // cancelAbandoned has the engine stop an attempt whose caller did not wait for the
-// head of its answer.
-func (c *Client) cancelAbandoned(address, attemptID string, err error) {
-	if CodeOf(err) == CodeAbandoned {
-		go c.Cancel(address, attemptID)
+// head of its answer, unless it is the only one that there may be.
+func (c *Client) cancelAbandoned(address string, request GenerateRequest, err error) {
+	if CodeOf(err) == CodeAbandoned && !request.IsOnce {
+		go c.Cancel(address, request.AttemptID)
 	}
 }
 
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -176,6 +176,7 @@
 	stream, err := n.gateway.Engines.Generate(ctx, n.view.Machine.Address, engine.GenerateRequest{
 		AttemptID: n.attemptID, Model: n.request.model, Input: n.request.input,
 		MaxTokens: n.request.maxTokens, Priority: engine.PriorityOnline, Continue: n.tokens, Fingerprint: n.request.fingerprint(),
+		IsOnce: !n.request.repeatable,
 	})
 	if err != nil {
 		n.gateway.Registry.End(n.view.Name, isEngineFault(err), time.Now())
--- a/internal/gateway/sleep_test.go
+++ b/internal/gateway/sleep_test.go
@@ -77,8 +77,8 @@
 
 // serve answers one request with so much time, whose attempts are recorded first if
 // record is set.
-func (g *sleepingGateway) serve(patience time.Duration, isPlain bool, record intentRecorder) error {
-	request := promiseRequest(true)
+func (g *sleepingGateway) serve(patience time.Duration, isPlain, isRepeatable bool, record intentRecorder) error {
+	request := promiseRequest(isRepeatable)
 	request.arrivedMark = g.Clock.Mark()
 	ctx, cancel := g.untilDeadline(request, time.Now().Add(patience))
 	defer cancel()
@@ -97,14 +97,15 @@
 func TestRequestsWhoseTimeIsOverEndAfterASleep(t *testing.T) {
 	const patience, sleep, bound = 20 * time.Second, 19500 * time.Millisecond, 10 * time.Second
 	for name, each := range map[string]struct {
-		isPlain, givesToken bool
-		sleep               time.Duration
+		isPlain, givesToken, isOnce bool
+		sleep                       time.Duration
 	}{
-		"call":                                 {true, false, time.Minute},
-		"call, some time left":                 {true, false, sleep},
-		"generation without head":              {false, false, time.Minute},
-		"generation behind its first token":    {false, true, time.Minute},
-		"generation behind a token, some left": {false, true, sleep},
+		"call":                                       {true, false, false, time.Minute},
+		"call, some time left":                       {true, false, false, sleep},
+		"generation without head":                    {false, false, false, time.Minute},
+		"generation behind its first token":          {false, true, false, time.Minute},
+		"generation behind a token, some left":       {false, true, false, sleep},
+		"generation that may run once, without head": {false, false, true, time.Minute},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -112,12 +113,15 @@
 			gateway := newSleepingGateway(t, hanging)
 			time.AfterFunc(300*time.Millisecond, func() { gateway.slept.Add(int64(each.sleep)) })
 			started := time.Now()
-			err := gateway.serve(patience, each.isPlain, nil)
+			err := gateway.serve(patience, each.isPlain, !each.isOnce, nil)
 			require.Less(t, time.Since(started), bound)
 			require.True(t, failure.Is(err, failure.KindDeadline), "%v", err)
 			require.False(t, failure.From(err).NotRun, "an engine had taken it")
 			require.EqualValues(t, 1, hanging.attempts.Load())
-			if !each.isPlain {
+			if each.isOnce {
+				time.Sleep(100 * time.Millisecond)
+				require.Zero(t, hanging.cancelled.Load(), "its only attempt may be resumed under its key")
+			} else if !each.isPlain {
 				require.Eventually(t, func() bool { return hanging.cancelled.Load() == 1 }, bound, 10*time.Millisecond)
 			}
 		})
@@ -132,7 +136,7 @@
 		for _, isPlain := range []bool{true, false} {
 			hanging := &hangingEngine{}
 			gateway := newSleepingGateway(t, hanging)
-			err := gateway.serve(patience, isPlain, func(context.Context, registry.Engine, string) error {
+			err := gateway.serve(patience, isPlain, true, func(context.Context, registry.Engine, string) error {
 				gateway.slept.Add(int64(span))
 				return nil
 			})
