The watch that confirms a read is not held

Held for 10 ms it left a daemon that had just become ready unsure of its claims: reads of jobs that do not exist were answered with 503 for that time, and three tests that expect 404 failed under load, eight cases of them on their own (platform, -race, and a run of three). The claims are asked for at once instead.

--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -222,7 +222,7 @@
 	bounded, cancel := context.WithTimeout(ctx, wait+answerReserve)
 	defer cancel()
 	if f.isUnconfirmed {
-		wait = min(wait, confirmingWait)
+		wait = 0 // it is there to confirm the read
 	}
 	started := f.Now()
 	changes, err := f.Store.Watch(bounded, f.Table, f.seen, wait)
@@ -239,10 +239,6 @@
 	return nil
 }
 
-// confirmingWait is how long the watch behind a read is held: it is there to confirm the
-// read and not to wait.
-const confirmingWait = 10 * time.Millisecond
-
 // read reads the whole table. A state older than what was seen is refused; one that is
 // as old may lie behind, for three seconds while the store forgets its history, so that
 // only the next watch, which goes on from it, confirms the present state. The
