--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -85,7 +85,7 @@
 mutant job_taken_up_again internal/job/owned.go \
 	'if reason.isClaimGone() {' 'if false {' internal/job TestJobKnownToBeOverIsNotTakenUpAgain
 mutant end_forgotten_with_its_caller internal/job/ending.go \
-	'context.WithTimeout(s.lifetime, endTime)' 'context.WithCancel(ctx)' internal/job TestEndOutlivesItsCaller
+	's.startEnd(key, found, endTime, func(ctx context.Context) error {' 's.startEnd(key, found, endTime, func(context.Context) error {' internal/job TestEndOutlivesItsCaller
 mutant old_claims_believed internal/job/permit.go \
 	'const claimsAgeLimit = 2 * time.Second' 'const claimsAgeLimit = time.Hour' internal/job TestOwnerThatHearsNothingStartsNoItemsAfterTheEnd
 mutant age_noted_before_the_rows internal/table/follower.go \
