An end that comes before its job is known voids the acceptances under way

Cause: an end of a job that the store did not know was answered 404 and forgotten; an acceptance whose commit came late then made the job, and its items ran for nobody. Ruled out: remembering the end for 10 s and ending the job when its claim appears (trial): no call more, but a job that was sent again after the 404 and answered 202 was ended too; nothing tells the two apart. Change: the end writes the row that voids acceptances, with the tenant, before it answers 404; acceptances expect it to be absent also where nothing bounds them. A submission that had tried before it met the row is refused as not run; one that meets it at its first try came later, and replaces it. The row is replaced where one stands already: a sweeper gave up for ever behind one, and the reservation stayed. Before: TestJobThatWasEndedBeforeItsAcceptanceDoesNotRun 20 of 20 items sent; without replacing the row TestReservationOfAJobThatWasEndedEarlyIsSwept waits 30 s in vain. After: none sent, swept in 8 s. Price: while the store turns commits away such an end is answered 502 in place of 404; the row stays until the job is sent again. Mutant no_void_condition takes the condition away at its new place; five new ones, each noticed.

--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -51,7 +51,7 @@
 		s.logAcceptance(submitted, "refused", err)
 		return err
 	}
-	ended, err := s.commitAcceptance(ctx, submitted.ID, transaction)
+	ended, err := s.commitAcceptance(ctx, submitted, transaction)
 	switch {
 	case err != nil:
 		if failure.From(err).NotRun {
@@ -129,10 +129,7 @@
 func (s *Service) acceptanceOf(ctx context.Context, submitted Job, held reservation) (table.Transaction, error) {
 	transaction := table.Transaction{
 		Partition:  shard(submitted.ID),
-		Conditions: []table.Condition{{Table: tableAccepted, Key: submitted.ID}},
-	}
-	if held.isBounded() {
-		transaction.Conditions = append(transaction.Conditions, table.Condition{Table: tableVoid, Key: submitted.ID, Version: held.voided})
+		Conditions: []table.Condition{{Table: tableAccepted, Key: submitted.ID}, {Table: tableVoid, Key: submitted.ID, Version: held.voided}},
 	}
 	if held.voided != 0 {
 		transaction.Removals = []table.Removal{{Table: tableVoid, Key: submitted.ID}}
@@ -180,17 +177,22 @@
 }
 
 // commitAcceptance commits until the store tells how it ended. The job may
-// exist through an earlier try whose answer was lost.
-func (s *Service) commitAcceptance(ctx context.Context, id string, transaction table.Transaction) (acceptanceEnd, error) {
-	isUnsettled := false
-	for {
+// exist through an earlier try whose answer was lost. A job that was ended while the
+// call tried is refused; one that was ended before the first try is wanted again.
+func (s *Service) commitAcceptance(ctx context.Context, submitted Job, transaction table.Transaction) (acceptanceEnd, error) {
+	id, isUnsettled := submitted.ID, false
+	for tries := 1; ; tries++ {
 		version, err := s.commit(ctx, transaction)
 		var conflict *table.ConflictError
 		switch {
 		case err == nil:
 			return acceptanceEnd{isNew: true, version: version}, nil
 		case errors.As(err, &conflict) && conflict.Row(tableAccepted, id).Version == 0:
-			return acceptanceEnd{voided: conflict.Row(tableVoid, id).Version}, nil
+			voided := conflict.Row(tableVoid, id)
+			if tries > 1 && s.voidingOf(voided).ends(submitted.Tenant) {
+				return acceptanceEnd{}, refusedAsEnded(id)
+			}
+			return acceptanceEnd{voided: voided.Version}, nil
 		case errors.As(err, &conflict):
 			// The job exists. If this daemon's own lost try made it, the claim
 			// is found by the follower like that of any other owner.
--- a/internal/job/ending.go
+++ b/internal/job/ending.go
@@ -201,7 +201,11 @@
 
 // claimToEnd returns the claim on a tenant's job, with version 0 if the job has ended.
 func (s *Service) claimToEnd(ctx context.Context, key endingKey) (versionedClaim, error) {
-	if err := s.Of(key.tenant).check(ctx, key.job); err != nil {
+	err := s.Of(key.tenant).check(ctx, key.job)
+	if failure.HasCode(err, codeNoJob) && !s.isAcceptanceKnown(key.job) {
+		return versionedClaim{}, s.voidForEnd(ctx, key)
+	}
+	if err != nil {
 		return versionedClaim{}, err
 	}
 	s.endings.hold(key)
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -181,9 +181,12 @@
 	return nil
 }
 
+// codeNoJob tells that there is no such job, or none of the caller's.
+const codeNoJob = "no_job"
+
 // Failures of calls about jobs.
 func notFound(id string) error {
-	return failure.New(failure.KindNotFound, "no_job", "there is no job %s", id)
+	return failure.New(failure.KindNotFound, codeNoJob, "there is no job %s", id)
 }
 
 func unavailable(cause error) error {
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -89,6 +89,14 @@
 	return read, nil
 }
 
+// isAcceptanceKnown reports whether the job is known to exist, whoever's it is.
+func (s *Service) isAcceptanceKnown(id string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	_, isKnown := s.accepted[id]
+	return isKnown
+}
+
 func (s *Service) results(ctx context.Context, id string, from int) ([]Result, error) {
 	rows, err := s.resultRows(ctx, id, from)
 	if err != nil {
--- a/internal/job/sweep.go
+++ b/internal/job/sweep.go
@@ -135,7 +135,7 @@
 func (s *Service) isLeftBehind(ctx context.Context, id string) bool {
 	_, err := s.acceptance(ctx, id)
 	if failure.Is(err, failure.KindNotFound) {
-		return s.void(ctx, id)
+		return s.void(ctx, id, voiding{By: s.self.Name}) == nil
 	}
 	if err != nil {
 		return false
@@ -143,14 +143,3 @@
 	held, err := s.storedClaim(ctx, id)
 	return err == nil && held.version == 0
 }
-
-// void makes every try to accept the job that is under way fail.
-func (s *Service) void(ctx context.Context, id string) bool {
-	_, err := s.store.Commit(ctx, table.Transaction{
-		Partition:  shard(id),
-		Conditions: []table.Condition{{Table: tableAccepted, Key: id}, {Table: tableVoid, Key: id}},
-		Writes:     []table.Write{{Table: tableVoid, Key: id, Value: []byte(s.self.Name)}},
-	})
-	s.log.Info("job_voided", "job", id, "error", err)
-	return err == nil
-}
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -138,7 +138,7 @@
 mutant release_of_earlier_tries internal/job/waiting.go \
 	'if !held.isNew {' 'if !held.isBounded() {' internal/job TestRefusedTryKeepsTheReservationOfAnUnsettledOne
 mutant no_void_condition internal/job/accept.go \
-	'if held.isBounded() {' 'if false {' internal/job TestReservationOfADeadDaemonIsSwept
+	', {Table: tableVoid, Key: submitted.ID, Version: held.voided}' '' internal/job 'TestReservationOfADeadDaemonIsSwept|TestJobThatWasEndedBeforeItsAcceptanceDoesNotRun'
 mutant resent_counts_twice internal/quota/plan.go \
 	'isNew := held.Tokens == 0' 'isNew := true' internal/quota TestReleaseSparesALaterHolder
 mutant no_place internal/serving/exchange.go \
@@ -282,4 +282,14 @@
 	return pause.sleep(ctx)' '	return pause.sleep(ctx)' internal/job TestNextOwnerIsToldOfAWantedEnd
 mutant wanted_end_begins_anew internal/job/handover.go \
 	'min(wanted.Remaining, endTime)' 'endTime' internal/job TestWantedEndLastsNoLongerThanWhereItWasTaken
+mutant early_end_forgotten internal/job/ending.go \
+	'return versionedClaim{}, s.voidForEnd(ctx, key)' 'return versionedClaim{}, err' internal/job TestJobThatWasEndedBeforeItsAcceptanceDoesNotRun
+mutant early_end_not_refused internal/job/accept.go \
+	'if tries > 1 && ' 'if false && ' internal/job TestSubmissionUnderWayIsRefusedByTheEndOfItsJob
+mutant early_end_refuses_for_ever internal/job/accept.go \
+	'if tries > 1 && ' 'if ' internal/job TestJobThatWasEndedBeforeItsAcceptanceDoesNotRun
+mutant early_end_of_any_tenant internal/job/void.go \
+	'v.IsEnded && mayAccess(tenant, v.Tenant)' 'v.IsEnded' internal/job TestEndOfAnotherTenantVoidsNoAcceptance
+mutant void_once_only internal/job/void.go \
+	'		held = conflict.Row(tableVoid, id)' '		return err' internal/job TestReservationOfAJobThatWasEndedEarlyIsSwept
 exit $failed
