--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -273,4 +273,18 @@
 	'isToHead || IsBodyless(status)' 'IsBodyless(status)' platform TestHeadRequestHasOneAnswer
 mutant file_ids_are_paths internal/gateway/files.go \
 	'err != nil || !hasPrefix' 'err != nil && !hasPrefix && false' internal/harness TestFileIDsNameFilesOnly
+mutant origin_of_requests_not_logged internal/serving/exchange.go \
+	'e.noteSent(&attempt)' '' platform TestOriginOfARequestIsInTheLog
+mutant epoch_of_items_not_logged internal/job/dispatch.go \
+	'"epoch", epoch, ' '"at", epoch, ' platform TestOriginOfAnItemIsInTheLog
+mutant beginning_taken_for_whole internal/httphead/body.go \
+	'len(body) > limit' 'false' platform TestLongAnswerIsNotCut
+mutant chunks_for_old_callers platform/ingress.go \
+	'respond.isOld = !c.header.Header.IsHTTP11()' 'respond.isOld = false' platform TestOldCallersGetNoChunks
+mutant cut_forward_looks_whole internal/gateway/stream.go \
+	'resetConnection(connection)' '' internal/gateway TestForwardedAnswerThatBreaksOffIsNotWhole
+mutant stream_has_one_write_timeout internal/gateway/stream.go \
+	'SetWriteDeadline(' 'SetReadDeadline(' internal/gateway TestLongStreamIsNotCutByTheWriteTimeout
+mutant gone_caller_not_noticed internal/gateway/presence.go \
+	'if isClosedByCaller(connection) {' 'if false {' internal/harness TestCallerOfAWholeAnswerThatLeavesEndsItsGeneration
 exit $failed
