--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -161,3 +161,30 @@
 	})
 	return strings.TrimPrefix(server.URL, "http://")
 }
+
+// TestCallerThatLeavesEndsAForwardedStream: the other zone's daemon sees its own caller,
+// which is the daemon here, leave too.
+func TestCallerThatLeavesEndsAForwardedStream(t *testing.T) {
+	left := make(chan struct{})
+	address := serveEngine(t, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		defer close(left)
+		for request.Context().Err() == nil {
+			_, _ = writer.Write([]byte("part\n"))
+			writer.(http.Flusher).Flush()
+			time.Sleep(10 * time.Millisecond)
+		}
+	}))
+	here := serveCalls(t, time.Second, func(c *caller) { c.forwardTo(membership.Member{HTTPAddress: address}) })
+	conn, err := net.Dial("tcp", here)
+	require.NoError(t, err)
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	_, err = conn.Read(make([]byte, 64))
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+	select {
+	case <-left:
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the other daemon goes on for nobody")
+	}
+}
