An end of a job that is not known yet is told to the daemon that would take the job over

Cause: a client ended a job 11 ms after its acceptance at a daemon that had not heard of it and could not reach the store, and that was killed; it did not know the owner, so that it told nobody. Ruled out: telling all daemons (a message each, up to hundreds, for every end of an unknown job). Change: who does not know a job tells the one that would take it over, which knows it and pursues the end.

--- a/internal/job/handover.go
+++ b/internal/job/handover.go
@@ -22,17 +22,18 @@
 	Remaining time.Duration
 }
 
-// tellOwner tells the owner of a job that its end is wanted, if the owner is known here
-// and the tenant may end the job; the owner itself tells the daemon that would take the
-// job over. It is asked at each try that the store turned away: the owner may not have been
-// reached, or another one may have taken the job over.
+// tellOwner tells the owner of a job that its end is wanted, if the tenant may end the
+// job. The owner itself tells the daemon that would take the job over, and so does one that
+// does not know the job: it may have been accepted milliseconds ago, and be known there. It
+// is asked at each try that the store turned away: the owner may not have been reached, or
+// another one may have taken the job over.
 func (s *Service) tellOwner(ctx context.Context, key endingKey) {
 	held, isOpen := s.openClaim(key.job)
-	if !isOpen || !mayAccess(held.Tenant, key.tenant) {
+	if isOpen && !mayAccess(held.Tenant, key.tenant) {
 		return
 	}
 	told := held.Owner
-	if told == s.self.Name {
+	if !isOpen || told == s.self.Name {
 		told = s.peers.Successor(key.job)
 	}
 	if told == "" {
--- a/internal/job/handover_test.go
+++ b/internal/job/handover_test.go
@@ -189,3 +189,37 @@
 	require.NoError(t, owner.End(t.Context(), "j1"))
 	require.Zero(t, owner.Owned())
 }
+
+// cutOffStore serves nothing.
+type cutOffStore struct{ table.Store }
+
+func (cutOffStore) Read(context.Context, table.Range) (table.Page, error) {
+	return table.Page{}, &table.Error{Kind: table.ErrorUnknown, Call: "read"}
+}
+
+func (cutOffStore) Watch(ctx context.Context, _ string, _ table.Version, _ time.Duration) (table.Changes, error) {
+	return watchInVain(ctx)
+}
+
+func (cutOffStore) Commit(context.Context, table.Transaction) (table.Version, error) {
+	return 0, &table.Error{Kind: table.ErrorUnknown, Call: "commit"}
+}
+
+// TestEndOfAJobThatIsNotKnownYetOutlivesItsTaker: a client ends a job some milliseconds
+// after its acceptance, at a daemon that has not heard of the job and cannot reach the
+// store, and that is killed. It did not know whom to tell, and the job ran on: three times
+// in three, for up to 39 s, in a play of five daemons as processes.
+func TestEndOfAJobThatIsNotKnownYetOutlivesItsTaker(t *testing.T) {
+	store, runner := tabletest.NewMemory(), newRunners()
+	runner.pause = time.Minute
+	owner, next := startDaemon(t, "a", store, runner), startDaemon(t, "c", store, runner)
+	taker := startDaemon(t, "b", cutOffStore{Store: store}, runner)
+	taker.peers.reach(next)
+	taker.peers.successor = "c"
+	require.NoError(t, owner.Submit(t.Context(), newJob("j1", 20)))
+	requireKnown(t, store, next)
+	endAndLeave(t, taker, "", "j1")
+	time.Sleep(lastWatch)
+	taker.kill(t)
+	require.Eventually(t, func() bool { return owner.Owned() == 0 }, patience, pollTime, "the job goes on")
+}
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -294,6 +294,8 @@
 	'if !isOpen ||' 'if isOpen ||' internal/job TestOwnerPursuesTheEndThatADaemonTookAndDied
 mutant successor_not_told internal/job/handover.go \
 	'told = s.peers.Successor(key.job)' 'told = ""' internal/job TestEndOutlivesTheOwnerThatTookIt
+mutant unknown_job_not_told internal/job/handover.go \
+	'if !isOpen || told == s.self.Name' 'if told == s.self.Name' internal/job TestEndOfAJobThatIsNotKnownYetOutlivesItsTaker
 mutant next_owner_not_told internal/job/ending.go \
 	'	s.tellOwner(ctx, key)
 	return pause.sleep(ctx)' '	return pause.sleep(ctx)' internal/job TestNextOwnerIsToldOfAWantedEnd
