Mutants run in four lanes; mutants by part stand in test/mutants.d

Change: the script starts itself once for each of four lanes, each with its own scratch copy, which takes every fourth mutant; the verdict fails if any lane fails. Files of test/mutants.d are read behind the list.

--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -1,18 +1,52 @@
 #!/bin/sh
 # Takes one mechanism away at a time, in a scratch copy, and expects the named
 # test to fail. A test that still passes, or a mechanism that is not found any
-# more, is a failure of this script.
+# more, is a failure of this script. The mutants stand here and, by part of the
+# system, in test/mutants.d.
+#
+#   sh test/mutants.sh            all of them, in several lanes beside each other
+#   sh test/mutants.sh LANE       those of one lane, from 0 on
 set -eu
 cd "$(dirname "$0")/.."
+# lanes is how many scratch copies are tested at once. The script spends most of its
+# time in one compiler or one test at a time.
+lanes=4
+
+if [ $# = 0 ]; then
+	results=$(mktemp -d)
+	trap 'rm -rf "$results"' EXIT
+	lane=0
+	while [ $lane -lt $lanes ]; do
+		(
+			sh test/mutants.sh $lane >"$results/$lane" 2>&1 && verdict=noticed || verdict=unnoticed
+			echo $verdict >"$results/$lane.verdict"
+		) &
+		lane=$((lane + 1))
+	done
+	wait
+	status=0
+	lane=0
+	while [ $lane -lt $lanes ]; do
+		cat "$results/$lane"
+		[ "$(cat "$results/$lane.verdict")" = noticed ] || status=1
+		lane=$((lane + 1))
+	done
+	exit $status
+fi
+
+lane=$1
+number=0
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-git ls-files -co --exclude-standard | tar -cf - -T - | tar -xf - -C "$work"
+git ls-files -co --exclude-standard -- ':!journal' | tar -cf - -T - | tar -xf - -C "$work"
 failed=0
 unnoticed=""
 
 # mutant NAME FILE OLD NEW PACKAGE TEST
 mutant() {
 	name=$1 file=$2 old=$3 new=$4 package=$5 test=$6
+	number=$((number + 1))
+	[ $((number % lanes)) = "$lane" ] || return 0
 	cp "$work/$file" "$work/original"
 	verdict=ok
 	rm -f "$work/log"
@@ -325,5 +359,8 @@
 	'SetWriteDeadline(' 'SetReadDeadline(' internal/gateway TestLongStreamIsNotCutByTheWriteTimeout
 mutant gone_caller_not_noticed internal/gateway/presence.go \
 	'if isClosedByCaller(connection) {' 'if false {' internal/harness TestCallerOfAWholeAnswerThatLeavesEndsItsGeneration
+for part in test/mutants.d/*.sh; do
+	[ ! -f "$part" ] || . "./$part"
+done
 [ "$failed" = 0 ] || echo "mutants not noticed:$unnoticed"
 exit $failed
