Back ends by id and life: backend.Life, Instance.Born, Report.WorkPercent

Cause: a back end may start again under its id and then holds and knows nothing of before. The set kept load, prompts, failures and connections by id, and daemons told each other loads and news by id.

Change: Set.Put judges an entry (new, same, reborn, late; births of an id only rise, also over an absence); a new life is a new state, so leases of the old one count nothing. Reports, failures, reads and peers' loads name the life and do not count for another one. Report.WorkPercent is there and not read yet.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -14,10 +14,12 @@
 	"topazpulley/internal/routing"
 )
 
-// Instance is one incarnation of a back end as discovery lists it.
+// Instance is a back end as discovery lists it.
 type Instance struct {
-	// ID is unique; every start of a back end is a new one.
-	ID      string
+	// ID is unique among back ends. A process may start again under it.
+	ID string
+	// Born is the Unix millisecond at which the process started; 0 means not told.
+	Born    int64
 	Service string
 	// Address is IP:port.
 	Address string
@@ -33,6 +35,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// WorkPercent is how long work takes there now, in per cent of the usual; 0 means
+	// not told. It changes many times a second: nothing decides by it yet.
+	WorkPercent int
 }
 
 // Class tells online work from batch work.
@@ -73,19 +78,47 @@
 
 // PeerLoad is another daemon's work in flight at a back end.
 type PeerLoad struct {
+	// Born names the life of the back end at which the work is, as in Instance.
+	Born          int64
 	Online        int
 	Batch         int
 	PendingTokens int
 }
 
+// IsIdle reports whether there is no work.
+func (l PeerLoad) IsIdle() bool { return l.Online == 0 && l.Batch == 0 && l.PendingTokens == 0 }
+
+// Plus returns both loads together. Work at an earlier life of the back end has ended
+// with it, and does not count beside work at a later one.
+func (l PeerLoad) Plus(other PeerLoad) PeerLoad {
+	switch {
+	case other.Born > l.Born:
+		return other
+	case other.Born < l.Born:
+		return l
+	}
+	return PeerLoad{Born: l.Born, Online: l.Online + other.Online, Batch: l.Batch + other.Batch, PendingTokens: l.PendingTokens + other.PendingTokens}
+}
+
+// Minus returns the load less a part of it, which may be of an earlier life and is
+// then no part.
+func (l PeerLoad) Minus(part PeerLoad) PeerLoad {
+	if part.Born != l.Born {
+		return l
+	}
+	return PeerLoad{Born: l.Born, Online: l.Online - part.Online, Batch: l.Batch - part.Batch, PendingTokens: l.PendingTokens - part.PendingTokens}
+}
+
 // Set is all back ends that a daemon knows. It is safe for concurrent use.
 type Set struct {
 	mutex     sync.Mutex
 	states    map[string]*state
 	byService map[string][]*state
-	reads     []Read
+	// births are the latest of back ends that are gone.
+	births *births
+	reads  []Read
 	// untold are failures that the other daemons were not told yet.
-	untold map[string]int
+	untold map[Life]int
 	urgent chan struct{}
 	// crowded tells that online requests may wait for this daemon's items.
 	crowded chan struct{}
@@ -100,39 +133,97 @@
 	hasHeard         bool
 	// propagation is the time until other daemons know of a change here.
 	propagation time.Duration
-	// connected returns the back ends to which an idle connection is open.
-	connected func() map[string]bool
+	// connected returns the lives to which an idle connection is open.
+	connected func() map[Life]bool
 }
 
 // NewSet returns an empty set.
 func NewSet() *Set {
 	return &Set{
 		states: map[string]*state{}, byService: map[string][]*state{}, urgent: make(chan struct{}, 1), crowded: make(chan struct{}, 1),
-		untold: map[string]int{}, waitingElsewhere: map[string]int{}, propagation: assumedPropagation,
+		untold: map[Life]int{}, births: newBirths(), waitingElsewhere: map[string]int{}, propagation: assumedPropagation,
 		preemptions: make(chan string, preemptQueue), givingWay: make(chan string, preemptQueue),
-		connected: func() map[string]bool { return nil },
+		connected: func() map[Life]bool { return nil },
 	}
 }
 
-// Put adds a back end or updates it.
-func (s *Set) Put(instance Instance) {
+// Put takes an entry of discovery in and tells what it changes. With a new life all
+// that is known of the one before goes; leases of that one count nothing any more.
+func (s *Set) Put(instance Instance) Listing {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	known, exists := s.states[instance.ID]
-	if exists && known.Service == instance.Service {
+	known := s.states[instance.ID]
+	listing := s.judge(known, instance)
+	switch listing {
+	case ListingLate:
+	case ListingSame:
+		instance.Born = known.Born
+		s.update(known, instance)
+	default:
+		s.remove(instance.ID)
+		added := &state{Instance: instance, peers: map[string]PeerLoad{}, prompts: newPromptCache(promptMemory)}
+		s.states[instance.ID] = added
+		s.putIn(added)
+	}
+	return listing
+}
+
+func (s *Set) judge(known *state, told Instance) Listing {
+	newest := s.births.newest(told.ID)
+	if known == nil {
+		return judge(nil, newest, told)
+	}
+	return judge(&known.Instance, max(newest, known.Born), told)
+}
+
+// update takes over what is told of a life that is known.
+func (s *Set) update(known *state, instance Instance) {
+	if known.Service == instance.Service {
 		known.Instance = instance
 		return
 	}
-	if exists {
-		s.takeOut(known)
-	} else {
-		known = &state{peers: map[string]PeerLoad{}, prompts: newPromptCache(promptMemory)}
-		s.states[instance.ID] = known
-	}
+	s.takeOut(known)
 	known.Instance = instance
 	s.putIn(known)
 }
 
+// living returns a back end if its present life is the one named, else nil. mutex must
+// be held.
+func (s *Set) living(life Life) *state {
+	known, exists := s.states[life.ID]
+	if !exists || known.Born != life.Born {
+		return nil
+	}
+	return known
+}
+
+// IsListed reports whether a life is a back end's present one.
+func (s *Set) IsListed(life Life) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.living(life) != nil
+}
+
+// HasSuccessor reports whether a later life of the same back end was ever told.
+func (s *Set) HasSuccessor(life Life) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	newest := s.births.newest(life.ID)
+	if known, exists := s.states[life.ID]; exists {
+		newest = max(newest, known.Born)
+	}
+	return life.Born > 0 && newest > life.Born
+}
+
+// RemoveLife takes a back end out if its present life is the one named.
+func (s *Set) RemoveLife(life Life) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.living(life) != nil {
+		s.remove(life.ID)
+	}
+}
+
 // Remove takes a back end out. Requests in flight there go on.
 func (s *Set) Remove(id string) {
 	s.mutex.Lock()
@@ -157,6 +248,7 @@
 		return
 	}
 	delete(s.states, id)
+	s.births.note(known.Life())
 	s.takeOut(known)
 }
 
@@ -208,9 +300,9 @@
 	return found
 }
 
-// SetConnected sets the function that returns the ids of the back ends to which
-// an idle connection is open. It must be called before the set is used.
-func (s *Set) SetConnected(connected func() map[string]bool) { s.connected = connected }
+// SetConnected sets the function that returns the lives of back ends to which an idle
+// connection is open. It must be called before the set is used.
+func (s *Set) SetConnected(connected func() map[Life]bool) { s.connected = connected }
 
 // Candidates returns a snapshot of a service's back ends for routing.
 func (s *Set) Candidates(service string, prompt []routing.PromptPart, now time.Time) []routing.Candidate {
@@ -221,7 +313,7 @@
 	candidates := make([]routing.Candidate, 0, len(group))
 	for _, known := range group {
 		candidate := known.candidate(prompt, now)
-		candidate.IsConnected = connected[known.ID]
+		candidate.IsConnected = connected[known.Life()]
 		candidates = append(candidates, candidate)
 	}
 	return candidates
@@ -234,7 +326,7 @@
 		waiting = k.report.Waiting
 	}
 	return routing.Candidate{
-		ID: k.ID, Zone: k.Zone, Slots: k.Slots, Draining: k.Draining,
+		ID: k.ID, Born: k.Born, Zone: k.Zone, Slots: k.Slots, Draining: k.Draining,
 		Online: online, Batch: batch, OwnBatch: k.batch, Waiting: waiting, ReportAge: now.Sub(k.reportedAt),
 		PendingTokens: pending, UncachedTokens: k.prompts.uncached(prompt, now),
 		Ejected: now.Before(k.ejectedUntil),
--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -42,11 +42,11 @@
 
 // Succeeded records that the back end worked. The time of its next ejection
 // starts anew once it has worked for a while.
-func (s *Set) Succeeded(id string, now time.Time) {
+func (s *Set) Succeeded(life Life, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	known, exists := s.states[id]
-	if !exists {
+	known := s.living(life)
+	if known == nil {
 		return
 	}
 	known.failures = 0
@@ -57,15 +57,15 @@
 
 // Failed records that the back end failed a request, and reports whether it is
 // ejected now.
-func (s *Set) Failed(id string, now time.Time) bool {
+func (s *Set) Failed(life Life, now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	known, exists := s.states[id]
-	if !exists {
+	known := s.living(life)
+	if known == nil {
 		return false
 	}
 	known.failures++
-	s.untold[id]++
+	s.untold[life]++
 	if known.failures >= failuresToEject {
 		known.eject(now)
 	}
@@ -74,29 +74,30 @@
 }
 
 // Unreachable ejects a back end at once: a connection to it could not be made.
-func (s *Set) Unreachable(id string, now time.Time) {
+func (s *Set) Unreachable(life Life, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if known, exists := s.states[id]; exists {
+	if known := s.living(life); known != nil {
 		known.eject(now)
 	}
 }
 
-// TakeFailures returns the failures by back end since the last call.
-func (s *Set) TakeFailures() map[string]int {
+// TakeFailures returns the failures by life since the last call.
+func (s *Set) TakeFailures() map[Life]int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	taken := s.untold
-	s.untold = map[string]int{}
+	s.untold = map[Life]int{}
 	return taken
 }
 
-// NoteFailures records failures that another daemon saw.
-func (s *Set) NoteFailures(failures map[string]int, now time.Time) {
+// NoteFailures records failures that another daemon saw. Those of another life than
+// the present one tell nothing of it.
+func (s *Set) NoteFailures(failures map[Life]int, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for id, count := range failures {
-		if known, exists := s.states[id]; exists {
+	for life, count := range failures {
+		if known := s.living(life); known != nil {
 			known.addFailures(count, now)
 		}
 	}
--- a/internal/backend/lease.go
+++ b/internal/backend/lease.go
@@ -19,8 +19,8 @@
 	released bool
 }
 
-// Acquire counts a request at a back end. It reports false when the back end
-// is gone meanwhile.
+// Acquire counts a request at the present life of a back end. It reports false when
+// the back end is gone meanwhile.
 func (s *Set) Acquire(id string, class Class, prompt []routing.PromptPart) (*Lease, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -28,6 +28,23 @@
 	if !exists {
 		return nil, false
 	}
+	return s.acquire(known, class, prompt), true
+}
+
+// AcquireLife is Acquire for a request that is bound to one life of a back end, by a
+// place that was set aside there. It reports false when that life has ended.
+func (s *Set) AcquireLife(life Life, class Class, prompt []routing.PromptPart) (*Lease, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known := s.living(life)
+	if known == nil {
+		return nil, false
+	}
+	return s.acquire(known, class, prompt), true
+}
+
+// acquire counts a request. mutex must be held.
+func (s *Set) acquire(known *state, class Class, prompt []routing.PromptPart) *Lease {
 	now := time.Now()
 	pending := known.prompts.uncached(prompt, now)
 	s.notePrompt(known, prompt, now)
@@ -40,7 +57,7 @@
 	if isCrowded && known.batch > 0 {
 		signal(s.crowded)
 	}
-	return &Lease{set: s, state: known, class: class, pending: pending}, true
+	return &Lease{set: s, state: known, class: class, pending: pending}
 }
 
 // signal wakes a receiver, once for all that happens until it looks.
@@ -69,7 +86,11 @@
 }
 
 // Instance returns the back end.
-func (l *Lease) Instance() Instance { return l.state.Instance }
+func (l *Lease) Instance() Instance {
+	l.set.mutex.Lock()
+	defer l.set.mutex.Unlock()
+	return l.state.Instance
+}
 
 // Started tells that the request's first output came: its prompt is read.
 func (l *Lease) Started() {
@@ -103,12 +124,12 @@
 	}
 }
 
-// Reported records the load that the back end told.
-func (s *Set) Reported(id string, report Report, now time.Time) {
+// Reported records the load that a life of a back end told.
+func (s *Set) Reported(life Life, report Report, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	known, exists := s.states[id]
-	if !exists {
+	known := s.living(life)
+	if known == nil {
 		return
 	}
 	known.report, known.reportedAt = report, now
@@ -121,8 +142,8 @@
 	defer s.mutex.Unlock()
 	loads := map[string]PeerLoad{}
 	for id, known := range s.states {
-		own := PeerLoad{Online: known.online, Batch: known.batch, PendingTokens: known.pendingTokens}
-		if own != (PeerLoad{}) {
+		own := PeerLoad{Born: known.Born, Online: known.online, Batch: known.batch, PendingTokens: known.pendingTokens}
+		if !own.IsIdle() {
 			loads[id] = own
 		}
 	}
@@ -130,7 +151,9 @@
 }
 
 // SetPeerLoads replaces what another daemon has in flight and how many batch
-// items wait there. A nil map forgets the daemon.
+// items wait there. A nil map forgets the daemon. Work at another life of a back end
+// than the present one does not count: it ended with that life, or the daemon that
+// tells it knows of a later one, and this one will too.
 func (s *Set) SetPeerLoads(peer string, loads map[string]PeerLoad, waiting int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -141,7 +164,7 @@
 	}
 	for id, known := range s.states {
 		load, tells := loads[id]
-		if !tells {
+		if !tells || load.Born != known.Born {
 			delete(known.peers, peer)
 			continue
 		}
--- /dev/null
+++ b/internal/backend/life.go
@@ -0,0 +1,108 @@
+package backend
+
+import "strconv"
+
+// Life is one run of a back end's process, from its start to its end. All that is
+// learned of a back end is learned of a life: a process that starts again under its
+// id holds and knows nothing of the one before.
+type Life struct {
+	// ID is the back end's id.
+	ID string
+	// Born is the Unix millisecond of the start; 0 means not told.
+	Born int64
+}
+
+// String names the life in logs and in rows: the id alone where no birth is told.
+func (l Life) String() string {
+	if l.Born == 0 {
+		return l.ID
+	}
+	return l.ID + "@" + strconv.FormatInt(l.Born, decimal)
+}
+
+// decimal is the base of numbers in text.
+const decimal = 10
+
+// Life returns the life of which the instance is told.
+func (i Instance) Life() Life { return Life{ID: i.ID, Born: i.Born} }
+
+// Listing is what an entry of discovery changes.
+type Listing uint8
+
+// What an entry changes.
+const (
+	// ListingNew adds a back end.
+	ListingNew Listing = iota
+	// ListingSame tells more of the life that is known.
+	ListingSame
+	// ListingReborn ends the life that is known: its process has started again.
+	ListingReborn
+	// ListingLate is a word of an earlier life, and changes nothing.
+	ListingLate
+)
+
+// String names the listing in logs.
+func (l Listing) String() string {
+	switch l {
+	case ListingNew:
+		return "new"
+	case ListingSame:
+		return "same"
+	case ListingReborn:
+		return "reborn"
+	case ListingLate:
+		return "late"
+	}
+	return "unknown"
+}
+
+// judge tells what an entry changes. known is the back end as it is listed, nil if it
+// is not, and newest the latest birth that was ever told for the id, 0 if none.
+//
+// Births of an id only rise, so an older one is a late word. An entry without a birth
+// behind one with it comes from a writer that does not tell lives. It names no new
+// life: it speaks of the known one, or, if it names another address or service, of
+// none that can be told.
+func judge(known *Instance, newest int64, told Instance) Listing {
+	switch {
+	case told.Born == 0 && newest > 0:
+		if known != nil && known.Address == told.Address && known.Service == told.Service {
+			return ListingSame
+		}
+		return ListingLate
+	case told.Born < newest:
+		return ListingLate
+	case known == nil:
+		return ListingNew
+	case told.Born != known.Born:
+		return ListingReborn
+	}
+	return ListingSame
+}
+
+// maxBirths bounds one generation of remembered births. A back end whose birth is
+// forgotten can be listed by a late word of an earlier life until the next entry.
+const maxBirths = 4096
+
+// births remembers the latest birth of back ends that are not listed any more, in two
+// generations: the older one is dropped as a whole.
+type births struct {
+	newer, older map[string]int64
+}
+
+func newBirths() *births { return &births{newer: map[string]int64{}, older: map[string]int64{}} }
+
+// note remembers the birth of a back end that is gone. One that told none is not
+// remembered.
+func (b *births) note(gone Life) {
+	if gone.Born == 0 || gone.Born < b.newest(gone.ID) {
+		return
+	}
+	if len(b.newer) >= maxBirths {
+		b.older, b.newer = b.newer, map[string]int64{}
+	}
+	b.newer[gone.ID] = gone.Born
+}
+
+// newest returns the latest birth that is remembered for an id, or 0.
+func (b *births) newest(id string) int64 { return max(b.newer[id], b.older[id]) }
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -22,11 +22,7 @@
 func (l *loads) add(other loads) {
 	l.waiting += other.waiting
 	for id, load := range other.inFlight {
-		sum := l.inFlight[id]
-		sum.Online += load.Online
-		sum.Batch += load.Batch
-		sum.PendingTokens += load.PendingTokens
-		l.inFlight[id] = sum
+		l.inFlight[id] = l.inFlight[id].Plus(load)
 	}
 }
 
@@ -34,11 +30,7 @@
 func (l loads) without(part loads) loads {
 	left := loads{inFlight: make(map[string]backend.PeerLoad, len(l.inFlight)), waiting: l.waiting - part.waiting}
 	for id, sum := range l.inFlight {
-		taken := part.inFlight[id]
-		sum.Online -= taken.Online
-		sum.Batch -= taken.Batch
-		sum.PendingTokens -= taken.PendingTokens
-		left.inFlight[id] = sum
+		left.inFlight[id] = sum.Minus(part.inFlight[id])
 	}
 	return left
 }
@@ -54,7 +46,7 @@
 // of back ends.
 type news struct {
 	reads    []backend.Read
-	failures map[string]int
+	failures map[backend.Life]int
 }
 
 func (n news) isEmpty() bool { return len(n.reads) == 0 && len(n.failures) == 0 }
@@ -64,11 +56,11 @@
 func (n *news) add(other news) {
 	room := max(newsLimit-len(n.reads), 0)
 	n.reads = append(n.reads, other.reads[:min(room, len(other.reads))]...)
-	for id, count := range other.failures {
+	for life, count := range other.failures {
 		if n.failures == nil {
-			n.failures = map[string]int{}
+			n.failures = map[backend.Life]int{}
 		}
-		n.failures[id] += count
+		n.failures[life] += count
 	}
 }
 
@@ -85,43 +77,46 @@
 
 type failureRecord struct {
 	Backend string `avro:"backend"`
+	Born    int64  `avro:"born"`
 	Count   int    `avro:"count"`
 }
 
 type readRecord struct {
 	Backend string `avro:"backend"`
+	Born    int64  `avro:"born"`
 	Part    string `avro:"part"`
 }
 
 type backendLoad struct {
 	ID      string `avro:"id"`
+	Born    int64  `avro:"born"`
 	Online  int    `avro:"online"`
 	Batch   int    `avro:"batch"`
 	Pending int    `avro:"pending"`
 }
 
 var loadSchema = avro.MustParse(`{"type":"record","name":"load","fields":[{"name":"backends","type":{"type":"array","items":{
-	"type":"record","name":"backend","fields":[{"name":"id","type":"string"},{"name":"online","type":"int"},
+	"type":"record","name":"backend","fields":[{"name":"id","type":"string"},{"name":"born","type":"long"},{"name":"online","type":"int"},
 	{"name":"batch","type":"int"},{"name":"pending","type":"int"}]}}},
 	{"name":"reads","type":{"type":"array","items":{"type":"record","name":"read","fields":[
-	{"name":"backend","type":"string"},{"name":"part","type":"string"}]}},"default":[]},
+	{"name":"backend","type":"string"},{"name":"born","type":"long"},{"name":"part","type":"string"}]}},"default":[]},
 	{"name":"failures","type":{"type":"array","items":{"type":"record","name":"failure","fields":[
-	{"name":"backend","type":"string"},{"name":"count","type":"int"}]}},"default":[]},
+	{"name":"backend","type":"string"},{"name":"born","type":"long"},{"name":"count","type":"int"}]}},"default":[]},
 	{"name":"waiting","type":"int","default":0}]}`)
 
 func encode(work loads, told news) ([]byte, error) {
 	message := loadMessage{Backends: make([]backendLoad, 0, len(work.inFlight)), Reads: []readRecord{}, Failures: []failureRecord{}, Waiting: work.waiting}
 	for id, load := range work.inFlight {
-		if load == (backend.PeerLoad{}) {
+		if load.IsIdle() {
 			continue
 		}
-		message.Backends = append(message.Backends, backendLoad{ID: id, Online: load.Online, Batch: load.Batch, Pending: load.PendingTokens})
+		message.Backends = append(message.Backends, backendLoad{ID: id, Born: load.Born, Online: load.Online, Batch: load.Batch, Pending: load.PendingTokens})
 	}
 	for _, read := range told.reads {
-		message.Reads = append(message.Reads, readRecord{Backend: read.Backend, Part: read.Part})
+		message.Reads = append(message.Reads, readRecord{Backend: read.Life.ID, Born: read.Life.Born, Part: read.Part})
 	}
-	for id, count := range told.failures {
-		message.Failures = append(message.Failures, failureRecord{Backend: id, Count: count})
+	for life, count := range told.failures {
+		message.Failures = append(message.Failures, failureRecord{Backend: life.ID, Born: life.Born, Count: count})
 	}
 	payload, err := avro.Marshal(loadSchema, message)
 	return payload, errors.WithStack(err)
@@ -134,14 +129,14 @@
 	}
 	work := loads{inFlight: make(map[string]backend.PeerLoad, len(message.Backends)), waiting: message.Waiting}
 	for _, each := range message.Backends {
-		work.inFlight[each.ID] = backend.PeerLoad{Online: each.Online, Batch: each.Batch, PendingTokens: each.Pending}
+		work.inFlight[each.ID] = backend.PeerLoad{Born: each.Born, Online: each.Online, Batch: each.Batch, PendingTokens: each.Pending}
 	}
-	told := news{reads: make([]backend.Read, 0, len(message.Reads)), failures: make(map[string]int, len(message.Failures))}
+	told := news{reads: make([]backend.Read, 0, len(message.Reads)), failures: make(map[backend.Life]int, len(message.Failures))}
 	for _, each := range message.Reads {
-		told.reads = append(told.reads, backend.Read{Backend: each.Backend, Part: each.Part})
+		told.reads = append(told.reads, backend.Read{Life: backend.Life{ID: each.Backend, Born: each.Born}, Part: each.Part})
 	}
 	for _, each := range message.Failures {
-		told.failures[each.Backend] += each.Count
+		told.failures[backend.Life{ID: each.Backend, Born: each.Born}] += each.Count
 	}
 	return work, told, nil
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -12,7 +12,8 @@
 // Evidence is one back end that ended while a request was in flight there.
 type Evidence struct {
 	Fingerprint Fingerprint
-	// Instance is the id of the back end that ended.
+	// Instance names the life of the back end that ended: two lives of one id are two
+	// ends.
 	Instance string
 	// HadOutput tells that the run had given output before the back end ended.
 	HadOutput bool
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -16,7 +16,10 @@
 
 // Candidate is a snapshot of one back end for one request.
 type Candidate struct {
-	ID    string
+	ID string
+	// Born is the start of the back end's process as it told it, or 0: a place that it
+	// set aside is held against it, for a process that starts again has none.
+	Born  int64
 	Zone  string
 	Slots int
 	// Draining back ends are never chosen.
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -123,9 +123,9 @@
 		return e.core.choose(&e.request, e.excluded, e.allowedPreemption())
 	}
 	candidate := e.held.candidate
-	lease, found := e.core.Backends.Acquire(candidate.ID, backend.Online, e.request.Prompt)
+	lease, found := e.core.Backends.AcquireLife(backend.Life{ID: candidate.ID, Born: candidate.Born}, backend.Online, e.request.Prompt)
 	if !found {
-		e.held = heldPlace{} // the back end left with the place
+		e.held = heldPlace{} // the back end left with the place, or started again without it
 	}
 	return lease, candidate, found
 }
@@ -197,7 +197,7 @@
 	}
 	defer answer.Close()
 	if report, told := answer.Load(); told {
-		e.core.Backends.Reported(e.last.ID, report, time.Now())
+		e.core.Backends.Reported(e.last.Life(), report, time.Now())
 	}
 	if answer.Head().Events && answer.Head().Successful() {
 		err = e.relay(answer, lease, watched)
@@ -241,21 +241,21 @@
 	if e.caller.Err() != nil {
 		return
 	}
-	RecordFailure(e.core.Backends, e.last.ID, failed.Reason, time.Now())
+	RecordFailure(e.core.Backends, e.last.Life(), failed.Reason, time.Now())
 	e.core.Metrics.Attempts.WithLabelValues(failed.Outcome.String(), string(failed.Reason)).Inc()
 	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "outcome", failed.Outcome.String(),
 		"reason", string(failed.Reason), "cause", failed.Cause, "last_event", e.lastEvent, "fingerprint", e.fingerprint.String())
 }
 
 // RecordFailure records a failed attempt against the back end's health.
-func RecordFailure(backends *backend.Set, id string, reason Reason, now time.Time) {
+func RecordFailure(backends *backend.Set, life backend.Life, reason Reason, now time.Time) {
 	switch reason {
 	case ReasonUnreachable:
-		backends.Unreachable(id, now)
+		backends.Unreachable(life, now)
 	case ReasonBroken, ReasonSpoiled, ReasonSilent, ReasonError:
-		backends.Failed(id, now)
+		backends.Failed(life, now)
 	case ReasonOtherInstance:
-		backends.Remove(id)
+		backends.RemoveLife(life)
 	}
 }
 
@@ -301,6 +301,5 @@
 	if failed.Reason != ReasonBroken {
 		return true
 	}
-	_, isListed := e.core.Backends.Get(e.last.ID)
-	return isListed
+	return e.core.Backends.IsListed(e.last.Life())
 }
--- a/internal/serving/guarded.go
+++ b/internal/serving/guarded.go
@@ -35,10 +35,10 @@
 	backends *backend.Set
 	log      *slog.Logger
 
-	// mutex guards broken: the runs that broke at back ends about which it is being
-	// found out whether they have ended.
+	// mutex guards broken: the runs that broke at lives of back ends about which it is
+	// being found out whether they have ended.
 	mutex  sync.Mutex
-	broken map[string][]quarantine.Run
+	broken map[backend.Life][]quarantine.Run
 }
 
 var (
@@ -48,7 +48,7 @@
 
 // NewGuardedSender returns a sender that asks the guard.
 func NewGuardedSender(sender Sender, guard *quarantine.Guard, backends *backend.Set, log *slog.Logger) *GuardedSender {
-	return &GuardedSender{sender: sender, guard: guard, backends: backends, log: log, broken: map[string][]quarantine.Run{}}
+	return &GuardedSender{sender: sender, guard: guard, backends: backends, log: log, broken: map[backend.Life][]quarantine.Run{}}
 }
 
 // Send implements Sender.
@@ -93,10 +93,10 @@
 	if !canCheck {
 		return
 	}
-	id := attempt.Instance.ID
+	life := attempt.Instance.Life()
 	s.mutex.Lock()
-	_, isBeingChecked := s.broken[id]
-	s.broken[id] = append(s.broken[id], quarantine.Run{Fingerprint: attempt.Fingerprint, HadOutput: hadOutput})
+	_, isBeingChecked := s.broken[life]
+	s.broken[life] = append(s.broken[life], quarantine.Run{Fingerprint: attempt.Fingerprint, HadOutput: hadOutput})
 	s.mutex.Unlock()
 	if !isBeingChecked {
 		go s.check(checker, attempt)
@@ -110,18 +110,18 @@
 	time.Sleep(gatherTime)
 	bounded, cancel := context.WithTimeout(context.Background(), quarantine.LiveCheckTimeout)
 	defer cancel()
-	hasEnded := checker.HasEnded(bounded, attempt)
-	id := attempt.Instance.ID
+	hasEnded := checker.HasEnded(bounded, attempt) || s.backends.HasSuccessor(attempt.Instance.Life())
+	life := attempt.Instance.Life()
 	s.mutex.Lock()
-	runs := s.broken[id]
-	delete(s.broken, id)
+	runs := s.broken[life]
+	delete(s.broken, life)
 	s.mutex.Unlock()
-	s.log.Info("backend_checked", "backend", id, "has_ended", hasEnded, "runs", len(runs), "took_ms", time.Since(started).Milliseconds())
+	s.log.Info("backend_checked", "backend", life.ID, "born", life.Born, "has_ended", hasEnded, "runs", len(runs), "took_ms", time.Since(started).Milliseconds())
 	if !hasEnded {
 		return
 	}
-	s.backends.Unreachable(id, time.Now())
-	s.guard.Crashed(id, runs)
+	s.backends.Unreachable(life, time.Now())
+	s.guard.Crashed(life.String(), runs)
 }
 
 // guardedAnswer watches how an answer ends.
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -25,7 +25,7 @@
 	}
 	e.runs++
 	if head.Successful() {
-		e.core.Backends.Succeeded(e.last.ID, time.Now())
+		e.core.Backends.Succeeded(e.last.Life(), time.Now())
 	}
 	e.firstAt = time.Now()
 	e.outcome = "served"
@@ -33,7 +33,7 @@
 		e.outcome = "failure_passed_on"
 	}
 	if isBackEndFault(head.Status) {
-		e.core.Backends.Failed(e.last.ID, time.Now())
+		e.core.Backends.Failed(e.last.Life(), time.Now())
 	}
 	if err := e.responder.Whole(head, body); err != nil {
 		e.outcome = "caller_gone"
@@ -100,7 +100,7 @@
 
 func (e *exchange) finish(answer Answer) error {
 	e.runs++
-	e.core.Backends.Succeeded(e.last.ID, time.Now())
+	e.core.Backends.Succeeded(e.last.Life(), time.Now())
 	e.outcome = "served"
 	if err := e.begin(answer); err != nil {
 		e.outcome = "caller_gone"
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -172,9 +172,8 @@
 
 // Connector is a Sender that keeps connections to back ends.
 type Connector interface {
-	// Connected returns the ids of the back ends to which an idle connection is
-	// open.
-	Connected() map[string]bool
+	// Connected returns the lives of back ends to which an idle connection is open.
+	Connected() map[backend.Life]bool
 }
 
 // Responder is the caller's side of a request. One of Whole, Refuse, Finish
