--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -106,6 +106,8 @@
 	Serving *telemetry.Serving
 	Quota   *telemetry.Quota
 	Tenants *telemetry.Tenants
+	// Backends is that of what back ends say of themselves.
+	Backends *telemetry.Backends
 	// Quarantine is that of requests that end back ends.
 	Quarantine *telemetry.Quarantine
 }
@@ -148,7 +150,7 @@
 	listenForEnds(f.transport, f.Jobs)
 	source := newPeerSource(f.node, f.transport)
 	followed := newUpstream(f.node, f.transport)
-	f.instances = newInstanceConsumer(ports, f.Backends, log)
+	f.instances = newInstanceConsumer(ports, f.Backends, metrics.Backends, log)
 	for _, follower := range []*table.Follower{
 		{Table: ports.ConfigTable, Consumer: &configConsumer{ports: ports, holder: f.Holder, log: log}},
 		{Table: ports.InstanceTable, Consumer: f.instances, Pace: rate.NewLimiter(instanceWatches, instanceBurst)},
--- /dev/null
+++ b/internal/telemetry/backends.go
@@ -0,0 +1,28 @@
+package telemetry
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Backends are the metrics of what back ends say of themselves.
+type Backends struct {
+	// Listings counts entries of back ends that were read, by what they changed: new,
+	// same, reborn or late.
+	Listings *prometheus.CounterVec
+	// Unreadable counts entries that name no back end to use, by kind.
+	Unreadable *prometheus.CounterVec
+	// ReportFaults counts load reports of which a part or all was refused, by kind.
+	ReportFaults *prometheus.CounterVec
+}
+
+// NewBackends registers the metrics of what back ends say of themselves.
+func NewBackends(registry *prometheus.Registry) *Backends {
+	counter := func(name, help, label string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, []string{label})
+	}
+	made := &Backends{
+		Listings:     counter("backend_listings_total", "Entries of back ends, by what they changed.", "change"),
+		Unreadable:   counter("backend_unreadable_total", "Entries that name no back end to use.", "kind"),
+		ReportFaults: counter("backend_report_faults_total", "Load reports that were refused in part or whole.", "kind"),
+	}
+	registry.MustRegister(made.Listings, made.Unreadable, made.ReportFaults)
+	return made
+}
