Entries of other writers name no back end to use

Cause: decodeInstance listed as a back end an entry without address, service or slots, with negative slots, an address that is none, an unknown state (as leaving), null.

Change: such an entry is refused with a kind, logged once a kind in 10 s and counted (backend_unreadable_total). One that was good and turns odd takes its back end out at once as one that has gone; the others hold.

--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -10,6 +10,7 @@
 	"topazpulley/internal/periodic"
 	"topazpulley/internal/route"
 	"topazpulley/internal/table"
+	"topazpulley/internal/telemetry"
 )
 
 // configConsumer puts configurations in force.
@@ -49,7 +50,10 @@
 type instanceConsumer struct {
 	ports    Ports
 	backends *backend.Set
+	metrics  *telemetry.Backends
 	log      *slog.Logger
+	// unreadable are the entries that name no back end to use.
+	unreadable *unreadableEntries
 	// isSettled tells whether a missing entry means that its back end is gone.
 	isSettled func() bool
 
@@ -59,8 +63,8 @@
 	hasMissing chan struct{}
 }
 
-func newInstanceConsumer(ports Ports, backends *backend.Set, log *slog.Logger) *instanceConsumer {
-	return &instanceConsumer{ports: ports, backends: backends, log: log, missing: map[string]bool{}, hasMissing: make(chan struct{}, 1), isSettled: func() bool { return true }}
+func newInstanceConsumer(ports Ports, backends *backend.Set, metrics *telemetry.Backends, log *slog.Logger) *instanceConsumer {
+	return &instanceConsumer{ports: ports, backends: backends, metrics: metrics, log: log, unreadable: newUnreadableEntries(metrics, log), missing: map[string]bool{}, hasMissing: make(chan struct{}, 1), isSettled: func() bool { return true }}
 }
 
 // Replace implements table.Consumer.
@@ -91,17 +95,36 @@
 func (c *instanceConsumer) put(row table.Row) {
 	instance, err := c.ports.DecodeInstance(row.Key, row.Value)
 	if err != nil {
-		c.log.Error("backend_unreadable", "backend", row.Key, "row_version", row.Version, "error", err)
+		c.refuse(row, err)
 		return
 	}
-	c.mutex.Lock()
-	delete(c.missing, row.Key)
-	c.mutex.Unlock()
-	c.backends.Put(instance)
-	c.log.Info("backend_listed", "backend", instance.ID, "service", instance.Service, "address", instance.Address, "zone", instance.Zone,
+	c.found(row.Key)
+	listing := c.backends.Put(instance)
+	c.metrics.Listings.WithLabelValues(listing.String()).Inc()
+	c.log.Info("backend_listed", "backend", instance.ID, "born", instance.Born, "change", listing.String(), "service", instance.Service, "address", instance.Address, "zone", instance.Zone,
 		"slots", instance.Slots, "draining", instance.Draining, "row_version", row.Version)
 }
 
+// refuse takes in an entry that names no back end to use. One that was listed under
+// its id has gone, for all that is known: its entry is not its own any more. What runs
+// there goes on.
+func (c *instanceConsumer) refuse(row table.Row, cause error) {
+	c.unreadable.note(row, cause, time.Now())
+	c.found(row.Key)
+	if _, isListed := c.backends.Get(row.Key); !isListed {
+		return
+	}
+	c.backends.Remove(row.Key)
+	c.log.Info("backend_removed", "backend", row.Key, "row_version", row.Version, "reason", "unreadable", "kind", kindOf(cause))
+}
+
+// found notes that a back end's entry is not missing.
+func (c *instanceConsumer) found(id string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.missing, id)
+}
+
 // remove takes a back end out, or notes that its entry is missing.
 func (c *instanceConsumer) remove(id string, version table.Version) {
 	if !c.isSettled() {
--- a/internal/frontend/instances_test.go
+++ b/internal/frontend/instances_test.go
@@ -1,24 +1,45 @@
 package frontend
 
 import (
+	"bytes"
 	"log/slog"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/failure"
 	"topazpulley/internal/table"
+	"topazpulley/internal/telemetry"
 )
 
 func row(id string, version table.Version) table.Row {
 	return table.Row{Key: id, Version: version, Value: []byte(id)}
 }
 
+// oddValue is the value of an entry that names no back end.
+const oddValue = "odd"
+
+// unreadableName is the counter of such entries.
+const unreadableName = "topazpulley_backend_unreadable_total"
+
 func newTestConsumer(settled *bool) *instanceConsumer {
-	ports := Ports{DecodeInstance: func(key string, _ []byte) (backend.Instance, error) {
+	return newMeteredConsumer(settled, prometheus.NewRegistry())
+}
+
+// newMeteredConsumer returns a consumer whose metrics are on a registry.
+func newMeteredConsumer(settled *bool, registry *prometheus.Registry) *instanceConsumer {
+	ports := Ports{DecodeInstance: func(key string, value []byte) (backend.Instance, error) {
+		if string(value) == oddValue {
+			return backend.Instance{}, failure.New(failure.KindInvalid, "odd", "it names no back end")
+		}
 		return backend.Instance{ID: key, Service: "s", Slots: 1}, nil
 	}}
-	made := newInstanceConsumer(ports, backend.NewSet(), slog.New(slog.DiscardHandler))
+	made := newInstanceConsumer(ports, backend.NewSet(), telemetry.NewBackends(registry), slog.New(slog.DiscardHandler))
 	made.isSettled = func() bool { return *settled }
 	return made
 }
@@ -58,3 +79,57 @@
 	consumer.Replace(nil, 4)
 	requireListed(t, consumer)
 }
+
+// TestEntryThatTurnsOddTakesItsBackEndOut at once, whether or not the store was away,
+// and the others hold; a good one lists it again.
+func TestEntryThatTurnsOddTakesItsBackEndOut(t *testing.T) {
+	isSettled := true
+	registry := prometheus.NewRegistry()
+	consumer := newMeteredConsumer(&isSettled, registry)
+	consumer.Replace([]table.Row{row("a", 1), row("b", 2), {Key: "c", Version: 3, Value: []byte(oddValue)}}, 3)
+	requireListed(t, consumer, "a", "b")
+	lease, found := consumer.backends.Acquire("a", backend.Online, nil)
+	require.True(t, found)
+	isSettled = false
+	consumer.Change([]table.Row{{Key: "a", Version: 4, Value: []byte(oddValue)}}, 4)
+	requireListed(t, consumer, "b")
+	lease.Release()
+	consumer.Replace([]table.Row{{Key: "a", Version: 4, Value: []byte(oddValue)}, row("b", 2)}, 5)
+	requireListed(t, consumer, "b")
+	consumer.Change([]table.Row{row("a", 6)}, 6)
+	requireListed(t, consumer, "a", "b")
+	require.EqualValues(t, 3, counted(t, registry, unreadableName, "odd"))
+}
+
+// TestOddEntriesAreLoggedSeldomAndAllCounted: one line a kind now and then.
+func TestOddEntriesAreLoggedSeldomAndAllCounted(t *testing.T) {
+	var written bytes.Buffer
+	registry := prometheus.NewRegistry()
+	metrics := telemetry.NewBackends(registry)
+	entries := newUnreadableEntries(metrics, slog.New(slog.NewTextHandler(&written, nil)))
+	cause, now := failure.New(failure.KindInvalid, "odd", "it names no back end"), time.Now()
+	for range 100 {
+		entries.note(row("a", 1), cause, now)
+	}
+	entries.note(row("a", 1), errors.New("another"), now)
+	entries.note(row("a", 1), cause, now.Add(unreadablePause))
+	require.Equal(t, 3, strings.Count(written.String(), "backend_unreadable"))
+	require.Contains(t, written.String(), "unlogged=99")
+	require.EqualValues(t, 101, counted(t, registry, unreadableName, "odd"))
+	require.EqualValues(t, 1, counted(t, registry, unreadableName, unknownKind))
+}
+
+// counted returns what the counter of a name shows for a label's value.
+func counted(t *testing.T, registry *prometheus.Registry, name, value string) float64 {
+	t.Helper()
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			if family.GetName() == name && metric.GetLabel()[0].GetValue() == value {
+				return metric.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
