--- a/internal/serving/guarded.go
+++ b/internal/serving/guarded.go
@@ -106,12 +106,12 @@
 // check finds out whether a back end has ended, and if so tells the guard what
 // was in flight there.
 func (s *GuardedSender) check(checker LiveChecker, attempt Attempt) {
-	started := time.Now()
+	started, life := time.Now(), attempt.Instance.Life()
 	time.Sleep(gatherTime)
 	bounded, cancel := context.WithTimeout(context.Background(), quarantine.LiveCheckTimeout)
 	defer cancel()
-	hasEnded := checker.HasEnded(bounded, attempt) || s.backends.HasSuccessor(attempt.Instance.Life())
-	life := attempt.Instance.Life()
+	// Where the process has started again, its machine takes connections again.
+	hasEnded := checker.HasEnded(bounded, attempt) || s.backends.HasSuccessor(life)
 	s.mutex.Lock()
 	runs := s.broken[life]
 	delete(s.broken, life)
--- /dev/null
+++ b/test/mutants.d/backends.sh
@@ -0,0 +1,41 @@
+# What back ends say of themselves: load reports, entries, lives.
+mutant fourth_figure_voids_the_report platform/load.go \
+	'if len(parts) < loadFields {' 'if len(parts) != loadFields {' platform TestLoadReports
+mutant absurd_figures_believed platform/load.go \
+	'if number < 0 || number > mostRequests {' 'if false {' platform TestLoadReports
+mutant absurd_work_believed platform/load.go \
+	'case percent <= 0 || percent > mostWorkPercent:' 'case false:' platform TestLoadReports
+mutant bad_work_voids_the_report platform/answer.go \
+	'return report, !fault.voids()' 'return report, fault == reportWhole' platform TestLoadOfAnAnswer
+mutant odd_entries_listed platform/entry.go \
+	'wire.oddity(key); isOdd {' 'wire.oddity(key); false && isOdd {' platform TestEntriesOfOtherWriters
+mutant odd_births_believed platform/entry.go \
+	'if !isBirth {' 'if false && !isBirth {' platform TestEntriesOfOtherWriters
+mutant odd_entry_keeps_its_back_end internal/frontend/consumers.go \
+	'	c.backends.Remove(row.Key)
+' '' internal/frontend TestEntryThatTurnsOddTakesItsBackEndOut
+mutant life_kept_over_a_start internal/backend/life.go \
+	'case told.Born != known.Born:' 'case false:' internal/backend TestNewLifeStartsWithNothing
+mutant late_entry_wins internal/backend/life.go \
+	'case told.Born < newest:' 'case false:' internal/backend 'TestLateWordsOfALifeThatHasEnded|TestWordsOfOldAndNewLivesInAnyOrder'
+mutant births_forgotten_with_the_entry internal/backend/backend.go \
+	'	s.births.note(known.Life())
+' '' internal/backend TestBirthsOnlyRiseOverAnAbsence
+mutant entry_without_birth_is_a_new_life internal/backend/life.go \
+	'case told.Born == 0 && newest > 0:' 'case false:' internal/backend TestEntryWithoutBirthBehindOneWithIt
+mutant words_of_another_life_count internal/backend/backend.go \
+	'if !exists || known.Born != life.Born {' 'if !exists {' internal/backend TestLateWordsOfALifeThatHasEnded
+mutant loads_of_another_life_count internal/backend/lease.go \
+	'|| load.Born != known.Born' '' internal/backend TestLateWordsOfALifeThatHasEnded
+mutant loads_of_two_lives_added internal/backend/backend.go \
+	'case other.Born < l.Born:' 'case false:' internal/backend TestWorkAtTwoLivesIsNotAdded
+mutant loads_told_without_a_life internal/exchange/message.go \
+	'Born: load.Born, ' '' internal/exchange TestMessagesNameLives
+mutant place_of_the_life_before internal/serving/exchange.go \
+	'AcquireLife(backend.Life{ID: candidate.ID, Born: candidate.Born}, ' 'Acquire(candidate.ID, ' internal/serving TestBackEndThatStartsAgainHoldsNoPlace
+mutant ends_by_id internal/serving/guarded.go \
+	's.guard.Crashed(life.String(), runs)' 's.guard.Crashed(life.ID, runs)' internal/serving TestTwoLivesOfOneBackEndAreTwoEnds
+mutant later_life_confirms_no_end internal/serving/guarded.go \
+	' || s.backends.HasSuccessor(life)' '' internal/serving TestTwoLivesOfOneBackEndAreTwoEnds
+mutant connections_by_id platform/pool.go \
+	'endpoint{life: instance.Life(), ' 'endpoint{life: backend.Life{ID: instance.ID}, ' platform TestConnectionsToTheLifeBeforeAreNotUsed
