--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -54,6 +54,9 @@
 	log      *slog.Logger
 	// unreadable are the entries that name no back end to use.
 	unreadable *unreadableEntries
+	// isNamed tells whether the configuration in force names a service. A back end of
+	// another one waits, asked for by nobody, until one does.
+	isNamed func(service string) bool
 	// isSettled tells whether a missing entry means that its back end is gone.
 	isSettled func() bool
 
@@ -64,7 +67,7 @@
 }
 
 func newInstanceConsumer(ports Ports, backends *backend.Set, metrics *telemetry.Backends, log *slog.Logger) *instanceConsumer {
-	return &instanceConsumer{ports: ports, backends: backends, metrics: metrics, log: log, unreadable: newUnreadableEntries(metrics, log), missing: map[string]bool{}, hasMissing: make(chan struct{}, 1), isSettled: func() bool { return true }}
+	return &instanceConsumer{ports: ports, backends: backends, metrics: metrics, log: log, unreadable: newUnreadableEntries(metrics, log), missing: map[string]bool{}, hasMissing: make(chan struct{}, 1), isSettled: func() bool { return true }, isNamed: func(string) bool { return true }}
 }
 
 // Replace implements table.Consumer.
@@ -101,7 +104,7 @@
 	c.found(row.Key)
 	listing := c.backends.Put(instance)
 	c.metrics.Listings.WithLabelValues(listing.String()).Inc()
-	c.log.Info("backend_listed", "backend", instance.ID, "born", instance.Born, "change", listing.String(), "service", instance.Service, "address", instance.Address, "zone", instance.Zone,
+	c.log.Info("backend_listed", "backend", instance.ID, "born", instance.Born, "change", listing.String(), "service", instance.Service, "is_named", c.isNamed(instance.Service), "address", instance.Address, "zone", instance.Zone,
 		"slots", instance.Slots, "draining", instance.Draining, "row_version", row.Version)
 }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -112,6 +112,16 @@
 	Quarantine *telemetry.Quarantine
 }
 
+// isServiceNamed reports whether the configuration in force names a service.
+func (f *Frontend) isServiceNamed(service string) bool {
+	current := f.Holder.Current()
+	if current == nil {
+		return false
+	}
+	_, isNamed := current.Service(service)
+	return isNamed
+}
+
 // New assembles a daemon. The settings must be valid.
 func New(process settings.Settings, ports Ports, metrics Metrics, log *slog.Logger) *Frontend {
 	f := &Frontend{settings: process, log: log, Holder: &route.Holder{}, Backends: backend.NewSet()}
@@ -151,6 +161,7 @@
 	source := newPeerSource(f.node, f.transport)
 	followed := newUpstream(f.node, f.transport)
 	f.instances = newInstanceConsumer(ports, f.Backends, metrics.Backends, log)
+	f.instances.isNamed = f.isServiceNamed
 	for _, follower := range []*table.Follower{
 		{Table: ports.ConfigTable, Consumer: &configConsumer{ports: ports, holder: f.Holder, log: log}},
 		{Table: ports.InstanceTable, Consumer: f.instances, Pace: rate.NewLimiter(instanceWatches, instanceBurst)},
