Attempts that fall silent are left by what the service's answers take

Cause: a repeatable plain request waited for three objectives, 600 ms of its caller's second, for work of 15 ms, before it was sent elsewhere.

Change: a learned quantile of whole answers and first events by service, a budget of one request in ten, and another zone if there is one; one attempt at a time as before. Worst answer with one silent zone of three: 615 ms before, 42 ms (TestSilentBackEndIsLeftInTime, failed first; the clock of the test).

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -26,6 +26,7 @@
 	"topazpulley/internal/route"
 	"topazpulley/internal/serving"
 	"topazpulley/internal/settings"
+	"topazpulley/internal/silence"
 	"topazpulley/internal/table"
 	"topazpulley/internal/telemetry"
 )
@@ -132,6 +133,7 @@
 	f.Core = serving.NewCore(f.Backends, sender, f.Holder, metrics.Serving, log, f.Members)
 	f.Core.Wakeups = boottime.NewWakeups(nil, log)
 	f.Core.Zone = process.Zone
+	f.Core.Patience = silence.NewBook(silence.Mode(process.SilencePatience))
 	f.Core.Quarantine = f.Quarantine
 	f.limitFleet = ratelimit.NewClusterFleet(f.node, f.transport)
 	f.Core.Limits = ratelimit.New(f.limitFleet, ratelimit.ToleranceOf(process), metrics.Tenants, log)
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -14,6 +14,7 @@
 	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
+	"topazpulley/internal/silence"
 	"topazpulley/internal/telemetry"
 )
 
@@ -40,9 +41,14 @@
 	// while a request waits.
 	Wakeups *boottime.Wakeups
 
+	// Patience tells how long attempts may stay silent.
+	Patience *silence.Book
+
 	retries *admission.RetryBudget
-	mutex   sync.Mutex
-	random  *rand.Rand
+	// silences bounds the attempts that are ended before their latest patience.
+	silences *admission.RetryBudget
+	mutex    sync.Mutex
+	random   *rand.Rand
 }
 
 const (
@@ -57,8 +63,10 @@
 func NewCore(backends *backend.Set, sender Sender, holder *route.Holder, metrics *telemetry.Serving, log *slog.Logger, fleet func() int) *Core {
 	return &Core{
 		Backends: backends, Sender: sender, Holder: holder, Metrics: metrics, Logger: log, Fleet: fleet,
-		retries: admission.NewRetryBudget(retryShare, retryReserve),
-		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Patience: silence.NewBook(silence.ModeLearned),
+		retries:  admission.NewRetryBudget(retryShare, retryReserve),
+		silences: admission.NewRetryBudget(silenceShare, silenceReserve),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -86,6 +94,7 @@
 		return
 	}
 	c.retries.Earn()
+	c.silences.Earn()
 	served.run(bounded)
 	served.settle()
 	served.record()
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -23,10 +23,6 @@
 	maxSends = 8
 	// refusalPause is the pause when all back ends refuse.
 	refusalPause = 40 * time.Millisecond
-	// plainPatience and streamPatience are multiples of the objective after
-	// which a repeatable request is taken from a silent back end.
-	plainPatience  = 3
-	streamPatience = 4
 	// eventPatience is how long a resumable stream may pause.
 	eventPatience  = 1500 * time.Millisecond
 	retryAfterFull = 300 * time.Millisecond
@@ -71,6 +67,9 @@
 	// admission is what the request was granted of its tenant's limit.
 	admission ratelimit.Decision
 
+	// attemptedAt is when the last attempt began.
+	attemptedAt time.Time
+
 	last    backend.Instance
 	cost    routing.Candidate
 	reason  Reason
@@ -184,6 +183,7 @@
 	e.ran.Sent()
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
+	e.attemptedAt = time.Now()
 	watched := e.startWatchdog(cancel)
 	defer watched.Stop()
 	answer, err := e.core.Sender.Send(bounded, attempt)
@@ -202,7 +202,7 @@
 	if answer.Head().Events && answer.Head().Successful() {
 		err = e.relay(answer, lease, watched)
 	} else {
-		err = e.passWhole(answer)
+		err = e.passWhole(answer, watched)
 	}
 	if err != nil {
 		err = explain(watched, err)
@@ -212,19 +212,6 @@
 	return nil
 }
 
-// startWatchdog arms a watchdog if the request may run elsewhere. For other
-// requests silence is no reason to end an answer.
-func (e *exchange) startWatchdog(cancel func()) *watchdog.Watchdog {
-	if !e.request.Route.Repeatable() || e.runs+1 >= e.request.Route.MaxAttempts {
-		return nil
-	}
-	if e.request.Route.Kind == route.KindStream {
-		return watchdog.Start(e.request.Route.Objective*streamPatience, eventPatience, cancel)
-	}
-	patience := e.request.Route.Objective * plainPatience
-	return watchdog.Start(patience, patience, cancel)
-}
-
 // explain names silence as the reason of a failure that a watchdog caused. An
 // attempt that never left has not run, whatever ended it.
 func explain(watched *watchdog.Watchdog, err error) error {
@@ -273,6 +260,9 @@
 	failed := attemptError(err)
 	e.reason = failed.Reason
 	e.excluded[e.last.ID] = true
+	if failed.Reason == ReasonSilent {
+		e.avoidZone(e.last.Zone)
+	}
 	if failed.Outcome != OutcomeNotRun {
 		if e.counts(failed) {
 			e.runs++
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -7,13 +7,15 @@
 	"github.com/pkg/errors"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/silence"
 	"topazpulley/internal/watchdog"
 )
 
 // passWhole reads an answer to its end before the caller sees any of it.
-func (e *exchange) passWhole(answer Answer) error {
+func (e *exchange) passWhole(answer Answer, watched *watchdog.Watchdog) error {
 	head := answer.Head()
 	body, err := answer.Body()
+	watched.Stop()
 	if err != nil {
 		return err
 	}
@@ -26,6 +28,7 @@
 	e.runs++
 	if head.Successful() {
 		e.core.Backends.Succeeded(e.last.ID, time.Now())
+		e.noteAnswered(silence.KindWhole)
 	}
 	e.firstAt = time.Now()
 	e.outcome = "served"
@@ -59,7 +62,7 @@
 
 // relay passes events on as they come.
 func (e *exchange) relay(answer Answer, lease *backend.Lease, watched *watchdog.Watchdog) error {
-	for {
+	for isFirst := true; ; isFirst = false {
 		event, err := answer.Next()
 		if errors.Is(err, io.EOF) {
 			return e.finish(answer)
@@ -71,6 +74,9 @@
 			return &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonSpoiled}
 		}
 		watched.Feed()
+		if isFirst {
+			e.noteAnswered(silence.KindFirstEvent)
+		}
 		lease.Started()
 		if err := e.passEvent(answer, event); err != nil {
 			e.outcome = "caller_gone"
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"topazpulley/internal/failure"
+	"topazpulley/internal/silence"
 )
 
 // Duration is a time.Duration written as text, such as "250ms".
@@ -101,6 +102,10 @@
 	// to be sent to no further one, and QuarantineTime how long that holds.
 	QuarantineCrashes int      `toml:"quarantine_crashes"`
 	QuarantineTime    Duration `toml:"quarantine_time"`
+	// SilencePatience is how long a repeatable request waits for a silent back end: by
+	// what the service's answers take ("learned"), for half of its objective ("fixed"),
+	// or for three objectives, four with a stream ("objectives").
+	SilencePatience string `toml:"silence_patience"`
 	// ProbeInterval is the time between two membership probes.
 	ProbeInterval Duration `toml:"probe_interval"`
 	// StopLinger is how long a stopping daemon goes on accepting requests.
@@ -151,6 +156,7 @@
 		RateToleranceRequests:       defaultRateToleranceRequests,
 		QuarantineCrashes:           defaultQuarantineCrashes,
 		QuarantineTime:              defaultQuarantineTime,
+		SilencePatience:             string(silence.ModeLearned),
 		HeldSubmissionsShare:        defaultHeldSubmissionsShare,
 	}
 }
@@ -275,6 +281,9 @@
 	if s.QuarantineCrashes < 1 || s.QuarantineTime <= 0 {
 		return invalid("quarantine_crashes, quarantine_time", "give a positive number and a positive duration")
 	}
+	if !silence.Mode(s.SilencePatience).IsValid() {
+		return invalid("silence_patience", "give learned, fixed or objectives")
+	}
 	if s.RevocationBound < 0 {
 		return invalid("revocation_bound", "give a positive duration, or leave it out for no bound")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -44,6 +44,8 @@
 		"wrong type":     {`name = "a"`, "name = 7", "line 1"},
 		"wrong unit":     {`zone = "z"`, "zone = \"z\"\nprobe_interval = \"5\"", "line 3"},
 		"host name":      {"127.0.0.1:1", "localhost:1", "http_address"},
+		"odd patience":   {`zone = "z"`, "zone = \"z\"\nsilence_patience = \"long\"", "silence_patience"},
+		"held too much":  {`zone = "z"`, "zone = \"z\"\nheld_submissions_share = 0.7", "held_submissions_share"},
 		"short key":      {"000102", "00", "cluster_key"},
 		"no zone":        {`zone = "z"`, "", "zone"},
 		"half of TLS":    {`zone = "z"`, "zone = \"z\"\ntls_key_file = \"x\"", "tls_certificate_file"},
--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -10,6 +10,8 @@
 	Requests *prometheus.CounterVec
 	// Attempts counts failed attempts by outcome and reason.
 	Attempts *prometheus.CounterVec
+	// Silences counts attempts that stayed silent for longer than learned, by what was done.
+	Silences *prometheus.CounterVec
 	// FirstOutput observes seconds to the first event or the whole answer.
 	FirstOutput *prometheus.HistogramVec
 	// Duration observes seconds to the end of a request.
@@ -37,6 +39,7 @@
 	serving := &Serving{
 		Requests:     counter("serving_requests_total", "Ended online requests.", "service", "outcome"),
 		Attempts:     counter("serving_failed_attempts_total", "Failed attempts at back ends.", "outcome", "reason"),
+		Silences:     counter("serving_silences_total", "Attempts that stayed silent for longer than learned.", "service", "outcome"),
 		FirstOutput:  histogram("serving_first_output_seconds", "Time to the first event or the whole answer.", "service"),
 		Duration:     histogram("serving_duration_seconds", "Time to the end of a request.", "service"),
 		Items:        counter("job_item_attempts_total", "Ended attempts of batch items.", "outcome"),
@@ -45,7 +48,7 @@
 		StoreSeconds: histogram("store_call_seconds", "Time of calls to the store.", "call"),
 		Malformed:    newMalformed(),
 	}
-	registry.MustRegister(serving.Requests, serving.Attempts, serving.FirstOutput, serving.Duration, serving.Items, serving.Held, serving.StoreCalls, serving.StoreSeconds, serving.Malformed)
+	registry.MustRegister(serving.Requests, serving.Attempts, serving.Silences, serving.FirstOutput, serving.Duration, serving.Items, serving.Held, serving.StoreCalls, serving.StoreSeconds, serving.Malformed)
 	return serving
 }
 
--- a/test/mutants.d/patience.sh
+++ b/test/mutants.d/patience.sh
@@ -11,3 +11,17 @@
 	'defer leave()' '_ = leave' internal/job TestHeldSubmissionEndsWithItsCaller
 mutant not_held internal/job/accept.go \
 	's.holdWhileAway(ctx, submitted); err != nil' 'error(nil); err != nil' internal/job TestJobsOfAnOutageAreAcceptedBehindIt
+mutant left_whatever_the_route internal/serving/silence.go \
+	'!e.request.Route.Repeatable() || e.runs+1 >= e.request.Route.MaxAttempts' 'false' internal/serving TestWhatMayRunOnceIsNeverLeft
+mutant silence_without_budget internal/serving/silence.go \
+	'!e.core.silences.Spend()' 'false' internal/serving TestOverloadIsNotMadeWorse
+mutant silent_zone_asked_again internal/serving/exchange.go \
+	'e.avoidZone(e.last.Zone)' '_ = 0' internal/serving TestSilentBackEndIsLeftInTime
+mutant nothing_learned internal/silence/silence.go \
+	'learned.add(took)' '_ = took' internal/silence TestQuickServicesAreLeftSoon
+mutant stream_left_before_it_is_late internal/silence/silence.go \
+	'shortest = objective
+' 'shortest = objective / floorPart
+' internal/silence TestStreamsAreNotLeftBeforeTheyAreLate
+mutant left_early_in_vain internal/watchdog/watchdog.go \
+	'|| mayFire() {' '|| mayFire() || true {' internal/watchdog TestFiresEarlyOnlyIfItMay
