--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"topazpulley/internal/failure"
+	"topazpulley/internal/silence"
 )
 
 // Duration is a time.Duration written as text, such as "250ms".
@@ -68,6 +69,9 @@
 	// MemoryMegabytes is the memory that the process may use; 0 means no
 	// bound.
 	MemoryMegabytes int `toml:"memory_megabytes"`
+	// HeldSubmissionsShare is the part of MemoryMegabytes that submissions of jobs may
+	// take which are held while the store is away; 0 holds none and tries each by itself.
+	HeldSubmissionsShare float64 `toml:"held_submissions_share"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `toml:"log_level"`
 	// Seeds are peer addresses to join when the machine list is unreachable.
@@ -98,6 +102,10 @@
 	// to be sent to no further one, and QuarantineTime how long that holds.
 	QuarantineCrashes int      `toml:"quarantine_crashes"`
 	QuarantineTime    Duration `toml:"quarantine_time"`
+	// SilencePatience is how long a repeatable request waits for a silent back end: by
+	// what the service's answers take ("learned"), for half of its objective ("fixed"),
+	// or for three objectives, four with a stream ("objectives").
+	SilencePatience string `toml:"silence_patience"`
 	// ProbeInterval is the time between two membership probes.
 	ProbeInterval Duration `toml:"probe_interval"`
 	// StopLinger is how long a stopping daemon goes on accepting requests.
@@ -125,7 +133,11 @@
 	// Three ends of different back ends with no good end between them are hardly
 	// chance; ten minutes let an engineer see the request and mend its cause.
 	defaultQuarantineCrashes = 3
-	defaultQuarantineTime    = Duration(10 * time.Minute)
+	// A twentieth of 144 MB holds some sixteen jobs of 150 KB, the mean; in an outage of
+	// seven seconds a daemon gets one or two.
+	defaultHeldSubmissionsShare = 0.05
+	mostHeldSubmissionsShare    = 0.5
+	defaultQuarantineTime       = Duration(10 * time.Minute)
 )
 
 // Default returns settings with every optional value filled in.
@@ -144,6 +156,8 @@
 		RateToleranceRequests:       defaultRateToleranceRequests,
 		QuarantineCrashes:           defaultQuarantineCrashes,
 		QuarantineTime:              defaultQuarantineTime,
+		SilencePatience:             string(silence.ModeLearned),
+		HeldSubmissionsShare:        defaultHeldSubmissionsShare,
 	}
 }
 
@@ -267,6 +281,9 @@
 	if s.QuarantineCrashes < 1 || s.QuarantineTime <= 0 {
 		return invalid("quarantine_crashes, quarantine_time", "give a positive number and a positive duration")
 	}
+	if !silence.Mode(s.SilencePatience).IsValid() {
+		return invalid("silence_patience", "give learned, fixed or objectives")
+	}
 	if s.RevocationBound < 0 {
 		return invalid("revocation_bound", "give a positive duration, or leave it out for no bound")
 	}
@@ -288,6 +305,9 @@
 	if s.MemoryMegabytes < 0 {
 		return invalid("memory_megabytes", "give a positive number, or 0 for no bound")
 	}
+	if s.HeldSubmissionsShare < 0 || s.HeldSubmissionsShare > mostHeldSubmissionsShare {
+		return invalid("held_submissions_share", "give a number from 0 to 0.5")
+	}
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
 		return invalid("log_level", "give debug, info, warn or error")
--- /dev/null
+++ b/test/mutants.d/patience.sh
@@ -0,0 +1,27 @@
+# Mutants of what waits: submissions while the store is away, and attempts that fall silent.
+mutant stale_commit internal/quota/ledger.go \
+	'isFresh = !isFresh' 'isFresh = false' internal/quota TestReservationsBehindAnOutageAreCommittedSoon
+mutant waiting_keeper_passed_by internal/quota/accounts.go \
+	'if failure.HasCode(err, codeUnavailable) {' 'if false {' internal/quota TestKeeperThatWaitsForTheStoreIsAskedAgain
+mutant reservations_not_first internal/quota/ledger.go \
+	'if !added.isReservation() {' 'if true {' internal/quota TestReservationsGoBeforeWhatIsRepeated
+mutant hold_without_bound internal/holding/holding.go \
+	'r.bytes+taken > r.limits.Bytes' 'false' internal/holding TestSmallDaemonsHoldLittle
+mutant held_memory_not_given_back internal/job/held.go \
+	'defer leave()' '_ = leave' internal/job TestHeldSubmissionEndsWithItsCaller
+mutant not_held internal/job/accept.go \
+	's.holdWhileAway(ctx, submitted); err != nil' 'error(nil); err != nil' internal/job TestJobsOfAnOutageAreAcceptedBehindIt
+mutant left_whatever_the_route internal/serving/silence.go \
+	'!e.request.Route.Repeatable() || e.runs+1 >= e.request.Route.MaxAttempts' 'false' internal/serving TestWhatMayRunOnceIsNeverLeft
+mutant silence_without_budget internal/serving/silence.go \
+	'!e.core.silences.Spend()' 'false' internal/serving TestEarlyEndsHaveABudget
+mutant silent_zone_asked_again internal/serving/exchange.go \
+	'e.avoidZone(e.last.Zone)' '_ = 0' internal/serving TestZoneOfASilentBackEndIsLeft
+mutant nothing_learned internal/silence/silence.go \
+	'learned.add(took)' '_ = took' internal/silence TestQuickServicesAreLeftSoon
+mutant stream_left_before_it_is_late internal/silence/silence.go \
+	'shortest = objective
+' 'shortest = objective / floorPart
+' internal/silence TestStreamsAreNotLeftBeforeTheyAreLate
+mutant left_early_in_vain internal/watchdog/watchdog.go \
+	'|| mayFire() {' '|| mayFire() || true {' internal/watchdog TestFiresEarlyOnlyIfItMay
