One order of waiting: late requests make way for those in time

Cause: with too little room each request asked back ends for a place by itself, those in time and those late beside each other, and one that had waited for four objectives stood in a back end's queue, where it got the next place before all who asked.

Change: daemons tell with their loads, by service, how many online requests wait that can be in time, how many that are late, and how many places came free in the last second (requests and items that had output). By the fleet's sums internal/waiting decides how often a request asks. Late ones ask for what those in time leave. One that has waited for as long as it may is refused as not run while those in time need all places and no items could give way; else it queues as before. Setting waiting_order = "none" switches it off. With room enough nothing changes.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"topazpulley/internal/routing"
+	"topazpulley/internal/waiting"
 )
 
 // Instance is one incarnation of a back end as discovery lists it.
@@ -98,6 +99,10 @@
 	waiting          int
 	waitingElsewhere map[string]int
 	hasHeard         bool
+	// waits is what waits here by service, and sumsElsewhere what waits at other
+	// daemons by who told.
+	waits         map[string]*serviceWait
+	sumsElsewhere map[string]map[string]waiting.Sums
 	// propagation is the time until other daemons know of a change here.
 	propagation time.Duration
 	// connected returns the back ends to which an idle connection is open.
@@ -111,6 +116,7 @@
 		untold: map[string]int{}, waitingElsewhere: map[string]int{}, propagation: assumedPropagation,
 		preemptions: make(chan string, preemptQueue), givingWay: make(chan string, preemptQueue),
 		connected: func() map[string]bool { return nil },
+		waits:     map[string]*serviceWait{}, sumsElsewhere: map[string]map[string]waiting.Sums{},
 	}
 }
 
--- a/internal/backend/lease.go
+++ b/internal/backend/lease.go
@@ -84,8 +84,17 @@
 	l.state.pendingTokens -= l.pending
 }
 
+// hasStarted reports whether output came: the request had a place. One that the back end
+// had no place for, or that it did not answer, frees none.
+func (l *Lease) hasStarted() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.started
+}
+
 // Release ends the count.
 func (l *Lease) Release() {
+	hadPlace := l.hasStarted()
 	l.Started()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -97,6 +106,9 @@
 	defer l.set.mutex.Unlock()
 	wasCrowded := l.state.isCrowded()
 	l.state.count(l.class, -1)
+	if hadPlace {
+		l.set.wait(l.state.Service).freed.Add(time.Now())
+	}
 	if l.class == Batch && wasCrowded {
 		// Others should not give way a second time.
 		signal(l.set.urgent)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -143,7 +143,7 @@
 
 // send tells this daemon's own loads and news.
 func (e *Exchange) send(now time.Time, audience audience) {
-	work := loads{inFlight: e.backends.OwnLoads(), waiting: e.backends.OwnWaiting()}
+	work := loads{inFlight: e.backends.OwnLoads(), waiting: e.backends.OwnWaiting(), sums: e.backends.OwnSums(now)}
 	told := news{reads: e.backends.TakeReads(), failures: e.backends.TakeFailures()}
 	isSame := work.equal(e.last) && told.isEmpty()
 	if isSame && (work.isEmpty() || now.Sub(e.sentAt) < max(refreshInterval, audience.interval())) {
@@ -202,6 +202,7 @@
 	e.heard[othersOfFleet] = now
 	e.mutex.Unlock()
 	e.backends.SetPeerLoads(othersOfFleet, own.inFlight, own.waiting)
+	e.backends.SetPeerSums(othersOfFleet, own.sums)
 	for name, work := range others {
 		e.tell([]string{name}, keyOthers+e.self.Name, work, pending.forMember(name), now)
 	}
@@ -264,6 +265,7 @@
 	e.heard[name] = now
 	e.mutex.Unlock()
 	e.backends.SetPeerLoads(name, work.inFlight, work.waiting)
+	e.backends.SetPeerSums(name, work.sums)
 }
 
 func (e *Exchange) drop(name string) {
@@ -274,6 +276,7 @@
 	e.mutex.Unlock()
 	if known {
 		e.backends.SetPeerLoads(name, nil, 0)
+		e.backends.SetPeerSums(name, nil)
 	}
 }
 
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -8,6 +8,7 @@
 
 	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/backend"
+	"topazpulley/internal/waiting"
 )
 
 // loads is what daemons have in flight and what waits at them.
@@ -16,11 +17,14 @@
 	inFlight map[string]backend.PeerLoad
 	// waiting is the number of batch items that wait for a back end.
 	waiting int
+	// sums is what online requests wait for, by service.
+	sums map[string]waiting.Sums
 }
 
 // add counts further work.
 func (l *loads) add(other loads) {
 	l.waiting += other.waiting
+	l.sums = addSums(l.sums, other.sums)
 	for id, load := range other.inFlight {
 		sum := l.inFlight[id]
 		sum.Online += load.Online
@@ -32,7 +36,7 @@
 
 // without returns the work less a part of it.
 func (l loads) without(part loads) loads {
-	left := loads{inFlight: make(map[string]backend.PeerLoad, len(l.inFlight)), waiting: l.waiting - part.waiting}
+	left := loads{inFlight: make(map[string]backend.PeerLoad, len(l.inFlight)), waiting: l.waiting - part.waiting, sums: sumsWithout(l.sums, part.sums)}
 	for id, sum := range l.inFlight {
 		taken := part.inFlight[id]
 		sum.Online -= taken.Online
@@ -43,11 +47,11 @@
 	return left
 }
 
-func (l loads) isEmpty() bool { return len(l.inFlight) == 0 && l.waiting == 0 }
+func (l loads) isEmpty() bool { return len(l.inFlight) == 0 && l.waiting == 0 && len(l.sums) == 0 }
 
 // equal reports whether both hold the same work.
 func (l loads) equal(other loads) bool {
-	return l.waiting == other.waiting && maps.Equal(l.inFlight, other.inFlight)
+	return l.waiting == other.waiting && maps.Equal(l.inFlight, other.inFlight) && maps.Equal(l.sums, other.sums)
 }
 
 // news is what is told once: large prompt parts that were sent, and failures
@@ -81,6 +85,7 @@
 	Reads    []readRecord    `avro:"reads"`
 	Failures []failureRecord `avro:"failures"`
 	Waiting  int             `avro:"waiting"`
+	Sums     []sumsRecord    `avro:"sums"`
 }
 
 type failureRecord struct {
@@ -107,10 +112,13 @@
 	{"name":"backend","type":"string"},{"name":"part","type":"string"}]}},"default":[]},
 	{"name":"failures","type":{"type":"array","items":{"type":"record","name":"failure","fields":[
 	{"name":"backend","type":"string"},{"name":"count","type":"int"}]}},"default":[]},
-	{"name":"waiting","type":"int","default":0}]}`)
+	{"name":"waiting","type":"int","default":0},
+	{"name":"sums","type":{"type":"array","items":{"type":"record","name":"sums","fields":[
+	{"name":"service","type":"string"},{"name":"in_time","type":"int"},{"name":"late","type":"int"},
+	{"name":"freed","type":"int"}]}},"default":[]}]}`)
 
 func encode(work loads, told news) ([]byte, error) {
-	message := loadMessage{Backends: make([]backendLoad, 0, len(work.inFlight)), Reads: []readRecord{}, Failures: []failureRecord{}, Waiting: work.waiting}
+	message := loadMessage{Backends: make([]backendLoad, 0, len(work.inFlight)), Reads: []readRecord{}, Failures: []failureRecord{}, Waiting: work.waiting, Sums: recordsOf(work.sums)}
 	for id, load := range work.inFlight {
 		if load == (backend.PeerLoad{}) {
 			continue
@@ -132,7 +140,7 @@
 	if err := avrocodec.Unmarshal(loadSchema, payload, &message); err != nil {
 		return loads{}, news{}, errors.WithStack(err)
 	}
-	work := loads{inFlight: make(map[string]backend.PeerLoad, len(message.Backends)), waiting: message.Waiting}
+	work := loads{inFlight: make(map[string]backend.PeerLoad, len(message.Backends)), waiting: message.Waiting, sums: sumsOf(message.Sums)}
 	for _, each := range message.Backends {
 		work.inFlight[each.ID] = backend.PeerLoad{Online: each.Online, Batch: each.Batch, PendingTokens: each.Pending}
 	}
--- /dev/null
+++ b/internal/exchange/sums_test.go
@@ -0,0 +1,61 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hamba/avro/v2"
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/waiting"
+)
+
+// olderSchema is that of messages of daemons that tell no sums.
+var olderSchema = avro.MustParse(`{"type":"record","name":"load","fields":[{"name":"backends","type":{"type":"array","items":{
+	"type":"record","name":"backend","fields":[{"name":"id","type":"string"},{"name":"online","type":"int"},
+	{"name":"batch","type":"int"},{"name":"pending","type":"int"}]}}},
+	{"name":"reads","type":{"type":"array","items":{"type":"record","name":"read","fields":[
+	{"name":"backend","type":"string"},{"name":"part","type":"string"}]}},"default":[]},
+	{"name":"failures","type":{"type":"array","items":{"type":"record","name":"failure","fields":[
+	{"name":"backend","type":"string"},{"name":"count","type":"int"}]}},"default":[]},
+	{"name":"waiting","type":"int","default":0}]}`)
+
+// TestSumsSurviveTheWire, and messages of daemons that tell none are read as before.
+func TestSumsSurviveTheWire(t *testing.T) {
+	sent := loads{inFlight: map[string]backend.PeerLoad{"one": {Online: 1}}, waiting: 7,
+		sums: map[string]waiting.Sums{"s": {InTime: 1, Late: 2, Freed: 3}, "other": {Late: 4}}}
+	payload, err := encode(sent, news{})
+	require.NoError(t, err)
+	got, _, err := decode(payload)
+	require.NoError(t, err)
+	require.True(t, sent.equal(got))
+	require.Equal(t, sent.sums, got.sums)
+
+	older := loadMessage{Backends: []backendLoad{{ID: "one", Online: 1}}, Reads: []readRecord{}, Failures: []failureRecord{}, Waiting: 7}
+	payload, err = avro.Marshal(olderSchema, older)
+	require.NoError(t, err)
+	got, _, err = decode(payload)
+	require.NoError(t, err)
+	require.Equal(t, 7, got.waiting)
+	require.Equal(t, sent.inFlight, got.inFlight)
+	require.Empty(t, got.sums)
+}
+
+// TestRelaySumsWhatWaits: a daemon is told what waits at all others, and not at itself.
+func TestRelaySumsWhatWaits(t *testing.T) {
+	told := func(service string, sums waiting.Sums) loads {
+		return loads{inFlight: map[string]backend.PeerLoad{}, sums: map[string]waiting.Sums{service: sums}}
+	}
+	gathered, now := newRelay(), time.Now()
+	gathered.noteMember("a", told("s", waiting.Sums{InTime: 1, Late: 2, Freed: 3}), news{}, now)
+	gathered.noteMember("b", told("s", waiting.Sums{InTime: 10}), news{}, now)
+	gathered.noteMember("c", told("other", waiting.Sums{Late: 5}), news{}, now)
+	gathered.noteZone("far", told("s", waiting.Sums{InTime: 100, Freed: 200}), news{}, now)
+	total := gathered.fleetTotal()
+	require.Equal(t, map[string]waiting.Sums{"s": {InTime: 110, Freed: 200}, "other": {Late: 5}}, gathered.othersOf("a", total).sums)
+	require.Equal(t, map[string]waiting.Sums{"s": {InTime: 111, Late: 2, Freed: 203}}, gathered.othersOf("c", total).sums)
+	require.Equal(t, map[string]waiting.Sums{"s": {InTime: 11, Late: 2, Freed: 3}, "other": {Late: 5}}, gathered.zoneTotal().sums)
+	require.False(t, told("s", waiting.Sums{Late: 1}).isEmpty())
+	require.False(t, told("s", waiting.Sums{Late: 1}).equal(told("s", waiting.Sums{Late: 2})))
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -130,6 +130,7 @@
 	f.Core = serving.NewCore(f.Backends, sender, f.Holder, metrics.Serving, log, f.Members)
 	f.Core.Wakeups = boottime.NewWakeups(nil, log)
 	f.Core.Zone = process.Zone
+	f.Core.OrdersWaiting = process.WaitingOrder == settings.WaitingOrderFleet
 	f.Core.Quarantine = f.Quarantine
 	f.limitFleet = ratelimit.NewClusterFleet(f.node, f.transport)
 	f.Core.Limits = ratelimit.New(f.limitFleet, ratelimit.ToleranceOf(process), metrics.Tenants, log)
--- a/internal/serving/await.go
+++ b/internal/serving/await.go
@@ -6,6 +6,7 @@
 
 	"topazpulley/internal/periodic"
 	"topazpulley/internal/routing"
+	"topazpulley/internal/waiting"
 )
 
 // While no back end has a place, requests wait here and go on asking, so that a
@@ -15,15 +16,10 @@
 // are free elsewhere, and one that is late already keeps later ones from being in
 // time. Requests that are near their objective ask more often, those beyond it
 // seldom: they have time until their callers leave.
+//
+// Requests that can no longer be in time step behind those that can, by what all
+// daemons tell of their waiting requests (package waiting).
 const (
-	// shortestAsk and longestAsk bound the pause between two questions of a
-	// request that can still be in time; asksInTime is how many of the present
-	// pauses fit into the time that it has left.
-	shortestAsk = 5 * time.Millisecond
-	longestAsk  = 20 * time.Millisecond
-	asksInTime  = 12
-	// lateAsk is the pause of a request that is late.
-	lateAsk = 80 * time.Millisecond
 	// queueAfter is the multiple of the objective after which a request stops
 	// waiting for a place and queues at a back end, and longestAwait the longest
 	// time until then: callers leave streams without an event after two seconds or
@@ -51,9 +47,12 @@
 func (e *exchange) awaitPlace(ctx context.Context) {
 	started := time.Now()
 	defer func() { e.waited += time.Since(started) }()
+	inTimeUntil := e.inTimeUntil(started)
+	waits := e.core.Backends.Await(e.request.Service, inTimeUntil)
+	defer waits.Leave()
 	latest := e.request.Arrived.Add(min(e.request.Route.Objective*queueAfter, longestAwait))
 	asked := 0
-	for periodic.SleepAbout(ctx, e.askPause(time.Now())) {
+	for e.awaitTurn(ctx, inTimeUntil, latest) {
 		if _, isHeld := e.quarantined(); isHeld {
 			return
 		}
@@ -68,17 +67,97 @@
 			return
 		}
 	}
+	if ctx.Err() == nil && e.isTurnedAway() {
+		return
+	}
 	e.isQueued = true
 	clear(e.excluded)
 }
 
+// isTurnedAway decides, when the request has waited for as long as it may, whether it
+// is told so: in the queue of a back end it would get the next place there, before
+// requests that can still be in time. A stream of which the caller has a part is not
+// turned away, nor is a request that may have run: its caller could not be told that it
+// has not.
+func (e *exchange) isTurnedAway() bool {
+	if !e.core.OrdersWaiting || e.lastEvent > 0 || e.ran.MayHaveRun() {
+		return false
+	}
+	fleet := e.core.Backends.FleetSums(e.request.Service, time.Now())
+	if !fleet.IsCrowded(e.request.Route.Objective) || e.mayPreempt() {
+		return false
+	}
+	e.turnedAway = max(fleet.Backlog(), retryAfterFull)
+	e.core.Metrics.TurnedAway.WithLabelValues(e.request.Service).Inc()
+	e.core.Logger.Info("request_turned_away", "id", e.request.ID, "service", e.request.Service, "fleet_in_time", fleet.InTime,
+		"fleet_late", fleet.Late, "fleet_freed", fleet.Freed, "retry_after_ms", e.turnedAway.Milliseconds(), "unplaced", e.unplaced)
+	return true
+}
+
+// inTimeUntil is until when a place lets the request be in time. A stream of which the
+// caller has a part was in time: what counts for it is the pause that begins now.
+func (e *exchange) inTimeUntil(now time.Time) time.Time {
+	objective := e.request.Route.Objective
+	if !e.core.OrdersWaiting {
+		return e.request.Arrived.Add(objective)
+	}
+	from := e.request.Arrived
+	if e.lastEvent > 0 {
+		from = now
+	}
+	return from.Add(objective - e.core.Backends.Lead(e.request.Service, objective))
+}
+
+// awaitTurn waits until the request may ask again, or until the latest moment. It
+// reports false when the context ends.
+func (e *exchange) awaitTurn(ctx context.Context, inTimeUntil, latest time.Time) bool {
+	since := time.Now()
+	for {
+		now := time.Now()
+		left := since.Add(e.askPause(now, inTimeUntil)).Sub(now)
+		if left <= 0 {
+			return ctx.Err() == nil
+		}
+		nap := min(left, waiting.LatePause)
+		if rest := latest.Sub(now); rest < nap {
+			return periodic.Sleep(ctx, max(rest, 0))
+		}
+		if !periodic.SleepAbout(ctx, nap) {
+			return false
+		}
+		if left <= waiting.LatePause {
+			return true
+		}
+	}
+}
+
 // askPause is the pause before the next question.
-func (e *exchange) askPause(now time.Time) time.Duration {
-	left := e.request.Arrived.Add(e.request.Route.Objective).Sub(now)
-	if left <= 0 {
-		return lateAsk
+func (e *exchange) askPause(now, inTimeUntil time.Time) time.Duration {
+	request := waiting.Request{Left: inTimeUntil.Sub(now)}
+	if !e.core.OrdersWaiting {
+		return waiting.PauseAlone(request)
 	}
-	return min(max(left/asksInTime, shortestAsk), longestAsk)
+	fleet := e.core.Backends.FleetSums(e.request.Service, now)
+	pause := waiting.Pause(request, fleet)
+	if request.IsLate() && !e.isBehind {
+		e.noteBehind(request, fleet, pause)
+	}
+	return pause
+}
+
+// noteBehind logs once that the request makes way for those in time.
+func (e *exchange) noteBehind(request waiting.Request, fleet waiting.Sums, pause time.Duration) {
+	e.isBehind = true
+	e.core.Metrics.Behind.WithLabelValues(e.request.Service).Inc()
+	e.core.Logger.Info("request_behind", "id", e.request.ID, "service", e.request.Service, "late_ms", -request.Left.Milliseconds(),
+		"fleet_in_time", fleet.InTime, "fleet_late", fleet.Late, "fleet_freed", fleet.Freed, "pause_ms", pause.Milliseconds(), "unplaced", e.unplaced)
+}
+
+// mayPreempt reports whether batch items are known where the request would go: they give
+// way before an online request is turned away.
+func (e *exchange) mayPreempt() bool {
+	chosen, found := e.core.pick(&e.request, nil, preemptAnywhere)
+	return found && chosen.Batch > 0
 }
 
 // preemptForPlace has one batch item give way where the request would go.
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -34,6 +34,9 @@
 	// Quarantine tells which requests are not sent to back ends; nil means that all
 	// are. Sender asks it too: here it only saves a wait that must end in a refusal.
 	Quarantine *quarantine.Guard
+	// OrdersWaiting has requests that cannot be in time any more make way for those
+	// that can; false means that each waits for a place by itself.
+	OrdersWaiting bool
 	// Clock counts the time for which the machine sleeps; nil means the system's.
 	Clock boottime.Clock
 	// Wakeups tells that the machine has slept; nil means that this is not noticed
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -31,6 +31,8 @@
 	eventPatience  = 1500 * time.Millisecond
 	retryAfterFull = 300 * time.Millisecond
 	retryAfterNone = 500 * time.Millisecond
+	// codeCrowded tells that others, who can be in time, need all places.
+	codeCrowded = "no_place_in_time"
 	// minimumRemaining is the least time for which an attempt is worth it.
 	minimumRemaining = 5 * time.Millisecond
 )
@@ -62,6 +64,13 @@
 	// is how long it waited for one since.
 	unplaced int
 	waited   time.Duration
+	// isBehind tells that the request is late and makes way for those in time.
+	isBehind bool
+	// turnedAway is when the caller should come back if the request gets no place; 0
+	// means that it goes on.
+	turnedAway time.Duration
+	// placedAt is when the last attempt had a place; zero means that it had none.
+	placedAt time.Time
 	// held is a place that was found after a wait and is not used yet.
 	held heldPlace
 	// isQueued tells that the request waits for no place any more, but in a back
@@ -86,6 +95,11 @@
 		if e.mustAwaitPlace() {
 			e.awaitPlace(ctx)
 		}
+		if e.turnedAway > 0 {
+			e.reason = ReasonNoPlace
+			e.giveUp(e.turnedAway, codeCrowded)
+			return
+		}
 		lease, chosen, found := e.target()
 		if !found {
 			if e.awaitRoom(ctx) {
@@ -176,6 +190,10 @@
 	} else if err := e.reserve(ctx, &attempt); err != nil {
 		return err
 	}
+	e.placedAt = time.Time{}
+	if attempt.Place != "" {
+		e.placedAt = time.Now()
+	}
 	attempt.Permit = func() error {
 		e.noteSent(&attempt)
 		return nil
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,6 +98,9 @@
 	// to be sent to no further one, and QuarantineTime how long that holds.
 	QuarantineCrashes int      `toml:"quarantine_crashes"`
 	QuarantineTime    Duration `toml:"quarantine_time"`
+	// WaitingOrder tells in what order online requests get places while there are too
+	// few: WaitingOrderFleet or WaitingOrderNone.
+	WaitingOrder string `toml:"waiting_order"`
 	// ProbeInterval is the time between two membership probes.
 	ProbeInterval Duration `toml:"probe_interval"`
 	// StopLinger is how long a stopping daemon goes on accepting requests.
@@ -110,6 +113,15 @@
 	MaxBodyBytes int `toml:"max_body_bytes"`
 }
 
+// The orders of waiting.
+const (
+	// WaitingOrderFleet has requests that cannot be in time any more make way for
+	// those that can, by what all daemons tell.
+	WaitingOrderFleet = "fleet"
+	// WaitingOrderNone has each request ask for a place by itself.
+	WaitingOrderNone = "none"
+)
+
 const (
 	clusterKeyBytes       = 32
 	defaultProbeInterval  = Duration(time.Second)
@@ -144,6 +156,7 @@
 		RateToleranceRequests:       defaultRateToleranceRequests,
 		QuarantineCrashes:           defaultQuarantineCrashes,
 		QuarantineTime:              defaultQuarantineTime,
+		WaitingOrder:                WaitingOrderFleet,
 	}
 }
 
@@ -250,6 +263,9 @@
 	if err := s.validateLimits(); err != nil {
 		return err
 	}
+	if s.WaitingOrder != WaitingOrderFleet && s.WaitingOrder != WaitingOrderNone {
+		return invalid("waiting_order", "give fleet or none")
+	}
 	if (s.TLSCertificateFile == "") != (s.TLSKeyFile == "") {
 		return invalid("tls_certificate_file, tls_key_file", "set both or neither")
 	}
--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -20,6 +20,12 @@
 	StoreCalls *prometheus.CounterVec
 	// StoreSeconds observes the time of calls to the store.
 	StoreSeconds *prometheus.HistogramVec
+	// Behind counts online requests that were late while they waited for a place and
+	// made way for others, by service.
+	Behind *prometheus.CounterVec
+	// TurnedAway counts online requests that were refused because those in time needed
+	// all places, by service.
+	TurnedAway *prometheus.CounterVec
 	// Malformed counts callers' requests that were refused as malformed, by kind.
 	Malformed *prometheus.CounterVec
 }
@@ -40,9 +46,11 @@
 		Items:        counter("job_item_attempts_total", "Ended attempts of batch items.", "outcome"),
 		StoreCalls:   counter("store_calls_total", "Calls to the store.", "call", "outcome"),
 		StoreSeconds: histogram("store_call_seconds", "Time of calls to the store.", "call"),
+		Behind:       counter("serving_behind_total", "Online requests that were late and made way for those in time.", "service"),
+		TurnedAway:   counter("serving_turned_away_total", "Online requests refused because those in time needed all places.", "service"),
 		Malformed:    newMalformed(),
 	}
-	registry.MustRegister(serving.Requests, serving.Attempts, serving.FirstOutput, serving.Duration, serving.Items, serving.StoreCalls, serving.StoreSeconds, serving.Malformed)
+	registry.MustRegister(serving.Requests, serving.Attempts, serving.FirstOutput, serving.Duration, serving.Items, serving.StoreCalls, serving.StoreSeconds, serving.Behind, serving.TurnedAway, serving.Malformed)
 	return serving
 }
 
