--- a/internal/exchange/sums.go
+++ b/internal/exchange/sums.go
@@ -45,7 +45,11 @@
 	return records
 }
 
+// sumsOf returns sums by service; nil if none are told.
 func sumsOf(records []sumsRecord) map[string]waiting.Sums {
+	if len(records) == 0 {
+		return nil
+	}
 	sums := make(map[string]waiting.Sums, len(records))
 	for _, each := range records {
 		sums[each.Service] = waiting.Sums{InTime: each.InTime, Late: each.Late, Freed: each.Freed}
