--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -146,6 +146,7 @@
 	f.Core.Wakeups = boottime.NewWakeups(nil, log)
 	f.Core.Zone = process.Zone
 	f.Core.Patience = silence.NewBook(silence.Mode(process.SilencePatience))
+	f.Core.OrdersWaiting = process.WaitingOrder == settings.WaitingOrderFleet
 	f.Core.Quarantine = f.Quarantine
 	f.limitFleet = ratelimit.NewClusterFleet(f.node, f.transport)
 	f.Core.Limits = ratelimit.New(f.limitFleet, ratelimit.ToleranceOf(process), metrics.Tenants, log)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -106,6 +106,9 @@
 	// what the service's answers take ("learned"), for half of its objective ("fixed"),
 	// or for three objectives, four with a stream ("objectives").
 	SilencePatience string `toml:"silence_patience"`
+	// WaitingOrder tells in what order online requests get places while there are too
+	// few: WaitingOrderFleet or WaitingOrderNone.
+	WaitingOrder string `toml:"waiting_order"`
 	// ProbeInterval is the time between two membership probes.
 	ProbeInterval Duration `toml:"probe_interval"`
 	// StopLinger is how long a stopping daemon goes on accepting requests.
@@ -118,6 +121,15 @@
 	MaxBodyBytes int `toml:"max_body_bytes"`
 }
 
+// The orders of waiting.
+const (
+	// WaitingOrderFleet has requests that cannot be in time any more make way for
+	// those that can, by what all daemons tell.
+	WaitingOrderFleet = "fleet"
+	// WaitingOrderNone has each request ask for a place by itself.
+	WaitingOrderNone = "none"
+)
+
 const (
 	clusterKeyBytes       = 32
 	defaultProbeInterval  = Duration(time.Second)
@@ -158,6 +170,7 @@
 		QuarantineTime:              defaultQuarantineTime,
 		SilencePatience:             string(silence.ModeLearned),
 		HeldSubmissionsShare:        defaultHeldSubmissionsShare,
+		WaitingOrder:                WaitingOrderFleet,
 	}
 }
 
@@ -264,6 +277,9 @@
 	if err := s.validateLimits(); err != nil {
 		return err
 	}
+	if s.WaitingOrder != WaitingOrderFleet && s.WaitingOrder != WaitingOrderNone {
+		return invalid("waiting_order", "give fleet or none")
+	}
 	if (s.TLSCertificateFile == "") != (s.TLSKeyFile == "") {
 		return invalid("tls_certificate_file, tls_key_file", "set both or neither")
 	}
