--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -202,7 +202,7 @@
 	if answer.Head().Events && answer.Head().Successful() {
 		err = e.relay(answer, lease, watched)
 	} else {
-		err = e.passWhole(answer)
+		err = e.passWhole(answer, lease)
 	}
 	if err != nil {
 		err = explain(watched, err)
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -11,12 +11,13 @@
 )
 
 // passWhole reads an answer to its end before the caller sees any of it.
-func (e *exchange) passWhole(answer Answer) error {
+func (e *exchange) passWhole(answer Answer, lease *backend.Lease) error {
 	head := answer.Head()
 	body, err := answer.Body()
 	if err != nil {
 		return err
 	}
+	freeBackEnd(answer, lease)
 	if !head.Successful() && e.mayRepeatFailure(head) {
 		return &AttemptError{Outcome: OutcomeFailed, Reason: ReasonError}
 	}
@@ -41,6 +42,14 @@
 	return nil
 }
 
+// freeBackEnd gives up what is held at a back end whose answer was read to its end,
+// before its caller has: one who reads slowly must not hold a place. Of 200 callers that
+// read a byte a second, each held one until the back end cut its answer.
+func freeBackEnd(answer Answer, lease *backend.Lease) {
+	answer.Detach()
+	lease.Release()
+}
+
 // isBackEndFault tells a back end's own failures from those of requests that
 // ran out of time.
 func isBackEndFault(status int) bool {
@@ -62,7 +71,7 @@
 	for {
 		event, err := answer.Next()
 		if errors.Is(err, io.EOF) {
-			return e.finish(answer)
+			return e.finish(answer, lease)
 		}
 		if err != nil {
 			return err
@@ -98,7 +107,8 @@
 	return e.responder.Begin(answer.Head())
 }
 
-func (e *exchange) finish(answer Answer) error {
+func (e *exchange) finish(answer Answer, lease *backend.Lease) error {
+	freeBackEnd(answer, lease)
 	e.runs++
 	e.core.Backends.Succeeded(e.last.ID, time.Now())
 	e.outcome = "served"
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -160,7 +160,11 @@
 	// Next returns the next event, or io.EOF behind the last one of a stream
 	// that ended as complete.
 	Next() (Event, error)
-	// Close gives the answer up if it has not ended; the back end then stops.
+	// Detach gives the connection to the back end back, and the answer up if it has not
+	// ended. What was read of it stays.
+	Detach()
+	// Close gives the answer up if it has not ended; the back end then stops. What was
+	// read of it counts as held no more.
 	Close()
 }
 
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -131,6 +131,7 @@
 }
 
 func (a *scripted) Load() (backend.Report, bool) { return backend.Report{}, false }
+func (a *scripted) Detach()                      {}
 func (a *scripted) Close()                       {}
 
 func (a *scripted) Body() ([]byte, error) {
--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -22,6 +22,11 @@
 	StoreSeconds *prometheus.HistogramVec
 	// Malformed counts callers' requests that were refused as malformed, by kind.
 	Malformed *prometheus.CounterVec
+	// SlowCallers counts answers of which the caller left a part unread for a while, by
+	// what became of them.
+	SlowCallers *prometheus.CounterVec
+	// MemoryRefusals counts requests that were refused because the daemon held too much.
+	MemoryRefusals prometheus.Counter
 }
 
 // NewServing registers the metrics of the online core.
@@ -41,8 +46,11 @@
 		StoreCalls:   counter("store_calls_total", "Calls to the store.", "call", "outcome"),
 		StoreSeconds: histogram("store_call_seconds", "Time of calls to the store.", "call"),
 		Malformed:    newMalformed(),
+		SlowCallers:  counter("slow_callers_total", "Answers of which the caller left a part unread for a while.", "outcome"),
+
+		MemoryRefusals: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "memory_refusals_total", Help: "Requests refused because too much was held for others."}),
 	}
-	registry.MustRegister(serving.Requests, serving.Attempts, serving.FirstOutput, serving.Duration, serving.Items, serving.StoreCalls, serving.StoreSeconds, serving.Malformed)
+	registry.MustRegister(serving.Requests, serving.Attempts, serving.FirstOutput, serving.Duration, serving.Items, serving.StoreCalls, serving.StoreSeconds, serving.Malformed, serving.SlowCallers, serving.MemoryRefusals)
 	return serving
 }
 
