--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -220,7 +220,7 @@
 	if answer.Head().Events && answer.Head().Successful() {
 		err = e.relay(answer, lease, watched)
 	} else {
-		err = e.passWhole(answer, watched)
+		err = e.passWhole(answer, lease, watched)
 	}
 	if err != nil {
 		err = explain(watched, err)
--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -32,6 +32,11 @@
 	TurnedAway *prometheus.CounterVec
 	// Malformed counts callers' requests that were refused as malformed, by kind.
 	Malformed *prometheus.CounterVec
+	// SlowCallers counts answers of which the caller left a part unread for a while, by
+	// what became of them.
+	SlowCallers *prometheus.CounterVec
+	// MemoryRefusals counts requests that were refused because the daemon held too much.
+	MemoryRefusals prometheus.Counter
 }
 
 // NewServing registers the metrics of the online core.
@@ -55,9 +60,12 @@
 		Behind:       counter("serving_behind_total", "Online requests that were late and made way for those in time.", "service"),
 		TurnedAway:   counter("serving_turned_away_total", "Online requests refused because those in time needed all places.", "service"),
 		Malformed:    newMalformed(),
+		SlowCallers:  counter("slow_callers_total", "Answers of which the caller left a part unread for a while.", "outcome"),
+
+		MemoryRefusals: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "memory_refusals_total", Help: "Requests refused because too much was held for others."}),
 	}
-	registry.MustRegister(serving.Requests, serving.Attempts, serving.Silences, serving.FirstOutput, serving.Duration, serving.Items, serving.Held, serving.StoreCalls, serving.StoreSeconds, serving.Malformed)
-	registry.MustRegister(serving.Requests, serving.Attempts, serving.FirstOutput, serving.Duration, serving.Items, serving.StoreCalls, serving.StoreSeconds, serving.Behind, serving.TurnedAway, serving.Malformed)
+	registry.MustRegister(serving.Requests, serving.Attempts, serving.Silences, serving.FirstOutput, serving.Duration, serving.Items, serving.Held, serving.StoreCalls, serving.StoreSeconds,
+		serving.Behind, serving.TurnedAway, serving.Malformed, serving.SlowCallers, serving.MemoryRefusals)
 	return serving
 }
 
