--- /dev/null
+++ b/internal/backend/serviceload.go
@@ -0,0 +1,28 @@
+package backend
+
+import "time"
+
+// ServiceLoad is the work of all daemons at a service's back ends that take work.
+type ServiceLoad struct {
+	Slots  int
+	Online int
+	Batch  int
+}
+
+// ServiceLoad sums the load of a service, without back ends that leave or that failed
+// lately.
+func (s *Set) ServiceLoad(service string, now time.Time) ServiceLoad {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	total := ServiceLoad{}
+	for _, known := range s.byService[service] {
+		if known.Draining || now.Before(known.ejectedUntil) {
+			continue
+		}
+		online, batch, _ := known.load()
+		total.Slots += known.Slots
+		total.Online += online
+		total.Batch += batch
+	}
+	return total
+}
--- /dev/null
+++ b/internal/batchroom/demand_test.go
@@ -0,0 +1,114 @@
+package batchroom
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// slots of the service in these tests; its online work is far below or near them.
+const slots = 720
+
+// demandOf notes noisy demand for so long and returns it.
+func demandOf(level func(at time.Duration) float64, span time.Duration, seed uint64) *Demand {
+	demand, random := &Demand{}, rand.New(rand.NewPCG(1, seed))
+	start := time.Unix(0, 0)
+	for at := time.Duration(0); at < span; at += SampleInterval {
+		wanted := level(at)
+		online := max(int(wanted+random.NormFloat64()*math.Sqrt(wanted)), 0)
+		demand.Note(Load{Slots: slots, Online: online}, start.Add(at))
+	}
+	return demand
+}
+
+// bursts alternates between two levels.
+func bursts(low, high float64, period, burst time.Duration) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at%period >= period-burst {
+			return high
+		}
+		return low
+	}
+}
+
+// TestRhythmIsFoundInBursts after two of their periods and a little, whatever they are.
+func TestRhythmIsFoundInBursts(t *testing.T) {
+	for _, each := range []struct{ period, burst time.Duration }{
+		{5800 * time.Millisecond, 2400 * time.Millisecond}, {10 * time.Second, 4 * time.Second}, {3 * time.Second, time.Second},
+	} {
+		for seed := range uint64(20) {
+			demand := demandOf(bursts(110, 540, each.period, each.burst), 2*each.period+time.Second, seed)
+			require.InDelta(t, each.period.Seconds(), demand.Period().Seconds(), 0.15)
+		}
+	}
+}
+
+// TestForecastSeesTheNextBurst and the valley behind it.
+func TestForecastSeesTheNextBurst(t *testing.T) {
+	const period, burst = 6 * time.Second, 2 * time.Second
+	demand := demandOf(bursts(110, 540, period, burst), 3*period, 1)
+	valley, isKnown := demand.Forecast(time.Second, 2*time.Second)
+	require.True(t, isKnown)
+	require.Less(t, valley, 200)
+	coming, _ := demand.Forecast(time.Second, 5*time.Second)
+	require.Greater(t, coming, 480)
+	nextPeriod, _ := demand.Forecast(period+time.Second, period+2*time.Second)
+	require.Less(t, nextPeriod, 200)
+}
+
+// TestNoRhythmIsSeenWhereThereIsNone: noise, one jump, a slow rise, one burst.
+func TestNoRhythmIsSeenWhereThereIsNone(t *testing.T) {
+	for name, level := range map[string]func(time.Duration) float64{
+		"noise": func(time.Duration) float64 { return 400 },
+		"jump": func(at time.Duration) float64 {
+			if at < 12*time.Second {
+				return 110
+			}
+			return 540
+		},
+		"rise": func(at time.Duration) float64 { return 100 + 20*at.Seconds() },
+		"one burst": func(at time.Duration) float64 {
+			if at > 8*time.Second && at < 10*time.Second {
+				return 540
+			}
+			return 110
+		},
+	} {
+		for seed := range uint64(10) {
+			for span := 4 * time.Second; span < 24*time.Second; span += 700 * time.Millisecond {
+				require.Zero(t, demandOf(level, span, seed).Period(), "%s after %s", name, span)
+			}
+		}
+	}
+}
+
+// TestRhythmIsForgotten within a period and a half of its end.
+func TestRhythmIsForgotten(t *testing.T) {
+	const period, burst = 6 * time.Second, 2400 * time.Millisecond
+	rhythm := bursts(110, 540, period, burst)
+	demand := demandOf(func(at time.Duration) float64 {
+		if at < 3*period {
+			return rhythm(at)
+		}
+		return 110
+	}, 3*period+period*3/2, 1)
+	require.Zero(t, demand.Period())
+}
+
+// TestMissedSamplesKeepTheTime: a daemon that stood still for a moment keeps the rhythm,
+// one that slept for long begins anew.
+func TestMissedSamplesKeepTheTime(t *testing.T) {
+	const period, burst = 6 * time.Second, 2 * time.Second
+	demand := demandOf(bursts(110, 540, period, burst), 3*period, 1)
+	after := time.Unix(0, 0).Add(3 * period)
+	demand.Note(Load{Slots: slots, Online: 110}, after.Add(time.Second))
+	coming, isKnown := demand.Forecast(2*time.Second, 4*time.Second)
+	require.True(t, isKnown)
+	require.Greater(t, coming, 480)
+	demand.Note(Load{Slots: slots, Online: 110}, after.Add(time.Minute))
+	_, isKnown = demand.Forecast(0, time.Second)
+	require.False(t, isKnown)
+}
--- /dev/null
+++ b/internal/batchroom/room.go
@@ -0,0 +1,123 @@
+package batchroom
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// noiseDeviations is how many standard deviations of the online work stay free.
+	// Requests that come independently of each other vary by the square root of their
+	// number; an item sent into less is taken back by the next request.
+	noiseDeviations = 2
+	// mostFree bounds what stays free, as a part of the slots: few slots are not left
+	// empty for chance.
+	mostFree = 1.0 / 16
+)
+
+// Policy tells what the room for batch follows.
+type Policy string
+
+// The policies.
+const (
+	// PolicyFree gives batch every slot that looks free.
+	PolicyFree Policy = "free"
+	// PolicyReserve keeps free what online work varies by, and what items that can wait
+	// were taken back from lately.
+	PolicyReserve Policy = "reserve"
+	// PolicyRhythm also has items that can wait leave room for a burst that the
+	// rhythm of demand brings.
+	PolicyRhythm Policy = "rhythm"
+)
+
+// IsKnown reports whether the policy is one of those.
+func (p Policy) IsKnown() bool {
+	return p == PolicyFree || p == PolicyReserve || p == PolicyRhythm
+}
+
+// Room is how many more items the whole fleet should send to a service.
+type Room struct {
+	// Now is for items that must run now, Lasting for those that can wait.
+	Now     int
+	Lasting int
+	// Reserve is how many slots stayed free for online requests.
+	Reserve int
+	// Period is the rhythm that was followed; 0 means none.
+	Period time.Duration
+}
+
+// Sight is what a decision rests on.
+type Sight struct {
+	Load   Load
+	Demand *Demand
+	// Reserve is how many slots must look free for online requests to find places.
+	Reserve int
+	// ItemTime is how long items run.
+	ItemTime time.Duration
+	// Age is how old the load is.
+	Age time.Duration
+}
+
+// margin is how many slots stay free beside so much online work.
+func margin(load Load) int {
+	deviations := noiseDeviations * math.Sqrt(float64(max(load.Online, 0)))
+	return int(min(deviations, mostFree*float64(load.Slots)))
+}
+
+// room is what is left beside the load and a reserve.
+func (l Load) room(reserve int) int { return max(l.Slots-l.Online-l.Batch-reserve, 0) }
+
+// Decide returns the room for items.
+func Decide(policy Policy, sight Sight) Room {
+	if policy == PolicyFree {
+		free := sight.Load.room(0)
+		return Room{Now: free, Lasting: free}
+	}
+	least := margin(sight.Load)
+	reserve := max(least, sight.Reserve)
+	decided := Room{Now: sight.Load.room(least), Lasting: sight.Load.room(reserve), Reserve: reserve}
+	if policy == PolicyRhythm && sight.Demand.Period() > 0 {
+		decided.Period = sight.Demand.Period()
+		decided.Lasting = min(decided.Lasting, lastingRoom(sight))
+	}
+	return decided
+}
+
+// lastingRoom is the least room at any moment until an item that is sent now ends. Items
+// that run end evenly over the time that they take, so that less of them stands in the
+// way the later a burst comes.
+func lastingRoom(sight Sight) int {
+	least := math.MaxInt
+	for ahead := time.Duration(0); ahead < sight.ItemTime; ahead += SampleInterval {
+		online, _ := sight.Demand.Forecast(ahead, ahead+sight.Age)
+		left := 1 - float64(ahead)/float64(sight.ItemTime)
+		expected := Load{Slots: sight.Load.Slots, Online: online, Batch: int(float64(sight.Load.Batch) * left)}
+		least = min(least, expected.room(max(margin(expected), sight.Reserve)))
+	}
+	return least
+}
+
+// Timing is what decides whether an item can wait.
+type Timing struct {
+	// UntilDue is the time until the item is due, and Left what it has yet to run.
+	UntilDue time.Duration
+	Left     time.Duration
+	// Spare is the time to spare below which the item must run.
+	Spare time.Duration
+}
+
+// Backlog is what waits in the whole fleet.
+type Backlog struct {
+	// Waiting and Running are items of all owners.
+	Waiting int
+	Running int
+	// ItemTime is how long items run.
+	ItemTime time.Duration
+}
+
+// MustRun reports whether an item cannot wait: behind all others that wait it would end
+// with less than the time to spare, or all have waited too long to leave room unused.
+func MustRun(timing Timing, backlog Backlog) bool {
+	queued := time.Duration(float64(backlog.ItemTime) * float64(backlog.Waiting) / float64(max(backlog.Running, 1)))
+	return queued >= timing.Spare || timing.UntilDue-timing.Left-queued < timing.Spare
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -142,7 +142,7 @@
 	f.Jobs = job.NewService(job.Dependencies{
 		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: sender,
 		Holder: f.Holder, Peers: peers{node: f.node, transport: f.transport, log: log}, Metrics: metrics.Serving, Logger: log, Connections: f.Core.ConnectionShare, Settling: settlingTime,
-		Quota: accounts, Zone: process.Zone, Quarantine: f.Quarantine, ClaimsAge: claims.Age,
+		Quota: accounts, Zone: process.Zone, BatchRoom: process.BatchRoom, Quarantine: f.Quarantine, ClaimsAge: claims.Age,
 	})
 	claims.Consumer = f.Jobs
 	listenForEnds(f.transport, f.Jobs)
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -144,6 +144,9 @@
 	if s.restQuarantined(waiting, now) || s.placer.isFull(service) {
 		return false
 	}
+	if !s.placer.hasRoom(service, s.mustRun(waiting, service, now)) {
+		return false
+	}
 	candidates := s.backends.Candidates(service, waiting.item.Prompt, now)
 	chosen, found := s.placer.choose(service, waiting.item.Prompt, candidates)
 	if !found {
@@ -278,6 +281,7 @@
 	}
 	s.placer.avoid(id, now.Add(s.propagationWindow()))
 	s.placer.pause(now.Add(givenWayPause))
+	s.noteShortRoom(id, now)
 	if len(items) == 0 {
 		return
 	}
--- a/internal/job/pacing.go
+++ b/internal/job/pacing.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"topazpulley/internal/batchroom"
 	"topazpulley/internal/routing"
 )
 
@@ -52,6 +53,10 @@
 	// quotas are how many more items each back end gets from this owner in the
 	// window.
 	quotas map[string]int
+	// roomAt decides how many items all owners together send to a service in a
+	// window, and shares are this owner's part of it.
+	roomAt func(service string, now time.Time) batchroom.Room
+	shares map[string]*roomShare
 	// full are the services that had no room in this pass.
 	full map[string]bool
 	// avoided is until when a back end gets nothing, because an item gave way
@@ -63,8 +68,14 @@
 	now time.Time
 }
 
-func newPlacer(random *rand.Rand, zone string) *placer {
-	return &placer{random: random, zone: zone, avoided: map[string]time.Time{}}
+// roomShare is what one owner may still send to a service in the window: items at all,
+// and such that can wait.
+type roomShare struct {
+	now, lasting int
+}
+
+func newPlacer(random *rand.Rand, zone string, roomAt func(string, time.Time) batchroom.Room) *placer {
+	return &placer{random: random, zone: zone, avoided: map[string]time.Time{}, roomAt: roomAt}
 }
 
 // begin starts a pass over the waiting items: so many of this owner's and so
@@ -77,7 +88,7 @@
 	}
 	p.since = now
 	p.own, p.all = own, own+others
-	p.quotas = map[string]int{}
+	p.quotas, p.shares = map[string]int{}, map[string]*roomShare{}
 	for id, until := range p.avoided {
 		if !now.Before(until) {
 			delete(p.avoided, id)
@@ -96,6 +107,23 @@
 // isFull reports whether an item found no room at the service in this pass.
 func (p *placer) isFull(service string) bool { return p.full[service] }
 
+// share returns what this owner may still send to a service in the window.
+func (p *placer) share(service string) *roomShare {
+	share, known := p.shares[service]
+	if !known {
+		room := p.roomAt(service, p.now)
+		share = &roomShare{now: shareOf(room.Now, p.own, p.all, p.random), lasting: shareOf(room.Lasting, p.own, p.all, p.random)}
+		p.shares[service] = share
+	}
+	return share
+}
+
+// hasRoom reports whether the fleet has room for an item of this owner at a service.
+func (p *placer) hasRoom(service string, mustRun bool) bool {
+	share := p.share(service)
+	return share.now > 0 && (mustRun || share.lasting > 0)
+}
+
 // choose picks a back end with room for an item and counts the item there.
 func (p *placer) choose(service string, prompt []routing.PromptPart, candidates []routing.Candidate) (routing.Candidate, bool) {
 	withRoom := make([]routing.Candidate, 0, len(candidates))
@@ -112,6 +140,9 @@
 		return chosen, false
 	}
 	p.quotas[chosen.ID]--
+	share := p.share(service)
+	share.now--
+	share.lasting--
 	return chosen, true
 }
 
@@ -148,6 +179,9 @@
 // isUrgent reports whether an item that ran for so long already must run now
 // to end before it is due. One past its time is not: nothing is gained by it.
 func (c *itemClock) isUrgent(ran, untilDue time.Duration) bool {
-	left := max(c.expected()*3/2-ran, c.expected()/4)
-	return untilDue > 0 && untilDue-left < urgentSlack
+	return untilDue > 0 && untilDue-leftToRun(c.expected(), ran) < urgentSlack
 }
+
+// leftToRun is how long an item that ran for so long may have yet to run: half as long
+// again as items take, and never nothing.
+func leftToRun(expected, ran time.Duration) time.Duration { return max(expected*3/2-ran, expected/4) }
--- a/internal/job/pacing_test.go
+++ b/internal/job/pacing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -9,12 +10,18 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"topazpulley/internal/batchroom"
 	"topazpulley/internal/routing"
 )
 
 // window is a time in which owners do not see each other's placements.
 const window = 300 * time.Millisecond
 
+// noBound leaves the room to the back ends' own slots.
+func noBound(string, time.Time) batchroom.Room {
+	return batchroom.Room{Now: math.MaxInt32, Lasting: math.MaxInt32}
+}
+
 // rounds is enough for means to settle.
 const rounds = 2000
 
@@ -98,7 +105,7 @@
 	placed := 0
 	start := time.Now()
 	for owner := range uint64(owners) {
-		placing := newPlacer(rand.New(rand.NewPCG(3, owner)), "")
+		placing := newPlacer(rand.New(rand.NewPCG(3, owner)), "", noBound)
 		for pass := range passes {
 			placing.begin(items, items*(owners-1), start.Add(time.Duration(pass)*dispatchInterval), window)
 			for range items {
@@ -117,7 +124,7 @@
 // back end, where online requests would wait behind them; nor do they go where
 // anything waits already.
 func TestItemsEnterNoFullService(t *testing.T) {
-	placing := newPlacer(rand.New(rand.NewPCG(4, 4)), "")
+	placing := newPlacer(rand.New(rand.NewPCG(4, 4)), "", noBound)
 	placing.begin(3, 0, time.Now(), window)
 	for range 2 {
 		_, found := placing.choose("s", nil, fleetOf(1, 20, 18))
@@ -140,7 +147,7 @@
 func TestItemsUseIdleBackEndsOfAnySize(t *testing.T) {
 	for _, slots := range []int{1, 2, 3} {
 		for _, count := range []int{1, 2, 5} {
-			placing := newPlacer(rand.New(rand.NewPCG(6, 6)), "")
+			placing := newPlacer(rand.New(rand.NewPCG(6, 6)), "", noBound)
 			placing.begin(1, 0, time.Now(), window)
 			_, found := placing.choose("s", nil, fleetOf(count, slots, 0))
 			require.True(t, found, "%d back ends of %d slots", count, slots)
@@ -164,7 +171,7 @@
 // TestSlotThatAnItemLeftIsLeftAlone until all owners know of the request for
 // which it gave way.
 func TestSlotThatAnItemLeftIsLeftAlone(t *testing.T) {
-	placing, now := newPlacer(rand.New(rand.NewPCG(10, 10)), ""), time.Now()
+	placing, now := newPlacer(rand.New(rand.NewPCG(10, 10)), "", noBound), time.Now()
 	placing.avoid("b0", now.Add(window))
 	placing.begin(1, 0, now, window)
 	_, found := placing.choose("s", nil, fleetOf(1, 4, 0))
--- /dev/null
+++ b/internal/job/room.go
@@ -0,0 +1,175 @@
+package job
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/batchroom"
+	"topazpulley/internal/periodic"
+)
+
+// roomLogInterval bounds the lines on the room of one service.
+const roomLogInterval = time.Second
+
+// rooms decides how many items the fleet's services have room for. It remembers the
+// demand of each service, and where room was short.
+type rooms struct {
+	policy batchroom.Policy
+	// mutex guards the field below it.
+	mutex    sync.Mutex
+	services map[string]*serviceRoom
+}
+
+// serviceRoom is what is known of one service.
+type serviceRoom struct {
+	demand   batchroom.Demand
+	reserve  batchroom.Reserve
+	loggedAt time.Time
+}
+
+func newRooms(policy batchroom.Policy) *rooms {
+	if policy == "" {
+		policy = batchroom.PolicyFree
+	}
+	return &rooms{policy: policy, services: map[string]*serviceRoom{}}
+}
+
+// of returns what is known of a service. mutex must be held.
+func (r *rooms) of(service string) *serviceRoom {
+	known, exists := r.services[service]
+	if !exists {
+		known = &serviceRoom{}
+		r.services[service] = known
+	}
+	return known
+}
+
+// note records the load of a service and returns its period before and now.
+func (r *rooms) note(service string, load backend.ServiceLoad, now time.Time) (before, after time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	demand := &r.of(service).demand
+	before = demand.Period()
+	demand.Note(batchroom.Load(load), now)
+	return before, demand.Period()
+}
+
+// short records that room was short at a service.
+func (r *rooms) short(service string, load backend.ServiceLoad, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.of(service).reserve.Short(batchroom.Load(load), now)
+}
+
+// decide returns the room at a service.
+func (r *rooms) decide(service string, load backend.ServiceLoad, itemTime, age time.Duration, now time.Time) batchroom.Room {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.of(service)
+	return batchroom.Decide(r.policy, batchroom.Sight{
+		Load: batchroom.Load(load), Demand: &known.demand, Reserve: known.reserve.Slots(now), ItemTime: itemTime, Age: age,
+	})
+}
+
+// mayLog reports whether the room of a service may be logged again.
+func (r *rooms) mayLog(service string, now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.of(service)
+	if now.Sub(known.loggedAt) < roomLogInterval {
+		return false
+	}
+	known.loggedAt = now
+	return true
+}
+
+// observeDemand samples the load of the services that run items until the context ends.
+// It goes on while no job is owned: the rhythm of demand takes two periods to show.
+func (s *Service) observeDemand(ctx context.Context) {
+	if s.rooms.policy != batchroom.PolicyRhythm {
+		return
+	}
+	periodic.Run(ctx, batchroom.SampleInterval, func() {
+		now := time.Now()
+		for _, service := range s.itemServices() {
+			before, after := s.rooms.note(service, s.backends.ServiceLoad(service, now), now)
+			if (before == 0) != (after == 0) {
+				s.log.Info("demand_rhythm", "service", service, "period_ms", after.Milliseconds(), "period_before_ms", before.Milliseconds())
+			}
+		}
+	})
+}
+
+// noteShortRoom learns that there was no room at a back end for online requests, or for
+// an item.
+func (s *Service) noteShortRoom(id string, now time.Time) {
+	instance, found := s.backends.Get(id)
+	if !found {
+		return
+	}
+	s.rooms.short(instance.Service, s.backends.ServiceLoad(instance.Service, now), now)
+}
+
+// itemServices lists the services to which items go.
+func (s *Service) itemServices() []string {
+	current := s.holder.Current()
+	if current == nil {
+		return nil
+	}
+	seen := map[string]bool{}
+	services := []string{}
+	for _, route := range current.JobRoutes() {
+		for _, target := range route.Targets {
+			if !seen[target.Service] {
+				seen[target.Service] = true
+				services = append(services, target.Service)
+			}
+		}
+	}
+	return services
+}
+
+// roomAt decides how many items all owners together send to a service in the next window.
+func (s *Service) roomAt(service string, now time.Time) batchroom.Room {
+	load := s.backends.ServiceLoad(service, now)
+	itemTime := s.itemTime()
+	room := s.rooms.decide(service, load, itemTime, s.propagationWindow(), now)
+	waiting := s.placer.all
+	s.metrics.BatchRoom.WithLabelValues(roomLabel(room, waiting)).Inc()
+	if waiting > room.Lasting && s.rooms.mayLog(service, now) {
+		s.log.Info("batch_room", "service", service, "policy", string(s.rooms.policy), "slots", load.Slots, "online", load.Online, "batch", load.Batch,
+			"room_now", room.Now, "room_lasting", room.Lasting, "reserve", room.Reserve, "period_ms", room.Period.Milliseconds(), "item_ms", itemTime.Milliseconds(),
+			"waiting", waiting, "own_waiting", s.placer.own)
+	}
+	return room
+}
+
+// roomLabel names what bounds the items that wait.
+func roomLabel(room batchroom.Room, waiting int) string {
+	switch {
+	case waiting <= room.Lasting:
+		return "all"
+	case room.Lasting < room.Now:
+		return "rhythm"
+	}
+	return "reserve"
+}
+
+// itemTime is how long items run.
+func (s *Service) itemTime() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.clock.expected()
+}
+
+// mustRun reports whether an item cannot wait for a burst to pass.
+func (s *Service) mustRun(waiting *work, service string, now time.Time) bool {
+	itemTime := s.itemTime()
+	timing := batchroom.Timing{
+		UntilDue: waiting.owner.due.Sub(now), Left: leftToRun(itemTime, waiting.owner.ranFor(waiting, now)), Spare: urgentSlack,
+	}
+	backlog := batchroom.Backlog{Waiting: s.placer.all, Running: s.backends.ServiceLoad(service, now).Batch, ItemTime: itemTime}
+	return batchroom.MustRun(timing, backlog)
+}
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/batchroom"
 	"topazpulley/internal/quarantine"
 	"topazpulley/internal/quota"
 	"topazpulley/internal/route"
@@ -63,6 +64,9 @@
 	Settling time.Duration
 	// Zone is the daemon's own; empty means that zones do not matter.
 	Zone string
+	// BatchRoom is the policy of the room for items; empty means that they take every
+	// slot that looks free.
+	BatchRoom batchroom.Policy
 	// Quarantine tells which items are not sent to back ends; nil means that all are.
 	Quarantine *quarantine.Guard
 	// ClaimsAge returns for how long the claims, as the service was told of them, may
@@ -93,6 +97,7 @@
 	// claimsAreOld belongs to it too.
 	claimsAreOld bool
 	placer       *placer
+	rooms        *rooms
 	yielder      *yielder
 	quota        *quota.Accounts
 	quarantine   *quarantine.Guard
@@ -133,15 +138,17 @@
 // NewService returns a service; Run makes it work.
 func NewService(dependencies Dependencies) *Service {
 	lifetime, end := context.WithCancel(context.Background())
-	return &Service{
+	service := &Service{
 		self: dependencies.Self, store: dependencies.Store, backends: dependencies.Backends, sender: dependencies.Sender,
 		holder: dependencies.Holder, peers: dependencies.Peers, metrics: dependencies.Metrics, log: dependencies.Logger,
 		connections: dependencies.Connections, settledAt: time.Now().Add(dependencies.Settling),
 		lifetime: lifetime, end: end, wake: make(chan struct{}, 1),
-		placer: newPlacer(newRandom(), dependencies.Zone), yielder: newYielder(newRandom()),
+		rooms: newRooms(dependencies.BatchRoom), yielder: newYielder(newRandom()),
 		claims: map[string]versionedClaim{}, gone: map[string]table.Version{}, orphans: map[string]time.Time{}, claimedAt: map[string]time.Time{}, takeovers: newTakeovers(), owned: map[string]*owned{}, accepted: map[string]acceptance{},
 		quota: dependencies.Quota, quarantine: dependencies.Quarantine, claimsAge: dependencies.ClaimsAge, over: map[string]overJob{}, sweeper: newSweeper(), endings: newEndings(),
 	}
+	service.placer = newPlacer(newRandom(), dependencies.Zone, service.roomAt)
+	return service
 }
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
@@ -154,6 +161,7 @@
 	}()
 	go s.superviseClaims(ctx)
 	go s.saveAll(ctx)
+	go s.observeDemand(ctx)
 	if s.quota != nil {
 		go s.settleAll(ctx)
 		go s.sweepAll(ctx)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/pkg/errors"
 
+	"topazpulley/internal/batchroom"
 	"topazpulley/internal/failure"
 )
 
@@ -98,6 +99,8 @@
 	// to be sent to no further one, and QuarantineTime how long that holds.
 	QuarantineCrashes int      `toml:"quarantine_crashes"`
 	QuarantineTime    Duration `toml:"quarantine_time"`
+	// BatchRoom is the policy of the room for batch items: "free", "reserve" or "rhythm".
+	BatchRoom batchroom.Policy `toml:"batch_room"`
 	// ProbeInterval is the time between two membership probes.
 	ProbeInterval Duration `toml:"probe_interval"`
 	// StopLinger is how long a stopping daemon goes on accepting requests.
@@ -144,6 +147,7 @@
 		RateToleranceRequests:       defaultRateToleranceRequests,
 		QuarantineCrashes:           defaultQuarantineCrashes,
 		QuarantineTime:              defaultQuarantineTime,
+		BatchRoom:                   batchroom.PolicyRhythm,
 	}
 }
 
@@ -267,6 +271,9 @@
 	if s.QuarantineCrashes < 1 || s.QuarantineTime <= 0 {
 		return invalid("quarantine_crashes, quarantine_time", "give a positive number and a positive duration")
 	}
+	if !s.BatchRoom.IsKnown() {
+		return invalid("batch_room", "give free, reserve or rhythm")
+	}
 	if s.RevocationBound < 0 {
 		return invalid("revocation_bound", "give a positive duration, or leave it out for no bound")
 	}
--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -22,6 +22,8 @@
 	StoreSeconds *prometheus.HistogramVec
 	// Malformed counts callers' requests that were refused as malformed, by kind.
 	Malformed *prometheus.CounterVec
+	// BatchRoom counts decisions on the room for batch items by what bounded it.
+	BatchRoom *prometheus.CounterVec
 }
 
 // NewServing registers the metrics of the online core.
@@ -41,8 +43,9 @@
 		StoreCalls:   counter("store_calls_total", "Calls to the store.", "call", "outcome"),
 		StoreSeconds: histogram("store_call_seconds", "Time of calls to the store.", "call"),
 		Malformed:    newMalformed(),
+		BatchRoom:    counter("batch_room_decisions_total", "Decisions on the room for batch items by what bounded it.", "bound"),
 	}
-	registry.MustRegister(serving.Requests, serving.Attempts, serving.FirstOutput, serving.Duration, serving.Items, serving.StoreCalls, serving.StoreSeconds, serving.Malformed)
+	registry.MustRegister(serving.Requests, serving.Attempts, serving.FirstOutput, serving.Duration, serving.Items, serving.StoreCalls, serving.StoreSeconds, serving.Malformed, serving.BatchRoom)
 	return serving
 }
 
