--- a/internal/backend/serviceload.go
+++ b/internal/backend/serviceload.go
@@ -4,9 +4,10 @@
 
 // ServiceLoad is the work of all daemons at a service's back ends that take work.
 type ServiceLoad struct {
-	Slots  int
-	Online int
-	Batch  int
+	BackEnds int
+	Slots    int
+	Online   int
+	Batch    int
 }
 
 // ServiceLoad sums the load of a service, without back ends that leave or that failed
@@ -20,6 +21,7 @@
 			continue
 		}
 		online, batch, _ := known.load()
+		total.BackEnds++
 		total.Slots += known.Slots
 		total.Online += online
 		total.Batch += batch
--- a/internal/batchroom/demand.go
+++ b/internal/batchroom/demand.go
@@ -35,8 +35,9 @@
 
 // Load is a service's load as a daemon sees it.
 type Load struct {
-	// Slots are those of the back ends that take work.
-	Slots int
+	// BackEnds are those that take work, and Slots theirs.
+	BackEnds int
+	Slots    int
 	// Online and Batch are the requests in flight there from all daemons.
 	Online int
 	Batch  int
@@ -94,6 +95,20 @@
 	return int(math.Ceil(most)), true
 }
 
+// Rise is how much more online work there is than so long ago, 0 if the difference may be
+// chance.
+func (d *Demand) Rise(ago time.Duration) int {
+	steps := int(ago / SampleInterval)
+	if len(d.levels) <= steps {
+		return 0
+	}
+	now, before := d.levels[len(d.levels)-1], d.levels[len(d.levels)-1-steps]
+	if now-before < noiseDeviations*math.Sqrt(now) {
+		return 0
+	}
+	return int(now - before)
+}
+
 // periodAgo is the level of one period before the time that lies so many samples ahead.
 func (d *Demand) periodAgo(ahead int) float64 {
 	back := d.period - ahead%d.period
@@ -104,18 +119,28 @@
 // which it no longer is. Two whole periods must have been seen.
 func (d *Demand) seek() {
 	d.period = 0
-	best := leastLikeness
+	likenesses := map[int]float64{}
+	most := 0.0
 	for lag := shortestLag; lag <= longestLag && 2*lag <= len(d.levels); lag++ {
-		likeness := d.likeness(lag)
-		if likeness > best+distinctLikeness || (likeness > best && lag == d.period+1) {
-			best, d.period = likeness, lag
-		}
+		likenesses[lag] = d.likeness(lag)
+		most = max(most, likenesses[lag])
+	}
+	if most < leastLikeness {
+		return
+	}
+	lag := shortestLag
+	for likenesses[lag] < max(most-likenessTolerance, leastLikeness) {
+		lag++
+	}
+	for likenesses[lag+1] > likenesses[lag] {
+		lag++
 	}
+	d.period = lag
 }
 
-// distinctLikeness is by how much a longer period must be likelier: twice a period is
-// one too.
-const distinctLikeness = 0.05
+// likenessTolerance is how much less like itself demand may be at a shorter period: twice
+// a period is one too, and by chance the likelier.
+const likenessTolerance = 0.15
 
 // likeness is the correlation of the last lag samples with those before them, 0 where
 // demand does not rise and fall by enough in both.
--- a/internal/batchroom/reserve.go
+++ b/internal/batchroom/reserve.go
@@ -13,9 +13,8 @@
 	// nobody asks for room: longer than the pauses between bursts that matter to items,
 	// which run for seconds.
 	reserveHalfLife = 10 * time.Second
-	// mostReserve bounds the reserve, as a part of the slots: with more than a sixth
-	// free, a request that asks eight back ends finds a place three times in four even
-	// if it knew nothing of their load.
+	// mostReserve bounds the reserve, as a part of the slots: with a sixth of them free
+	// online requests find places whatever they know of the load.
 	mostReserve = 1.0 / 6
 )
 
--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -171,9 +171,6 @@
 	if failed.Outcome == serving.OutcomeNotRun {
 		pause = refusedPause
 	}
-	if failed.Reason == serving.ReasonRefused {
-		s.noteShortRoom(instance.ID, time.Now())
-	}
 	if failed.Reason == serving.ReasonQuarantined {
 		pause = quarantinedPause
 	}
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -268,6 +268,9 @@
 // there, and leaves its slot alone until all owners have heard of the request.
 func (s *Service) giveWay(id string) {
 	now := time.Now()
+	if !s.mustGiveWay(id, now) {
+		return
+	}
 	s.mutex.Lock()
 	jobs := s.ownedJobs()
 	s.mutex.Unlock()
@@ -281,7 +284,6 @@
 	}
 	s.placer.avoid(id, now.Add(s.propagationWindow()))
 	s.placer.pause(now.Add(givenWayPause))
-	s.noteShortRoom(id, now)
 	if len(items) == 0 {
 		return
 	}
@@ -324,8 +326,12 @@
 		}
 	}
 	loads := []routing.Candidate{}
+	now := time.Now()
 	for service := range services {
-		for _, candidate := range s.backends.Candidates(service, nil, time.Now()) {
+		if s.asksOnly(service, now) {
+			continue
+		}
+		for _, candidate := range s.backends.Candidates(service, nil, now) {
 			if len(running[candidate.ID]) > 0 {
 				loads = append(loads, candidate)
 			}
--- a/internal/job/room.go
+++ b/internal/job/room.go
@@ -26,6 +26,8 @@
 type serviceRoom struct {
 	demand   batchroom.Demand
 	reserve  batchroom.Reserve
+	// stayedAt is when an item last stayed although a request asked for its slot.
+	stayedAt time.Time
 	loggedAt time.Time
 }
 
@@ -56,13 +58,6 @@
 	return before, demand.Period()
 }
 
-// short records that room was short at a service.
-func (r *rooms) short(service string, load backend.ServiceLoad, now time.Time) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.of(service).reserve.Short(batchroom.Load(load), now)
-}
-
 // decide returns the room at a service.
 func (r *rooms) decide(service string, load backend.ServiceLoad, itemTime, age time.Duration, now time.Time) batchroom.Room {
 	r.mutex.Lock()
@@ -73,6 +68,36 @@
 	})
 }
 
+// mustGiveWay reports whether an item gives way to an online request that asks for it, and
+// learns from it where one does.
+func (r *rooms) mustGiveWay(service string, load backend.ServiceLoad, age time.Duration, now time.Time) bool {
+	if r.policy == batchroom.PolicyFree {
+		return true
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.of(service)
+	isRoomy := !batchroom.MustGiveWay(batchroom.Sight{Load: batchroom.Load(load), Demand: &known.demand, Age: age})
+	// One question too many is chance where there is room; a second one before what is
+	// seen has changed is not.
+	if isRoomy && now.Sub(known.stayedAt) >= age {
+		known.stayedAt = now
+		return false
+	}
+	known.reserve.Short(batchroom.Load(load), now)
+	return true
+}
+
+// isRoomy reports whether online requests find places at a service by asking.
+func (r *rooms) isRoomy(service string, load backend.ServiceLoad, age time.Duration) bool {
+	if r.policy == batchroom.PolicyFree {
+		return false
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return !batchroom.MustGiveWay(batchroom.Sight{Load: batchroom.Load(load), Demand: &r.of(service).demand, Age: age})
+}
+
 // mayLog reports whether the room of a service may be logged again.
 func (r *rooms) mayLog(service string, now time.Time) bool {
 	r.mutex.Lock()
@@ -88,7 +113,7 @@
 // observeDemand samples the load of the services that run items until the context ends.
 // It goes on while no job is owned: the rhythm of demand takes two periods to show.
 func (s *Service) observeDemand(ctx context.Context) {
-	if s.rooms.policy != batchroom.PolicyRhythm {
+	if s.rooms.policy == batchroom.PolicyFree {
 		return
 	}
 	periodic.Run(ctx, batchroom.SampleInterval, func() {
@@ -102,14 +127,35 @@
 	})
 }
 
-// noteShortRoom learns that there was no room at a back end for online requests, or for
-// an item.
-func (s *Service) noteShortRoom(id string, now time.Time) {
+// mustGiveWay reports whether an item at a back end gives way to an online request that
+// found no place.
+func (s *Service) mustGiveWay(id string, now time.Time) bool {
 	instance, found := s.backends.Get(id)
 	if !found {
-		return
+		return true
+	}
+	load := s.backends.ServiceLoad(instance.Service, now)
+	if s.rooms.mustGiveWay(instance.Service, load, s.propagationWindow(), now) {
+		return true
+	}
+	s.metrics.BatchRoom.WithLabelValues("stays").Inc()
+	s.log.Info("item_stays", "backend", id, "service", instance.Service, "slots", load.Slots, "online", load.Online, "batch", load.Batch)
+	return false
+}
+
+// asksOnly reports whether work at a service's back ends beyond their slots is requests
+// that ask for a place and go elsewhere when there is none. It is so while there is room:
+// the items of a back end need not make way for those that only ask.
+func (s *Service) asksOnly(service string, now time.Time) bool {
+	current := s.holder.Current()
+	if current == nil {
+		return false
+	}
+	configured, found := current.Service(service)
+	if !found || configured.ReservationTime <= 0 {
+		return false
 	}
-	s.rooms.short(instance.Service, s.backends.ServiceLoad(instance.Service, now), now)
+	return s.rooms.isRoomy(service, s.backends.ServiceLoad(service, now), s.propagationWindow())
 }
 
 // itemServices lists the services to which items go.
