--- /dev/null
+++ b/internal/batchroom/giveway_test.go
@@ -0,0 +1,31 @@
+package batchroom
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func excess(load Load, demand *Demand) int {
+	return Excess(Sight{Load: load, Demand: demand, Age: sight})
+}
+
+// TestItemsStayWhereRequestsFindPlaces by asking on: with a tenth of the slots free the
+// question that failed was chance.
+func TestItemsStayWhereRequestsFindPlaces(t *testing.T) {
+	require.Zero(t, excess(fleet(500, 140), &Demand{}))
+	require.Positive(t, excess(fleet(540, 140), &Demand{}))
+	require.Equal(t, 30, excess(fleet(800, 30), &Demand{}), "no more than there are")
+	oneSlotEach := Load{BackEnds: 720, Slots: slots, Online: 500, Batch: 140}
+	require.Positive(t, excess(oneSlotEach, &Demand{}), "a back end of one slot is full or not")
+}
+
+// TestExcessIsWhatOnlineWorkHasRisenTo since the load was seen.
+func TestExcessIsWhatOnlineWorkHasRisenTo(t *testing.T) {
+	rising := demandOf(func(at time.Duration) float64 { return 110 + 100*max(at.Seconds()-9, 0)*10 }, 9300*time.Millisecond, 1)
+	require.Zero(t, excess(fleet(310, 250), &Demand{}))
+	require.Positive(t, excess(fleet(310, 250), rising))
+	steady := demandOf(func(time.Duration) float64 { return 310 }, 9*time.Second, 1)
+	require.Zero(t, excess(fleet(310, 250), steady))
+}
