--- a/internal/batchroom/room.go
+++ b/internal/batchroom/room.go
@@ -45,6 +45,9 @@
 	Lasting int
 	// Reserve is how many slots stayed free for online requests.
 	Reserve int
+	// Places is how many slots batch has in the mean beside the online work of the last
+	// seconds.
+	Places int
 	// Period is the rhythm that was followed; 0 means none.
 	Period time.Duration
 }
@@ -76,10 +79,10 @@
 func Decide(policy Policy, sight Sight) Room {
 	if policy == PolicyFree || policy == PolicyOnce {
 		free := sight.Load.room(0)
-		return Room{Now: free, Lasting: free}
+		return Room{Now: free, Lasting: free, Places: places(sight)}
 	}
 	reserve := keptFree(sight.Load)
-	decided := Room{Now: sight.Load.room(0), Lasting: sight.Load.room(reserve), Reserve: reserve}
+	decided := Room{Now: sight.Load.room(0), Lasting: sight.Load.room(reserve), Reserve: reserve, Places: places(sight)}
 	if policy == PolicyRhythm && sight.Demand.Period() > 0 {
 		decided.Period = sight.Demand.Period()
 		decided.Lasting = min(decided.Lasting, lastingRoom(sight))
@@ -101,12 +104,10 @@
 	return least
 }
 
-// Places is how many slots batch has in the mean beside the online work of the last
-// seconds.
-func Places(load Load, demand *Demand) int {
-	usual := load
-	usual.Online, usual.Batch = demand.Mean(load.Online), 0
-	return max(usual.room(keptFree(usual)), load.Batch)
+func places(sight Sight) int {
+	usual := sight.Load
+	usual.Online, usual.Batch = sight.Demand.Mean(sight.Load.Online), 0
+	return max(usual.room(keptFree(usual)), sight.Load.Batch)
 }
 
 // Timing is what decides whether an item can wait.
--- a/internal/job/pacing.go
+++ b/internal/job/pacing.go
@@ -72,6 +72,8 @@
 // and such that can wait.
 type roomShare struct {
 	now, lasting int
+	// places is how many slots batch has in the mean.
+	places int
 }
 
 func newPlacer(random *rand.Rand, zone string, roomAt func(string, time.Time) batchroom.Room) *placer {
@@ -112,7 +114,7 @@
 	share, known := p.shares[service]
 	if !known {
 		room := p.roomAt(service, p.now)
-		share = &roomShare{now: shareOf(room.Now, p.own, p.all, p.random), lasting: shareOf(room.Lasting, p.own, p.all, p.random)}
+		share = &roomShare{now: shareOf(room.Now, p.own, p.all, p.random), lasting: shareOf(room.Lasting, p.own, p.all, p.random), places: room.Places}
 		p.shares[service] = share
 	}
 	return share
