--- a/internal/batchroom/demand.go
+++ b/internal/batchroom/demand.go
@@ -122,6 +122,21 @@
 	return int(now - before)
 }
 
+// UntilValley is how long it takes until the burst that the rhythm brings next, or that
+// runs, is over; 0 while no rhythm shows.
+func (d *Demand) UntilValley() time.Duration {
+	middle := float64(d.Mean(0))
+	wasHigh := false
+	for ahead := range d.period {
+		isHigh := d.periodAgo(ahead) > middle
+		if wasHigh && !isHigh {
+			return time.Duration(ahead) * SampleInterval
+		}
+		wasHigh = isHigh
+	}
+	return d.Period()
+}
+
 // periodAgo is the level of one period before the time that lies so many samples ahead.
 func (d *Demand) periodAgo(ahead int) float64 {
 	back := d.period - ahead%d.period
--- a/internal/batchroom/demand_test.go
+++ b/internal/batchroom/demand_test.go
@@ -112,3 +112,14 @@
 	_, isKnown = demand.Forecast(0, time.Second)
 	require.False(t, isKnown)
 }
+
+// TestValleyIsWhereTheBurstEnds: from within a burst, and from the valley before it.
+func TestValleyIsWhereTheBurstEnds(t *testing.T) {
+	const period, burst = 6 * time.Second, 2 * time.Second
+	rhythm := bursts(110, 540, period, burst)
+	inBurst := demandOf(rhythm, 3*period-time.Second, 1)
+	require.InDelta(t, 1, inBurst.UntilValley().Seconds(), 0.2)
+	before := demandOf(rhythm, 3*period-3*time.Second, 1)
+	require.InDelta(t, 3, before.UntilValley().Seconds(), 0.2)
+	require.Zero(t, (&Demand{}).UntilValley())
+}
--- a/internal/batchroom/room.go
+++ b/internal/batchroom/room.go
@@ -48,8 +48,10 @@
 	// Places is how many slots batch has in the mean beside the online work of the last
 	// seconds.
 	Places int
-	// Period is the rhythm that was followed; 0 means none.
+	// Period is the rhythm that was followed, and Wait how long it takes until its
+	// next valley; 0 means none.
 	Period time.Duration
+	Wait   time.Duration
 }
 
 // Sight is what a decision rests on.
@@ -84,7 +86,7 @@
 	reserve := keptFree(sight.Load)
 	decided := Room{Now: sight.Load.room(0), Lasting: sight.Load.room(reserve), Reserve: reserve, Places: places(sight)}
 	if policy == PolicyRhythm && sight.Demand.Period() > 0 {
-		decided.Period = sight.Demand.Period()
+		decided.Period, decided.Wait = sight.Demand.Period(), sight.Demand.UntilValley()
 		decided.Lasting = min(decided.Lasting, lastingRoom(sight))
 	}
 	return decided
@@ -117,6 +119,8 @@
 	Left     time.Duration
 	// Spare is the time to spare below which the item must run.
 	Spare time.Duration
+	// Wait is how long it may wait for room that lasts.
+	Wait time.Duration
 }
 
 // Backlog is what waits in the whole fleet.
@@ -129,9 +133,11 @@
 	ItemTime time.Duration
 }
 
-// MustRun reports whether an item cannot wait: behind all others that wait it would end
-// with less than the time to spare, or all have waited too long to leave room unused.
+// MustRun reports whether an item cannot wait: behind all others that wait, and after its
+// own wait, it would end with less than the time to spare; or so much waits that no room
+// may be left unused. Where a tenth more came than on a calm day, items that waited with
+// five seconds to spare but no time for the wait itself were late twice as often.
 func MustRun(timing Timing, backlog Backlog) bool {
 	queued := time.Duration(float64(backlog.ItemTime) * float64(backlog.Waiting) / float64(max(backlog.Places, 1)))
-	return queued >= timing.Spare || timing.UntilDue-timing.Left-queued < timing.Spare
+	return queued >= timing.Spare || timing.UntilDue-timing.Left-queued-timing.Wait < timing.Spare
 }
--- a/internal/job/bursts_test.go
+++ b/internal/job/bursts_test.go
@@ -229,7 +229,7 @@
 }
 
 func (w *loadWorld) place(owner *loadOwner, item *loadItem) {
-	timing := batchroom.Timing{UntilDue: item.due.Sub(w.now), Left: leftToRun(loadItemTime, loadItemTime-item.left), Spare: urgentSlack}
+	timing := batchroom.Timing{UntilDue: item.due.Sub(w.now), Left: max(item.left, loadItemTime/4), Spare: urgentSlack, Wait: owner.placer.share("s").wait(loadItemTime)}
 	backlog := batchroom.Backlog{Waiting: owner.placer.all, Places: owner.placer.share("s").places, ItemTime: loadItemTime}
 	if owner.placer.isFull("s") || !owner.placer.hasRoom("s", batchroom.MustRun(timing, backlog)) {
 		return
--- a/internal/job/pacing.go
+++ b/internal/job/pacing.go
@@ -74,6 +74,18 @@
 	now, lasting int
 	// places is how many slots batch has in the mean.
 	places int
+	// untilValley is how long it takes until the next valley of demand, 0 if no rhythm
+	// shows.
+	untilValley time.Duration
+}
+
+// wait is how long items may wait for room that lasts: until the next valley, or as long
+// as one of those that run where demand shows no rhythm.
+func (s *roomShare) wait(itemTime time.Duration) time.Duration {
+	if s.untilValley > 0 {
+		return s.untilValley
+	}
+	return itemTime
 }
 
 func newPlacer(random *rand.Rand, zone string, roomAt func(string, time.Time) batchroom.Room) *placer {
@@ -114,7 +126,7 @@
 	share, known := p.shares[service]
 	if !known {
 		room := p.roomAt(service, p.now)
-		share = &roomShare{now: shareOf(room.Now, p.own, p.all, p.random), lasting: shareOf(room.Lasting, p.own, p.all, p.random), places: room.Places}
+		share = &roomShare{now: shareOf(room.Now, p.own, p.all, p.random), lasting: shareOf(room.Lasting, p.own, p.all, p.random), places: room.Places, untilValley: room.Wait}
 		p.shares[service] = share
 	}
 	return share
--- a/internal/job/room.go
+++ b/internal/job/room.go
@@ -124,9 +124,11 @@
 // mustRun reports whether an item cannot wait for a burst to pass.
 func (s *Service) mustRun(waiting *work, service string, now time.Time) bool {
 	itemTime := s.itemTime()
+	share := s.placer.share(service)
 	timing := batchroom.Timing{
-		UntilDue: waiting.owner.due.Sub(now), Left: leftToRun(itemTime, waiting.owner.ranFor(waiting, now)), Spare: urgentSlack,
+		UntilDue: waiting.owner.due.Sub(now), Left: max(itemTime-waiting.owner.ranFor(waiting, now), itemTime/4), Spare: urgentSlack,
+		Wait: share.wait(itemTime),
 	}
-	backlog := batchroom.Backlog{Waiting: s.placer.all, Places: s.placer.share(service).places, ItemTime: itemTime}
+	backlog := batchroom.Backlog{Waiting: s.placer.all, Places: share.places, ItemTime: itemTime}
 	return batchroom.MustRun(timing, backlog)
 }
