--- a/internal/batchroom/room.go
+++ b/internal/batchroom/room.go
@@ -71,8 +71,9 @@
 }
 
 // keptFree is how many slots items that can wait leave free: what lets requests find
-// places, and what online work varies by; never more than there is online work.
-func keptFree(load Load) int { return min(Roomy(load)+margin(load), load.Online) }
+// places, never more than there is online work. Into less they would be sent to be taken
+// back.
+func keptFree(load Load) int { return min(Roomy(load), load.Online) }
 
 // room is what is left beside the load and a reserve.
 func (l Load) room(reserve int) int { return max(l.Slots-l.Online-l.Batch-reserve, 0) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -147,7 +147,7 @@
 		RateToleranceRequests:       defaultRateToleranceRequests,
 		QuarantineCrashes:           defaultQuarantineCrashes,
 		QuarantineTime:              defaultQuarantineTime,
-		BatchRoom:                   batchroom.PolicyRhythm,
+		BatchRoom:                   batchroom.PolicyReserve,
 	}
 }
 
