--- a/internal/backend/serviceload.go
+++ b/internal/backend/serviceload.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// ServiceLoad is the work of all daemons at a service's back ends that take work.
+// ServiceLoad is the work of all daemons in the slots of a service's back ends that take
+// work.
 type ServiceLoad struct {
 	BackEnds int
 	Slots    int
@@ -11,7 +12,7 @@
 }
 
 // ServiceLoad sums the load of a service, without back ends that leave or that failed
-// lately.
+// lately. What waits at a back end beyond its slots takes no other's room and is left out.
 func (s *Set) ServiceLoad(service string, now time.Time) ServiceLoad {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -23,8 +24,9 @@
 		online, batch, _ := known.load()
 		total.BackEnds++
 		total.Slots += known.Slots
+		online = min(online, known.Slots)
 		total.Online += online
-		total.Batch += batch
+		total.Batch += min(batch, known.Slots-online)
 	}
 	return total
 }
--- a/internal/batchroom/demand.go
+++ b/internal/batchroom/demand.go
@@ -33,6 +33,10 @@
 	leastSwing = 0.1
 )
 
+// noiseDeviations is how many standard deviations online work must change by for it to be
+// no chance: requests that come independently vary by the square root of their number.
+const noiseDeviations = 2
+
 // Load is a service's load as a daemon sees it.
 type Load struct {
 	// BackEnds are those that take work, and Slots theirs.
--- a/internal/batchroom/room.go
+++ b/internal/batchroom/room.go
@@ -5,16 +5,6 @@
 	"time"
 )
 
-const (
-	// noiseDeviations is how many standard deviations of the online work stay free.
-	// Requests that come independently of each other vary by the square root of their
-	// number; an item sent into less is taken back by the next request.
-	noiseDeviations = 2
-	// mostFree bounds what stays free, as a part of the slots: few slots are not left
-	// empty for chance.
-	mostFree = 1.0 / 16
-)
-
 // Policy tells what the room for batch follows.
 type Policy string
 
@@ -25,8 +15,8 @@
 	// PolicyOnce gives batch every slot that looks free, and has items give way only for
 	// what they have too much.
 	PolicyOnce Policy = "once"
-	// PolicyReserve has items that can wait keep free what online requests need to find
-	// places, and what their work varies by.
+	// PolicyReserve also has items that can wait leave free what online requests need to
+	// find places.
 	PolicyReserve Policy = "reserve"
 	// PolicyRhythm also has items that can wait leave room for a burst that the
 	// rhythm of demand brings.
@@ -38,9 +28,11 @@
 	return p == PolicyFree || p == PolicyOnce || p == PolicyReserve || p == PolicyRhythm
 }
 
-// Room is how many more items the whole fleet should send to a service.
+// Room is how many more items the whole fleet should send to a service, as far as the back
+// ends have free slots.
 type Room struct {
-	// Now is for items that must run now, Lasting for those that can wait.
+	// Now is for items that must run now, which only the back ends' slots bound; Lasting
+	// is for those that can wait.
 	Now     int
 	Lasting int
 	// Reserve is how many slots stayed free for online requests.
@@ -64,12 +56,6 @@
 	Age time.Duration
 }
 
-// margin is how many slots stay free beside so much online work.
-func margin(load Load) int {
-	deviations := noiseDeviations * math.Sqrt(float64(max(load.Online, 0)))
-	return int(min(deviations, mostFree*float64(load.Slots)))
-}
-
 // keptFree is how many slots items that can wait leave free: what lets requests find
 // places, never more than there is online work. Into less they would be sent to be taken
 // back.
@@ -81,11 +67,10 @@
 // Decide returns the room for items.
 func Decide(policy Policy, sight Sight) Room {
 	if policy == PolicyFree || policy == PolicyOnce {
-		free := sight.Load.room(0)
-		return Room{Now: free, Lasting: free, Places: places(sight)}
+		return Room{Now: sight.Load.Slots, Lasting: sight.Load.Slots, Places: places(sight)}
 	}
 	reserve := keptFree(sight.Load)
-	decided := Room{Now: sight.Load.room(0), Lasting: sight.Load.room(reserve), Reserve: reserve, Places: places(sight)}
+	decided := Room{Now: sight.Load.Slots, Lasting: sight.Load.room(reserve), Reserve: reserve, Places: places(sight)}
 	if policy == PolicyRhythm && sight.Demand.Period() > 0 {
 		decided.Period, decided.Wait = sight.Demand.Period(), sight.Demand.UntilValley()
 		decided.Lasting = min(decided.Lasting, lastingRoom(sight))
