--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -47,6 +47,7 @@
 		"short key":      {"000102", "00", "cluster_key"},
 		"no zone":        {`zone = "z"`, "", "zone"},
 		"half of TLS":    {`zone = "z"`, "zone = \"z\"\ntls_key_file = \"x\"", "tls_certificate_file"},
+		"batch room":     {`zone = "z"`, "zone = \"z\"\nbatch_room = \"some\"", "batch_room"},
 		"too many signs": {`zone = "z"`, "zone = \"z\"\nrequired_signatures = 3", "required_signatures"},
 	}
 	for name, each := range cases {
