--- a/internal/batchroom/room.go
+++ b/internal/batchroom/room.go
@@ -92,6 +92,7 @@
 	return least
 }
 
+// places is how many slots batch has in the mean.
 func places(sight Sight) int {
 	usual := sight.Load
 	usual.Online, usual.Batch = sight.Demand.Mean(sight.Load.Online), 0
@@ -121,8 +122,7 @@
 
 // MustRun reports whether an item cannot wait: behind all others that wait, and after its
 // own wait, it would end with less than the time to spare; or so much waits that no room
-// may be left unused. Where a tenth more came than on a calm day, items that waited with
-// five seconds to spare but no time for the wait itself were late twice as often.
+// may be left unused.
 func MustRun(timing Timing, backlog Backlog) bool {
 	queued := time.Duration(float64(backlog.ItemTime) * float64(backlog.Waiting) / float64(max(backlog.Places, 1)))
 	return queued >= timing.Spare || timing.UntilDue-timing.Left-queued-timing.Wait < timing.Spare
--- a/internal/job/room.go
+++ b/internal/job/room.go
@@ -97,7 +97,7 @@
 	s.metrics.BatchRoom.WithLabelValues(roomLabel(room, waiting)).Inc()
 	if waiting > room.Lasting && s.rooms.mayLog(service, now) {
 		s.log.Info("batch_room", "service", service, "policy", string(policy), "slots", load.Slots, "online", load.Online, "batch", load.Batch,
-			"room_now", room.Now, "room_lasting", room.Lasting, "reserve", room.Reserve, "period_ms", room.Period.Milliseconds(), "item_ms", itemTime.Milliseconds(),
+			"room", room.Lasting, "reserve", room.Reserve, "period_ms", room.Period.Milliseconds(), "item_ms", itemTime.Milliseconds(),
 			"waiting", waiting, "own_waiting", s.placer.own)
 	}
 	return room
@@ -108,7 +108,7 @@
 	switch {
 	case waiting <= room.Lasting:
 		return "all"
-	case room.Lasting < room.Now:
+	case room.Period > 0:
 		return "rhythm"
 	}
 	return "reserve"
--- a/internal/job/rooms.go
+++ b/internal/job/rooms.go
@@ -18,7 +18,7 @@
 const mostDeclined = 4
 
 // rooms decides how many items the fleet's services have room for. It remembers the
-// demand of each service, and where room was short.
+// demand of each service, and what it gave of an excess.
 type rooms struct {
 	policy batchroom.Policy
 	// mutex guards the fields below it.
