--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -50,8 +50,10 @@
 			return
 		case <-yield.C:
 			s.yieldItems()
+			yield.Reset(s.yielder.nextLook())
 		case <-s.backends.Crowded():
 			s.yieldItems()
+			yield.Reset(s.yielder.nextLook())
 			periodic.Sleep(ctx, crowdedPause)
 		case id := <-s.backends.GivingWay():
 			s.giveWay(id)
@@ -328,11 +330,9 @@
 	loads := []routing.Candidate{}
 	now := time.Now()
 	for service := range services {
-		if s.asksOnly(service, now) {
-			continue
-		}
+		isRoomy := s.isRoomy(service, now)
 		for _, candidate := range s.backends.Candidates(service, nil, now) {
-			if len(running[candidate.ID]) > 0 {
+			if len(running[candidate.ID]) > 0 && s.yielder.stands(candidate, isRoomy, now) {
 				loads = append(loads, candidate)
 			}
 		}
--- a/internal/job/room.go
+++ b/internal/job/room.go
@@ -59,10 +59,9 @@
 	return s.rooms.policy
 }
 
-// asksOnly reports whether work at a service's back ends beyond their slots is requests
-// that ask for a place and go elsewhere when there is none. It is so while there is room:
-// the items of a back end need not make way for those that only ask.
-func (s *Service) asksOnly(service string, now time.Time) bool {
+// isRoomy reports whether requests that ask find places at a service, so that work beyond
+// the slots of one back end is most likely such that only asks there.
+func (s *Service) isRoomy(service string, now time.Time) bool {
 	if s.roomPolicy(service) == batchroom.PolicyFree {
 		return false
 	}
--- a/internal/job/room_test.go
+++ b/internal/job/room_test.go
@@ -26,7 +26,7 @@
 // TestOwnersGiveTheirPartOfAnExcessOnce: however often requests ask in the time in which
 // owners see the same load, all owners together give what is too much, on average.
 func TestOwnersGiveTheirPartOfAnExcessOnce(t *testing.T) {
-	const owners, own, asked, rounds = 20, 7, 4, 200
+	const owners, own, asked, rounds = 20, 7, mostDeclined, 200
 	load := backend.ServiceLoad{BackEnds: 90, Slots: 720, Online: 560, Batch: owners * own}
 	excess := batchroom.Excess(batchroom.Sight{Load: batchroom.Load(load), Demand: &batchroom.Demand{}})
 	require.Positive(t, excess)
--- a/internal/job/yielding.go
+++ b/internal/job/yielding.go
@@ -18,8 +18,15 @@
 	random *rand.Rand
 	// answered is the excess that has been answered, by back end.
 	answered map[string]answeredExcess
+	// crowdedSince is since when back ends are crowded although there is room elsewhere.
+	crowdedSince map[string]time.Time
 }
 
+// standingExcess is how long a back end is crowded, where there is room elsewhere, until its
+// items give way: a request that asks for a place there is counted for some milliseconds
+// and goes elsewhere; one that stays longer waits there.
+const standingExcess = 20 * time.Millisecond
+
 // answeredExcess is an excess of which this owner has taken back its part.
 type answeredExcess struct {
 	at time.Time
@@ -28,7 +35,7 @@
 }
 
 func newYielder(random *rand.Rand) *yielder {
-	return &yielder{random: random, answered: map[string]answeredExcess{}}
+	return &yielder{random: random, answered: map[string]answeredExcess{}, crowdedSince: map[string]time.Time{}}
 }
 
 // crowding returns how many batch items a back end has too many: those that
@@ -41,6 +48,29 @@
 	return min(over, candidate.Batch)
 }
 
+// stands reports whether an excess at the back end is to be answered now: at once, or where
+// there is room elsewhere once it has stood.
+func (y *yielder) stands(candidate routing.Candidate, isRoomy bool, now time.Time) bool {
+	if !isRoomy || crowding(candidate) == 0 {
+		delete(y.crowdedSince, candidate.ID)
+		return true
+	}
+	since, isKnown := y.crowdedSince[candidate.ID]
+	if !isKnown {
+		y.crowdedSince[candidate.ID] = now
+		return false
+	}
+	return now.Sub(since) >= standingExcess
+}
+
+// nextLook is the time until the next look at back ends without being woken.
+func (y *yielder) nextLook() time.Duration {
+	if len(y.crowdedSince) > 0 {
+		return standingExcess
+	}
+	return yieldInterval
+}
+
 // share returns how many of its own items the owner takes back now: its part of
 // the excess that was not there before, or that still stands after the window
 // in which all owners hear of each other.
@@ -69,4 +99,9 @@
 			delete(y.answered, id)
 		}
 	}
+	for id, since := range y.crowdedSince {
+		if now.Sub(since) >= yieldInterval+window {
+			delete(y.crowdedSince, id)
+		}
+	}
 }
--- a/internal/job/yielding_test.go
+++ b/internal/job/yielding_test.go
@@ -73,3 +73,20 @@
 	}
 	require.Equal(t, 1, taken, "the others took nothing back, so the owner did in the end")
 }
+
+// TestExcessMustStandWhereThereIsRoom: a request that only asks for a place there takes no
+// item away, one that stays does; where there is no room none waits.
+func TestExcessMustStandWhereThereIsRoom(t *testing.T) {
+	now, crowded := time.Now(), routing.Candidate{ID: "b", Slots: 4, Online: 2, Batch: 3}
+	looking := newYielder(rand.New(rand.NewPCG(13, 13)))
+	require.True(t, looking.stands(crowded, false, now))
+	require.Equal(t, yieldInterval, looking.nextLook())
+	require.False(t, looking.stands(crowded, true, now))
+	require.Equal(t, standingExcess, looking.nextLook())
+	require.False(t, looking.stands(crowded, true, now.Add(standingExcess/2)))
+	require.True(t, looking.stands(crowded, true, now.Add(standingExcess)))
+	crowded.Online = 1
+	require.True(t, looking.stands(crowded, true, now.Add(standingExcess)), "it is not crowded any more")
+	crowded.Online = 2
+	require.False(t, looking.stands(crowded, true, now.Add(2*standingExcess)), "another one asks")
+}
--- a/test/mutants.d/batchroom.sh
+++ b/test/mutants.d/batchroom.sh
@@ -20,3 +20,5 @@
 	' || known.declined >= mostDeclined' '' internal/job TestItemsGiveWayToAShortageThatIsNotSeen
 mutant batch_items_stay internal/job/rooms.go \
 	'if known.given < known.owed' 'if true || known.given < known.owed' internal/job 'TestItemsStepAsideOnce|TestItemsGiveWayToAShortageThatIsNotSeen'
+mutant batch_excess_must_stand internal/job/yielding.go \
+	'if !isRoomy || crowding(candidate) == 0 {' 'if true {' internal/job TestExcessMustStandWhereThereIsRoom
