--- /dev/null
+++ b/internal/backend/serviceload.go
@@ -0,0 +1,43 @@
+package backend
+
+import "time"
+
+// ServiceLoad is the work of all daemons in the slots of a service's back ends that take
+// work.
+type ServiceLoad struct {
+	BackEnds int
+	Slots    int
+	Online   int
+	Batch    int
+}
+
+// ServiceLoad sums the load of a service, without back ends that leave or that failed
+// lately. What waits at a back end beyond its slots takes no other's room and is left out.
+func (s *Set) ServiceLoad(service string, now time.Time) ServiceLoad {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	total := ServiceLoad{}
+	for _, known := range s.byService[service] {
+		if known.Draining || now.Before(known.ejectedUntil) {
+			continue
+		}
+		online, batch, _ := known.load()
+		total.BackEnds++
+		total.Slots += known.Slots
+		online = min(online, known.Slots)
+		total.Online += online
+		total.Batch += min(batch, known.Slots-online)
+	}
+	return total
+}
+
+// OwnBatch is how many batch items of this daemon run at a service's back ends.
+func (s *Set) OwnBatch(service string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	total := 0
+	for _, known := range s.byService[service] {
+		total += known.batch
+	}
+	return total
+}
--- /dev/null
+++ b/internal/batchroom/giveway.go
@@ -0,0 +1,34 @@
+package batchroom
+
+import "math"
+
+const (
+	// questionsLeft is how many more back ends a request asks for a place that has an
+	// item give way, at the least for most requests: they ask up to eight, and have an
+	// item give way for every second one without a place.
+	questionsLeft = 6
+	// placelessShare is the part of such requests that may find no place even so; they
+	// wait for one, and have further items give way.
+	placelessShare = 0.01
+)
+
+// Excess is how many batch items of all owners stand in the way of online requests.
+// Where much room is left it is none: that a request found no place at some back ends was
+// chance, and it finds one at the next. To the load of a moment ago comes what online work
+// has risen by since, or what the rhythm brings.
+func Excess(sight Sight) int {
+	load := sight.Load
+	load.Online += sight.Demand.Rise(sight.Age)
+	if coming, isKnown := sight.Demand.Forecast(0, sight.Age); isKnown {
+		load.Online = max(load.Online, coming)
+	}
+	return min(max(load.Online+load.Batch+Roomy(load)-load.Slots, 0), load.Batch)
+}
+
+// Roomy is how many slots must be free for a request to find a place by asking, though it
+// knew nothing of the back ends' loads.
+func Roomy(load Load) int {
+	perBackEnd := float64(load.Slots) / float64(max(load.BackEnds, 1))
+	busyShare := math.Pow(placelessShare, 1/(questionsLeft*max(perBackEnd, 1)))
+	return int(math.Ceil(float64(load.Slots) * (1 - busyShare)))
+}
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -50,8 +50,10 @@
 			return
 		case <-yield.C:
 			s.yieldItems()
+			yield.Reset(s.yielder.nextLook())
 		case <-s.backends.Crowded():
 			s.yieldItems()
+			yield.Reset(s.yielder.nextLook())
 			periodic.Sleep(ctx, crowdedPause)
 		case id := <-s.backends.GivingWay():
 			s.giveWay(id)
@@ -144,6 +146,9 @@
 	if s.restQuarantined(waiting, now) || s.placer.isFull(service) {
 		return false
 	}
+	if !s.placer.hasRoom(service, s.mustRun(waiting, service, now)) {
+		return false
+	}
 	candidates := s.backends.Candidates(service, waiting.item.Prompt, now)
 	chosen, found := s.placer.choose(service, waiting.item.Prompt, candidates)
 	if !found {
@@ -265,6 +270,9 @@
 // there, and leaves its slot alone until all owners have heard of the request.
 func (s *Service) giveWay(id string) {
 	now := time.Now()
+	if !s.mustGiveWay(id, now) {
+		return
+	}
 	s.mutex.Lock()
 	jobs := s.ownedJobs()
 	s.mutex.Unlock()
@@ -320,9 +328,11 @@
 		}
 	}
 	loads := []routing.Candidate{}
+	now := time.Now()
 	for service := range services {
-		for _, candidate := range s.backends.Candidates(service, nil, time.Now()) {
-			if len(running[candidate.ID]) > 0 {
+		isRoomy := s.isRoomy(service, now)
+		for _, candidate := range s.backends.Candidates(service, nil, now) {
+			if len(running[candidate.ID]) > 0 && s.yielder.stands(candidate, isRoomy, now) {
 				loads = append(loads, candidate)
 			}
 		}
--- /dev/null
+++ b/internal/job/room.go
@@ -0,0 +1,133 @@
+package job
+
+import (
+	"context"
+	"time"
+
+	"topazpulley/internal/batchroom"
+	"topazpulley/internal/periodic"
+)
+
+// observeDemand samples the load of the services that run items until the context ends.
+// It goes on while no job is owned: the rhythm of demand takes two periods to show.
+func (s *Service) observeDemand(ctx context.Context) {
+	if s.rooms.policy == batchroom.PolicyFree {
+		return
+	}
+	periodic.Run(ctx, batchroom.SampleInterval, func() {
+		now := time.Now()
+		for _, service := range s.itemServices() {
+			before, after := s.rooms.note(service, s.backends.ServiceLoad(service, now), now)
+			if (before == 0) != (after == 0) {
+				s.log.Info("demand_rhythm", "service", service, "period_ms", after.Milliseconds(), "period_before_ms", before.Milliseconds())
+			}
+		}
+	})
+}
+
+// mustGiveWay reports whether an item at a back end gives way to an online request that
+// found no place.
+func (s *Service) mustGiveWay(id string, now time.Time) bool {
+	instance, found := s.backends.Get(id)
+	if !found {
+		return true
+	}
+	if s.roomPolicy(instance.Service) == batchroom.PolicyFree {
+		return true
+	}
+	load := s.backends.ServiceLoad(instance.Service, now)
+	if s.rooms.mustGiveWay(instance.Service, load, s.backends.OwnBatch(instance.Service), s.propagationWindow(), now) {
+		return true
+	}
+	s.metrics.BatchRoom.WithLabelValues("stays").Inc()
+	s.log.Info("item_stays", "backend", id, "service", instance.Service, "slots", load.Slots, "online", load.Online, "batch", load.Batch)
+	return false
+}
+
+// roomPolicy is the policy of the room at a service. Where back ends set no places aside,
+// requests do not go on asking but wait at one back end, and items take and leave what
+// slots they can.
+func (s *Service) roomPolicy(service string) batchroom.Policy {
+	current := s.holder.Current()
+	if current == nil {
+		return batchroom.PolicyFree
+	}
+	configured, found := current.Service(service)
+	if !found || configured.ReservationTime <= 0 {
+		return batchroom.PolicyFree
+	}
+	return s.rooms.policy
+}
+
+// isRoomy reports whether requests that ask find places at a service, so that work beyond
+// the slots of one back end is most likely such that only asks there.
+func (s *Service) isRoomy(service string, now time.Time) bool {
+	if s.roomPolicy(service) == batchroom.PolicyFree {
+		return false
+	}
+	return s.rooms.isRoomy(service, s.backends.ServiceLoad(service, now), s.propagationWindow())
+}
+
+// itemServices lists the services to which items go.
+func (s *Service) itemServices() []string {
+	current := s.holder.Current()
+	if current == nil {
+		return nil
+	}
+	seen := map[string]bool{}
+	services := []string{}
+	for _, route := range current.JobRoutes() {
+		for _, target := range route.Targets {
+			if !seen[target.Service] {
+				seen[target.Service] = true
+				services = append(services, target.Service)
+			}
+		}
+	}
+	return services
+}
+
+// roomAt decides how many items all owners together send to a service in the next window.
+func (s *Service) roomAt(service string, now time.Time) batchroom.Room {
+	load := s.backends.ServiceLoad(service, now)
+	itemTime, policy := s.itemTime(), s.roomPolicy(service)
+	room := s.rooms.decide(policy, service, load, itemTime, s.propagationWindow())
+	waiting := s.placer.all
+	s.metrics.BatchRoom.WithLabelValues(roomLabel(room, waiting)).Inc()
+	if waiting > room.Lasting && s.rooms.mayLog(service, now) {
+		s.log.Info("batch_room", "service", service, "policy", string(policy), "slots", load.Slots, "online", load.Online, "batch", load.Batch,
+			"room", room.Lasting, "reserve", room.Reserve, "period_ms", room.Period.Milliseconds(), "item_ms", itemTime.Milliseconds(),
+			"waiting", waiting, "own_waiting", s.placer.own)
+	}
+	return room
+}
+
+// roomLabel names what bounds the items that wait.
+func roomLabel(room batchroom.Room, waiting int) string {
+	switch {
+	case waiting <= room.Lasting:
+		return "all"
+	case room.Period > 0:
+		return "rhythm"
+	}
+	return "reserve"
+}
+
+// itemTime is how long items run.
+func (s *Service) itemTime() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.clock.expected()
+}
+
+// mustRun reports whether an item cannot wait for a burst to pass.
+func (s *Service) mustRun(waiting *work, service string, now time.Time) bool {
+	itemTime := s.itemTime()
+	share := s.placer.share(service)
+	timing := batchroom.Timing{
+		UntilDue: waiting.owner.due.Sub(now), Left: max(itemTime-waiting.owner.ranFor(waiting, now), itemTime/4), Spare: urgentSlack,
+		Wait: share.wait(itemTime),
+	}
+	backlog := batchroom.Backlog{Waiting: s.placer.all, Places: share.places, ItemTime: itemTime}
+	return batchroom.MustRun(timing, backlog)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/pkg/errors"
 
+	"topazpulley/internal/batchroom"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/silence"
 )
@@ -109,6 +110,8 @@
 	// WaitingOrder tells in what order online requests get places while there are too
 	// few: WaitingOrderFleet or WaitingOrderNone.
 	WaitingOrder string `toml:"waiting_order"`
+	// BatchRoom is the policy of the room for batch items: "free", "once", "reserve" or "rhythm".
+	BatchRoom batchroom.Policy `toml:"batch_room"`
 	// ProbeInterval is the time between two membership probes.
 	ProbeInterval Duration `toml:"probe_interval"`
 	// StopLinger is how long a stopping daemon goes on accepting requests.
@@ -171,6 +174,7 @@
 		SilencePatience:             string(silence.ModeLearned),
 		HeldSubmissionsShare:        defaultHeldSubmissionsShare,
 		WaitingOrder:                WaitingOrderFleet,
+		BatchRoom:                   batchroom.PolicyReserve,
 	}
 }
 
@@ -300,6 +304,9 @@
 	if !silence.Mode(s.SilencePatience).IsValid() {
 		return invalid("silence_patience", "give learned, fixed or objectives")
 	}
+	if !s.BatchRoom.IsKnown() {
+		return invalid("batch_room", "give free, once, reserve or rhythm")
+	}
 	if s.RevocationBound < 0 {
 		return invalid("revocation_bound", "give a positive duration, or leave it out for no bound")
 	}
--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -37,6 +37,8 @@
 	SlowCallers *prometheus.CounterVec
 	// MemoryRefusals counts requests that were refused because the daemon held too much.
 	MemoryRefusals prometheus.Counter
+	// BatchRoom counts decisions on the room for batch items by what bounded it.
+	BatchRoom *prometheus.CounterVec
 }
 
 // NewServing registers the metrics of the online core.
@@ -60,12 +62,13 @@
 		Behind:       counter("serving_behind_total", "Online requests that were late and made way for those in time.", "service"),
 		TurnedAway:   counter("serving_turned_away_total", "Online requests refused because those in time needed all places.", "service"),
 		Malformed:    newMalformed(),
+		BatchRoom:    counter("batch_room_decisions_total", "Decisions on the room for batch items by what bounded it.", "bound"),
 		SlowCallers:  counter("slow_callers_total", "Answers of which the caller left a part unread for a while.", "outcome"),
 
 		MemoryRefusals: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "memory_refusals_total", Help: "Requests refused because too much was held for others."}),
 	}
 	registry.MustRegister(serving.Requests, serving.Attempts, serving.Silences, serving.FirstOutput, serving.Duration, serving.Items, serving.Held, serving.StoreCalls, serving.StoreSeconds,
-		serving.Behind, serving.TurnedAway, serving.Malformed, serving.SlowCallers, serving.MemoryRefusals)
+		serving.Behind, serving.TurnedAway, serving.Malformed, serving.SlowCallers, serving.MemoryRefusals, serving.BatchRoom)
 	return serving
 }
 
