--- a/internal/job/held_end_test.go
+++ b/internal/job/held_end_test.go
@@ -102,7 +102,12 @@
 	stopping, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	owner.Stop(stopping)
-	var failed *failure.Error
-	require.ErrorAs(t, <-answered, &failed)
-	require.True(t, failed.NotRun)
+	select {
+	case err := <-answered:
+		var failed *failure.Error
+		require.ErrorAs(t, err, &failed)
+		require.True(t, failed.NotRun)
+	case <-time.After(patience):
+		require.Fail(t, "the submission is held on")
+	}
 }
--- a/test/mutants.d/patience.sh
+++ b/test/mutants.d/patience.sh
@@ -10,7 +10,7 @@
 mutant held_memory_not_given_back internal/job/held.go \
 	'defer leave()' '_ = leave' internal/job TestHeldSubmissionEndsWithItsCaller
 mutant not_held internal/job/accept.go \
-	's.holdWhileAway(ctx, submitted); err != nil' 'error(nil); err != nil' internal/job TestJobsOfAnOutageAreAcceptedBehindIt
+	'wasHeld, err := s.holdWhileAway(ctx, submitted)' 'wasHeld, err := false, error(nil)' internal/job TestJobsOfAnOutageAreAcceptedBehindIt
 mutant left_whatever_the_route internal/serving/silence.go \
 	'!e.request.Route.Repeatable() || e.runs+1 >= e.request.Route.MaxAttempts' 'false' internal/serving TestWhatMayRunOnceIsNeverLeft
 mutant silence_without_budget internal/serving/silence.go \
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -283,7 +283,7 @@
 mutant silent_store_connections_kept platform/store.go \
 	'			s.client.CloseIdleConnections()' '' platform TestSilentStoreConnectionsCostOneCall
 mutant silent_back_end_connections_kept platform/runner.go \
-	'			s.pool.discardIdle(attempt.Instance.ID)' '' platform TestSilentBackEndConnectionsCostOneRequest
+	'			s.pool.discardIdle(attempt.Instance)' '' platform TestSilentBackEndConnectionsCostOneRequest
 mutant hangup_ends_a_start cmd/topazpulley/main.go \
 	'	_ "topazpulley/internal/command/ignorehangup" // before what starts slowly' '' cmd/topazpulley TestHangupDoesNotEndAStartingDaemon
 mutant sleep_leaves_time internal/serving/exchange.go \
