One constant for what is held for anybody; comments that claim no more than was run

The size below which anything is held stood twice, in internal/memory and in the callers' writer; the writer uses the package's now. Three comments said more than holds: the place held by callers who read slowly named a load that was not run, the share of held memory and the account's invariant still spoke of answers as bounded, which they are not. Behaviour is as it was.

--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -2,9 +2,9 @@
 // callers: bodies that were read and answers that they have not read yet. A daemon on a
 // small machine is ended when it passes its memory, and everybody's requests with it.
 //
-// Invariant: requests and unread bytes that are held beyond smallBytes apiece never pass
-// the limit together with all else; answers are counted whatever the limit says, because
-// one that a back end has made is delivered.
+// Invariant: a request or unread bytes beyond SmallBytes begin to be held only while all
+// that is held then stays within the limit. Answers are counted whatever the limit says,
+// because one that a back end has made is delivered.
 package memory
 
 import "sync"
@@ -25,9 +25,9 @@
 // Purposes are all of them.
 func Purposes() []Purpose { return []Purpose{PurposeRequest, PurposeAnswer, PurposeUnread} }
 
-// smallBytes is what is held for anybody whatever the account says: a prompt or a short
+// SmallBytes is what is held for anybody whatever the account says: a prompt or a short
 // answer, which small machines bear for as many callers as they have descriptors for.
-const smallBytes = 16 << 10
+const SmallBytes = 16 << 10
 
 // Account counts held bytes against a limit. It is safe for concurrent use; mutex
 // guards the fields behind it. A nil account counts nothing and has no limit.
@@ -64,7 +64,7 @@
 
 // hasRoom reports whether a holding of a size may grow. mutex must be held.
 func (a *Account) hasRoom(held, size int64) bool {
-	return a.limit <= 0 || held+size <= smallBytes || a.total+size <= a.limit
+	return a.limit <= 0 || held+size <= SmallBytes || a.total+size <= a.limit
 }
 
 // Holding is bytes on an account, held by one goroutine at a time. The zero value holds
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -47,8 +47,7 @@
 }
 
 // freeBackEnd gives up what is held at a back end whose answer was read to its end,
-// before its caller has: one who reads slowly must not hold a place. Of 200 callers that
-// read a byte a second, each held one until the back end cut its answer.
+// before its caller has: one who reads nothing would hold a place until it is cut.
 func freeBackEnd(answer Answer, lease *backend.Lease) {
 	answer.Detach()
 	lease.Release()
--- a/test/mutants.d/memory.sh
+++ b/test/mutants.d/memory.sh
@@ -9,6 +9,6 @@
 mutant deadline_outlives_the_drain platform/callerwriter.go \
 	'_ = w.connection.SetWriteDeadline(time.Time{})' '' platform TestDeadlineEndsWithTheDrain
 mutant no_piece_where_memory_is_full platform/callerwriter.go \
-	'kept = min(kept, smallestPiece-len(w.pending))' 'kept = 0' platform TestWritingGoesOnWhereMemoryIsFull
+	'kept = min(kept, memory.SmallBytes-len(w.pending))' 'kept = 0' platform TestWritingGoesOnWhereMemoryIsFull
 mutant account_without_limit internal/memory/account.go \
 	'a.total+size <= a.limit' 'true' internal/memory 'TestAccountStaysWithinItsLimit|TestAnswersAreCountedBeyondTheLimit'
