Zones that the operator evacuates get no new work, and cold back ends what they bear

Ruled out: asking a keeper for each request to a cold back end (a round trip each), a bucket a daemon (79 daemons with one token each are beyond what a back end bears in a second). Change: backend.Set closes back ends for new work in one place, asked by online requests, items, places set aside and attempts elsewhere; orders follow the table of the configuration and so survive restarts, stale reads and its history. Seats of cold back ends are drawn by rendezvous hashing a quarter of a second at a time (package warmup). Before: TestEvacuatedZone and TestColdBackEndGetsItsSeats can't pass (no such code). After: they pass; 9 mutants in test/mutants.d/zones.sh.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -29,6 +29,9 @@
 	Slots int
 	// Draining tells that it is about to leave and must get no new work.
 	Draining bool
+	// ColdFor is for how much longer it is slow, when the entry was read: it has just
+	// started, or lost what it keeps in memory.
+	ColdFor time.Duration
 }
 
 // Report is what a back end says of its load.
@@ -75,6 +78,10 @@
 	ejectedUntil time.Time
 	ejectedFor   time.Duration
 	prompts      *promptCache
+	// coldUntil is when the back end works at its usual speed, and seats what this daemon
+	// may send it until then.
+	coldUntil time.Time
+	seats     seatsTaken
 }
 
 // PeerLoad is another daemon's work in flight at a back end.
@@ -138,6 +145,7 @@
 	sumsElsewhere map[string]map[string]waiting.Sums
 	// propagation is the time until other daemons know of a change here.
 	propagation time.Duration
+	closing     closing
 	// connected returns the lives to which an idle connection is open.
 	connected func() map[Life]bool
 }
@@ -148,8 +156,8 @@
 		states: map[string]*state{}, byService: map[string][]*state{}, urgent: make(chan struct{}, 1), crowded: make(chan struct{}, 1),
 		untold: map[Life]int{}, births: newBirths(), waitingElsewhere: map[string]int{}, propagation: assumedPropagation,
 		preemptions: make(chan string, preemptQueue), givingWay: make(chan string, preemptQueue),
-		connected: func() map[Life]bool { return nil },
-		waits:     map[string]*serviceWait{}, sumsElsewhere: map[string]map[string]waiting.Sums{},
+		connected: func() map[Life]bool { return nil }, closing: newClosing(),
+		waits: map[string]*serviceWait{}, sumsElsewhere: map[string]map[string]waiting.Sums{},
 	}
 }
 
@@ -165,9 +173,11 @@
 	case ListingSame:
 		instance.Born = known.Born
 		s.update(known, instance)
+		known.noteCold(time.Now())
 	default:
 		s.remove(instance.ID)
 		added := &state{Instance: instance, peers: map[string]PeerLoad{}, prompts: newPromptCache(promptMemory)}
+		added.noteCold(time.Now())
 		s.states[instance.ID] = added
 		s.putIn(added)
 	}
@@ -193,6 +203,9 @@
 	s.putIn(known)
 }
 
+// noteCold takes over for how long the back end's entry says that it is cold.
+func (k *state) noteCold(now time.Time) { k.coldUntil = now.Add(k.ColdFor) }
+
 // living returns a back end if its present life is the one named, else nil. mutex must
 // be held.
 func (s *Set) living(life Life) *state {
@@ -319,6 +332,7 @@
 	candidates := make([]routing.Candidate, 0, len(group))
 	for _, known := range group {
 		candidate := known.candidate(prompt, now)
+		candidate.Closed = s.isClosed(known, now)
 		candidate.IsConnected = connected[known.Life()]
 		candidates = append(candidates, candidate)
 	}
@@ -332,7 +346,7 @@
 		waiting = k.report.Waiting
 	}
 	return routing.Candidate{
-		ID: k.ID, Born: k.Born, Zone: k.Zone, Slots: k.Slots, Draining: k.Draining,
+		ID: k.ID, Born: k.Born, Zone: k.Zone, Slots: k.Slots,
 		Online: online, Batch: batch, OwnBatch: k.batch, Waiting: waiting, ReportAge: now.Sub(k.reportedAt),
 		PendingTokens: pending, UncachedTokens: k.prompts.uncached(prompt, now),
 		Ejected: now.Before(k.ejectedUntil),
--- /dev/null
+++ b/internal/backend/closed.go
@@ -0,0 +1,119 @@
+package backend
+
+import (
+	"maps"
+	"time"
+
+	"topazpulley/internal/warmup"
+)
+
+// Pacer returns how many requests this daemon may send in a turn to a cold back end that
+// bears so many a second.
+type Pacer func(life Life, perSecond float64, turn warmup.Turn) int
+
+// closing is what keeps new work from back ends that discovery lists as usable: orders of
+// the operator for their zones, and the little that cold ones bear. Set.mutex guards it.
+type closing struct {
+	// evacuated are the zones whose back ends get nothing new, and reopened is when
+	// others were given back. Their back ends may be cold, and entries that say so come
+	// by another way than the order.
+	evacuated map[string]bool
+	reopened  map[string]time.Time
+	// coldRates are the requests a second that a cold back end bears, by service; none
+	// means any number.
+	coldRates func(service string) float64
+	pacer     Pacer
+}
+
+// reopenedTime is how long back ends of a zone that was given back count as cold whatever
+// is known of them: the entry of one that has turned cold is listed within a second.
+const reopenedTime = time.Second
+
+func newClosing() closing {
+	return closing{
+		evacuated: map[string]bool{}, reopened: map[string]time.Time{},
+		coldRates: func(string) float64 { return 0 },
+		pacer:     func(Life, float64, warmup.Turn) int { return 1 },
+	}
+}
+
+// seatsTaken counts the requests that this daemon sent to a cold back end in a turn.
+type seatsTaken struct {
+	turn  warmup.Turn
+	seats int
+	taken int
+}
+
+// SetEvacuated replaces the zones whose back ends get no new work, and reports which zones
+// are evacuated now that were not before, and which were given back.
+func (s *Set) SetEvacuated(zones map[string]bool, now time.Time) (evacuated, reopened []string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for zone := range zones {
+		if !s.closing.evacuated[zone] {
+			evacuated = append(evacuated, zone)
+		}
+		delete(s.closing.reopened, zone)
+	}
+	for zone := range s.closing.evacuated {
+		if !zones[zone] {
+			reopened = append(reopened, zone)
+			s.closing.reopened[zone] = now
+		}
+	}
+	s.closing.evacuated = maps.Clone(zones)
+	return evacuated, reopened
+}
+
+// SetPace sets how many requests a second cold back ends of a service bear, 0 for any
+// number, and this daemon's part of them. It must be called before the set is used.
+func (s *Set) SetPace(coldRates func(service string) float64, pacer Pacer) {
+	s.closing.coldRates, s.closing.pacer = coldRates, pacer
+}
+
+// IsEvacuated reports whether a service has back ends, all of them in evacuated zones.
+func (s *Set) IsEvacuated(service string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, known := range s.byService[service] {
+		if !s.closing.evacuated[known.Zone] {
+			return false
+		}
+	}
+	return len(s.byService[service]) > 0
+}
+
+// isClosed reports whether the back end may get no new work now. mutex must be held.
+func (s *Set) isClosed(known *state, now time.Time) bool {
+	return known.Draining || s.closing.evacuated[known.Zone] || !s.hasSeat(known, now)
+}
+
+// isCold reports whether the back end bears only what its service's cold ones do.
+func (s *Set) isCold(known *state, now time.Time) bool {
+	reopened, wasEvacuated := s.closing.reopened[known.Zone]
+	return now.Before(known.coldUntil) || (wasEvacuated && now.Sub(reopened) < reopenedTime)
+}
+
+// hasSeat reports whether this daemon may send the back end one more request now. Cold
+// back ends bear few requests a second from all daemons together. mutex must be held.
+func (s *Set) hasSeat(known *state, now time.Time) bool {
+	if !s.isCold(known, now) {
+		return true
+	}
+	perSecond := s.closing.coldRates(known.Service)
+	if perSecond <= 0 {
+		return true
+	}
+	turn := warmup.TurnAt(now)
+	if known.seats.turn != turn {
+		known.seats = seatsTaken{turn: turn, seats: s.closing.pacer(known.Life(), perSecond, turn)}
+	}
+	return known.seats.taken < known.seats.seats
+}
+
+// takeSeat counts a request that is sent to the back end. mutex must be held.
+func (s *Set) takeSeat(known *state, now time.Time) {
+	if known.seats.turn == warmup.TurnAt(now) {
+		known.seats.taken++
+	}
+}
--- a/internal/backend/lease.go
+++ b/internal/backend/lease.go
@@ -20,7 +20,7 @@
 }
 
 // Acquire counts a request at the present life of a back end. It reports false when
-// the back end is gone meanwhile.
+// the back end is gone meanwhile, or gets no new work now.
 func (s *Set) Acquire(id string, class Class, prompt []routing.PromptPart) (*Lease, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -28,11 +28,12 @@
 	if !exists {
 		return nil, false
 	}
-	return s.acquire(known, class, prompt), true
+	return s.acquireOpen(known, class, prompt)
 }
 
 // AcquireLife is Acquire for a request that is bound to one life of a back end, by a
-// place that was set aside there. It reports false when that life has ended.
+// place that was set aside there. It reports false when that life has ended,
+// or gets no new work now.
 func (s *Set) AcquireLife(life Life, class Class, prompt []routing.PromptPart) (*Lease, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -40,12 +41,22 @@
 	if known == nil {
 		return nil, false
 	}
-	return s.acquire(known, class, prompt), true
+	return s.acquireOpen(known, class, prompt)
 }
 
-// acquire counts a request. mutex must be held.
-func (s *Set) acquire(known *state, class Class, prompt []routing.PromptPart) *Lease {
+// acquireOpen counts a request, unless its back end gets no new work since it was chosen.
+// mutex must be held.
+func (s *Set) acquireOpen(known *state, class Class, prompt []routing.PromptPart) (*Lease, bool) {
 	now := time.Now()
+	if s.isClosed(known, now) {
+		return nil, false
+	}
+	s.takeSeat(known, now)
+	return s.acquire(known, class, prompt, now), true
+}
+
+// acquire counts a request. mutex must be held.
+func (s *Set) acquire(known *state, class Class, prompt []routing.PromptPart, now time.Time) *Lease {
 	pending := known.prompts.uncached(prompt, now)
 	s.notePrompt(known, prompt, now)
 	known.pendingTokens += pending
--- a/internal/backend/serviceload.go
+++ b/internal/backend/serviceload.go
@@ -11,14 +11,14 @@
 	Batch    int
 }
 
-// ServiceLoad sums the load of a service, without back ends that leave or that failed
-// lately. What waits at a back end beyond its slots takes no other's room and is left out.
+// ServiceLoad sums the load of a service, without back ends that leave, whose zone is
+// evacuated or that failed lately. What waits at a back end beyond its slots takes no other's room and is left out.
 func (s *Set) ServiceLoad(service string, now time.Time) ServiceLoad {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	total := ServiceLoad{}
 	for _, known := range s.byService[service] {
-		if known.Draining || now.Before(known.ejectedUntil) {
+		if known.Draining || s.closing.evacuated[known.Zone] || now.Before(known.ejectedUntil) {
 			continue
 		}
 		online, batch, _ := known.load()
--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -13,18 +13,29 @@
 	"topazpulley/internal/telemetry"
 )
 
-// configConsumer puts configurations in force.
+// configConsumer follows what the operator writes: it puts configurations in force and
+// has orders for zones obeyed.
 type configConsumer struct {
-	ports  Ports
-	holder *route.Holder
-	log    *slog.Logger
+	ports       Ports
+	holder      *route.Holder
+	evacuations *evacuations
+	log         *slog.Logger
 }
 
 // Replace implements table.Consumer.
-func (c *configConsumer) Replace(rows []table.Row, version table.Version) { c.Change(rows, version) }
+func (c *configConsumer) Replace(rows []table.Row, version table.Version) {
+	c.evacuations.replace(rows, version)
+	c.applyNewest(rows)
+}
 
 // Change implements table.Consumer.
-func (c *configConsumer) Change(rows []table.Row, _ table.Version) {
+func (c *configConsumer) Change(rows []table.Row, version table.Version) {
+	c.evacuations.change(rows, version)
+	c.applyNewest(rows)
+}
+
+// applyNewest puts a configuration among the rows in force.
+func (c *configConsumer) applyNewest(rows []table.Row) {
 	for _, row := range rows {
 		if row.Key == c.ports.ConfigKey && !row.Deleted {
 			c.apply(row)
@@ -111,7 +122,7 @@
 	}
 	c.metrics.Listings.WithLabelValues(listing.String()).Inc()
 	c.log.Info("backend_listed", "backend", instance.ID, "born", instance.Born, "change", listing.String(), "service", instance.Service, "is_named", c.isNamed(instance.Service), "address", instance.Address, "zone", instance.Zone,
-		"slots", instance.Slots, "draining", instance.Draining, "row_version", row.Version)
+		"slots", instance.Slots, "draining", instance.Draining, "cold_ms", instance.ColdFor.Milliseconds(), "row_version", row.Version)
 }
 
 // refuse takes in an entry that names no back end to use. One that was listed under
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -29,6 +29,7 @@
 	"topazpulley/internal/silence"
 	"topazpulley/internal/table"
 	"topazpulley/internal/telemetry"
+	"topazpulley/internal/warmup"
 )
 
 // Ports are the translators to the outside and the names under which the store
@@ -38,9 +39,13 @@
 	Sender         serving.Sender
 	DecodeConfig   func(value []byte) (route.Config, error)
 	DecodeInstance func(key string, value []byte) (backend.Instance, error)
-	ConfigTable    string
-	ConfigKey      string
-	InstanceTable  string
+	// DecodeEvacuation returns the zone that a row of ConfigTable wants to be evacuated,
+	// empty if it names none, and false if the row is no such order. Nil means that there
+	// are no such orders.
+	DecodeEvacuation func(key string) (zone string, isOrder bool)
+	ConfigTable      string
+	ConfigKey        string
+	InstanceTable    string
 }
 
 const (
@@ -135,6 +140,7 @@
 	store := table.NewMonotonic(availability)
 	f.store = store
 	shareVersions(f.node, store)
+	f.Backends.SetPace(f.coldRate, coldPacer(f.node, time.Now().Add(settlingTime)))
 	accounts := quota.NewAccounts(f.store, quotaPeers{node: f.node, transport: f.transport}, metrics.Quota, log)
 	peer.Handle(f.transport, methodQuota, func(ctx context.Context, _ string, request quota.Request) (quota.Answer, error) {
 		return accounts.Serve(ctx, request)
@@ -169,7 +175,7 @@
 	f.instances = newInstanceConsumer(ports, f.Backends, metrics.Backends, log)
 	f.instances.isNamed = f.isServiceNamed
 	for _, follower := range []*table.Follower{
-		{Table: ports.ConfigTable, Consumer: &configConsumer{ports: ports, holder: f.Holder, log: log}},
+		{Table: ports.ConfigTable, Consumer: &configConsumer{ports: ports, holder: f.Holder, evacuations: newEvacuations(ports.DecodeEvacuation, f.Backends, metrics.Backends, log), log: log}},
 		{Table: ports.InstanceTable, Consumer: f.instances, Pace: rate.NewLimiter(instanceWatches, instanceBurst)},
 		{Table: quarantine.TableName, Consumer: f.Quarantine, Wait: evidenceWait},
 		claims,
@@ -193,6 +199,31 @@
 	return f
 }
 
+// coldRate is how many requests a second a cold back end of a service bears, 0 for any.
+func (f *Frontend) coldRate(service string) float64 {
+	current := f.Holder.Current()
+	if current == nil {
+		return 0
+	}
+	configured, isNamed := current.Service(service)
+	if !isNamed {
+		return 0
+	}
+	return configured.ColdRate
+}
+
+// coldPacer returns this daemon's part of what cold back ends bear. A daemon that has just
+// started may know a few of the others only, and would take their parts too; it sends
+// cold back ends nothing until it is settled.
+func coldPacer(node *cluster.Node, settledAt time.Time) backend.Pacer {
+	return func(life backend.Life, perSecond float64, turn warmup.Turn) int {
+		if time.Now().Before(settledAt) {
+			return 0
+		}
+		return warmup.Seats(node.Self().Name, node.AllNames(), life.String(), perSecond, turn)
+	}
+}
+
 // holdingBy returns by what submissions are held while the store is away; nil if none are.
 func holdingBy(process settings.Settings, availability *table.Availability) job.Availability {
 	if process.HeldSubmissionsShare <= 0 {
--- a/internal/job/pacing.go
+++ b/internal/job/pacing.go
@@ -20,7 +20,7 @@
 // roomForBatch returns how many more batch items a back end takes: every slot
 // that no other work uses, because items give way at once.
 func roomForBatch(candidate routing.Candidate) int {
-	if candidate.Ejected || candidate.Draining || candidate.Waiting > 0 {
+	if candidate.Ejected || candidate.Closed || candidate.Waiting > 0 {
 		return 0
 	}
 	return max(candidate.Slots-candidate.Online-candidate.Batch, 0)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -104,6 +104,8 @@
 	// ReservationTime is the longest time for which a back end sets a place
 	// aside; 0 means that it does not.
 	ReservationTime time.Duration
+	// ColdRate is how many requests a second a cold back end bears; 0 means any number.
+	ColdRate float64
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -22,8 +22,9 @@
 	Born  int64
 	Zone  string
 	Slots int
-	// Draining back ends are never chosen.
-	Draining bool
+	// Closed back ends get no new work and are never chosen: they leave, their zone is
+	// evacuated, or they are cold and bear no more now.
+	Closed bool
 	// Ejected back ends are chosen only when all are ejected.
 	Ejected bool
 	// Online and Batch are the requests in flight there from all daemons;
@@ -133,7 +134,7 @@
 	home := model.home(prompt, candidates)
 	for index := range candidates {
 		candidate := &candidates[index]
-		if candidate.Draining || excluded[candidate.ID] || (candidate.Ejected && !useEjected) {
+		if candidate.Closed || excluded[candidate.ID] || (candidate.Ejected && !useEjected) {
 			continue
 		}
 		cost := model.Cost(*candidate)
@@ -221,7 +222,7 @@
 	best, weight := "", uint64(0)
 	for _, candidate := range candidates {
 		hash := xxhash.Sum64String(prompt[0].ID + "\x00" + candidate.ID)
-		if !candidate.Draining && (best == "" || hash > weight) {
+		if !candidate.Closed && (best == "" || hash > weight) {
 			best, weight = candidate.ID, hash
 		}
 	}
--- a/internal/routing/cost_test.go
+++ b/internal/routing/cost_test.go
@@ -15,7 +15,7 @@
 	candidates := []routing.Candidate{}
 	for index := range rapid.IntRange(1, 8).Draw(t, "count") {
 		candidates = append(candidates, routing.Candidate{
-			ID: fmt.Sprintf("b%d", index), Slots: 4, Draining: rapid.Bool().Draw(t, "draining"), Ejected: rapid.Bool().Draw(t, "ejected"),
+			ID: fmt.Sprintf("b%d", index), Slots: 4, Closed: rapid.Bool().Draw(t, "draining"), Ejected: rapid.Bool().Draw(t, "ejected"),
 			Online: rapid.IntRange(0, 8).Draw(t, "online"), PendingTokens: rapid.IntRange(0, 50000).Draw(t, "pending"),
 			UncachedTokens: rapid.IntRange(0, 20000).Draw(t, "uncached"),
 		})
@@ -34,7 +34,7 @@
 		}
 		possible, sound := 0, 0
 		for _, candidate := range candidates {
-			if !candidate.Draining && !excluded[candidate.ID] {
+			if !candidate.Closed && !excluded[candidate.ID] {
 				possible++
 				if !candidate.Ejected {
 					sound++
@@ -47,7 +47,7 @@
 		if !found {
 			return
 		}
-		require.False(t, chosen.Draining)
+		require.False(t, chosen.Closed)
 		require.False(t, excluded[chosen.ID])
 		require.False(t, chosen.Ejected && sound > 0)
 	})
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -146,6 +146,9 @@
 // awaitRoom waits a moment for back ends when none can be chosen and reports
 // whether trying again makes sense.
 func (e *exchange) awaitRoom(ctx context.Context) bool {
+	if !e.begun && e.core.Backends.IsEvacuated(e.request.Service) {
+		return false // the operator's order stands for longer than a caller waits
+	}
 	patience := e.request.Arrived.Add(e.request.Route.Objective)
 	if len(e.excluded) == 0 {
 		// No back end is known at all: a caller that comes back soon does
--- a/internal/serving/silence.go
+++ b/internal/serving/silence.go
@@ -75,7 +75,7 @@
 	hasOther := false
 	for index := range candidates {
 		each := &candidates[index]
-		isUsable := !each.Draining && !each.Ejected && !e.excluded[each.ID]
+		isUsable := !each.Closed && !each.Ejected && !e.excluded[each.ID]
 		hasOther = hasOther || (isUsable && each.Zone != zone)
 	}
 	if !hasOther {
--- a/internal/telemetry/backends.go
+++ b/internal/telemetry/backends.go
@@ -11,6 +11,8 @@
 	Unreadable *prometheus.CounterVec
 	// ReportFaults counts load reports of which a part or all was refused, by kind.
 	ReportFaults *prometheus.CounterVec
+	// Evacuated is 1 for each zone whose back ends get no new work.
+	Evacuated *prometheus.GaugeVec
 }
 
 // NewBackends registers the metrics of what back ends say of themselves.
@@ -22,7 +24,10 @@
 		Listings:     counter("backend_listings_total", "Entries of back ends, by what they changed.", "change"),
 		Unreadable:   counter("backend_unreadable_total", "Entries that name no back end to use.", "kind"),
 		ReportFaults: counter("backend_report_faults_total", "Load reports that were refused in part or whole.", "kind"),
+		Evacuated: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "zone_evacuated", Help: "Zones whose back ends get no new work.",
+		}, []string{"zone"}),
 	}
-	registry.MustRegister(made.Listings, made.Unreadable, made.ReportFaults)
+	registry.MustRegister(made.Listings, made.Unreadable, made.ReportFaults, made.Evacuated)
 	return made
 }
--- /dev/null
+++ b/test/mutants.d/zones.sh
@@ -0,0 +1,20 @@
+# Mechanisms of evacuated zones and of cold back ends.
+mutant evacuation_ignored_at_the_send internal/backend/closed.go \
+	'return known.Draining || s.closing.evacuated[known.Zone] ||' 'return known.Draining ||' internal/backend TestEvacuatedZoneGetsNothingNew
+mutant evacuated_places_used internal/backend/lease.go \
+	'if s.isClosed(known, now) {' 'if false {' internal/backend TestEvacuatedZoneGetsNothingNew
+mutant order_outlives_its_row internal/frontend/evacuation.go \
+	'e.ordered = map[string]string{}
+	e.change' 'e.change' internal/frontend TestOrdersForZones
+mutant order_forgotten_at_a_start internal/frontend/consumers.go \
+	'c.evacuations.replace(rows, version)' '_ = version' internal/frontend TestOrdersForZones
+mutant cold_entries_ignored internal/backend/backend.go \
+	'k.coldUntil = now.Add(k.ColdFor)' '_ = now' internal/backend TestColdBackEndGetsItsSeats
+mutant seats_not_counted internal/backend/closed.go \
+	'known.seats.taken++' '_ = known' internal/backend TestColdBackEndGetsItsSeats
+mutant reopened_zone_is_warm internal/backend/closed.go \
+	's.closing.reopened[zone] = now' '_ = now' internal/backend TestReopenedZoneIsTakenForCold
+mutant pace_by_daemon internal/warmup/warmup.go \
+	'if duty.Owner(key, daemons) == daemon {' 'if key != "" {' internal/warmup TestColdBackEndsStayWithinWhatTheyBear
+mutant both_sides_of_a_cut_take_all internal/warmup/warmup.go \
+	'safeShare = 0.6' 'safeShare = 1.0' internal/warmup TestColdBackEndsStayWithinWhatTheyBear
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -184,7 +184,7 @@
 mutant no_crowded_signal internal/backend/lease.go \
 	'if isCrowded && known.batch > 0 {' 'if false {' internal/backend TestOwnerHearsAtOnceOfWaitingOnlineRequests
 mutant items_queue internal/job/pacing.go \
-	'candidate.Draining || candidate.Waiting > 0' 'candidate.Draining' internal/job TestItemsEnterNoFullService
+	'candidate.Closed || candidate.Waiting > 0' 'candidate.Closed' internal/job TestItemsEnterNoFullService
 mutant no_pace internal/table/follower.go \
 	'return errors.WithStack(f.Pace.Wait(ctx))' 'return nil' internal/table TestPacedFollowerAsksLessOftenAndMissesNothing
 mutant no_forwarding internal/table/forwarding.go \
