--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -99,6 +99,7 @@
 		case <-ctx.Done():
 			return
 		case events := <-n.events:
+			n.logMembers(events)
 			for _, event := range events {
 				n.dispatchOne(ctx, event)
 			}
@@ -107,17 +108,40 @@
 }
 
 func (n *Node) dispatchOne(ctx context.Context, event membership.Event) {
-	switch event.Kind {
-	case membership.EventSync:
+	if event.Kind == membership.EventSync {
 		go n.sync(ctx, event.Address)
-	case membership.EventMember:
-		n.log.Info("member_changed", "member", event.Member.Name, "zone", event.Member.Zone, "state", event.Member.State.String(), "incarnation", event.Member.Incarnation)
 	}
 	for _, subscriber := range n.subscribers {
 		subscriber(event)
 	}
 }
 
+// memberLines is how many members of one exchange have a line each. Of more, as at the start
+// of a large fleet, one line tells the numbers.
+const memberLines = 16
+
+// logMembers logs what changed about members.
+func (n *Node) logMembers(events []membership.Event) {
+	changed := []membership.Member{}
+	for _, event := range events {
+		if event.Kind == membership.EventMember {
+			changed = append(changed, event.Member)
+		}
+	}
+	if len(changed) <= memberLines {
+		for _, member := range changed {
+			n.log.Info("member_changed", "member", member.Name, "zone", member.Zone, "state", member.State.String(), "incarnation", member.Incarnation)
+		}
+		return
+	}
+	count := map[membership.State]int{}
+	for _, member := range changed {
+		count[member.State]++
+	}
+	n.log.Info("members_changed", "count", len(changed), "alive", count[membership.StateAlive], "suspect", count[membership.StateSuspect],
+		"dead", count[membership.StateDead], "left", count[membership.StateLeft], "members", n.Count())
+}
+
 func (n *Node) sync(ctx context.Context, address string) {
 	bounded, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
@@ -209,6 +233,13 @@
 	return n.core.Members()
 }
 
+// Generation rises with each change of the members. It is never 0.
+func (n *Node) Generation() uint64 {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.core.Generation()
+}
+
 // Count returns how many members are live, this daemon included.
 func (n *Node) Count() int {
 	n.mutex.Lock()
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -31,6 +31,8 @@
 	// when liveStale is set.
 	live, zoneLive, otherLive []Member
 	liveStale                 bool
+	// generation rises with each change of a member.
+	generation uint64
 
 	ring       []string
 	ringIndex  int
@@ -168,6 +170,9 @@
 	}
 }
 
+// Generation rises with each change of a member. It is never 0.
+func (c *Core) Generation() uint64 { return c.generation }
+
 // Member returns what is known of a name.
 func (c *Core) Member(name string) (Member, bool) {
 	member, known := c.members[name]
@@ -190,6 +195,7 @@
 	c.members[member.Name] = member
 	c.changedAt[member.Name] = now
 	c.liveStale = true
+	c.generation++
 	if member.Live() {
 		c.digest ^= hashMember(member)
 		c.countLive(member, 1)
@@ -205,13 +211,20 @@
 
 // apply merges an update and passes it on if it was news.
 func (c *Core) apply(update Member, now time.Time) {
+	if c.merge(update, now) {
+		c.enqueueMember(update)
+	}
+}
+
+// merge takes an update over and reports whether it was news.
+func (c *Core) merge(update Member, now time.Time) bool {
 	if update.Name == c.self.Name {
 		c.refute(update, now)
-		return
+		return false
 	}
 	known, exists := c.members[update.Name]
 	if exists && !update.supersedes(known) {
-		return
+		return false
 	}
 	c.setMember(update, now)
 	delete(c.suspectEnd, update.Name)
@@ -221,10 +234,10 @@
 	if update.State == StateSuspect {
 		c.suspectEnd[update.Name] = now.Add(c.suspicionTimeout())
 	}
-	c.enqueueMember(update)
 	if !exists || known.State != update.State || known.Incarnation != update.Incarnation {
 		c.events = append(c.events, Event{Kind: EventMember, Member: update})
 	}
+	return true
 }
 
 // refute answers a claim about this member that is not true any more.
@@ -292,6 +305,7 @@
 			delete(c.members, name)
 			delete(c.changedAt, name)
 			c.liveStale = true
+			c.generation++
 		}
 	}
 	c.expireItems(now)
--- a/internal/membership/simulation/convergence_test.go
+++ b/internal/membership/simulation/convergence_test.go
@@ -28,6 +28,33 @@
 	require.LessOrEqual(t, took, 4*time.Second)
 }
 
+// TestLargeFleetThatStartsAtOnce, with the same three seeds for all: what its daemons learn
+// in bulk they do not pass on by gossip, which is free for news then.
+func TestLargeFleetThatStartsAtOnce(t *testing.T) {
+	fleet := Topology{Daemons: 300, Zones: 5, Regions: 1}
+	network := NewNetwork(fleet, membership.DefaultConfig(500*time.Millisecond), 11)
+	for _, daemon := range network.daemons {
+		daemon.core.SetSeeds([]string{address(0), address(1), address(2)})
+	}
+	took, ok := network.RunUntil(time.Minute, 100*time.Millisecond, func() bool { return network.everyoneKnows(fleet.Daemons) })
+	require.True(t, ok)
+	require.LessOrEqual(t, took, 4*time.Second)
+	require.LessOrEqual(t, network.exchanged, 4*fleet.Daemons*fleet.Daemons, "each member is carried to each daemon some times at most")
+
+	const span = 5 * time.Second
+	network.Run(span) // what was heard by gossip is passed on
+	before := network.bytesSent()
+	network.Run(span)
+	perSecond := float64(network.bytesSent()-before) / span.Seconds() / float64(fleet.Daemons)
+	require.Less(t, perSecond, 1000.0, "probes are left, with next to no gossip")
+
+	network.add(fleet.Daemons)
+	network.daemons[fleet.Daemons].core.SetSeeds([]string{address(0)})
+	took, ok = network.RunUntil(time.Minute, 100*time.Millisecond, func() bool { return network.everyoneKnows(fleet.Daemons + 1) })
+	require.True(t, ok)
+	require.LessOrEqual(t, took, 8*time.Second)
+}
+
 func TestGroupsThatNeverMetFindTogether(t *testing.T) {
 	network := NewNetwork(small, membership.DefaultConfig(time.Second), 7)
 	network.cut = func(from, to *simulated) bool { return from.index%2 != to.index%2 }
--- a/internal/membership/simulation/network_test.go
+++ b/internal/membership/simulation/network_test.go
@@ -93,6 +93,9 @@
 	cut func(from, to *simulated) bool
 	// loss is the share of datagrams lost at random.
 	loss float64
+	// exchanged counts the members that full exchanges carried, between zones those of
+	// exchanges across them.
+	exchanged, exchangedBetweenZones int
 }
 
 // NewNetwork starts a fleet whose members know the first ones as seeds.
@@ -265,6 +268,11 @@
 	answer := to.core.AnswerSync(request)
 	push := from.core.FinishSync(answer, n.now)
 	to.core.AcceptPush(push, n.now)
+	carried := len(answer.Members) + len(push.Members)
+	n.exchanged += carried
+	if from.zone != to.zone {
+		n.exchangedBetweenZones += carried
+	}
 }
 
 func (n *Network) fetch(daemon, from *simulated) {
--- a/internal/membership/simulation/observe_test.go
+++ b/internal/membership/simulation/observe_test.go
@@ -49,3 +49,12 @@
 	}
 	return total
 }
+
+// bytesSent counts what the daemons' present lives have sent.
+func (n *Network) bytesSent() uint64 {
+	total := uint64(0)
+	for _, daemon := range n.daemons {
+		total += daemon.core.Statistics().BytesSent
+	}
+	return total
+}
