--- a/internal/exchange/audience.go
+++ b/internal/exchange/audience.go
@@ -5,13 +5,10 @@
 
 	"topazpulley/internal/duty"
 	"topazpulley/internal/membership"
+	"topazpulley/internal/neighborhood"
 )
 
 const (
-	// WholeFleet is the largest fleet in which every daemon tells all others, and
-	// does for itself what a few daemons of a zone do for the others in a larger
-	// one. At 40 daemons a daemon reads 100 messages a second.
-	WholeFleet = 40
 	// relaysPerZone is how many daemons of a zone gather its loads: when one is
 	// lost, the other's sums still come.
 	relaysPerZone = 2
@@ -37,7 +34,12 @@
 // audienceOf works out whom a daemon tells from the members that it knows.
 // Daemons that see different members disagree for a moment, which costs news
 // and no more.
-func audienceOf(self membership.Member, members []membership.Member, directLimit int) audience {
+// One that knows a section of the back ends tells those that share some with it; what
+// happens elsewhere does not concern it.
+func audienceOf(self membership.Member, members []membership.Member, directLimit int, section section) audience {
+	if section.isPart && len(members) > directLimit {
+		return audience{members: neighborhood.Neighbors(self.Name, section.width, namesOf(members))}
+	}
 	names := map[string][]string{}
 	for _, member := range members {
 		names[member.Zone] = append(names[member.Zone], member.Name)
@@ -75,6 +77,20 @@
 	return found
 }
 
+// section is how much of the ring of back ends a daemon knows.
+type section struct {
+	width  float64
+	isPart bool
+}
+
+func namesOf(members []membership.Member) []string {
+	names := make([]string, 0, len(members))
+	for _, member := range members {
+		names = append(names, member.Name)
+	}
+	return names
+}
+
 // isRelay reports whether this daemon gathers the loads of its zone.
 func (a audience) isRelay(self string) bool { return slices.Contains(a.relays, self) }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"topazpulley/internal/backend"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/membership"
+	"topazpulley/internal/neighborhood"
 	"topazpulley/internal/periodic"
 )
 
@@ -60,6 +61,9 @@
 	self     membership.Member
 	// directLimit is the largest fleet in which all are told directly.
 	directLimit int
+	// Section returns how much of the ring of back ends this daemon knows, and whether
+	// that is not all. It is set before Run.
+	Section func() (width float64, isPart bool)
 
 	last     loads
 	sentAt   time.Time
@@ -72,11 +76,20 @@
 	random     *rand.Rand
 	audience   audience
 	audienceAt time.Time
+	// audienceOf is the membership, by its generation, and the section that the audience
+	// was worked out from.
+	audienceOf audienceBasis
+}
+
+// audienceBasis is what an audience depends on.
+type audienceBasis struct {
+	generation uint64
+	section    section
 }
 
 // New returns an exchange. It subscribes to the node, which must not run yet.
 func New(node *cluster.Node, backends *backend.Set, log *slog.Logger) *Exchange {
-	made := &Exchange{node: node, backends: backends, log: log, self: node.Self(), directLimit: WholeFleet, heard: map[string]time.Time{}, relay: newRelay(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	made := &Exchange{node: node, backends: backends, log: log, self: node.Self(), directLimit: neighborhood.WholeFleet, Section: func() (float64, bool) { return 1, false }, heard: map[string]time.Time{}, relay: newRelay(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	node.Subscribe(made.receive)
 	return made
 }
@@ -115,15 +128,20 @@
 func (e *Exchange) currentAudience(now time.Time) audience {
 	e.mutex.Lock()
 	isFresh := now.Sub(e.audienceAt) < audienceAge
-	known := e.audience
+	known, of := e.audience, e.audienceOf
 	e.mutex.Unlock()
 	if isFresh {
 		return known
 	}
-	found := audienceOf(e.self, e.node.Members(), e.directLimit)
+	basis := audienceBasis{generation: e.node.Generation()}
+	basis.section.width, basis.section.isPart = e.Section()
+	if basis == of {
+		return known
+	}
+	found := audienceOf(e.self, e.node.Members(), e.directLimit, basis.section)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.audience, e.audienceAt = found, now
+	e.audience, e.audienceAt, e.audienceOf = found, now, basis
 	e.backends.SetPropagation(found.propagation())
 	return found
 }
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -100,7 +100,7 @@
 	Pending int    `avro:"pending"`
 }
 
-var loadSchema = avro.MustParse(`{"type":"record","name":"load","fields":[{"name":"backends","type":{"type":"array","items":{
+var loadSchema = avrocodec.MustParse(`{"type":"record","name":"load","fields":[{"name":"backends","type":{"type":"array","items":{
 	"type":"record","name":"backend","fields":[{"name":"id","type":"string"},{"name":"born","type":"long"},{"name":"online","type":"int"},
 	{"name":"batch","type":"int"},{"name":"pending","type":"int"}]}}},
 	{"name":"reads","type":{"type":"array","items":{"type":"record","name":"read","fields":[
--- a/internal/exchange/relay_test.go
+++ b/internal/exchange/relay_test.go
@@ -10,6 +10,7 @@
 
 	"topazpulley/internal/backend"
 	"topazpulley/internal/membership"
+	"topazpulley/internal/neighborhood"
 )
 
 func work(online int) loads {
@@ -96,10 +97,10 @@
 // TestEveryZoneHasRelaysThatAllAgreeOn, that reach every daemon of their zone,
 // and the relays of each other zone.
 func TestEveryZoneHasRelaysThatAllAgreeOn(t *testing.T) {
-	members := fleet(WholeFleet + 5)
+	members := fleet(neighborhood.WholeFleet + 5)
 	relays := map[string][]string{}
 	for _, self := range members {
-		found := audienceOf(self, members, WholeFleet)
+		found := audienceOf(self, members, neighborhood.WholeFleet, section{})
 		require.True(t, found.isRelayed)
 		require.Empty(t, found.members)
 		require.Len(t, found.relays, relaysPerZone)
@@ -109,7 +110,7 @@
 		require.Equal(t, relays[self.Zone], found.relays)
 	}
 	for _, self := range members {
-		found := audienceOf(self, members, WholeFleet)
+		found := audienceOf(self, members, neighborhood.WholeFleet, section{})
 		if !found.isRelay(self.Name) {
 			require.Empty(t, found.zone)
 			require.Empty(t, found.zoneRelays)
@@ -125,10 +126,10 @@
 
 // TestSmallFleetsTellAllDirectly.
 func TestSmallFleetsTellAllDirectly(t *testing.T) {
-	members := fleet(WholeFleet)
-	found := audienceOf(members[0], members, WholeFleet)
+	members := fleet(neighborhood.WholeFleet)
+	found := audienceOf(members[0], members, neighborhood.WholeFleet, section{})
 	require.False(t, found.isRelayed)
-	require.Len(t, found.members, WholeFleet-1)
+	require.Len(t, found.members, neighborhood.WholeFleet-1)
 }
 
 // TestLoadsSurviveTheWire.
@@ -145,3 +146,19 @@
 	_, _, err = decode([]byte{1, 2, 3})
 	require.Error(t, err)
 }
+
+// TestLargeFleetsTellNeighbors: daemons that know a section of the back ends tell those that
+// share some with them, however large the fleet, and use no relays.
+func TestLargeFleetsTellNeighbors(t *testing.T) {
+	for _, size := range []int{300, 900} {
+		members := fleet(size)
+		found := audienceOf(members[0], members, neighborhood.WholeFleet, section{width: 6 / float64(size), isPart: true})
+		require.False(t, found.isRelayed)
+		require.Empty(t, found.relays)
+		require.NotEmpty(t, found.members)
+		require.Less(t, len(found.members), neighborhood.WholeFleet)
+	}
+	small := fleet(10)
+	found := audienceOf(small[0], small, neighborhood.WholeFleet, section{width: 0.001, isPart: true})
+	require.Len(t, found.members, 9, "a small fleet tells all")
+}
--- a/internal/frontend/calm_test.go
+++ b/internal/frontend/calm_test.go
@@ -42,7 +42,7 @@
 // servingOthers is the view of a daemon that follows the store for others.
 type servingOthers struct{}
 
-func (servingOthers) Changes(context.Context, string, table.Version, time.Duration) (table.RelayedChanges, bool, error) {
+func (servingOthers) Changes(context.Context, string, table.Section, table.Version, time.Duration) (table.RelayedChanges, bool, error) {
 	return table.RelayedChanges{}, false, nil
 }
 func (servingOthers) Serves() bool { return true }
@@ -50,7 +50,7 @@
 // following is the view of a daemon behind an upstream, without the network.
 type following struct{ upstream *upstream }
 
-func (f following) Changes(ctx context.Context, name string, after table.Version, wait time.Duration) (table.RelayedChanges, bool, error) {
+func (f following) Changes(ctx context.Context, name string, _ table.Section, after table.Version, wait time.Duration) (table.RelayedChanges, bool, error) {
 	answer, err := f.upstream.serve(ctx, "", followRequest{Table: name, After: int64(after), WaitMilliseconds: wait.Milliseconds()})
 	return table.RelayedChanges{
 		Changes: table.Changes{Rows: tableRows(answer.Rows), Version: table.Version(answer.Version)},
--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -116,11 +116,15 @@
 		c.refuse(row, err)
 		return
 	}
+	before, wasListed := c.backends.Get(row.Key)
 	listing := c.backends.Put(instance)
 	if listing != backend.ListingLate {
 		c.found(row.Key)
 	}
 	c.metrics.Listings.WithLabelValues(listing.String()).Inc()
+	if wasListed && before == instance {
+		return // it was read again
+	}
 	c.log.Info("backend_listed", "backend", instance.ID, "born", instance.Born, "change", listing.String(), "service", instance.Service, "is_named", c.isNamed(instance.Service), "address", instance.Address, "zone", instance.Zone,
 		"slots", instance.Slots, "draining", instance.Draining, "cold_ms", instance.ColdFor.Milliseconds(), "row_version", row.Version)
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -19,6 +19,7 @@
 	"topazpulley/internal/holding"
 	"topazpulley/internal/job"
 	"topazpulley/internal/membership"
+	"topazpulley/internal/neighborhood"
 	"topazpulley/internal/peer"
 	"topazpulley/internal/quarantine"
 	"topazpulley/internal/quota"
@@ -106,6 +107,10 @@
 	ClaimsAge func() time.Duration
 
 	recorder *quarantine.Recorder
+	// section is the part of the back ends that is known, and its width on the ring.
+	section func() (section table.Section, width float64, isKnown bool)
+	// followed tells whether this daemon is an upstream.
+	followed *upstream
 }
 
 // Metrics are those of the parts of a daemon.
@@ -148,7 +153,7 @@
 	listenForPressure(f.node, accounts)
 	f.addQuarantine(metrics.Quarantine)
 	sender := serving.NewGuardedSender(ports.Sender, f.Quarantine, f.Backends, log)
-	f.Core = serving.NewCore(f.Backends, sender, f.Holder, metrics.Serving, log, f.Members)
+	f.Core = serving.NewCore(f.Backends, sender, f.Holder, metrics.Serving, log, f.sharingDaemons)
 	f.Core.Wakeups = boottime.NewWakeups(nil, log)
 	f.Core.Zone = process.Zone
 	f.Core.Patience = silence.NewBook(silence.Mode(process.SilencePatience))
@@ -161,6 +166,7 @@
 		f.Backends.SetConnected(connector.Connected)
 	}
 	claims := newClaimFollower()
+	claims.Deferred = f.defersClaims(time.Now())
 	f.ClaimsAge = claims.Age
 	f.Jobs = job.NewService(job.Dependencies{
 		Availability: holdingBy(process, availability), Holding: holding.LimitsOf(process.MemoryMegabytes, process.HeldSubmissionsShare),
@@ -172,25 +178,26 @@
 	listenForEnds(f.transport, f.Jobs)
 	source := newPeerSource(f.node, f.transport)
 	followed := newUpstream(f.node, f.transport)
+	f.followed = followed
 	f.instances = newInstanceConsumer(ports, f.Backends, metrics.Backends, log)
 	f.instances.isNamed = f.isServiceNamed
 	for _, follower := range []*table.Follower{
 		{Table: ports.ConfigTable, Consumer: &configConsumer{ports: ports, holder: f.Holder, evacuations: newEvacuations(ports.DecodeEvacuation, f.Backends, metrics.Backends, log), log: log}},
-		{Table: ports.InstanceTable, Consumer: f.instances, Pace: rate.NewLimiter(instanceWatches, instanceBurst)},
+		{Table: ports.InstanceTable, Consumer: f.instances, Pace: rate.NewLimiter(instanceWatches, instanceBurst), Plan: newSectionPlan(process.Name, ports, f.Holder, f.Backends, log)},
 		{Table: quarantine.TableName, Consumer: f.Quarantine, Wait: evidenceWait},
 		claims,
 	} {
 		replica := &table.Replica{Consumer: follower.Consumer}
 		source.offer(follower.Table, followedCopy{follower: follower, replica: replica})
 		followed.offer(follower.Table, followedCopy{follower: follower, replica: replica})
-		follower.Store, follower.Consumer, follower.Logger = f.store, replica, log
+		follower.Store, follower.Consumer, follower.Part, follower.Logger = f.store, replica, replica, log
 		if follower.Wait == 0 {
 			follower.Wait = watchWait
 		}
 		follower.Peers, follower.Upstream = source, followed
 		f.followers = append(f.followers, follower)
 		if follower.Table == ports.InstanceTable {
-			f.instances.isSettled = follower.IsSettled
+			f.instances.isSettled, f.section = follower.IsSettled, follower.Section
 		}
 		if follower.Table == ports.ConfigTable {
 			f.Gate = &access.Gate{RevocationBound: time.Duration(process.RevocationBound), ConfirmedAt: follower.ConfirmedAt}
@@ -274,6 +281,35 @@
 // Members returns how many daemons are alive as this one sees them.
 func (f *Frontend) Members() int { return f.node.Count() }
 
+// sectionWidth returns the part of the ring of back ends that this daemon knows, and
+// whether it is not the whole.
+func (f *Frontend) sectionWidth() (width float64, isPart bool) {
+	section, width, _ := f.section()
+	return width, section.IsPart
+}
+
+// sharingDaemons returns how many daemons send to the same back ends as this one, at most.
+func (f *Frontend) sharingDaemons() int {
+	width, isPart := f.sectionWidth()
+	if !isPart {
+		return f.Members()
+	}
+	return neighborhood.Sharing(width, f.Members())
+}
+
+// claimsDeferral is how long a daemon of a large fleet that starts waits for an upstream
+// before it reads the claims of all jobs itself, a call a partition.
+const claimsDeferral = 4 * time.Second
+
+// defersClaims returns whether the first read of the claims waits for an upstream. How
+// large the fleet is shows in the table of back ends.
+func (f *Frontend) defersClaims(started time.Time) func() bool {
+	return func() bool {
+		section, _, isKnown := f.section()
+		return time.Since(started) < claimsDeferral && (!isKnown || section.IsPart) && !f.followed.Serves()
+	}
+}
+
 // Start starts all duties; they end with the context.
 func (f *Frontend) Start(ctx context.Context) error {
 	if err := f.transport.Start(); err != nil {
@@ -281,11 +317,13 @@
 	}
 	f.node.SetSeeds(f.settings.Seeds)
 	loads := exchange.New(f.node, f.Backends, f.log)
+	loads.Section = f.sectionWidth
 	go f.node.Run(ctx)
 	go loads.Run(ctx)
 	go f.Jobs.Run(ctx)
 	go f.Core.Wakeups.Run(ctx)
 	go f.keepFound(ctx)
+	go f.register(ctx)
 	go f.forwarding.Run(ctx)
 	go f.instances.settleAll(ctx)
 	go f.recorder.Run(ctx)
--- a/internal/frontend/jobends.go
+++ b/internal/frontend/jobends.go
@@ -6,6 +6,7 @@
 
 	"github.com/hamba/avro/v2"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/job"
 	"topazpulley/internal/peer"
 	"topazpulley/internal/table"
@@ -42,9 +43,9 @@
 type jobEndedAnswer struct{}
 
 var (
-	jobEndedSchema       = avro.MustParse(`{"type":"record","name":"job_ended","fields":[{"name":"job","type":"string"},{"name":"version","type":"long"}]}`)
-	jobEndWantedSchema   = avro.MustParse(`{"type":"record","name":"job_end_wanted","fields":[{"name":"job","type":"string"},{"name":"tenant","type":"string"},{"name":"remaining_ms","type":"long"}]}`)
-	jobEndedAnswerSchema = avro.MustParse(`{"type":"record","name":"job_ended_answer","fields":[]}`)
+	jobEndedSchema       = avrocodec.MustParse(`{"type":"record","name":"job_ended","fields":[{"name":"job","type":"string"},{"name":"version","type":"long"}]}`)
+	jobEndWantedSchema   = avrocodec.MustParse(`{"type":"record","name":"job_end_wanted","fields":[{"name":"job","type":"string"},{"name":"tenant","type":"string"},{"name":"remaining_ms","type":"long"}]}`)
+	jobEndedAnswerSchema = avrocodec.MustParse(`{"type":"record","name":"job_ended_answer","fields":[]}`)
 )
 
 // Schema implements peer.Message.
--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -63,25 +63,32 @@
 
 const (
 	memberTimeout = time.Second
-	memberRows    = 500
+	// memberRows is how many addresses a daemon that is alone reads at a time: its own
+	// name's followers in the order of names, so that daemons which start at once do not
+	// all turn to the same few.
+	memberRows = 100
+	// longestRegisterPause bounds the mean pause between two tries to write the own
+	// address, which doubles: the store takes the writes of a fleet one after the other.
+	longestRegisterPause = 4 * time.Second
 )
 
-// keepFound writes this daemon's address to the store and looks there for
-// others while it may be alone.
+// keepFound looks in the store for other daemons while this one may be alone.
 func (f *Frontend) keepFound(ctx context.Context) {
-	isWritten := false
-	for ctx.Err() == nil {
-		isFound := f.Members() > 1
-		if !isFound {
-			// Reading comes first: the writes of a fleet that starts at once wait
-			// for each other.
-			f.readAddresses(ctx)
-		}
-		isWritten = isWritten || f.writeAddress(ctx)
-		if isWritten && isFound {
+	for f.Members() <= 1 {
+		// Reading comes first: the writes of a fleet that starts at once wait
+		// for each other.
+		f.readAddresses(ctx)
+		if !periodic.Sleep(ctx, rejoinPause) {
 			return
 		}
-		periodic.Sleep(ctx, rejoinPause)
+	}
+}
+
+// register writes this daemon's address to the store.
+func (f *Frontend) register(ctx context.Context) {
+	pause := rejoinPause
+	for !f.writeAddress(ctx) && periodic.SleepAbout(ctx, pause) {
+		pause = min(2*pause, longestRegisterPause)
 	}
 }
 
@@ -99,22 +106,53 @@
 	return err == nil
 }
 
-// readAddresses adds the addresses that other daemons left to the seeds.
+// readAddresses adds addresses that other daemons left to the seeds. Those of a large
+// fleet are read as a whole only where limits of tenants are kept among all of them.
 func (f *Frontend) readAddresses(ctx context.Context) {
-	bounded, cancel := context.WithTimeout(ctx, memberTimeout)
-	defer cancel()
-	page, err := f.store.Read(bounded, table.Range{Table: tableMembers, Limit: memberRows})
+	rows, isWhole, err := f.addresses(ctx)
 	if err != nil {
+		f.log.Info("addresses_not_read", "error", err)
 		return
 	}
 	seeds := append([]string(nil), f.settings.Seeds...)
 	registered := []ratelimit.Daemon{}
-	for _, row := range page.Rows {
+	for _, row := range rows {
 		if row.Key != f.settings.Name {
 			seeds = append(seeds, string(row.Value))
 			registered = append(registered, ratelimit.Daemon{Name: row.Key, Address: string(row.Value)})
 		}
 	}
 	f.node.SetSeeds(seeds)
-	f.limitFleet.SetRegistered(registered)
+	if isWhole {
+		f.limitFleet.SetRegistered(registered)
+	}
+}
+
+// addresses reads those behind the own name, then those before it, and reports whether
+// that was all.
+func (f *Frontend) addresses(ctx context.Context) (rows []table.Row, isWhole bool, err error) {
+	for _, part := range []table.Range{{From: f.settings.Name}, {Before: f.settings.Name}} {
+		for more := true; more; {
+			part.Table, part.Limit = tableMembers, memberRows
+			page, err := f.readOnce(ctx, part)
+			if err != nil {
+				return nil, false, err
+			}
+			rows = append(rows, page.Rows...)
+			more = page.More && len(page.Rows) > 0
+			if more && !f.hasTenants() {
+				return rows, false, nil
+			}
+			if more {
+				part.From = page.Rows[len(page.Rows)-1].Key + "\x00"
+			}
+		}
+	}
+	return rows, true, nil
+}
+
+func (f *Frontend) readOnce(ctx context.Context, wanted table.Range) (table.Page, error) {
+	bounded, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	return f.store.Read(bounded, wanted)
 }
--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -7,6 +7,7 @@
 
 	"github.com/hamba/avro/v2"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
@@ -17,6 +18,9 @@
 // another for its copy of a table.
 const methodNewer = "table.newer"
 
+// methodNewerPart is the same for a table of which daemons may keep a section each.
+const methodNewerPart = "table.newer_part"
+
 // askedPeers is how many daemons are asked at a time.
 const askedPeers = 2
 
@@ -35,6 +39,19 @@
 	Rows            []rowRecord `avro:"rows"`
 }
 
+// newerPartAnswer is newerAnswer for a section, as in table.Section, which holds a part of
+// all keys.
+type newerPartAnswer struct {
+	Version         int64       `avro:"version"`
+	IsNewer         bool        `avro:"is_newer"`
+	AgeMilliseconds int64       `avro:"age_milliseconds"`
+	IsPart          bool        `avro:"is_part"`
+	From            string      `avro:"from"`
+	Before          string      `avro:"before"`
+	Width           float64     `avro:"width"`
+	Rows            []rowRecord `avro:"rows"`
+}
+
 type rowRecord struct {
 	Table     string `avro:"table"`
 	Partition string `avro:"partition"`
@@ -73,12 +90,20 @@
 }
 
 var (
-	newerRequestSchema = avro.MustParse(`{"type":"record","name":"newer_request","fields":[{"name":"table","type":"string"},{"name":"after","type":"long"}]}`)
-	newerAnswerSchema  = avro.MustParse(`{"type":"record","name":"newer_answer","fields":[{"name":"version","type":"long"},
+	newerRequestSchema = avrocodec.MustParse(`{"type":"record","name":"newer_request","fields":[{"name":"table","type":"string"},{"name":"after","type":"long"}]}`)
+	newerAnswerSchema  = avrocodec.MustParse(`{"type":"record","name":"newer_answer","fields":[{"name":"version","type":"long"},
 		{"name":"is_newer","type":"boolean"},{"name":"age_milliseconds","type":"long"},
 		{"name":"rows","type":{"type":"array","items":` + rowRecordSchema + `}}]}`)
 )
 
+var newerPartAnswerSchema = avrocodec.MustParse(`{"type":"record","name":"newer_part_answer","fields":[{"name":"version","type":"long"},
+	{"name":"is_newer","type":"boolean"},{"name":"age_milliseconds","type":"long"},{"name":"is_part","type":"boolean"},
+	{"name":"from","type":"string"},{"name":"before","type":"string"},{"name":"width","type":"double"},
+	{"name":"rows","type":{"type":"array","items":` + rowRecordSchema + `}}]}`)
+
+// Schema implements peer.Message.
+func (newerPartAnswer) Schema() avro.Schema { return newerPartAnswerSchema }
+
 // Schema implements peer.Message.
 func (newerRequest) Schema() avro.Schema { return newerRequestSchema }
 
@@ -98,6 +123,7 @@
 func newPeerSource(node *cluster.Node, transport *peer.Transport) *peerSource {
 	source := &peerSource{node: node, transport: transport, copies: map[string]followedCopy{}}
 	peer.Handle(transport, methodNewer, source.answer)
+	peer.Handle(transport, methodNewerPart, source.answerPart)
 	return source
 }
 
@@ -106,29 +132,66 @@
 func (s *peerSource) answer(_ context.Context, _ string, request newerRequest) (newerAnswer, error) {
 	answer := newerAnswer{Rows: []rowRecord{}}
 	held, isOffered := s.copies[request.Table]
+	if !isOffered || held.replica.Section().IsPart {
+		return answer, nil
+	}
+	answer.AgeMilliseconds = roundUp(held.follower.Age())
+	rows, version, isNewer := held.replica.Since(table.Version(request.After))
+	answer.Version, answer.IsNewer, answer.Rows = int64(version), isNewer, rowRecords(rows)
+	return answer, nil
+}
+
+// answerPart tells what is kept of a table.
+func (s *peerSource) answerPart(_ context.Context, _ string, request newerRequest) (newerPartAnswer, error) {
+	answer := newerPartAnswer{Rows: []rowRecord{}}
+	held, isOffered := s.copies[request.Table]
 	if !isOffered {
 		return answer, nil
 	}
 	answer.AgeMilliseconds = roundUp(held.follower.Age())
+	section, width, isKnown := held.follower.Section()
 	rows, version, isNewer := held.replica.Since(table.Version(request.After))
+	if !isKnown || held.replica.Section() != section {
+		return answer, nil // it is being read anew
+	}
 	answer.Version, answer.IsNewer, answer.Rows = int64(version), isNewer, rowRecords(rows)
+	answer.IsPart, answer.From, answer.Before, answer.Width = section.IsPart, section.From, section.Before, width
 	return answer, nil
 }
 
-// Newer implements table.Peers: it asks some live daemons, chosen anew each
-// time.
+// NewerPart implements table.Peers.
+func (s *peerSource) NewerPart(ctx context.Context, name string, after table.Version) (table.PeerCopy, bool) {
+	request := newerRequest{Table: name, After: int64(after)}
+	return s.newest(func(address string) (table.PeerCopy, error) {
+		answer, err := peer.Call[newerRequest, newerPartAnswer](ctx, s.transport, address, methodNewerPart, request)
+		return table.PeerCopy{
+			Rows: tableRows(answer.Rows), IsNewer: answer.IsNewer, Version: table.Version(answer.Version),
+			Section: table.Section{IsPart: answer.IsPart, From: answer.From, Before: answer.Before}, Width: answer.Width,
+			Age: time.Duration(answer.AgeMilliseconds) * time.Millisecond,
+		}, err
+	})
+}
+
+// Newer implements table.Peers.
 func (s *peerSource) Newer(ctx context.Context, name string, after table.Version) (table.PeerCopy, bool) {
+	request := newerRequest{Table: name, After: int64(after)}
+	return s.newest(func(address string) (table.PeerCopy, error) {
+		answer, err := peer.Call[newerRequest, newerAnswer](ctx, s.transport, address, methodNewer, request)
+		return table.PeerCopy{
+			Rows: tableRows(answer.Rows), IsNewer: answer.IsNewer, Version: table.Version(answer.Version),
+			Age: time.Duration(answer.AgeMilliseconds) * time.Millisecond,
+		}, err
+	})
+}
+
+// newest asks some live daemons, chosen anew each time.
+func (s *peerSource) newest(ask func(address string) (table.PeerCopy, error)) (table.PeerCopy, bool) {
 	latest, isFound := table.PeerCopy{}, false
 	for _, member := range s.some() {
-		request := newerRequest{Table: name, After: int64(after)}
-		answer, err := peer.Call[newerRequest, newerAnswer](ctx, s.transport, member.Address, methodNewer, request)
-		if err != nil || answer.Version == 0 {
+		held, err := ask(member.Address)
+		if err != nil || held.Version == 0 {
 			continue
 		}
-		held := table.PeerCopy{
-			Rows: tableRows(answer.Rows), IsNewer: answer.IsNewer, Version: table.Version(answer.Version),
-			Age: time.Duration(answer.AgeMilliseconds) * time.Millisecond,
-		}
 		if held.IsNewer {
 			return held, true
 		}
--- a/internal/frontend/storemessage.go
+++ b/internal/frontend/storemessage.go
@@ -4,6 +4,7 @@
 	"github.com/hamba/avro/v2"
 	"github.com/pkg/errors"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/table"
 )
 
@@ -67,7 +68,7 @@
 const noError = -1
 
 var (
-	storeRequestSchema = avro.MustParse(`{"type":"record","name":"store_request","fields":[{"name":"operation","type":"string"},
+	storeRequestSchema = avrocodec.MustParse(`{"type":"record","name":"store_request","fields":[{"name":"operation","type":"string"},
 		{"name":"table","type":"string"},{"name":"partition","type":"string"},{"name":"from","type":"string"},{"name":"before","type":"string"},
 		{"name":"limit","type":"int"},{"name":"name","type":"string"},{"name":"content","type":"bytes"},
 		{"name":"conditions","type":{"type":"array","items":{"type":"record","name":"condition","fields":[{"name":"table","type":"string"},
@@ -76,7 +77,7 @@
 		{"name":"key","type":"string"},{"name":"value","type":"bytes"}]}}},
 		{"name":"removals","type":{"type":"array","items":{"type":"record","name":"removal","fields":[{"name":"table","type":"string"},
 		{"name":"key","type":"string"}]}}},{"name":"milliseconds","type":"long"}]}`)
-	storeAnswerSchema = avro.MustParse(`{"type":"record","name":"store_answer","fields":[{"name":"error_kind","type":"int"},
+	storeAnswerSchema = avrocodec.MustParse(`{"type":"record","name":"store_answer","fields":[{"name":"error_kind","type":"int"},
 		{"name":"is_conflict","type":"boolean"},{"name":"version","type":"long"},
 		{"name":"rows","type":{"type":"array","items":` + rowRecordSchema + `}},
 		{"name":"more","type":"boolean"},{"name":"partitions","type":{"type":"array","items":"string"}},{"name":"content","type":"bytes"}]}`)
--- a/internal/frontend/upstream.go
+++ b/internal/frontend/upstream.go
@@ -9,11 +9,12 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hamba/avro/v2"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/duty"
-	"topazpulley/internal/exchange"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/membership"
+	"topazpulley/internal/neighborhood"
 	"topazpulley/internal/peer"
 	"topazpulley/internal/table"
 )
@@ -22,9 +23,8 @@
 	// methodFollow is the method of the peer protocol by which a daemon follows
 	// another's copy of a table.
 	methodFollow = "table.follow"
-	// upstreamsPerZone is how many daemons of a zone follow the tables for the
-	// others: when one is lost, half of the zone moves to the other.
-	upstreamsPerZone = 2
+	// methodFollowSection is the same for a section of a table.
+	methodFollowSection = "table.follow_section"
 	// upstreamAge is how long ago the store must have answered for a copy to be
 	// told to others. With the time until a caller notices a silent upstream it
 	// keeps every daemon within two seconds of the store, which is less than
@@ -43,6 +43,15 @@
 	WaitMilliseconds int64  `avro:"wait_milliseconds"`
 }
 
+// followSectionRequest is followRequest for the keys of a section, as in table.Section.
+type followSectionRequest struct {
+	Table            string `avro:"table"`
+	After            int64  `avro:"after"`
+	WaitMilliseconds int64  `avro:"wait_milliseconds"`
+	From             string `avro:"from"`
+	Before           string `avro:"before"`
+}
+
 // followAnswer is what changed, or the whole table.
 type followAnswer struct {
 	Version   int64 `avro:"version"`
@@ -55,9 +64,11 @@
 }
 
 var (
-	followRequestSchema = avro.MustParse(`{"type":"record","name":"follow_request","fields":[{"name":"table","type":"string"},
+	followRequestSchema = avrocodec.MustParse(`{"type":"record","name":"follow_request","fields":[{"name":"table","type":"string"},
 		{"name":"after","type":"long"},{"name":"wait_milliseconds","type":"long"}]}`)
-	followAnswerSchema = avro.MustParse(`{"type":"record","name":"follow_answer","fields":[{"name":"version","type":"long"},
+	followSectionRequestSchema = avrocodec.MustParse(`{"type":"record","name":"follow_section_request","fields":[{"name":"table","type":"string"},
+		{"name":"after","type":"long"},{"name":"wait_milliseconds","type":"long"},{"name":"from","type":"string"},{"name":"before","type":"string"}]}`)
+	followAnswerSchema = avrocodec.MustParse(`{"type":"record","name":"follow_answer","fields":[{"name":"version","type":"long"},
 		{"name":"is_whole","type":"boolean"},{"name":"is_settled","type":"boolean"},{"name":"age_milliseconds","type":"long"},
 		{"name":"rows","type":{"type":"array","items":` + rowRecordSchema + `}}]}`)
 )
@@ -65,6 +76,9 @@
 // Schema implements peer.Message.
 func (followRequest) Schema() avro.Schema { return followRequestSchema }
 
+// Schema implements peer.Message.
+func (followSectionRequest) Schema() avro.Schema { return followSectionRequestSchema }
+
 // Schema implements peer.Message.
 func (followAnswer) Schema() avro.Schema { return followAnswerSchema }
 
@@ -87,6 +101,8 @@
 	chosenAt time.Time
 	// chosen are the upstreams of the zone; none in a small fleet.
 	chosen []membership.Member
+	// chosenOf is the generation of the membership that they were chosen from.
+	chosenOf uint64
 	// skipped counts failures, so that the next try is made at the other.
 	skipped int
 }
@@ -96,6 +112,7 @@
 func newUpstream(node *cluster.Node, transport *peer.Transport) *upstream {
 	made := &upstream{node: node, transport: transport, self: node.Self(), copies: map[string]followedCopy{}}
 	peer.Handle(transport, methodFollow, made.serve)
+	peer.Handle(transport, methodFollowSection, made.serveSection)
 	return made
 }
 
@@ -112,8 +129,12 @@
 func (u *upstream) current(now time.Time) []membership.Member {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	if now.Sub(u.chosenAt) >= choiceAge {
-		u.chosen, u.chosenAt = upstreamsOf(u.self.Zone, u.node.Members(), exchange.WholeFleet), now
+	if now.Sub(u.chosenAt) < choiceAge {
+		return u.chosen
+	}
+	u.chosenAt = now
+	if generation := u.node.Generation(); generation != u.chosenOf {
+		u.chosen, u.chosenOf = upstreamsOf(u.self.Zone, u.node.Members(), neighborhood.WholeFleet), generation
 	}
 	return u.chosen
 }
@@ -134,35 +155,44 @@
 		}
 	}
 	found := []membership.Member{}
-	for _, name := range duty.Owners("table-upstream/"+zone, names, upstreamsPerZone) {
+	for _, name := range duty.Owners("table-upstream/"+zone, names, neighborhood.Upstreams(len(names))) {
 		found = append(found, byName[name])
 	}
 	return found
 }
 
 // Changes implements table.Upstream.
-func (u *upstream) Changes(ctx context.Context, name string, after table.Version, wait time.Duration) (table.RelayedChanges, bool, error) {
+func (u *upstream) Changes(ctx context.Context, name string, section table.Section, after table.Version, wait time.Duration) (table.RelayedChanges, bool, error) {
 	chosen := u.current(time.Now())
 	if len(chosen) == 0 || u.isAmong(chosen) {
 		return table.RelayedChanges{}, false, nil
 	}
-	request := followRequest{Table: name, After: int64(after), WaitMilliseconds: wait.Milliseconds()}
-	answer, err := peer.Call[followRequest, followAnswer](ctx, u.transport, u.pick(chosen).Address, methodFollow, request)
+	answer, err := u.ask(ctx, u.pick(chosen).Address, name, section, after, wait)
 	if err != nil {
 		u.skip()
 		return table.RelayedChanges{}, true, err
 	}
 	return table.RelayedChanges{
 		Changes: table.Changes{Rows: tableRows(answer.Rows), Version: table.Version(answer.Version)},
-		IsWhole: answer.IsWhole, IsSettled: answer.IsSettled, Age: time.Duration(answer.AgeMilliseconds) * time.Millisecond,
+		IsWhole: answer.IsWhole, IsSettled: answer.IsSettled, IsPart: section.IsPart, Age: time.Duration(answer.AgeMilliseconds) * time.Millisecond,
 	}, true, nil
 }
 
+// ask has one upstream answer when something has changed.
+func (u *upstream) ask(ctx context.Context, address, name string, section table.Section, after table.Version, wait time.Duration) (followAnswer, error) {
+	if section.IsPart {
+		request := followSectionRequest{Table: name, After: int64(after), WaitMilliseconds: wait.Milliseconds(), From: section.From, Before: section.Before}
+		return peer.Call[followSectionRequest, followAnswer](ctx, u.transport, address, methodFollowSection, request)
+	}
+	request := followRequest{Table: name, After: int64(after), WaitMilliseconds: wait.Milliseconds()}
+	return peer.Call[followRequest, followAnswer](ctx, u.transport, address, methodFollow, request)
+}
+
 // pick spreads the daemons of a zone over its upstreams.
 func (u *upstream) pick(chosen []membership.Member) membership.Member {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	return chosen[(int(xxhash.Sum64String(u.self.Name)%upstreamsPerZone)+u.skipped)%len(chosen)]
+	return chosen[(int(xxhash.Sum64String(u.self.Name)%uint64(len(chosen)))+u.skipped)%len(chosen)]
 }
 
 func (u *upstream) skip() {
@@ -186,13 +216,51 @@
 	// is too great, never one that is too small.
 	held := offered.follower.Now().Sub(called)
 	age := offered.follower.StoreAge() - held
-	changes, isWhole := offered.replica.ChangesSince(after)
+	changes, isWhole, isKnown := offered.replica.ChangesSince(after)
+	if !isKnown {
+		return followAnswer{}, notKept(request.Table)
+	}
 	return followAnswer{
 		Version: int64(changes.Version), IsWhole: isWhole, IsSettled: offered.follower.IsSettled(), Rows: rowRecords(changes.Rows),
 		AgeMilliseconds: roundUp(age),
 	}, nil
 }
 
+// serveSection answers a daemon that follows a section of a table here. It waits for a
+// change within the section: in a large fleet others come all the time.
+func (u *upstream) serveSection(ctx context.Context, _ string, request followSectionRequest) (followAnswer, error) {
+	offered, isOffered := u.copies[request.Table]
+	if !isOffered {
+		return followAnswer{}, failure.New(failure.KindNotFound, "no_table", "table %q is not followed", request.Table).WithNotRun()
+	}
+	section := table.Section{IsPart: true, From: request.From, Before: request.Before}
+	called := offered.follower.Now()
+	end := time.Now().Add(time.Duration(request.WaitMilliseconds) * time.Millisecond)
+	after := table.Version(request.After)
+	for {
+		if err := offered.await(ctx, after, time.Until(end)); err != nil {
+			return followAnswer{}, err
+		}
+		// In this order, as in serve.
+		held := offered.follower.Now().Sub(called)
+		age := offered.follower.StoreAge() - held
+		changes, isKnown := offered.replica.SectionSince(section, after)
+		if !isKnown {
+			return followAnswer{}, notKept(request.Table)
+		}
+		if len(changes.Rows) > 0 || time.Now().After(end) {
+			return followAnswer{Version: int64(changes.Version), IsSettled: offered.follower.IsSettled(), Rows: rowRecords(changes.Rows), AgeMilliseconds: roundUp(age)}, nil
+		}
+		after = max(after, changes.Version)
+	}
+}
+
+// notKept tells that changes which lie further back are asked for than are kept, and that
+// the table is not kept as a whole.
+func notKept(name string) error {
+	return failure.New(failure.KindUnavailable, "changes_not_kept", "changes of table %q are not kept so far back", name).WithNotRun()
+}
+
 // roundUp returns a duration in whole milliseconds, never too short.
 func roundUp(span time.Duration) int64 { return (span + time.Millisecond - 1).Milliseconds() }
 
--- a/internal/frontend/upstream_test.go
+++ b/internal/frontend/upstream_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"topazpulley/internal/boottime"
-	"topazpulley/internal/exchange"
 	"topazpulley/internal/membership"
+	"topazpulley/internal/neighborhood"
 	"topazpulley/internal/table"
 	"topazpulley/internal/table/tabletest"
 )
@@ -38,17 +38,17 @@
 // a suspected daemon is none, and a small fleet has none.
 func TestEachZoneOfALargeFleetHasItsUpstreams(t *testing.T) {
 	members := fleetIn(3, 20)
-	chosen := upstreamsOf("zone-1", members, exchange.WholeFleet)
-	require.Len(t, chosen, upstreamsPerZone)
+	chosen := upstreamsOf("zone-1", members, neighborhood.WholeFleet)
+	require.Len(t, chosen, neighborhood.Upstreams(20))
 	for index := range members {
 		if members[index].Name == chosen[0].Name {
 			members[index].State = membership.StateSuspect
 		}
 	}
-	changed := upstreamsOf("zone-1", members, exchange.WholeFleet)
+	changed := upstreamsOf("zone-1", members, neighborhood.WholeFleet)
 	require.Equal(t, chosen[1].Name, changed[0].Name)
-	require.Len(t, changed, upstreamsPerZone)
-	require.Empty(t, upstreamsOf("zone-1", fleetIn(4, 10), exchange.WholeFleet))
+	require.Len(t, changed, neighborhood.Upstreams(20))
+	require.Empty(t, upstreamsOf("zone-1", fleetIn(4, 10), neighborhood.WholeFleet))
 }
 
 // newCopy follows a table of a store in memory.
--- /dev/null
+++ b/internal/neighborhood/neighborhood_test.go
@@ -0,0 +1,85 @@
+package neighborhood_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/neighborhood"
+)
+
+func fleet(size int) []string {
+	names := make([]string, size)
+	for index := range names {
+		names[index] = fmt.Sprintf("front-zone-%d-%d", index%5, index/5)
+	}
+	return names
+}
+
+// TestNeighborsAreBounded: with ten back ends a daemon and sections of 192 of them, fleets
+// of 1,000 and of 2,000 daemons tell as many others.
+func TestNeighborsAreBounded(t *testing.T) {
+	means := map[int]float64{}
+	for _, size := range []int{100, 1000, 2000} {
+		names, total := fleet(size), 0
+		width := min(192/float64(10*size), 1)
+		for _, name := range names {
+			found := neighborhood.Neighbors(name, width, names)
+			require.NotContains(t, found, name)
+			require.LessOrEqual(t, len(found), 2*neighborhood.WholeFleet)
+			total += len(found)
+		}
+		means[size] = float64(total) / float64(size)
+	}
+	require.InDelta(t, 2*1.5*19.2, means[1000], 6)
+	require.InDelta(t, means[1000], means[2000], 4)
+}
+
+// TestWhoSharesBackEndsIsTold: daemons whose sections overlap are neighbors, also around the
+// end of the ring, and of the same section each other's.
+func TestWhoSharesBackEndsIsTold(t *testing.T) {
+	const width = 0.01
+	names := fleet(2000)
+	for _, a := range names[:200] {
+		found := neighborhood.Neighbors(a, width, names)
+		for _, b := range names {
+			isShared := a != b && neighborhood.Distance(neighborhood.Place(a), neighborhood.Place(b)) < width
+			if isShared {
+				require.Contains(t, found, b)
+				require.True(t, slices.Contains(neighborhood.Neighbors(b, width, names), a))
+			}
+		}
+	}
+	require.InDelta(t, 0.02, neighborhood.Distance(0.99, 0.01), 1e-9)
+}
+
+// TestPlacesSpread over the ring whatever zones and numbers are in the names.
+func TestPlacesSpread(t *testing.T) {
+	tenths := make([]int, 10)
+	for _, name := range fleet(2000) {
+		place := neighborhood.Place(name)
+		require.GreaterOrEqual(t, place, 0.0)
+		require.Less(t, place, 1.0)
+		tenths[int(place*10)]++
+	}
+	for _, count := range tenths {
+		require.InDelta(t, 200, count, 60)
+	}
+}
+
+// TestUpstreamsGrowWithTheZone, so that none serves more than 32 daemons.
+func TestUpstreamsGrowWithTheZone(t *testing.T) {
+	require.Equal(t, 2, neighborhood.Upstreams(0))
+	require.Equal(t, 2, neighborhood.Upstreams(20))
+	require.Equal(t, 7, neighborhood.Upstreams(197))
+	require.Equal(t, 13, neighborhood.Upstreams(394))
+}
+
+// TestSharingIsNeverMoreThanAll, nor less than are likely to know a back end.
+func TestSharingIsNeverMoreThanAll(t *testing.T) {
+	require.Equal(t, 10, neighborhood.Sharing(1, 10))
+	require.Equal(t, 38, neighborhood.Sharing(0.0192, 986))
+	require.Equal(t, 1, neighborhood.Sharing(0.5, 1))
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -53,6 +53,20 @@
 	return nil, false
 }
 
+// TargetServices returns the services to which routes send requests, each once.
+func (t *Table) TargetServices() []string {
+	seen, services := map[string]bool{}, []string{}
+	for _, each := range t.config.Routes {
+		for _, target := range each.Targets {
+			if target.Weight > 0 && !seen[target.Service] {
+				seen[target.Service] = true
+				services = append(services, target.Service)
+			}
+		}
+	}
+	return services
+}
+
 // JobRoutes returns the routes that take jobs.
 func (t *Table) JobRoutes() []*Route {
 	found := []*Route{}
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -21,6 +21,8 @@
 	readTimeout   = time.Second
 	// askInterval is the shortest time between two questions to peers.
 	askInterval = 400 * time.Millisecond
+	// widenPause is the shortest time between two reads of more of a table.
+	widenPause = time.Second
 )
 
 // Consumer receives the rows of a followed table. Calls come from one
@@ -49,6 +51,13 @@
 	// Pace bounds how often changes are asked for; nil means no bound. Changes
 	// that come meanwhile are told together by the next call.
 	Pace *rate.Limiter
+	// Plan decides how much of a large table is kept; nil means all. Partitioned must not
+	// be set beside it, and Part must be the Consumer.
+	Plan SectionPlan
+	Part PartKeeper
+	// Deferred reports whether the first read waits for an upstream; nil means that it
+	// does not.
+	Deferred func() bool
 	// Peers are asked while the store does not answer; nil means none.
 	Peers Peers
 	// Upstream is followed in place of the store while it is in step; nil means
@@ -57,7 +66,11 @@
 	// Clock is the system's if it is nil.
 	Clock boottime.Clock
 
-	seen Version
+	seen    Version
+	space   Keyspace
+	section atomic.Pointer[held]
+	// widenAfter is when more of the table may be read again.
+	widenAfter time.Time
 	// isUnconfirmed tells that the table was read since the last watch.
 	isUnconfirmed bool
 	askedAt       time.Time
@@ -112,10 +125,16 @@
 		if f.pace(ctx) != nil {
 			return // the context ends
 		}
-		if f.followUpstream(ctx) {
+		f.widen(ctx, inStep)
+		// What an upstream tells of a section needs one to begin with.
+		if (inStep || f.Plan == nil) && f.followUpstream(ctx) {
 			inStep = true
 			continue
 		}
+		if !inStep && f.Deferred != nil && f.Deferred() {
+			periodic.SleepAbout(ctx, retryPause)
+			continue
+		}
 		var err error
 		if inStep {
 			err = f.watch(ctx)
@@ -128,6 +147,7 @@
 		}
 		if err != nil {
 			inStep = f.askPeers(ctx) || inStep
+			f.directUntil = time.Time{} // an upstream may be served
 			periodic.SleepAbout(ctx, retryPause)
 		}
 	}
@@ -152,12 +172,15 @@
 	started := f.Now()
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	held, found := f.Peers.Newer(bounded, f.Table, f.seen)
+	held, found := f.copyOfPeer(bounded)
 	if !found {
 		return false
 	}
 	isTaken := held.IsNewer && held.Version > f.seen
 	if isTaken {
+		if f.Plan != nil {
+			f.setSection(heldSection(held))
+		}
 		f.Consumer.Replace(held.Rows, held.Version)
 		f.Logger.Info("table_from_peer", "table", f.Table, "version", held.Version, "version_before", f.seen, "rows", len(held.Rows), "age_ms", held.Age.Milliseconds())
 		f.seen = held.Version
@@ -166,6 +189,36 @@
 	return isTaken
 }
 
+// copyOfPeer asks for another daemon's copy. One of a section serves a follower that has
+// nothing yet: any section is as good as its own.
+func (f *Follower) copyOfPeer(ctx context.Context) (PeerCopy, bool) {
+	section, _, _ := f.Section()
+	switch {
+	case f.Plan == nil:
+		return f.Peers.Newer(ctx, f.Table, f.seen)
+	case section.IsPart:
+		return PeerCopy{}, false
+	}
+	found, isFound := f.Peers.NewerPart(ctx, f.Table, f.seen)
+	if !isFound {
+		return f.Peers.Newer(ctx, f.Table, f.seen)
+	}
+	return found, true
+}
+
+// widen reads the table again if what is kept of it has become too little. What is kept
+// serves on while that fails.
+func (f *Follower) widen(ctx context.Context, inStep bool) {
+	section, _, _ := f.Section()
+	if !inStep || !section.IsPart || time.Now().Before(f.widenAfter) || !f.Plan.WantsMore() {
+		return
+	}
+	f.widenAfter = time.Now().Add(widenPause)
+	if _, err := f.read(ctx); err != nil {
+		f.Logger.Info("table_not_widened", "table", f.Table, "version", f.seen, "error", err)
+	}
+}
+
 // noteConfirmed notes a moment at which the table, as it was handed on, was the
 // present state. It is called behind the consumer, never before: who asks for the
 // age must find at least what it speaks of.
@@ -234,7 +287,7 @@
 // version is that of a read before the partitions are listed, so that changes
 // made meanwhile are seen again as changes.
 func (f *Follower) read(ctx context.Context) (bool, error) {
-	all, version, err := f.readPartition(ctx, "")
+	all, version, section, err := f.readUnpartitioned(ctx)
 	if err != nil {
 		return false, err
 	}
@@ -249,12 +302,28 @@
 		all = append(all, partitioned...)
 	}
 	f.note(nil)
+	if f.Plan != nil {
+		f.setSection(section)
+	}
 	f.Consumer.Replace(all, version)
 	f.seen, f.isUnconfirmed = version, true
-	f.Logger.Info("table_read", "table", f.Table, "version", version, "rows", len(all))
+	f.Logger.Info("table_read", "table", f.Table, "version", version, "rows", len(all), "is_part", section.IsPart, "width", section.width)
 	return true, nil
 }
 
+// readUnpartitioned reads the partition without a name, or what is kept of it.
+func (f *Follower) readUnpartitioned(ctx context.Context) ([]Row, Version, held, error) {
+	if f.Plan == nil {
+		rows, version, err := f.readPartition(ctx, "")
+		return rows, version, held{width: 1}, err
+	}
+	made, err := f.readSection(ctx)
+	if err != nil {
+		return nil, 0, held{}, err
+	}
+	return made.rows, made.version, made.held, nil
+}
+
 // readPartitions reads all partitions with a name; none may be older than the
 // version.
 func (f *Follower) readPartitions(ctx context.Context, atLeast Version) ([]Row, error) {
--- a/internal/table/follower_test.go
+++ b/internal/table/follower_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -61,6 +63,19 @@
 	return r.rows[key]
 }
 
+// keys returns the keys of the rows.
+func (r *recorder) keys() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.Collect(maps.Keys(r.rows))
+}
+
+func remove(t *testing.T, store *tabletest.Memory, key string) {
+	t.Helper()
+	_, err := store.Commit(t.Context(), table.Transaction{Removals: []table.Removal{{Table: followed, Key: key}}})
+	require.NoError(t, err)
+}
+
 func put(t *testing.T, store *tabletest.Memory, partition, key, value string) {
 	t.Helper()
 	_, err := store.Commit(t.Context(), table.Transaction{Partition: partition, Writes: []table.Write{{Table: followed, Key: key, Value: []byte(value)}}})
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sort"
 	"sync"
 	"time"
 )
@@ -12,6 +14,7 @@
 	Consumer Consumer
 
 	mutex   sync.Mutex
+	section Section
 	rows    map[replicaKey]Row
 	version Version
 	// recent are the latest changes in order; all that came after the version
@@ -41,12 +44,32 @@
 	r.Consumer.Replace(rows, version)
 }
 
-// Change implements Consumer.
+// Change implements Consumer. All changes are remembered for daemons that follow this
+// one, and those of the section are kept.
 func (r *Replica) Change(rows []Row, version Version) {
 	r.mutex.Lock()
-	r.keep(rows, version)
+	kept := r.section.Of(rows)
+	r.keep(kept, version)
 	r.remember(rows)
 	r.mutex.Unlock()
+	r.Consumer.Change(kept, version)
+}
+
+// SetSection implements PartKeeper.
+func (r *Replica) SetSection(section Section) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.section = section
+}
+
+// ChangePart implements PartKeeper. Changes of the rest of the table are not known, so that
+// none up to this version can be told to others.
+func (r *Replica) ChangePart(rows []Row, version Version) {
+	r.mutex.Lock()
+	r.keep(rows, version)
+	r.recent, r.recentAfter = nil, version
+	r.announce()
+	r.mutex.Unlock()
 	r.Consumer.Change(rows, version)
 }
 
@@ -105,21 +128,40 @@
 }
 
 // ChangesSince returns what changed behind a version, or the whole table when
-// the changes are not kept so far back.
-func (r *Replica) ChangesSince(after Version) (changes Changes, isWhole bool) {
+// the changes are not kept so far back. It reports false if only a part of the table is
+// kept in that case.
+func (r *Replica) ChangesSince(after Version) (changes Changes, isWhole, isKnown bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	changes.Version = r.version
-	if after < r.recentAfter {
-		changes.Rows = r.all()
-		return changes, true
+	if after >= r.recentAfter {
+		changes.Rows = slices.Clone(r.recentSince(after))
+		return changes, false, true
 	}
-	for _, row := range r.recent {
-		if row.Version > after {
-			changes.Rows = append(changes.Rows, row)
-		}
+	if r.section.IsPart {
+		return changes, false, false
 	}
-	return changes, false
+	changes.Rows = r.all()
+	return changes, true, true
+}
+
+// SectionSince returns what changed in a section behind a version. It reports false if
+// changes are not kept so far back.
+func (r *Replica) SectionSince(section Section, after Version) (changes Changes, isKnown bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	changes.Version = r.version
+	if after < r.recentAfter {
+		return changes, false
+	}
+	changes.Rows = section.Of(r.recentSince(after))
+	return changes, true
+}
+
+// recentSince returns the latest changes behind a version. mutex must be held.
+func (r *Replica) recentSince(after Version) []Row {
+	from := sort.Search(len(r.recent), func(index int) bool { return r.recent[index].Version > after })
+	return r.recent[from:]
 }
 
 // all returns all rows. mutex must be held.
@@ -142,18 +184,30 @@
 	return r.all(), r.version, true
 }
 
+// Section returns the part of the table that is kept.
+func (r *Replica) Section() Section {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.section
+}
+
 // Peers is the second source of a followed table: the copies of other daemons.
 type Peers interface {
 	// Newer returns the copy of a daemon that holds a version above the given one,
 	// if some daemon that was asked does, else the copy that was confirmed last.
 	// It reports false when no daemon answered.
 	Newer(ctx context.Context, table string, after Version) (PeerCopy, bool)
+	// NewerPart is Newer for a table of which daemons may keep a section each.
+	NewerPart(ctx context.Context, table string, after Version) (PeerCopy, bool)
 }
 
 // PeerCopy is another daemon's copy of a table.
 type PeerCopy struct {
-	// Rows are the whole table if IsNewer is set, else none.
-	Rows    []Row
+	// Rows are the whole table, or the section, if IsNewer is set, else none.
+	Rows []Row
+	// Section is the part of the table that the copy has, and Width how much of all keys.
+	Section Section
+	Width   float64
 	IsNewer bool
 	Version Version
 	// Age is for how long, when the call came, the other daemon's copy may not have
--- /dev/null
+++ b/internal/table/section_test.go
@@ -0,0 +1,215 @@
+package table_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"topazpulley/internal/table"
+	"topazpulley/internal/table/tabletest"
+)
+
+// sortedStore is a store that holds one table of many keys and counts what is read.
+type sortedStore struct {
+	table.Store
+	keys       []string
+	rows       int
+	calls      int
+	readsEmpty int
+}
+
+func (s *sortedStore) Read(_ context.Context, wanted table.Range) (table.Page, error) {
+	s.calls++
+	from := sort.SearchStrings(s.keys, wanted.From)
+	end := len(s.keys)
+	if wanted.Before != "" {
+		end = sort.SearchStrings(s.keys, wanted.Before)
+	}
+	page := table.Page{Version: 1, More: end-from > wanted.Limit}
+	for _, key := range s.keys[min(from, end):min(end, from+wanted.Limit)] {
+		page.Rows = append(page.Rows, table.Row{Key: key, Version: 1})
+	}
+	s.rows += len(page.Rows)
+	return page, nil
+}
+
+func (s *sortedStore) Watch(ctx context.Context, _ string, after table.Version, _ time.Duration) (table.Changes, error) {
+	<-ctx.Done()
+	return table.Changes{Version: after}, nil
+}
+
+// countPlan wants so many rows from a place on.
+type countPlan struct {
+	place float64
+	rows  int
+}
+
+func (p countPlan) Place() float64                 { return p.place }
+func (p countPlan) IsEnough(rows []table.Row) bool { return len(rows) >= p.rows }
+func (p countPlan) WantsMore() bool                { return false }
+
+// randomIDs are ids as back ends draw them.
+func randomIDs(count int) []string {
+	random := rand.New(rand.NewPCG(1, 2))
+	ids := make([]string, 0, count)
+	for range count {
+		ids = append(ids, fmt.Sprintf("i-%08x", random.Uint32()))
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// kept reads a section and returns its rows.
+func kept(t *testing.T, store table.Store, plan table.SectionPlan) (*table.Follower, *recorder) {
+	t.Helper()
+	seen := &recorder{}
+	replica := &table.Replica{Consumer: seen}
+	follower := &table.Follower{Store: store, Table: followed, Consumer: replica, Part: replica, Plan: plan, Logger: quiet, Wait: 20 * time.Millisecond}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); follower.Run(ctx) }()
+	require.Eventually(t, func() bool { _, _, isKnown := follower.Section(); return isKnown }, patience, pollTime)
+	t.Cleanup(func() { cancel(); <-ended })
+	return follower, seen
+}
+
+// TestSectionsSpreadOverTheTable: fleets of 986 and of twice as many daemons over 10,000
+// and 20,000 back ends: a daemon reads the same, and no back end is known to many more
+// daemons than others, or to none.
+func TestSectionsSpreadOverTheTable(t *testing.T) {
+	const rows = 192
+	for _, size := range []struct{ daemons, backends int }{{986, 10_000}, {1972, 20_000}} {
+		store := &sortedStore{keys: randomIDs(size.backends)}
+		known := map[string]int{}
+		random := rand.New(rand.NewPCG(3, 4))
+		for range size.daemons {
+			reader := &table.Follower{Store: store, Table: followed, Plan: countPlan{place: random.Float64(), rows: rows}}
+			section := table.ReadSectionOnce(t.Context(), reader)
+			for _, row := range section {
+				known[row.Key]++
+			}
+		}
+		perDaemon := float64(store.rows) / float64(size.daemons)
+		require.InDelta(t, 64+rows, perDaemon, 4, "the first rows and the section")
+		require.LessOrEqual(t, store.calls, 6*size.daemons)
+		require.Len(t, known, size.backends, "each back end is known to some daemon")
+		mean, most := float64(rows*size.daemons)/float64(size.backends), 0
+		for _, count := range known {
+			most = max(most, count)
+		}
+		require.Less(t, float64(most), 2.5*mean)
+	}
+}
+
+// TestSmallTablesAreKeptWhole, however the keys look.
+func TestSmallTablesAreKeptWhole(t *testing.T) {
+	for _, count := range []int{0, 1, 63, 64, 65, 700} {
+		store := &sortedStore{keys: randomIDs(count)}
+		follower, seen := kept(t, store, countPlan{place: 0.9, rows: 10})
+		section, width, _ := follower.Section()
+		require.False(t, section.IsPart)
+		require.InDelta(t, 1, width, 0)
+		require.Len(t, seen.keys(), count)
+	}
+}
+
+// TestSectionsOfOddKeys: where keys are not spread as their letters allow, a section is
+// found all the same, and is as large as wanted.
+func TestSectionsOfOddKeys(t *testing.T) {
+	kinds := map[string]func(int) string{
+		"numbers":      func(index int) string { return fmt.Sprintf("back-end-%09d", index) },
+		"no prefix":    func(index int) string { return fmt.Sprintf("%06x", index*1613) },
+		"long tails":   func(index int) string { return fmt.Sprintf("%05d-of-a-long-name-that-all-share", index) },
+		"other script": func(index int) string { return fmt.Sprintf("é%05d", index) },
+	}
+	for name, key := range kinds {
+		keys := []string{}
+		for index := range 3000 {
+			keys = append(keys, key(index))
+		}
+		sort.Strings(keys)
+		for _, place := range []float64{0, 0.3, 0.999999} {
+			_, seen := kept(t, &sortedStore{keys: keys}, countPlan{place: place, rows: 100})
+			require.GreaterOrEqual(t, len(seen.keys()), 100, name)
+			require.Less(t, len(seen.keys()), 200, name)
+		}
+	}
+}
+
+// TestSectionHoldsWhatWasRead: the section that is told to an upstream holds the rows that
+// were read and no others, also around the end of the keys.
+func TestSectionHoldsWhatWasRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		keys := randomIDs(rapid.IntRange(1100, 1500).Draw(t, "rows"))
+		plan := countPlan{place: rapid.Float64Range(0, 0.9999).Draw(t, "place"), rows: rapid.IntRange(1, 2000).Draw(t, "wanted")}
+		follower := &table.Follower{Store: &sortedStore{keys: keys}, Table: followed, Plan: plan, Part: &table.Replica{Consumer: &recorder{}}}
+		read := map[string]bool{}
+		for _, row := range table.ReadSectionOnce(context.Background(), follower) {
+			read[row.Key] = true
+		}
+		section, width, _ := follower.Section()
+		held := 0
+		for _, key := range keys {
+			if section.Holds(key) {
+				held++
+				require.True(t, read[key], key)
+			}
+		}
+		require.Len(t, read, held)
+		require.InDelta(t, float64(held)/float64(len(keys)), width, 0.15)
+	})
+}
+
+// TestFollowerOfASection hears of new and of gone rows of it, and of no others.
+func TestFollowerOfASection(t *testing.T) {
+	store := tabletest.NewMemory()
+	for _, key := range randomIDs(1200) {
+		put(t, store, "", key, "1")
+	}
+	follower, seen := kept(t, store, countPlan{place: 0.5, rows: 200})
+	section, _, _ := follower.Section()
+	require.True(t, section.IsPart)
+	before := len(seen.keys())
+	inside, outside := section.From+"0", "i-00000000"
+	put(t, store, "", outside, "2")
+	put(t, store, "", inside, "2")
+	require.Eventually(t, func() bool { return seen.value(inside) == "2" }, patience, pollTime)
+	require.Len(t, seen.keys(), before+1)
+	remove(t, store, inside)
+	require.Eventually(t, func() bool { return len(seen.keys()) == before }, patience, pollTime)
+}
+
+// TestReplicaOfASection: it tells all changes that it heard of, and no more once it hears
+// of its own section alone.
+func TestReplicaOfASection(t *testing.T) {
+	seen := &recorder{}
+	replica := &table.Replica{Consumer: seen}
+	replica.SetSection(table.Section{IsPart: true, From: "b", Before: "d"})
+	replica.Replace([]table.Row{{Key: "b", Version: 1}}, 1)
+	replica.Change([]table.Row{{Key: "a", Version: 2}, {Key: "c", Version: 3}}, 3)
+	require.ElementsMatch(t, []string{"b", "c"}, seen.keys())
+
+	changes, isKnown := replica.SectionSince(table.Section{IsPart: true, From: "a", Before: "b"}, 1)
+	require.True(t, isKnown)
+	require.Len(t, changes.Rows, 1)
+	require.Equal(t, "a", changes.Rows[0].Key)
+	require.Equal(t, table.Version(3), changes.Version)
+	all, isWhole, isKnown := replica.ChangesSince(1)
+	require.True(t, isKnown)
+	require.False(t, isWhole)
+	require.Len(t, all.Rows, 2)
+	_, _, isKnown = replica.ChangesSince(0)
+	require.False(t, isKnown, "a part is never told as the whole")
+	_, isKnown = replica.SectionSince(table.Section{}, 0)
+	require.False(t, isKnown)
+
+	replica.ChangePart([]table.Row{{Key: "c", Version: 9}}, 9)
+	_, isKnown = replica.SectionSince(table.Section{IsPart: true, From: "a", Before: "b"}, 3)
+	require.False(t, isKnown, "other changes up to 9 were not heard of")
+}
--- /dev/null
+++ b/internal/table/sectionread.go
@@ -0,0 +1,170 @@
+package table
+
+import (
+	"context"
+)
+
+const (
+	// wholeRows is the size up to which a table is kept as a whole by every follower.
+	wholeRows = 1000
+	// sampleRows are read first to learn how large the table is, and pageOfSection at a
+	// time of a section.
+	sampleRows    = 64
+	pageOfSection = 64
+	// leastReach is the least part of the guessed keys within which a section begins: a
+	// part of a table's keys may lie far below what their letters allow.
+	leastReach = 1.0 / (1 << 20)
+)
+
+// sectionRead is one read of a section.
+type sectionRead struct {
+	follower *Follower
+	ctx      context.Context
+	rows     []Row
+	// version is that of the first page.
+	version Version
+	// held is what was read.
+	held held
+}
+
+// page reads one page and reports whether the range holds further rows.
+func (r *sectionRead) page(wanted Range) (bool, error) {
+	bounded, cancel := context.WithTimeout(r.ctx, readTimeout)
+	defer cancel()
+	wanted.Table = r.follower.Table
+	page, err := r.follower.Store.Read(bounded, wanted)
+	if err != nil {
+		return false, err
+	}
+	if r.version < 0 {
+		r.version = page.Version
+	}
+	r.rows = append(r.rows, page.Rows...)
+	return page.More && len(page.Rows) > 0, nil
+}
+
+// next is the first key behind the rows.
+func (r *sectionRead) next() string { return r.rows[len(r.rows)-1].Key + "\x00" }
+
+// keys are those of the rows.
+func (r *sectionRead) keys() []string {
+	keys := make([]string, 0, len(r.rows))
+	for _, row := range r.rows {
+		keys = append(keys, row.Key)
+	}
+	return keys
+}
+
+// readSection reads a table as a whole if it is small, else the section that the
+// follower's plan wants.
+func (f *Follower) readSection(ctx context.Context) (*sectionRead, error) {
+	first := &sectionRead{follower: f, ctx: ctx, version: -1}
+	more, err := first.page(Range{Limit: sampleRows})
+	if err != nil {
+		return nil, err
+	}
+	if f.space.digits == 0 {
+		f.space = KeyspaceOf(first.keys())
+	}
+	isLarge := more && f.space.Estimate(first.keys()) > wholeRows
+	if !isLarge {
+		for more && err == nil {
+			more, err = first.page(Range{From: first.next(), Limit: pageRows})
+		}
+		first.held = held{width: 1}
+		return first, err
+	}
+	part := &sectionRead{follower: f, ctx: ctx, version: -1}
+	from, reach, more, err := part.begin(f.space, f.Plan.Place())
+	if err != nil {
+		return nil, err
+	}
+	part.held.Section, err = part.fill(from, more, f.Plan)
+	part.held.width = min(f.widthOf(part.held.Section)/reach, 1)
+	return part, err
+}
+
+// begin reads the first page of a section that begins at a place on the ring. reach is the
+// part of the guessed keys over which the sections of all followers are spread.
+func (r *sectionRead) begin(space Keyspace, place float64) (from string, reach float64, more bool, err error) {
+	for reach = 1.0; reach >= leastReach; reach /= 2 {
+		from = space.At(place * reach)
+		more, err = r.page(Range{From: from, Limit: pageOfSection})
+		if err != nil || len(r.rows) > 0 {
+			return from, reach, more, err
+		}
+	}
+	more, err = r.page(Range{Limit: pageOfSection})
+	return "", 1, more, err
+}
+
+// fill reads on, around the ring, until the plan has enough or all is read.
+func (r *sectionRead) fill(from string, more bool, plan SectionPlan) (Section, error) {
+	before, hasWrapped := "", false
+	for !plan.IsEnough(r.rows) {
+		var err error
+		switch {
+		case more:
+			more, err = r.page(Range{From: r.next(), Before: before, Limit: pageOfSection})
+		case !hasWrapped && from != "":
+			before, hasWrapped = from, true
+			more, err = r.page(Range{Before: before, Limit: pageOfSection})
+		default:
+			return Section{}, nil
+		}
+		if err != nil {
+			return Section{}, err
+		}
+	}
+	section := Section{IsPart: true, From: from}
+	if more || hasWrapped {
+		section.Before = r.next()
+	}
+	return section, nil
+}
+
+// widthOf is the part of the guessed keys that a section holds.
+func (f *Follower) widthOf(section Section) float64 {
+	if !section.IsPart {
+		return 1
+	}
+	end := 1.0
+	if section.Before != "" {
+		end = f.space.Fraction(section.Before)
+	}
+	width := end - f.space.Fraction(section.From)
+	if width < 0 {
+		width++
+	}
+	return width
+}
+
+// held is a section with its width on the ring of keys.
+type held struct {
+	Section
+	width float64
+}
+
+// heldSection is what another daemon's copy has.
+func heldSection(told PeerCopy) held {
+	if !told.Section.IsPart {
+		return held{width: 1}
+	}
+	return held{Section: told.Section, width: told.Width}
+}
+
+// setSection notes what is kept from now on.
+func (f *Follower) setSection(kept held) {
+	f.section.Store(&kept)
+	f.Part.SetSection(kept.Section)
+}
+
+// Section returns the part of the table that is kept and its width, the part of all keys
+// that it holds. It reports false until the table was read.
+func (f *Follower) Section() (section Section, width float64, isKnown bool) {
+	known := f.section.Load()
+	if known == nil {
+		return Section{}, 0, false
+	}
+	return known.Section, known.width, true
+}
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -15,6 +15,8 @@
 	// IsSettled tells that a row which is missing is gone, as far as the other
 	// daemon knows.
 	IsSettled bool
+	// IsPart tells that Rows are the changes of the section alone.
+	IsPart bool
 	// Age is for how long, when the call came, the other daemon's copy may not have
 	// been the present state, by the store's own answers. It is negative if the copy
 	// was confirmed while the call was held.
@@ -24,11 +26,11 @@
 // Upstream is a daemon that follows tables at the store for others. In a large
 // fleet most daemons follow an upstream, so that the store is asked by a few.
 type Upstream interface {
-	// Changes returns the changes of a table behind a version as soon as there
+	// Changes returns the changes of a section of a table behind a version as soon as there
 	// are any, or none when the wait is over. It reports false when this daemon
 	// should follow the store itself. An error tells that the upstream cannot be
 	// reached or does not know the present state of the store.
-	Changes(ctx context.Context, table string, after Version, wait time.Duration) (RelayedChanges, bool, error)
+	Changes(ctx context.Context, table string, section Section, after Version, wait time.Duration) (RelayedChanges, bool, error)
 	// Serves reports whether this daemon is an upstream of others.
 	Serves() bool
 }
@@ -56,7 +58,8 @@
 	bounded, cancel := context.WithTimeout(ctx, wait+upstreamReserve)
 	defer cancel()
 	started := f.Now()
-	told, isFollowed, err := f.Upstream.Changes(bounded, f.Table, f.seen, wait)
+	section, _, _ := f.Section()
+	told, isFollowed, err := f.Upstream.Changes(bounded, f.Table, section, f.seen, wait)
 	if !isFollowed || ctx.Err() != nil {
 		return false
 	}
@@ -80,10 +83,13 @@
 	if !told.IsSettled {
 		f.settle()
 	}
-	if told.IsWhole {
+	switch {
+	case told.IsPart:
+		f.Part.ChangePart(told.Rows, told.Version)
+	case told.IsWhole:
 		f.Consumer.Replace(told.Rows, told.Version)
 		f.Logger.Info("table_from_upstream", "table", f.Table, "version", told.Version, "version_before", f.seen, "rows", len(told.Rows))
-	} else {
+	default:
 		f.Consumer.Change(told.Rows, told.Version)
 	}
 	f.seen = told.Version
--- a/internal/table/upstream_test.go
+++ b/internal/table/upstream_test.go
@@ -24,7 +24,7 @@
 
 func (u *testUpstream) Serves() bool { return false }
 
-func (u *testUpstream) Changes(ctx context.Context, _ string, after table.Version, wait time.Duration) (table.RelayedChanges, bool, error) {
+func (u *testUpstream) Changes(ctx context.Context, _ string, _ table.Section, after table.Version, wait time.Duration) (table.RelayedChanges, bool, error) {
 	u.calls.Add(1)
 	if u.isSilent.Load() {
 		return table.RelayedChanges{}, true, errSilent
@@ -34,7 +34,7 @@
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	changes, isWhole := u.copy.ChangesSince(after)
+	changes, isWhole, _ := u.copy.ChangesSince(after)
 	return table.RelayedChanges{Changes: changes, IsWhole: isWhole, IsSettled: true}, true, nil
 }
 
@@ -81,21 +81,22 @@
 func TestReplicaTellsChangesOrAll(t *testing.T) {
 	kept := &table.Replica{Consumer: &recorder{}}
 	kept.Replace(counter("1", 5), 5)
-	changes, isWhole := kept.ChangesSince(0)
+	changes, isWhole, isKnown := kept.ChangesSince(0)
+	require.True(t, isKnown)
 	require.True(t, isWhole)
 	require.Len(t, changes.Rows, 1)
 	for version := table.Version(6); version < 6000; version++ {
 		kept.Change(counter("x", version), version)
 	}
-	changes, isWhole = kept.ChangesSince(5990)
+	changes, isWhole, _ = kept.ChangesSince(5990)
 	require.False(t, isWhole)
 	require.Len(t, changes.Rows, 9)
 	require.Equal(t, table.Version(5999), changes.Version)
-	changes, isWhole = kept.ChangesSince(10)
+	changes, isWhole, _ = kept.ChangesSince(10)
 	require.True(t, isWhole)
 	require.Len(t, changes.Rows, 1)
 	kept.Change(nil, 7000)
-	changes, _ = kept.ChangesSince(5999)
+	changes, _, _ = kept.ChangesSince(5999)
 	require.Empty(t, changes.Rows)
 	require.Equal(t, table.Version(7000), changes.Version)
 }
