--- a/internal/batch/messages.go
+++ b/internal/batch/messages.go
@@ -1,6 +1,10 @@
 package batch
 
-import "github.com/hamba/avro/v2"
+import (
+	"github.com/hamba/avro/v2"
+
+	"topazpulley/internal/avrocodec"
+)
 
 // Methods of the peer protocol that coordinators answer.
 const (
@@ -64,18 +68,18 @@
 	{"name":"Done","type":"boolean"},{"name":"Released","type":"boolean"}]}}`
 
 var (
-	workRequestSchema = avro.MustParse(`{"type":"record","name":"WorkRequest","fields":[
+	workRequestSchema = avrocodec.MustParse(`{"type":"record","name":"WorkRequest","fields":[
 		{"name":"Worker","type":"string"},{"name":"Shard","type":"int"},
 		{"name":"Service","type":"string"},{"name":"Chunks","type":"int"}]}`)
-	workAnswerSchema = avro.MustParse(`{"type":"record","name":"WorkAnswer","fields":[
+	workAnswerSchema = avrocodec.MustParse(`{"type":"record","name":"WorkAnswer","fields":[
 		{"name":"Assignments","type":` + assignmentsSchemaText + `}]}`)
-	progressSchema = avro.MustParse(`{"type":"record","name":"ProgressReport","fields":[
+	progressSchema = avrocodec.MustParse(`{"type":"record","name":"ProgressReport","fields":[
 		{"name":"Worker","type":"string"},{"name":"Shard","type":"int"},
 		{"name":"Assignments","type":` + assignmentsSchemaText + `}]}`)
-	progressAnswerSchema = avro.MustParse(`{"type":"record","name":"ProgressAnswer","fields":[
+	progressAnswerSchema = avrocodec.MustParse(`{"type":"record","name":"ProgressAnswer","fields":[
 		{"name":"Ended","type":{"type":"array","items":"string"}}]}`)
-	noticeSchema  = avro.MustParse(`{"type":"record","name":"JobNotice","fields":[{"name":"Job","type":"string"}]}`)
-	backlogSchema = avro.MustParse(`{"type":"record","name":"Backlog","fields":[
+	noticeSchema  = avrocodec.MustParse(`{"type":"record","name":"JobNotice","fields":[{"name":"Job","type":"string"}]}`)
+	backlogSchema = avrocodec.MustParse(`{"type":"record","name":"Backlog","fields":[
 		{"name":"Services","type":{"type":"array","items":{"type":"record","name":"ServiceBacklog","fields":[
 			{"name":"Service","type":"string"},{"name":"Chunks","type":"int"}]}}}]}`)
 )
--- a/internal/gateway/results.go
+++ b/internal/gateway/results.go
@@ -6,6 +6,7 @@
 
 	"github.com/hamba/avro/v2"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
@@ -28,7 +29,7 @@
 	Content []byte
 }
 
-var keptResultSchema = avro.MustParse(`{"type":"record","name":"KeptResult","fields":[
+var keptResultSchema = avrocodec.MustParse(`{"type":"record","name":"KeptResult","fields":[
 	{"name":"Object","type":"string"},{"name":"Content","type":"bytes"}]}`)
 
 // Schema implements peer.Message.
--- a/internal/gateway/spill.go
+++ b/internal/gateway/spill.go
@@ -42,7 +42,7 @@
 	Free    int
 }
 
-var aggregateSchema = avro.MustParse(`{"type":"record","name":"ZoneAggregate","fields":[
+var aggregateSchema = avrocodec.MustParse(`{"type":"record","name":"ZoneAggregate","fields":[
 	{"name":"Serving","type":"int"},{"name":"Free","type":"int"}]}`)
 
 func newForwardClient(process settings.Settings) *fasthttp.Client {
--- a/internal/job/codec.go
+++ b/internal/job/codec.go
@@ -14,7 +14,7 @@
 
 // jobSchema is how a job's content lies in the store. Fields are only ever
 // added, with a default.
-var jobSchema = avro.MustParse(`{"type":"record","name":"job","fields":[
+var jobSchema = avrocodec.MustParse(`{"type":"record","name":"job","fields":[
 	{"name":"id","type":"string"},{"name":"host","type":"string"},{"name":"submitted_ms","type":"long"},
 	{"name":"due_ms","type":"long"},{"name":"give_up_ms","type":"long"},
 	{"name":"items","type":{"type":"array","items":{"type":"record","name":"item","fields":[
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -107,7 +107,7 @@
 	Failures  int    `avro:"failures"`
 }
 
-var checkpointSchema = avro.MustParse(`{"type":"record","name":"checkpoint","fields":[
+var checkpointSchema = avrocodec.MustParse(`{"type":"record","name":"checkpoint","fields":[
 	{"name":"last_event","type":"long"},{"name":"text","type":"string"},{"name":"failures","type":"int"}]}`)
 
 func (p *progress) restore(from checkpoint) {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -35,7 +35,7 @@
 }
 
 // packetSchema encodes membership.Packet.
-var packetSchema = avro.MustParse(`{"type":"record","name":"Packet","fields":[
+var packetSchema = avrocodec.MustParse(`{"type":"record","name":"Packet","fields":[
 	{"name":"Kind","type":"int"},
 	{"name":"From","type":"string"},
 	{"name":"FromAddress","type":"string"},
@@ -122,7 +122,7 @@
 	RetryAfterMillis int64
 }
 
-var envelopeSchema = avro.MustParse(`{"type":"record","name":"Envelope","fields":[
+var envelopeSchema = avrocodec.MustParse(`{"type":"record","name":"Envelope","fields":[
 	{"name":"ID","type":"long"},
 	{"name":"IsAnswer","type":"boolean"},
 	{"name":"Method","type":"string"},
@@ -144,7 +144,7 @@
 	MAC     []byte
 }
 
-var helloSchema = avro.MustParse(`{"type":"record","name":"Hello","fields":[
+var helloSchema = avrocodec.MustParse(`{"type":"record","name":"Hello","fields":[
 	{"name":"Version","type":"int"},
 	{"name":"Name","type":"string"},
 	{"name":"Nonce","type":"bytes"},
@@ -180,20 +180,20 @@
 )
 
 var (
-	syncRequestSchema = avro.MustParse(`{"type":"record","name":"SyncRequest","fields":[
+	syncRequestSchema = avrocodec.MustParse(`{"type":"record","name":"SyncRequest","fields":[
 		{"name":"Zone","type":"string"},
 		{"name":"Digests","type":{"type":"array","items":"long"}},
 		{"name":"ItemDigest","type":"long"}
 	]}`)
-	syncAnswerSchema = avro.MustParse(`{"type":"record","name":"SyncAnswer","fields":[
+	syncAnswerSchema = avrocodec.MustParse(`{"type":"record","name":"SyncAnswer","fields":[
 		{"name":"Digests","type":{"type":"array","items":"long"}},
 		{"name":"Members","type":{"type":"array","items":` + memberSchemaText + `}},
 		{"name":"Items","type":{"type":"array","items":` + itemSchemaText + `}}
 	]}`)
-	syncPushSchema = avro.MustParse(`{"type":"record","name":"SyncPush","fields":[
+	syncPushSchema = avrocodec.MustParse(`{"type":"record","name":"SyncPush","fields":[
 		{"name":"Members","type":{"type":"array","items":` + memberSchemaText + `}}
 	]}`)
-	emptySchema = avro.MustParse(`{"type":"record","name":"Empty","fields":[]}`)
+	emptySchema = avrocodec.MustParse(`{"type":"record","name":"Empty","fields":[]}`)
 )
 
 // Schema implements Message.
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -44,8 +44,8 @@
 	{"name":"instance","type":"string"},{"name":"had_output","type":"boolean"},{"name":"at_ms","type":"long"}]}`
 
 var (
-	evidenceSchema = avro.MustParse(evidenceSchemaText)
-	noticeSchema   = avro.MustParse(`{"type":"record","name":"notice","fields":[
+	evidenceSchema = avrocodec.MustParse(evidenceSchemaText)
+	noticeSchema   = avrocodec.MustParse(`{"type":"record","name":"notice","fields":[
 		{"name":"evidence","type":{"type":"array","items":` + evidenceSchemaText + `}},
 		{"name":"cleared","type":{"type":"array","items":"bytes"}}]}`)
 )
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -1,6 +1,10 @@
 package quota
 
-import "github.com/hamba/avro/v2"
+import (
+	"github.com/hamba/avro/v2"
+
+	"topazpulley/internal/avrocodec"
+)
 
 // Request asks an account's keeper to commit operations.
 type Request struct {
@@ -16,11 +20,11 @@
 }
 
 var (
-	requestSchema = avro.MustParse(`{"type":"record","name":"quota_request","fields":[{"name":"account","type":"string"},
+	requestSchema = avrocodec.MustParse(`{"type":"record","name":"quota_request","fields":[{"name":"account","type":"string"},
 		{"name":"limit","type":"long"},{"name":"config","type":"long"},
 		{"name":"operations","type":{"type":"array","items":{"type":"record","name":"quota_operation","fields":[
 		{"name":"kind","type":"int"},{"name":"job","type":"string"},{"name":"tokens","type":"long"},{"name":"holder","type":"string"},{"name":"epoch","type":"long"}]}}}]}`)
-	answerSchema = avro.MustParse(`{"type":"record","name":"quota_answer","fields":[
+	answerSchema = avrocodec.MustParse(`{"type":"record","name":"quota_answer","fields":[
 		{"name":"outcomes","type":{"type":"array","items":{"type":"record","name":"quota_outcome","fields":[
 		{"name":"granted","type":"boolean"},{"name":"new","type":"boolean"},{"name":"waiting","type":"long"},{"name":"limit","type":"long"},{"name":"freed_per_second","type":"double"}]}}}]}`)
 )
--- a/internal/ratelimit/messages.go
+++ b/internal/ratelimit/messages.go
@@ -1,6 +1,10 @@
 package ratelimit
 
-import "github.com/hamba/avro/v2"
+import (
+	"github.com/hamba/avro/v2"
+
+	"topazpulley/internal/avrocodec"
+)
 
 // Operation says what a request to a keeper does.
 type Operation int
@@ -39,9 +43,9 @@
 }
 
 var (
-	requestSchema = avro.MustParse(`{"type":"record","name":"rate_request","fields":[{"name":"operation","type":"int"},{"name":"tenant","type":"string"},
+	requestSchema = avrocodec.MustParse(`{"type":"record","name":"rate_request","fields":[{"name":"operation","type":"int"},{"name":"tenant","type":"string"},
 		{"name":"per_second","type":"double"},{"name":"burst","type":"double"},{"name":"config","type":"long"}]}`)
-	answerSchema = avro.MustParse(`{"type":"record","name":"rate_answer","fields":[{"name":"granted","type":"boolean"},{"name":"wait_milliseconds","type":"long"},
+	answerSchema = avrocodec.MustParse(`{"type":"record","name":"rate_answer","fields":[{"name":"granted","type":"boolean"},{"name":"wait_milliseconds","type":"long"},
 		{"name":"level","type":"double"},{"name":"config","type":"long"},{"name":"stand_in","type":"boolean"}]}`)
 )
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -61,13 +61,13 @@
 }
 
 var (
-	machineSchema = avro.MustParse(`{"type":"record","name":"MachineRecord","fields":[
+	machineSchema = avrocodec.MustParse(`{"type":"record","name":"MachineRecord","fields":[
 		{"name":"Address","type":"string"},{"name":"Service","type":"string"},
 		{"name":"Leaving","type":"boolean"},{"name":"Removed","type":"boolean"}]}`)
-	engineSchema = avro.MustParse(`{"type":"record","name":"EngineRecord","fields":[
+	engineSchema = avrocodec.MustParse(`{"type":"record","name":"EngineRecord","fields":[
 		{"name":"Up","type":"boolean"},{"name":"State","type":"string"},{"name":"Fence","type":"long"},
 		{"name":"Models","type":{"type":"array","items":"string"}},{"name":"Supervisor","type":"string"}]}`)
-	loadSchema = avro.MustParse(`{"type":"record","name":"LoadRecord","fields":[
+	loadSchema = avrocodec.MustParse(`{"type":"record","name":"LoadRecord","fields":[
 		{"name":"Online","type":"int"},{"name":"Waiting","type":"int"},{"name":"Batch","type":"int"},
 		{"name":"KVPermille","type":"int"},{"name":"BatchWindow","type":"int"}]}`)
 )
--- a/internal/revision/watcher.go
+++ b/internal/revision/watcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/hamba/avro/v2"
 
+	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/bundle"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/duty"
@@ -53,13 +54,13 @@
 	Text     string
 }
 
-var fetchRequestSchema = avro.MustParse(`{"type":"record","name":"FetchRequest","fields":[
+var fetchRequestSchema = avrocodec.MustParse(`{"type":"record","name":"FetchRequest","fields":[
 	{"name":"Active","type":"string"},{"name":"Stored","type":"boolean"}]}`)
 
 // Schema implements peer.Message.
 func (FetchRequest) Schema() avro.Schema { return fetchRequestSchema }
 
-var fetchAnswerSchema = avro.MustParse(`{"type":"record","name":"FetchAnswer","fields":[
+var fetchAnswerSchema = avrocodec.MustParse(`{"type":"record","name":"FetchAnswer","fields":[
 	{"name":"Revision","type":"bytes"},{"name":"Text","type":"string"}]}`)
 
 // Schema implements peer.Message.
--- a/internal/supervisor/waves.go
+++ b/internal/supervisor/waves.go
@@ -31,7 +31,7 @@
 	Engines  []string
 }
 
-var waveSchema = avro.MustParse(`{"type":"record","name":"Wave","fields":[
+var waveSchema = avrocodec.MustParse(`{"type":"record","name":"Wave","fields":[
 	{"name":"Revision","type":"long"},
 	{"name":"Engines","type":{"type":"array","items":"string"}}]}`)
 
