Sections follow tables that grow and shrink, and keys that lie below what letters allow

Change: the follower reads again when a whole table has doubled past the bound; how far keys reach is found by probes that all daemons make alike (one row in the usual case); letters at places where ids don't differ are left out.

--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -21,8 +21,8 @@
 	readTimeout   = time.Second
 	// askInterval is the shortest time between two questions to peers.
 	askInterval = 400 * time.Millisecond
-	// widenPause is the shortest time between two reads of more of a table.
-	widenPause = time.Second
+	// resizePause is the shortest time between two reads of more or less of a table.
+	resizePause = time.Second
 )
 
 // Consumer receives the rows of a followed table. Calls come from one
@@ -69,8 +69,8 @@
 	seen    Version
 	space   Keyspace
 	section atomic.Pointer[held]
-	// widenAfter is when more of the table may be read again.
-	widenAfter time.Time
+	// resizeAfter is when more or less of the table may be read again.
+	resizeAfter time.Time
 	// isUnconfirmed tells that the table was read since the last watch.
 	isUnconfirmed bool
 	askedAt       time.Time
@@ -78,6 +78,8 @@
 	// directUntil is until when the store is followed although there is an
 	// upstream.
 	directUntil time.Time
+	// upstreamFailedAt is when the upstream last failed.
+	upstreamFailedAt time.Time
 	// confirmed is the moment, as a boottime.Instant, at which the table as it was
 	// handed on was certainly the present state; told is the same by the store's own
 	// answers alone. Zero means never.
@@ -125,7 +127,7 @@
 		if f.pace(ctx) != nil {
 			return // the context ends
 		}
-		f.widen(ctx, inStep)
+		f.resize(ctx, inStep)
 		// What an upstream tells of a section needs one to begin with.
 		if (inStep || f.Plan == nil) && f.followUpstream(ctx) {
 			inStep = true
@@ -147,7 +149,7 @@
 		}
 		if err != nil {
 			inStep = f.askPeers(ctx) || inStep
-			f.directUntil = time.Time{} // an upstream may be served
+			f.tryUpstreamSoon()
 			periodic.SleepAbout(ctx, retryPause)
 		}
 	}
@@ -206,16 +208,20 @@
 	return found, true
 }
 
-// widen reads the table again if what is kept of it has become too little. What is kept
-// serves on while that fails.
-func (f *Follower) widen(ctx context.Context, inStep bool) {
-	section, _, _ := f.Section()
-	if !inStep || !section.IsPart || time.Now().Before(f.widenAfter) || !f.Plan.WantsMore() {
+// resize reads the table again if what is kept of it has become too little, or if a table
+// that is kept as a whole has grown. What is kept serves on while that fails.
+func (f *Follower) resize(ctx context.Context, inStep bool) {
+	section, _, isKnown := f.Section()
+	if !inStep || !isKnown || time.Now().Before(f.resizeAfter) {
+		return
+	}
+	hasGrown := !section.IsPart && f.Part.Rows() > 2*wholeRows
+	if !hasGrown && !(section.IsPart && f.Plan.WantsMore()) {
 		return
 	}
-	f.widenAfter = time.Now().Add(widenPause)
+	f.resizeAfter = time.Now().Add(resizePause)
 	if _, err := f.read(ctx); err != nil {
-		f.Logger.Info("table_not_widened", "table", f.Table, "version", f.seen, "error", err)
+		f.Logger.Info("table_not_resized", "table", f.Table, "version", f.seen, "error", err)
 	}
 }
 
--- a/internal/table/keyspace.go
+++ b/internal/table/keyspace.go
@@ -27,9 +27,15 @@
 	}
 	shared := commonPrefix(first[0], first[len(first)-1])
 	space := Keyspace{}
-	for _, key := range first {
-		space.alphabet = append(space.alphabet, key[min(len(shared), len(key)):]...)
-		space.digits = max(space.digits, len(key))
+	for position := len(shared); ; position++ {
+		letters, isInside := lettersAt(first, position)
+		if !isInside {
+			break
+		}
+		if len(letters) > 1 {
+			space.alphabet = append(space.alphabet, letters...)
+			space.digits = position + 1
+		}
 	}
 	slices.Sort(space.alphabet)
 	space.alphabet = slices.Compact(space.alphabet)
@@ -38,10 +44,22 @@
 		fixed--
 	}
 	space.prefix = shared[:fixed]
-	space.digits = min(space.digits-fixed, mostDigits)
+	space.digits = min(max(space.digits-fixed, 0), mostDigits)
 	return space
 }
 
+// lettersAt returns the different letters that keys have at a position, and whether any key
+// is that long.
+func lettersAt(keys []string, position int) (letters []byte, isInside bool) {
+	for _, key := range keys {
+		if position < len(key) {
+			letters = append(letters, key[position])
+		}
+	}
+	slices.Sort(letters)
+	return slices.Compact(letters), len(letters) > 0
+}
+
 func commonPrefix(a, b string) string {
 	length := 0
 	for length < len(a) && length < len(b) && a[length] == b[length] {
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -184,6 +184,13 @@
 	return r.all(), r.version, true
 }
 
+// Rows implements PartKeeper.
+func (r *Replica) Rows() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.rows)
+}
+
 // Section returns the part of the table that is kept.
 func (r *Replica) Section() Section {
 	r.mutex.Lock()
--- a/internal/table/section.go
+++ b/internal/table/section.go
@@ -58,4 +58,6 @@
 	// ChangePart receives the changes of the section and no others, as another daemon
 	// chose them. Change receives those of the whole table.
 	ChangePart(rows []Row, version Version)
+	// Rows is how many rows are kept.
+	Rows() int
 }
--- a/internal/table/section_test.go
+++ b/internal/table/section_test.go
@@ -18,10 +18,9 @@
 // sortedStore is a store that holds one table of many keys and counts what is read.
 type sortedStore struct {
 	table.Store
-	keys       []string
-	rows       int
-	calls      int
-	readsEmpty int
+	keys  []string
+	rows  int
+	calls int
 }
 
 func (s *sortedStore) Read(_ context.Context, wanted table.Range) (table.Page, error) {
@@ -39,8 +38,11 @@
 	return page, nil
 }
 
-func (s *sortedStore) Watch(ctx context.Context, _ string, after table.Version, _ time.Duration) (table.Changes, error) {
-	<-ctx.Done()
+func (s *sortedStore) Watch(ctx context.Context, _ string, after table.Version, wait time.Duration) (table.Changes, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
 	return table.Changes{Version: after}, nil
 }
 
@@ -74,8 +76,9 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { defer close(ended); follower.Run(ctx) }()
-	require.Eventually(t, func() bool { _, _, isKnown := follower.Section(); return isKnown }, patience, pollTime)
+	require.Eventually(t, func() bool { _, _, isKnown := follower.Section(); return isKnown && follower.Age() < time.Minute }, patience, pollTime)
 	t.Cleanup(func() { cancel(); <-ended })
+	require.Eventually(t, func() bool { return replica.Rows() == len(seen.keys()) }, patience, pollTime)
 	return follower, seen
 }
 
@@ -185,6 +188,42 @@
 	require.Eventually(t, func() bool { return len(seen.keys()) == before }, patience, pollTime)
 }
 
+// TestTableThatGrowsAndShrinks: a table that is kept as a whole becomes a section when it
+// has grown, and a whole again when the section has become too little of it.
+func TestTableThatGrowsAndShrinks(t *testing.T) {
+	store := tabletest.NewMemory()
+	ids := randomIDs(2500)
+	for _, index := range rand.New(rand.NewPCG(5, 6)).Perm(len(ids))[:100] {
+		put(t, store, "", ids[index], "1")
+	}
+	seen := &recorder{}
+	replica := &table.Replica{Consumer: seen}
+	plan := &adaptivePlan{replica: replica}
+	follower := &table.Follower{Store: store, Table: followed, Consumer: replica, Part: replica, Plan: plan, Logger: quiet, Wait: 20 * time.Millisecond}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); follower.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	isPart := func() bool { section, _, _ := follower.Section(); return section.IsPart }
+	require.Eventually(t, func() bool { return len(seen.keys()) == 100 }, patience, pollTime)
+	require.False(t, isPart())
+	for _, id := range ids {
+		put(t, store, "", id, "2")
+	}
+	require.Eventually(t, func() bool { return isPart() && len(seen.keys()) < 400 }, patience, pollTime)
+	for _, id := range ids[300:] {
+		remove(t, store, id)
+	}
+	require.Eventually(t, func() bool { return !isPart() && len(seen.keys()) == 300 }, patience, pollTime)
+}
+
+// adaptivePlan wants 200 rows, and more when fewer than half of them are left.
+type adaptivePlan struct{ replica *table.Replica }
+
+func (p *adaptivePlan) Place() float64                 { return 0.4 }
+func (p *adaptivePlan) IsEnough(rows []table.Row) bool { return len(rows) >= 200 }
+func (p *adaptivePlan) WantsMore() bool                { return p.replica.Rows() < 100 }
+
 // TestReplicaOfASection: it tells all changes that it heard of, and no more once it hears
 // of its own section alone.
 func TestReplicaOfASection(t *testing.T) {
--- a/internal/table/sectionread.go
+++ b/internal/table/sectionread.go
@@ -11,9 +11,10 @@
 	// time of a section.
 	sampleRows    = 64
 	pageOfSection = 64
-	// leastReach is the least part of the guessed keys within which a section begins: a
-	// part of a table's keys may lie far below what their letters allow.
-	leastReach = 1.0 / (1 << 20)
+	// reachError is the part by which the reach of the keys may be found too long, and
+	// leastReach the shortest that is told apart.
+	reachError = 1.0 / 16
+	leastReach = 1.0 / (1 << 30)
 )
 
 // sectionRead is one read of a section.
@@ -66,8 +67,13 @@
 	if f.space.digits == 0 {
 		f.space = KeyspaceOf(first.keys())
 	}
-	isLarge := more && f.space.Estimate(first.keys()) > wholeRows
-	if !isLarge {
+	reach, estimate := 1.0, f.space.Estimate(first.keys())
+	if more && estimate > wholeRows {
+		if reach, err = first.reachOf(f.space); err != nil {
+			return nil, err
+		}
+	}
+	if !more || estimate*reach <= wholeRows {
 		for more && err == nil {
 			more, err = first.page(Range{From: first.next(), Limit: pageRows})
 		}
@@ -75,7 +81,8 @@
 		return first, err
 	}
 	part := &sectionRead{follower: f, ctx: ctx, version: -1}
-	from, reach, more, err := part.begin(f.space, f.Plan.Place())
+	from := f.space.At(f.Plan.Place() * reach)
+	more, err = part.page(Range{From: from, Limit: pageOfSection})
 	if err != nil {
 		return nil, err
 	}
@@ -84,18 +91,26 @@
 	return part, err
 }
 
-// begin reads the first page of a section that begins at a place on the ring. reach is the
-// part of the guessed keys over which the sections of all followers are spread.
-func (r *sectionRead) begin(space Keyspace, place float64) (from string, reach float64, more bool, err error) {
-	for reach = 1.0; reach >= leastReach; reach /= 2 {
-		from = space.At(place * reach)
-		more, err = r.page(Range{From: from, Limit: pageOfSection})
-		if err != nil || len(r.rows) > 0 {
-			return from, reach, more, err
+// reachOf finds how far the keys reach among those that may be, with an error of a
+// sixteenth: they may lie far below what their letters allow. All followers find the same,
+// so that their places are comparable.
+func (r *sectionRead) reachOf(space Keyspace) (float64, error) {
+	low, high := 0.0, 1.0
+	for middle := 1 - reachError; high > leastReach; middle = (low + high) / 2 {
+		found := &sectionRead{follower: r.follower, ctx: r.ctx}
+		if _, err := found.page(Range{From: space.At(middle), Limit: 1}); err != nil {
+			return 0, err
+		}
+		if len(found.rows) > 0 {
+			low = middle
+		} else {
+			high = middle
+		}
+		if high-low <= high*reachError {
+			break
 		}
 	}
-	more, err = r.page(Range{Limit: pageOfSection})
-	return "", 1, more, err
+	return high, nil
 }
 
 // fill reads on, around the ring, until the plan has enough or all is read.
@@ -117,7 +132,7 @@
 		}
 	}
 	section := Section{IsPart: true, From: from}
-	if more || hasWrapped {
+	if len(r.rows) > 0 && (more || hasWrapped) {
 		section.Before = r.next()
 	}
 	return section, nil
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -42,6 +42,8 @@
 	// directTime is how long a daemon follows the store itself after its
 	// upstream failed.
 	directTime = 2 * time.Second
+	// upstreamRetry is the same while the store does not serve it.
+	upstreamRetry = 600 * time.Millisecond
 	// servingWait is how long one watch call of an upstream is held: half of the
 	// age at which its copy is no longer told to others (frontend's
 	// upstreamAge).
@@ -64,7 +66,8 @@
 		return false
 	}
 	if err != nil {
-		f.directUntil = time.Now().Add(directTime)
+		f.upstreamFailedAt = time.Now()
+		f.directUntil = f.upstreamFailedAt.Add(directTime)
 		f.Logger.Info("table_upstream_lost", "table", f.Table, "version", f.seen, "error", err)
 		return false
 	}
@@ -73,6 +76,15 @@
 	return true
 }
 
+// tryUpstreamSoon has the upstream asked again although it has just failed: the store does
+// not serve this daemon either.
+func (f *Follower) tryUpstreamSoon() {
+	soon := f.upstreamFailedAt.Add(upstreamRetry)
+	if soon.Before(f.directUntil) {
+		f.directUntil = soon
+	}
+}
+
 // take hands on what an upstream told. An upstream that lies behind what was
 // read from the store before has no news.
 func (f *Follower) take(told RelayedChanges) {
