--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -299,10 +299,14 @@
 	return known.Instance, true
 }
 
-// Count returns how many back ends a service has.
+// Count returns how many back ends a service has, or all services together when it is
+// empty.
 func (s *Set) Count(service string) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if service == "" {
+		return len(s.states)
+	}
 	return len(s.byService[service])
 }
 
--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -71,6 +71,10 @@
 	// isSettled tells whether a missing entry means that its back end is gone.
 	isSettled func() bool
 
+	// isBulk tells that a change has too many entries for a line each. It belongs to the
+	// follower's goroutine.
+	isBulk bool
+
 	mutex   sync.Mutex
 	missing map[string]bool
 	// hasMissing is signalled when an entry is missing.
@@ -87,16 +91,23 @@
 	for _, row := range rows {
 		listed[row.Key] = true
 	}
+	gone := []string{}
 	for _, known := range c.backends.Instances("") {
 		if !listed[known.ID] {
-			c.remove(known.ID, version)
+			gone = append(gone, known.ID)
 		}
 	}
+	c.isBulk = len(gone) > listingLines
+	for _, id := range gone {
+		c.remove(id, version)
+	}
 	c.Change(rows, version)
 }
 
 // Change implements table.Consumer.
-func (c *instanceConsumer) Change(rows []table.Row, _ table.Version) {
+func (c *instanceConsumer) Change(rows []table.Row, version table.Version) {
+	before := c.backends.Count("")
+	c.isBulk = len(rows) > listingLines
 	for _, row := range rows {
 		if row.Deleted {
 			c.remove(row.Key, row.Version)
@@ -104,8 +115,15 @@
 		}
 		c.put(row)
 	}
+	if c.isBulk {
+		c.log.Info("backends_listed", "entries", len(rows), "known", c.backends.Count(""), "known_before", before, "version", version)
+	}
 }
 
+// listingLines is how many entries of one change have a line each. Of more, as at the start
+// of a large fleet, one line tells the numbers.
+const listingLines = 64
+
 func (c *instanceConsumer) put(row table.Row) {
 	instance, err := c.ports.DecodeInstance(row.Key, row.Value)
 	if err != nil {
@@ -122,8 +140,8 @@
 		c.found(row.Key)
 	}
 	c.metrics.Listings.WithLabelValues(listing.String()).Inc()
-	if wasListed && before == instance {
-		return // it was read again
+	if c.isBulk || (wasListed && before == instance) {
+		return // one line tells of all, or it was read again
 	}
 	c.log.Info("backend_listed", "backend", instance.ID, "born", instance.Born, "change", listing.String(), "service", instance.Service, "is_named", c.isNamed(instance.Service), "address", instance.Address, "zone", instance.Zone,
 		"slots", instance.Slots, "draining", instance.Draining, "cold_ms", instance.ColdFor.Milliseconds(), "row_version", row.Version)
@@ -159,11 +177,15 @@
 		case c.hasMissing <- struct{}{}:
 		default:
 		}
-		c.log.Info("backend_missing", "backend", id, "row_version", version)
+		if !c.isBulk {
+			c.log.Info("backend_missing", "backend", id, "row_version", version)
+		}
 		return
 	}
 	c.backends.Remove(id)
-	c.log.Info("backend_removed", "backend", id, "row_version", version)
+	if !c.isBulk {
+		c.log.Info("backend_removed", "backend", id, "row_version", version)
+	}
 }
 
 // settleAll settles missing entries until the context ends, and sleeps while
--- a/internal/frontend/section.go
+++ b/internal/frontend/section.go
@@ -19,6 +19,8 @@
 	// mostSectionRows bounds a section while a service has too few back ends in the whole
 	// table.
 	mostSectionRows = 4096
+	// manySections is how many times its size a section grows to before it is read anew.
+	manySections = 3
 	// crowdedShare is the part of a service's slots in use from which on a daemon looks
 	// for more back ends.
 	crowdedShare = 0.8
@@ -38,6 +40,8 @@
 	backends *backend.Set
 	log      *slog.Logger
 
+	// readRows is the size of the section when it was last read.
+	readRows int
 	// wanted is how many usable back ends are sought, where more than sectionBackEnds.
 	wanted map[string]int
 	// pause is the time between the last two tries for more, and pausedUntil when the
@@ -59,6 +63,7 @@
 
 // IsEnough implements table.SectionPlan.
 func (p *sectionPlan) IsEnough(rows []table.Row) bool {
+	p.readRows = len(rows)
 	if len(rows) < sectionRows || len(rows) >= mostSectionRows {
 		return len(rows) >= mostSectionRows
 	}
@@ -95,6 +100,11 @@
 	return true
 }
 
+// WantsLess implements table.SectionPlan: the table has grown since the section was read.
+func (p *sectionPlan) WantsLess(rows int) bool {
+	return rows > manySections*max(p.readRows, sectionRows)
+}
+
 // isShortOf reports whether too few back ends of a service are known: many have gone, or
 // those that are left have little room.
 func (p *sectionPlan) isShortOf(service string, now time.Time) bool {
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -215,8 +215,7 @@
 	if !inStep || !isKnown || time.Now().Before(f.resizeAfter) {
 		return
 	}
-	hasGrown := !section.IsPart && f.Part.Rows() > 2*wholeRows
-	if !hasGrown && !(section.IsPart && f.Plan.WantsMore()) {
+	if !f.hasOutgrown(section) && !(section.IsPart && f.Plan.WantsMore()) {
 		return
 	}
 	f.resizeAfter = time.Now().Add(resizePause)
@@ -225,6 +224,16 @@
 	}
 }
 
+// hasOutgrown reports whether much more is kept than should be: entries were added since it
+// was read.
+func (f *Follower) hasOutgrown(section Section) bool {
+	rows := f.Part.Rows()
+	if section.IsPart {
+		return f.Plan.WantsLess(rows)
+	}
+	return rows > outgrownRows
+}
+
 // noteConfirmed notes a moment at which the table, as it was handed on, was the
 // present state. It is called behind the consumer, never before: who asks for the
 // age must find at least what it speaks of.
--- a/internal/table/section.go
+++ b/internal/table/section.go
@@ -46,8 +46,10 @@
 	Place() float64
 	// IsEnough reports whether the rows that were read so far are enough of a section.
 	IsEnough(rows []Row) bool
-	// WantsMore reports whether what is kept has become too little.
+	// WantsMore reports whether what is kept has become too little, and WantsLess whether
+	// so many rows are more than is wanted by far.
 	WantsMore() bool
+	WantsLess(rows int) bool
 }
 
 // PartKeeper is a consumer of a section of a table.
--- a/internal/table/sectionread.go
+++ b/internal/table/sectionread.go
@@ -5,8 +5,10 @@
 )
 
 const (
-	// wholeRows is the size up to which a table is kept as a whole by every follower.
-	wholeRows = 1000
+	// wholeRows is the size up to which a table is kept as a whole by every follower, and
+	// outgrownRows the size to which such a table grows before it is kept in sections.
+	wholeRows    = 600
+	outgrownRows = wholeRows * 3 / 2
 	// sampleRows are read first to learn how large the table is, and pageOfSection at a
 	// time of a section.
 	sampleRows    = 64
