A member that has just started waits longer before it suspects others; addresses are written directly

Cause (trial of the whole fleet): in the first five seconds a daemon hears of some 32 false suspicions and their refutations, each an update for 986 daemons; throttled writes of addresses were made again through two other daemons each and took the store's path for lost. Change: three times the patience in a member's first 16 probes; the address is written without forwarding, a second after the start in the mean.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -83,6 +83,8 @@
 	transport *peer.Transport
 	node      *cluster.Node
 	store     table.Store
+	// direct is the store as this daemon itself reaches it.
+	direct table.Store
 	// forwarding is what store calls; it runs while the daemon does.
 	forwarding *table.Forwarding
 	followers  []*table.Follower
@@ -140,6 +142,7 @@
 	f.transport = peer.NewTransport(process.Name, process.PeerAddress, process.ClusterKeyBytes(), log)
 	self := f.member()
 	f.node = cluster.NewNode(membership.DefaultConfig(time.Duration(process.ProbeInterval)), self, f.transport, log)
+	f.direct = ports.Store
 	f.forwarding = f.forwardingStore(ports)
 	availability := table.NewAvailability(f.forwarding, ports.ConfigTable)
 	store := table.NewMonotonic(availability)
--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -73,7 +73,7 @@
 	// others are found by the seeds meanwhile, if there are any. In a large fleet nobody
 	// needs the address soon then, and the writes are spread by registerSpread a member:
 	// the store takes some 200 a second.
-	registerPause  = 300 * time.Millisecond
+	registerPause  = time.Second
 	registerSpread = 10 * time.Millisecond
 	// longestRegisterPause bounds the mean pause between two tries to write the own
 	// address, which doubles: the store takes the writes of a fleet one after the other.
@@ -110,7 +110,9 @@
 func (f *Frontend) writeAddress(ctx context.Context) bool {
 	bounded, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
-	_, err := f.store.Commit(bounded, table.Transaction{
+	// Not through other daemons: the store takes such writes one after the other and
+	// throttles those of a whole fleet, by whomever they are made.
+	_, err := f.direct.Commit(bounded, table.Transaction{
 		Writes: []table.Write{{Table: tableMembers, Key: f.settings.Name, Value: []byte(f.settings.AdvertiseAddress)}},
 	})
 	var failed *table.Error
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -84,6 +84,11 @@
 	}
 }
 
+// youthPatience is how many times longer a member in the first moments of its life waits for
+// answers: it is busy with learning the others, and where all have just started they are too.
+// In a large fleet each false suspicion is an update for everybody, and so is its refutation.
+const youthPatience = 3
+
 // startProbe pings the next member of a shuffled ring.
 func (c *Core) startProbe(now time.Time) []Datagram {
 	target, found := c.nextTarget()
@@ -92,6 +97,9 @@
 	}
 	c.sequence++
 	stretch := time.Duration(c.healthLack + 1)
+	if c.isYoung(now) {
+		stretch *= youthPatience
+	}
 	c.probes[c.sequence] = &probe{
 		target:     target.Name,
 		indirectAt: now.Add(c.config.ProbeTimeout * stretch),
