Upstreams that read their section again tell every change, and one that cannot tell is left sooner

While 10,000 back ends are listed, upstreams read their sections anew and dropped the changes that they tell; their followers were refused (changes_not_kept, 168 times at 97 daemons) and followed the store for 2 s each, which tells them the whole feed. Change: an upstream fetches the changes up to what it reads anew; a follower whose upstream refuses at once goes to another one after 0.6 s. Test: TestUpstreamThatReadsAgainTellsEveryChange, which fails without the first.

--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -219,11 +219,59 @@
 		return
 	}
 	f.resizeAfter = time.Now().Add(resizePause)
-	if _, err := f.read(ctx); err != nil {
+	if err := f.readAgain(ctx); err != nil {
 		f.Logger.Info("table_not_resized", "table", f.Table, "version", f.seen, "error", err)
 	}
 }
 
+// readAgain reads the table again while it is followed. An upstream also asks for the
+// changes up to what was read, so that what it tells its followers has no gap.
+func (f *Follower) readAgain(ctx context.Context) error {
+	made, err := f.readSection(ctx)
+	if err != nil {
+		return err
+	}
+	if made.version < f.seen {
+		return &Error{Kind: ErrorNotDone, Call: "stale_read"}
+	}
+	isUpstream := f.Upstream != nil && f.Upstream.Serves()
+	missed := []Row{}
+	if isUpstream {
+		if missed, err = f.changesUntil(ctx, made.version); err != nil {
+			return err
+		}
+	}
+	f.setSection(made.held)
+	f.Part.Keep(made.rows, made.version, missed, isUpstream)
+	f.seen, f.isUnconfirmed = made.version, true
+	f.Logger.Info("table_read", "table", f.Table, "version", made.version, "rows", len(made.rows), "is_part", made.held.IsPart, "width", made.held.width)
+	return nil
+}
+
+// changesUntil returns the changes of the whole table behind what was seen and up to a
+// version.
+func (f *Follower) changesUntil(ctx context.Context, until Version) ([]Row, error) {
+	all, after := []Row{}, f.seen
+	for after < until {
+		bounded, cancel := context.WithTimeout(ctx, readTimeout)
+		changes, err := f.Store.Watch(bounded, f.Table, after, 0)
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		if changes.Version <= after {
+			return nil, &Error{Kind: ErrorNotDone, Call: "stale_watch"}
+		}
+		for _, row := range changes.Rows {
+			if row.Version <= until {
+				all = append(all, row)
+			}
+		}
+		after = changes.Version
+	}
+	return all, nil
+}
+
 // hasOutgrown reports whether much more is kept than should be: entries were added since it
 // was read.
 func (f *Follower) hasOutgrown(section Section) bool {
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -34,11 +34,18 @@
 type replicaKey struct{ partition, key string }
 
 // Replace implements Consumer.
-func (r *Replica) Replace(rows []Row, version Version) {
+func (r *Replica) Replace(rows []Row, version Version) { r.Keep(rows, version, nil, false) }
+
+// Keep implements PartKeeper.
+func (r *Replica) Keep(rows []Row, version Version, missed []Row, isGapless bool) {
 	r.mutex.Lock()
 	r.rows = map[replicaKey]Row{}
 	r.keep(rows, version)
-	r.recent, r.recentAfter = nil, version
+	if isGapless {
+		r.remember(missed)
+	} else {
+		r.recent, r.recentAfter = nil, version
+	}
 	r.announce()
 	r.mutex.Unlock()
 	r.Consumer.Replace(rows, version)
--- a/internal/table/section.go
+++ b/internal/table/section.go
@@ -60,6 +60,10 @@
 	// ChangePart receives the changes of the section and no others, as another daemon
 	// chose them. Change receives those of the whole table.
 	ChangePart(rows []Row, version Version)
+	// Keep receives what is kept from then on, as Replace does. If isGapless is set, missed
+	// are the changes of the whole table between what was kept before and the version, for
+	// those who are told of them.
+	Keep(rows []Row, version Version, missed []Row, isGapless bool)
 	// Rows is how many rows are kept.
 	Rows() int
 }
--- a/internal/table/section_test.go
+++ b/internal/table/section_test.go
@@ -237,6 +237,38 @@
 func (p *adaptivePlan) WantsMore() bool                { return p.replica.Rows() < 100 }
 func (p *adaptivePlan) WantsLess(rows int) bool        { return rows > 600 }
 
+// servingUpstream is the view of a daemon that others follow.
+type servingUpstream struct{}
+
+func (servingUpstream) Serves() bool { return true }
+func (servingUpstream) Changes(context.Context, string, table.Section, table.Version, time.Duration) (table.RelayedChanges, bool, error) {
+	return table.RelayedChanges{}, false, nil
+}
+
+// TestUpstreamThatReadsAgainTellsEveryChange: while a table grows, an upstream reads it anew
+// several times, and what it tells has no gap.
+func TestUpstreamThatReadsAgainTellsEveryChange(t *testing.T) {
+	store := tabletest.NewMemory()
+	ids := randomIDs(2500)
+	put(t, store, "", ids[0], "1")
+	replica := &table.Replica{Consumer: &recorder{}}
+	follower := &table.Follower{Store: store, Table: followed, Consumer: replica, Part: replica, Plan: &adaptivePlan{replica: replica}, Logger: quiet, Wait: 20 * time.Millisecond, Upstream: servingUpstream{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); follower.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	require.Eventually(t, func() bool { return replica.Rows() == 1 && follower.StoreAge() < time.Minute }, patience, pollTime)
+	_, after, _ := replica.Since(0)
+	for _, id := range ids[1:] {
+		put(t, store, "", id, "2")
+	}
+	require.Eventually(t, func() bool { _, version, _ := replica.Since(0); return version >= store.Version() }, patience, pollTime)
+	require.True(t, replica.Section().IsPart)
+	changes, _, isKnown := replica.ChangesSince(after)
+	require.True(t, isKnown)
+	require.Len(t, changes.Rows, len(ids)-1)
+}
+
 // TestReplicaOfASection: it tells all changes that it heard of, and no more once it hears
 // of its own section alone.
 func TestReplicaOfASection(t *testing.T) {
@@ -261,6 +293,14 @@
 	_, isKnown = replica.SectionSince(table.Section{}, 0)
 	require.False(t, isKnown)
 
+	replica.Keep([]table.Row{{Key: "b", Version: 1}}, 5, []table.Row{{Key: "a", Version: 4}}, true)
+	changes, isKnown = replica.SectionSince(table.Section{IsPart: true, From: "a", Before: "b"}, 1)
+	require.True(t, isKnown, "what was read again has no gap before it")
+	require.Len(t, changes.Rows, 2)
+	replica.Keep([]table.Row{{Key: "b", Version: 1}}, 6, nil, false)
+	_, isKnown = replica.SectionSince(table.Section{}, 5)
+	require.False(t, isKnown)
+
 	replica.ChangePart([]table.Row{{Key: "c", Version: 9}}, 9)
 	_, isKnown = replica.SectionSince(table.Section{IsPart: true, From: "a", Before: "b"}, 3)
 	require.False(t, isKnown, "other changes up to 9 were not heard of")
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -42,8 +42,10 @@
 	// directTime is how long a daemon follows the store itself after its
 	// upstream failed.
 	directTime = 2 * time.Second
-	// upstreamRetry is the same while the store does not serve it.
+	// upstreamRetry is the same while the store does not serve it, or when the upstream
+	// answered at once, within quickFailure, that it cannot tell: another one may.
 	upstreamRetry = 600 * time.Millisecond
+	quickFailure  = 100 * time.Millisecond
 	// servingWait is how long one watch call of an upstream is held: half of the
 	// age at which its copy is no longer told to others (frontend's
 	// upstreamAge).
@@ -68,6 +70,9 @@
 	if err != nil {
 		f.upstreamFailedAt = time.Now()
 		f.directUntil = f.upstreamFailedAt.Add(directTime)
+		if f.Now().Sub(started) < quickFailure {
+			f.directUntil = f.upstreamFailedAt.Add(upstreamRetry)
+		}
 		f.Logger.Info("table_upstream_lost", "table", f.Table, "version", f.seen, "error", err)
 		return false
 	}
