--- a/internal/table/section_test.go
+++ b/internal/table/section_test.go
@@ -302,6 +302,6 @@
 	require.False(t, isKnown)
 
 	replica.ChangePart([]table.Row{{Key: "c", Version: 9}}, 9)
-	_, isKnown = replica.SectionSince(table.Section{IsPart: true, From: "a", Before: "b"}, 3)
+	_, isKnown = replica.SectionSince(table.Section{IsPart: true, From: "a", Before: "b"}, 7)
 	require.False(t, isKnown, "other changes up to 9 were not heard of")
 }
--- /dev/null
+++ b/test/mutants.d/sections.sh
@@ -0,0 +1,26 @@
+# Mechanisms by which a daemon of a large fleet knows, hears and tells a part.
+mutant whole_table_outgrown internal/table/follower.go \
+	'return rows > outgrownRows' 'return false' internal/table TestTableThatGrowsAndShrinks
+mutant part_told_as_the_whole internal/table/replica.go \
+	'if r.section.IsPart {' 'if false {' internal/table TestReplicaOfASection
+mutant changes_elsewhere_kept internal/table/replica.go \
+	'kept := r.section.Of(rows)' 'kept := rows' internal/table TestFollowerOfASection
+mutant gap_at_a_second_read internal/table/follower.go \
+	'isUpstream := f.Upstream != nil && f.Upstream.Serves()' 'isUpstream := false' internal/table TestUpstreamThatReadsAgainTellsEveryChange
+mutant part_of_the_changes_told_on internal/table/replica.go \
+	'r.keep(rows, version)
+	r.recent, r.recentAfter = nil, version' 'r.keep(rows, version)' internal/table TestReplicaOfASection
+mutant part_given_as_a_copy internal/frontend/source.go \
+	'if !isOffered || held.replica.Section().IsPart {' 'if !isOffered {' internal/frontend TestPartIsNotToldAsTheWhole
+mutant section_never_grows internal/frontend/section.go \
+	'isShort := isCrowded ||' 'isShort := false &&' internal/frontend TestMoreBackEndsAreSoughtWhenFewAreLeft
+mutant rare_services_forgotten internal/frontend/section.go \
+	'if usable[service] < p.wantedOf(service) {' 'if usable[service] < 0 {' internal/frontend TestSectionHasEnoughOfEachService
+mutant all_told_directly internal/neighborhood/neighborhood.go \
+	'if other != daemon && distance <= width*reachMargin {' 'if other != daemon {' internal/neighborhood TestNeighborsAreBounded
+mutant two_upstreams_for_any_zone internal/neighborhood/neighborhood.go \
+	'return max(needed, leastUpstreams)' 'return max(min(needed, 1), leastUpstreams)' internal/neighborhood TestUpstreamsGrowWithTheZone
+mutant bulk_gossiped internal/membership/sync.go \
+	'if len(members) < bulkMembers {' 'if true {' internal/membership/simulation TestLargeFleetThatStartsAtOnce
+mutant schema_changed internal/quota/messages.go \
+	'"name":"' '"name":"x' internal/command TestSchemasAreThoseOfTheList
--- a/test/mutants.d/zones.sh
+++ b/test/mutants.d/zones.sh
@@ -15,6 +15,6 @@
 mutant reopened_zone_is_warm internal/backend/closed.go \
 	's.closing.reopened[zone] = now' '_ = now' internal/backend TestReopenedZoneIsTakenForCold
 mutant pace_by_daemon internal/warmup/warmup.go \
-	'if duty.Owner(key, daemons) == daemon {' 'if key != "" {' internal/warmup TestColdBackEndsStayWithinWhatTheyBear
+	'if duty.Owner(key, daemons) == daemon {' 'if duty.Owner(key, daemons) != "" {' internal/warmup TestColdBackEndsStayWithinWhatTheyBear
 mutant both_sides_of_a_cut_take_all internal/warmup/warmup.go \
 	'safeShare = 0.6' 'safeShare = 1.0' internal/warmup TestColdBackEndsStayWithinWhatTheyBear
