--- a/internal/table/sectionread.go
+++ b/internal/table/sectionread.go
@@ -1,8 +1,6 @@
 package table
 
-import (
-	"context"
-)
+import "context"
 
 const (
 	// wholeRows is the size up to which a table is kept as a whole by every follower, and
@@ -22,7 +20,6 @@
 // sectionRead is one read of a section.
 type sectionRead struct {
 	follower *Follower
-	ctx      context.Context
 	rows     []Row
 	// version is that of the first page.
 	version Version
@@ -31,8 +28,8 @@
 }
 
 // page reads one page and reports whether the range holds further rows.
-func (r *sectionRead) page(wanted Range) (bool, error) {
-	bounded, cancel := context.WithTimeout(r.ctx, readTimeout)
+func (r *sectionRead) page(ctx context.Context, wanted Range) (bool, error) {
+	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	wanted.Table = r.follower.Table
 	page, err := r.follower.Store.Read(bounded, wanted)
@@ -61,46 +58,62 @@
 // readSection reads a table as a whole if it is small, else the section that the
 // follower's plan wants.
 func (f *Follower) readSection(ctx context.Context) (*sectionRead, error) {
-	first := &sectionRead{follower: f, ctx: ctx, version: -1}
-	more, err := first.page(Range{Limit: sampleRows})
+	first := &sectionRead{follower: f, version: -1}
+	more, err := first.page(ctx, Range{Limit: sampleRows})
 	if err != nil {
 		return nil, err
 	}
 	if f.space.digits == 0 {
 		f.space = KeyspaceOf(first.keys())
 	}
-	reach, estimate := 1.0, f.space.Estimate(first.keys())
-	if more && estimate > wholeRows {
-		if reach, err = first.reachOf(f.space); err != nil {
-			return nil, err
-		}
+	reach, isLarge, err := first.measure(ctx, more)
+	if err != nil {
+		return nil, err
 	}
-	if !more || estimate*reach <= wholeRows {
-		for more && err == nil {
-			more, err = first.page(Range{From: first.next(), Limit: pageRows})
-		}
-		first.held = held{width: 1}
-		return first, err
+	if isLarge {
+		return f.readPart(ctx, reach)
 	}
-	part := &sectionRead{follower: f, ctx: ctx, version: -1}
+	for more && err == nil {
+		more, err = first.page(ctx, Range{From: first.next(), Limit: pageRows})
+	}
+	first.held = held{width: 1}
+	return first, err
+}
+
+// readPart reads the section that the follower's plan wants of a table whose keys have a
+// reach.
+func (f *Follower) readPart(ctx context.Context, reach float64) (*sectionRead, error) {
+	part := &sectionRead{follower: f, version: -1}
 	from := f.space.At(f.Plan.Place() * reach)
-	more, err = part.page(Range{From: from, Limit: pageOfSection})
+	more, err := part.page(ctx, Range{From: from, Limit: pageOfSection})
 	if err != nil {
 		return nil, err
 	}
-	part.held.Section, err = part.fill(from, more, f.Plan)
+	part.held.Section, err = part.fill(ctx, from, more, f.Plan)
 	part.held.width = min(f.widthOf(part.held.Section)/reach, 1)
 	return part, err
 }
 
+// measure estimates from the first rows of a table whether it is large, and how far the
+// keys of a large one reach.
+func (r *sectionRead) measure(ctx context.Context, more bool) (reach float64, isLarge bool, err error) {
+	space := r.follower.space
+	estimate := space.Estimate(r.keys())
+	if !more || estimate <= wholeRows {
+		return 1, false, nil
+	}
+	reach, err = r.reachOf(ctx, space)
+	return reach, estimate*reach > wholeRows, err
+}
+
 // reachOf finds how far the keys reach among those that may be, with an error of a
 // sixteenth: they may lie far below what their letters allow. All followers find the same,
 // so that their places are comparable.
-func (r *sectionRead) reachOf(space Keyspace) (float64, error) {
+func (r *sectionRead) reachOf(ctx context.Context, space Keyspace) (float64, error) {
 	low, high := 0.0, 1.0
 	for middle := 1 - reachError; high > leastReach; middle = (low + high) / 2 {
-		found := &sectionRead{follower: r.follower, ctx: r.ctx}
-		if _, err := found.page(Range{From: space.At(middle), Limit: 1}); err != nil {
+		found := &sectionRead{follower: r.follower}
+		if _, err := found.page(ctx, Range{From: space.At(middle), Limit: 1}); err != nil {
 			return 0, err
 		}
 		if len(found.rows) > 0 {
@@ -116,16 +129,16 @@
 }
 
 // fill reads on, around the ring, until the plan has enough or all is read.
-func (r *sectionRead) fill(from string, more bool, plan SectionPlan) (Section, error) {
+func (r *sectionRead) fill(ctx context.Context, from string, more bool, plan SectionPlan) (Section, error) {
 	before, hasWrapped := "", false
 	for !plan.IsEnough(r.rows) {
 		var err error
 		switch {
 		case more:
-			more, err = r.page(Range{From: r.next(), Before: before, Limit: pageOfSection})
+			more, err = r.page(ctx, Range{From: r.next(), Before: before, Limit: pageOfSection})
 		case !hasWrapped && from != "":
 			before, hasWrapped = from, true
-			more, err = r.page(Range{Before: before, Limit: pageOfSection})
+			more, err = r.page(ctx, Range{Before: before, Limit: pageOfSection})
 		default:
 			return Section{}, nil
 		}
--- a/test/mutants.d/sections.sh
+++ b/test/mutants.d/sections.sh
@@ -1,11 +1,11 @@
 # Mechanisms by which a daemon of a large fleet knows, hears and tells a part.
-mutant whole_table_outgrown internal/table/follower.go \
+mutant whole_table_outgrown internal/table/resize.go \
 	'return rows > outgrownRows' 'return false' internal/table TestTableThatGrowsAndShrinks
 mutant part_told_as_the_whole internal/table/replica.go \
 	'if r.section.IsPart {' 'if false {' internal/table TestReplicaOfASection
 mutant changes_elsewhere_kept internal/table/replica.go \
 	'kept := r.section.Of(rows)' 'kept := rows' internal/table TestFollowerOfASection
-mutant gap_at_a_second_read internal/table/follower.go \
+mutant gap_at_a_second_read internal/table/resize.go \
 	'isUpstream := f.Upstream != nil && f.Upstream.Serves()' 'isUpstream := false' internal/table TestUpstreamThatReadsAgainTellsEveryChange
 mutant part_of_the_changes_told_on internal/table/replica.go \
 	'r.keep(rows, version)
