--- a/internal/frontend/upstream.go
+++ b/internal/frontend/upstream.go
@@ -31,6 +31,10 @@
 	// the shortest bound on configuration and leaving back ends in fleets of
 	// this size (three seconds).
 	upstreamAge = 1500 * time.Millisecond
+	// upstreamTries is how many upstreams are asked in turn while each refuses within
+	// refusalTime.
+	upstreamTries = 3
+	refusalTime   = 100 * time.Millisecond
 	// choiceAge is how long the choice of an upstream is used.
 	choiceAge = 300 * time.Millisecond
 )
@@ -167,9 +171,8 @@
 	if len(chosen) == 0 || u.isAmong(chosen) {
 		return table.RelayedChanges{}, false, nil
 	}
-	answer, err := u.ask(ctx, u.pick(chosen).Address, name, section, after, wait)
+	answer, err := u.askSome(ctx, chosen, name, section, after, wait)
 	if err != nil {
-		u.skip()
 		return table.RelayedChanges{}, true, err
 	}
 	return table.RelayedChanges{
@@ -178,6 +181,23 @@
 	}, true, nil
 }
 
+// askSome asks one upstream after the other while they refuse at once: one that has just
+// become an upstream does not know the present state yet.
+func (u *upstream) askSome(ctx context.Context, chosen []membership.Member, name string, section table.Section, after table.Version, wait time.Duration) (answer followAnswer, err error) {
+	for range min(upstreamTries, len(chosen)) {
+		started := time.Now()
+		answer, err = u.ask(ctx, u.pick(chosen).Address, name, section, after, wait)
+		if err == nil {
+			return answer, nil
+		}
+		u.skip()
+		if time.Since(started) > refusalTime || ctx.Err() != nil {
+			break
+		}
+	}
+	return answer, err
+}
+
 // ask has one upstream answer when something has changed.
 func (u *upstream) ask(ctx context.Context, address, name string, section table.Section, after table.Version, wait time.Duration) (followAnswer, error) {
 	if section.IsPart {
--- a/internal/frontend/upstream_test.go
+++ b/internal/frontend/upstream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"topazpulley/internal/boottime"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/neighborhood"
+	"topazpulley/internal/peer"
 	"topazpulley/internal/table"
 	"topazpulley/internal/table/tabletest"
 )
@@ -147,3 +149,40 @@
 	claimed := called.Add(-time.Duration(told.AgeMilliseconds) * time.Millisecond)
 	require.LessOrEqual(t, claimed.Sub(confirmed), 10*time.Millisecond, "the copy is told to be newer than it is")
 }
+
+// startUpstream starts a daemon's end of the peer protocol that serves a copy.
+func startUpstream(t *testing.T, name string, offered followedCopy) membership.Member {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	transport := peer.NewTransport(name, address, make([]byte, 32), quiet)
+	peer.Handle(transport, methodFollow, serverOf(offered).serve)
+	require.NoError(t, transport.Start())
+	t.Cleanup(transport.Stop)
+	return membership.Member{Name: name, Address: address}
+}
+
+// TestUpstreamThatRefusesIsPassedBy: one that does not know the present state, as it has just
+// become an upstream, costs a follower a round trip and no way to the store.
+func TestUpstreamThatRefusesIsPassedBy(t *testing.T) {
+	store := tabletest.NewMemory()
+	put(t, store, "a")
+	stale := followedCopy{replica: &table.Replica{Consumer: discard{}}}
+	stale.follower = &table.Follower{Store: store, Table: "t", Consumer: stale.replica, Logger: quiet}
+	chosen := []membership.Member{
+		startUpstream(t, "first", stale), startUpstream(t, "second", stale), startUpstream(t, "third", newCopy(t, store)),
+	}
+	caller := peer.NewTransport("caller", "127.0.0.1:0", make([]byte, 32), quiet)
+	require.NoError(t, caller.Start())
+	t.Cleanup(caller.Stop)
+	asking := &upstream{transport: caller, self: membership.Member{Name: "caller"}, copies: map[string]followedCopy{}}
+	for range 3 {
+		answer, err := asking.askSome(t.Context(), chosen, "t", table.Section{}, 0, time.Millisecond)
+		require.NoError(t, err)
+		require.Len(t, answer.Rows, 1)
+	}
+	_, err := asking.askSome(t.Context(), chosen[:2], "t", table.Section{}, 0, time.Millisecond)
+	require.ErrorContains(t, err, "old")
+}
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -250,8 +250,9 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, wait+answerReserve)
 	defer cancel()
-	if f.isUnconfirmed {
-		wait = 0 // it is there to confirm the read
+	if f.isUnconfirmed || (f.Upstream != nil && f.StoreAge() > servingWait && f.Upstream.Serves()) {
+		// It confirms the read, or what is told to followers that have just come.
+		wait = 0
 	}
 	started := f.Now()
 	changes, err := f.Store.Watch(bounded, f.Table, f.seen, wait)
--- a/test/mutants.d/sections.sh
+++ b/test/mutants.d/sections.sh
@@ -24,3 +24,5 @@
 	'if len(members) < bulkMembers {' 'if true {' internal/membership/simulation TestLargeFleetThatStartsAtOnce
 mutant schema_changed internal/quota/messages.go \
 	'"name":"' '"name":"x' internal/command TestSchemasAreThoseOfTheList
+mutant refusing_upstream_not_passed_by internal/frontend/upstream.go \
+	'upstreamTries = 3' 'upstreamTries = 1' internal/frontend TestUpstreamThatRefusesIsPassedBy
