--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -301,15 +301,28 @@
 }
 
 // claimsDeferral is how long a daemon of a large fleet that starts waits for an upstream
-// before it reads the claims of all jobs itself, a call a partition.
-const claimsDeferral = 4 * time.Second
+// before it reads the claims of all jobs itself, a call a partition. It looks for one each
+// claimsPoll, and until it knows how large the fleet is each sizePoll: a small fleet has none.
+const (
+	claimsDeferral = 4 * time.Second
+	claimsPoll     = 100 * time.Millisecond
+	sizePoll       = 5 * time.Millisecond
+)
 
-// defersClaims returns whether the first read of the claims waits for an upstream. How
+// defersClaims returns for how long the first read of the claims waits for an upstream. How
 // large the fleet is shows in the table of back ends.
-func (f *Frontend) defersClaims(started time.Time) func() bool {
-	return func() bool {
+func (f *Frontend) defersClaims(started time.Time) func() time.Duration {
+	return func() time.Duration {
 		section, _, isKnown := f.section()
-		return time.Since(started) < claimsDeferral && (!isKnown || section.IsPart) && !f.followed.Serves()
+		switch {
+		case time.Since(started) >= claimsDeferral || f.followed.Serves():
+			return 0
+		case !isKnown:
+			return sizePoll
+		case section.IsPart:
+			return claimsPoll
+		}
+		return 0
 	}
 }
 
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -21,8 +21,13 @@
 	readTimeout   = time.Second
 	// askInterval is the shortest time between two questions to peers.
 	askInterval = 400 * time.Millisecond
+	// fewPartitions are read whatever the size of the fleet.
+	fewPartitions = 8
 )
 
+// errDeferred tells that a read waits for an upstream.
+var errDeferred = &Error{Kind: ErrorNotDone, Call: "deferred_read"}
+
 // Consumer receives the rows of a followed table. Calls come from one
 // goroutine.
 type Consumer interface {
@@ -53,9 +58,9 @@
 	// be set beside it, and Part must be the Consumer.
 	Plan SectionPlan
 	Part PartKeeper
-	// Deferred reports whether the first read waits for an upstream; nil means that it
-	// does not.
-	Deferred func() bool
+	// Deferred returns for how long a read of many partitions, a call each, waits for an
+	// upstream before it is tried again, 0 if it does not wait; nil means that it does not.
+	Deferred func() time.Duration
 	// Peers are asked while the store does not answer; nil means none.
 	Peers Peers
 	// Upstream is followed in place of the store while it is in step; nil means
@@ -131,16 +136,16 @@
 			inStep = true
 			continue
 		}
-		if !inStep && f.Deferred != nil && f.Deferred() {
-			periodic.SleepAbout(ctx, retryPause)
-			continue
-		}
 		var err error
 		if inStep {
 			err = f.watch(ctx)
 		} else {
 			inStep, err = f.read(ctx)
 		}
+		if errors.Is(err, errDeferred) {
+			periodic.Sleep(ctx, f.Deferred())
+			continue
+		}
 		f.note(err)
 		if isCompacted(err) {
 			inStep = false
@@ -319,6 +324,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(partitions) > fewPartitions && f.Deferred != nil && f.Deferred() > 0 {
+		return nil, errDeferred
+	}
 	all := []Row{}
 	for _, partition := range partitions {
 		if partition == "" {
--- a/internal/table/section_test.go
+++ b/internal/table/section_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sort"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -305,3 +306,35 @@
 	_, isKnown = replica.SectionSince(table.Section{IsPart: true, From: "a", Before: "b"}, 7)
 	require.False(t, isKnown, "other changes up to 9 were not heard of")
 }
+
+// TestReadOfManyPartitionsWaits for an upstream while it is deferred, and one of few does not.
+func TestReadOfManyPartitionsWaits(t *testing.T) {
+	store := tabletest.NewMemory()
+	put(t, store, "few", "a", "1")
+	var isDeferred atomic.Bool
+	isDeferred.Store(true)
+	start := func() *recorder {
+		seen := &recorder{}
+		follower := &table.Follower{Store: store, Table: followed, Consumer: seen, Partitioned: true, Logger: quiet, Wait: 20 * time.Millisecond, Deferred: func() time.Duration {
+			if isDeferred.Load() {
+				return time.Millisecond
+			}
+			return 0
+		}}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { defer close(ended); follower.Run(ctx) }()
+		t.Cleanup(func() { cancel(); <-ended })
+		return seen
+	}
+	few := start()
+	require.Eventually(t, func() bool { return few.value("a") == "1" }, patience, pollTime)
+	for partition := range 20 {
+		put(t, store, fmt.Sprint("part-", partition), "a", "2")
+	}
+	many := start()
+	time.Sleep(100 * time.Millisecond)
+	require.Empty(t, many.value("a"))
+	isDeferred.Store(false)
+	require.Eventually(t, func() bool { return many.value("a") == "2" }, patience, pollTime)
+}
--- a/test/mutants.d/sections.sh
+++ b/test/mutants.d/sections.sh
@@ -26,3 +26,5 @@
 	'"name":"' '"name":"x' internal/command TestSchemasAreThoseOfTheList
 mutant refusing_upstream_not_passed_by internal/frontend/upstream.go \
 	'upstreamTries = 3' 'upstreamTries = 1' internal/frontend TestUpstreamThatRefusesIsPassedBy
+mutant all_read_all_claims internal/table/follower.go \
+	'if len(partitions) > fewPartitions && f.Deferred != nil' 'if false && f.Deferred != nil' internal/table TestReadOfManyPartitionsWaits
