A deferred read of claims makes no calls

Cause, by reading: at a start of all, a daemon that waits for an upstream listed the partitions of the claims again each 100 ms, 9,860 calls a second of 986 daemons beside their first reads. Change: what is known to have many partitions is not listed again while the read is deferred. Test: TestReadOfManyPartitionsWaits counts the calls. TestUpstreamThatReadsAgainTellsEveryChange failed once (beside load 25): it looked at the section just behind the last change, before the follower had read it; it waits for the section now.

--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -69,6 +69,9 @@
 	// Clock is the system's if it is nil.
 	Clock boottime.Clock
 
+	// hasManyPartitions tells that more than fewPartitions were listed.
+	hasManyPartitions bool
+
 	seen    Version
 	space   Keyspace
 	section atomic.Pointer[held]
@@ -137,9 +140,12 @@
 			continue
 		}
 		var err error
-		if inStep {
+		switch {
+		case inStep:
 			err = f.watch(ctx)
-		} else {
+		case f.isDeferred():
+			err = errDeferred
+		default:
 			inStep, err = f.read(ctx)
 		}
 		if errors.Is(err, errDeferred) {
@@ -158,6 +164,11 @@
 	}
 }
 
+// isDeferred reports whether a read of many partitions waits for an upstream.
+func (f *Follower) isDeferred() bool {
+	return f.hasManyPartitions && f.Deferred != nil && f.Deferred() > 0
+}
+
 // pace waits until changes may be asked for again.
 func (f *Follower) pace(ctx context.Context) error {
 	if f.Pace == nil {
@@ -324,7 +335,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(partitions) > fewPartitions && f.Deferred != nil && f.Deferred() > 0 {
+	f.hasManyPartitions = len(partitions) > fewPartitions
+	if f.isDeferred() {
 		return nil, errDeferred
 	}
 	all := []Row{}
--- a/internal/table/section_test.go
+++ b/internal/table/section_test.go
@@ -264,7 +264,7 @@
 		put(t, store, "", id, "2")
 	}
 	require.Eventually(t, func() bool { _, version, _ := replica.Since(0); return version >= store.Version() }, patience, pollTime)
-	require.True(t, replica.Section().IsPart)
+	require.Eventually(t, func() bool { return replica.Section().IsPart }, patience, pollTime)
 	changes, _, isKnown := replica.ChangesSince(after)
 	require.True(t, isKnown)
 	require.Len(t, changes.Rows, len(ids)-1)
@@ -332,9 +332,15 @@
 	for partition := range 20 {
 		put(t, store, fmt.Sprint("part-", partition), "a", "2")
 	}
+	calls := atomic.Int64{}
+	store.SetDecide(func(string) tabletest.Fault {
+		calls.Add(1)
+		return tabletest.FaultNone
+	})
 	many := start()
 	time.Sleep(100 * time.Millisecond)
 	require.Empty(t, many.value("a"))
+	require.Less(t, calls.Load(), int64(30), "it waits without calls; the other follower watches")
 	isDeferred.Store(false)
 	require.Eventually(t, func() bool { return many.value("a") == "2" }, patience, pollTime)
 }
--- a/test/mutants.d/sections.sh
+++ b/test/mutants.d/sections.sh
@@ -27,4 +27,4 @@
 mutant refusing_upstream_not_passed_by internal/frontend/upstream.go \
 	'upstreamTries = 3' 'upstreamTries = 1' internal/frontend TestUpstreamThatRefusesIsPassedBy
 mutant all_read_all_claims internal/table/follower.go \
-	'if len(partitions) > fewPartitions && f.Deferred != nil' 'if false && f.Deferred != nil' internal/table TestReadOfManyPartitionsWaits
+	'f.hasManyPartitions = len(partitions) > fewPartitions' 'f.hasManyPartitions = false' internal/table TestReadOfManyPartitionsWaits
