--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -69,11 +69,9 @@
 	// name's followers in the order of names, so that daemons which start at once do not
 	// all turn to the same few.
 	memberRows = 100
-	// registerPause is the mean time before a daemon that starts writes its address: the
-	// others are found by the seeds meanwhile, if there are any. In a large fleet nobody
-	// needs the address soon then, and the writes are spread by registerSpread a member:
-	// the store takes some 200 a second.
-	registerPause  = time.Second
+	// registerSpread is the time for each member over which writes of addresses that the
+	// store has turned away are made again: it takes some 200 a second, and in a fleet
+	// that is large nobody needs them soon.
 	registerSpread = 10 * time.Millisecond
 	// longestRegisterPause bounds the mean pause between two tries to write the own
 	// address, which doubles: the store takes the writes of a fleet one after the other.
@@ -94,15 +92,12 @@
 
 // register writes this daemon's address to the store.
 func (f *Frontend) register(ctx context.Context) {
-	if !periodic.SleepAbout(ctx, registerPause) {
-		return
-	}
-	if found := f.Members(); found > neighborhood.WholeFleet && !periodic.Sleep(ctx, rand.N(time.Duration(found)*registerSpread)) {
-		return
-	}
 	pause := rejoinPause
 	for !f.writeAddress(ctx) && periodic.SleepAbout(ctx, pause) {
 		pause = min(2*pause, longestRegisterPause)
+		if found := f.Members(); found > neighborhood.WholeFleet {
+			periodic.Sleep(ctx, rand.N(time.Duration(found)*registerSpread))
+		}
 	}
 }
 
