--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -76,12 +76,12 @@
 	random     *rand.Rand
 	audience   audience
 	audienceAt time.Time
-	// audienceOf is the membership, by its generation, and the section that the audience
-	// was worked out from.
-	audienceOf audienceBasis
+	// basis is what the audience was worked out from.
+	basis audienceBasis
 }
 
-// audienceBasis is what an audience depends on.
+// audienceBasis is what an audience depends on: the members, by their generation, and the
+// section.
 type audienceBasis struct {
 	generation uint64
 	section    section
@@ -128,20 +128,20 @@
 func (e *Exchange) currentAudience(now time.Time) audience {
 	e.mutex.Lock()
 	isFresh := now.Sub(e.audienceAt) < audienceAge
-	known, of := e.audience, e.audienceOf
+	known, knownBasis := e.audience, e.basis
 	e.mutex.Unlock()
 	if isFresh {
 		return known
 	}
 	basis := audienceBasis{generation: e.node.Generation()}
 	basis.section.width, basis.section.isPart = e.Section()
-	if basis == of {
+	if basis == knownBasis {
 		return known
 	}
 	found := audienceOf(e.self, e.node.Members(), e.directLimit, basis.section)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.audience, e.audienceAt, e.audienceOf = found, now, basis
+	e.audience, e.audienceAt, e.basis = found, now, basis
 	e.backends.SetPropagation(found.propagation())
 	return found
 }
