A good end speaks against one wave of ends, not against all for ten seconds

What callers saw: a request that ends the back ends which run it reached 11 to 13 of them (soak, nine allowed), and callers of the same service had 502 for what was cut beside it and 503 while none was left.

Cause, from the daemons' logs of a play that broke the promise: one back end that misbehaved answered the request with 200. That good end cleared the evidence, and for 5 to 10 s each of the two daemons that had seen it withdrew every later end (evidence_withdrawn reason=succeeded_before, within a millisecond of the evidence): plain-5, plain-4, plain-15, plain-4, plain-16, plain-4, plain-17, plain-4 in turn. Ruled out: lost evidence (no daemon was harmed until 3.6 s) and another fingerprint (one throughout).

Change: a good end speaks against the ends of one wave, the first behind it and those within 0.6 s; what it is there for is a request in flight at several back ends that end together. Later ends count. A daemon that excuses an end by itself tells the others of it, so that their good ends speak against the same wave and not against the next. Evidence is excused one by one, and not if it comes late. crash_evidence tells excused=; ends excused by the daemon that saw them had no line before.

Three mutants more, two moved.

--- a/internal/quarantine/cluster.go
+++ b/internal/quarantine/cluster.go
@@ -54,6 +54,11 @@
 	if s.recorder != nil {
 		s.recorder.Write(notice.Evidence)
 	}
+	s.Tell(notice)
+}
+
+// Tell implements Spreader.
+func (s *ClusterSpreader) Tell(notice Notice) {
 	for start := 0; start < len(notice.Evidence); start += evidencePerNotice {
 		s.tellAll(Notice{Evidence: notice.Evidence[start:min(start+evidencePerNotice, len(notice.Evidence))]})
 	}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -27,7 +27,10 @@
 // Spreader carries what this daemon has learnt to the others and to the store.
 // It must not block.
 type Spreader interface {
+	// Spread tells the others and has evidence stored.
 	Spread(notice Notice)
+	// Tell tells the others only.
+	Tell(notice Notice)
 	// Withdraw removes evidence from the store.
 	Withdraw(keys []RowKey)
 }
@@ -81,39 +84,37 @@
 // there.
 func (g *Guard) Crashed(instance string, runs []Run) {
 	now := time.Now()
-	seen := Notice{}
+	held, excused := Notice{}, Notice{}
 	for _, run := range runs {
-		if g.hasSucceeded(run.Fingerprint) {
+		evidence := Evidence{Fingerprint: run.Fingerprint, Instance: instance, HadOutput: run.HadOutput, At: now}
+		if g.add(evidence, SourceSelf) {
+			excused.Evidence = append(excused.Evidence, evidence)
 			continue
 		}
-		seen.Evidence = append(seen.Evidence, Evidence{Fingerprint: run.Fingerprint, Instance: instance, HadOutput: run.HadOutput, At: now})
+		held.Evidence = append(held.Evidence, evidence)
 	}
-	if len(seen.Evidence) == 0 {
-		return
+	g.send(held)
+	// The others hear of excused ends too: they also may know of good ends, which must
+	// not speak against another wave there.
+	g.tell(excused)
+	for _, evidence := range excused.Evidence {
+		g.excuse(evidence, SourceSelf)
 	}
-	g.Receive(seen, SourceSelf)
-	g.send(seen)
-}
-
-func (g *Guard) hasSucceeded(fingerprint Fingerprint) bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.successes.has(fingerprint, g.Clock.Now())
 }
 
-// Receive takes in what another daemon tells, or what this one saw.
+// Receive takes in what another daemon tells, or what the store holds.
 func (g *Guard) Receive(notice Notice, source Source) {
 	for _, fingerprint := range notice.Cleared {
 		g.clear(fingerprint, source)
 	}
-	proved := []Fingerprint{}
+	excused := []Evidence{}
 	for _, evidence := range notice.Evidence {
 		if g.add(evidence, source) {
-			proved = append(proved, evidence.Fingerprint)
+			excused = append(excused, evidence)
 		}
 	}
-	for _, fingerprint := range proved {
-		g.exonerate(fingerprint, "succeeded_before")
+	for _, evidence := range excused {
+		g.excuse(evidence, source)
 	}
 }
 
@@ -121,24 +122,44 @@
 // against it.
 func (g *Guard) add(evidence Evidence, source Source) bool {
 	now := time.Now()
+	age := now.Sub(evidence.At)
 	g.mutex.Lock()
 	_, wasHeld := g.ledger.Verdict(evidence.Fingerprint, now)
 	isNew := g.ledger.Add(evidence, source == SourceStore)
 	verdict, isHeld := g.ledger.Verdict(evidence.Fingerprint, now)
 	hasSucceeded := g.successes.has(evidence.Fingerprint, g.Clock.Now())
+	isExcused := g.successes.excuses(evidence, age, g.Clock.Now())
 	g.mutex.Unlock()
 	if !isNew {
-		return false
+		return isExcused
 	}
 	g.metrics.Evidence.WithLabelValues(string(source)).Inc()
 	g.log.Info("crash_evidence", "fingerprint", evidence.Fingerprint.String(), "backend", evidence.Instance, "had_output", evidence.HadOutput,
-		"age_ms", now.Sub(evidence.At).Milliseconds(), "source", string(source), "succeeded_lately", hasSucceeded)
-	if isHeld && !wasHeld && !hasSucceeded {
+		"age_ms", age.Milliseconds(), "source", string(source), "succeeded_lately", hasSucceeded, "excused", isExcused)
+	if isHeld && !wasHeld && !isExcused {
 		g.log.Warn("request_quarantined", "fingerprint", evidence.Fingerprint.String(), "backends", verdict.Instances,
 			"source", string(source), "until", verdict.Until.UTC().Format(time.RFC3339))
 		g.metrics.Quarantined.Inc()
 	}
-	return hasSucceeded
+	return isExcused
+}
+
+// excuse takes back one piece of evidence, against which a good end speaks.
+func (g *Guard) excuse(evidence Evidence, source Source) {
+	g.mutex.Lock()
+	isRemoved := g.ledger.Remove(evidence.Fingerprint, evidence.Instance)
+	isSuspect := g.ledger.IsSuspect(evidence.Fingerprint)
+	g.mutex.Unlock()
+	if !isRemoved {
+		return
+	}
+	g.log.Info("evidence_withdrawn", "fingerprint", evidence.Fingerprint.String(), "backends", []string{evidence.Instance}, "reason", "succeeded_before")
+	if g.spread != nil && source != SourceSelf { // what was excused here was not stored
+		g.spread.Withdraw([]RowKey{{Fingerprint: evidence.Fingerprint, Instance: evidence.Instance}})
+	}
+	if !isSuspect { // the message clears all evidence
+		g.send(Notice{Cleared: []Fingerprint{evidence.Fingerprint}})
+	}
 }
 
 // Succeeded records that a run of a request came to a good end: a request that
@@ -226,3 +247,9 @@
 		g.spread.Spread(notice)
 	}
 }
+
+func (g *Guard) tell(notice Notice) {
+	if g.spread != nil {
+		g.spread.Tell(notice)
+	}
+}
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -34,6 +34,10 @@
 		}
 		m.fleet.rows[RowKey{Fingerprint: each.Fingerprint, Instance: each.Instance}.String()] = content
 	}
+	m.Tell(notice)
+}
+
+func (m member) Tell(notice Notice) {
 	content, err := EncodeNotice(notice)
 	if err != nil {
 		panic(err)
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -172,16 +172,18 @@
 	l.Clear(leastOf)
 }
 
-// Remove takes back the evidence of one back end.
-func (l *Ledger) Remove(fingerprint Fingerprint, instance string) {
+// Remove takes back the evidence of one back end and reports whether there was any.
+func (l *Ledger) Remove(fingerprint Fingerprint, instance string) bool {
 	known, exists := l.suspects[fingerprint]
 	if !exists {
-		return
+		return false
 	}
+	_, isKnown := known.crashes[instance]
 	l.change(known, func() { delete(known.crashes, instance) })
 	if len(known.crashes) == 0 {
 		delete(l.suspects, fingerprint)
 	}
+	return isKnown
 }
 
 // Clear takes back all evidence against a request and returns the back ends that
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -268,12 +268,20 @@
 mutant culprits_hide_behind_others internal/quarantine/ledger.go \
 	'		case !each.hadOutput:' '		case !each.hadOutput && l.explained[instance] == 0:' internal/quarantine TestCulpritsBesideEachOther
 mutant evidence_not_spread internal/quarantine/guard.go \
-	'	g.Receive(seen, SourceSelf)
-	g.send(seen)' '	g.Receive(seen, SourceSelf)' platform TestRequestThatEndsBackEndsIsStopped
+	'	g.send(held)
+	// The' '	// The' platform TestRequestThatEndsBackEndsIsStopped
 mutant good_end_ignored internal/quarantine/guard.go \
 	'	if isSuspect {' '	if isSuspect && false {' internal/quarantine TestGoodEndTakesTheQuarantineBack
 mutant earlier_success_ignored internal/quarantine/guard.go \
-	'if g.hasSucceeded(run.Fingerprint) {' 'if false {' internal/quarantine TestRequestThatSucceedsElsewhereIsNeverQuarantined
+	'	return isExcused
+}' '	return false
+}' internal/quarantine TestRequestThatSucceedsElsewhereIsNeverQuarantined
+mutant good_end_excuses_all_later_ends internal/quarantine/successes.go \
+	'	case now.Sub(covered.began) > waveTime:' '	case false:' internal/quarantine TestOneGoodEndDoesNotSpeakForACulprit
+mutant excused_ends_not_told internal/quarantine/guard.go \
+	'	g.tell(excused)' '' internal/quarantine TestOneGoodEndDoesNotSpeakForACulprit
+mutant late_evidence_excused internal/quarantine/successes.go \
+	'	case age > waveTime:' '	case false:' internal/quarantine TestLateEvidenceIsNoWave
 mutant quarantined_sent internal/serving/guarded.go \
 	'if _, isHeld := s.guard.Verdict(attempt.Fingerprint); !isHeld {' 'if true {' internal/serving TestGuardedSenderRefusesWhateverTheWay
 mutant every_break_is_a_crash internal/serving/guarded.go \
