A caller that leaves ends what is forwarded for it, whole answers too

What callers saw: nothing; engines of another zone worked on until the deadline for a caller that had left, behind the OpenAI-like door.

A stream ended at its next part, a whole answer did not end. Ruled out: ending the wait alone, since the connection would stay open.

Change: each forwarded call has a connection of its own, which is closed when the caller's is, until the answer's head has come; a call with a key goes on, as in its own zone.

Test: TestCallerThatLeavesEndsAForwardedWholeAnswer, both ways; without the hook (mutant forwarded_call_outlives_its_caller) it fails.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,7 +101,7 @@
 type Gateway struct {
 	Dependencies
 	server   *fasthttp.Server
-	forward  *fasthttp.Client
+	forward  *forwardClient
 	inUse    *admission.Concurrency
 	retries  *admission.RetryBudget
 	metrics  fasthttp.RequestHandler
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -188,3 +189,41 @@
 		require.Fail(t, "the other daemon goes on for nobody")
 	}
 }
+
+// TestCallerThatLeavesEndsAForwardedWholeAnswer: the other zone's engine worked on until
+// the deadline, because the connection to its daemon stayed open. With a key it does: the
+// caller may come back for the answer.
+func TestCallerThatLeavesEndsAForwardedWholeAnswer(t *testing.T) {
+	for name, key := range map[string]string{"without a key": "", "with a key": HeaderIdempotencyKey + ": k\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			wait := 5 * time.Second
+			if key != "" {
+				wait = 5 * presencePoll
+			}
+			began, left := make(chan struct{}), make(chan struct{})
+			isOver, over := context.WithCancel(t.Context())
+			defer over()
+			address := serveEngine(t, http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+				close(began)
+				select {
+				case <-request.Context().Done():
+					close(left)
+				case <-isOver.Done():
+				}
+			}))
+			here := serveCalls(t, time.Second, func(c *caller) { c.forwardTo(membership.Member{HTTPAddress: address}) })
+			conn, err := net.Dial("tcp", here)
+			require.NoError(t, err)
+			_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n"+key+"\r\n")
+			require.NoError(t, err)
+			<-began
+			require.NoError(t, conn.Close())
+			select {
+			case <-left:
+				require.Empty(t, key, "ended though its caller may come back")
+			case <-time.After(wait):
+				require.NotEmpty(t, key, "the other daemon goes on for nobody")
+			}
+		})
+	}
+}
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -282,6 +282,8 @@
 	'	g.tell(excused)' '' internal/quarantine TestOneGoodEndDoesNotSpeakForACulprit
 mutant late_evidence_excused internal/quarantine/successes.go \
 	'	case age > waveTime:' '	case false:' internal/quarantine TestLateEvidenceIsNoWave
+mutant forwarded_call_outlives_its_caller internal/gateway/forward.go \
+	'context.AfterFunc(watched, passed.end)' 'context.AfterFunc(context.Background(), passed.end)' internal/gateway TestCallerThatLeavesEndsAForwardedWholeAnswer
 mutant quarantined_sent internal/serving/guarded.go \
 	'if _, isHeld := s.guard.Verdict(attempt.Fingerprint); !isHeld {' 'if true {' internal/serving TestGuardedSenderRefusesWhateverTheWay
 mutant every_break_is_a_crash internal/serving/guarded.go \
