Calls about jobs wait for the first read of the claims

What callers saw: a daemon that had just started answered 503 for a job that does not exist, in place of 404.

Cause: it answers callers once it has a configuration, and "no such job" also needs the claims, by which an old read is told. Evidence: forty calls from a daemon's first moment on, sixteen copies on one core: job_call_failed with claims_age_ms=3600000 (never read), 22 ms before table_read of the claims. Ruled out: claims that are older than 2 s, and a store that refuses. Not done: to be ready later, which would keep online callers away.

Change: a call that finds no job in a daemon without claims waits for their first read, half a second at most, and asks the store again.

TestCallMeetsADaemonThatHasJustStarted in virtual time, with a mutant.

--- a/internal/job/tenant.go
+++ b/internal/job/tenant.go
@@ -38,6 +38,9 @@
 
 func (t TenantJobs) check(ctx context.Context, id string) error {
 	accepted, err := t.service.acceptance(ctx, id)
+	if failure.Is(err, failure.KindNotFound) && t.service.awaitFirstClaims(ctx) {
+		accepted, err = t.service.acceptance(ctx, id)
+	}
 	if err != nil {
 		return t.service.unlessUnsure(err)
 	}
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -200,7 +200,7 @@
 mutant no_preemption internal/serving/await.go \
 	'		e.preemptAt(chosen)' '' internal/serving TestWaitingRequestPreemptsItems
 mutant no_pause_after_giving_way internal/job/dispatch.go \
-	'	s.placer.pause(now.Add(givenWayPause))' '' internal/job TestOwnerThatGaveWaySendsNothingForAWhile
+	'	s.placer.pause(now.Add(givenWayPause))' '' internal/job 'TestOwnerThatGaveWaySendsNothingForAWhile|TestPauseAfterGivingWayInVirtualTime'
 mutant queues_without_waiting internal/serving/exchange.go \
 	'if e.mustAwaitPlace() {' 'if false {' internal/serving TestRequestWithoutAPlaceQueuesInTheEnd
 mutant late_drop internal/job/owned.go \
@@ -257,6 +257,8 @@
 	'return endUnknown(ctx.Err())' 'return unavailable(ctx.Err())' internal/job TestUnsettledEndIsNeverPromisedNotDone
 mutant unsettled_end_promised internal/job/ending.go \
 	'		if isUnsettled {' '		if false {' internal/job TestUnsettledEndOfADaemonThatStopsIsNeverPromisedNotDone
+mutant first_claims_not_awaited internal/job/firstclaims.go \
+	'if isRead || s.claimsAge()' 'if true || isRead || s.claimsAge()' internal/job TestCallMeetsADaemonThatHasJustStarted
 mutant resent_job_refused_blindly internal/job/accept.go \
 	'			refused = outcomeUnknown(err)' '' internal/job TestResentJobIsNotRefusedUnlessItIsKnownToBeNew
 mutant spilled_after_an_attempt internal/gateway/completions.go \
