A large submission is not refused for an outage that is over

What callers saw: a job too large to be held through an outage was refused as "the store is away" by a daemon that had made no call since the store was back.

Submissions that are held ask for the return; one without room was refused on the last word, however old.

TestLargeSubmissionBehindAnUnnoticedReturn fails without (mutant return_not_asked_for).

--- a/internal/job/export_test.go
+++ b/internal/job/export_test.go
@@ -54,3 +54,6 @@
 
 // Held returns how many submissions are held.
 func (s *Service) Held() int { return s.held.Count() }
+
+// HoldBy has submissions held by what another store's calls tell. It is set before use.
+func (s *Service) HoldBy(availability Availability) { s.availability = availability }
--- a/internal/job/held.go
+++ b/internal/job/held.go
@@ -17,6 +17,8 @@
 	// AwaitReturn waits until the store answers; it reports false when the context ends
 	// first.
 	AwaitReturn(ctx context.Context) bool
+	// Recheck asks a store that was not called for a while whether it answers.
+	Recheck(ctx context.Context) bool
 }
 
 // How the holding of a submission ended, as labels of the metric.
@@ -50,7 +52,12 @@
 	defer context.AfterFunc(s.stopped, cancel)()
 	started := time.Now()
 	leave, isHeld := s.held.Enter(submitted.contentBytes())
-	if !isHeld {
+	switch {
+	case isHeld:
+	case s.availability.Recheck(ctx):
+		// What is too large to be held must not be refused for an outage that is over.
+		return false, nil
+	default:
 		return false, s.endHold(submitted, started, holdRefused)
 	}
 	defer leave()
--- a/internal/job/held_test.go
+++ b/internal/job/held_test.go
@@ -11,6 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"topazpulley/internal/failure"
+	"topazpulley/internal/job"
+	"topazpulley/internal/table"
 	"topazpulley/internal/table/tabletest"
 )
 
@@ -117,6 +119,26 @@
 	require.GreaterOrEqual(t, failure.From(err).RetryAfter, 500*time.Millisecond)
 }
 
+// TestLargeSubmissionBehindAnUnnoticedReturn: a daemon that made no call to the store
+// since it was back took it for away, and refused jobs that are too large to be held.
+func TestLargeSubmissionBehindAnUnnoticedReturn(t *testing.T) {
+	refused := tabletest.NewMemory()
+	availability := table.NewAvailability(refused, job.ClaimTable)
+	refused.SetDecide(func(string) tabletest.Fault { return tabletest.FaultRefuse })
+	started := startSender(t, "a", tabletest.NewMemory(), newRunners(), 0, 0)
+	started.HoldBy(availability)
+	for range 3 {
+		_, err := availability.Read(t.Context(), table.Range{Table: job.ClaimTable, Limit: 1})
+		require.Error(t, err)
+	}
+	require.True(t, started.IsStoreAway())
+	large := newJob("large", 1)
+	large.Items[0].Body = make([]byte, 2*heldInTests.Bytes)
+	require.True(t, failure.Is(started.Submit(t.Context(), large), failure.KindUnavailable), "the store is away")
+	refused.SetDecide(nil)
+	require.Eventually(t, func() bool { return started.Submit(t.Context(), large) == nil }, patience, 10*pollTime)
+}
+
 // TestKnownJobIsAcknowledgedInAnOutage: it needs no store.
 func TestKnownJobIsAcknowledgedInAnOutage(t *testing.T) {
 	store, runner := tabletest.NewMemory(), newRunners()
--- a/internal/table/availability.go
+++ b/internal/table/availability.go
@@ -39,8 +39,9 @@
 
 	mutex    sync.Mutex
 	failures int
-	// failingSince is when the first of the failures in a row came.
+	// failingSince is when the first of the failures in a row came, and failedAt the last.
 	failingSince time.Time
+	failedAt     time.Time
 	// returned is closed when the store is back.
 	returned chan struct{}
 }
@@ -87,6 +88,29 @@
 	return false
 }
 
+// Recheck reports whether the store answers. A daemon that has made no call for a while
+// may not have noticed that the store is back: it asks, unless a waiter does.
+func (a *Availability) Recheck(ctx context.Context) bool {
+	if !a.isStale(time.Now()) {
+		return false
+	}
+	select {
+	case a.probing <- struct{}{}:
+		defer func() { <-a.probing }()
+		return a.probe(ctx)
+	default:
+		return false
+	}
+}
+
+// isStale reports whether the last failure lies so far back that the store may have
+// returned since.
+func (a *Availability) isStale(now time.Time) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return now.Sub(a.failedAt) >= returnProbe
+}
+
 // pause waits until the next probe, or until another call finds the store back.
 func (a *Availability) pause(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, returnProbe/2+rand.N(returnProbe))
@@ -132,6 +156,7 @@
 	if a.failures == 0 {
 		a.failingSince = time.Now()
 	}
+	a.failedAt = time.Now()
 	a.failures++
 }
 
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -259,6 +259,8 @@
 	'		if isUnsettled {' '		if false {' internal/job TestUnsettledEndOfADaemonThatStopsIsNeverPromisedNotDone
 mutant first_claims_not_awaited internal/job/firstclaims.go \
 	'if isRead || s.claimsAge()' 'if true || isRead || s.claimsAge()' internal/job TestCallMeetsADaemonThatHasJustStarted
+mutant return_not_asked_for internal/job/held.go \
+	'	case s.availability.Recheck(ctx):' '	case false:' internal/job TestLargeSubmissionBehindAnUnnoticedReturn
 mutant resent_job_refused_blindly internal/job/accept.go \
 	'			refused = outcomeUnknown(err)' '' internal/job TestResentJobIsNotRefusedUnlessItIsKnownToBeNew
 mutant spilled_after_an_attempt internal/gateway/completions.go \
