--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -22,6 +22,7 @@
 // soakCommand harms real daemons at random and checks the promises.
 type soakCommand struct {
 	binary    string
+	other     string
 	directory string
 	seed      uint64
 	seeds     string
@@ -52,6 +53,7 @@
 // SetFlags implements subcommands.Command.
 func (c *soakCommand) SetFlags(flags *flag.FlagSet) {
 	flags.StringVar(&c.binary, "binary", "bin/topazpulley", "`path` of the daemon's program")
+	flags.StringVar(&c.other, "other-binary", "", "`path` of the daemon's program of another build, which every second start runs; empty means none")
 	flags.StringVar(&c.directory, "directory", "", "`directory` for settings and logs; empty makes one and removes it if all held")
 	flags.Uint64Var(&c.seed, "seed", 0, "play this `seed` once")
 	flags.StringVar(&c.seeds, "seeds", "", "play the seeds of this `file`")
@@ -140,7 +142,7 @@
 	if err := os.MkdirAll(directory, 0o700); err != nil {
 		return false, failure.Wrap(err, failure.KindInternal, "soak_directory", "cannot make %s", directory)
 	}
-	options := soak.Options{Binary: c.binary, Directory: directory, Seed: seed, Span: c.span, Daemons: c.daemons, ItemBackEnds: c.backEnds, Play: soak.Play(c.playName), JobItems: c.jobItems}
+	options := soak.Options{Binary: c.binary, OtherBinary: c.other, Directory: directory, Seed: seed, Span: c.span, Daemons: c.daemons, ItemBackEnds: c.backEnds, Play: soak.Play(c.playName), JobItems: c.jobItems}
 	report, err := soak.Run(ctx, options)
 	if err != nil {
 		return false, err
