--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -26,7 +26,7 @@
 )
 
 func start(t *testing.T, zones []string, perZone, engines int) *harness.Harness {
-	output := slog.New(slog.DiscardHandler)
+	output := slog.New(slog.NewTextHandler(newKeptLog(t), nil))
 	if os.Getenv("TOPAZPULLEY_TEST_LOG") != "" {
 		output = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	}
