--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -63,6 +63,22 @@
 	})
 }
 
+// TestLeavingEngineIsNotChosen: random engines hardly ever leave and lack nothing else, so
+// the test above passed once without the check that engines leave.
+func TestLeavingEngineIsNotChosen(t *testing.T) {
+	leaving := engineView("a", 1)
+	request := routing.Request{Model: "m", OnlineLimit: 24}
+	for _, policy := range []routing.Policy{routing.PolicyFull, routing.PolicyLagCorrected, routing.PolicyReportOnly, routing.PolicyLeastInFlight, routing.PolicyRoundRobin} {
+		router := routing.NewRouter(policy, rand.New(rand.NewPCG(1, 2)))
+		leaving.Machine.Leaving = false
+		_, found := router.Choose(request, []registry.Engine{leaving}, now)
+		require.True(t, found)
+		leaving.Machine.Leaving = true
+		_, found = router.Choose(request, []registry.Engine{leaving}, now)
+		require.False(t, found)
+	}
+}
+
 // TestPrefixKeepsItsEngineUntilItIsLoaded: requests of one prefix go to one
 // engine while its load is within the bound, and elsewhere above it.
 func TestPrefixKeepsItsEngineUntilItIsLoaded(t *testing.T) {
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -79,7 +79,7 @@
 mutant no_fence internal/emulator/engine.go \
 	'order.Fence < e.fence' 'false' internal/emulator TestFenceNeverFalls
 mutant no_leaving_check internal/registry/registry.go \
-	'!e.Machine.Leaving && ' '' internal/routing TestChosenEngineIsEligible
+	'!e.Machine.Leaving && ' '' internal/routing 'TestChosenEngineIsEligible|TestLeavingEngineIsNotChosen'
 mutant no_wave_bound internal/rollout/rollout.go \
 	'min(free, len(candidates))' 'max(free, len(candidates))' internal/rollout TestWaveKeepsTheBound
 mutant no_guard internal/admission/window.go \
