Job calls: wait for claims that are read but not confirmed yet

What callers saw: a daemon that has just started answered 503 for 404 about a job that does not exist (TestJobWithInvalidTextRefused, TestJobWithLineBreaksRefused). Cause: a copy of the claims is current only once a watch has confirmed the read. Between the two calls the claims are followed, so that awaitInitialClaims did not wait, while their age is unknown, so that the read counts as stale. Evidence: a trace of a failing copy (followed version 7, age never known). Ruled out: claims that are not read, a store that refuses. Change: calls wait for the age, as long as it was never known since the start; claims that become stale later are not waited for.

--- a/internal/job/initialclaims.go
+++ b/internal/job/initialclaims.go
@@ -8,26 +8,37 @@
 )
 
 const (
-	// initialClaimsTimeout bounds how long a call waits for the first read of the claims
-	// after the daemon started.
+	// initialClaimsTimeout bounds how long a call waits for current claims after the daemon
+	// started.
 	initialClaimsTimeout = 500 * time.Millisecond
 	// initialClaimsPoll is the interval at which a waiting call checks for the claims.
 	initialClaimsPoll = 5 * time.Millisecond
 )
 
-// awaitInitialClaims waits for the first read of the claims after the start. It returns
-// true if the claims arrived during the wait; the caller may then repeat a read of the
-// store that came before.
+// hasCurrentClaims reports whether the followed copy of the claims is recent enough to
+// decide from it, and records that it was at least once since the start. A copy that was
+// read is current only once the store has confirmed it.
+func (s *Service) hasCurrentClaims() bool {
+	isCurrent := s.claimsAge() <= claimsAgeLimit
+	if isCurrent {
+		s.hadCurrentClaims.Store(true)
+	}
+	return isCurrent
+}
+
+// awaitInitialClaims reports whether the claims are current. If they never were since the
+// start, it waits for them. It doesn't wait for claims that have become stale later: the
+// store is unavailable then, and the caller is refused at once.
 func (s *Service) awaitInitialClaims(ctx context.Context) bool {
-	s.mutex.Lock()
-	isRead := s.followed > 0
-	s.mutex.Unlock()
-	if isRead || s.claimsAge() <= claimsAgeLimit {
+	if s.hasCurrentClaims() {
+		return true
+	}
+	if s.hadCurrentClaims.Load() {
 		return false
 	}
 	bounded, cancel := context.WithTimeout(ctx, initialClaimsTimeout)
 	defer cancel()
-	for s.claimsAge() > claimsAgeLimit {
+	for !s.hasCurrentClaims() {
 		if !periodic.Sleep(bounded, initialClaimsPoll) {
 			return false
 		}
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -111,11 +112,13 @@
 	quota           *quota.Accounts
 	quarantine      *quarantine.Guard
 	claimsAge       func() time.Duration
-	availability    Availability
-	submissions     *submissionbuffer.Buffer
-	sweeper         sweeper
-	cancellations   cancellations
-	pageLimit       pageLimit
+	// hadCurrentClaims is set once the followed copy of the claims was current.
+	hadCurrentClaims atomic.Bool
+	availability     Availability
+	submissions      *submissionbuffer.Buffer
+	sweeper          sweeper
+	cancellations    cancellations
+	pageLimit        pageLimit
 
 	mutex     sync.Mutex
 	itemTimes itemTimes
--- a/internal/job/takeover.go
+++ b/internal/job/takeover.go
@@ -62,9 +62,11 @@
 	}
 }
 
-// superviseClaims takes over jobs whose owners are gone, until the context ends.
+// superviseClaims takes over jobs whose owners are gone, until the context ends. It also
+// records whether the claims were ever current, for calls that come later.
 func (s *Service) superviseClaims(ctx context.Context) {
 	periodic.Run(ctx, superviseInterval, func() {
+		_ = s.hasCurrentClaims()
 		for id, orphaned := range s.dueOrphans(time.Now()) {
 			if s.beginTakeover(id) {
 				go s.takeOver(ctx, id, orphaned)
--- a/internal/job/tenant.go
+++ b/internal/job/tenant.go
@@ -38,10 +38,7 @@
 
 // check returns an error unless the job exists and the tenant may access it.
 func (t TenantJobs) check(ctx context.Context, id string) error {
-	accepted, err := t.service.acceptance(ctx, id)
-	if failure.Is(err, failure.KindNotFound) && t.service.awaitInitialClaims(ctx) {
-		accepted, err = t.service.acceptance(ctx, id)
-	}
+	accepted, err := t.service.currentAcceptance(ctx, id)
 	if err != nil {
 		return t.service.checkClaimsAge(err)
 	}
@@ -52,6 +49,17 @@
 	return nil
 }
 
+// currentAcceptance is acceptance, but a read that finds no job is repeated if the claims
+// weren't current when it began and are now: without them it may have been stale.
+func (s *Service) currentAcceptance(ctx context.Context, id string) (acceptance, error) {
+	wasCurrent := s.hasCurrentClaims()
+	accepted, err := s.acceptance(ctx, id)
+	if !failure.Is(err, failure.KindNotFound) || wasCurrent || !s.awaitInitialClaims(ctx) {
+		return accepted, err
+	}
+	return s.acceptance(ctx, id)
+}
+
 // checkClaimsAge replaces a not-found error by an unavailable one if the followed copy
 // of the claims is too old. The read may then have been stale, because the copy
 // supplies the versions that detect stale reads.
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -257,7 +257,13 @@
 mutant unsettled_end_promised internal/job/cancel.go \
 	'		if isUnsettled {' '		if false {' internal/job TestUnsettledCancelAtStopIsNotReportedNotDone
 mutant first_claims_not_awaited internal/job/initialclaims.go \
-	'if isRead || s.claimsAge()' 'if true || isRead || s.claimsAge()' internal/job TestCallWaitsForFirstClaims
+	'	if s.hadCurrentClaims.Load() {' '	if true || s.hadCurrentClaims.Load() {' internal/job TestCallWaitsForFirstClaims
+mutant confirmation_not_awaited internal/job/initialclaims.go \
+	'	if s.hadCurrentClaims.Load() {' '	if s.followed > 0 || s.hadCurrentClaims.Load() {' internal/job TestCallWaitsForConfirmationOfFirstClaims
+mutant stale_claims_awaited internal/job/initialclaims.go \
+	'	if s.hadCurrentClaims.Load() {' '	if false {' internal/job TestStaleClaimsAreNotAwaited
+mutant read_before_claims_believed internal/job/tenant.go \
+	'	wasCurrent := s.hasCurrentClaims()' '	wasCurrent := s.hasCurrentClaims() || true' internal/job TestReadBeforeCurrentClaimsIsRepeated
 mutant return_not_asked_for internal/job/buffering.go \
 	'	case s.availability.Recheck(ctx):' '	case false:' internal/job TestLargeSubmissionAcceptedAfterStoreRecovery
 mutant resent_job_refused_blindly internal/job/accept.go \
