Mutant scripts: check that what they replace is in the files

test/soak-mutants.sh stopped at its fourth mutant: a quotation was renamed in the code, and another was in no file since before, so that the two mutants of a lost cancellation and all behind them could not be played, and nothing said so. The two quotations follow the code. A changed quotation in either script makes it fail (tried on both). The soak's script also prints the seed and where the logs are of what it notices.

--- a/Makefile
+++ b/Makefile
@@ -8,11 +8,13 @@
 test: spec mutants
 	go test -timeout 40m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...
 
-# Formatting, vet and staticcheck, as CI runs them.
+# Formatting, vet, staticcheck and the texts that mutants replace, as CI runs them.
 check:
 	@unformatted=$$(gofmt -l cmd internal platform test); test -z "$$unformatted" || { echo "gofmt would change: $$unformatted"; exit 1; }
 	go vet ./...
 	go tool staticcheck ./...
+	sh test/mutants.sh --check
+	sh test/soak-mutants.sh --check
 
 # Model checking with spin, installed if it is missing.
 spec:
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -6,6 +6,7 @@
 #
 #   sh test/mutants.sh            all of them, in several lanes in parallel
 #   sh test/mutants.sh LANE       those of one lane, from 0 on
+#   sh test/mutants.sh --check    only checks that the text that each mutant replaces is in its file
 set -eu
 cd "$(dirname "$0")/.."
 # lanes is how many scratch copies are tested at once.
@@ -34,16 +35,22 @@
 fi
 
 lane=$1
+isCheck=false
+[ "$lane" != --check ] || isCheck=true
 number=0
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-git ls-files -co --exclude-standard -- ':!journal' | tar -cf - -T - | tar -xf - -C "$work"
+$isCheck || git ls-files -co --exclude-standard -- ':!journal' | tar -cf - -T - | tar -xf - -C "$work"
 failed=0
 unnoticed=""
 
 # mutant NAME FILE OLD NEW PACKAGE TEST
 mutant() {
 	name=$1 file=$2 old=$3 new=$4 package=$5 test=$6
+	if $isCheck; then
+		OLD=$old perl -0ne 'exit(index($_, $ENV{OLD}) < 0)' "$file" || { failed=1; unnoticed="$unnoticed $name=NOT_FOUND"; }
+		return 0
+	fi
 	number=$((number + 1))
 	[ $((number % lanes)) = "$lane" ] || return 0
 	cp "$work/$file" "$work/original"
--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -3,27 +3,36 @@
 # detect it within the given seconds per mutant. Not part of the tests: it takes minutes
 # and uses new random seeds. Names after the seconds select mutants:
 #   test/soak-mutants.sh 240 other_body other_id
+# With --check it only checks that the text that each mutant replaces is in its file.
 set -eu
 cd "$(dirname "$0")/.."
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-git ls-files -co --exclude-standard | tar -cf - -T - | tar -xf - -C "$work"
 failed=0
+misquoted=0
+isCheck=false
+[ "${1:-}" != --check ] || { isCheck=true && shift; }
 limit=${1:-240}
 [ $# -eq 0 ] || shift
 chosen=$*
 
+# restore restores the original files.
+restore() { git ls-files -co --exclude-standard -- ':!journal' | tar -cf - -T - | tar -xf - -C "$work"; }
+$isCheck || restore
+
 # replace FILE OLD NEW
 replace() {
-	OLD=$2 NEW=$3 perl -0pi -e 'BEGIN { $found = 0 } $found += s/\Q$ENV{OLD}\E/$ENV{NEW}/; END { exit($found ? 0 : 1) }' "$work/$1" ||
-		{ echo "soak_mutant file=$1 verdict=NO_PLACE text=$2" && exit 1; }
+	if ! OLD=$2 perl -0ne 'exit(index($_, $ENV{OLD}) < 0)' "$1"; then
+		echo "soak_mutant file=$1 verdict=NOT_FOUND text=$2"
+		misquoted=1
+	fi
+	$isCheck || OLD=$2 NEW=$3 perl -0pi -e 's/\Q$ENV{OLD}\E/$ENV{NEW}/' "$work/$1"
 }
 
-# restore restores the original files.
-restore() { git ls-files -co --exclude-standard | tar -cf - -T - | tar -xf - -C "$work"; }
-
 # soak NAME plays new seeds until one violates a guarantee or limit seconds have passed.
 soak() {
+	$isCheck && return
+	[ $misquoted = 0 ] || exit 1
 	case " $chosen " in "  " | *" $1 "*) ;; *) restore && return ;; esac
 	verdict=SURVIVED
 	(cd "$work" && go build -o bin/ ./cmd/...)
@@ -36,7 +45,9 @@
 	done
 	case $verdict in SURVIVED | DID_NOT_RUN) failed=1 ;; esac
 	at=$(grep -m1 -o 'at_ms=[0-9]*' "$work/log" || true)
-	echo "soak_mutant name=$1 seconds=$(($(date +%s) - began)) verdict=$verdict last_seed_$at"
+	seed=$(grep -o 'soak seed=[0-9]*' "$work/log" | tail -1 || true)
+	logs=$(grep -o 'logs directory=.*' "$work/log" | tail -1 || true)
+	echo "soak_mutant name=$1 seconds=$(($(date +%s) - began)) verdict=$verdict last_seed_$at $seed $logs"
 	restore
 }
 
@@ -58,14 +69,16 @@
 replace internal/job/permit.go '	case isDropped:' '	case isDropped && age < 0:'
 replace internal/job/permit.go 'case age > claimsAgeLimit:' 'case age < 0:'
 replace internal/job/permit.go 'case s.cancellations.isBlocked(' 'case age < 0 && s.cancellations.isBlocked('
-replace internal/job/permit.go 'isOld := age > claimsAgeLimit' 'isOld := age < 0'
+replace internal/job/permit.go 'isStale := age > claimsAgeLimit' 'isStale := age < 0'
 replace internal/job/claims.go 'isLost = owned != nil && row.Version > owned.claim.version' 'isLost = owned == nil && row.Version < 0'
 replace internal/job/claims.go 'case !exists:
 			lost[id] = dropClaimRemoved' 'case !exists:'
 replace internal/job/claims.go 'isEnded := owned != nil && owned.claim.version <= version' 'isEnded := owned != nil && version < 0'
 soak runs_on_after_its_end
 
-replace internal/job/cancel.go 'context.WithTimeout(s.lifetime, endTime)' 'context.WithTimeout(ctx, endTime)'
+replace internal/job/cancel.go 'func(ctx context.Context) error {
+			s.notifyOwner(ctx, key)' 'func(context.Context) error {
+			s.notifyOwner(ctx, key)'
 soak end_forgotten_with_its_caller
 
 # The following mutants change what a backend receives of a request, or reuse its
@@ -84,4 +97,5 @@
 
 replace platform/answer.go 'return false // answered before the complete request was read' 'return true'
 soak reused_early
+[ $misquoted = 0 ] || exit 1
 exit $failed
