--- a/internal/job/cancel.go
+++ b/internal/job/cancel.go
@@ -126,9 +126,13 @@
 	s, key := t.service, cancelKey{job: id, tenant: t.tenant}
 	found, isNew, hasCapacity := s.cancellations.begin(key)
 	if !hasCapacity {
+		s.log.Info("job_end_over_limit", "job", id, "tenant", t.tenant, "limit", maxCancellations)
 		return s.cancelUntilDone(ctx, key)
 	}
 	found.markAwaited()
+	if !isNew {
+		s.log.Info("job_end_joined", "job", id, "tenant", t.tenant)
+	}
 	if isNew {
 		s.log.Info("job_end_taken", "job", id, "tenant", t.tenant)
 		s.blockIfOpen(key) // before the caller gets a response
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -1,9 +1,14 @@
 package telemetry
 
 import (
+	"context"
 	"io"
+	"log/slog"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"topazpulley/internal/periodic"
 )
 
 // AsyncWriter passes lines to a slower writer through a bounded queue and never blocks. Lines that
@@ -46,6 +51,23 @@
 // Dropped returns the number of dropped lines.
 func (w *AsyncWriter) Dropped() uint64 { return w.dropped.Load() }
 
+// droppedReportInterval is the interval between two reports of dropped lines.
+const droppedReportInterval = time.Second
+
+// ReportDropped logs how many lines were dropped since the last report, until the context
+// ends. A report that is dropped itself is counted in the next one.
+func (w *AsyncWriter) ReportDropped(ctx context.Context, log *slog.Logger) {
+	reported := uint64(0)
+	periodic.Run(ctx, droppedReportInterval, func() {
+		total := w.Dropped()
+		if total == reported {
+			return
+		}
+		log.Warn("log_lines_dropped", "lines", total-reported, "total", total)
+		reported = total
+	})
+}
+
 // Close writes the queued lines and ends the writer.
 func (w *AsyncWriter) Close() {
 	w.mutex.Lock()
