Servers accept connections again after they ran out of file descriptors

What callers saw: a daemon that had no free file descriptor once accepted no connection any more; the kernel did, so callers waited for an answer until their deadlines, readiness checks failed or were not answered, and other daemons could not reach it, until it was restarted. Cause: each server took a failure to accept for its end: the platform's loop returned, fasthttp returns at any error but a timeout, and gnet ends its event loop, whose error was dropped. Found by reading, while a cancellation that no daemon read was traced; not shown to be its cause.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"topazpulley/internal/acceptor"
 	"topazpulley/internal/batch"
 	"topazpulley/internal/boottime"
 	"topazpulley/internal/bundle"
@@ -184,6 +185,7 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.KindUnavailable, "http_listen", "cannot listen on %s: choose a free address", d.settings.HTTPAddress)
 	}
+	listener = acceptor.Retrying(listener, d.log)
 	if d.settings.TLSCertificateFile == "" {
 		return listener, nil
 	}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -22,8 +22,10 @@
 )
 
 const (
-	nonceBytes       = 16
-	bootTimeout      = 5 * time.Second
+	nonceBytes  = 16
+	bootTimeout = 5 * time.Second
+	// restartPause is the pause between the end of an event loop and the start of the next.
+	restartPause     = 50 * time.Millisecond
 	handshakeTimeout = 2 * time.Second
 	dialTimeout      = time.Second
 	// maxConcurrentCalls is how many calls the daemon answers at a time; further ones fail.
@@ -45,10 +47,14 @@
 	handlers map[string]handler
 	onPacket func(membership.Packet)
 
-	booted   chan error
-	engine   gnet.Engine
-	stopOnce sync.Once
-	// udp is set by Start. Datagrams sent before are dropped.
+	booted chan error
+	// hasBooted, isLost and bootFailure belong to the goroutine of serve: an event loop was
+	// started; the last one ended; why one was not started.
+	hasBooted   bool
+	isLost      bool
+	bootFailure error
+	stopOnce  sync.Once
+	// udp is nil while there is no event loop. Datagrams sent then are dropped.
 	udp     atomic.Pointer[net.UDPConn]
 	context context.Context
 	cancel  context.CancelFunc
@@ -57,7 +63,8 @@
 
 	dialer *gnet.Client
 	mutex  sync.Mutex
-	// links is guarded by mutex.
+	// engine is the running event loop. mutex guards it and links.
+	engine  gnet.Engine
 	links   map[string]*link
 	refused atomic.Uint64
 }
@@ -102,16 +109,7 @@
 
 // Start starts to listen and serve. It returns when the listeners are bound.
 func (t *Transport) Start() error {
-	go func() {
-		err := gnet.Rotate(t, []string{"tcp://" + t.address, "udp://" + t.address},
-			gnet.WithReuseAddr(true), gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(eventLoopLog{t.log}))
-		if err != nil {
-			select {
-			case t.booted <- err:
-			default:
-			}
-		}
-	}()
+	go t.serve()
 	select {
 	case err := <-t.booted:
 		if err != nil {
@@ -120,12 +118,34 @@
 	case <-time.After(bootTimeout):
 		return failure.New(failure.KindUnavailable, "peer_listen", "listener on %s did not start in time", t.address)
 	}
-	if err := t.openUDP(); err != nil {
-		return err
-	}
 	return t.startDialer()
 }
 
+// serve runs event loops until the transport is stopped. An event loop ends when it cannot
+// accept a connection, for example because the process has no file descriptors left. Without
+// another one this daemon would hear no other daemon any more.
+func (t *Transport) serve() {
+	for {
+		err := gnet.Rotate(t, []string{"tcp://" + t.address, "udp://" + t.address},
+			gnet.WithReuseAddr(true), gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(eventLoopLog{t.log}))
+		t.closeUDP()
+		if err == nil {
+			err = t.bootFailure
+		}
+		switch {
+		case t.context.Err() != nil:
+			return
+		case !t.hasBooted:
+			t.booted <- err
+			return
+		case !t.isLost:
+			t.isLost = true
+			t.log.Error("peer_listener_lost", "address", t.address, "error", err)
+		}
+		time.Sleep(restartPause)
+	}
+}
+
 func (t *Transport) startDialer() error {
 	dialer, err := gnet.NewClient(&linkEvents{transport: t}, gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(eventLoopLog{t.log}))
 	if err != nil {
@@ -135,10 +155,10 @@
 	return errors.WithStack(dialer.Start())
 }
 
-// openUDP duplicates the listening UDP socket, so that datagrams are sent from the
-// listen address.
-func (t *Transport) openUDP() error {
-	descriptor, err := t.engine.DupListener("udp", t.address)
+// openUDP duplicates the listening UDP socket of an event loop, so that datagrams are sent
+// from the listen address.
+func (t *Transport) openUDP(engine gnet.Engine) error {
+	descriptor, err := engine.DupListener("udp", t.address)
 	if err != nil {
 		return errors.WithStack(err)
 	}
@@ -152,6 +172,14 @@
 	return nil
 }
 
+// closeUDP closes the sending socket. As long as it is open, datagrams to the listen address
+// may be delivered to it instead of the next event loop.
+func (t *Transport) closeUDP() {
+	if udp := t.udp.Swap(nil); udp != nil {
+		_ = udp.Close()
+	}
+}
+
 // Stop closes all listeners and connections. Further calls do nothing: gnet's client
 // closes its file descriptors by number at each stop, and the numbers may have been
 // reused by then.
@@ -161,13 +189,14 @@
 	t.cancel()
 	deadline, cancel := context.WithTimeout(context.Background(), bootTimeout)
 	defer cancel()
-	if udp := t.udp.Load(); udp != nil {
-		_ = udp.Close()
-	}
+	t.closeUDP()
 	if t.dialer != nil {
 		_ = t.dialer.Stop()
 	}
-	_ = t.engine.Stop(deadline)
+	t.mutex.Lock()
+	engine := t.engine
+	t.mutex.Unlock()
+	_ = engine.Stop(deadline)
 }
 
 // SendDatagram seals and sends a packet. Errors of resolving and sending are ignored.
@@ -190,8 +219,24 @@
 
 // OnBoot implements gnet.EventHandler.
 func (t *Transport) OnBoot(engine gnet.Engine) gnet.Action {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.context.Err() != nil {
+		return gnet.Shutdown // stop may have used the engine before already
+	}
+	if err := t.openUDP(engine); err != nil {
+		t.bootFailure = err
+		return gnet.Shutdown
+	}
 	t.engine = engine
-	t.booted <- nil
+	switch {
+	case !t.hasBooted:
+		t.hasBooted = true
+		t.booted <- nil
+	case t.isLost:
+		t.isLost = false
+		t.log.Info("peer_listener_regained", "address", t.address)
+	}
 	return gnet.None
 }
 
