--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -53,7 +53,7 @@
 	hasBooted   bool
 	isLost      bool
 	bootFailure error
-	stopOnce  sync.Once
+	stopOnce    sync.Once
 	// udp is nil while there is no event loop. Datagrams sent then are dropped.
 	udp     atomic.Pointer[net.UDPConn]
 	context context.Context
