Read-through: one branch for a joined cancellation, no stale boot failure

No change of behaviour but for the error of peer_listener_lost, which could be that of an earlier start. TestServesAgainAfterDescriptorsRanOut and the packages' tests pass.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -12,8 +12,7 @@
 // retryPause is the pause after a failure to accept a connection.
 const retryPause = 20 * time.Millisecond
 
-// retrying is a listener whose Accept fails only once it is closed. Accept must not be called
-// concurrently.
+// retrying is a listener whose Accept fails only once it is closed.
 type retrying struct {
 	net.Listener
 	log *slog.Logger
--- a/internal/job/cancel.go
+++ b/internal/job/cancel.go
@@ -130,9 +130,6 @@
 		return s.cancelUntilDone(ctx, key)
 	}
 	found.markAwaited()
-	if !isNew {
-		s.log.Info("job_end_joined", "job", id, "tenant", t.tenant)
-	}
 	if isNew {
 		s.log.Info("job_end_taken", "job", id, "tenant", t.tenant)
 		s.blockIfOpen(key) // before the caller gets a response
@@ -140,6 +137,8 @@
 			s.notifyOwner(ctx, key)
 			return s.cancelUntilDone(ctx, key)
 		})
+	} else {
+		s.log.Info("job_end_joined", "job", id, "tenant", t.tenant)
 	}
 	select {
 	case <-found.done:
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -228,7 +228,7 @@
 		t.bootFailure = err
 		return gnet.Shutdown
 	}
-	t.engine = engine
+	t.engine, t.bootFailure = engine, nil
 	switch {
 	case !t.hasBooted:
 		t.hasBooted = true
