--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -20,6 +20,8 @@
 	holder      *route.Holder
 	evacuations *evacuations
 	log         *slog.Logger
+	// origin returns where the rows that are being applied came from.
+	origin func() table.Origin
 }
 
 // Replace implements table.Consumer.
@@ -44,6 +46,7 @@
 }
 
 func (c *configConsumer) apply(row table.Row) {
+	started := time.Now()
 	config, err := c.ports.DecodeConfig(row.Value)
 	if err != nil {
 		c.log.Error("configuration_unreadable", "row_version", row.Version, "error", err)
@@ -52,7 +55,9 @@
 	if !c.holder.Apply(config, time.Now()) {
 		return
 	}
-	c.log.Info("configuration_applied", "config", config.Version, "row_version", row.Version, "routes", len(config.Routes), "services", len(config.Services), "tenants", len(config.Tenants))
+	origin := c.origin()
+	c.log.Info("configuration_applied", "config", config.Version, "row_version", row.Version, "routes", len(config.Routes), "services", len(config.Services), "tenants", len(config.Tenants),
+		"source", string(origin.Source), "from", origin.Daemon, "unconfirmed_ms", origin.Unconfirmed.Milliseconds(), "bytes", len(row.Value), "took_us", time.Since(started).Microseconds())
 }
 
 // instanceConsumer keeps the set of backends up to date with the table of backends. A backend
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -103,6 +103,10 @@
 	// ClaimsAge returns the time since this daemon's copy of the job claims was last
 	// confirmed to be current.
 	ClaimsAge func() time.Duration
+	// ConfigurationAge returns the same for its copy of the configuration.
+	ConfigurationAge func() time.Duration
+	// CopyBytes returns the bytes of this daemon's copies of the followed tables, by table.
+	CopyBytes map[string]func() int
 
 	recorder *quarantine.Recorder
 	// section returns the section of the backends that this daemon follows, and its width on
@@ -181,8 +185,10 @@
 	f.upstream = followed
 	f.instances = newInstanceConsumer(ports, f.Backends, metrics.Backends, log)
 	f.instances.isNamed = f.isServiceNamed
+	configuration := &configConsumer{ports: ports, holder: f.Holder, evacuations: newEvacuations(ports.DecodeEvacuation, f.Backends, metrics.Backends, log), log: log}
+	f.CopyBytes = map[string]func() int{}
 	for _, follower := range []*table.Follower{
-		{Table: ports.ConfigTable, Consumer: &configConsumer{ports: ports, holder: f.Holder, evacuations: newEvacuations(ports.DecodeEvacuation, f.Backends, metrics.Backends, log), log: log}},
+		{Table: ports.ConfigTable, Consumer: configuration},
 		{Table: ports.InstanceTable, Consumer: f.instances, Pace: rate.NewLimiter(instanceWatches, instanceBurst), Plan: newSectionPlan(process.Name, ports, f.Holder, f.Backends, log)},
 		{Table: quarantine.TableName, Consumer: f.Quarantine, Wait: evidenceWait},
 		claims,
@@ -190,6 +196,7 @@
 		replica := &table.Replica{Consumer: follower.Consumer}
 		source.offer(follower.Table, followedCopy{follower: follower, replica: replica})
 		followed.offer(follower.Table, followedCopy{follower: follower, replica: replica})
+		f.CopyBytes[follower.Table] = replica.Bytes
 		follower.Store, follower.Consumer, follower.Part, follower.Logger = f.store, replica, replica, log
 		if follower.Wait == 0 {
 			follower.Wait = watchWait
@@ -200,6 +207,7 @@
 			f.instances.isSettled, f.section = follower.IsSettled, follower.Section
 		}
 		if follower.Table == ports.ConfigTable {
+			configuration.origin, f.ConfigurationAge = follower.Origin, follower.Age
 			f.Gate = &access.Gate{RevocationBound: time.Duration(process.RevocationBound), ConfirmedAt: follower.ConfirmedAt}
 		}
 	}
--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -188,6 +188,7 @@
 	latest, isFound := table.PeerCopy{}, false
 	for _, member := range s.randomPeers() {
 		received, err := ask(member.Address)
+		received.Daemon = member.Address
 		if err != nil || received.Version == 0 {
 			continue
 		}
--- a/internal/frontend/upstream.go
+++ b/internal/frontend/upstream.go
@@ -168,31 +168,34 @@
 	if len(chosen) == 0 || u.isAmong(chosen) {
 		return table.RelayedChanges{}, false, nil
 	}
-	answer, err := u.askSome(ctx, chosen, name, section, after, wait)
+	answer, asked, err := u.askSome(ctx, chosen, name, section, after, wait)
 	if err != nil {
-		return table.RelayedChanges{}, true, err
+		return table.RelayedChanges{Daemon: asked}, true, err
 	}
 	return table.RelayedChanges{
+		Daemon:  asked,
 		Changes: table.Changes{Rows: tableRows(answer.Rows), Version: table.Version(answer.Version)},
 		IsWhole: answer.IsWhole, IsSettled: answer.IsSettled, IsPart: section.IsPart, Age: time.Duration(answer.AgeMilliseconds) * time.Millisecond,
 	}, true, nil
 }
 
-// askSome asks one upstream after the other while they refuse quickly. A daemon refuses while
-// its copy is not current, as when it has just become an upstream.
-func (u *upstream) askSome(ctx context.Context, chosen []membership.Member, name string, section table.Section, after table.Version, wait time.Duration) (answer followAnswer, err error) {
+// askSome asks one upstream after the other while they refuse quickly, and returns the address of
+// the last one. A daemon refuses while its copy is not current, as when it has just become an
+// upstream.
+func (u *upstream) askSome(ctx context.Context, chosen []membership.Member, name string, section table.Section, after table.Version, wait time.Duration) (answer followAnswer, asked string, err error) {
 	for range min(upstreamTries, len(chosen)) {
 		started := time.Now()
-		answer, err = u.ask(ctx, u.pick(chosen).Address, name, section, after, wait)
+		asked = u.pick(chosen).Address
+		answer, err = u.ask(ctx, asked, name, section, after, wait)
 		if err == nil {
-			return answer, nil
+			return answer, asked, nil
 		}
 		u.skip()
 		if time.Since(started) > refusalTime || ctx.Err() != nil {
 			break
 		}
 	}
-	return answer, err
+	return answer, asked, err
 }
 
 // ask calls one upstream, which answers when there are changes or the wait is over.
--- a/internal/frontend/upstream_test.go
+++ b/internal/frontend/upstream_test.go
@@ -174,10 +174,10 @@
 	t.Cleanup(caller.Stop)
 	asking := &upstream{transport: caller, self: membership.Member{Name: "caller"}, copies: map[string]followedCopy{}}
 	for range 3 {
-		answer, err := asking.askSome(t.Context(), chosen, "t", table.Section{}, 0, time.Millisecond)
+		answer, _, err := asking.askSome(t.Context(), chosen, "t", table.Section{}, 0, time.Millisecond)
 		require.NoError(t, err)
 		require.Len(t, answer.Rows, 1)
 	}
-	_, err := asking.askSome(t.Context(), chosen[:2], "t", table.Section{}, 0, time.Millisecond)
+	_, _, err := asking.askSome(t.Context(), chosen[:2], "t", table.Section{}, 0, time.Millisecond)
 	require.ErrorContains(t, err, "old")
 }
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -96,6 +96,7 @@
 	storeConfirmed atomic.Int64
 	// settling is nil until the store is unavailable for the first time.
 	settling atomic.Pointer[settling]
+	origin   atomic.Pointer[Origin]
 }
 
 // Age returns an upper bound of how long the consumer's version may have been out of
@@ -199,8 +200,9 @@
 		if f.Plan != nil {
 			f.setSection(peerSection(peerCopy))
 		}
+		f.receiveFrom(SourcePeer, peerCopy.Daemon)
 		f.Consumer.Replace(peerCopy.Rows, peerCopy.Version)
-		f.Logger.Info("table_from_peer", "table", f.Table, "version", peerCopy.Version, "version_before", f.seen, "rows", len(peerCopy.Rows), "age_ms", peerCopy.Age.Milliseconds())
+		f.Logger.Info("table_from_peer", "table", f.Table, "peer", peerCopy.Daemon, "unconfirmed_ms", f.Origin().Unconfirmed.Milliseconds(), "version", peerCopy.Version, "version_before", f.seen, "rows", len(peerCopy.Rows), "age_ms", peerCopy.Age.Milliseconds())
 		f.seen = peerCopy.Version
 	}
 	f.recordConfirmed(started.Add(-peerCopy.Age))
@@ -282,6 +284,7 @@
 		return &Error{Kind: ErrorCompacted, Call: "watch"}
 	}
 	f.recordResult(nil)
+	f.receiveFrom(SourceStore, "")
 	f.Consumer.Change(changes.Rows, changes.Version)
 	f.seen, f.isUnconfirmed = changes.Version, false
 	f.recordStoreAnswer(max(started, changes.AsOf))
@@ -312,6 +315,7 @@
 	if f.Plan != nil {
 		f.setSection(section)
 	}
+	f.receiveFrom(SourceStore, "")
 	f.Consumer.Replace(all, version)
 	f.seen, f.isUnconfirmed = version, true
 	f.Logger.Info("table_read", "table", f.Table, "version", version, "rows", len(all), "is_part", section.IsPart, "width", section.width)
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -187,6 +187,22 @@
 	return r.all(), r.version, true
 }
 
+// Bytes returns the size of the keys and values that are kept, superseded changes included.
+func (r *Replica) Bytes() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	total := 0
+	for key, row := range r.rows {
+		total += len(key.partition) + len(key.key) + len(row.Value)
+	}
+	for _, row := range r.recent {
+		if kept := r.rows[replicaKey{row.Partition, row.Key}]; kept.Version != row.Version {
+			total += len(row.Partition) + len(row.Key) + len(row.Value)
+		}
+	}
+	return total
+}
+
 // Rows implements SectionConsumer.
 func (r *Replica) Rows() int {
 	r.mutex.Lock()
@@ -213,6 +229,8 @@
 
 // PeerCopy is another daemon's copy of a table.
 type PeerCopy struct {
+	// Daemon is the other daemon's address.
+	Daemon string
 	// Rows are all rows of the copy if IsNewer is set, else none.
 	Rows []Row
 	// Section is the section that the copy has, and Width its fraction of all keys.
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -9,6 +9,8 @@
 // RelayedChanges are changes of a table received from an upstream.
 type RelayedChanges struct {
 	Changes
+	// Daemon is the upstream's address, also if it did not answer.
+	Daemon string
 	// IsWhole is set if Rows are the entire table, not only changes.
 	IsWhole bool
 	// IsSettled is the upstream's Follower.IsSettled.
@@ -68,7 +70,8 @@
 		if f.Now().Sub(started) < quickFailure {
 			f.directUntil = f.upstreamFailedAt.Add(upstreamRetry)
 		}
-		f.Logger.Info("table_upstream_lost", "table", f.Table, "version", f.seen, "error", err)
+		f.Logger.Info("table_upstream_lost", "table", f.Table, "version", f.seen, "upstream", relayed.Daemon, "waited_ms", f.Now().Sub(started).Milliseconds(),
+			"unconfirmed_ms", f.Age().Milliseconds(), "error", err)
 		return false
 	}
 	f.applyRelayed(relayed)
@@ -95,6 +98,7 @@
 	if !relayed.IsSettled {
 		f.startSettling()
 	}
+	f.receiveFrom(SourceUpstream, relayed.Daemon)
 	switch {
 	case relayed.IsPart:
 		f.Part.ChangePart(relayed.Rows, relayed.Version)
