--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -160,7 +160,7 @@
 // NewerPart implements table.Peers.
 func (s *peerSource) NewerPart(ctx context.Context, name string, after table.Version) (table.PeerCopy, bool) {
 	request := newerRequest{Table: name, After: int64(after)}
-	return s.askNewest(func(address string) (table.PeerCopy, error) {
+	return askNewest(ctx, s.randomPeers(), func(ctx context.Context, address string) (table.PeerCopy, error) {
 		answer, err := peer.Call[newerRequest, newerPartAnswer](ctx, s.transport, address, methodNewerPart, request)
 		return table.PeerCopy{
 			Rows: tableRows(answer.Rows), IsNewer: answer.IsNewer, Version: table.Version(answer.Version),
@@ -173,7 +173,7 @@
 // Newer implements table.Peers.
 func (s *peerSource) Newer(ctx context.Context, name string, after table.Version) (table.PeerCopy, bool) {
 	request := newerRequest{Table: name, After: int64(after)}
-	return s.askNewest(func(address string) (table.PeerCopy, error) {
+	return askNewest(ctx, s.randomPeers(), func(ctx context.Context, address string) (table.PeerCopy, error) {
 		answer, err := peer.Call[newerRequest, newerAnswer](ctx, s.transport, address, methodNewer, request)
 		return table.PeerCopy{
 			Rows: tableRows(answer.Rows), IsNewer: answer.IsNewer, Version: table.Version(answer.Version),
@@ -182,12 +182,12 @@
 	})
 }
 
-// askNewest asks randomly chosen live daemons. It returns the first newer copy, or else the
+// askNewest asks the first of these daemons. It returns the first newer copy, or else the
 // answer with the lowest age.
-func (s *peerSource) askNewest(ask func(address string) (table.PeerCopy, error)) (table.PeerCopy, bool) {
+func askNewest(ctx context.Context, members []membership.Member, ask func(ctx context.Context, address string) (table.PeerCopy, error)) (table.PeerCopy, bool) {
 	latest, isFound := table.PeerCopy{}, false
-	for _, member := range s.randomPeers() {
-		received, err := ask(member.Address)
+	for _, member := range members[:min(askedPeers, len(members))] {
+		received, err := ask(ctx, member.Address)
 		received.Daemon = member.Address
 		if err != nil || received.Version == 0 {
 			continue
@@ -211,5 +211,5 @@
 		}
 	}
 	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
-	return others[:min(askedPeers, len(others))]
+	return others
 }
--- /dev/null
+++ b/internal/frontend/source_test.go
@@ -0,0 +1,56 @@
+package frontend
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/membership"
+	"topazpulley/internal/table"
+)
+
+// TestFreshPeerIsFoundBesideSilentOnes guards against a daemon that stays behind because the
+// others that it asks don't answer or are behind themselves.
+func TestFreshPeerIsFoundBesideSilentOnes(t *testing.T) {
+	const (
+		trials      = 50
+		queryTime   = time.Second
+		silentPeers = 6
+		newest      = table.Version(9)
+	)
+	answers := map[string]table.PeerCopy{
+		"behind":     {Version: 5, Age: 4 * time.Second},
+		"old":        {Version: 7, Age: 4 * time.Second, IsNewer: true},
+		"up-to-date": {Version: newest, Age: 100 * time.Millisecond, IsNewer: true},
+	}
+	members := []membership.Member{}
+	for name := range answers {
+		members = append(members, membership.Member{Name: name, Address: name})
+	}
+	for range silentPeers {
+		members = append(members, membership.Member{Name: "silent", Address: "silent"})
+	}
+	ask := func(ctx context.Context, address string) (table.PeerCopy, error) {
+		answer, answersAtOnce := answers[address]
+		if answersAtOnce {
+			return answer, nil
+		}
+		<-ctx.Done()
+		return table.PeerCopy{}, ctx.Err()
+	}
+	for range trials {
+		rand.Shuffle(len(members), func(a, b int) { members[a], members[b] = members[b], members[a] })
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), queryTime)
+			defer cancel()
+			found, isFound := askNewest(ctx, members, ask)
+			require.True(t, isFound)
+			require.Equal(t, newest, found.Version)
+			require.NoError(t, ctx.Err())
+		})
+	}
+}
--- /dev/null
+++ b/internal/table/freshness_test.go
@@ -0,0 +1,136 @@
+package table_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/boottime"
+	"topazpulley/internal/table"
+	"topazpulley/internal/table/tabletest"
+)
+
+const (
+	// freshnessBound is the time within which a change that the store has acknowledged must be
+	// in force at every daemon that reaches another one.
+	freshnessBound = 3 * time.Second
+	// followWait is the wait of one call for changes in a daemon.
+	followWait = 1500 * time.Millisecond
+	// oldAnswerAge is just below the age up to which an upstream passes its copy on.
+	oldAnswerAge = 1450 * time.Millisecond
+	// watchedTime is many times the longest call.
+	watchedTime = 20 * time.Second
+)
+
+// virtualNow is the clock of the synctest bubble.
+func virtualNow() boottime.Instant { return boottime.Instant(time.Now().UnixNano()) }
+
+// silentStore never answers.
+type silentStore struct{ table.Store }
+
+func (silentStore) Read(ctx context.Context, _ table.Range) (table.Page, error) {
+	<-ctx.Done()
+	return table.Page{}, &table.Error{Kind: table.ErrorUnknown, Call: "read", Cause: ctx.Err()}
+}
+
+func (silentStore) Watch(ctx context.Context, _ string, _ table.Version, _ time.Duration) (table.Changes, error) {
+	<-ctx.Done()
+	return table.Changes{}, &table.Error{Kind: table.ErrorUnknown, Call: "watch", Cause: ctx.Err()}
+}
+
+// idleStore dates its answers, which for a watch without changes is the end of the wait.
+type idleStore struct{ table.Store }
+
+func (s idleStore) Watch(ctx context.Context, name string, after table.Version, wait time.Duration) (table.Changes, error) {
+	changes, err := s.Store.Watch(ctx, name, after, wait)
+	changes.AsOf = virtualNow()
+	return changes, err
+}
+
+// refusingStore refuses every call at once.
+type refusingStore struct{ table.Store }
+
+func (refusingStore) Read(context.Context, table.Range) (table.Page, error) {
+	return table.Page{}, &table.Error{Kind: table.ErrorNotDone, Call: "read"}
+}
+
+func (refusingStore) Watch(context.Context, string, table.Version, time.Duration) (table.Changes, error) {
+	return table.Changes{}, &table.Error{Kind: table.ErrorNotDone, Call: "watch"}
+}
+
+// suspendedUpstream returns a copy that is nearly too old and does not answer afterwards.
+type suspendedUpstream struct {
+	rows     []table.Row
+	answered bool
+}
+
+func (u *suspendedUpstream) Serves() bool { return false }
+
+func (u *suspendedUpstream) Changes(ctx context.Context, _ string, _ table.Section, _ table.Version, _ time.Duration) (table.RelayedChanges, bool, error) {
+	if u.answered {
+		<-ctx.Done()
+		return table.RelayedChanges{}, true, errUnavailable
+	}
+	u.answered = true
+	return table.RelayedChanges{Changes: table.Changes{Rows: u.rows, Version: 1}, IsWhole: true, IsSettled: true, Age: oldAnswerAge}, true, nil
+}
+
+// servedPeers are other daemons that the store serves.
+type servedPeers struct{ store table.Store }
+
+func (p servedPeers) Newer(ctx context.Context, name string, after table.Version) (table.PeerCopy, bool) {
+	page, err := p.store.Read(ctx, table.Range{Table: name})
+	if err != nil {
+		return table.PeerCopy{}, false
+	}
+	return table.PeerCopy{Rows: page.Rows, Version: page.Version, IsNewer: page.Version > after}, true
+}
+
+func (p servedPeers) NewerPart(context.Context, string, table.Version) (table.PeerCopy, bool) {
+	return table.PeerCopy{}, false
+}
+
+// TestCopyStaysFreshBehindFailingSources guards against time limits of a follower's sources
+// that add up: a daemon that reaches others must not act on rows that are out of date for longer.
+func TestCopyStaysFreshBehindFailingSources(t *testing.T) {
+	stores := map[string]func(*tabletest.Memory) table.Store{
+		"store answers":         func(store *tabletest.Memory) table.Store { return idleStore{store} },
+		"store does not answer": func(store *tabletest.Memory) table.Store { return silentStore{store} },
+		"store refuses":         func(store *tabletest.Memory) table.Store { return refusingStore{store} },
+	}
+	for name, storeOf := range stores {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory := tabletest.NewMemory()
+				put(t, memory, "", "counter", "1")
+				requireStaysFresh(t, storeOf(memory), servedPeers{memory})
+			})
+		})
+	}
+}
+
+// requireStaysFresh follows a table behind a suspended upstream and watches the age of the copy.
+func requireStaysFresh(t *testing.T, store table.Store, peers table.Peers) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	upstream := &suspendedUpstream{rows: counter("1", 1)}
+	follower := &table.Follower{
+		Store: store, Table: followedTable, Consumer: &recorder{}, Logger: discardLogger, Clock: virtualNow,
+		Wait: followWait, Upstream: upstream, Peers: peers,
+	}
+	var running sync.WaitGroup
+	running.Go(func() { follower.Run(ctx) })
+	synctest.Wait()
+	oldest := time.Duration(0)
+	for end := time.Now().Add(watchedTime); time.Now().Before(end); time.Sleep(pollTime) {
+		oldest = max(oldest, follower.Age())
+	}
+	cancel()
+	running.Wait()
+	t.Log("oldest", oldest)
+	require.Less(t, oldest, freshnessBound)
+}
