Followed tables: peers are asked beside the followed source once the rows are out of date

Cause: time limits that add up. A copy is relayed until it is 1.5 s old, a call to the upstream that then falls silent takes 1.9 s, the daemon's own watch 2.2 s, the query to peers 1 s, one after the other in one goroutine, and nothing looked at the age of the rows themselves.

Change: a second goroutine of the follower asks peers as soon as the rows have not been confirmed for longer than the followed source needs while it answers (its wait and 250 ms), whatever the calls to that source are doing. Deliveries to the consumer are serialized by a mutex; rows that another source sent meanwhile are left out. All tables wait 750 ms at an upstream, as the claims did, so that rows are confirmed every 1.5 s in calm. A peer's copy counts as newer only if rows have changed, not when the store's counter rose: a large configuration is no longer sent for nothing. The bound is now one sum: watchWait 1.5 s + overdueTime 0.25 s + a query to peers.

It holds for all followed tables but sections of large fleets' backends, which no peer has.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -56,9 +56,9 @@
 	// the watch of every daemon.
 	claimWatches = 2
 	claimBurst   = 4
-	// claimRelayWait is how long an upstream waits for changes to the claims. It is shorter
-	// than watchWait because items are started only while the claims are fresh.
-	claimRelayWait = 750 * time.Millisecond
+	// relayWait is how long an upstream waits for changes. It is shorter than watchWait because
+	// the upstream's copy may be as old as its own last watch.
+	relayWait = 750 * time.Millisecond
 	// instanceWatches and instanceBurst limit the watch calls for backends in the same way.
 	instanceWatches = 4
 	instanceBurst   = 4
@@ -201,6 +201,7 @@
 		if follower.Wait == 0 {
 			follower.Wait = watchWait
 		}
+		follower.RelayWait = relayWait
 		follower.Peers, follower.Upstream = source, followed
 		f.followers = append(f.followers, follower)
 		if follower.Table == ports.InstanceTable {
@@ -284,7 +285,7 @@
 // sources.
 func newClaimFollower() *table.Follower {
 	return &table.Follower{
-		Table: job.ClaimTable, Partitioned: true, Wait: watchWait, RelayWait: claimRelayWait, Pace: rate.NewLimiter(claimWatches, claimBurst),
+		Table: job.ClaimTable, Partitioned: true, Wait: watchWait, RelayWait: relayWait, Pace: rate.NewLimiter(claimWatches, claimBurst),
 	}
 }
 
--- a/internal/frontend/quarantine.go
+++ b/internal/frontend/quarantine.go
@@ -12,8 +12,8 @@
 const (
 	// evidenceWait is how long one watch of the evidence waits for changes. Datagrams are
 	// faster; the watch serves daemons that are cut off from others or were suspended. With
-	// the time to detect a dead connection it must stay below 3 s, the limit within which
-	// every daemon has new evidence.
+	// the time to notice that it is overdue and to ask other daemons it must stay below 3 s,
+	// the limit within which every daemon has new evidence.
 	evidenceWait = 2 * time.Second
 	// expiryInterval is the time between two checks for expired evidence.
 	expiryInterval = time.Minute
--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -158,8 +158,8 @@
 }
 
 // NewerPart implements table.Peers.
-func (s *peerSource) NewerPart(ctx context.Context, name string, after table.Version) (table.PeerCopy, bool) {
-	request := newerRequest{Table: name, After: int64(after)}
+func (s *peerSource) NewerPart(ctx context.Context, query table.PeerQuery) (table.PeerCopy, bool) {
+	request := newerRequest{Table: query.Table, After: int64(query.After)}
 	return askNewest(ctx, s.randomPeers(), func(ctx context.Context, address string) (table.PeerCopy, error) {
 		answer, err := peer.Call[newerRequest, newerPartAnswer](ctx, s.transport, address, methodNewerPart, request)
 		return table.PeerCopy{
@@ -171,8 +171,8 @@
 }
 
 // Newer implements table.Peers.
-func (s *peerSource) Newer(ctx context.Context, name string, after table.Version) (table.PeerCopy, bool) {
-	request := newerRequest{Table: name, After: int64(after)}
+func (s *peerSource) Newer(ctx context.Context, query table.PeerQuery) (table.PeerCopy, bool) {
+	request := newerRequest{Table: query.Table, After: int64(query.After)}
 	return askNewest(ctx, s.randomPeers(), func(ctx context.Context, address string) (table.PeerCopy, error) {
 		answer, err := peer.Call[newerRequest, newerAnswer](ctx, s.transport, address, methodNewer, request)
 		return table.PeerCopy{
--- a/internal/frontend/upstream.go
+++ b/internal/frontend/upstream.go
@@ -25,9 +25,8 @@
 	methodFollow = "table.follow"
 	// methodFollowSection is the same for a section of a table.
 	methodFollowSection = "table.follow_section"
-	// upstreamAge is the maximum age of a copy that is served to others. With the time to
-	// detect an upstream that does not answer, every daemon is at most two seconds behind the
-	// store; the strictest limit in large fleets is three seconds.
+	// upstreamAge is the maximum age of a copy that is served to others. A daemon whose copy gets
+	// older than its own calls explain asks other daemons besides (table.Follower).
 	upstreamAge = 1500 * time.Millisecond
 	// upstreamTries is the maximum number of upstreams that are asked in turn while each
 	// refuses within refusalTime.
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,8 +23,6 @@
 	// answerReserve is how long the answer to a watch may take beyond its wait.
 	answerReserve = 700 * time.Millisecond
 	readTimeout   = time.Second
-	// peerQueryInterval is the minimum interval between two queries to peers.
-	peerQueryInterval = 400 * time.Millisecond
 	// deferThreshold is the number of partitions up to which a read is never deferred.
 	deferThreshold = 8
 )
@@ -30,8 +30,10 @@
 // errDeferred means that a read was deferred because an upstream may provide the table.
 var errDeferred = &Error{Kind: ErrorNotDone, Call: "deferred_read"}
 
-// Consumer receives the rows of a followed table. All calls come from one
-// goroutine.
+// errStaleRead means that the store returned an older state than the one seen.
+var errStaleRead = &Error{Kind: ErrorNotDone, Call: "stale_read"}
+
+// Consumer receives the rows of a followed table. There is one call at a time.
 type Consumer interface {
 	// Replace receives all rows as of a version.
 	Replace(rows []Row, version Version)
@@ -39,8 +41,10 @@
 	Change(rows []Row, version Version)
 }
 
-// Follower keeps a consumer up to date with one table. Versions passed to the
-// consumer never decrease: an older read is dropped and repeated.
+// Follower keeps a consumer up to date with one table. It follows one source at a time, an
+// upstream or the store, and asks peers beside it once the rows have not been confirmed for
+// longer than that source needs while it answers. Versions passed to the consumer never
+// decrease: an older read is dropped and repeated.
 type Follower struct {
 	Store    Store
 	Table    string
@@ -63,7 +67,7 @@
 	// Deferred returns how long a read of many partitions (one call each) is deferred in
 	// favor of an upstream, or 0 if it isn't. nil means never.
 	Deferred func() time.Duration
-	// Peers are queried while the store does not answer; nil means none.
+	// Peers are queried when the table is out of date; nil means none.
 	Peers Peers
 	// Upstream is followed instead of the store while it is up to date; nil means
 	// none.
@@ -74,16 +78,25 @@
 	// hasManyPartitions is set if the last listing had more than deferThreshold partitions.
 	hasManyPartitions bool
 
+	// delivery serializes the calls of the consumer. It guards seen.
+	delivery sync.Mutex
 	// seen is the version that the consumer received last.
-	seen     Version
+	seen Version
+	// isSynced is set once the consumer has all rows, until the changes after seen are lost.
+	isSynced atomic.Bool
+
 	keyspace Keyspace
 	section  atomic.Pointer[keptSection]
 	// resizeAfter is the earliest time of the next resize.
 	resizeAfter time.Time
 	// isUnconfirmed is set if the table was read since the last watch.
-	isUnconfirmed  bool
-	peersQueriedAt time.Time
-	isStoreLost    bool
+	isUnconfirmed bool
+	isStoreLost   atomic.Bool
+	// announced is the highest version that was announced to this daemon, and wakeup is
+	// signaled when it rises or the store is lost.
+	announced  atomic.Int64
+	wakeup     chan struct{}
+	wakeupOnce sync.Once
 	// directUntil is the time until which the store is followed although an upstream
 	// is set.
 	directUntil time.Time
@@ -131,25 +144,27 @@
 
 // Run follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	isSynced := false
+	var refreshing sync.WaitGroup
+	refreshing.Go(func() { f.refreshUntilDone(ctx) })
+	defer refreshing.Wait()
 	for ctx.Err() == nil {
 		if f.pace(ctx) != nil {
 			return // the context ends
 		}
-		f.resize(ctx, isSynced)
+		f.resize(ctx)
 		// With a plan, an upstream can be followed only once a section is kept.
-		if (isSynced || f.Plan == nil) && f.followUpstream(ctx) {
-			isSynced = true
+		if (f.isSynced.Load() || f.Plan == nil) && f.followUpstream(ctx) {
+			f.isSynced.Store(true)
 			continue
 		}
 		var err error
 		switch {
-		case isSynced:
+		case f.isSynced.Load():
 			err = f.watch(ctx)
 		case f.isDeferred():
 			err = errDeferred
 		default:
-			isSynced, err = f.read(ctx)
+			err = f.read(ctx)
 		}
 		if errors.Is(err, errDeferred) {
 			periodic.Sleep(ctx, f.Deferred())
@@ -157,10 +172,9 @@
 		}
 		f.recordResult(err)
 		if isCompacted(err) {
-			isSynced = false
+			f.isSynced.Store(false)
 		}
 		if err != nil {
-			isSynced = f.queryPeers(ctx) || isSynced
 			f.retryUpstreamSoon()
 			periodic.SleepAbout(ctx, retryPause)
 		}
@@ -180,55 +194,9 @@
 	return errors.WithStack(f.Pace.Wait(ctx))
 }
 
-// queryPeers replaces the table by another daemon's copy if that is newer, and reports
-// whether it did. All versions come from the store's single counter, so that they are
-// comparable between daemons.
-func (f *Follower) queryPeers(ctx context.Context) bool {
-	if f.Peers == nil || !f.isStoreLost || time.Since(f.peersQueriedAt) < peerQueryInterval {
-		return false
-	}
-	f.peersQueriedAt = time.Now()
-	started := f.Now()
-	bounded, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	peerCopy, found := f.fetchPeerCopy(bounded)
-	if !found {
-		return false
-	}
-	isApplied := peerCopy.IsNewer && peerCopy.Version > f.seen
-	if isApplied {
-		if f.Plan != nil {
-			f.setSection(peerSection(peerCopy))
-		}
-		f.receiveFrom(SourcePeer, peerCopy.Daemon)
-		f.Consumer.Replace(peerCopy.Rows, peerCopy.Version)
-		f.Logger.Info("table_from_peer", "table", f.Table, "peer", peerCopy.Daemon, "unconfirmed_ms", f.Origin().Unconfirmed.Milliseconds(), "version", peerCopy.Version, "version_before", f.seen, "rows", len(peerCopy.Rows), "age_ms", peerCopy.Age.Milliseconds())
-		f.seen = peerCopy.Version
-	}
-	f.recordConfirmed(started.Add(-peerCopy.Age))
-	return isApplied
-}
-
-// fetchPeerCopy asks other daemons for their copy. The copy of a section is used only by
-// a follower that has no section yet.
-func (f *Follower) fetchPeerCopy(ctx context.Context) (PeerCopy, bool) {
-	section, _, _ := f.Section()
-	switch {
-	case f.Plan == nil:
-		return f.Peers.Newer(ctx, f.Table, f.seen)
-	case section.IsPart:
-		return PeerCopy{}, false
-	}
-	found, isFound := f.Peers.NewerPart(ctx, f.Table, f.seen)
-	if !isFound {
-		return f.Peers.Newer(ctx, f.Table, f.seen)
-	}
-	return found, true
-}
-
 // recordConfirmed records a time at which the consumer's version was current. It must be
 // called after the consumer has received that version, so that Age is never less than the
-// age of the consumer's rows.
+// age of the consumer's rows. delivery must be held.
 func (f *Follower) recordConfirmed(at boottime.Instant) {
 	if int64(at) > f.confirmed.Load() {
 		f.confirmed.Store(int64(at))
@@ -245,17 +213,18 @@
 // or resumes answering for this table.
 func (f *Follower) recordResult(err error) {
 	isLost := err != nil && !isCompacted(err)
-	if isLost == f.isStoreLost {
+	if isLost == f.isStoreLost.Load() {
 		return
 	}
-	f.isStoreLost = isLost
+	f.isStoreLost.Store(isLost)
 	if isLost {
 		f.settling.Store(&settling{isUnavailable: true})
-		f.Logger.Warn("table_lost", "table", f.Table, "version", f.seen, "error", err)
+		f.wakeRefresh()
+		f.Logger.Warn("table_lost", "table", f.Table, "version", f.seenVersion(), "error", err)
 		return
 	}
 	f.startSettling()
-	f.Logger.Info("table_regained", "table", f.Table, "version", f.seen)
+	f.Logger.Info("table_regained", "table", f.Table, "version", f.seenVersion())
 }
 
 func isCompacted(err error) bool {
@@ -275,51 +244,78 @@
 		// Confirm the read, or this upstream's data for its new followers, without waiting.
 		wait = 0
 	}
-	started := f.Now()
-	changes, err := f.Store.Watch(bounded, f.Table, f.seen, wait)
+	started, after := f.Now(), f.seenVersion()
+	changes, err := f.Store.Watch(bounded, f.Table, after, wait)
 	if err != nil {
 		return err
 	}
-	if changes.Version < f.seen {
+	if changes.Version < after {
 		return &Error{Kind: ErrorCompacted, Call: "watch"}
 	}
 	f.recordResult(nil)
-	f.receiveFrom(SourceStore, "")
-	f.Consumer.Change(changes.Rows, changes.Version)
-	f.seen, f.isUnconfirmed = changes.Version, false
+	f.isUnconfirmed = false
+	f.delivery.Lock()
+	defer f.delivery.Unlock()
+	if changes.Version >= f.seen {
+		f.receiveFrom(SourceStore, "")
+		f.Consumer.Change(newerThan(changes.Rows, f.seen), changes.Version)
+		f.seen = changes.Version
+	}
 	f.recordStoreAnswer(max(started, changes.AsOf))
 	return nil
 }
 
+// seenVersion returns the version that the consumer received last.
+func (f *Follower) seenVersion() Version {
+	f.delivery.Lock()
+	defer f.delivery.Unlock()
+	return f.seen
+}
+
+// newerThan returns the rows after a version. Another source may have sent the others meanwhile.
+func newerThan(rows []Row, version Version) []Row {
+	isSeen := func(row Row) bool { return row.Version <= version }
+	if !slices.ContainsFunc(rows, isSeen) {
+		return rows
+	}
+	return slices.DeleteFunc(slices.Clone(rows), isSeen)
+}
+
 // read reads the entire table, or its section. A state older than the version seen is
 // rejected. A state of the same version may be stale, because the store can serve stale
 // reads for 3 s after a compaction; only the next watch confirms it. The version is that
 // of a read before the partitions are listed, so that later changes are returned by the
 // next watch.
-func (f *Follower) read(ctx context.Context) (bool, error) {
+func (f *Follower) read(ctx context.Context) error {
 	all, version, section, err := f.readUnpartitioned(ctx)
 	if err != nil {
-		return false, err
+		return err
 	}
-	if version < f.seen {
-		return false, &Error{Kind: ErrorNotDone, Call: "stale_read"}
+	if version < f.seenVersion() {
+		return errStaleRead
 	}
 	if f.Partitioned {
 		partitioned, err := f.readPartitions(ctx, version)
 		if err != nil {
-			return false, err
+			return err
 		}
 		all = append(all, partitioned...)
 	}
 	f.recordResult(nil)
+	f.delivery.Lock()
+	defer f.delivery.Unlock()
+	if version < f.seen {
+		return errStaleRead
+	}
 	if f.Plan != nil {
 		f.setSection(section)
 	}
 	f.receiveFrom(SourceStore, "")
 	f.Consumer.Replace(all, version)
 	f.seen, f.isUnconfirmed = version, true
+	f.isSynced.Store(true)
 	f.Logger.Info("table_read", "table", f.Table, "version", version, "rows", len(all), "is_part", section.IsPart, "width", section.width)
-	return true, nil
+	return nil
 }
 
 // readUnpartitioned reads the unnamed partition, or the section of it that the plan selects.
@@ -355,7 +351,7 @@
 			return nil, err
 		}
 		if version < atLeast {
-			return nil, &Error{Kind: ErrorNotDone, Call: "stale_read"}
+			return nil, errStaleRead
 		}
 		all = append(all, rows...)
 	}
--- a/internal/table/freshness_test.go
+++ b/internal/table/freshness_test.go
@@ -82,15 +82,15 @@
 // servedPeers are other daemons that the store serves.
 type servedPeers struct{ store table.Store }
 
-func (p servedPeers) Newer(ctx context.Context, name string, after table.Version) (table.PeerCopy, bool) {
-	page, err := p.store.Read(ctx, table.Range{Table: name})
+func (p servedPeers) Newer(ctx context.Context, query table.PeerQuery) (table.PeerCopy, bool) {
+	page, err := p.store.Read(ctx, table.Range{Table: query.Table})
 	if err != nil {
 		return table.PeerCopy{}, false
 	}
-	return table.PeerCopy{Rows: page.Rows, Version: page.Version, IsNewer: page.Version > after}, true
+	return table.PeerCopy{Rows: page.Rows, Version: page.Version, IsNewer: page.Version > query.After}, true
 }
 
-func (p servedPeers) NewerPart(context.Context, string, table.Version) (table.PeerCopy, bool) {
+func (p servedPeers) NewerPart(context.Context, table.PeerQuery) (table.PeerCopy, bool) {
 	return table.PeerCopy{}, false
 }
 
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -177,11 +177,11 @@
 	return rows
 }
 
-// Since returns the version of the copy, and all its rows if that is newer than after.
+// Since returns the version of the copy, and all its rows if any has changed after a version.
 func (r *Replica) Since(after Version) (rows []Row, version Version, isNewer bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.version <= after {
+	if r.rowsVersion <= after {
 		return nil, r.version, false
 	}
 	return r.all(), r.version, true
@@ -219,12 +219,21 @@
 
 // Peers returns the copies of a followed table that other daemons keep.
 type Peers interface {
-	// Newer returns the copy of a daemon whose version is higher than after. If no
-	// queried daemon has one, it returns the most recently confirmed copy. It reports
-	// false if no daemon answered.
-	Newer(ctx context.Context, table string, after Version) (PeerCopy, bool)
+	// Newer returns the copy of a daemon that has newer rows. If no queried daemon has any,
+	// it returns the most recently confirmed copy. Daemons that don't answer must not delay
+	// it. It reports false if no daemon answered.
+	Newer(ctx context.Context, query PeerQuery) (PeerCopy, bool)
 	// NewerPart is Newer for a table of which each daemon may keep only a section.
-	NewerPart(ctx context.Context, table string, after Version) (PeerCopy, bool)
+	NewerPart(ctx context.Context, query PeerQuery) (PeerCopy, bool)
+}
+
+// PeerQuery asks for a copy of a table that is newer than a version.
+type PeerQuery struct {
+	Table string
+	// After is the version that the caller has.
+	After Version
+	// Wanted is a version that some daemon has; 0 means none is known of.
+	Wanted Version
 }
 
 // PeerCopy is another daemon's copy of a table.
--- a/internal/table/resize.go
+++ b/internal/table/resize.go
@@ -10,9 +10,9 @@
 
 // resize reads the table again if the section has become too small or too large, or if a
 // table that is kept entirely has grown too large. If that fails, the present rows are kept.
-func (f *Follower) resize(ctx context.Context, isSynced bool) {
+func (f *Follower) resize(ctx context.Context) {
 	section, _, isKnown := f.Section()
-	if !isSynced || !isKnown || time.Now().Before(f.resizeAfter) {
+	if !f.isSynced.Load() || !isKnown || time.Now().Before(f.resizeAfter) {
 		return
 	}
 	if !f.isTooLarge(section) && !(section.IsPart && f.Plan.WantsMore()) {
@@ -20,7 +20,7 @@
 	}
 	f.resizeAfter = time.Now().Add(resizePause)
 	if err := f.reread(ctx); err != nil {
-		f.Logger.Info("table_not_resized", "table", f.Table, "version", f.seen, "error", err)
+		f.Logger.Info("table_not_resized", "table", f.Table, "version", f.seenVersion(), "error", err)
 	}
 }
 
@@ -31,8 +31,8 @@
 	if err != nil {
 		return err
 	}
-	if made.version < f.seen {
-		return &Error{Kind: ErrorNotDone, Call: "stale_read"}
+	if made.version < f.seenVersion() {
+		return errStaleRead
 	}
 	isUpstream := f.Upstream != nil && f.Upstream.Serves()
 	missed := []Row{}
@@ -41,8 +41,13 @@
 			return err
 		}
 	}
+	f.delivery.Lock()
+	defer f.delivery.Unlock()
+	if made.version < f.seen {
+		return errStaleRead
+	}
 	f.setSection(made.kept)
-	f.Part.Keep(made.rows, made.version, missed, isUpstream)
+	f.Part.Keep(made.rows, made.version, newerThan(missed, f.seen), isUpstream)
 	f.seen, f.isUnconfirmed = made.version, true
 	f.Logger.Info("table_read", "table", f.Table, "version", made.version, "rows", len(made.rows), "is_part", made.kept.IsPart, "width", made.kept.width)
 	return nil
@@ -51,7 +56,7 @@
 // changesUntil returns the changes of the entire table after the version seen, up to a
 // version.
 func (f *Follower) changesUntil(ctx context.Context, until Version) ([]Row, error) {
-	all, after := []Row{}, f.seen
+	all, after := []Row{}, f.seenVersion()
 	for after < until {
 		bounded, cancel := context.WithTimeout(ctx, readTimeout)
 		changes, err := f.Store.Watch(bounded, f.Table, after, 0)
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -60,7 +60,7 @@
 	defer cancel()
 	started := f.Now()
 	section, _, _ := f.Section()
-	relayed, isFollowed, err := f.Upstream.Changes(bounded, f.Table, section, f.seen, wait)
+	relayed, isFollowed, err := f.Upstream.Changes(bounded, f.Table, section, f.seenVersion(), wait)
 	if !isFollowed || ctx.Err() != nil {
 		return false
 	}
@@ -70,10 +70,13 @@
 		if f.Now().Sub(started) < quickFailure {
 			f.directUntil = f.upstreamFailedAt.Add(upstreamRetry)
 		}
-		f.Logger.Info("table_upstream_lost", "table", f.Table, "version", f.seen, "upstream", relayed.Daemon, "waited_ms", f.Now().Sub(started).Milliseconds(),
+		f.Logger.Info("table_upstream_lost", "table", f.Table, "version", f.seenVersion(), "upstream", relayed.Daemon, "waited_ms", f.Now().Sub(started).Milliseconds(),
 			"unconfirmed_ms", f.Age().Milliseconds(), "error", err)
 		return false
 	}
+	f.recordResult(nil)
+	f.delivery.Lock()
+	defer f.delivery.Unlock()
 	f.applyRelayed(relayed)
 	f.recordConfirmed(started.Add(-relayed.Age))
 	return true
@@ -89,9 +92,8 @@
 }
 
 // applyRelayed passes changes from an upstream to the consumer. Changes up to the version
-// seen are ignored.
+// seen are ignored. delivery must be held.
 func (f *Follower) applyRelayed(relayed RelayedChanges) {
-	f.recordResult(nil)
 	if relayed.Version <= f.seen {
 		return
 	}
@@ -101,12 +103,12 @@
 	f.receiveFrom(SourceUpstream, relayed.Daemon)
 	switch {
 	case relayed.IsPart:
-		f.Part.ChangePart(relayed.Rows, relayed.Version)
+		f.Part.ChangePart(newerThan(relayed.Rows, f.seen), relayed.Version)
 	case relayed.IsWhole:
 		f.Consumer.Replace(relayed.Rows, relayed.Version)
 		f.Logger.Info("table_from_upstream", "table", f.Table, "version", relayed.Version, "version_before", f.seen, "rows", len(relayed.Rows))
 	default:
-		f.Consumer.Change(relayed.Rows, relayed.Version)
+		f.Consumer.Change(newerThan(relayed.Rows, f.seen), relayed.Version)
 	}
 	f.seen = relayed.Version
 }
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -134,7 +134,7 @@
 	f.Consumer.Change(changes.Rows, changes.Version)
 	f.seen' internal/table TestAgeIsUpperBound
 mutant claims_held_as_long_as_others internal/frontend/frontend.go \
-	'RelayWait: claimRelayWait, ' '' internal/frontend TestClaimsStayFreshWithoutChanges
+	'RelayWait: relayWait, ' '' internal/frontend TestClaimsStayFreshWithoutChanges
 mutant no_look_before_the_first_byte platform/sender.go \
 	'if err := attempt.CheckSendable(ctx); err != nil {' 'if err := error(nil); err != nil {' platform TestAttemptWithoutPermitNotSent
 mutant promise_unsettled internal/job/accept.go \
