Queries to peers: daemons that are silent or behind no longer hide one that is up to date

Cause: two daemons at random were asked, one after the other within one second, and the first newer copy was taken, however old. A frozen daemon took all of the second. TestFreshPeerIsFoundBesideSilentOnes failed before.

Older builds answer the same calls.

--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -20,9 +20,6 @@
 // methodNewerPart is the same for a table of which each daemon may keep only a section.
 const methodNewerPart = "table.newer_part"
 
-// askedPeers is the maximum number of daemons that are asked, in turn.
-const askedPeers = 2
-
 // newerRequest asks for a copy of a table that is newer than a version.
 type newerRequest struct {
 	Table string `avro:"table"`
@@ -159,11 +156,11 @@
 
 // NewerPart implements table.Peers.
 func (s *peerSource) NewerPart(ctx context.Context, query table.PeerQuery) (table.PeerCopy, bool) {
-	request := newerRequest{Table: query.Table, After: int64(query.After)}
-	return askNewest(ctx, s.randomPeers(), func(ctx context.Context, address string) (table.PeerCopy, error) {
+	return askNewest(ctx, s.peersToAsk(), query, func(ctx context.Context, address string, after table.Version) (table.PeerCopy, error) {
+		request := newerRequest{Table: query.Table, After: int64(after)}
 		answer, err := peer.Call[newerRequest, newerPartAnswer](ctx, s.transport, address, methodNewerPart, request)
 		return table.PeerCopy{
-			Rows: tableRows(answer.Rows), IsNewer: answer.IsNewer, Version: table.Version(answer.Version),
+			Daemon: address, Rows: tableRows(answer.Rows), IsNewer: answer.IsNewer, Version: table.Version(answer.Version),
 			Section: table.Section{IsPart: answer.IsPart, From: answer.From, Before: answer.Before}, Width: answer.Width,
 			Age: time.Duration(answer.AgeMilliseconds) * time.Millisecond,
 		}, err
@@ -172,44 +169,31 @@
 
 // Newer implements table.Peers.
 func (s *peerSource) Newer(ctx context.Context, query table.PeerQuery) (table.PeerCopy, bool) {
-	request := newerRequest{Table: query.Table, After: int64(query.After)}
-	return askNewest(ctx, s.randomPeers(), func(ctx context.Context, address string) (table.PeerCopy, error) {
+	return askNewest(ctx, s.peersToAsk(), query, func(ctx context.Context, address string, after table.Version) (table.PeerCopy, error) {
+		request := newerRequest{Table: query.Table, After: int64(after)}
 		answer, err := peer.Call[newerRequest, newerAnswer](ctx, s.transport, address, methodNewer, request)
 		return table.PeerCopy{
-			Rows: tableRows(answer.Rows), IsNewer: answer.IsNewer, Version: table.Version(answer.Version),
+			Daemon: address, Rows: tableRows(answer.Rows), IsNewer: answer.IsNewer, Version: table.Version(answer.Version),
 			Age: time.Duration(answer.AgeMilliseconds) * time.Millisecond,
 		}, err
 	})
 }
 
-// askNewest asks the first of these daemons. It returns the first newer copy, or else the
-// answer with the lowest age.
-func askNewest(ctx context.Context, members []membership.Member, ask func(ctx context.Context, address string) (table.PeerCopy, error)) (table.PeerCopy, bool) {
-	latest, isFound := table.PeerCopy{}, false
-	for _, member := range members[:min(askedPeers, len(members))] {
-		received, err := ask(ctx, member.Address)
-		received.Daemon = member.Address
-		if err != nil || received.Version == 0 {
-			continue
-		}
-		if received.IsNewer {
-			return received, true
-		}
-		if !isFound || received.Age < latest.Age {
-			latest, isFound = received, true
-		}
-	}
-	return latest, isFound
-}
-
-func (s *peerSource) randomPeers() []membership.Member {
+// peersToAsk returns the other live daemons in random order, suspected ones last.
+func (s *peerSource) peersToAsk() []membership.Member {
 	self := s.node.Self().Name
-	others := []membership.Member{}
+	alive, suspected := []membership.Member{}, []membership.Member{}
 	for _, member := range s.node.Members() {
-		if member.Name != self {
-			others = append(others, member)
+		switch {
+		case member.Name == self:
+		case member.State == membership.StateAlive:
+			alive = append(alive, member)
+		default:
+			suspected = append(suspected, member)
 		}
 	}
-	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
-	return others
+	for _, group := range [][]membership.Member{alive, suspected} {
+		rand.Shuffle(len(group), func(a, b int) { group[a], group[b] = group[b], group[a] })
+	}
+	return append(alive, suspected...)
 }
--- a/internal/frontend/source_test.go
+++ b/internal/frontend/source_test.go
@@ -34,7 +34,7 @@
 	for range silentPeers {
 		members = append(members, membership.Member{Name: "silent", Address: "silent"})
 	}
-	ask := func(ctx context.Context, address string) (table.PeerCopy, error) {
+	ask := func(ctx context.Context, address string, _ table.Version) (table.PeerCopy, error) {
 		answer, answersAtOnce := answers[address]
 		if answersAtOnce {
 			return answer, nil
@@ -47,7 +47,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(t.Context(), queryTime)
 			defer cancel()
-			found, isFound := askNewest(ctx, members, ask)
+			found, isFound := askNewest(ctx, members, table.PeerQuery{Wanted: newest}, ask)
 			require.True(t, isFound)
 			require.Equal(t, newest, found.Version)
 			require.NoError(t, ctx.Err())
