--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,11 +37,12 @@
 	c.applyNewest(rows)
 }
 
-// applyNewest applies the configuration if it is among the rows.
+// applyNewest applies the newest configuration among the rows, if any.
 func (c *configConsumer) applyNewest(rows []table.Row) {
-	for _, row := range rows {
+	for _, row := range slices.Backward(rows) {
 		if row.Key == c.ports.ConfigKey && !row.Deleted {
 			c.apply(row)
+			return
 		}
 	}
 }
--- a/internal/frontend/source_test.go
+++ b/internal/frontend/source_test.go
@@ -42,12 +42,16 @@
 		<-ctx.Done()
 		return table.PeerCopy{}, ctx.Err()
 	}
-	for range trials {
+	for trial := range trials {
+		query := table.PeerQuery{Wanted: newest}
+		if trial%2 == 0 {
+			query.Wanted = 0
+		}
 		rand.Shuffle(len(members), func(a, b int) { members[a], members[b] = members[b], members[a] })
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(t.Context(), queryTime)
 			defer cancel()
-			found, isFound := askNewest(ctx, members, table.PeerQuery{Wanted: newest}, ask)
+			found, isFound := askNewest(ctx, members, query, ask)
 			require.True(t, isFound)
 			require.Equal(t, newest, found.Version)
 			require.NoError(t, ctx.Err())
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -129,10 +129,21 @@
 mutant old_claims_believed internal/job/permit.go \
 	'const claimsAgeLimit = 2 * time.Second' 'const claimsAgeLimit = time.Hour' internal/job TestStaleClaimsBlockNewItems
 mutant age_noted_before_the_rows internal/table/follower.go \
-	'f.Consumer.Change(changes.Rows, changes.Version)
-	f.seen' 'f.recordStoreAnswer(f.Now())
-	f.Consumer.Change(changes.Rows, changes.Version)
-	f.seen' internal/table TestAgeIsUpperBound
+	'f.Consumer.Change(newerThan(changes.Rows, f.seen), changes.Version)
+		f.seen' 'f.recordStoreAnswer(f.Now())
+		f.Consumer.Change(newerThan(changes.Rows, f.seen), changes.Version)
+		f.seen' internal/table TestAgeIsUpperBound
+mutant sources_asked_one_after_the_other internal/table/refresh.go \
+	'if f.Peers == nil {' 'if f.Peers == nil || true {' internal/table TestCopyStaysFreshBehindFailingSources
+mutant silent_peers_awaited internal/frontend/newest.go \
+	'askInterval = 100 * time.Millisecond' 'askInterval = time.Hour' internal/frontend TestFreshPeerIsFoundBesideSilentOnes
+mutant outdated_peers_believed internal/frontend/newest.go \
+	'conclusiveAge = time.Second' 'conclusiveAge = time.Hour' internal/frontend TestFreshPeerIsFoundBesideSilentOnes
+mutant every_version_kept internal/table/recent.go \
+	'r.supersede(added.key())' '' internal/table TestReplicaKeepsOneVersionOfALargeRow
+mutant every_configuration_decoded internal/frontend/consumers.go \
+	'c.apply(row)
+			return' 'c.apply(row)' internal/frontend TestOnlyNewestConfigurationIsDecoded
 mutant claims_held_as_long_as_others internal/frontend/frontend.go \
 	'RelayWait: relayWait, ' '' internal/frontend TestClaimsStayFreshWithoutChanges
 mutant no_look_before_the_first_byte platform/sender.go \
