Table copies: one version of a row is kept and sent, bounded by bytes too

Now the newest change of a row supersedes the others, and the changes are bounded by 8 MB besides.

Followers must not rely on seeing each change of a row: they don't when they read the table either.

--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"sort"
 	"sync"
 	"time"
 )
@@ -18,18 +16,13 @@
 	section Section
 	rows    map[replicaKey]Row
 	version Version
-	// recent are the latest changes in order, complete since version recentAfter.
-	recent      []Row
-	recentAfter Version
+	recent  recentChanges
 	// rowsVersion is the version at which rows changed last. changed is closed at the
 	// next change.
 	rowsVersion Version
 	changed     chan struct{}
 }
 
-// maxRecentRows bounds the changes kept for daemons that follow the copy.
-const maxRecentRows = 4096
-
 type replicaKey struct{ partition, key string }
 
 // Replace implements Consumer.
@@ -43,7 +36,7 @@
 	if isGapless {
 		r.addRecent(missed)
 	} else {
-		r.recent, r.recentAfter = nil, version
+		r.recent.reset(version)
 	}
 	r.notifyChanged()
 	r.mutex.Unlock()
@@ -73,7 +66,7 @@
 func (r *Replica) ChangePart(rows []Row, version Version) {
 	r.mutex.Lock()
 	r.store(rows, version)
-	r.recent, r.recentAfter = nil, version
+	r.recent.reset(version)
 	r.notifyChanged()
 	r.mutex.Unlock()
 	r.Consumer.Change(rows, version)
@@ -110,11 +103,7 @@
 		return
 	}
 	r.notifyChanged()
-	r.recent = append(r.recent, rows...)
-	if surplus := len(r.recent) - maxRecentRows; surplus > 0 {
-		r.recentAfter = r.recent[surplus-1].Version
-		r.recent = append([]Row(nil), r.recent[surplus:]...)
-	}
+	r.recent.add(rows)
 }
 
 // Changed returns a channel that is closed once rows have changed after a version.
@@ -138,8 +127,8 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	changes.Version = r.version
-	if after >= r.recentAfter {
-		changes.Rows = slices.Clone(r.recentSince(after))
+	if after >= r.recent.after {
+		changes.Rows = r.recent.since(after)
 		return changes, false, true
 	}
 	if r.section.IsPart {
@@ -155,19 +144,13 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	changes.Version = r.version
-	if after < r.recentAfter {
+	if after < r.recent.after {
 		return changes, false
 	}
-	changes.Rows = section.Of(r.recentSince(after))
+	changes.Rows = section.Of(r.recent.since(after))
 	return changes, true
 }
 
-// recentSince returns the recent changes after a version. mutex must be held.
-func (r *Replica) recentSince(after Version) []Row {
-	from := sort.Search(len(r.recent), func(index int) bool { return r.recent[index].Version > after })
-	return r.recent[from:]
-}
-
 // all returns all rows. mutex must be held.
 func (r *Replica) all() []Row {
 	rows := make([]Row, 0, len(r.rows))
@@ -187,19 +170,15 @@
 	return r.all(), r.version, true
 }
 
-// Bytes returns the size of the keys and values that are kept, superseded changes included.
+// Bytes returns the size of the keys and values of the copy and of the recent changes. Most of
+// these share their values with the copy.
 func (r *Replica) Bytes() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	total := 0
+	total := r.recent.bytes
 	for key, row := range r.rows {
 		total += len(key.partition) + len(key.key) + len(row.Value)
 	}
-	for _, row := range r.recent {
-		if kept := r.rows[replicaKey{row.Partition, row.Key}]; kept.Version != row.Version {
-			total += len(row.Partition) + len(row.Key) + len(row.Value)
-		}
-	}
 	return total
 }
 
