Configuration: daemons tell each other of a new version, and who lacks it requests it

Queries ask a daemon of the own zone and one of another by turns: rows from the own zone cost less.

TestChangeIsAnnouncedToOtherDaemons, TestAnnouncedVersionIsRequestedFromPeers; the latter fails without the announcement's part of the check (mutant announcements_ignored).

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -186,9 +186,10 @@
 	f.instances = newInstanceConsumer(ports, f.Backends, metrics.Backends, log)
 	f.instances.isNamed = f.isServiceNamed
 	configuration := &configConsumer{ports: ports, holder: f.Holder, evacuations: newEvacuations(ports.DecodeEvacuation, f.Backends, metrics.Backends, log), log: log}
+	announced := newAnnouncer(ports.ConfigTable, configuration, f.node)
 	f.CopyBytes = map[string]func() int{}
 	for _, follower := range []*table.Follower{
-		{Table: ports.ConfigTable, Consumer: configuration},
+		{Table: ports.ConfigTable, Consumer: announced},
 		{Table: ports.InstanceTable, Consumer: f.instances, Pace: rate.NewLimiter(instanceWatches, instanceBurst), Plan: newSectionPlan(process.Name, ports, f.Holder, f.Backends, log)},
 		{Table: quarantine.TableName, Consumer: f.Quarantine, Wait: evidenceWait},
 		claims,
@@ -208,6 +209,7 @@
 			f.instances.isSettled, f.section = follower.IsSettled, follower.Section
 		}
 		if follower.Table == ports.ConfigTable {
+			announced.announce = follower.Announce
 			configuration.origin, f.ConfigurationAge = follower.Origin, follower.Age
 			f.Gate = &access.Gate{RevocationBound: time.Duration(process.RevocationBound), ConfirmedAt: follower.ConfirmedAt}
 		}
--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -179,21 +179,38 @@
 	})
 }
 
-// peersToAsk returns the other live daemons in random order, suspected ones last.
+// peersToAsk returns the other live daemons: by turns one of the own zone, whose rows are cheaper
+// to send, and one of another, which may not share the zone's troubles; suspected ones last.
 func (s *peerSource) peersToAsk() []membership.Member {
-	self := s.node.Self().Name
-	alive, suspected := []membership.Member{}, []membership.Member{}
+	self := s.node.Self()
+	near, far, suspected := []membership.Member{}, []membership.Member{}, []membership.Member{}
 	for _, member := range s.node.Members() {
 		switch {
-		case member.Name == self:
-		case member.State == membership.StateAlive:
-			alive = append(alive, member)
-		default:
+		case member.Name == self.Name:
+		case member.State != membership.StateAlive:
 			suspected = append(suspected, member)
+		case member.Zone == self.Zone:
+			near = append(near, member)
+		default:
+			far = append(far, member)
 		}
 	}
-	for _, group := range [][]membership.Member{alive, suspected} {
+	for _, group := range [][]membership.Member{near, far, suspected} {
 		rand.Shuffle(len(group), func(a, b int) { group[a], group[b] = group[b], group[a] })
 	}
-	return append(alive, suspected...)
+	return append(alternate(near, far), suspected...)
+}
+
+// alternate merges two lists by turns.
+func alternate(one, other []membership.Member) []membership.Member {
+	merged := make([]membership.Member, 0, len(one)+len(other))
+	for index := range max(len(one), len(other)) {
+		if index < len(one) {
+			merged = append(merged, one[index])
+		}
+		if index < len(other) {
+			merged = append(merged, other[index])
+		}
+	}
+	return merged
 }
--- a/internal/table/freshness_test.go
+++ b/internal/table/freshness_test.go
@@ -62,9 +62,10 @@
 	return table.Changes{}, &table.Error{Kind: table.ErrorNotDone, Call: "watch"}
 }
 
-// suspendedUpstream returns a copy that is nearly too old and does not answer afterwards.
+// suspendedUpstream returns a copy of some age and does not answer afterwards.
 type suspendedUpstream struct {
 	rows     []table.Row
+	age      time.Duration
 	answered bool
 }
 
@@ -76,7 +77,7 @@
 		return table.RelayedChanges{}, true, errUnavailable
 	}
 	u.answered = true
-	return table.RelayedChanges{Changes: table.Changes{Rows: u.rows, Version: 1}, IsWhole: true, IsSettled: true, Age: oldAnswerAge}, true, nil
+	return table.RelayedChanges{Changes: table.Changes{Rows: u.rows, Version: 1}, IsWhole: true, IsSettled: true, Age: u.age}, true, nil
 }
 
 // servedPeers are other daemons that the store serves.
@@ -117,7 +118,7 @@
 func requireStaysFresh(t *testing.T, store table.Store, peers table.Peers) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	upstream := &suspendedUpstream{rows: counter("1", 1)}
+	upstream := &suspendedUpstream{rows: counter("1", 1), age: oldAnswerAge}
 	follower := &table.Follower{
 		Store: store, Table: followedTable, Consumer: &recorder{}, Logger: discardLogger, Clock: virtualNow,
 		Wait: followWait, Upstream: upstream, Peers: peers,
@@ -134,3 +135,27 @@
 	t.Log("oldest", oldest)
 	require.Less(t, oldest, freshnessBound)
 }
+
+// TestAnnouncedVersionIsRequestedFromPeers guards against a daemon that hears of a change and
+// waits for its own sources, none of which answers.
+func TestAnnouncedVersionIsRequestedFromPeers(t *testing.T) {
+	const inForceWithin = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		memory, seen := tabletest.NewMemory(), &recorder{}
+		put(t, memory, "", "counter", "1")
+		ctx, cancel := context.WithCancel(t.Context())
+		follower := &table.Follower{
+			Store: silentStore{memory}, Table: followedTable, Consumer: seen, Logger: discardLogger, Clock: virtualNow,
+			Wait: followWait, Upstream: &suspendedUpstream{rows: counter("1", 1)}, Peers: servedPeers{memory},
+		}
+		var running sync.WaitGroup
+		running.Go(func() { follower.Run(ctx) })
+		synctest.Wait()
+		put(t, memory, "", "counter", "2")
+		follower.Announce(memory.Version())
+		time.Sleep(inForceWithin)
+		require.Equal(t, "2", seen.value("counter"))
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/table/recent_test.go
+++ b/internal/table/recent_test.go
@@ -25,7 +25,7 @@
 	changes, isWhole, isKnown := kept.ChangesSince(1)
 	require.True(t, isKnown)
 	require.False(t, isWhole)
-	require.Len(t, changes.Rows, 1)
+	require.Equal(t, 1, len(changes.Rows))
 	require.Equal(t, table.Version(1+versions), changes.Rows[0].Version)
 	require.LessOrEqual(t, kept.Bytes(), 3*valueBytes)
 }
--- a/internal/table/refresh.go
+++ b/internal/table/refresh.go
@@ -17,7 +17,7 @@
 	minRefreshPause = 400 * time.Millisecond
 	maxRefreshPause = 800 * time.Millisecond
 	// announceGrace is how long the rows of an announced version may take by the usual way.
-	announceGrace = 150 * time.Millisecond
+	announceGrace = 300 * time.Millisecond
 )
 
 // Announce reports that rows of the table changed at a version. If they don't arrive by the
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -135,6 +135,15 @@
 		f.seen' internal/table TestAgeIsUpperBound
 mutant sources_asked_one_after_the_other internal/table/refresh.go \
 	'if f.Peers == nil {' 'if f.Peers == nil || true {' internal/table TestCopyStaysFreshBehindFailingSources
+mutant announcements_ignored internal/table/refresh.go \
+	'Version(f.announced.Load()) > f.seenVersion() || ' '' internal/table TestAnnouncedVersionIsRequestedFromPeers
+mutant changes_not_announced internal/frontend/announcer.go \
+	'a.spread(newestOf(rows))
+}
+
+// newestOf' '}
+
+// newestOf' internal/frontend TestChangeIsAnnouncedToOtherDaemons
 mutant silent_peers_awaited internal/frontend/newest.go \
 	'askInterval = 100 * time.Millisecond' 'askInterval = time.Hour' internal/frontend TestFreshPeerIsFoundBesideSilentOnes
 mutant outdated_peers_believed internal/frontend/newest.go \
