Upstreams: one that failed is avoided by all tables

The time of the last failure is kept by name for 2 s instead; the others are asked first, or the one that failed first. TestFailedUpstreamIsAvoidedByAllTables; four failures led back to the same upstream before.

--- a/internal/frontend/upstream.go
+++ b/internal/frontend/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -32,6 +33,8 @@
 	// refuses within refusalTime.
 	upstreamTries = 3
 	refusalTime   = 100 * time.Millisecond
+	// avoidTime is how long an upstream is asked after the others once a call to it has failed.
+	avoidTime = 2 * time.Second
 	// choiceAge is how long a choice of upstreams is used.
 	choiceAge = 300 * time.Millisecond
 )
@@ -104,14 +107,14 @@
 	chosen []membership.Member
 	// chosenOf is the membership generation of the choice.
 	chosenOf uint64
-	// skipped counts failures, so that the next call goes to another upstream.
-	skipped int
+	// failedAt is when a call to an upstream last failed, for any table, by name.
+	failedAt map[string]time.Time
 }
 
 var _ table.Upstream = (*upstream)(nil)
 
 func newUpstream(node *cluster.Node, transport *peer.Transport) *upstream {
-	made := &upstream{node: node, transport: transport, self: node.Self(), copies: map[string]followedCopy{}}
+	made := &upstream{node: node, transport: transport, self: node.Self(), copies: map[string]followedCopy{}, failedAt: map[string]time.Time{}}
 	peer.Handle(transport, methodFollow, made.serve)
 	peer.Handle(transport, methodFollowSection, made.serveSection)
 	return made
@@ -184,12 +187,13 @@
 func (u *upstream) askSome(ctx context.Context, chosen []membership.Member, name string, section table.Section, after table.Version, wait time.Duration) (answer followAnswer, asked string, err error) {
 	for range min(upstreamTries, len(chosen)) {
 		started := time.Now()
-		asked = u.pick(chosen).Address
+		member := u.pick(chosen, started)
+		asked = member.Address
 		answer, err = u.ask(ctx, asked, name, section, after, wait)
 		if err == nil {
 			return answer, asked, nil
 		}
-		u.skip()
+		u.recordFailure(member.Name, time.Now())
 		if time.Since(started) > refusalTime || ctx.Err() != nil {
 			break
 		}
@@ -207,17 +211,32 @@
 	return peer.Call[followRequest, followAnswer](ctx, u.transport, address, methodFollow, request)
 }
 
-// pick chooses an upstream by a hash of this daemon's name, to spread the load.
-func (u *upstream) pick(chosen []membership.Member) membership.Member {
+// pick chooses an upstream by a hash of this daemon's name, to spread the load. It avoids those
+// that failed within avoidTime; if all did, it chooses the one that failed first.
+func (u *upstream) pick(chosen []membership.Member, now time.Time) membership.Member {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	return chosen[(int(xxhash.Sum64String(u.self.Name)%uint64(len(chosen)))+u.skipped)%len(chosen)]
+	first := int(xxhash.Sum64String(u.self.Name) % uint64(len(chosen)))
+	picked := chosen[first]
+	for index := range chosen {
+		candidate := chosen[(first+index)%len(chosen)]
+		failedAt := u.failedAt[candidate.Name]
+		if now.Sub(failedAt) >= avoidTime {
+			return candidate
+		}
+		if failedAt.Before(u.failedAt[picked.Name]) {
+			picked = candidate
+		}
+	}
+	return picked
 }
 
-func (u *upstream) skip() {
+// recordFailure records a failed call to an upstream.
+func (u *upstream) recordFailure(name string, now time.Time) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	u.skipped++
+	maps.DeleteFunc(u.failedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= avoidTime })
+	u.failedAt[name] = now
 }
 
 // serve answers a daemon that follows this one.
--- a/internal/frontend/upstream_test.go
+++ b/internal/frontend/upstream_test.go
@@ -172,7 +172,7 @@
 	caller := peer.NewTransport("caller", "127.0.0.1:0", make([]byte, 32), quiet)
 	require.NoError(t, caller.Start())
 	t.Cleanup(caller.Stop)
-	asking := &upstream{transport: caller, self: membership.Member{Name: "caller"}, copies: map[string]followedCopy{}}
+	asking := &upstream{transport: caller, self: membership.Member{Name: "caller"}, copies: map[string]followedCopy{}, failedAt: map[string]time.Time{}}
 	for range 3 {
 		answer, _, err := asking.askSome(t.Context(), chosen, "t", table.Section{}, 0, time.Millisecond)
 		require.NoError(t, err)
@@ -181,3 +181,20 @@
 	_, _, err := asking.askSome(t.Context(), chosen[:2], "t", table.Section{}, 0, time.Millisecond)
 	require.ErrorContains(t, err, "old")
 }
+
+// TestFailedUpstreamIsAvoidedByAllTables guards against each table finding out by itself, and again
+// and again, that an upstream does not answer.
+func TestFailedUpstreamIsAvoidedByAllTables(t *testing.T) {
+	chosen := []membership.Member{{Name: "a"}, {Name: "b"}}
+	choosing := &upstream{self: membership.Member{Name: "caller"}, failedAt: map[string]time.Time{}}
+	now := time.Now()
+	usual := choosing.pick(chosen, now)
+	for range 4 {
+		choosing.recordFailure(usual.Name, now)
+	}
+	other := choosing.pick(chosen, now)
+	require.NotEqual(t, usual.Name, other.Name)
+	choosing.recordFailure(other.Name, now.Add(avoidTime/2))
+	require.Equal(t, usual.Name, choosing.pick(chosen, now.Add(avoidTime/2)).Name, "the one that failed first")
+	require.Equal(t, usual.Name, choosing.pick(chosen, now.Add(avoidTime)).Name, "it is tried again")
+}
