Comments: reasons behind constants that the rewording had deleted

One or two sentences each, facts of the old comments that are still true, in today's names. No code is changed. Read in part only: backend, exchange, the rest of job.

--- a/internal/job/capacitytracker.go
+++ b/internal/job/capacitytracker.go
@@ -13,7 +13,8 @@
 const capacityLogInterval = time.Second
 
 // maxDeclined is how many preemptions an owner declines at a service in one window. More
-// requests indicate a shortage that the observed load doesn't show yet.
+// requests indicate a shortage that the observed load doesn't show yet; if none beyond the
+// observed load were accepted, 150 requests and more would follow in less than half a second.
 const maxDeclined = 4
 
 // capacityTracker decides how many items the services have capacity for. It records the
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -26,7 +26,8 @@
 	// requests are kept.
 	maxSuspects = 4096
 	// A crash after the request had produced output counts half: requests that cause a
-	// crash mostly do so before their first output.
+	// crash mostly do so before their first output, and most that are cut off beside them had
+	// produced some. Requests that cause a late crash need twice as many.
 	fullWeight = 2
 	halfWeight = 1
 )
--- a/internal/quarantine/successes.go
+++ b/internal/quarantine/successes.go
@@ -9,7 +9,8 @@
 const (
 	// successTime is the minimum time for which a success of a request excuses later
 	// crashes; the maximum is twice that. A request that many callers send may be in flight
-	// at several backends that crash for another reason.
+	// at several backends that crash for another reason. A longer time would let a request
+	// that a change of the model has made crash backends crash more of them.
 	successTime = 5 * time.Second
 	// crashGroupTime is the maximum time between the observations of simultaneous crashes:
 	// a live check, and the delivery of the notice.
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -24,7 +24,8 @@
 	minPause = 8 * time.Millisecond
 	maxPause = 500 * time.Millisecond
 	// unansweredPause is the mean pause between commits while the store does not answer.
-	// It is constant: unanswered commits do not show contention for the account.
+	// It is constant: unanswered commits do not show contention for the account. Callers who
+	// wait through an outage have 1.4 s or more, and lose a seventh of that after its end.
 	unansweredPause = 200 * time.Millisecond
 )
 
@@ -103,8 +104,8 @@
 }
 
 // maxSettleWait is the time after which reservations are no longer queued ahead of a waiting
-// settlement or release, so that many reservations do not starve them. It is half of
-// settleTimeout.
+// settlement or release. It is half of settleTimeout. Without it 150 reservations at once
+// keep every settlement waiting, and the tokens of ended items are not released.
 const maxSettleWait = 500 * time.Millisecond
 
 // insertByUrgency queues reservations, whose callers wait, ahead of settlements and
@@ -157,7 +158,8 @@
 
 // commit retries a batch until it is committed or the contexts of all its callers have
 // ended. A conflict refreshes the view, so the next attempt follows without a pause, after
-// which the view might be outdated again. A second conflict in a row is followed by a pause.
+// which the view might be outdated again: where many daemons commit, as after an outage of the
+// store, nearly every attempt would conflict. A second conflict in a row is followed by a pause.
 func (l *ledger) commit(batch []*pending, limit Limit) {
 	isFresh, unanswered := false, 0
 	for {
--- a/internal/ratelimit/ranking.go
+++ b/internal/ratelimit/ranking.go
@@ -11,7 +11,8 @@
 
 const (
 	// maxShards is the largest number of shards of a limit. After the loss of one coordinator
-	// two thirds of the limit remain available at once.
+	// two thirds of the limit remain available at once, which is what tenants use whose limit is
+	// half as much again as their usual rate.
 	maxShards = 3
 	// backupCount is the number of backup coordinators.
 	backupCount = 3
@@ -20,7 +21,8 @@
 	poolSize = 64
 	// rankingInterval is the time after which rankings are computed again.
 	rankingInterval = 500 * time.Millisecond
-	// minReportedChange is the smallest change of the granted share that is reported.
+	// minReportedChange is the smallest change of the granted share that is reported; one zone of
+	// many makes as much.
 	minReportedChange = 0.05
 	// poolKey is the hashing key that selects the pool.
 	poolKey = "rate-limit-pool"
--- a/internal/ratelimit/reach.go
+++ b/internal/ratelimit/reach.go
@@ -12,7 +12,8 @@
 	// one: it may still treat this daemon as silent.
 	missingGrace = silentRetryTime + reconnectTime
 	// askMemory is how long a daemon counts as reaching this one after a request, whatever the
-	// membership reports.
+	// membership reports: after a partition it withdraws suspicions for seconds, during which
+	// coordinators that rely on it alone grant too little.
 	askMemory = 2 * rankingInterval
 	// minGranted is the smallest share of a shard that a coordinator grants while at least a
 	// quarter of the fleet reaches it. It is what the own shares of the other three quarters
--- a/internal/ratelimit/recent.go
+++ b/internal/ratelimit/recent.go
@@ -3,7 +3,7 @@
 import "time"
 
 // missingRetention is how long a daemon that is no longer seen keeps its rank, because it may
-// be partitioned. It is longer than most partitions and than a restart.
+// be partitioned. It is longer than most partitions, and twice as long as a restart.
 const missingRetention = 10 * time.Second
 
 // recentDaemon is a daemon that was seen alive recently.
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -39,15 +39,18 @@
 	backupShare = 0.2
 	// isolatedShare is the share of the daemons that may reach no coordinator at the same time:
 	// all of them, if the machines of the coordinators and backups are suspended together. The
-	// initial buckets of such daemons stay within startShare of the excess.
+	// initial buckets of such daemons stay within startShare of the excess. With a quarter of
+	// the daemons, a window exceeds its limit after a second without coordinators.
 	isolatedShare = 1.0
 	// ownShareRate is the part of its even share of the rate that a daemon grants while it
-	// reaches no coordinator. Coordinators that others reach continue to grant.
+	// reaches no coordinator. Coordinators that others reach continue to grant. It is what
+	// tenants use whose limit is half as much again as their usual rate.
 	ownShareRate = 0.7
 	// undetectedRate is the factor on the own share for the first detectionTime. Until then the
 	// coordinators on the other side of a partition may not have detected it.
 	undetectedRate = 0.5
-	// detectionTime is the time within which most daemons detect a network partition.
+	// detectionTime is the time within which most daemons detect a network partition: 69 daemons
+	// that probe once a second need 2.3 s for half of the pairs and 4.7 s for 19 in 20.
 	detectionTime = 4 * time.Second
 	// minShards is the shard count of limits that are too small to split.
 	minShards = 1
--- a/internal/responsetimeout/responsetimeout.go
+++ b/internal/responsetimeout/responsetimeout.go
@@ -39,7 +39,7 @@
 
 const (
 	// completeObjectives and firstEventObjectives are the longest timeouts, as multiples of
-	// the objective.
+	// the objective. A response that takes longer is late whichever backend sends it.
 	completeObjectives   = 3
 	firstEventObjectives = 4
 	// fixedDivisor gives the early timeout of complete responses in ModeFixed, and in
@@ -50,10 +50,13 @@
 	// divided by it. The network or a busy daemon can cause shorter delays.
 	floorDivisor = 8
 	// The learned timeout is the quantile timeoutQuantile of the response times,
-	// multiplied by timeoutFactor.
+	// multiplied by timeoutFactor: of a hundred responses one is later than the quantile, and
+	// few of those are later than half as long again.
 	timeoutQuantile = 0.99
 	timeoutFactor   = 1.5
-	// minSamples is the minimum number of response times to compute a quantile from.
+	// minSamples is the minimum number of response times to compute a quantile from; of fewer
+	// than a hundred the longest is used. A daemon of a large fleet serves about three plain
+	// requests of a service a second, and would learn nothing for half a minute with a hundred.
 	minSamples = 25
 )
 
--- a/internal/responsetimeout/times.go
+++ b/internal/responsetimeout/times.go
@@ -11,7 +11,8 @@
 	buckets      = 52
 	growth       = 1.25
 	shortestTime = time.Millisecond
-	// maxTotal is the total weight at which all counts are halved.
+	// maxTotal is the total weight at which all counts are halved, so that old response times
+	// fade with the traffic.
 	maxTotal = 1000
 )
 
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -66,8 +66,9 @@
 	// data showed one.
 	StaleMilliseconds float64
 	// InterferenceMilliseconds is the cost per online request at the backend for
-	// a prompt that takes InterferenceFrom milliseconds or more to process, since
-	// processing it delays the other requests' output.
+	// a prompt that takes InterferenceFrom milliseconds or more to process. Meanwhile the other
+	// requests get one token for each piece of it, so that the pause in their streams is as long
+	// as its processing.
 	InterferenceMilliseconds float64
 	InterferenceFrom         float64
 	// Zone is the daemon's own zone. Candidates in it are preferred among those
--- a/internal/slotqueue/firstoutput.go
+++ b/internal/slotqueue/firstoutput.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// sampleWeight is the weight of the newest sample in the moving average.
+// sampleWeight is the weight of the newest sample in the moving average: some twenty samples,
+// two seconds of one daemon's requests, change it.
 const sampleWeight = 0.1
 
 // FirstOutputTime is a moving average of the time from getting a slot to the first
--- a/internal/slotqueue/slotqueue.go
+++ b/internal/slotqueue/slotqueue.go
@@ -42,11 +42,12 @@
 	// meanPause is the assumed mean time between two attempts of on-time requests.
 	meanPause = (ShortestPause + LongestPause) / 2
 	// attemptsPerSlot is the target number of attempts in the fleet per freed slot.
-	// Fewer leave slots unused; more add load on the backends.
+	// Fewer leave slots unused; more add load on the backends. With 8 slots a backend, a slot
+	// is unused for a fortieth of the time for which a request holds it.
 	attemptsPerSlot = 5
 	// overdueShare is the share of all attempts that overdue requests make while
 	// on-time requests compete for all slots. It is above 0 because the statistics
-	// may be stale.
+	// are some hundred milliseconds old, and requests that count as on time may be gone.
 	overdueShare = 0.02
 )
 
@@ -77,7 +78,8 @@
 }
 
 // overloadShare is the mean wait of on-time requests, as a share of the objective,
-// above which a service is overloaded.
+// above which a service is overloaded. Slots go to any of the waiting requests alike: at a
+// sixth, one in a hundred would get none within five sixths of the objective.
 const overloadShare = 1.0 / 6
 
 // MeanWait returns the mean time that an on-time request waits for a slot: waiting
@@ -96,8 +98,8 @@
 }
 
 // minFreedSlots and minOnTime are the minimum numbers of slots freed in the last second
-// and of waiting on-time requests to detect overload. With fewer, the mean wait is
-// too noisy.
+// and of waiting on-time requests to detect overload. With fewer, as at a service of a few
+// slots, one request more or less decides, and a request that waits a second longer is served.
 const (
 	minFreedSlots = 20
 	minOnTime     = 5
