Queries to peers: rows are requested of another daemon if the first does not send them

The next daemon is asked for the rows after 0.4 s. TestPeerSuspendedBeforeItsRowsIsPassedOver fails without it (by the query's timeout).

--- a/internal/frontend/newest.go
+++ b/internal/frontend/newest.go
@@ -16,9 +16,11 @@
 	maxAskedPeers = 12
 	// maxStates is the number of answers after which the best of them is taken.
 	maxStates = 4
-	// askInterval is how long the daemon that was asked last may take before the next one is
-	// asked too.
+	// askInterval is how long the daemon that was asked last for its state may take before the
+	// next one is asked too.
 	askInterval = 100 * time.Millisecond
+	// rowsInterval is the same for the rows, which may be large.
+	rowsInterval = 400 * time.Millisecond
 	// conclusiveAge is the age below which no better copy is sought.
 	conclusiveAge = time.Second
 	// withoutRows is higher than any version: a daemon that is asked for newer rows than that
@@ -31,53 +33,90 @@
 type askPeer func(ctx context.Context, address string, after table.Version) (table.PeerCopy, error)
 
 // askNewest finds a daemon with an up-to-date copy and returns that copy, with its rows if any is
-// newer. The rows are sent by one daemon only, since they may be large.
+// newer. The rows are requested from one daemon, since they may be large, and from another one if
+// that does not send them within rowsInterval.
 func askNewest(ctx context.Context, members []membership.Member, query table.PeerQuery, ask askPeer) (table.PeerCopy, bool) {
 	states := askStates(ctx, members, query.Wanted, ask)
+	if len(states) == 0 {
+		return table.PeerCopy{}, false
+	}
+	if states[0].Version <= query.After {
+		return states[0], true
+	}
+	found, isFound := table.PeerCopy{}, false
+	askInTurn(ctx, senders(states, members), rowsInterval, func(ctx context.Context, address string) peerState {
+		return askState(ctx, address, query.After, ask)
+	}, func(answer peerState) bool {
+		found, isFound = answer.copy, true
+		return true
+	})
+	return found, isFound
+}
+
+// senders returns the addresses of the daemons to request rows from: those with known states, the
+// best one first, then others.
+func senders(states []table.PeerCopy, members []membership.Member) []string {
+	addresses := []string{}
 	for _, state := range states {
-		if state.Version <= query.After {
-			return state, true
+		addresses = append(addresses, state.Daemon)
+	}
+	for _, member := range members {
+		if len(addresses) >= maxStates {
+			break
 		}
-		if found, err := ask(ctx, state.Daemon, query.After); err == nil {
-			return found, true
+		if !slices.Contains(addresses, member.Address) {
+			addresses = append(addresses, member.Address)
 		}
 	}
-	return table.PeerCopy{}, false
+	return addresses
 }
 
 // askStates asks daemons in this order for the state of their copy, without rows, until one is up
 // to date and has the wanted version. It returns the states that it received, the best one first.
-// The next daemon is asked when the one before has answered, or has not within askInterval:
-// daemons that don't answer delay the result by little.
 func askStates(ctx context.Context, members []membership.Member, wanted table.Version, ask askPeer) []table.PeerCopy {
-	members = members[:min(maxAskedPeers, len(members))]
+	addresses := []string{}
+	for _, member := range members[:min(maxAskedPeers, len(members))] {
+		addresses = append(addresses, member.Address)
+	}
+	states := []table.PeerCopy{}
+	askInTurn(ctx, addresses, askInterval, func(ctx context.Context, address string) peerState {
+		return askState(ctx, address, withoutRows, ask)
+	}, func(answer peerState) bool {
+		states = append(states, answer.copy)
+		return answer.isConclusive(wanted) || len(states) == maxStates
+	})
+	slices.SortStableFunc(states, func(a, b table.PeerCopy) int { return compareCopies(a, b, wanted) })
+	return states
+}
+
+// askInTurn makes calls to addresses in order: the next one when the one before has ended, or has
+// not within the interval, so that daemons that don't answer cause little delay. It passes each
+// answer to receive until that reports that no other is needed, or the context ends.
+func askInTurn(ctx context.Context, addresses []string, interval time.Duration, call func(ctx context.Context, address string) peerState, receive func(peerState) bool) {
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan peerState, len(members))
-	states := []table.PeerCopy{}
-	isDone := false
-	for asked, answered := 0, 0; answered < len(members) && !isDone; {
-		if asked < len(members) {
-			address := members[asked].Address
+	answers := make(chan peerState, len(addresses))
+	for asked, ended := 0, 0; ended < len(addresses); {
+		if asked < len(addresses) {
+			address := addresses[asked]
 			asked++
-			go func() { answers <- askState(bounded, address, ask) }()
+			go func() { answers <- call(bounded, address) }()
 		}
-		interval := time.NewTimer(askInterval)
+		timer := time.NewTimer(interval)
 		select {
 		case <-ctx.Done():
-			isDone = true
+			timer.Stop()
+			return
 		case answer := <-answers:
-			answered++
-			if answer.isKnown {
-				states = append(states, answer.copy)
+			ended++
+			if answer.isKnown && receive(answer) {
+				timer.Stop()
+				return
 			}
-			isDone = answer.isConclusive(wanted) || len(states) == maxStates
-		case <-interval.C:
+		case <-timer.C:
 		}
-		interval.Stop()
+		timer.Stop()
 	}
-	slices.SortStableFunc(states, func(a, b table.PeerCopy) int { return compareCopies(a, b, wanted) })
-	return states
 }
 
 // peerState is the state of a daemon's copy, not known if it has none or the call failed.
@@ -86,8 +125,8 @@
 	isKnown bool
 }
 
-func askState(ctx context.Context, address string, ask askPeer) peerState {
-	received, err := ask(ctx, address, withoutRows)
+func askState(ctx context.Context, address string, after table.Version, ask askPeer) peerState {
+	received, err := ask(ctx, address, after)
 	received.Daemon = address
 	return peerState{copy: received, isKnown: err == nil && received.Version > 0}
 }
--- a/internal/frontend/source_test.go
+++ b/internal/frontend/source_test.go
@@ -58,3 +58,28 @@
 		})
 	}
 }
+
+// TestPeerSuspendedBeforeItsRowsIsPassedOver guards against a query that waits for the rows of a
+// daemon which answered with its state and was suspended then.
+func TestPeerSuspendedBeforeItsRowsIsPassedOver(t *testing.T) {
+	const queryTime = time.Second
+	members := []membership.Member{{Name: "suspended", Address: "suspended"}, {Name: "other", Address: "other"}}
+	ask := func(ctx context.Context, address string, after table.Version) (table.PeerCopy, error) {
+		if after == withoutRows {
+			return table.PeerCopy{Version: 9}, nil
+		}
+		if address == "suspended" {
+			<-ctx.Done()
+			return table.PeerCopy{}, ctx.Err()
+		}
+		return table.PeerCopy{Version: 9, IsNewer: true}, nil
+	}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), queryTime)
+		defer cancel()
+		found, isFound := askNewest(ctx, members, table.PeerQuery{}, ask)
+		require.True(t, isFound)
+		require.True(t, found.IsNewer)
+		require.Equal(t, "other", found.Daemon)
+	})
+}
