--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -79,7 +79,7 @@
 	isSettled func() bool
 
 	// isBulk is set while a change with more than maxListingLines entries is applied. It is
-	// used by the follower's goroutine only.
+	// used within the follower's calls only, of which there is one at a time.
 	isBulk bool
 
 	mutex   sync.Mutex
--- a/internal/frontend/evacuation.go
+++ b/internal/frontend/evacuation.go
@@ -10,7 +10,7 @@
 )
 
 // evacuations follows the operator's evacuation orders. While an order is in the store,
-// backends of its zone get no new requests. It is used by one goroutine.
+// backends of its zone get no new requests. It is used by one goroutine at a time.
 type evacuations struct {
 	// decode returns the zone of an order, and false for other rows.
 	decode   func(key string) (zone string, isOrder bool)
--- a/internal/frontend/unreadable.go
+++ b/internal/frontend/unreadable.go
@@ -20,7 +20,7 @@
 )
 
 // unreadableEntries counts entries that can't be used and logs them at a limited rate per kind.
-// It is used by one goroutine.
+// It is used by one goroutine at a time.
 type unreadableEntries struct {
 	log     *slog.Logger
 	metrics *telemetry.Backends
