--- a/internal/frontend/announcer.go
+++ b/internal/frontend/announcer.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"strings"
-	"sync/atomic"
 
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/membership"
@@ -30,7 +29,7 @@
 	announce func(version table.Version)
 
 	// newest is the highest version that was passed on.
-	newest atomic.Int64
+	newest table.HighestVersion
 }
 
 var _ table.Consumer = (*announcer)(nil)
@@ -80,7 +79,7 @@
 
 // spread passes a version on to other daemons unless it was passed on before.
 func (a *announcer) spread(version table.Version) {
-	if !a.raise(version) {
+	if !a.newest.Raise(version) {
 		return
 	}
 	item := membership.Item{Key: keyAnnouncement + a.table, Version: int64(version), Priority: membership.PriorityLoad, Payload: []byte{}}
@@ -89,19 +88,6 @@
 	}
 }
 
-// raise reports whether a version is the highest so far.
-func (a *announcer) raise(version table.Version) bool {
-	for {
-		newest := a.newest.Load()
-		if int64(version) <= newest {
-			return false
-		}
-		if a.newest.CompareAndSwap(newest, int64(version)) {
-			return true
-		}
-	}
-}
-
 // recipients returns announcementFanout other live daemons at random.
 func (a *announcer) recipients() []string {
 	self, others := a.node.Self().Name, []string{}
--- a/internal/frontend/announcer_test.go
+++ b/internal/frontend/announcer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,10 +23,7 @@
 
 func startAnnouncing(t *testing.T, name string, seeds ...string) *announcingNode {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := listener.Addr().String()
-	require.NoError(t, listener.Close())
+	address := freeAddress(t)
 	transport := peer.NewTransport(name, address, make([]byte, 32), quiet)
 	self := membership.Member{Name: name, Address: address, Zone: "zone", Incarnation: time.Now().UnixMilli()}
 	made := &announcingNode{node: cluster.NewNode(membership.DefaultConfig(100*time.Millisecond), self, transport, quiet)}
@@ -58,6 +54,6 @@
 	first.announcer.Change([]table.Row{{Key: "x", Version: 7}, {Key: "y", Version: 6}}, 9)
 	for _, each := range nodes[1:] {
 		require.Eventually(t, func() bool { return each.heard.Load() == 7 }, testTimeout, pollTime)
-		require.False(t, each.announcer.raise(7), "a version is passed on once")
+		require.False(t, each.announcer.newest.Raise(7), "a version is passed on once")
 	}
 }
--- a/internal/frontend/peerstore.go
+++ b/internal/frontend/peerstore.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -106,20 +105,7 @@
 
 // helpers returns up to storeHelpers live daemons in random order, those of the same zone first.
 func (p *peerStore) helpers() []membership.Member {
-	self := p.node.Self()
-	near, far := []membership.Member{}, []membership.Member{}
-	for _, member := range p.node.Members() {
-		switch {
-		case member.Name == self.Name || member.State != membership.StateAlive:
-		case member.Zone == self.Zone:
-			near = append(near, member)
-		default:
-			far = append(far, member)
-		}
-	}
-	for _, group := range [][]membership.Member{near, far} {
-		rand.Shuffle(len(group), func(a, b int) { group[a], group[b] = group[b], group[a] })
-	}
+	near, far, _ := shuffledPeers(p.node)
 	all := append(near, far...)
 	return all[:min(storeHelpers, len(all))]
 }
--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -182,9 +182,15 @@
 // peersToAsk returns the other live daemons: by turns one of the own zone, whose rows are cheaper
 // to send, and one of another, which may not share the zone's troubles; suspected ones last.
 func (s *peerSource) peersToAsk() []membership.Member {
-	self := s.node.Self()
-	near, far, suspected := []membership.Member{}, []membership.Member{}, []membership.Member{}
-	for _, member := range s.node.Members() {
+	near, far, suspected := shuffledPeers(s.node)
+	return append(alternate(near, far), suspected...)
+}
+
+// shuffledPeers returns the other live daemons in random order: those of the own zone, those of
+// others, and the suspected ones of all.
+func shuffledPeers(node *cluster.Node) (near, far, suspected []membership.Member) {
+	self := node.Self()
+	for _, member := range node.Members() {
 		switch {
 		case member.Name == self.Name:
 		case member.State != membership.StateAlive:
@@ -198,7 +204,7 @@
 	for _, group := range [][]membership.Member{near, far, suspected} {
 		rand.Shuffle(len(group), func(a, b int) { group[a], group[b] = group[b], group[a] })
 	}
-	return append(alternate(near, far), suspected...)
+	return near, far, suspected
 }
 
 // alternate merges two lists by turns.
--- a/internal/frontend/upstream_test.go
+++ b/internal/frontend/upstream_test.go
@@ -145,13 +145,20 @@
 	require.LessOrEqual(t, claimed.Sub(confirmed), 10*time.Millisecond, "the copy is reported to be newer than it is")
 }
 
-// startUpstream starts a peer transport that serves a copy.
-func startUpstream(t *testing.T, name string, offered followedCopy) membership.Member {
+// freeAddress returns a loopback address that is free for TCP.
+func freeAddress(t *testing.T) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
+	return address
+}
+
+// startUpstream starts a peer transport that serves a copy.
+func startUpstream(t *testing.T, name string, offered followedCopy) membership.Member {
+	t.Helper()
+	address := freeAddress(t)
 	transport := peer.NewTransport(name, address, make([]byte, 32), quiet)
 	peer.Handle(transport, methodFollow, serverOf(offered).serve)
 	require.NoError(t, transport.Start())
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -97,7 +97,7 @@
 	isStoreLost   atomic.Bool
 	// announced is the highest version that was announced to this daemon, and wakeup is
 	// signaled when it rises or the store is lost.
-	announced  atomic.Int64
+	announced  HighestVersion
 	wakeup     chan struct{}
 	wakeupOnce sync.Once
 	transfer   transfer
--- a/internal/table/monotonic.go
+++ b/internal/table/monotonic.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 )
 
@@ -14,7 +13,7 @@
 	// block and must be set before the first call.
 	OnVersion func(version Version)
 
-	seen atomic.Int64
+	seen HighestVersion
 }
 
 // NewMonotonic wraps a store.
@@ -22,18 +21,8 @@
 
 // Raise records that a version exists. Later reads of older versions fail.
 func (m *Monotonic) Raise(version Version) {
-	for {
-		highest := m.seen.Load()
-		if int64(version) <= highest {
-			return
-		}
-		if !m.seen.CompareAndSwap(highest, int64(version)) {
-			continue
-		}
-		if m.OnVersion != nil {
-			m.OnVersion(version)
-		}
-		return
+	if m.seen.Raise(version) && m.OnVersion != nil {
+		m.OnVersion(version)
 	}
 }
 
@@ -46,7 +35,7 @@
 
 // Read implements Store.
 func (m *Monotonic) Read(ctx context.Context, wanted Range) (Page, error) {
-	atLeast := Version(m.seen.Load())
+	atLeast := m.seen.Load()
 	page, err := m.Store.Read(ctx, wanted)
 	if err != nil {
 		return page, err
--- a/internal/table/refresh.go
+++ b/internal/table/refresh.go
@@ -25,15 +25,8 @@
 // Announce reports that rows of the table changed at a version. If they don't arrive by the
 // usual way, they are requested from peers.
 func (f *Follower) Announce(version Version) {
-	for {
-		highest := f.announced.Load()
-		if int64(version) <= highest {
-			return
-		}
-		if f.announced.CompareAndSwap(highest, int64(version)) {
-			f.wakeRefresh()
-			return
-		}
+	if f.announced.Raise(version) {
+		f.wakeRefresh()
 	}
 }
 
@@ -111,7 +104,7 @@
 	if !f.isSynced.Load() {
 		return false
 	}
-	return Version(f.announced.Load()) > f.seenVersion() || f.Age() >= f.staleAge()
+	return f.announced.Load() > f.seenVersion() || f.Age() >= f.staleAge()
 }
 
 // refresh replaces the table by the copy of a peer if that has newer rows. It reports whether
@@ -134,7 +127,7 @@
 	}
 	f.applyPeerCopy(peerCopy)
 	f.recordConfirmed(started.Add(-peerCopy.Age))
-	return peerCopy.Age < f.staleAge() && f.seen >= Version(f.announced.Load())
+	return peerCopy.Age < f.staleAge() && f.seen >= f.announced.Load()
 }
 
 // applyPeerCopy passes the rows of a peer's copy on if they are newer. delivery must be held.
@@ -159,7 +152,7 @@
 // fetchPeerCopy asks other daemons for their copy. Only a follower that has no section yet
 // accepts the copy of a section.
 func (f *Follower) fetchPeerCopy(ctx context.Context, section Section, isKnown bool) (PeerCopy, bool) {
-	query := PeerQuery{Table: f.Table, After: f.seenVersion(), Wanted: Version(f.announced.Load())}
+	query := PeerQuery{Table: f.Table, After: f.seenVersion(), Wanted: f.announced.Load()}
 	switch {
 	case section.IsPart:
 		return PeerCopy{}, false
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -136,7 +136,7 @@
 mutant sources_asked_one_after_the_other internal/table/refresh.go \
 	'if f.Peers == nil {' 'if f.Peers == nil || true {' internal/table TestCopyStaysFreshBehindFailingSources
 mutant announcements_ignored internal/table/refresh.go \
-	'Version(f.announced.Load()) > f.seenVersion() || ' '' internal/table TestAnnouncedVersionIsRequestedFromPeers
+	'f.announced.Load() > f.seenVersion() || ' '' internal/table TestAnnouncedVersionIsRequestedFromPeers
 mutant changes_not_announced internal/frontend/announcer.go \
 	'a.spread(newestOf(rows))
 }
