Observability: software versions of back ends, and of streams that go on

The counter stream_continuations_total tells same, other and unknown versions apart by service. No decision uses any of it yet.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -21,6 +21,9 @@
 	// StartMillis is the start time of the process in Unix milliseconds; 0 if unknown.
 	StartMillis int64
 	Service     string
+	// Version is the version of the backend's software, not of its weights. Versions have no
+	// order. Empty means unknown.
+	Version string
 	// Address is IP:port.
 	Address string
 	Zone    string
--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -150,7 +150,7 @@
 	if c.isBulk || (wasListed && before == instance) {
 		return // logged as a summary, or unchanged
 	}
-	c.log.Info("backend_listed", "backend", instance.ID, "born", instance.StartMillis, "change", listing.String(), "service", instance.Service, "is_named", c.isNamed(instance.Service), "address", instance.Address, "zone", instance.Zone,
+	c.log.Info("backend_listed", "backend", instance.ID, "born", instance.StartMillis, "change", listing.String(), "service", instance.Service, "is_named", c.isNamed(instance.Service), "address", instance.Address, "zone", instance.Zone, "software", instance.Version,
 		"slots", instance.Slots, "draining", instance.Draining, "cold_ms", instance.ColdFor.Milliseconds(), "row_version", row.Version)
 }
 
--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -45,7 +45,7 @@
 		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Fingerprint: running.fingerprint, Method: itemMethod, Target: running.item.Path,
 		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTimeout,
 		LastEvent: running.progress.lastID(), Stream: true, Permit: permit,
-	}, running.item.Tokens)
+	}, running.item.Tokens, running.progress.origin())
 	if err == nil {
 		defer answer.Close()
 		if report, isReported := answer.Load(); isReported {
@@ -68,10 +68,11 @@
 // run items of jobs that were cancelled meanwhile. The reservation also detects a full or dead
 // backend before the item is sent. Backends without reservations are sent the item at
 // once. An item without a size reserves one token.
-func (s *Service) reserveAndSend(ctx context.Context, attempt serving.Attempt, tokens int) (serving.Answer, error) {
+func (s *Service) reserveAndSend(ctx context.Context, attempt serving.Attempt, tokens int, origin string) (serving.Answer, error) {
 	if err := serving.Reserve(ctx, s.sender, s.holder.Current(), &attempt, max(tokens, 1)); err != nil {
 		return nil, err
 	}
+	serving.CountContinuation(s.metrics, &attempt, origin)
 	return s.sender.Send(ctx, attempt)
 }
 
@@ -107,7 +108,7 @@
 		if err != nil {
 			return err
 		}
-		if !running.progress.add(event) {
+		if !running.progress.add(event, lease.Instance().Version) {
 			return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonCorrupt}
 		}
 		lease.Started()
@@ -159,7 +160,7 @@
 		serving.RecordFailure(s.backends, instance.Incarnation(), failed.Reason, time.Now())
 	}
 	s.metrics.Items.WithLabelValues(failed.Outcome.String()).Inc()
-	s.log.Info("item_attempt_failed", "job", owner.job.ID, "item", running.item.ID, "backend", instance.ID, "outcome", failed.Outcome.String(),
+	s.log.Info("item_attempt_failed", "job", owner.job.ID, "item", running.item.ID, "backend", instance.ID, "software", instance.Version, "outcome", failed.Outcome.String(),
 		"reason", string(failed.Reason), "failures", running.progress.failureCount(), "last_event", running.progress.lastID(), "cause", failed.Cause, "fingerprint", running.fingerprint.String())
 	if running.progress.failureCount() >= matched.MaxAttempts {
 		s.log.Info("item_abandoned", "job", owner.job.ID, "item", running.item.ID, "reason", "failures", "failures", running.progress.failureCount())
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -47,19 +47,26 @@
 	lastEvent  int64
 	savedEvent int64
 	isSaved    bool
+	// software is the software version of the backend that sent the first event; empty if
+	// there is no event or the version is unknown.
+	software string
 	// failures counts the attempts that a backend answered with an error, over all owners.
 	// savedFailures is the count in the last checkpoint.
 	failures      int
 	savedFailures int
 }
 
-// add appends an event. It returns false if the event isn't the next one.
-func (p *progress) add(event serving.Event) bool {
+// add appends an event of a backend with this software version. It returns false if the event
+// isn't the next one.
+func (p *progress) add(event serving.Event, software string) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if event.ID != p.lastEvent+1 {
 		return false
 	}
+	if p.lastEvent == 0 {
+		p.software = software
+	}
 	p.lastEvent = event.ID
 	if p.hasText {
 		p.content = append(p.content, '\n')
@@ -88,6 +95,14 @@
 	return p.lastEvent
 }
 
+// origin returns the software version of the backend that sent the first event; empty if there
+// is no event or the version is unknown.
+func (p *progress) origin() string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.software
+}
+
 func (p *progress) text() string {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -55,8 +55,11 @@
 	// fingerprint identifies the request's content, independent of its id.
 	fingerprint quarantine.Fingerprint
 	lastEvent   int64
-	events      int
-	firstAt     time.Time
+	// origin is the software version of the backend that sent the stream's first event;
+	// empty if no event was received or the version is unknown.
+	origin  string
+	events  int
+	firstAt time.Time
 
 	// noSlotCount counts the backends that had no slot for the request; waited is the
 	// total time that it waited for a slot.
@@ -202,6 +205,7 @@
 	}
 	attempt.Permit = func() error {
 		e.logSent(&attempt)
+		CountContinuation(e.core.Metrics, &attempt, e.origin)
 		return nil
 	}
 	e.sends++
@@ -256,7 +260,7 @@
 	}
 	RecordFailure(e.core.Backends, e.last.Incarnation(), failed.Reason, time.Now())
 	e.core.Metrics.Attempts.WithLabelValues(failed.Outcome.String(), string(failed.Reason)).Inc()
-	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "outcome", failed.Outcome.String(),
+	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "software", e.last.Version, "outcome", failed.Outcome.String(),
 		"reason", string(failed.Reason), "cause", failed.Cause, "last_event", e.lastEvent, "fingerprint", e.fingerprint.String())
 }
 
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -99,6 +99,9 @@
 	if err := e.begin(answer); err != nil {
 		return err
 	}
+	if e.lastEvent == 0 {
+		e.origin = e.last.Version
+	}
 	e.lastEvent = event.ID
 	e.events++
 	return e.responder.Event(event.Raw)
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -54,6 +54,9 @@
 	// LastEvent is the last event of the stream that the caller has received; 0 means
 	// none.
 	LastEvent int64
+	// Resumes is the id of the caller's earlier request that received the stream's first
+	// event; empty means that the caller names none.
+	Resumes string
 }
 
 // tenantName returns the tenant's name as sent to backends; empty means none.
--- a/internal/serving/sendlog.go
+++ b/internal/serving/sendlog.go
@@ -1,5 +1,7 @@
 package serving
 
+import "topazpulley/internal/telemetry"
+
 // SendKind is the kind of an attempt in logs.
 type SendKind string
 
@@ -25,11 +27,27 @@
 	return SendFirst
 }
 
+// CountContinuation counts an attempt that continues a stream after an event. origin is the
+// software version at which the stream began; empty means unknown.
+func CountContinuation(metrics *telemetry.Serving, attempt *Attempt, origin string) {
+	if !attempt.Stream || attempt.LastEvent == 0 {
+		return
+	}
+	versions := "other"
+	switch {
+	case origin == "" || attempt.Instance.Version == "":
+		versions = "unknown"
+	case origin == attempt.Instance.Version:
+		versions = "same"
+	}
+	metrics.Continuations.WithLabelValues(attempt.Instance.Service, versions).Inc()
+}
+
 // logSent logs the origin of an attempt just before its first byte is sent. The line shows
 // the caller for a request id in a backend's log, even if the daemon exits before it logs
 // request_ended. A request logs at most maxSends such lines.
 func (e *exchange) logSent(attempt *Attempt) {
-	e.core.Logger.Info("request_sent", "id", e.request.ID, "backend", attempt.Instance.ID, "born", attempt.Instance.StartMillis, "attempt", e.sends,
+	e.core.Logger.Info("request_sent", "id", e.request.ID, "backend", attempt.Instance.ID, "born", attempt.Instance.StartMillis, "software", attempt.Instance.Version, "attempt", e.sends,
 		"kind", string(KindOfSend(e.sends, attempt.LastEvent)), "caller", e.request.Caller, "tenant", attempt.Tenant,
-		"route", e.request.Route.Name, "last_event", attempt.LastEvent, "place", attempt.Reservation)
+		"route", e.request.Route.Name, "last_event", attempt.LastEvent, "resumes", e.request.Resumes, "began_software", e.origin, "place", attempt.Reservation)
 }
