Items: an item goes on only at the software version that began it

Cause: an item's progress and its checkpoint did not say which version wrote them, and each attempt took any back end. Of the class of this incident: the origin of state that goes on is not part of it.

Now: progress holds the version of its events and takes none of another one. An item that has events is sent to back ends of that version. It waits for a slot there for at most as long as producing its events again would take, and then starts over at any back end; it starts over at once if its version is unknown or no back end with it takes work. Preemption moves items that would start over last. A checkpoint's row keeps its schema: last_event is 0 and the text is an encoded record with the version, so that a build that knows no versions starts over; a row of such a build is started over here. Its count of failures holds in both directions. A version is compared for equality only; missing, mistyped or overlong ones equal nothing.

Weighed: a new table for checkpoints (a second read at each takeover, failures counted apart, rows left behind), waiting without a limit (items past their due time behind a scarce version), starting over at once (work lost at each preemption).

Tests run: internal/job, internal/backend, platform -run SoftwareVersion.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -152,6 +152,10 @@
 	// propagation is the time until other daemons learn of a change here.
 	propagation time.Duration
 	admission   admission
+	// software holds the software versions of the services; softwareSignal is signalled when a
+	// service gets a further one.
+	software       softwareVersions
+	softwareSignal chan struct{}
 	// connected returns the incarnations with an open idle connection.
 	connected func() map[Incarnation]bool
 }
@@ -163,6 +167,7 @@
 		unsentFailures: map[Incarnation]int{}, startTimes: newStartTimes(), peerWaiting: map[string]int{}, propagation: defaultPropagation,
 		preemptions: make(chan string, maxQueuedPreemptions), ownPreemptions: make(chan string, maxQueuedPreemptions),
 		connected: func() map[Incarnation]bool { return nil }, admission: newAdmission(),
+		software: newSoftwareVersions(), softwareSignal: make(chan struct{}, 1),
 		queues: map[string]*serviceQueue{}, peerQueueStats: map[string]map[string]slotqueue.Stats{},
 	}
 }
@@ -200,7 +205,7 @@
 
 // update applies an entry to an incarnation that is already known.
 func (s *Set) update(known *state, instance Instance) {
-	if known.Service == instance.Service {
+	if known.Service == instance.Service && known.Version == instance.Version {
 		known.Instance = instance
 		return
 	}
@@ -285,10 +290,14 @@
 }
 
 func (s *Set) addToService(known *state) {
+	if s.software.add(known.Instance) {
+		signal(s.softwareSignal)
+	}
 	s.byService[known.Service] = slices.Insert(s.byService[known.Service], s.serviceIndex(known), known)
 }
 
 func (s *Set) removeFromService(known *state) {
+	s.software.remove(known.Instance, time.Now())
 	at := s.serviceIndex(known)
 	s.byService[known.Service] = slices.Delete(s.byService[known.Service], at, at+1)
 }
@@ -355,7 +364,7 @@
 		waiting = k.report.Waiting
 	}
 	return routing.Candidate{
-		ID: k.ID, StartMillis: k.StartMillis, Zone: k.Zone, Slots: k.Slots,
+		ID: k.ID, StartMillis: k.StartMillis, Software: k.Version, Zone: k.Zone, Slots: k.Slots,
 		Online: online, Batch: batch, OwnBatch: k.batch, Waiting: waiting, ReportAge: now.Sub(k.reportedAt),
 		PendingTokens: pending, UncachedTokens: k.prompts.uncached(prompt, now),
 		Ejected: now.Before(k.ejectedUntil),
--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -44,14 +44,14 @@
 	answer, err := s.reserveAndSend(bounded, serving.Attempt{
 		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Fingerprint: running.fingerprint, Method: itemMethod, Target: running.item.Path,
 		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTimeout,
-		LastEvent: running.progress.lastID(), Stream: true, Permit: permit,
-	}, running.item.Tokens, running.progress.origin())
+		LastEvent: running.progress.lastID(), Software: running.progress.origin(), Stream: true, Permit: permit,
+	}, running.item.Tokens)
 	if err == nil {
 		defer answer.Close()
 		if report, isReported := answer.Load(); isReported {
 			s.backends.RecordReport(instance.Incarnation(), report, time.Now())
 		}
-		err = s.readItem(running, answer, lease, watched)
+		err = s.readItem(running, answer, lease, instance, watched)
 	}
 	if err != nil && watched.Fired() {
 		err = &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonSilent, Cause: err}
@@ -68,11 +68,11 @@
 // run items of jobs that were cancelled meanwhile. The reservation also detects a full or dead
 // backend before the item is sent. Backends without reservations are sent the item at
 // once. An item without a size reserves one token.
-func (s *Service) reserveAndSend(ctx context.Context, attempt serving.Attempt, tokens int, origin string) (serving.Answer, error) {
+func (s *Service) reserveAndSend(ctx context.Context, attempt serving.Attempt, tokens int) (serving.Answer, error) {
 	if err := serving.Reserve(ctx, s.sender, s.holder.Current(), &attempt, max(tokens, 1)); err != nil {
 		return nil, err
 	}
-	serving.CountContinuation(s.metrics, &attempt, origin)
+	serving.CountContinuation(s.metrics, &attempt, attempt.Software)
 	return s.sender.Send(ctx, attempt)
 }
 
@@ -85,7 +85,7 @@
 func (e *invalidItemError) Error() string { return "item rejected by the backend as invalid" }
 
 // readItem reads the answer to an item and adds its events to the item's progress.
-func (s *Service) readItem(running *ownedItem, answer serving.Answer, lease *backend.Lease, watched *watchdog.Watchdog) error {
+func (s *Service) readItem(running *ownedItem, answer serving.Answer, lease *backend.Lease, instance backend.Instance, watched *watchdog.Watchdog) error {
 	head := answer.Head()
 	if !head.Successful() || !head.Events {
 		_, _ = answer.Body()
@@ -94,7 +94,7 @@
 		}
 		return &serving.AttemptError{Outcome: serving.OutcomeFailed, Reason: serving.ReasonError}
 	}
-	for {
+	for isFirst := true; ; isFirst = false {
 		event, err := answer.Next()
 		if errors.Is(err, io.EOF) {
 			s.backends.Succeeded(lease.Instance().Incarnation(), time.Now())
@@ -108,7 +108,10 @@
 		if err != nil {
 			return err
 		}
-		if !running.progress.add(event, lease.Instance().Version) {
+		if isFirst && !running.progress.beginRun(s.backends.PresentSoftware(instance)) {
+			return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonOtherSoftware}
+		}
+		if !running.progress.add(event) {
 			return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonCorrupt}
 		}
 		lease.Started()
--- a/internal/job/cancel_test.go
+++ b/internal/job/cancel_test.go
@@ -70,7 +70,7 @@
 
 // backendWithSlots returns the backend "one" with the given slots.
 func backendWithSlots(slots int) backend.Instance {
-	return backend.Instance{ID: "one", Service: service, Slots: slots}
+	return backend.Instance{ID: "one", Version: "v1", Service: service, Slots: slots}
 }
 
 // TestStaleClaimsBlockNewItems: an owner whose watch stalls is not notified that its job was
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -155,8 +155,8 @@
 	if !s.placer.hasCapacity(service, s.mustRun(waiting, service, now)) {
 		return false
 	}
-	candidates := s.backends.Candidates(service, waiting.item.Prompt, now)
-	chosen, found := s.placer.choose(service, waiting.item.Prompt, candidates)
+	candidates, isRestricted := s.backendsFor(waiting, service, s.backends.Candidates(service, waiting.item.Prompt, now), now)
+	chosen, found := s.placer.choose(service, waiting.item.Prompt, candidates, isRestricted)
 	if !found {
 		return false
 	}
@@ -164,8 +164,12 @@
 	if !found {
 		return false
 	}
+	if software := lease.Instance().Version; waiting.progress.lastID() > 0 && !waiting.progress.isFrom(software) {
+		s.startOver(waiting, chosen.ID, software)
+	}
 	ctx, cancel := context.WithCancel(owner.ctx)
 	owner.mutex.Lock()
+	waiting.waitingSince = time.Time{}
 	waiting.state, waiting.backend, waiting.startedAt, waiting.cancel, waiting.isPreempted = itemRunning, chosen.ID, now, cancel, false
 	owner.mutex.Unlock()
 	permit := func() error {
@@ -259,7 +263,7 @@
 	running := map[string][]runningItem{}
 	for _, each := range jobs {
 		for _, item := range each.notPreempted() {
-			running[item.backend] = append(running[item.backend], runningItem{ownedItem: item, isUrgent: s.isUrgent(item, now)})
+			running[item.backend] = append(running[item.backend], runningItem{ownedItem: item, isUrgent: s.isUrgent(item, now), losesEvents: s.losesEvents(item)})
 		}
 	}
 	for _, candidate := range s.preemptableLoads(running) {
@@ -282,7 +286,7 @@
 	for _, each := range jobs {
 		for _, item := range each.notPreempted() {
 			if item.backend == id {
-				items = append(items, runningItem{ownedItem: item, isUrgent: s.isUrgent(item, now)})
+				items = append(items, runningItem{ownedItem: item, isUrgent: s.isUrgent(item, now), losesEvents: s.losesEvents(item)})
 			}
 		}
 	}
@@ -301,12 +305,16 @@
 }
 
 // sortForPreemption sorts items by the order in which they are preempted: those that aren't
-// urgent first, and among these the one that is due last.
+// urgent first, among these those that can go on elsewhere, and among these the one that is due
+// last.
 func sortForPreemption(items []runningItem) {
 	sort.Slice(items, func(a, b int) bool {
 		if items[a].isUrgent != items[b].isUrgent {
 			return items[b].isUrgent
 		}
+		if items[a].losesEvents != items[b].losesEvents {
+			return items[b].losesEvents
+		}
 		return items[a].owner.due.After(items[b].owner.due)
 	})
 }
@@ -315,6 +323,8 @@
 type runningItem struct {
 	*ownedItem
 	isUrgent bool
+	// losesEvents is set if the item would have to start over.
+	losesEvents bool
 }
 
 // itemsToPreempt chooses which of the items at a backend are preempted.
--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -270,7 +270,7 @@
 func startService(t *testing.T, name string, store table.Store, sender serving.Sender, settling time.Duration, limit int64) *daemon {
 	t.Helper()
 	backends := backend.NewSet()
-	backends.Put(backend.Instance{ID: "one", Service: service, Slots: 100})
+	backends.Put(backend.Instance{ID: "one", Version: "v1", Service: service, Slots: 100})
 	holder := &route.Holder{}
 	holder.Apply(route.Config{Version: 1, Routes: []route.Route{{
 		Name: "jobs", Host: "host.example", Prefix: "/jobs/", Kind: route.KindJob, MaxAttempts: 3, MaxQueuedTokens: limit,
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -149,7 +149,7 @@
 	accepted := newJob("j1", 4)
 	require.NoError(t, owner.Submit(t.Context(), accepted))
 	require.Eventually(t, func() bool { return owner.backends.OwnLoads()["one"].Batch == len(accepted.Items) }, testTimeout, pollInterval)
-	owner.backends.Put(backend.Instance{ID: "two", Service: service, Slots: 100})
+	owner.backends.Put(backend.Instance{ID: "two", Version: "v1", Service: service, Slots: 100})
 	owner.backends.Preempt("one")
 	preemptedAt := time.Now()
 	require.Eventually(t, func() bool { return owner.backends.OwnLoads()["two"].Batch == 1 }, testTimeout, time.Millisecond)
--- a/internal/job/ownedjob.go
+++ b/internal/job/ownedjob.go
@@ -31,8 +31,11 @@
 	// backend and startedAt describe the current run.
 	backend   string
 	startedAt time.Time
-	// ranFor is the total run time of earlier attempts.
+	// ranFor is the total run time of earlier attempts that its events are from.
 	ranFor time.Duration
+	// waitingSince is when an item that has events began to wait for a backend with its software
+	// version; zero if it does not.
+	waitingSince time.Time
 	// sends counts the attempts that this owner permitted to be sent.
 	sends  int
 	cancel context.CancelFunc
--- a/internal/job/pacing_test.go
+++ b/internal/job/pacing_test.go
@@ -108,7 +108,7 @@
 		for pass := range passes {
 			placing.begin(items, items*(owners-1), start.Add(time.Duration(pass)*dispatchInterval), window)
 			for range items {
-				if _, found := placing.choose("s", nil, seen); found {
+				if _, found := placing.choose("s", nil, seen, false); found {
 					placed++
 				}
 			}
@@ -125,18 +125,18 @@
 	placing := newPlacer(rand.New(rand.NewPCG(4, 4)), "", noBound)
 	placing.begin(3, 0, time.Now(), window)
 	for range 2 {
-		_, found := placing.choose("s", nil, fleetOf(1, 20, 18))
+		_, found := placing.choose("s", nil, fleetOf(1, 20, 18), false)
 		require.True(t, found, "a free slot was not used")
 	}
-	_, found := placing.choose("s", nil, fleetOf(1, 20, 18))
+	_, found := placing.choose("s", nil, fleetOf(1, 20, 18), false)
 	require.False(t, found, "more items than free slots in one window")
 	require.True(t, placing.isFull("s"))
 	placing.begin(1, 0, time.Now().Add(window), window)
-	_, found = placing.choose("s", nil, fleetOf(20, 20, 20))
+	_, found = placing.choose("s", nil, fleetOf(20, 20, 20), false)
 	require.False(t, found, "an item was placed at a full backend")
 	waiting := fleetOf(1, 20, 10)
 	waiting[0].ID, waiting[0].Waiting = "other", 1
-	_, found = placing.choose("s", nil, waiting)
+	_, found = placing.choose("s", nil, waiting, false)
 	require.False(t, found, "an item was placed where requests wait")
 }
 
@@ -146,7 +146,7 @@
 		for _, count := range []int{1, 2, 5} {
 			placing := newPlacer(rand.New(rand.NewPCG(6, 6)), "", noBound)
 			placing.begin(1, 0, time.Now(), window)
-			_, found := placing.choose("s", nil, fleetOf(count, slots, 0))
+			_, found := placing.choose("s", nil, fleetOf(count, slots, 0), false)
 			require.True(t, found, "%d backends of %d slots", count, slots)
 		}
 	}
@@ -172,9 +172,9 @@
 	placing, now := newPlacer(rand.New(rand.NewPCG(10, 10)), "", noBound), time.Now()
 	placing.avoid("b0", now.Add(window))
 	placing.begin(1, 0, now, window)
-	_, found := placing.choose("s", nil, fleetOf(1, 4, 0))
+	_, found := placing.choose("s", nil, fleetOf(1, 4, 0), false)
 	require.False(t, found)
 	placing.begin(1, 0, now.Add(window), window)
-	_, found = placing.choose("s", nil, fleetOf(1, 4, 0))
+	_, found = placing.choose("s", nil, fleetOf(1, 4, 0), false)
 	require.True(t, found)
 }
--- a/internal/job/placement.go
+++ b/internal/job/placement.go
@@ -137,8 +137,9 @@
 	return share.urgent > 0 && (mustRun || share.deferrable > 0)
 }
 
-// choose selects a backend with quota left and counts the item against the quotas.
-func (p *placer) choose(service string, prompt []routing.PromptPart, candidates []routing.Candidate) (routing.Candidate, bool) {
+// choose selects a backend with quota left and counts the item against the quotas. If the
+// candidates are restricted, finding none says nothing about the service's other backends.
+func (p *placer) choose(service string, prompt []routing.PromptPart, candidates []routing.Candidate, isRestricted bool) (routing.Candidate, bool) {
 	available := make([]routing.Candidate, 0, len(candidates))
 	for _, candidate := range candidates {
 		if p.quota(candidate) > 0 {
@@ -149,7 +150,7 @@
 	model.ToleranceMilliseconds, model.Zone = batchCostTolerance, p.zone
 	chosen, found := routing.ChooseByCost(model, prompt, available, nil, p.random)
 	if !found {
-		p.fullServices[service] = true
+		p.fullServices[service] = p.fullServices[service] || !isRestricted
 		return chosen, false
 	}
 	p.quotas[chosen.ID]--
--- a/internal/job/preemption_pause_test.go
+++ b/internal/job/preemption_pause_test.go
@@ -26,7 +26,7 @@
 			loads := owner.backends.OwnLoads()
 			return loads["one"].Batch + loads["two"].Batch
 		}
-		owner.backends.Put(backend.Instance{ID: "two", Service: service, Slots: 100})
+		owner.backends.Put(backend.Instance{ID: "two", Version: "v1", Service: service, Slots: 100})
 		preemptedAt := time.Now()
 		owner.backends.Preempt("one")
 		require.Eventually(t, func() bool { return running() < len(accepted.Items) }, testTimeout, time.Millisecond)
--- a/internal/job/preemption_simulation_test.go
+++ b/internal/job/preemption_simulation_test.go
@@ -234,7 +234,7 @@
 	if owner.placer.isFull("s") || !owner.placer.hasCapacity("s", batchcapacity.MustRun(timing, backlog)) {
 		return
 	}
-	chosen, found := owner.placer.choose("s", nil, w.candidates(owner))
+	chosen, found := owner.placer.choose("s", nil, w.candidates(owner), false)
 	if !found {
 		return
 	}
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -56,16 +56,40 @@
 	savedFailures int
 }
 
-// add appends an event of a backend with this software version. It returns false if the event
-// isn't the next one.
-func (p *progress) add(event serving.Event, software string) bool {
+// beginRun records that the events that follow are from a backend with this software version. It
+// returns false if there are events, and not certainly from the same version.
+func (p *progress) beginRun(software string) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if event.ID != p.lastEvent+1 {
-		return false
-	}
 	if p.lastEvent == 0 {
 		p.software = software
+		return true
+	}
+	return software != "" && software == p.software
+}
+
+// isFrom reports whether the events are certainly from a software version.
+func (p *progress) isFrom(software string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return software != "" && software == p.software
+}
+
+// reset discards the events, but not the count of failures, and returns how many there were.
+func (p *progress) reset() int64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	lost := p.lastEvent
+	p.content, p.hasText, p.lastEvent, p.savedEvent, p.software = nil, false, 0, 0, ""
+	return lost
+}
+
+// add appends an event. It returns false if the event isn't the next one.
+func (p *progress) add(event serving.Event) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if event.ID != p.lastEvent+1 {
+		return false
 	}
 	p.lastEvent = event.ID
 	if p.hasText {
@@ -117,23 +141,77 @@
 
 // checkpoint is a copy of an item's progress.
 type checkpoint struct {
+	Failures int
+	// LastEvent is 0 if there is no text.
+	LastEvent int64
+	Text      string
+	// Software is the software version that the events are from.
+	Software string
+}
+
+// checkpointRow is a checkpoint as stored. Builds that know no software versions write LastEvent
+// and Text; an item with such a row runs from its start, since its version is unknown. Others
+// store an encoded checkpointText as Text and 0 as LastEvent, so that those builds run the item
+// from its start too.
+type checkpointRow struct {
 	LastEvent int64  `avro:"last_event"`
 	Text      string `avro:"text"`
 	Failures  int    `avro:"failures"`
 }
 
-var checkpointSchema = avrocodec.MustParse(`{"type":"record","name":"checkpoint","fields":[
+// checkpointText is the events of a checkpoint and the software version that they are from.
+type checkpointText struct {
+	Software  string `avro:"software"`
+	LastEvent int64  `avro:"last_event"`
+	Text      string `avro:"text"`
+}
+
+var (
+	checkpointSchema = avrocodec.MustParse(`{"type":"record","name":"checkpoint","fields":[
 	{"name":"last_event","type":"long"},{"name":"text","type":"string"},{"name":"failures","type":"int"}]}`)
+	checkpointTextSchema = avrocodec.MustParse(`{"type":"record","name":"checkpoint_text","fields":[
+	{"name":"software","type":"string"},{"name":"last_event","type":"long"},{"name":"text","type":"string"}]}`)
+)
+
+func encodeCheckpoint(taken checkpoint) ([]byte, error) {
+	row := checkpointRow{Failures: taken.Failures}
+	if taken.LastEvent > 0 {
+		text, err := avro.Marshal(checkpointTextSchema, checkpointText{Software: taken.Software, LastEvent: taken.LastEvent, Text: taken.Text})
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		row.Text = string(text)
+	}
+	value, err := avro.Marshal(checkpointSchema, row)
+	return value, errors.WithStack(err)
+}
+
+func decodeCheckpoint(value []byte) (checkpoint, error) {
+	var row checkpointRow
+	if err := avrocodec.Unmarshal(checkpointSchema, value, &row); err != nil {
+		return checkpoint{}, err
+	}
+	read := checkpoint{Failures: row.Failures}
+	if row.LastEvent > 0 || row.Text == "" {
+		return read, nil
+	}
+	var content checkpointText
+	if err := avrocodec.Unmarshal(checkpointTextSchema, []byte(row.Text), &content); err != nil {
+		return checkpoint{}, err
+	}
+	read.Software, read.LastEvent, read.Text = content.Software, content.LastEvent, content.Text
+	return read, nil
+}
 
 func (p *progress) restore(from checkpoint) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.failures, p.savedFailures = from.Failures, from.Failures
 	p.isSaved = from != checkpoint{}
-	if from.LastEvent == 0 {
+	if from.LastEvent == 0 || from.Software == "" {
 		return
 	}
-	p.content, p.hasText = []byte(from.Text), true
+	p.content, p.hasText, p.software = []byte(from.Text), true, from.Software
 	p.lastEvent, p.savedEvent = from.LastEvent, from.LastEvent
 }
 
@@ -143,14 +221,14 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	hasFailed := p.failures > p.savedFailures
-	hasText := p.content != nil && len(p.content) <= maxCheckpointText
+	hasText := p.content != nil && len(p.content) <= maxCheckpointText && p.software != ""
 	hasNewEvents := hasText && p.lastEvent-p.savedEvent >= events
 	if !hasFailed && !hasNewEvents {
 		return checkpoint{}, false
 	}
 	taken := checkpoint{Failures: p.failures}
 	if hasText {
-		taken.LastEvent, taken.Text = p.lastEvent, string(p.content)
+		taken.LastEvent, taken.Text, taken.Software = p.lastEvent, string(p.content), p.software
 	}
 	return taken, true
 }
@@ -202,8 +280,9 @@
 		if len(saved) == maxCheckpoints || (size > maxCommitText && len(saved) > 0) {
 			break
 		}
-		value, err := avro.Marshal(checkpointSchema, taken)
+		value, err := encodeCheckpoint(taken)
 		if err != nil {
+			o.service.log.Error("checkpoint_not_encoded", "job", o.job.ID, "item", each.item.ID, "error", err)
 			continue
 		}
 		transaction.Writes = append(transaction.Writes, table.Write{Table: tableProgress, Key: progressKey(o.job.ID, each.item.ID), Value: value})
@@ -272,8 +351,8 @@
 			return nil, err
 		}
 		for _, row := range rows {
-			var read checkpoint
-			if err := avrocodec.Unmarshal(checkpointSchema, row.Value, &read); err != nil {
+			read, err := decodeCheckpoint(row.Value)
+			if err != nil {
 				return nil, failure.Wrap(errors.WithStack(err), failure.KindInternal, "bad_checkpoint", "row %s cannot be read", row.Key)
 			}
 			found[strings.TrimPrefix(row.Key, progressKey(id, ""))] = read
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -21,8 +21,10 @@
 	// milliseconds, or 0 if unknown. It identifies the incarnation that a
 	// reservation belongs to.
 	StartMillis int64
-	Zone        string
-	Slots       int
+	// Software is the version of the backend's software; empty if unknown.
+	Software string
+	Zone     string
+	Slots    int
 	// Closed backends are never chosen: they are draining, their zone is being
 	// evacuated, or they are cold and have used up their allowance.
 	Closed bool
@@ -233,3 +235,14 @@
 	}
 	return best
 }
+
+// WithSoftware returns the candidates with a software version. An unknown version equals none.
+func WithSoftware(candidates []Candidate, version string) []Candidate {
+	found := []Candidate{}
+	for _, each := range candidates {
+		if version != "" && each.Software == version {
+			found = append(found, each)
+		}
+	}
+	return found
+}
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -94,6 +94,8 @@
 	TimeLeft func() time.Duration
 	// LastEvent is the event after which a stream resumes; 0 means from the start.
 	LastEvent int64
+	// Software is the software version at which a stream that resumes began.
+	Software string
 	// Stream is set if the answer is expected to be a series of events.
 	Stream bool
 	// Reservation names the reservation at the backend; empty means none.
@@ -231,6 +233,9 @@
 	ReasonError Reason = "error"
 	// ReasonNoSlot means that the backend made no reservation.
 	ReasonNoSlot Reason = "no_place"
+	// ReasonOtherSoftware means that the backend does not have the software version at which
+	// the stream began.
+	ReasonOtherSoftware Reason = "other_software"
 	// ReasonPermitRefused means that Permit refused the attempt.
 	ReasonPermitRefused Reason = "withheld"
 	// ReasonMalformed means that the attempt cannot be written as one request.
