Streams: a stream goes on only at the software version that began it, at any daemon

Cause: nobody knew where a stream began. The version of an entry was dropped when it was decoded, an attempt after a break took any back end of the service, and Resumes was read by nobody.

Now the first event of a stream fixes its version for the rest of the answer: later attempts go to back ends of that version, wait while they are busy, and the answer ends at once if none is left. Before the first event leaves, its origin (service and version, by a hash of host, tenant and attempt id) is copied to three daemons of the region, whose order all daemons compute alike and in which zones take turns; the event waits for one of them, 60 ms at most. While a service has had one version only for 30 s nothing is sent; the records are copied when a second version appears or the route's services change. A caller who returns is sent to the service and version of the record. Without one, five daemons are asked for a record and for what they believe; if all who answer believe in one version, that is it, else the request is refused at once as not run. Beliefs of a daemon alone count only if there is no other one. Records are of a fixed size, 16,384 at most, for 30 s at most, whatever a caller sends. The sender itself refuses an attempt that resumes at another version (GuardedSender). Resumes may occur once only; a split route is chosen by the id that it names.

Ruled out as the cause: an outdated list of back ends (both had been listed for seconds).

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -26,6 +26,7 @@
 	"topazpulley/internal/route"
 	"topazpulley/internal/serving"
 	"topazpulley/internal/settings"
+	"topazpulley/internal/streamorigin"
 	"topazpulley/internal/submissionbuffer"
 	"topazpulley/internal/table"
 	"topazpulley/internal/telemetry"
@@ -166,6 +167,8 @@
 	f.Core.ResponseTimes = responsetimeout.NewEstimates(responsetimeout.Mode(process.ResponseTimeouts))
 	f.Core.OrdersWaiting = process.WaitingOrder == settings.WaitingOrderFleet
 	f.Core.Quarantine = f.Quarantine
+	f.Core.Origins = streamorigin.NewKeeper(f.Backends, originPeers{node: f.node, transport: f.transport}, metrics.Serving, log)
+	handleOrigins(f.transport, f.Core.Origins)
 	f.limitFleet = ratelimit.NewClusterFleet(f.node, f.transport)
 	f.Core.Limits = ratelimit.New(f.limitFleet, ratelimit.ToleranceOf(process), metrics.Tenants, log)
 	f.limitFleet.Handle(f.Core.Limits)
@@ -188,6 +191,7 @@
 	f.upstream = followed
 	f.instances = newInstanceConsumer(ports, f.Backends, metrics.Backends, log)
 	f.instances.isNamed = f.isServiceNamed
+	f.Holder.OnTargetsChanged = func() { go f.Core.Origins.CopyAll(context.Background()) }
 	configuration := &configConsumer{ports: ports, holder: f.Holder, evacuations: newEvacuations(ports.DecodeEvacuation, f.Backends, metrics.Backends, log), log: log}
 	announced := newAnnouncer(ports.ConfigTable, configuration, f.node)
 	f.CopyBytes = map[string]func() int{}
@@ -358,6 +362,7 @@
 	go f.forwarding.Run(ctx)
 	go f.instances.settleAll(ctx)
 	go f.recorder.Run(ctx)
+	go f.Core.Origins.Run(ctx)
 	go f.expireEvidence(ctx)
 	go f.Core.Limits.WatchFleet(ctx, f.hasTenants)
 	for _, follower := range f.followers {
--- /dev/null
+++ b/internal/frontend/streamorigins.go
@@ -0,0 +1,227 @@
+package frontend
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/hamba/avro/v2"
+
+	"topazpulley/internal/avrocodec"
+	"topazpulley/internal/cluster"
+	"topazpulley/internal/duty"
+	"topazpulley/internal/failure"
+	"topazpulley/internal/membership"
+	"topazpulley/internal/peer"
+	"topazpulley/internal/streamorigin"
+)
+
+const (
+	// methodOriginCopy is the peer method that stores copies of stream origins, methodOriginFind
+	// the one that asks for an origin.
+	methodOriginCopy = "stream_origin.copy"
+	methodOriginFind = "stream_origin.find"
+	// originCallTimeout bounds a call whose caller sets no deadline.
+	originCallTimeout = time.Second
+	// codeNoMethod is the error code of an older build that does not know a method.
+	codeNoMethod = "no_method"
+)
+
+// originRecord is a streamorigin.Record on the wire.
+type originRecord struct {
+	Key             []byte `avro:"key"`
+	Service         string `avro:"service"`
+	Software        string `avro:"software"`
+	RemainingMillis int64  `avro:"remaining_ms"`
+}
+
+// originCopy carries records to a daemon that keeps copies.
+type originCopy struct {
+	Records []originRecord `avro:"records"`
+}
+
+// originCopyAnswer acknowledges the copies.
+type originCopyAnswer struct{}
+
+// originQuery is a streamorigin.Query.
+type originQuery struct {
+	Key     []byte `avro:"key"`
+	Service string `avro:"service"`
+}
+
+// originAnswer is a streamorigin.Answer.
+type originAnswer struct {
+	HasRecord     bool   `avro:"has_record"`
+	IsConflicting bool   `avro:"is_conflicting"`
+	Service       string `avro:"service"`
+	Software      string `avro:"software"`
+	Opinion       int    `avro:"opinion"`
+	Only          string `avro:"only"`
+}
+
+var (
+	originCopySchema = avrocodec.MustParse(`{"type":"record","name":"origin_copy","fields":[{"name":"records","type":{"type":"array","items":{
+		"type":"record","name":"origin_record","fields":[{"name":"key","type":"bytes"},{"name":"service","type":"string"},
+		{"name":"software","type":"string"},{"name":"remaining_ms","type":"long"}]}}}]}`)
+	originCopyAnswerSchema = avrocodec.MustParse(`{"type":"record","name":"origin_copy_answer","fields":[]}`)
+	originQuerySchema      = avrocodec.MustParse(`{"type":"record","name":"origin_query","fields":[{"name":"key","type":"bytes"},{"name":"service","type":"string"}]}`)
+	originAnswerSchema     = avrocodec.MustParse(`{"type":"record","name":"origin_answer","fields":[{"name":"has_record","type":"boolean"},
+		{"name":"is_conflicting","type":"boolean"},{"name":"service","type":"string"},{"name":"software","type":"string"},
+		{"name":"opinion","type":"int"},{"name":"only","type":"string"}]}`)
+)
+
+// Schema implements peer.Message.
+func (originCopy) Schema() avro.Schema { return originCopySchema }
+
+// Schema implements peer.Message.
+func (originCopyAnswer) Schema() avro.Schema { return originCopyAnswerSchema }
+
+// Schema implements peer.Message.
+func (originQuery) Schema() avro.Schema { return originQuerySchema }
+
+// Schema implements peer.Message.
+func (originAnswer) Schema() avro.Schema { return originAnswerSchema }
+
+// originPeers implements streamorigin.Peers with the cluster membership and the peer transport.
+type originPeers struct {
+	node      *cluster.Node
+	transport *peer.Transport
+}
+
+var _ streamorigin.Peers = originPeers{}
+
+// Copy implements streamorigin.Peers.
+func (p originPeers) Copy(ctx context.Context, key streamorigin.Key, records []streamorigin.Record, count int, acknowledged chan<- struct{}) int {
+	message := originCopy{}
+	for _, each := range records {
+		message.Records = append(message.Records, originRecord{
+			Key: each.Key[:], Service: each.Origin.Service, Software: each.Origin.Software, RemainingMillis: time.Until(each.Expires).Milliseconds(),
+		})
+	}
+	chosen := p.keepers(key, count)
+	for _, address := range chosen {
+		go func() {
+			bounded, cancel := context.WithTimeout(ctx, originCallTimeout)
+			defer cancel()
+			if _, err := peer.Call[originCopy, originCopyAnswer](bounded, p.transport, address, methodOriginCopy, message); err == nil {
+				acknowledged <- struct{}{}
+			}
+		}()
+	}
+	return len(chosen)
+}
+
+// Ask implements streamorigin.Peers. A daemon of an older build counts as one that knows nothing.
+func (p originPeers) Ask(ctx context.Context, query streamorigin.Query, count int, answers chan<- streamorigin.Answer) int {
+	message := originQuery{Key: query.Key[:], Service: query.Service}
+	chosen := p.keepers(query.Key, count)
+	for _, address := range chosen {
+		go func() {
+			got, err := peer.Call[originQuery, originAnswer](ctx, p.transport, address, methodOriginFind, message)
+			switch {
+			case err == nil:
+				answers <- answerOf(got)
+			case failure.HasCode(err, codeNoMethod):
+				answers <- streamorigin.Answer{}
+			}
+		}()
+	}
+	return len(chosen)
+}
+
+func answerOf(got originAnswer) streamorigin.Answer {
+	return streamorigin.Answer{
+		HasRecord: got.HasRecord, IsConflicting: got.IsConflicting, Origin: streamorigin.Origin{Service: got.Service, Software: got.Software},
+		Opinion: streamorigin.Opinion{Kind: streamorigin.OpinionKind(got.Opinion), Only: got.Only},
+	}
+}
+
+// keepers returns the addresses of the first daemons that keep copies of a key, this daemon left
+// out.
+func (p originPeers) keepers(key streamorigin.Key, count int) []string {
+	self := p.node.Self()
+	addresses := []string{}
+	for _, each := range keepersOf(key, self.Region, p.node.Members()) {
+		if each.Name != self.Name && len(addresses) < count {
+			addresses = append(addresses, each.Address)
+		}
+	}
+	return addresses
+}
+
+// keepersOf returns the daemons of a region in the order in which they keep copies of a key. All
+// daemons of the region get the same order. The zones take turns, so that the copies outlive a
+// zone.
+func keepersOf(key streamorigin.Key, region string, members []membership.Member) []membership.Member {
+	byName, byZone := map[string]membership.Member{}, map[string][]string{}
+	for _, each := range members {
+		if each.Region == region {
+			byName[each.Name] = each
+			byZone[each.Zone] = append(byZone[each.Zone], each.Name)
+		}
+	}
+	ranked := []rankedKeeper{}
+	for _, names := range byZone {
+		for rank, name := range duty.Owners(key.String(), names, len(names)) {
+			ranked = append(ranked, rankedKeeper{name: name, rank: rank})
+		}
+	}
+	overall := map[string]int{}
+	names := make([]string, 0, len(byName))
+	for name := range byName {
+		names = append(names, name)
+	}
+	for place, name := range duty.Owners(key.String(), names, len(names)) {
+		overall[name] = place
+	}
+	slices.SortFunc(ranked, func(a, b rankedKeeper) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(overall[a.name], overall[b.name]))
+	})
+	keepers := make([]membership.Member, 0, len(ranked))
+	for _, each := range ranked {
+		keepers = append(keepers, byName[each.name])
+	}
+	return keepers
+}
+
+// rankedKeeper is a daemon and its place among those of its zone.
+type rankedKeeper struct {
+	name string
+	rank int
+}
+
+// handleOrigins answers other daemons' calls from the keeper.
+func handleOrigins(transport *peer.Transport, keeper *streamorigin.Keeper) {
+	peer.Handle(transport, methodOriginCopy, func(_ context.Context, _ string, message originCopy) (originCopyAnswer, error) {
+		records := []streamorigin.Record{}
+		for _, each := range message.Records {
+			key, isKey := keyOf(each.Key)
+			if !isKey {
+				return originCopyAnswer{}, failure.New(failure.KindInvalid, "bad_origin_key", "a stream origin's key has %d bytes", len(each.Key))
+			}
+			expires := time.Now().Add(time.Duration(each.RemainingMillis) * time.Millisecond)
+			records = append(records, streamorigin.Record{Key: key, Origin: streamorigin.Origin{Service: each.Service, Software: each.Software}, Expires: expires})
+		}
+		keeper.Accept(records)
+		return originCopyAnswer{}, nil
+	})
+	peer.Handle(transport, methodOriginFind, func(_ context.Context, _ string, query originQuery) (originAnswer, error) {
+		key, isKey := keyOf(query.Key)
+		if !isKey {
+			return originAnswer{}, failure.New(failure.KindInvalid, "bad_origin_key", "a stream origin's key has %d bytes", len(query.Key))
+		}
+		known := keeper.Answer(streamorigin.Query{Key: key, Service: query.Service})
+		return originAnswer{
+			HasRecord: known.HasRecord, IsConflicting: known.IsConflicting, Service: known.Origin.Service, Software: known.Origin.Software,
+			Opinion: int(known.Opinion.Kind), Only: known.Opinion.Only,
+		}, nil
+	})
+}
+
+// keyOf returns a key from the wire, and false if it has the wrong length.
+func keyOf(content []byte) (key streamorigin.Key, isKey bool) {
+	isKey = len(content) == len(key)
+	copy(key[:], content)
+	return key, isKey
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -71,6 +71,27 @@
 // IsOfHost reports whether the route belongs to a host, which may include a port.
 func (r *Route) IsOfHost(host string) bool { return r.Host == canonicalHost(host) }
 
+// CountTargets returns the number of services that the route sends requests to.
+func (r *Route) CountTargets() int {
+	count := 0
+	for _, target := range r.Targets {
+		if target.Weight > 0 {
+			count++
+		}
+	}
+	return max(count, 1)
+}
+
+// HasTarget reports whether the route sends requests to a service.
+func (r *Route) HasTarget(service string) bool {
+	for _, target := range r.Targets {
+		if target.Service == service && (target.Weight > 0 || r.CountTargets() == 1) {
+			return true
+		}
+	}
+	return false
+}
+
 // Service selects a target by weight. spread must be evenly distributed, such as a hash of
 // the request's id.
 func (r *Route) Service(spread uint64) string {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -15,6 +16,37 @@
 	byHost   map[string][]*Route
 	services map[string]*Service
 	tenants  *tenant.Directory
+	// targetsChangedAt is when the targets of a route last changed; zero if they did not since
+	// the first table of this process.
+	targetsChangedAt map[routeKey]time.Time
+}
+
+// routeKey identifies a route in different versions of the configuration.
+type routeKey struct{ host, prefix string }
+
+func (r *Route) key() routeKey { return routeKey{host: r.Host, prefix: r.Prefix} }
+
+// noteTargetChanges records which routes have other targets than in the table before.
+func (t *Table) noteTargetChanges(before *Table, now time.Time) {
+	t.targetsChangedAt = map[routeKey]time.Time{}
+	if before == nil {
+		return
+	}
+	earlier := map[routeKey]*Route{}
+	for index := range before.config.Routes {
+		each := &before.config.Routes[index]
+		earlier[each.key()] = each
+	}
+	for index := range t.config.Routes {
+		each := &t.config.Routes[index]
+		same, isKnown := earlier[each.key()]
+		switch {
+		case !isKnown || !slices.Equal(same.Targets, each.Targets):
+			t.targetsChangedAt[each.key()] = now
+		case !before.targetsChangedAt[each.key()].IsZero():
+			t.targetsChangedAt[each.key()] = before.targetsChangedAt[each.key()]
+		}
+	}
 }
 
 // Compile builds the table of a configuration.
@@ -93,6 +125,10 @@
 
 // Holder holds the current table. The zero value holds none. It is safe for concurrent use.
 type Holder struct {
+	// OnTargetsChanged is called when the targets of a known route have changed; nil for none.
+	// It must be set before the first table is applied.
+	OnTargetsChanged func()
+
 	current   atomic.Pointer[Table]
 	appliedAt atomic.Int64
 }
@@ -109,13 +145,37 @@
 		if current != nil && current.Version() >= config.Version {
 			return false
 		}
+		next.noteTargetChanges(current, now)
 		if h.current.CompareAndSwap(current, next) {
 			h.appliedAt.Store(now.UnixNano())
+			h.reportChangedTargets(next, now)
 			return true
 		}
 	}
 }
 
+func (h *Holder) reportChangedTargets(applied *Table, now time.Time) {
+	if h.OnTargetsChanged == nil {
+		return
+	}
+	for _, at := range applied.targetsChangedAt {
+		if at.Equal(now) {
+			h.OnTargetsChanged()
+			return
+		}
+	}
+}
+
+// TargetsChangedAt returns when the targets of a route last changed; zero if they did not since
+// the first table.
+func (h *Holder) TargetsChangedAt(changed *Route) time.Time {
+	current := h.Current()
+	if current == nil {
+		return time.Time{}
+	}
+	return current.targetsChangedAt[changed.key()]
+}
+
 // Age returns the time since the current table was applied.
 func (h *Holder) Age(now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, h.appliedAt.Load()))
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -15,6 +15,7 @@
 	"topazpulley/internal/responsetimeout"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
+	"topazpulley/internal/streamorigin"
 	"topazpulley/internal/telemetry"
 )
 
@@ -37,6 +38,8 @@
 	// OrdersWaiting makes overdue requests yield to requests that can still be on time. If
 	// false, each request waits for a slot independently of others.
 	OrdersWaiting bool
+	// Origins knows where streams that are resumed began.
+	Origins *streamorigin.Keeper
 	// Clock includes time during which the machine was suspended; nil means the system
 	// clock.
 	Clock boottime.Clock
@@ -67,6 +70,7 @@
 	return &Core{
 		Backends: backends, Sender: sender, Holder: holder, Metrics: metrics, Logger: log, Fleet: fleet,
 		ResponseTimes: responsetimeout.NewEstimates(responsetimeout.ModeLearned),
+		Origins:       streamorigin.NewKeeper(backends, nil, metrics, log),
 		retries:       admission.NewRetryBudget(retryShare, retryReserve),
 		earlyEnds:     admission.NewRetryBudget(earlyEndShare, earlyEndReserve),
 		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -98,7 +102,9 @@
 	}
 	c.retries.Earn()
 	c.earlyEnds.Earn()
-	served.run(bounded)
+	if served.pinToOrigin(bounded) {
+		served.run(bounded)
+	}
 	served.returnAdmission()
 	served.record()
 }
@@ -126,7 +132,7 @@
 // pick picks a backend for the request. If preemption is allowed, slots of batch items
 // count as available at a cost.
 func (c *Core) pick(request *Request, excluded map[string]bool, allowed preemption) (routing.Candidate, bool) {
-	candidates := c.Backends.Candidates(request.Service, request.Prompt, time.Now())
+	candidates := request.pin.allowed(c.Backends.Candidates(request.Service, request.Prompt, time.Now()))
 	model := routing.DefaultCostModel()
 	model.Zone = c.Zone
 	if allowed != preemptNothing {
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -108,6 +108,10 @@
 			return
 		}
 		lease, chosen, found := e.target()
+		if !found && e.lacksSoftware() {
+			e.giveUp(retryAfterNone, codeNoSoftware)
+			return
+		}
 		if !found {
 			if e.waitForBackend(ctx) {
 				continue
@@ -192,7 +196,7 @@
 		Instance: e.last, Tenant: e.request.tenantName(), MaxConnections: e.core.ConnectionShare(e.request.Service),
 		ID: e.request.ID, Fingerprint: e.fingerprint, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Fields: e.request.Fields, Body: e.request.Body, Remaining: remaining, TimeLeft: e.remaining,
-		LastEvent: e.lastEvent, Stream: e.request.Route.Kind == route.KindStream,
+		LastEvent: e.lastEvent, Software: e.request.pin.version, Stream: e.request.Route.Kind == route.KindStream,
 	}
 	if e.reserved.name != "" {
 		attempt.Reservation, e.reserved = e.reserved.name, reservedSlot{}
@@ -229,7 +233,7 @@
 		e.core.Backends.RecordReport(e.last.Incarnation(), report, time.Now())
 	}
 	if answer.Head().Events && answer.Head().Successful() {
-		err = e.relay(answer, lease, watched)
+		err = e.relay(ctx, answer, lease, watched)
 	} else {
 		err = e.passComplete(answer, lease, watched)
 	}
--- a/internal/serving/guarded.go
+++ b/internal/serving/guarded.go
@@ -55,6 +55,9 @@
 	if err := s.refuse(attempt); err != nil {
 		return nil, err
 	}
+	if attempt.isAtOtherSoftware() {
+		return nil, &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonOtherSoftware}
+	}
 	answer, err := s.sender.Send(ctx, attempt)
 	if err != nil {
 		s.recordBroken(ctx, attempt, err, false)
--- a/internal/serving/guarded_test.go
+++ b/internal/serving/guarded_test.go
@@ -60,7 +60,7 @@
 func newGuardedCore(sender serving.Sender, guard *quarantine.Guard, count int) *serving.Core {
 	backends := backend.NewSet()
 	for index := range count {
-		backends.Put(backend.Instance{ID: fmt.Sprintf("b%02d", index), Service: "s", Slots: 4})
+		backends.Put(backend.Instance{ID: fmt.Sprintf("b%02d", index), Version: "v1", Service: "s", Slots: 4})
 	}
 	guarded := serving.NewGuardedSender(sender, guard, backends, slog.New(slog.DiscardHandler))
 	metrics := telemetry.NewServing(prometheus.NewRegistry())
--- a/internal/serving/incarnation_test.go
+++ b/internal/serving/incarnation_test.go
@@ -75,7 +75,7 @@
 		for incarnation := range int64(quarantinePolicy.Crashes) {
 			_, isQuarantined := guard.Verdict(culprit)
 			require.False(t, isQuarantined)
-			instance := backend.Instance{ID: "b", StartMillis: incarnation + 1, Service: "s", Slots: 4}
+			instance := backend.Instance{ID: "b", Version: "v1", StartMillis: incarnation + 1, Service: "s", Slots: 4}
 			backends.Put(instance)
 			_, err := guarded.Send(t.Context(), serving.Attempt{Fingerprint: culprit, Instance: instance, Remaining: time.Second})
 			require.Error(t, err)
@@ -95,7 +95,7 @@
 		guard, backends := newGuard(), backend.NewSet()
 		guarded := serving.NewGuardedSender(&breakingSender{}, guard, backends, slog.New(slog.DiscardHandler))
 		suspect := quarantine.FingerprintOf("POST", "/suspect", "", nil)
-		instance := backend.Instance{ID: "b", StartMillis: 7, Service: "s", Slots: 4}
+		instance := backend.Instance{ID: "b", Version: "v1", StartMillis: 7, Service: "s", Slots: 4}
 		backends.Put(instance)
 		for range 2 * quarantinePolicy.Crashes {
 			_, err := guarded.Send(t.Context(), serving.Attempt{Fingerprint: suspect, Instance: instance, Remaining: time.Second})
--- a/internal/serving/preempt.go
+++ b/internal/serving/preempt.go
@@ -26,7 +26,7 @@
 	switch {
 	case !e.reservesSlots():
 		return preemptWhereFull
-	case e.noSlotCount >= attemptedBackends(e.core.Backends.Count(e.request.Service)):
+	case e.noSlotCount >= attemptedBackends(e.backendCount()):
 		return preemptAnywhere
 	}
 	return preemptNothing
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -71,7 +72,7 @@
 }
 
 // relay passes events to the caller as they arrive.
-func (e *exchange) relay(answer Answer, lease *backend.Lease, watched *watchdog.Watchdog) error {
+func (e *exchange) relay(ctx context.Context, answer Answer, lease *backend.Lease, watched *watchdog.Watchdog) error {
 	for isFirst := true; ; isFirst = false {
 		event, err := answer.Next()
 		if errors.Is(err, io.EOF) {
@@ -83,25 +84,28 @@
 		if event.ID != 0 && event.ID != e.lastEvent+1 {
 			return &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonCorrupt}
 		}
+		if isFirst && e.isOtherSoftware() {
+			return &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonOtherSoftware}
+		}
 		watched.Feed()
 		if isFirst {
 			e.observeResponseTime(responsetimeout.KindFirstEvent)
 		}
 		lease.Started()
-		if err := e.passEvent(answer, event); err != nil {
+		if err := e.passEvent(ctx, answer, event); err != nil {
 			e.outcome = "caller_gone"
 			return nil
 		}
 	}
 }
 
-func (e *exchange) passEvent(answer Answer, event Event) error {
+func (e *exchange) passEvent(ctx context.Context, answer Answer, event Event) error {
+	if e.lastEvent == 0 {
+		e.recordOrigin(ctx)
+	}
 	if err := e.begin(answer); err != nil {
 		return err
 	}
-	if e.lastEvent == 0 {
-		e.origin = e.last.Version
-	}
 	e.lastEvent = event.ID
 	e.events++
 	return e.responder.Event(event.Raw)
@@ -131,6 +135,8 @@
 	}
 	if err := e.responder.Finish(); err != nil {
 		e.outcome = "caller_gone"
+		return nil
 	}
+	e.core.Origins.Completed(e.request.originKey())
 	return nil
 }
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -57,6 +57,9 @@
 	// Resumes is the id of the caller's earlier request that received the stream's first
 	// event; empty means that the caller names none.
 	Resumes string
+
+	// pin restricts the rest of a stream to one software version.
+	pin softwarePin
 }
 
 // tenantName returns the tenant's name as sent to backends; empty means none.
@@ -125,6 +128,12 @@
 	return a.Permit()
 }
 
+// isAtOtherSoftware reports whether the attempt resumes a stream at a backend that is not known to
+// have the software version at which the stream began.
+func (a *Attempt) isAtOtherSoftware() bool {
+	return a.Stream && a.LastEvent > 0 && (a.Software == "" || a.Software != a.Instance.Version)
+}
+
 // Head is the status and header of an answer.
 type Head struct {
 	Status int
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -201,7 +201,7 @@
 func newCore(sender serving.Sender) *serving.Core {
 	backends := backend.NewSet()
 	for index := range 4 {
-		backends.Put(backend.Instance{ID: fmt.Sprintf("b%d", index), Service: "s", Slots: 4})
+		backends.Put(backend.Instance{ID: fmt.Sprintf("b%d", index), Version: "v1", Service: "s", Slots: 4})
 	}
 	metrics := telemetry.NewServing(prometheus.NewRegistry())
 	return serving.NewCore(backends, sender, &route.Holder{}, metrics, slog.New(slog.DiscardHandler), func() int { return 1 })
--- a/internal/serving/slotwait.go
+++ b/internal/serving/slotwait.go
@@ -36,7 +36,7 @@
 // mustWaitForSlot reports whether the request has to wait for a slot because enough
 // backends had none.
 func (e *exchange) mustWaitForSlot() bool {
-	return e.reserved.name == "" && !e.isQueued && e.reservesSlots() && e.noSlotCount >= attemptedBackends(e.core.Backends.Count(e.request.Service))
+	return e.reserved.name == "" && !e.isQueued && e.reservesSlots() && e.noSlotCount >= attemptedBackends(e.backendCount())
 }
 
 // waitForSlot attempts reservations until one succeeds, or until the request is rejected,
--- a/internal/serving/timeout_test.go
+++ b/internal/serving/timeout_test.go
@@ -84,7 +84,7 @@
 	backends := backend.NewSet()
 	for _, zone := range []string{"a", "b", "c"} {
 		for number := range 2 {
-			backends.Put(backend.Instance{ID: fmt.Sprint(zone, number), Zone: zone, Service: "s", Slots: 4})
+			backends.Put(backend.Instance{ID: fmt.Sprint(zone, number), Version: "v1", Zone: zone, Service: "s", Slots: 4})
 		}
 	}
 	metrics := telemetry.NewServing(prometheus.NewRegistry())
@@ -189,7 +189,7 @@
 		sender := &silentSender{duration: workTime, silent: map[string]bool{}}
 		core := newZonedCore(sender)
 		for number := range 3 {
-			core.Backends.Put(backend.Instance{ID: fmt.Sprint("a", 2+number), Zone: "a", Service: "s", Slots: 4})
+			core.Backends.Put(backend.Instance{ID: fmt.Sprint("a", 2+number), Version: "v1", Zone: "a", Service: "s", Slots: 4})
 		}
 		for _, id := range []string{"b0", "b1", "c0"} {
 			core.Backends.Remove(id)
--- /dev/null
+++ b/internal/streamorigin/decision.go
@@ -0,0 +1,133 @@
+package streamorigin
+
+// Opinion is what a daemon believes about the software versions of a service within
+// backend.StreamWindow.
+type Opinion struct {
+	// Kind says which of the cases below applies.
+	Kind OpinionKind
+	// Only is the version if Kind is OpinionOne.
+	Only string
+}
+
+// OpinionKind is the kind of an opinion.
+type OpinionKind int
+
+// The kinds of opinions.
+const (
+	// OpinionNone means that the daemon knows no backend of the service.
+	OpinionNone OpinionKind = iota
+	// OpinionOne means that all backends had one version.
+	OpinionOne
+	// OpinionSeveral means that backends had several versions, or an unknown one.
+	OpinionSeveral
+)
+
+// opinionOf returns the opinion of a daemon that listed these software versions.
+func opinionOf(versions []string) Opinion {
+	switch {
+	case len(versions) == 0:
+		return Opinion{Kind: OpinionNone}
+	case len(versions) == 1 && versions[0] != "":
+		return Opinion{Kind: OpinionOne, Only: versions[0]}
+	}
+	return Opinion{Kind: OpinionSeveral}
+}
+
+// Answer is what one daemon knows about the origin of a stream.
+type Answer struct {
+	// HasRecord reports whether Origin is set. IsConflicting means that streams with different
+	// origins had the key.
+	HasRecord     bool
+	IsConflicting bool
+	Origin        Origin
+	// Opinion is about the service to which a stream without a record is sent.
+	Opinion Opinion
+}
+
+// Finding is the result of the search for the origin of a stream.
+type Finding string
+
+// The findings.
+const (
+	// FindingRecord means that a daemon has a record.
+	FindingRecord Finding = "record"
+	// FindingOnlyVersion means that there is no record, but the service has one version only.
+	FindingOnlyVersion Finding = "only_version"
+	// FindingUnknown means that the stream may have begun at any of several versions.
+	FindingUnknown Finding = "unknown"
+	// FindingConflicting means that records or beliefs contradict each other.
+	FindingConflicting Finding = "conflicting"
+	// FindingNoAnswer means that there is no record here and no other daemon answered.
+	FindingNoAnswer Finding = "no_answer"
+)
+
+// IsKnown reports whether the origin is certain.
+func (f Finding) IsKnown() bool { return f == FindingRecord || f == FindingOnlyVersion }
+
+// search is what is known about the origin of one stream.
+type search struct {
+	// service is where a stream without a record is sent.
+	service string
+	// mustHaveRecord is set if a stream without a record may have begun elsewhere than at
+	// service, or the request names no stream and service is one of several.
+	mustHaveRecord bool
+	own            Answer
+	// peers are the answers of other daemons; asked is how many were asked.
+	peers []Answer
+	asked int
+}
+
+// decide finds the origin of a stream. Records go first. Without a record, the stream began at
+// the only version of the service if all who answered agree on it, and if at least one other
+// daemon answered: a daemon that is cut off may believe in one version while others use more.
+func (s search) decide() (Origin, Finding) {
+	all := append([]Answer{s.own}, s.peers...)
+	if origin, finding := recordedOrigin(all); finding != FindingUnknown {
+		return origin, finding
+	}
+	if s.asked > 0 && len(s.peers) == 0 {
+		return Origin{}, FindingNoAnswer
+	}
+	if s.mustHaveRecord {
+		return Origin{}, FindingUnknown
+	}
+	return onlyVersion(s.service, all)
+}
+
+// recordedOrigin returns the origin by the records, FindingUnknown if there are none.
+func recordedOrigin(answers []Answer) (Origin, Finding) {
+	found, finding := Origin{}, FindingUnknown
+	for _, each := range answers {
+		switch {
+		case !each.HasRecord:
+			continue
+		case each.IsConflicting || (finding == FindingRecord && each.Origin != found):
+			return Origin{}, FindingConflicting
+		}
+		found, finding = each.Origin, FindingRecord
+	}
+	if finding == FindingRecord && found.Software == "" {
+		return Origin{}, FindingConflicting
+	}
+	return found, finding
+}
+
+// onlyVersion returns the only software version in which all answers agree.
+func onlyVersion(service string, answers []Answer) (Origin, Finding) {
+	only := ""
+	for _, each := range answers {
+		switch {
+		case each.Opinion.Kind == OpinionNone:
+			continue
+		case each.Opinion.Kind == OpinionSeveral:
+			return Origin{}, FindingUnknown
+		case only != "" && each.Opinion.Only != only:
+			return Origin{}, FindingConflicting
+		}
+		only = each.Opinion.Only
+	}
+	if only == "" {
+		return Origin{}, FindingUnknown
+	}
+	return Origin{Service: service, Software: only}, FindingOnlyVersion
+}
--- /dev/null
+++ b/internal/streamorigin/keeper.go
@@ -0,0 +1,188 @@
+package streamorigin
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/telemetry"
+)
+
+const (
+	// copies is the number of other daemons that get a record. With the daemon that serves the
+	// stream, three of four may end at once.
+	copies = 3
+	// askedDaemons is the number of daemons that are asked for a record. It is above copies
+	// because the daemon that is asked and the one that wrote may know different members.
+	askedDaemons = 5
+	// copyTimeout bounds the time for which the first event of a stream waits for a copy of its
+	// record. It is well below the time after which callers count an event as late.
+	copyTimeout = 60 * time.Millisecond
+	// askTimeout bounds the time for which a resumed stream waits for answers.
+	askTimeout = 150 * time.Millisecond
+)
+
+// Query asks for the origin of a stream.
+type Query struct {
+	Key Key
+	// Service is where a stream without a record is sent.
+	Service string
+}
+
+// Peers are the other daemons. Both functions return at once; each daemon that answers sends
+// one element to the channel, which has room for all of them.
+type Peers interface {
+	// Copy sends records to count daemons of the key. It returns the number of daemons that
+	// it sends to.
+	Copy(ctx context.Context, key Key, records []Record, count int, acknowledged chan<- struct{}) int
+	// Ask asks count daemons of the key. It returns the number of daemons that it asks.
+	Ask(ctx context.Context, query Query, count int, answers chan<- Answer) int
+}
+
+// Software lists the software versions of services (backend.Set).
+type Software interface {
+	// SoftwareVersions returns those listed within backend.StreamWindow.
+	SoftwareVersions(service string, now time.Time) []string
+	// SoftwareSignal is signalled when a service gets a further one.
+	SoftwareSignal() <-chan struct{}
+}
+
+// Keeper keeps the origins of streams. It is safe for concurrent use.
+type Keeper struct {
+	software Software
+	peers    Peers
+	metrics  *telemetry.Serving
+	log      *slog.Logger
+	records  *records
+	// settledAt is when this daemon has listed backends for backend.StreamWindow. Before, it
+	// does not know which versions were listed lately.
+	settledAt time.Time
+}
+
+// NewKeeper returns a keeper. Nil peers mean that there are no other daemons.
+func NewKeeper(software Software, peers Peers, metrics *telemetry.Serving, log *slog.Logger) *Keeper {
+	return &Keeper{software: software, peers: peers, metrics: metrics, log: log, records: newRecords(), settledAt: time.Now().Add(backend.StreamWindow)}
+}
+
+// Run copies the records of a service's streams when the service gets a further software
+// version, until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.software.SoftwareSignal():
+			k.copyUncopied(ctx, func(service string) bool { return k.opinion(service).Kind == OpinionSeveral })
+		}
+	}
+}
+
+// CopyAll copies the records of all streams of this daemon, because routes have changed and a
+// stream without a record may have begun at another service.
+func (k *Keeper) CopyAll(ctx context.Context) { k.copyUncopied(ctx, func(string) bool { return true }) }
+
+// copyUncopied copies the records of this daemon's streams that have no copies yet.
+func (k *Keeper) copyUncopied(ctx context.Context, accept func(service string) bool) {
+	if k.peers == nil {
+		return
+	}
+	taken := k.records.takeUncopied(accept, time.Now())
+	for _, each := range taken {
+		k.peers.Copy(ctx, each.Key, []Record{each}, copies, make(chan struct{}, copies))
+	}
+	if len(taken) > 0 {
+		k.log.Info("stream_origins_copied", "count", len(taken))
+	}
+}
+
+// Began records the origin of a stream whose first event is about to be passed to the caller,
+// who waits until the deadline. If the service has several software versions, or others may
+// have been listed lately, it waits until another daemon has a copy, at most copyTimeout. It
+// also does if mustHaveRecord is set, as in Find.
+func (k *Keeper) Began(ctx context.Context, key Key, origin Origin, deadline time.Time, mustHaveRecord bool) {
+	now := time.Now()
+	record := Record{Key: key, Origin: origin, Expires: expiryOf(deadline, now)}
+	mustCopy := k.peers != nil && (mustHaveRecord || now.Before(k.settledAt) || k.opinion(origin.Service).Kind != OpinionOne)
+	k.records.put(record, !mustCopy, now)
+	if !mustCopy {
+		return
+	}
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
+	acknowledged := make(chan struct{}, copies)
+	sent := k.peers.Copy(bounded, key, []Record{record}, copies, acknowledged)
+	if sent == 0 {
+		cancel()
+		return
+	}
+	// The other copies are still sent after the first one is acknowledged.
+	context.AfterFunc(bounded, cancel)
+	select {
+	case <-acknowledged:
+		k.metrics.OriginCopies.WithLabelValues("copied").Inc()
+	case <-bounded.Done():
+		k.metrics.OriginCopies.WithLabelValues("no_answer").Inc()
+		k.log.Info("stream_origin_not_copied", "key", key.String(), "service", origin.Service, "software", origin.Software, "asked", sent, "after_ms", time.Since(now).Milliseconds())
+	}
+}
+
+// Completed drops the record of a stream that its caller has received completely.
+func (k *Keeper) Completed(key Key) { k.records.remove(key) }
+
+// Accept stores copies of another daemon's records.
+func (k *Keeper) Accept(copied []Record) {
+	now := time.Now()
+	for _, each := range copied {
+		each.Expires = expiryOf(each.Expires, now)
+		k.records.put(each, false, now)
+	}
+}
+
+// Answer returns what this daemon knows about the origin of a stream.
+func (k *Keeper) Answer(query Query) Answer {
+	answer := Answer{Opinion: k.opinion(query.Service)}
+	if known, hasRecord := k.records.get(query.Key, time.Now()); hasRecord {
+		answer.HasRecord, answer.IsConflicting, answer.Origin = true, known.isConflicting, known.Origin
+	}
+	return answer
+}
+
+func (k *Keeper) opinion(service string) Opinion {
+	return opinionOf(k.software.SoftwareVersions(service, time.Now()))
+}
+
+// Count returns the number of records, copies for other daemons included.
+func (k *Keeper) Count() int { return k.records.count() }
+
+// Find finds the origin of a stream that a caller resumes. mustHaveRecord is set if a stream
+// without a record may have begun at another service than the query's.
+func (k *Keeper) Find(ctx context.Context, query Query, mustHaveRecord bool) (Origin, Finding) {
+	search := search{service: query.Service, mustHaveRecord: mustHaveRecord, own: k.Answer(query)}
+	if !search.own.HasRecord && k.peers != nil {
+		bounded, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		answers := make(chan Answer, askedDaemons)
+		search.asked = k.peers.Ask(bounded, query, askedDaemons, answers)
+		search.peers = collect(bounded, answers, search.asked)
+	}
+	origin, finding := search.decide()
+	k.metrics.OriginFindings.WithLabelValues(string(finding)).Inc()
+	return origin, finding
+}
+
+// collect returns the answers that arrive before the context ends. It stops at a record.
+func collect(ctx context.Context, answers <-chan Answer, count int) []Answer {
+	found := []Answer{}
+	for len(found) < count {
+		select {
+		case <-ctx.Done():
+			return found
+		case each := <-answers:
+			found = append(found, each)
+			if each.HasRecord {
+				return found
+			}
+		}
+	}
+	return found
+}
--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -13,6 +13,12 @@
 	// Continuations counts attempts that continue a stream after an event, by service and by
 	// whether the backend has the software version at which the stream began.
 	Continuations *prometheus.CounterVec
+	// OriginFindings counts searches for the origin of a stream that a caller resumes, by
+	// result (streamorigin.Finding).
+	OriginFindings *prometheus.CounterVec
+	// OriginCopies counts origins of streams that had to be copied to another daemon before
+	// the first event, by outcome.
+	OriginCopies *prometheus.CounterVec
 	// Silences counts attempts that exceeded their early response timeout, by service and outcome.
 	Silences *prometheus.CounterVec
 	// FirstOutput observes seconds to the first event or the complete answer.
@@ -52,25 +58,27 @@
 		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: firstTokenBuckets}, labels)
 	}
 	serving := &Serving{
-		Requests:      counter("serving_requests_total", "Ended online requests.", "service", "outcome"),
-		Attempts:      counter("serving_failed_attempts_total", "Failed attempts at back ends.", "outcome", "reason"),
-		Continuations: counter("stream_continuations_total", "Attempts that go on with a stream after an event, by whether the software version is the one that began it.", "service", "software"),
-		Silences:      counter("serving_silences_total", "Attempts that stayed silent for longer than learned.", "service", "outcome"),
-		FirstOutput:   histogram("serving_first_output_seconds", "Time to the first event or the whole answer.", "service"),
-		Duration:      histogram("serving_duration_seconds", "Time to the end of a request.", "service"),
-		Items:         counter("job_item_attempts_total", "Ended attempts of batch items.", "outcome"),
-		Held:          counter("job_submissions_held_total", "Submissions that came while the store was away.", "outcome"),
-		StoreCalls:    counter("store_calls_total", "Calls to the store.", "call", "outcome"),
-		StoreSeconds:  histogram("store_call_seconds", "Time of calls to the store.", "call"),
-		Behind:        counter("serving_behind_total", "Online requests that were late and made way for those in time.", "service"),
-		TurnedAway:    counter("serving_turned_away_total", "Online requests refused because those in time needed all places.", "service"),
-		Malformed:     newMalformed(),
-		BatchRoom:     counter("batch_room_decisions_total", "Decisions on the room for batch items by what bounded it.", "bound"),
-		SlowCallers:   counter("slow_callers_total", "Answers of which the caller left a part unread for a while.", "outcome"),
+		Requests:       counter("serving_requests_total", "Ended online requests.", "service", "outcome"),
+		Attempts:       counter("serving_failed_attempts_total", "Failed attempts at back ends.", "outcome", "reason"),
+		Continuations:  counter("stream_continuations_total", "Attempts that go on with a stream after an event, by whether the software version is the one that began it.", "service", "software"),
+		OriginFindings: counter("stream_origin_findings_total", "Searches for the software version that began a stream, by result.", "finding"),
+		OriginCopies:   counter("stream_origin_copies_total", "Origins of streams copied to another daemon before the first event, by outcome.", "outcome"),
+		Silences:       counter("serving_silences_total", "Attempts that stayed silent for longer than learned.", "service", "outcome"),
+		FirstOutput:    histogram("serving_first_output_seconds", "Time to the first event or the whole answer.", "service"),
+		Duration:       histogram("serving_duration_seconds", "Time to the end of a request.", "service"),
+		Items:          counter("job_item_attempts_total", "Ended attempts of batch items.", "outcome"),
+		Held:           counter("job_submissions_held_total", "Submissions that came while the store was away.", "outcome"),
+		StoreCalls:     counter("store_calls_total", "Calls to the store.", "call", "outcome"),
+		StoreSeconds:   histogram("store_call_seconds", "Time of calls to the store.", "call"),
+		Behind:         counter("serving_behind_total", "Online requests that were late and made way for those in time.", "service"),
+		TurnedAway:     counter("serving_turned_away_total", "Online requests refused because those in time needed all places.", "service"),
+		Malformed:      newMalformed(),
+		BatchRoom:      counter("batch_room_decisions_total", "Decisions on the room for batch items by what bounded it.", "bound"),
+		SlowCallers:    counter("slow_callers_total", "Answers of which the caller left a part unread for a while.", "outcome"),
 
 		MemoryRefusals: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "memory_refusals_total", Help: "Requests refused because too much was held for others."}),
 	}
-	registry.MustRegister(serving.Requests, serving.Attempts, serving.Continuations, serving.Silences, serving.FirstOutput, serving.Duration, serving.Items, serving.Held, serving.StoreCalls, serving.StoreSeconds,
+	registry.MustRegister(serving.Requests, serving.Attempts, serving.Continuations, serving.OriginFindings, serving.OriginCopies, serving.Silences, serving.FirstOutput, serving.Duration, serving.Items, serving.Held, serving.StoreCalls, serving.StoreSeconds,
 		serving.Behind, serving.TurnedAway, serving.Malformed, serving.SlowCallers, serving.MemoryRefusals, serving.BatchRoom)
 	return serving
 }
