--- a/internal/streamorigin/keeper_test.go
+++ b/internal/streamorigin/keeper_test.go
@@ -131,8 +131,7 @@
 	go f.keepers[0].Run(ctx)
 	f.list("b", "v2")
 	require.Eventually(t, func() bool {
-		_, finding := f.keepers[1].Find(ctx, Query{Key: key, Service: service}, false)
-		return finding == FindingRecord
+		return f.keepers[1].Answer(Query{Key: key, Service: service}).HasRecord
 	}, 10*time.Second, time.Millisecond)
 }
 
--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -54,7 +54,7 @@
 replace internal/serving/exchange.go 'if !isAllowed {' 'if isAllowed == e.hasBegun && e.hasBegun {'
 soak no_not_run_rule
 
-replace internal/serving/exchange.go 'LastEvent: e.lastEvent, Stream:' 'LastEvent: 0, Stream:'
+replace internal/serving/exchange.go 'LastEvent: e.lastEvent, Software:' 'LastEvent: 0, Software:'
 replace internal/serving/relay.go 'event.ID != 0 && event.ID != e.lastEvent+1' 'false'
 soak no_resume_check
 
@@ -97,5 +97,14 @@
 
 replace platform/answer.go 'return false // answered before the complete request was read' 'return true'
 soak reused_early
+
+# The following mutants continue streams at any software version, or none that is taken up.
+replace internal/serving/core.go 'request.pin.allowed(c.Backends.Candidates(request.Service, request.Prompt, time.Now()))' 'c.Backends.Candidates(request.Service, request.Prompt, time.Now())'
+replace internal/serving/guarded.go 'if attempt.isAtOtherSoftware() {' 'if false {'
+replace internal/serving/relay.go 'if isFirst && e.isOtherSoftware() {' 'if false {'
+soak streams_of_two_versions
+
+replace internal/streamorigin/keeper.go 'origin, finding := search.decide()' 'origin, finding := Origin{}, FindingUnknown'
+soak streams_not_taken_up
 [ $misquoted = 0 ] || exit 1
 exit $failed
