Items: the service is part of where an item began

A route of batch jobs may move to another service, whose back ends may have the same version text: an item then went on at another service's software. Its origin is now the service and the version, in memory and in the checkpoint. Found by reading, for the same cause elsewhere; TestProgressHoldsEventsOfOneSoftwareVersion takes the case in. A stream's record is no longer dropped when the daemon has written its end: a caller whose connection broke behind that may still come back.

--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -44,7 +44,7 @@
 	answer, err := s.reserveAndSend(bounded, serving.Attempt{
 		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Fingerprint: running.fingerprint, Method: itemMethod, Target: running.item.Path,
 		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTimeout,
-		LastEvent: running.progress.lastID(), Software: running.progress.origin(), Stream: true, Permit: permit,
+		LastEvent: running.progress.lastID(), Software: running.progress.origin().Software, Stream: true, Permit: permit,
 	}, running.item.Tokens)
 	if err == nil {
 		defer answer.Close()
@@ -108,7 +108,7 @@
 		if err != nil {
 			return err
 		}
-		if isFirst && !running.progress.beginRun(s.backends.PresentSoftware(instance)) {
+		if isFirst && !running.progress.beginRun(s.presentOrigin(instance)) {
 			return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonOtherSoftware}
 		}
 		if !running.progress.add(event) {
--- a/internal/job/continuation.go
+++ b/internal/job/continuation.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"topazpulley/internal/backend"
 	"topazpulley/internal/routing"
+	"topazpulley/internal/streamorigin"
 )
 
 // continuation is what happens to an item that has events and waits for a backend.
@@ -20,7 +22,8 @@
 
 // begunItem is an item that has events.
 type begunItem struct {
-	// software is the software version that began the item; empty if unknown.
+	// software is the software version that began the item; empty if unknown, or if the item
+	// began at another service than it is sent to.
 	software string
 	// redoTime is how long the item took to produce its events.
 	redoTime time.Duration
@@ -53,16 +56,16 @@
 	if waiting.progress.lastID() == 0 {
 		return candidates, false
 	}
-	begun := s.begun(waiting, now)
+	begun := s.begun(waiting, service, now)
 	if continuationOf(begun, candidates, s.backends.CountSoftware(service, begun.software)) == startOver {
 		return candidates, false
 	}
 	return routing.WithSoftware(candidates, begun.software), true
 }
 
-// begun returns what is known of an item that has events and waits. Items of an earlier owner
-// have no run time here; half of a usual one is assumed.
-func (s *Service) begun(waiting *ownedItem, now time.Time) begunItem {
+// begun returns what is known of an item that has events and waits for a service. Items of an
+// earlier owner have no run time here; half of a usual one is assumed.
+func (s *Service) begun(waiting *ownedItem, service string, now time.Time) begunItem {
 	s.mutex.Lock()
 	redoTime := s.itemTimes.expected() / 2
 	s.mutex.Unlock()
@@ -74,20 +77,35 @@
 	if waiting.ranFor > 0 {
 		redoTime = waiting.ranFor
 	}
-	return begunItem{software: waiting.progress.origin(), redoTime: redoTime, waited: now.Sub(waiting.waitingSince)}
+	began := waiting.progress.origin()
+	if began.Service != service {
+		began.Software = ""
+	}
+	return begunItem{software: began.Software, redoTime: redoTime, waited: now.Sub(waiting.waitingSince)}
+}
+
+// originAt returns the origin of what a backend sends.
+func originAt(instance backend.Instance) streamorigin.Origin {
+	return streamorigin.Origin{Service: instance.Service, Software: instance.Version}
+}
+
+// presentOrigin returns the origin of what a backend that was chosen earlier sends. Its software
+// version is unknown if it is listed with another one by now.
+func (s *Service) presentOrigin(chosen backend.Instance) streamorigin.Origin {
+	return streamorigin.Origin{Service: chosen.Service, Software: s.backends.PresentSoftware(chosen)}
 }
 
-// startOver discards the events of an item that is about to be sent to a backend with another
-// software version.
-func (s *Service) startOver(waiting *ownedItem, backendID, software string) {
+// startOver discards the events of an item that is about to be sent to a backend of another
+// service or software version.
+func (s *Service) startOver(waiting *ownedItem, backendID string, at streamorigin.Origin) {
 	began, lost := waiting.progress.origin(), waiting.progress.reset()
 	waiting.owner.mutex.Lock()
 	waited := time.Since(waiting.waitingSince)
 	waiting.ranFor = 0
 	waiting.owner.mutex.Unlock()
 	s.metrics.Items.WithLabelValues("started_over").Inc()
-	s.log.Info("item_started_over", "job", waiting.owner.job.ID, "item", waiting.item.ID, "backend", backendID, "software", software,
-		"began_software", began, "events_lost", lost, "waited_ms", waited.Milliseconds())
+	s.log.Info("item_started_over", "job", waiting.owner.job.ID, "item", waiting.item.ID, "backend", backendID, "service", at.Service, "software", at.Software,
+		"began_service", began.Service, "began_software", began.Software, "events_lost", lost, "waited_ms", waited.Milliseconds())
 }
 
 // losesEvents reports whether an item that is preempted would have to start over: no other
@@ -97,5 +115,5 @@
 		return false
 	}
 	instance, isListed := s.backends.Get(running.backend)
-	return isListed && s.backends.CountSoftware(instance.Service, running.progress.origin()) <= 1
+	return isListed && s.backends.CountSoftware(instance.Service, running.progress.origin().Software) <= 1
 }
--- a/internal/job/continuation_test.go
+++ b/internal/job/continuation_test.go
@@ -10,6 +10,7 @@
 	"topazpulley/internal/avrocodec"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/serving"
+	"topazpulley/internal/streamorigin"
 )
 
 func TestItemGoesOnOnlyAtItsSoftwareVersion(t *testing.T) {
@@ -27,15 +28,20 @@
 	require.Equal(t, startOver, continuationOf(begunItem{}, []routing.Candidate{free("")}, 1), "the version is unknown")
 }
 
+func at(service, software string) streamorigin.Origin {
+	return streamorigin.Origin{Service: service, Software: software}
+}
+
 func TestProgressHoldsEventsOfOneSoftwareVersion(t *testing.T) {
 	held := &progress{}
-	require.True(t, held.beginRun("v1"))
+	require.True(t, held.beginRun(at("s", "v1")))
 	require.True(t, held.add(serving.Event{ID: 1, Data: []byte("a")}))
-	require.False(t, held.beginRun("v2"))
-	require.False(t, held.beginRun(""))
-	require.True(t, held.beginRun("v1"))
+	require.False(t, held.beginRun(at("s", "v2")))
+	require.False(t, held.beginRun(at("s", "")))
+	require.False(t, held.beginRun(at("other", "v1")), "a service of another name")
+	require.True(t, held.beginRun(at("s", "v1")))
 	require.EqualValues(t, 1, held.reset())
-	require.True(t, held.beginRun("v2"))
+	require.True(t, held.beginRun(at("s", "v2")))
 	require.True(t, held.add(serving.Event{ID: 1, Data: []byte("b")}))
 	require.Equal(t, "b", held.text())
 }
@@ -43,7 +49,7 @@
 // Guards against builds that know no software versions and go on from a checkpoint, and against
 // this build going on from one of theirs.
 func TestCheckpointOfOtherBuildStartsOver(t *testing.T) {
-	saved := checkpoint{Failures: 2, LastEvent: 7, Text: "text", Software: "v1"}
+	saved := checkpoint{Failures: 2, LastEvent: 7, Text: "text", Began: at("s", "v1")}
 	value, err := encodeCheckpoint(saved)
 	require.NoError(t, err)
 	read, err := decodeCheckpoint(value)
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -164,8 +164,8 @@
 	if !found {
 		return false
 	}
-	if software := lease.Instance().Version; waiting.progress.lastID() > 0 && !waiting.progress.isFrom(software) {
-		s.startOver(waiting, chosen.ID, software)
+	if at := originAt(lease.Instance()); waiting.progress.lastID() > 0 && !waiting.progress.isFrom(at) {
+		s.startOver(waiting, chosen.ID, at)
 	}
 	ctx, cancel := context.WithCancel(owner.ctx)
 	owner.mutex.Lock()
@@ -176,7 +176,7 @@
 		err := s.permit(waiting)
 		if err == nil {
 			number, epoch := owner.countSend(waiting)
-			s.log.Info("item_sent", "job", owner.job.ID, "item", waiting.item.ID, "backend", chosen.ID, "software", lease.Instance().Version, "began_software", waiting.progress.origin(), "epoch", epoch, "attempt", number,
+			s.log.Info("item_sent", "job", owner.job.ID, "item", waiting.item.ID, "backend", chosen.ID, "software", lease.Instance().Version, "began_software", waiting.progress.origin().Software, "epoch", epoch, "attempt", number,
 				"kind", string(serving.KindOfSend(number, waiting.progress.lastID())), "due_ms", owner.due.Sub(now).Milliseconds(), "last_event", waiting.progress.lastID(),
 				"online", chosen.Online, "batch", chosen.Batch, "slots", chosen.Slots, "report_age_ms", ageMillis(chosen.ReportAge), "claims_age_ms", ageMillis(s.claimsAge()))
 		}
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -15,6 +15,7 @@
 	"topazpulley/internal/failure"
 	"topazpulley/internal/periodic"
 	"topazpulley/internal/serving"
+	"topazpulley/internal/streamorigin"
 	"topazpulley/internal/table"
 )
 
@@ -47,32 +48,31 @@
 	lastEvent  int64
 	savedEvent int64
 	isSaved    bool
-	// software is the software version of the backend that sent the first event; empty if
-	// there is no event or the version is unknown.
-	software string
+	// began is where the first event came from; zero if there is none.
+	began streamorigin.Origin
 	// failures counts the attempts that a backend answered with an error, over all owners.
 	// savedFailures is the count in the last checkpoint.
 	failures      int
 	savedFailures int
 }
 
-// beginRun records that the events that follow are from a backend with this software version. It
-// returns false if there are events, and not certainly from the same version.
-func (p *progress) beginRun(software string) bool {
+// beginRun records that the events that follow are from a backend of this service and software
+// version. It returns false if there are events, and not certainly from there.
+func (p *progress) beginRun(at streamorigin.Origin) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.lastEvent == 0 {
-		p.software = software
+		p.began = at
 		return true
 	}
-	return software != "" && software == p.software
+	return at.Software != "" && at == p.began
 }
 
-// isFrom reports whether the events are certainly from a software version.
-func (p *progress) isFrom(software string) bool {
+// isFrom reports whether the events are certainly from a service and software version.
+func (p *progress) isFrom(at streamorigin.Origin) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return software != "" && software == p.software
+	return at.Software != "" && at == p.began
 }
 
 // reset discards the events, but not the count of failures, and returns how many there were.
@@ -80,7 +80,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	lost := p.lastEvent
-	p.content, p.hasText, p.lastEvent, p.savedEvent, p.software = nil, false, 0, 0, ""
+	p.content, p.hasText, p.lastEvent, p.savedEvent, p.began = nil, false, 0, 0, streamorigin.Origin{}
 	return lost
 }
 
@@ -119,12 +119,11 @@
 	return p.lastEvent
 }
 
-// origin returns the software version of the backend that sent the first event; empty if there
-// is no event or the version is unknown.
-func (p *progress) origin() string {
+// origin returns where the first event came from; zero if there is none.
+func (p *progress) origin() streamorigin.Origin {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.software
+	return p.began
 }
 
 func (p *progress) text() string {
@@ -145,8 +144,8 @@
 	// LastEvent is 0 if there is no text.
 	LastEvent int64
 	Text      string
-	// Software is the software version that the events are from.
-	Software string
+	// Began is the service and software version that the events are from.
+	Began streamorigin.Origin
 }
 
 // checkpointRow is a checkpoint as stored. Builds that know no software versions write LastEvent
@@ -159,8 +158,9 @@
 	Failures  int    `avro:"failures"`
 }
 
-// checkpointText is the events of a checkpoint and the software version that they are from.
+// checkpointText is the events of a checkpoint and where they are from.
 type checkpointText struct {
+	Service   string `avro:"service"`
 	Software  string `avro:"software"`
 	LastEvent int64  `avro:"last_event"`
 	Text      string `avro:"text"`
@@ -170,13 +170,13 @@
 	checkpointSchema = avrocodec.MustParse(`{"type":"record","name":"checkpoint","fields":[
 	{"name":"last_event","type":"long"},{"name":"text","type":"string"},{"name":"failures","type":"int"}]}`)
 	checkpointTextSchema = avrocodec.MustParse(`{"type":"record","name":"checkpoint_text","fields":[
-	{"name":"software","type":"string"},{"name":"last_event","type":"long"},{"name":"text","type":"string"}]}`)
+	{"name":"service","type":"string"},{"name":"software","type":"string"},{"name":"last_event","type":"long"},{"name":"text","type":"string"}]}`)
 )
 
 func encodeCheckpoint(taken checkpoint) ([]byte, error) {
 	row := checkpointRow{Failures: taken.Failures}
 	if taken.LastEvent > 0 {
-		text, err := avro.Marshal(checkpointTextSchema, checkpointText{Software: taken.Software, LastEvent: taken.LastEvent, Text: taken.Text})
+		text, err := avro.Marshal(checkpointTextSchema, checkpointText{Service: taken.Began.Service, Software: taken.Began.Software, LastEvent: taken.LastEvent, Text: taken.Text})
 		if err != nil {
 			return nil, errors.WithStack(err)
 		}
@@ -199,7 +199,8 @@
 	if err := avrocodec.Unmarshal(checkpointTextSchema, []byte(row.Text), &content); err != nil {
 		return checkpoint{}, err
 	}
-	read.Software, read.LastEvent, read.Text = content.Software, content.LastEvent, content.Text
+	read.Began = streamorigin.Origin{Service: content.Service, Software: content.Software}
+	read.LastEvent, read.Text = content.LastEvent, content.Text
 	return read, nil
 }
 
@@ -208,10 +209,10 @@
 	defer p.mutex.Unlock()
 	p.failures, p.savedFailures = from.Failures, from.Failures
 	p.isSaved = from != checkpoint{}
-	if from.LastEvent == 0 || from.Software == "" {
+	if from.LastEvent == 0 || from.Began.Software == "" {
 		return
 	}
-	p.content, p.hasText, p.software = []byte(from.Text), true, from.Software
+	p.content, p.hasText, p.began = []byte(from.Text), true, from.Began
 	p.lastEvent, p.savedEvent = from.LastEvent, from.LastEvent
 }
 
@@ -221,14 +222,14 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	hasFailed := p.failures > p.savedFailures
-	hasText := p.content != nil && len(p.content) <= maxCheckpointText && p.software != ""
+	hasText := p.content != nil && len(p.content) <= maxCheckpointText && p.began.Software != ""
 	hasNewEvents := hasText && p.lastEvent-p.savedEvent >= events
 	if !hasFailed && !hasNewEvents {
 		return checkpoint{}, false
 	}
 	taken := checkpoint{Failures: p.failures}
 	if hasText {
-		taken.LastEvent, taken.Text, taken.Software = p.lastEvent, string(p.content), p.software
+		taken.LastEvent, taken.Text, taken.Began = p.lastEvent, string(p.content), p.began
 	}
 	return taken, true
 }
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -135,8 +135,6 @@
 	}
 	if err := e.responder.Finish(); err != nil {
 		e.outcome = "caller_gone"
-		return nil
 	}
-	e.core.Origins.Completed(e.request.originKey())
 	return nil
 }
--- a/internal/streamorigin/keeper.go
+++ b/internal/streamorigin/keeper.go
@@ -126,9 +126,6 @@
 	}
 }
 
-// Completed drops the record of a stream that its caller has received completely.
-func (k *Keeper) Completed(key Key) { k.records.remove(key) }
-
 // Accept stores copies of another daemon's records.
 func (k *Keeper) Accept(copied []Record) {
 	now := time.Now()
--- a/internal/streamorigin/records.go
+++ b/internal/streamorigin/records.go
@@ -14,8 +14,8 @@
 type records struct {
 	mutex sync.Mutex
 	byKey map[Key]*storedRecord
-	// order holds the keys in the order in which they were added, from first on. A key may be
-	// in it that has no record any more.
+	// order holds the keys in the order in which they were added, from first on. A key whose
+	// record was replaced after it expired is in it twice.
 	order []Key
 	first int
 }
@@ -76,13 +76,6 @@
 	return *known, true
 }
 
-// remove drops the record of a stream that is complete.
-func (r *records) remove(key Key) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	delete(r.byKey, key)
-}
-
 // takeUncopied returns the records of this daemon's streams that have no copy, and counts them
 // as copied. accept chooses the services.
 func (r *records) takeUncopied(accept func(service string) bool, now time.Time) []Record {
