--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -109,6 +109,7 @@
 		}
 		lease, chosen, found := e.target()
 		if !found && e.lacksSoftware() {
+			e.reason = ReasonOtherSoftware
 			e.giveUp(retryAfterNone, codeNoSoftware)
 			return
 		}
--- a/internal/serving/origin.go
+++ b/internal/serving/origin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"topazpulley/internal/backend"
@@ -43,7 +42,7 @@
 	if r.IsResumption() && r.Resumes != "" {
 		id = r.Resumes
 	}
-	return streamorigin.KeyOf(strings.ToLower(r.Host), r.tenantName(), id)
+	return streamorigin.KeyOf(r.Route.Host, r.tenantName(), id)
 }
 
 // IsResumption reports whether the caller resumes a stream after an event.
@@ -65,6 +64,7 @@
 		e.refuseResumption(finding)
 		return false
 	case !e.request.Route.HasTarget(origin.Service):
+		e.reason = ReasonOriginUnknown
 		e.giveUp(0, codeServiceChanged)
 		return false
 	}
@@ -80,6 +80,7 @@
 	if finding == streamorigin.FindingNoAnswer {
 		retryAfter = retryAfterNone
 	}
+	e.reason = ReasonOriginUnknown
 	e.giveUp(retryAfter, codeOriginUnknown)
 }
 
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -245,6 +245,9 @@
 	// ReasonOtherSoftware means that the backend does not have the software version at which
 	// the stream began.
 	ReasonOtherSoftware Reason = "other_software"
+	// ReasonOriginUnknown means that it is not certain where a stream that the caller resumes
+	// began, or that the route has left the service.
+	ReasonOriginUnknown Reason = "origin_unknown"
 	// ReasonPermitRefused means that Permit refused the attempt.
 	ReasonPermitRefused Reason = "withheld"
 	// ReasonMalformed means that the attempt cannot be written as one request.
