Streams: a record that no daemon took is copied with the next chance

A first event that left without an acknowledged copy, or while no other daemon was known yet, kept its record here for good; it counts as uncopied now, and goes out when a further version appears or routes change. TestRecordThatNobodyTookIsCopiedLater failed before.

--- a/internal/streamorigin/keeper.go
+++ b/internal/streamorigin/keeper.go
@@ -113,6 +113,7 @@
 	sent := k.peers.Copy(bounded, key, []Record{record}, copies, acknowledged)
 	if sent == 0 {
 		cancel()
+		k.records.markUncopied(key)
 		return
 	}
 	// The other copies are still sent after the first one is acknowledged.
@@ -121,6 +122,7 @@
 	case <-acknowledged:
 		k.metrics.OriginCopies.WithLabelValues("copied").Inc()
 	case <-bounded.Done():
+		k.records.markUncopied(key)
 		k.metrics.OriginCopies.WithLabelValues("no_answer").Inc()
 		k.log.Info("stream_origin_not_copied", "key", key.String(), "service", origin.Service, "software", origin.Software, "asked", sent, "after_ms", time.Since(now).Milliseconds())
 	}
@@ -154,15 +156,15 @@
 // Find finds the origin of a stream that a caller resumes. mustHaveRecord is set if a stream
 // without a record may have begun at another service than the query's.
 func (k *Keeper) Find(ctx context.Context, query Query, mustHaveRecord bool) (Origin, Finding) {
-	search := search{service: query.Service, mustHaveRecord: mustHaveRecord, own: k.Answer(query)}
-	if !search.own.HasRecord && k.peers != nil {
+	known := search{service: query.Service, mustHaveRecord: mustHaveRecord, own: k.Answer(query)}
+	if !known.own.HasRecord && k.peers != nil {
 		bounded, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
 		answers := make(chan Answer, askedDaemons)
-		search.asked = k.peers.Ask(bounded, query, askedDaemons, answers)
-		search.peers = collect(bounded, answers, search.asked)
+		known.asked = k.peers.Ask(bounded, query, askedDaemons, answers)
+		known.peers = collect(bounded, answers, known.asked)
 	}
-	origin, finding := search.decide()
+	origin, finding := known.decide()
 	k.metrics.OriginFindings.WithLabelValues(string(finding)).Inc()
 	return origin, finding
 }
--- a/internal/streamorigin/keeper_test.go
+++ b/internal/streamorigin/keeper_test.go
@@ -169,3 +169,14 @@
 	require.NotEqual(t, key, KeyOf("host", "", "id"))
 	require.NotEqual(t, key, KeyOf("other", "tenant", "id"))
 }
+
+func TestRecordThatNobodyTookIsCopiedLater(t *testing.T) {
+	f := newFleet(t, 3)
+	f.list("a", "v1")
+	f.list("b", "v2")
+	f.isEnded[1], f.isEnded[2] = true, true
+	key := f.begin(0, "stream", "v1")
+	f.isEnded = map[int]bool{}
+	f.keepers[0].CopyAll(context.Background())
+	require.True(t, f.keepers[1].Answer(Query{Key: key, Service: service}).HasRecord)
+}
--- a/internal/streamorigin/records.go
+++ b/internal/streamorigin/records.go
@@ -76,6 +76,15 @@
 	return *known, true
 }
 
+// markUncopied records that no other daemon has a copy of a stream's record.
+func (r *records) markUncopied(key Key) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if known, isKnown := r.byKey[key]; isKnown {
+		known.isUncopied = true
+	}
+}
+
 // takeUncopied returns the records of this daemon's streams that have no copy, and counts them
 // as copied. accept chooses the services.
 func (r *records) takeUncopied(accept func(service string) bool, now time.Time) []Record {
--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -104,7 +104,7 @@
 replace internal/serving/relay.go 'if isFirst && e.isOtherSoftware() {' 'if false {'
 soak streams_of_two_versions
 
-replace internal/streamorigin/keeper.go 'origin, finding := search.decide()' 'origin, finding := Origin{}, FindingUnknown'
+replace internal/streamorigin/keeper.go 'origin, finding := known.decide()' 'origin, finding := Origin{}, FindingUnknown'
 soak streams_not_taken_up
 [ $misquoted = 0 ] || exit 1
 exit $failed
