Streams: the origin is recorded once, also for a stream whose events have no ids

By reading: such a stream's events leave the last event at 0, so that each of them was taken for the first one and copied again. Its first event fixes its version now like that of any other.

--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -100,7 +100,7 @@
 }
 
 func (e *exchange) passEvent(ctx context.Context, answer Answer, event Event) error {
-	if e.lastEvent == 0 {
+	if !e.request.pin.isSet {
 		e.recordOrigin(ctx)
 	}
 	if err := e.begin(answer); err != nil {
