Streams: a service of weight 0 beside others is no target of a route

Found by reading the change again. A stream that began at a service whose weight was since set to 0 was taken up there, by a caller who returns within the window: HasTarget took any listed service where one has a weight. Now weights count as in Service; without any weight the first target is the only one. TestServiceWithoutWeightIsNoTarget failed before. Tests run: internal/route, internal/serving.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -84,12 +84,17 @@
 
 // HasTarget reports whether the route sends requests to a service.
 func (r *Route) HasTarget(service string) bool {
+	hasWeights := false
 	for _, target := range r.Targets {
-		if target.Service == service && (target.Weight > 0 || r.CountTargets() == 1) {
+		if target.Weight <= 0 {
+			continue
+		}
+		hasWeights = true
+		if target.Service == service {
 			return true
 		}
 	}
-	return false
+	return !hasWeights && r.Targets[0].Service == service
 }
 
 // Service selects a target by weight. spread must be evenly distributed, such as a hash of
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -50,3 +50,14 @@
 	}
 	require.Equal(t, map[string]int{"a": 900, "b": 100}, counts)
 }
+
+// Guards against a stream that is resumed at a service whose weight was set to 0.
+func TestServiceWithoutWeightIsNoTarget(t *testing.T) {
+	split := &route.Route{Targets: []route.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 0}}}
+	require.True(t, split.HasTarget("a"))
+	require.False(t, split.HasTarget("b"))
+	require.False(t, split.HasTarget("c"))
+	unweighted := &route.Route{Targets: []route.Target{{Service: "a"}, {Service: "b"}}}
+	require.True(t, unweighted.HasTarget(unweighted.Service(7)))
+	require.False(t, unweighted.HasTarget("b"))
+}
