Tests: TestSilentBackendRetriedWithinObjective serves until it has met a silent back end

It failed once while this change was read again: no attempt was sent to a silent back end. Traced: its 12 requests choose among six equal back ends, two of them silent, so that none meets one with a probability of (2/3)^12 = 0.77%. The checks stay as they are, on 12 requests at least; up to 200 are served until one has met a silent back end.

--- a/internal/serving/timeout_test.go
+++ b/internal/serving/timeout_test.go
@@ -120,7 +120,8 @@
 		serveMany(core, repeatable(3), 200)
 		sender.silent = map[string]bool{"a0": true, "a1": true}
 		sender.sentTo = nil
-		for range 12 {
+		// Each request meets a silent backend with a probability of a third.
+		for served := 0; served < 12 || sender.cancelled == 0 && served < 200; served++ {
 			caller, took := serveOne(core, repeatable(3))
 			require.Equal(t, 1, caller.complete)
 			require.LessOrEqual(t, took, objective)
