One hash of several texts, one test of whether a stream goes on at an origin

Behaviour is as before; found by reading the change again. - streamorigin.KeyOf wrote again what quarantine.FingerprintOf does: both use digest.WriteParts.

--- a/internal/frontend/streamorigins.go
+++ b/internal/frontend/streamorigins.go
@@ -25,8 +25,6 @@
 	methodOriginFind = "stream_origin.find"
 	// originCallTimeout bounds a call whose caller sets no deadline.
 	originCallTimeout = time.Second
-	// codeNoMethod is the error code of an older build that does not know a method.
-	codeNoMethod = "no_method"
 )
 
 // originRecord is a streamorigin.Record on the wire.
@@ -106,14 +104,11 @@
 var _ streamorigin.Peers = (*originPeers)(nil)
 
 // Copy implements streamorigin.Peers.
-func (p *originPeers) Copy(ctx context.Context, key streamorigin.Key, records []streamorigin.Record, count int, acknowledged chan<- struct{}) int {
-	message := originCopy{}
-	for _, each := range records {
-		message.Records = append(message.Records, originRecord{
-			Key: each.Key[:], Service: each.Origin.Service, Software: each.Origin.Software, RemainingMillis: time.Until(each.Expires).Milliseconds(),
-		})
-	}
-	chosen := p.keepers(key, count)
+func (p *originPeers) Copy(ctx context.Context, record streamorigin.Record, count int, acknowledged chan<- struct{}) int {
+	message := originCopy{Records: []originRecord{{
+		Key: record.Key[:], Service: record.Origin.Service, Software: record.Origin.Software, RemainingMillis: time.Until(record.Expires).Milliseconds(),
+	}}}
+	chosen := p.keepers(record.Key, count)
 	for _, address := range chosen {
 		go func() {
 			bounded, cancel := context.WithTimeout(ctx, originCallTimeout)
@@ -136,7 +131,7 @@
 			switch {
 			case err == nil:
 				answers <- answerOf(got)
-			case failure.HasCode(err, codeNoMethod):
+			case failure.HasCode(err, peer.CodeNoMethod):
 				answers <- streamorigin.Answer{}
 			}
 		}()
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -263,7 +263,7 @@
 	running := map[string][]runningItem{}
 	for _, each := range jobs {
 		for _, item := range each.notPreempted() {
-			running[item.backend] = append(running[item.backend], runningItem{ownedItem: item, isUrgent: s.isUrgent(item, now), losesEvents: s.losesEvents(item)})
+			running[item.backend] = append(running[item.backend], runningItem{ownedItem: item, isUrgent: s.isUrgent(item, now)})
 		}
 	}
 	for _, candidate := range s.preemptableLoads(running) {
@@ -330,6 +330,12 @@
 // itemsToPreempt chooses which of the items at a backend are preempted.
 func (s *Service) itemsToPreempt(candidate routing.Candidate, items []runningItem, now time.Time, window time.Duration) []runningItem {
 	count := s.preemptor.share(candidate, now, window)
+	if count == 0 {
+		return nil
+	}
+	for index := range items {
+		items[index].losesEvents = s.losesEvents(items[index].ownedItem)
+	}
 	sortForPreemption(items)
 	return items[:min(count, len(items))]
 }
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -65,14 +65,14 @@
 		p.began = at
 		return true
 	}
-	return at.Software != "" && at == p.began
+	return at.Continues(p.began)
 }
 
 // isFrom reports whether the events are certainly from a service and software version.
 func (p *progress) isFrom(at streamorigin.Origin) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return at.Software != "" && at == p.began
+	return at.Continues(p.began)
 }
 
 // reset discards the events, but not the count of failures, and returns how many there were.
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -32,6 +32,10 @@
 	maxConcurrentCalls = 256
 )
 
+// CodeNoMethod is the error code of a call to a daemon that does not know the method, because its
+// build is older.
+const CodeNoMethod = "no_method"
+
 // handler decodes and answers the calls of one method. from is the caller's name.
 type handler func(ctx context.Context, from string, body []byte) ([]byte, error)
 
@@ -361,7 +365,7 @@
 	}
 	answer, known := t.handlers[call.Method]
 	if !known {
-		return nil, failure.New(failure.KindNotFound, "no_method", "peer method %q is unknown", call.Method).WithNotRun()
+		return nil, failure.New(failure.KindNotFound, CodeNoMethod, "peer method %q is unknown", call.Method).WithNotRun()
 	}
 	return answer(t.context, from, call.Body)
 }
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -7,11 +7,11 @@
 
 import (
 	"crypto/sha256"
-	"encoding/binary"
 	"encoding/hex"
-	"io"
 
 	"github.com/pkg/errors"
+
+	"topazpulley/internal/digest"
 )
 
 // fingerprintBytes is the length of a fingerprint: 128 bits of a cryptographic digest,
@@ -25,16 +25,10 @@
 // FingerprintOf returns the fingerprint of a request. The caller is the tenant's name,
 // or empty if it is unknown.
 func FingerprintOf(method, target, caller string, body []byte) Fingerprint {
-	digest := sha256.New()
-	for _, part := range []string{method, target, caller} {
-		// Length prefixes distinguish "ab", "c" from "a", "bc".
-		var length [4]byte
-		binary.BigEndian.PutUint32(length[:], uint32(len(part)))
-		_, _ = digest.Write(length[:]) // a digest never fails to write
-		_, _ = io.WriteString(digest, part)
-	}
-	_, _ = digest.Write(body)
-	return Fingerprint(digest.Sum(nil)[:fingerprintBytes])
+	hashed := sha256.New()
+	digest.WriteParts(hashed, method, target, caller)
+	_, _ = hashed.Write(body) // a hash never fails to write
+	return Fingerprint(hashed.Sum(nil)[:fingerprintBytes])
 }
 
 // String returns the fingerprint in hexadecimal, the form in logs and row keys.
--- a/internal/streamorigin/keeper.go
+++ b/internal/streamorigin/keeper.go
@@ -33,9 +33,9 @@
 // Peers are the other daemons. Both functions return at once; each daemon that answers sends
 // one element to the channel, which has room for all of them.
 type Peers interface {
-	// Copy sends records to count daemons of the key. It returns the number of daemons that
+	// Copy sends a record to count daemons of its key. It returns the number of daemons that
 	// it sends to.
-	Copy(ctx context.Context, key Key, records []Record, count int, acknowledged chan<- struct{}) int
+	Copy(ctx context.Context, record Record, count int, acknowledged chan<- struct{}) int
 	// Ask asks count daemons of the key. It returns the number of daemons that it asks.
 	Ask(ctx context.Context, query Query, count int, answers chan<- Answer) int
 }
@@ -89,7 +89,7 @@
 	}
 	taken := k.records.takeUncopied(accept, time.Now())
 	for _, each := range taken {
-		k.peers.Copy(ctx, each.Key, []Record{each}, copies, make(chan struct{}, copies))
+		k.peers.Copy(ctx, each, copies, make(chan struct{}, copies))
 	}
 	if len(taken) > 0 {
 		k.log.Info("stream_origins_copied", "count", len(taken))
@@ -110,7 +110,7 @@
 	}
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
 	acknowledged := make(chan struct{}, copies)
-	sent := k.peers.Copy(bounded, key, []Record{record}, copies, acknowledged)
+	sent := k.peers.Copy(bounded, record, copies, acknowledged)
 	if sent == 0 {
 		cancel()
 		k.records.markUncopied(key)
--- a/internal/streamorigin/keeper_test.go
+++ b/internal/streamorigin/keeper_test.go
@@ -63,12 +63,12 @@
 	return found
 }
 
-func (p fleetPeers) Copy(_ context.Context, _ Key, records []Record, count int, acknowledged chan<- struct{}) int {
+func (p fleetPeers) Copy(_ context.Context, record Record, count int, acknowledged chan<- struct{}) int {
 	chosen := p.others(count)
 	for _, each := range chosen {
-		each.Accept(records)
+		each.Accept([]Record{record})
 		p.fleet.mutex.Lock()
-		p.fleet.copied += len(records)
+		p.fleet.copied++
 		p.fleet.mutex.Unlock()
 		acknowledged <- struct{}{}
 	}
--- a/internal/streamorigin/origin.go
+++ b/internal/streamorigin/origin.go
@@ -10,12 +10,11 @@
 
 import (
 	"crypto/sha256"
-	"encoding/binary"
 	"encoding/hex"
-	"io"
 	"time"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/digest"
 )
 
 // keyBytes is the length of a key.
@@ -28,15 +27,9 @@
 // KeyOf returns the key of a request. Requests of different tenants or hosts have different
 // keys, so that no caller resumes another one's stream.
 func KeyOf(host, tenant, id string) Key {
-	digest := sha256.New()
-	for _, part := range []string{host, tenant, id} {
-		// Length prefixes distinguish "ab", "c" from "a", "bc".
-		var length [4]byte
-		binary.BigEndian.PutUint32(length[:], uint32(len(part)))
-		_, _ = digest.Write(length[:]) // a digest never fails to write
-		_, _ = io.WriteString(digest, part)
-	}
-	return Key(digest.Sum(nil)[:keyBytes])
+	hashed := sha256.New()
+	digest.WriteParts(hashed, host, tenant, id)
+	return Key(hashed.Sum(nil)[:keyBytes])
 }
 
 // String returns the key in hexadecimal.
@@ -50,6 +43,9 @@
 	Software string
 }
 
+// Continues reports whether what begins at one origin certainly goes on with what began at another.
+func (o Origin) Continues(began Origin) bool { return o.Software != "" && o == began }
+
 // Record is the origin of one stream.
 type Record struct {
 	Key    Key
--- a/test/mutants.d/streams.sh
+++ b/test/mutants.d/streams.sh
@@ -26,7 +26,7 @@
 mutant items_go_on_anywhere internal/job/continuation.go \
 	'if begun.software == "" || serving == 0 {' 'if true {' internal/job TestItemGoesOnOnlyAtItsSoftwareVersion
 mutant events_of_two_versions internal/job/progress.go \
-	'return at.Software != "" && at == p.began
+	'return at.Continues(p.began)
 }
 
 // isFrom' 'return true
