Answers: logs and metrics tell how an answer was framed and what ended it

request_ended, attempt_failed, item_completed and item_attempt_failed now have answer.framing, answer.stop and answer.partial_bytes; the counter backend_answer_ends_total has the same. What is decided is unchanged. go test of serving, job, telemetry and platform passes.

--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -41,6 +41,7 @@
 	defer cancel()
 	watched := watchdog.Start(firstEventTimeout, eventTimeout, cancel)
 	defer watched.Stop()
+	var transfer serving.Transfer
 	answer, err := s.reserveAndSend(bounded, serving.Attempt{
 		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Fingerprint: running.fingerprint, Method: itemMethod, Target: running.item.Path,
 		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTimeout,
@@ -52,12 +53,13 @@
 			s.backends.RecordReport(instance.Incarnation(), report, time.Now())
 		}
 		err = s.readItem(running, answer, lease, instance, watched)
+		transfer = answer.Transfer()
 	}
 	if err != nil && watched.Fired() {
 		err = &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonSilent, Cause: err}
 	}
 	if err != nil {
-		s.handleFailure(ctx, running, instance, matched, err)
+		s.handleFailure(ctx, running, instance, matched, transfer, err)
 	}
 }
 
@@ -101,7 +103,7 @@
 			s.metrics.Items.WithLabelValues(string(StateCompleted)).Inc()
 			s.recordItemTime(running)
 			s.log.Info("item_completed", "job", running.owner.job.ID, "item", running.item.ID, "backend", lease.Instance().ID,
-				"events", running.progress.lastID(), "took_ms", time.Since(running.startedAt).Milliseconds())
+				"answer", answer.Transfer(), "events", running.progress.lastID(), "took_ms", time.Since(running.startedAt).Milliseconds())
 			running.owner.finish(running, Result{Item: running.item.ID, State: StateCompleted, Text: running.progress.text()})
 			return nil
 		}
@@ -128,7 +130,7 @@
 }
 
 // handleFailure abandons an item or queues it again after a failed attempt.
-func (s *Service) handleFailure(ctx context.Context, running *ownedItem, instance backend.Instance, matched *route.Route, err error) {
+func (s *Service) handleFailure(ctx context.Context, running *ownedItem, instance backend.Instance, matched *route.Route, transfer serving.Transfer, err error) {
 	owner := running.owner
 	if owner.ctx.Err() != nil {
 		s.log.Info("item_cut", "job", owner.job.ID, "item", running.item.ID, "backend", instance.ID,
@@ -147,12 +149,12 @@
 		owner.finish(running, Result{Item: running.item.ID, State: StateAbandoned})
 		return
 	}
-	s.recordFailure(running, instance, matched, err)
+	s.recordFailure(running, instance, matched, transfer, err)
 }
 
 // recordFailure counts a failed attempt against the backend or the item. The item is abandoned
 // after the route's maximum of attempts, and queued again before.
-func (s *Service) recordFailure(running *ownedItem, instance backend.Instance, matched *route.Route, err error) {
+func (s *Service) recordFailure(running *ownedItem, instance backend.Instance, matched *route.Route, transfer serving.Transfer, err error) {
 	owner := running.owner
 	failed := &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
 	_ = errors.As(err, &failed)
@@ -164,7 +166,7 @@
 	}
 	s.metrics.Items.WithLabelValues(failed.Outcome.String()).Inc()
 	s.log.Info("item_attempt_failed", "job", owner.job.ID, "item", running.item.ID, "backend", instance.ID, "software", instance.Version, "outcome", failed.Outcome.String(),
-		"reason", string(failed.Reason), "failures", running.progress.failureCount(), "last_event", running.progress.lastID(), "cause", failed.Cause, "fingerprint", running.fingerprint.String())
+		"reason", string(failed.Reason), "failures", running.progress.failureCount(), "last_event", running.progress.lastID(), "cause", failed.Cause, "answer", transfer, "fingerprint", running.fingerprint.String())
 	if running.progress.failureCount() >= matched.MaxAttempts {
 		s.log.Info("item_abandoned", "job", owner.job.ID, "item", running.item.ID, "reason", "failures", "failures", running.progress.failureCount())
 		owner.finish(running, Result{Item: running.item.ID, State: StateAbandoned})
--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -112,6 +112,7 @@
 }
 func (a *itemAnswer) Load() (backend.Report, bool) { return backend.Report{}, false }
 func (a *itemAnswer) Body() ([]byte, error)        { return nil, nil }
+func (a *itemAnswer) Transfer() serving.Transfer   { return serving.Transfer{} }
 func (a *itemAnswer) Detach()                      {}
 func (a *itemAnswer) Close()                       {}
 
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -91,6 +91,8 @@
 	cost    routing.Candidate
 	reason  Reason
 	outcome string
+	// transfer is what was received of the last attempt's answer.
+	transfer Transfer
 }
 
 // run makes attempts until the request has its final answer.
@@ -214,6 +216,7 @@
 		return nil
 	}
 	e.sends++
+	e.transfer = Transfer{}
 	e.ran.Sent()
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -238,6 +241,7 @@
 	} else {
 		err = e.passComplete(answer, lease, watched)
 	}
+	e.transfer = answer.Transfer()
 	if err != nil {
 		err = explain(watched, err)
 		e.recordAttemptFailure(err)
@@ -266,7 +270,7 @@
 	RecordFailure(e.core.Backends, e.last.Incarnation(), failed.Reason, time.Now())
 	e.core.Metrics.Attempts.WithLabelValues(failed.Outcome.String(), string(failed.Reason)).Inc()
 	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "software", e.last.Version, "outcome", failed.Outcome.String(),
-		"reason", string(failed.Reason), "cause", failed.Cause, "last_event", e.lastEvent, "fingerprint", e.fingerprint.String())
+		"reason", string(failed.Reason), "cause", failed.Cause, "answer", e.transfer, "last_event", e.lastEvent, "fingerprint", e.fingerprint.String())
 }
 
 // RecordFailure records a failed attempt against the backend's health.
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -167,6 +167,8 @@
 	Body() ([]byte, error)
 	// Next returns the next event, or io.EOF after the last event of a complete stream.
 	Next() (Event, error)
+	// Transfer returns what was received so far.
+	Transfer() Transfer
 	// Detach releases the connection to the backend and aborts the answer if it has not
 	// ended. What was read remains valid.
 	Detach()
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -131,6 +131,7 @@
 }
 
 func (a *scriptedAnswer) Load() (backend.Report, bool) { return backend.Report{}, false }
+func (a *scriptedAnswer) Transfer() serving.Transfer   { return serving.Transfer{} }
 func (a *scriptedAnswer) Detach()                      {}
 func (a *scriptedAnswer) Close()                       {}
 
--- /dev/null
+++ b/internal/serving/transfer.go
@@ -0,0 +1,49 @@
+package serving
+
+import "log/slog"
+
+// Framing is how the head of an answer delimits its body (RFC 9112 section 6.3).
+type Framing string
+
+// The framings. The zero value means that no head was read.
+const (
+	// FramingLength means that the head states the length, which may be zero.
+	FramingLength Framing = "length"
+	// FramingChunked means that the body is sent in chunks and ends with an empty one.
+	FramingChunked Framing = "chunked"
+	// FramingUntilClose means that the body ends when the backend closes the connection.
+	FramingUntilClose Framing = "until_close"
+)
+
+// Stop is why reading an answer stopped.
+type Stop string
+
+// The reasons for which reading an answer stops. The zero value means that nothing stopped it.
+const (
+	// StopFramed means that the end that the framing announces was read.
+	StopFramed Stop = "framed"
+	// StopClosed means that the backend closed the connection (FIN).
+	StopClosed Stop = "closed"
+	// StopReset means that the connection was reset (RST).
+	StopReset Stop = "reset"
+	// StopLocal means that this daemon closed the connection: the caller or the time left.
+	StopLocal Stop = "local"
+	// StopTimeout means that nothing was received for too long.
+	StopTimeout Stop = "timeout"
+	// StopInvalid means that what was received is no valid answer.
+	StopInvalid Stop = "invalid"
+)
+
+// Transfer is what was received of an answer.
+type Transfer struct {
+	Framing Framing
+	Stop    Stop
+	// PartialBytes is the number of bytes received of an event that did not end.
+	PartialBytes int
+}
+
+// LogValue implements slog.LogValuer.
+func (t Transfer) LogValue() slog.Value {
+	return slog.GroupValue(
+		slog.String("framing", string(t.Framing)), slog.String("stop", string(t.Stop)), slog.Int("partial_bytes", t.PartialBytes))
+}
--- a/internal/serving/verdict.go
+++ b/internal/serving/verdict.go
@@ -68,7 +68,7 @@
 		first = e.firstAt.Sub(e.request.Arrived)
 		e.core.Metrics.FirstOutput.WithLabelValues(e.request.Service).Observe(first.Seconds())
 	}
-	e.core.Logger.Info("request_ended", "id", e.request.ID, "outcome", e.outcome, "reason", string(e.reason),
+	e.core.Logger.Info("request_ended", "id", e.request.ID, "outcome", e.outcome, "reason", string(e.reason), "answer", e.transfer,
 		"route", e.request.Route.Name, "config", e.request.ConfigVersion, "tenant", e.request.tenantName(), "fingerprint", e.fingerprint.String(), "limit_source", string(e.admission.Source),
 		"limit_level", e.admission.Level, "limit_ms", e.admission.Took.Milliseconds(), "unplaced", e.noSlotCount, "waited_ms", e.waited.Milliseconds(), "queued", e.isQueued, "backend", e.last.ID, "software", e.last.Version, "began_software", e.origin, "sends", e.sends, "runs", e.runs,
 		"online", e.cost.Online, "batch", e.cost.Batch, "slots", e.cost.Slots, "pending_tokens", e.cost.PendingTokens,
--- a/internal/telemetry/backends.go
+++ b/internal/telemetry/backends.go
@@ -11,23 +11,27 @@
 	Unreadable *prometheus.CounterVec
 	// ReportFaults counts load reports that were refused completely or in part, by kind.
 	ReportFaults *prometheus.CounterVec
+	// AnswerEnds counts the answers of backends by their framing, by what ended them, and by
+	// whether they ended inside an event.
+	AnswerEnds *prometheus.CounterVec
 	// Evacuated is 1 for each evacuated zone.
 	Evacuated *prometheus.GaugeVec
 }
 
 // NewBackends registers the metrics of backend listings and load reports.
 func NewBackends(registry *prometheus.Registry) *Backends {
-	counter := func(name, help, label string) *prometheus.CounterVec {
-		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, []string{label})
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 	}
 	made := &Backends{
 		Listings:     counter("backend_listings_total", "Entries of back ends, by what they changed.", "change"),
 		Unreadable:   counter("backend_unreadable_total", "Entries that name no back end to use.", "kind"),
 		ReportFaults: counter("backend_report_faults_total", "Load reports that were refused in part or whole.", "kind"),
+		AnswerEnds:   counter("backend_answer_ends_total", "Answers of back ends, by framing and by what ended them.", "framing", "stop", "inside_event"),
 		Evacuated: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "zone_evacuated", Help: "Zones whose back ends get no new work.",
 		}, []string{"zone"}),
 	}
-	registry.MustRegister(made.Listings, made.Unreadable, made.ReportFaults, made.Evacuated)
+	registry.MustRegister(made.Listings, made.Unreadable, made.ReportFaults, made.AnswerEnds, made.Evacuated)
 	return made
 }
