Answers: how an answer ended is a value of its own, not a cause in an error's chain

Callers saw: a stream that its back end broke off inside an event by closing the connection came as complete and short (200, its last chunk sent); resumable ones were not taken up; items were listed completed with a short text.

Cause: answer.Next noticed the end inside an event and returned an AttemptError whose cause is io.EOF. AttemptError unwrapped to its cause, and relay, the guarded sender and the job's reader asked errors.Is(err, io.EOF) for the good end. A FIN was so taken for it, also one in a chunked body's trailer, and also a body that is whole by its framing but ends inside an event. The false good end also cleared the evidence against the request's content and spoke for the back end.

Fix: the transport records what it received (framing, what stopped it, bytes of an unfinished event), Transfer.Ending alone decides, and Next returns the ending beside the error: an error always means broken off. AttemptError no longer unwraps, so that no reader can ask what a connection ended with. An event that did not end means broken off, whatever the framing says.

--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -97,8 +96,11 @@
 		return &serving.AttemptError{Outcome: serving.OutcomeFailed, Reason: serving.ReasonError}
 	}
 	for isFirst := true; ; isFirst = false {
-		event, err := answer.Next()
-		if errors.Is(err, io.EOF) {
+		event, ending, err := answer.Next()
+		if err != nil {
+			return err
+		}
+		if ending != serving.EndingNone {
 			s.backends.Succeeded(lease.Instance().Incarnation(), time.Now())
 			s.metrics.Items.WithLabelValues(string(StateCompleted)).Inc()
 			s.recordItemTime(running)
@@ -107,9 +109,6 @@
 			running.owner.finish(running, Result{Item: running.item.ID, State: StateCompleted, Text: running.progress.text()})
 			return nil
 		}
-		if err != nil {
-			return err
-		}
 		if isFirst && !running.progress.beginRun(s.presentOrigin(instance)) {
 			return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonOtherSoftware}
 		}
--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -116,21 +116,21 @@
 func (a *itemAnswer) Detach()                      {}
 func (a *itemAnswer) Close()                       {}
 
-func (a *itemAnswer) Next() (serving.Event, error) {
+func (a *itemAnswer) Next() (serving.Event, serving.Ending, error) {
 	select {
 	case <-a.ctx.Done():
-		return serving.Event{}, &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
+		return serving.Event{}, serving.EndingBroken, &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
 	case <-time.After(a.pause):
 	}
 	if a.next > a.events {
-		return serving.Event{}, io.EOF
+		return serving.Event{}, serving.EndingWhole, nil
 	}
 	if a.breakAt != 0 && a.next >= a.breakAt {
-		return serving.Event{}, &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
+		return serving.Event{}, serving.EndingBroken, &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
 	}
 	event := serving.Event{ID: a.next, Data: []byte(eventData(a.id, a.next))}
 	a.next++
-	return event, nil
+	return event, serving.EndingNone, nil
 }
 
 func eventData(id string, number int64) string { return fmt.Sprintf("%s-%d", id, number) }
--- a/internal/serving/guarded.go
+++ b/internal/serving/guarded.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"topazpulley/internal/backend"
 	"topazpulley/internal/quarantine"
 )
@@ -152,15 +149,15 @@
 }
 
 // Next implements Answer.
-func (a *guardedAnswer) Next() (Event, error) {
-	event, err := a.Answer.Next()
+func (a *guardedAnswer) Next() (Event, Ending, error) {
+	event, ending, err := a.Answer.Next()
 	switch {
-	case err == nil:
-		a.hadOutput = true
-	case errors.Is(err, io.EOF):
+	case err != nil:
+		a.sender.recordBroken(a.ctx, a.attempt, err, a.hadOutput)
+	case ending != EndingNone:
 		a.sender.guard.Succeeded(a.attempt.Fingerprint)
 	default:
-		a.sender.recordBroken(a.ctx, a.attempt, err, a.hadOutput)
+		a.hadOutput = true
 	}
-	return event, err
+	return event, ending, err
 }
--- a/internal/serving/notrun_test.go
+++ b/internal/serving/notrun_test.go
@@ -69,8 +69,8 @@
 	return nil, &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
 }
 
-func (*brokenAnswer) Next() (serving.Event, error) {
-	return serving.Event{}, &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
+func (*brokenAnswer) Next() (serving.Event, serving.Ending, error) {
+	return serving.Event{}, serving.EndingBroken, &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
 }
 
 // promisesNotRun reports whether a verdict promises that the request has not run.
--- a/internal/serving/origin_test.go
+++ b/internal/serving/origin_test.go
@@ -37,12 +37,12 @@
 	version string
 }
 
-func (a *versionedAnswer) Next() (serving.Event, error) {
-	event, err := a.Answer.Next()
-	if err == nil && event.ID == a.script.lastSeen.last+1 {
+func (a *versionedAnswer) Next() (serving.Event, serving.Ending, error) {
+	event, ending, err := a.Answer.Next()
+	if err == nil && ending == serving.EndingNone && event.ID == a.script.lastSeen.last+1 {
 		a.script.seen[a.version] = true
 	}
-	return event, err
+	return event, ending, err
 }
 
 // newVersionedCore returns a core with backends of these software versions.
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"topazpulley/internal/backend"
 	"topazpulley/internal/responsetimeout"
 	"topazpulley/internal/watchdog"
@@ -74,13 +71,13 @@
 // relay passes events to the caller as they arrive.
 func (e *exchange) relay(ctx context.Context, answer Answer, lease *backend.Lease, watched *watchdog.Watchdog) error {
 	for isFirst := true; ; isFirst = false {
-		event, err := answer.Next()
-		if errors.Is(err, io.EOF) {
-			return e.finish(answer, lease)
-		}
+		event, ending, err := answer.Next()
 		if err != nil {
 			return err
 		}
+		if ending != EndingNone {
+			return e.finish(answer, lease)
+		}
 		if event.ID != 0 && event.ID != e.lastEvent+1 {
 			return &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonCorrupt}
 		}
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -165,8 +165,10 @@
 	Load() (backend.Report, bool)
 	// Body reads the rest of an answer that is not a series of events.
 	Body() ([]byte, error)
-	// Next returns the next event, or io.EOF after the last event of a complete stream.
-	Next() (Event, error)
+	// Next returns the next event of a stream and EndingNone, or after the last one EndingWhole or
+	// EndingPresumedWhole. An error, which is an *AttemptError, means that the stream was broken
+	// off, whatever caused it.
+	Next() (Event, Ending, error)
 	// Transfer returns what was received so far.
 	Transfer() Transfer
 	// Detach releases the connection to the backend and aborts the answer if it has not
@@ -264,7 +266,9 @@
 type AttemptError struct {
 	Outcome Outcome
 	Reason  Reason
-	Cause   error
+	// Cause is for logs. It is not part of the error's chain: what ended a connection does not
+	// say how the attempt ended.
+	Cause error
 }
 
 // Error implements error.
@@ -276,9 +280,6 @@
 	return text
 }
 
-// Unwrap returns the cause, or nil.
-func (e *AttemptError) Unwrap() error { return e.Cause }
-
 // Verdict is the daemon's own answer to a caller, given when no backend's answer is passed
 // on.
 type Verdict uint8
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"slices"
 	"strings"
@@ -142,14 +141,14 @@
 	return []byte("body"), nil
 }
 
-func (a *scriptedAnswer) Next() (serving.Event, error) {
+func (a *scriptedAnswer) Next() (serving.Event, serving.Ending, error) {
 	if a.next > streamLength {
-		return serving.Event{}, io.EOF
+		return serving.Event{}, serving.EndingWhole, nil
 	}
 	if a.sent == 2 {
 		switch a.behaviour {
 		case breaksInBody:
-			return serving.Event{}, &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
+			return serving.Event{}, serving.EndingBroken, &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
 		case skipsAnEvent:
 			a.next++
 		case repeatsAnEvent:
@@ -159,7 +158,7 @@
 	event := serving.Event{ID: a.next, Raw: []byte(fmt.Sprintf("%d;", a.next))}
 	a.next++
 	a.sent++
-	return event, nil
+	return event, serving.EndingNone, nil
 }
 
 // recorder is a caller. It counts the calls and records the events.
--- a/internal/serving/transfer.go
+++ b/internal/serving/transfer.go
@@ -45,5 +45,41 @@
 // LogValue implements slog.LogValuer.
 func (t Transfer) LogValue() slog.Value {
 	return slog.GroupValue(
-		slog.String("framing", string(t.Framing)), slog.String("stop", string(t.Stop)), slog.Int("partial_bytes", t.PartialBytes))
+		slog.String("framing", string(t.Framing)), slog.String("stop", string(t.Stop)), slog.Int("partial_bytes", t.PartialBytes), slog.String("ending", t.Ending().String()))
+}
+
+// Ending returns what is known about the end of the answer.
+func (t Transfer) Ending() Ending {
+	switch {
+	case t.Stop == "":
+		return EndingNone
+	case t.PartialBytes > 0:
+		return EndingBroken
+	case t.Stop == StopFramed:
+		return EndingWhole
+	case t.Framing == FramingUntilClose && t.Stop == StopClosed:
+		return EndingPresumedWhole
+	}
+	return EndingBroken
+}
+
+// Ending is what is known about the end of an answer.
+type Ending uint8
+
+// The endings.
+const (
+	// EndingNone means that the answer has not ended.
+	EndingNone Ending = iota
+	// EndingWhole means that the answer is whole by its framing.
+	EndingWhole
+	// EndingPresumedWhole means that the answer ended with its connection, which was its only
+	// framing, and that nothing which was received shows that a part is missing.
+	EndingPresumedWhole
+	// EndingBroken means that the answer was broken off.
+	EndingBroken
+)
+
+// String returns the name used in logs and metrics.
+func (e Ending) String() string {
+	return [...]string{"none", "whole", "presumed_whole", "broken"}[e]
 }
