Answers: a stream that states no end and brings no event counts as broken off

Callers saw: a back end that closes its connection after the head and before the first event of a stream without length and chunks gave them 200, complete and empty; an item was listed completed with no text.

Cause: with that framing the connection's end is the only end, and nothing told an empty stream from one that was cut before its first event.

Fix: Transfer.Ending presumes a stream whole only if it brought an event, also when it goes on after one: nobody sends a fresh stream without events, and a back end that crashes before the first event of a continuation is far more usual than one whose last event came and whose end did not. A one-run stream gets 502, a resumable one goes on elsewhere, an item is sent again. An item whose last event was its last of all would so never complete where all back ends send such answers: after two of them in succession it starts over (TestItemCompletesAfterLostEnd). A caller of a resumable stream in that place is told that it broke off.

--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -32,6 +32,9 @@
 	// one row in bytes.
 	maxCheckpoints    = 40
 	maxCheckpointText = 40 << 10
+	// maxEmptyAnswers is how many answers in succession may break off without an event before the
+	// item starts over.
+	maxEmptyAnswers = 2
 	// maxCommitText limits the text of one transaction in bytes, so that checkpoints don't
 	// delay results on a slow link.
 	maxCommitText = 128 << 10
@@ -54,6 +57,8 @@
 	// savedFailures is the count in the last checkpoint.
 	failures      int
 	savedFailures int
+	// emptyAnswers counts the answers in succession that broke off without an event.
+	emptyAnswers int
 }
 
 // beginRun records that the events that follow are from a backend of this service and software
@@ -81,6 +86,7 @@
 	defer p.mutex.Unlock()
 	lost := p.lastEvent
 	p.content, p.hasText, p.lastEvent, p.savedEvent, p.began = nil, false, 0, 0, streamorigin.Origin{}
+	p.emptyAnswers = 0
 	return lost
 }
 
@@ -92,6 +98,7 @@
 		return false
 	}
 	p.lastEvent = event.ID
+	p.emptyAnswers = 0
 	if p.hasText {
 		p.content = append(p.content, '\n')
 	}
@@ -107,6 +114,15 @@
 	p.failures++
 }
 
+// addEmptyAnswer counts an answer that broke off without an event. It reports whether the item
+// should start over: its last event may be the last of all, so that nothing can follow.
+func (p *progress) addEmptyAnswer() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.emptyAnswers++
+	return p.lastEvent > 0 && p.emptyAnswers >= maxEmptyAnswers
+}
+
 func (p *progress) failureCount() int {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/serving/transfer.go
+++ b/internal/serving/transfer.go
@@ -38,6 +38,10 @@
 type Transfer struct {
 	Framing Framing
 	Stop    Stop
+	// IsStream is set if the answer was read as a series of events, and Events is the number of
+	// whole events received.
+	IsStream bool
+	Events   int
 	// PartialBytes is the number of bytes received of an event that did not end.
 	PartialBytes int
 }
@@ -57,12 +61,17 @@
 		return EndingBroken
 	case t.Stop == StopFramed:
 		return EndingWhole
-	case t.Framing == FramingUntilClose && t.Stop == StopClosed:
+	case t.Framing == FramingUntilClose && t.Stop == StopClosed && !t.IsEmptyStream():
 		return EndingPresumedWhole
 	}
 	return EndingBroken
 }
 
+// IsEmptyStream reports whether a stream ended without an event and without a byte of one.
+func (t Transfer) IsEmptyStream() bool {
+	return t.IsStream && t.Stop != "" && t.Events == 0 && t.PartialBytes == 0
+}
+
 // Ending is what is known about the end of an answer.
 type Ending uint8
 
@@ -73,7 +82,9 @@
 	// EndingWhole means that the answer is whole by its framing.
 	EndingWhole
 	// EndingPresumedWhole means that the answer ended with its connection, which was its only
-	// framing, and that nothing which was received shows that a part is missing.
+	// framing, and that nothing which was received shows that a part is missing. A stream with
+	// events is presumed whole if it ended between two; one without events is not, because a
+	// backend that crashes before its first event sends the same.
 	EndingPresumedWhole
 	// EndingBroken means that the answer was broken off.
 	EndingBroken
