HTTP/1.0 callers: a stream that is cut is reset, whatever cuts it

Callers saw: a stream to an HTTP/1.0 caller, whose only end is that of its connection, looked whole after it was cut because the caller read too slowly for 2 s, and after its daemon was killed.

Cause: only Abort set the connection to be reset.

Fix: such a connection is set to be reset on close before its first byte, and back only after the last byte of a good end was written; both doors. Answers with a length or chunks are unchanged.

--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"topazpulley/internal/httphead"
 )
 
 // presencePollInterval is the interval of checks whether a waiting caller is still
@@ -65,7 +67,7 @@
 // isClosedByCaller reports whether the other side has closed the connection or the
 // connection is lost. Unread bytes of a pipelined request do not affect the result.
 func isClosedByCaller(connection net.Conn) bool {
-	raw, hasRaw := underlyingConnection(connection).(syscall.Conn)
+	raw, hasRaw := httphead.Underlying(connection).(syscall.Conn)
 	if !hasRaw {
 		return false
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,6 +43,7 @@
 	head, hasBody, err := message.UntilClose()
 	c.call.HijackSetNoResponse(true)
 	c.call.Hijack(func(net.Conn) {
+		httphead.ResetOnClose(connection)
 		var target io.Writer = &timedWriter{connection: connection, target: connection}
 		if err == nil {
 			_, err = target.Write(head)
@@ -53,7 +54,9 @@
 		output := bufio.NewWriter(target)
 		if written := write(output); err != nil || written != nil || output.Flush() != nil {
 			resetConnection(connection)
+			return
 		}
+		httphead.FinishOnClose(connection)
 	})
 }
 
@@ -87,26 +90,9 @@
 	return count, err
 }
 
-// wrapped is a connection over another one, such as TLS.
-type wrapped interface{ NetConn() net.Conn }
-
-// underlyingConnection returns the innermost connection.
-func underlyingConnection(connection net.Conn) net.Conn {
-	for {
-		upper, isWrapped := connection.(wrapped)
-		if !isWrapped {
-			return connection
-		}
-		connection = upper.NetConn()
-	}
-}
-
 // resetConnection resets a connection, so that a truncated answer does not look
 // complete.
 func resetConnection(connection net.Conn) {
-	underlying := underlyingConnection(connection)
-	if tcp, isTCP := underlying.(*net.TCPConn); isTCP {
-		_ = tcp.SetLinger(0)
-	}
-	_ = underlying.Close()
+	httphead.ResetOnClose(connection)
+	_ = httphead.Underlying(connection).Close()
 }
