Other door: an answer that states no end is not passed on as whole

Callers saw (in tests): an answer of another zone's daemon, or of a plain service, without length and chunks that was cut by a FIN came as complete. Evidence: TestCutForwardedAnswerIsNotComplete and TestCutCallAnswerIsNotComplete failed on the parent (unframed, from the first byte after the head on); cut in chunks or short of its length it was noticed. Fix: daemons and engines frame their answers, so one that is not framed is refused with an unknown outcome. Generations end with an explicit last event and were safe.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -428,6 +428,9 @@
 	if response.StatusCode() != fasthttp.StatusOK {
 		return CallAnswer{}, refusalFailure(response)
 	}
+	if err := httphead.CheckFraming(&response.Header); err != nil {
+		return CallAnswer{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete, cause: err}
+	}
 	content, err := readBody(response)
 	if err != nil {
 		return CallAnswer{}, sendFailure(err)
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -118,3 +118,41 @@
 	_, err = listener.Accept()
 	require.Error(t, err, "a connection was made")
 }
+
+// Guards against an answer of a plain service that was cut off and counts as whole.
+func TestCutCallAnswerIsNotComplete(t *testing.T) {
+	const begin = "HTTP/1.1 200 OK\r\nConnection: close\r\n" + engine.HeaderAttempt + ": mine\r\n"
+	for name, whole := range map[string]string{
+		"length":   begin + "Content-Length: 6\r\n\r\nanswer",
+		"chunked":  begin + "Transfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n",
+		"unframed": begin + "\r\nanswer",
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = listener.Close() }()
+			for size := 0; size <= len(whole); size++ {
+				go answerOnce(listener, whole[:size])
+				answer, err := engine.NewClient(time.Second).Call(t.Context(), listener.Addr().String(), engine.CallRequest{AttemptID: "mine", Method: "POST", Path: "/a"})
+				if name != "unframed" && size == len(whole) {
+					require.NoError(t, err)
+					require.Equal(t, "answer", string(answer.Body))
+					continue
+				}
+				require.Equal(t, engine.OutcomeUnknown, engine.OutcomeOf(err), "%d of %d bytes", size, len(whole))
+				require.Error(t, err)
+			}
+		})
+	}
+}
+
+// answerOnce answers the first request of the next connection and closes it.
+func answerOnce(listener net.Listener, answer string) {
+	connection, err := listener.Accept()
+	if err != nil {
+		return
+	}
+	_, _ = connection.Read(make([]byte, 4096))
+	_, _ = connection.Write([]byte(answer))
+	_ = connection.Close()
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -15,11 +15,15 @@
 	"github.com/valyala/fasthttp"
 
 	"topazpulley/internal/failure"
+	"topazpulley/internal/httphead"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/settings"
 )
 
-const copyBufferBytes = 4 << 10
+const (
+	copyBufferBytes = 4 << 10
+	protocol11      = "HTTP/1.1"
+)
 
 // forwardClient forwards calls to daemons of other zones. Each call has its own
 // connection, which is closed if the caller disconnects.
@@ -124,10 +128,14 @@
 	request.Header.SetHost(member.HTTPAddress)
 	request.Header.Set(HeaderHop, c.gateway.Settings.Zone)
 	request.SetConnectionClose()
+	request.Header.SetProtocol(protocol11) // answers to HTTP/1.0 state no end
 	forwarded := c.gateway.forward.newCall(member.HTTPAddress)
 	stop := c.closeWithCaller(forwarded)
 	err := forwarded.client.DoDeadline(request, response, time.Now().Add(maxDeadline))
 	stop()
+	if err == nil {
+		err = httphead.CheckFraming(&response.Header)
+	}
 	if err != nil {
 		fasthttp.ReleaseResponse(response)
 		c.gateway.Logger.Info("request_forward_failed", "zone", member.Zone, "to", member.Name, "caller", c.call.RemoteAddr().String(), "tenant", c.tenant, "error", err)
--- /dev/null
+++ b/internal/gateway/forward_ending_test.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/membership"
+)
+
+// serveCut answers each connection with the bytes that next returns, and closes it.
+func serveCut(t *testing.T, next func() string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(conn, next())
+			}
+			_ = conn.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against an answer of another daemon that was cut off and is passed on as a whole one.
+func TestCutForwardedAnswerIsNotComplete(t *testing.T) {
+	const begin = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n"
+	for name, whole := range map[string]string{
+		"length":   begin + "Content-Length: 9\r\n\r\nthe answer"[:len("Content-Length: 9\r\n\r\n")+9],
+		"chunked":  begin + "Transfer-Encoding: chunked\r\n\r\n3\r\nthe\r\n6\r\nanswer\r\n0\r\n\r\n",
+		"unframed": begin + "\r\nthe answer",
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := ""
+			address := serveCut(t, func() string { return sent })
+			daemon := serveCalls(t, time.Second, func(c *caller) { require.True(t, c.forwardTo(membership.Member{HTTPAddress: address})) })
+			for size := 0; size <= len(whole); size++ {
+				sent = whole[:size]
+				isComplete := name != "unframed" && size == len(whole)
+				require.Equal(t, isComplete, isAnswered(t, daemon), "%d of %d bytes", size, len(whole))
+			}
+		})
+	}
+}
+
+// isAnswered reports whether a call is answered with 200 and a whole body.
+func isAnswered(t *testing.T, daemon string) bool {
+	t.Helper()
+	conn, err := net.Dial("tcp", daemon)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return false
+	}
+	_, err = io.ReadAll(response.Body)
+	return err == nil && response.StatusCode == http.StatusOK
+}
