Answers: a comment is no event of a stream that states no end

Callers would see: a stream without length and chunks whose back end sent only a comment or a blank line and closed came as complete and empty. Found by the fuzz test on the real relay (body of one blank line).

--- a/internal/serving/transfer.go
+++ b/internal/serving/transfer.go
@@ -39,7 +39,7 @@
 	Framing Framing
 	Stop    Stop
 	// IsStream is set if the answer was read as a series of events, and Events is the number of
-	// whole events received.
+	// whole events received, without comments.
 	IsStream bool
 	Events   int
 	// PartialBytes is the number of bytes received of an event that did not end.
