Mutants of how answers end; a broken stream clears no evidence

TestBrokenStreamIsNoEvidenceForItsRequest: with the broken stream taken for an end it is not quarantined after the policy's crashes.

--- a/internal/serving/guarded_test.go
+++ b/internal/serving/guarded_test.go
@@ -130,3 +130,37 @@
 	require.Equal(t, sends, sender.sends)
 	require.Zero(t, sender.reserveCalls)
 }
+
+// crashesUntilQuarantined returns how many crashes quarantine a request, one of them before a stream
+// that a backend ends as given.
+func crashesUntilQuarantined(t *testing.T, end behaviour) (crashes int) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		caller := &recorder{}
+		sender := &script{draw: []behaviour{end}, ran: map[string]bool{}, lastSeen: caller}
+		guard := newGuard()
+		core := newGuardedCore(sender, guard, 1)
+		fingerprint := quarantine.FingerprintOf("POST", "/stream", "", nil)
+		crash := func() {
+			guard.Crashed(fmt.Sprint("i", crashes), []quarantine.Run{{Fingerprint: fingerprint}})
+			crashes++
+			time.Sleep(time.Minute)
+		}
+		crash()
+		now := time.Now()
+		policy := *resumableRoute
+		policy.Resumable = false
+		core.Serve(t.Context(), serving.Request{ID: "r", Method: "POST", Target: "/stream", Route: &policy, Service: "s", Arrived: now, Deadline: now.Add(time.Second)}, caller)
+		const most = 10
+		for isQuarantined := false; !isQuarantined && crashes < most; _, isQuarantined = guard.Verdict(fingerprint) {
+			crash()
+		}
+	})
+	return crashes
+}
+
+// Guards against a stream that broke off and clears the evidence against its request.
+func TestBrokenStreamIsNoEvidenceForItsRequest(t *testing.T) {
+	require.Equal(t, quarantinePolicy.Crashes, crashesUntilQuarantined(t, breaksInBody))
+	require.Greater(t, crashesUntilQuarantined(t, answers), quarantinePolicy.Crashes, "a whole one does")
+}
--- /dev/null
+++ b/test/mutants.d/endings.sh
@@ -0,0 +1,62 @@
+# Mutants of how answers end; mutants.sh sources this.
+mutant cut_event_is_whole internal/serving/transfer.go \
+	'	case t.PartialBytes > 0:' '	case false:' platform FuzzBackendToCaller
+mutant every_close_is_an_end internal/serving/transfer.go \
+	't.Framing == FramingUntilClose && t.Stop == StopClosed' 't.Stop == StopClosed' internal/serving TestEndingOfTransfer
+mutant empty_stream_is_whole internal/serving/transfer.go \
+	' && !t.IsEmptyStream()' '' platform TestUnframedStreamWithoutEventsIsNotComplete
+mutant comment_is_an_event platform/answer.go \
+	'event.ID != 0 || len(event.Data) > 0' 'true' platform TestCommentIsNoEvent
+mutant trailer_not_read platform/answer.go \
+	'	if a.length() == chunked {
+		if err' '	if false {
+		if err' platform FuzzBackendToCaller
+mutant causes_in_the_chain internal/serving/request.go \
+	'// Verdict is the daemon' '// Unwrap returns the cause.
+func (e *AttemptError) Unwrap() error { return e.Cause }
+
+// Verdict is the daemon' internal/serving TestCauseOfAttemptErrorIsNotInItsChain
+mutant relay_ends_broken_streams internal/serving/relay.go \
+	'		if err != nil {
+			return err
+		}
+		if ending != EndingNone {' '		if err != nil && ending == EndingNone {
+			return err
+		}
+		if ending != EndingNone {' platform TestStreamCutInsideEventIsNotComplete
+mutant items_end_broken_streams internal/job/attempt.go \
+	'		if err != nil {
+			return err
+		}
+		if ending != serving.EndingNone {' '		if err != nil && ending == serving.EndingNone {
+			return err
+		}
+		if ending != serving.EndingNone {' platform TestItemCutInsideEventIsNotCompleted
+mutant broken_stream_is_evidence internal/serving/guarded.go \
+	'	case err != nil:
+		a.sender.recordBroken(a.ctx, a.attempt, err, a.hadOutput)
+	case ending' '	case ending' internal/serving TestBrokenStreamIsNoEvidenceForItsRequest
+mutant items_await_an_end_for_ever internal/job/progress.go \
+	'p.lastEvent > 0 && p.emptyAnswers >= maxEmptyAnswers' 'false' platform TestItemCompletesAfterLostEnd
+mutant killed_daemon_ends_streams platform/responder.go \
+	'	if r.isHTTP10 {
+		httphead.ResetOnClose(r.connection.Conn)
+	}' '' platform TestKilledDaemonResetsHTTP10Stream
+mutant whole_streams_are_reset platform/responder.go \
+	'	httphead.FinishOnClose(r.connection.Conn)' '' platform TestHTTP10CallerGetsNoChunks
+mutant unframed_answer_forwarded internal/gateway/forward.go \
+	'err = httphead.CheckFraming(&response.Header)' '_ = httphead.CheckFraming(&response.Header)' internal/gateway TestCutForwardedAnswerIsNotComplete
+mutant forwarded_as_http10 internal/gateway/forward.go \
+	'	request.Header.SetProtocol(protocol11)' '	// ' internal/gateway TestTruncatedForwardedAnswerIsIncomplete
+mutant unframed_call_answer internal/engine/client.go \
+	'err := httphead.CheckFraming(&response.Header)' 'err := error(nil)' internal/engine TestCutCallAnswerIsNotComplete
+mutant cut_record_is_whole internal/avrocodec/avrocodec.go \
+	'	err = decoder.Error
+	r.giveBack(decoder)
+	if errors.Is(err, io.EOF) {
+		return false, nil' '	err = decoder.Error
+	r.giveBack(decoder)
+	if errors.Is(err, io.EOF) {
+		return true, nil' internal/avrocodec TestTruncatedRecordIsRefused
+mutant older_record_with_a_rest internal/avrocodec/avrocodec.go \
+	'		isWhole = errors.Is(decoder.Error, io.EOF)' '		isWhole = true' internal/avrocodec TestRecordWithoutFieldsThatHaveDefaultsIsRead
