--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -106,5 +106,17 @@
 
 replace internal/streamorigin/keeper.go 'origin, finding := known.decide()' 'origin, finding := Origin{}, FindingUnknown'
 soak streams_not_taken_up
+
+# The following mutants take streams that broke off for whole ones.
+replace internal/serving/transfer.go '	case t.PartialBytes > 0:' '	case false:'
+soak cut_events_are_whole
+
+replace internal/serving/transfer.go ' && !t.IsEmptyStream()' ''
+soak empty_streams_are_whole
+
+replace platform/responder.go '	if r.isHTTP10 {
+		httphead.ResetOnClose(r.connection.Conn)
+	}' ''
+soak killed_daemons_end_streams
 [ $misquoted = 0 ] || exit 1
 exit $failed
