Items: only a closed answer that states no end makes an item start over

Read in the diff: two resets or silences in succession before the first event of a continuation made an item start over and lose its events; meant was only an answer that nothing could follow. TestOnlyUnframedCloseIsClosedBeforeFirstEvent holds the difference; with the name that stood there it does not compile.

--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -166,7 +166,7 @@
 	s.metrics.Items.WithLabelValues(failed.Outcome.String()).Inc()
 	s.log.Info("item_attempt_failed", "job", owner.job.ID, "item", running.item.ID, "backend", instance.ID, "software", instance.Version, "outcome", failed.Outcome.String(),
 		"reason", string(failed.Reason), "failures", running.progress.failureCount(), "last_event", running.progress.lastID(), "cause", failed.Cause, "answer", transfer, "fingerprint", running.fingerprint.String())
-	if transfer.IsEmptyStream() && running.progress.addEmptyAnswer() {
+	if transfer.ClosedBeforeFirstEvent() && running.progress.addEmptyAnswer() {
 		s.startOver(running, instance.ID, originAt(instance))
 	}
 	if running.progress.failureCount() >= matched.MaxAttempts {
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -32,8 +32,8 @@
 	// one row in bytes.
 	maxCheckpoints    = 40
 	maxCheckpointText = 40 << 10
-	// maxEmptyAnswers is how many answers in succession may break off without an event before the
-	// item starts over.
+	// maxEmptyAnswers is how many answers that state no end may bring no event, in succession,
+	// before the item starts over.
 	maxEmptyAnswers = 2
 	// maxCommitText limits the text of one transaction in bytes, so that checkpoints don't
 	// delay results on a slow link.
@@ -57,7 +57,7 @@
 	// savedFailures is the count in the last checkpoint.
 	failures      int
 	savedFailures int
-	// emptyAnswers counts the answers in succession that broke off without an event.
+	// emptyAnswers counts the answers in succession that stated no end and brought no event.
 	emptyAnswers int
 }
 
@@ -114,7 +114,7 @@
 	p.failures++
 }
 
-// addEmptyAnswer counts an answer that broke off without an event. It reports whether the item
+// addEmptyAnswer counts an answer that stated no end and brought no event. It reports whether the item
 // should start over: its last event may be the last of all, so that nothing can follow.
 func (p *progress) addEmptyAnswer() bool {
 	p.mutex.Lock()
--- a/internal/serving/transfer.go
+++ b/internal/serving/transfer.go
@@ -61,15 +61,16 @@
 		return EndingBroken
 	case t.Stop == StopFramed:
 		return EndingWhole
-	case t.Framing == FramingUntilClose && t.Stop == StopClosed && !t.IsEmptyStream():
+	case t.Framing == FramingUntilClose && t.Stop == StopClosed && !t.ClosedBeforeFirstEvent():
 		return EndingPresumedWhole
 	}
 	return EndingBroken
 }
 
-// IsEmptyStream reports whether a stream ended without an event and without a byte of one.
-func (t Transfer) IsEmptyStream() bool {
-	return t.IsStream && t.Stop != "" && t.Events == 0 && t.PartialBytes == 0
+// ClosedBeforeFirstEvent reports whether a stream that ends with its connection was closed without
+// an event or a byte of one.
+func (t Transfer) ClosedBeforeFirstEvent() bool {
+	return t.IsStream && t.Framing == FramingUntilClose && t.Stop == StopClosed && t.Events == 0 && t.PartialBytes == 0
 }
 
 // Ending is what is known about the end of an answer.
--- a/internal/serving/transfer_test.go
+++ b/internal/serving/transfer_test.go
@@ -12,6 +12,19 @@
 	"topazpulley/internal/serving"
 )
 
+// Guards against items that lose their events where back ends reset connections or go silent.
+func TestOnlyUnframedCloseIsClosedBeforeFirstEvent(t *testing.T) {
+	closed := serving.Transfer{Framing: serving.FramingUntilClose, Stop: serving.StopClosed, IsStream: true}
+	require.True(t, closed.ClosedBeforeFirstEvent())
+	for _, stop := range []serving.Stop{serving.StopReset, serving.StopLocal, serving.StopTimeout, serving.StopFramed} {
+		other := closed
+		other.Stop = stop
+		require.False(t, other.ClosedBeforeFirstEvent(), stop)
+	}
+	closed.Framing = serving.FramingChunked
+	require.False(t, closed.ClosedBeforeFirstEvent())
+}
+
 // Guards against readers that take what ended a connection for how the attempt ended.
 func TestCauseOfAttemptErrorIsNotInItsChain(t *testing.T) {
 	for _, cause := range []error{io.EOF, net.ErrClosed, context.Canceled} {
--- a/test/mutants.d/endings.sh
+++ b/test/mutants.d/endings.sh
@@ -4,7 +4,7 @@
 mutant every_close_is_an_end internal/serving/transfer.go \
 	't.Framing == FramingUntilClose && t.Stop == StopClosed' 't.Stop == StopClosed' internal/serving TestEndingOfTransfer
 mutant empty_stream_is_whole internal/serving/transfer.go \
-	' && !t.IsEmptyStream()' '' platform TestUnframedStreamWithoutEventsIsNotComplete
+	' && !t.ClosedBeforeFirstEvent()' '' platform TestUnframedStreamWithoutEventsIsNotComplete
 mutant comment_is_an_event platform/answer.go \
 	'event.ID != 0 || len(event.Data) > 0' 'true' platform TestCommentIsNoEvent
 mutant trailer_not_read platform/answer.go \
--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -111,7 +111,7 @@
 replace internal/serving/transfer.go '	case t.PartialBytes > 0:' '	case false:'
 soak cut_events_are_whole
 
-replace internal/serving/transfer.go ' && !t.IsEmptyStream()' ''
+replace internal/serving/transfer.go ' && !t.ClosedBeforeFirstEvent()' ''
 soak empty_streams_are_whole
 
 replace platform/responder.go '	if r.isHTTP10 {
