Answers: a reset that the request's write got is no end of an unframed answer

The daemon logged answer.framing=until_close answer.stop=closed answer.ending=presumed_whole. In each the back end answers before it has read a long body, sends the whole stream without a framing of its own and closes; its kernel resets the connection, since the rest of the body is unread, and the last event is lost.

Cause (by reading; the logs fit): the kernel reports a reset to one call. If it is the write of the rest of the request, the read sees the end of the connection: a reset looks like a FIN.

--- a/test/mutants.d/endings.sh
+++ b/test/mutants.d/endings.sh
@@ -16,6 +16,8 @@
 func (e *AttemptError) Unwrap() error { return e.Cause }
 
 // Verdict is the daemon' internal/serving TestCauseOfAttemptErrorIsNotInItsChain
+mutant swallowed_reset_is_an_end platform/transfer.go \
+	'		return err != nil' '		return false && err != nil' platform TestResetDuringWriteIsNoEnd
 mutant relay_ends_broken_streams internal/serving/relay.go \
 	'		if err != nil {
 			return err
