--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -42,7 +42,7 @@
 	defer watched.Stop()
 	var transfer serving.Transfer
 	answer, err := s.reserveAndSend(bounded, serving.Attempt{
-		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Fingerprint: running.fingerprint, Method: itemMethod, Target: running.item.Path,
+		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Fingerprint: running.fingerprint, Parts: running.partsAt(service), Method: itemMethod, Target: running.item.Path,
 		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTimeout,
 		LastEvent: running.progress.lastID(), Software: running.progress.origin().Software, Stream: true, Permit: permit,
 	}, running.item.Tokens)
@@ -165,7 +165,7 @@
 	}
 	s.metrics.Items.WithLabelValues(failed.Outcome.String()).Inc()
 	s.log.Info("item_attempt_failed", "job", owner.job.ID, "item", running.item.ID, "backend", instance.ID, "software", instance.Version, "outcome", failed.Outcome.String(),
-		"reason", string(failed.Reason), "failures", running.progress.failureCount(), "last_event", running.progress.lastID(), "cause", failed.Cause, "answer", transfer, "fingerprint", running.fingerprint.String())
+		"reason", string(failed.Reason), "failures", running.progress.failureCount(), "last_event", running.progress.lastID(), "cause", failed.Cause, "answer", transfer, "fingerprint", running.fingerprint.String(), "parts", running.partsAt(instance.Service))
 	if transfer.ClosedBeforeFirstEvent() && running.progress.addEmptyAnswer() {
 		s.startOver(running, instance.ID, originAt(instance))
 	}
--- a/internal/job/ownedjob.go
+++ b/internal/job/ownedjob.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"topazpulley/internal/quarantine"
+	"topazpulley/internal/serving"
 	"topazpulley/internal/table"
 )
 
@@ -25,7 +26,10 @@
 	owner *ownedJob
 	// fingerprint identifies the item's content independently of its id.
 	fingerprint quarantine.Fingerprint
-	state       itemState
+	// parts identify the parts of the item's prompt at partsService.
+	parts        quarantine.Parts
+	partsService string
+	state        itemState
 	// notBefore is the earliest time at which a waiting item may be sent.
 	notBefore time.Time
 	// backend and startedAt describe the current run.
@@ -51,6 +55,16 @@
 	isQuarantined bool
 }
 
+// partsAt returns the fingerprints of the item's prompt parts at a service.
+func (i *ownedItem) partsAt(service string) quarantine.Parts {
+	i.owner.mutex.Lock()
+	defer i.owner.mutex.Unlock()
+	if i.parts == nil || i.partsService != service {
+		i.parts, i.partsService = serving.PartsOf(service, i.item.Prompt), service
+	}
+	return i.parts
+}
+
 // preempt cancels a running item so that it is queued again.
 func (i *ownedItem) preempt() {
 	i.owner.mutex.Lock()
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -82,6 +82,7 @@
 // Crashed records that a backend crashed while these requests were in flight there.
 func (g *Guard) Crashed(instance string, runs []Run) {
 	now := time.Now()
+	g.countCrash(runs)
 	counted, excused := Notice{}, Notice{}
 	for _, run := range runs {
 		evidence := Evidence{Fingerprint: run.Fingerprint, Instance: instance, HadOutput: run.HadOutput, At: now}
@@ -100,6 +101,18 @@
 	}
 }
 
+// countCrash counts a crash by the number of runs without output. A crash that a request caused
+// has one at least, most crashes for other reasons have none.
+func (g *Guard) countCrash(runs []Run) {
+	withoutOutput := 0
+	for _, run := range runs {
+		if !run.HadOutput {
+			withoutOutput++
+		}
+	}
+	g.metrics.Crashes.WithLabelValues([...]string{"0", "1", "more"}[min(withoutOutput, 2)]).Inc()
+}
+
 // Receive applies a notice from another daemon or from the store.
 func (g *Guard) Receive(notice Notice, source Source) {
 	for _, fingerprint := range notice.Cleared {
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -54,7 +54,9 @@
 	hasBegun bool
 	// fingerprint identifies the request's content, independent of its id.
 	fingerprint quarantine.Fingerprint
-	lastEvent   int64
+	// parts identify the parts of the prompt.
+	parts     quarantine.Parts
+	lastEvent int64
 	// origin is the software version of the backend that sent the stream's first event;
 	// empty if no event was received or the version is unknown.
 	origin  string
@@ -197,7 +199,7 @@
 	}
 	attempt := Attempt{
 		Instance: e.last, Tenant: e.request.tenantName(), MaxConnections: e.core.ConnectionShare(e.request.Service),
-		ID: e.request.ID, Fingerprint: e.fingerprint, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
+		ID: e.request.ID, Fingerprint: e.fingerprint, Parts: e.parts, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Fields: e.request.Fields, Body: e.request.Body, Remaining: remaining, TimeLeft: e.remaining,
 		LastEvent: e.lastEvent, Software: e.request.pin.version, Stream: e.request.Route.Kind == route.KindStream,
 	}
@@ -270,7 +272,7 @@
 	RecordFailure(e.core.Backends, e.last.Incarnation(), failed.Reason, time.Now())
 	e.core.Metrics.Attempts.WithLabelValues(failed.Outcome.String(), string(failed.Reason)).Inc()
 	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "software", e.last.Version, "outcome", failed.Outcome.String(),
-		"reason", string(failed.Reason), "cause", failed.Cause, "answer", e.transfer, "last_event", e.lastEvent, "fingerprint", e.fingerprint.String())
+		"reason", string(failed.Reason), "cause", failed.Cause, "answer", e.transfer, "last_event", e.lastEvent, "fingerprint", e.fingerprint.String(), "parts", e.parts)
 }
 
 // RecordFailure records a failed attempt against the backend's health.
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -85,11 +85,13 @@
 	ID             string
 	// Fingerprint identifies the request's content, independent of its id.
 	Fingerprint quarantine.Fingerprint
-	Method      string
-	Target      string
-	Host        string
-	Fields      []Field
-	Body        []byte
+	// Parts identify the parts of the prompt.
+	Parts  quarantine.Parts
+	Method string
+	Target string
+	Host   string
+	Fields []Field
+	Body   []byte
 	// Remaining is the time within which the backend has to answer.
 	Remaining time.Duration
 	// TimeLeft returns the current value of Remaining, which changes while a connection is
--- a/internal/serving/slotwait.go
+++ b/internal/serving/slotwait.go
@@ -183,7 +183,7 @@
 	if !found {
 		return false
 	}
-	attempt := Attempt{Instance: instance, Fingerprint: e.fingerprint, MaxConnections: e.core.ConnectionShare(e.request.Service)}
+	attempt := Attempt{Instance: instance, Fingerprint: e.fingerprint, Parts: e.parts, MaxConnections: e.core.ConnectionShare(e.request.Service)}
 	if err := Reserve(ctx, e.core.Sender, e.core.Holder.Current(), &attempt, e.request.Tokens); err != nil {
 		e.recordNoSlot()
 		if reason := attemptError(err).Reason; reason != ReasonRefused && ctx.Err() == nil {
