Quarantine: the parts of a prompt are judged like whole requests

Cause: evidence was kept by the fingerprint of the whole request only. Requests that share the culprit part but differ otherwise each started without evidence. Class: evidence kept at one grain while the cause may lie at any.

Change: an end counts against each part of the prompts of the runs there that had given fewer than two events, too. Parts are fingerprints with a marker, so that notices, rows, expiry, the operator's list and lift carry them unchanged and older builds keep them as contents that never come. Four ends hold a part (a request: three). A second event, or a good end before it, withdraws the evidence everywhere. One gate for online requests, items, retries, reservations; chat messages are the parts at the other door. Excused evidence is withdrawn by one daemon, not by each that has served the part. Evidence reaches the store within a second of its return (was up to 5 s).

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -159,14 +159,16 @@
 	events    chan Event
 	readError error
 	finished  bool
-	// fingerprint identifies the request; zero for a resumed attempt.
-	fingerprint quarantine.Fingerprint
-	hadOutput   bool
+	// run identifies the request for the quarantine; zero for a resumed attempt.
+	run quarantine.Run
+	// tokens is the number of tokens received.
+	tokens int
 }
 
 // Generate sends the request and returns its stream.
 func (c *Client) Generate(ctx context.Context, address string, request GenerateRequest) (*Stream, error) {
-	if err := c.checkQuarantine(request.Fingerprint); err != nil {
+	run := quarantine.Run{Fingerprint: request.Fingerprint, Parts: messageParts(request.Model, request.Input)}
+	if err := c.checkQuarantine(run.Fingerprint, run.Parts); err != nil {
 		return nil, err
 	}
 	body, err := json.Marshal(request)
@@ -175,11 +177,11 @@
 	}
 	stream, err := c.open(ctx, address, request.AttemptID, len(request.Continue), fasthttp.MethodPost, PathGenerate, body)
 	if err != nil {
-		c.recordCrash(ctx, address, request.Fingerprint, err, false)
+		c.recordCrash(ctx, address, run, err)
 		c.cancelAbandoned(address, request, err)
 		return nil, err
 	}
-	stream.fingerprint = request.Fingerprint
+	stream.run = run
 	return stream, nil
 }
 
@@ -265,7 +267,7 @@
 		if !open {
 			s.finished = true
 			err := &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete, cause: s.readError}
-			s.client.recordCrash(ctx, s.address, s.fingerprint, err, s.hadOutput)
+			s.client.recordCrash(ctx, s.address, s.run, err)
 			return Event{}, err
 		}
 		return s.check(event)
@@ -285,17 +287,34 @@
 		if event.Count != s.next {
 			return Event{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete}
 		}
-		s.client.recordSuccess(s.fingerprint, event)
+		s.client.recordSuccess(s.run.Fingerprint, event)
+		if event.FinishReason != FinishCancelled {
+			s.recordSound()
+		}
 		return event, nil
 	}
 	if event.Index != s.next {
 		return Event{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete}
 	}
 	s.next++
-	s.hadOutput = true
+	s.tokens++
+	s.run.HadOutput = true
+	if s.tokens == soundTokens {
+		s.recordSound()
+	}
 	return event, nil
 }
 
+// soundTokens is the number of tokens after which a stream shows that the parts of its prompt do
+// not crash the engine. A part may crash it while the first token is sent.
+const soundTokens = 2
+
+// recordSound records, once, that the parts of the prompt do not crash the engine.
+func (s *Stream) recordSound() {
+	s.client.recordSound(s.run.Parts)
+	s.run.Parts = nil
+}
+
 // Close ends the stream. An unfinished generation is cancelled on the engine
 // in the background.
 func (s *Stream) Close() {
@@ -397,12 +416,12 @@
 // Call sends a request to a plain service. An answer with another attempt id is
 // an error.
 func (c *Client) Call(ctx context.Context, address string, call CallRequest) (CallAnswer, error) {
-	if err := c.checkQuarantine(call.Fingerprint); err != nil {
+	if err := c.checkQuarantine(call.Fingerprint, nil); err != nil {
 		return CallAnswer{}, err
 	}
 	answer, err := c.callOnce(ctx, address, call)
 	if err != nil {
-		c.recordCrash(ctx, address, call.Fingerprint, err, false)
+		c.recordCrash(ctx, address, quarantine.Run{Fingerprint: call.Fingerprint}, err)
 		return answer, err
 	}
 	c.recordSuccess(call.Fingerprint, Event{})
--- a/internal/engine/quarantine.go
+++ b/internal/engine/quarantine.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"topazpulley/internal/quarantine"
@@ -19,13 +21,30 @@
 	return quarantine.FingerprintOf(PathGenerate, model, tenant, input)
 }
 
+// messageParts returns the fingerprints of the messages of a chat: requests that share one share a
+// part of their prompt. A prompt that is one text has no parts.
+func messageParts(model string, input json.RawMessage) quarantine.Parts {
+	var messages []json.RawMessage
+	if json.Unmarshal(input, &messages) != nil {
+		return nil // one text
+	}
+	parts := quarantine.Parts{}
+	for _, each := range messages {
+		part := quarantine.PartFingerprint(model, string(each))
+		if !slices.Contains(parts, part) {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
 // checkQuarantine returns an error if the request is quarantined. It is called for all
 // online and batch requests to engines.
-func (c *Client) checkQuarantine(fingerprint quarantine.Fingerprint) error {
+func (c *Client) checkQuarantine(fingerprint quarantine.Fingerprint, parts quarantine.Parts) error {
 	if c.Quarantine == nil {
 		return nil
 	}
-	if _, isQuarantined := c.Quarantine.Verdict(fingerprint); !isQuarantined {
+	if _, isQuarantined := c.Quarantine.Verdict(fingerprint, parts); !isQuarantined {
 		return nil
 	}
 	return &AttemptError{Outcome: OutcomeNotRun, Code: CodeQuarantined}
@@ -39,19 +58,26 @@
 	}
 }
 
+// recordSound records that the parts of a prompt do not crash the engine.
+func (c *Client) recordSound(parts quarantine.Parts) {
+	if c.Quarantine != nil {
+		c.Quarantine.PartsSucceeded(parts)
+	}
+}
+
 // recordCrash checks after a broken attempt whether the engine has exited, and if so
 // records a crash in the quarantine. It is synchronous, so that the crash is recorded
 // before the caller's next attempt.
-func (c *Client) recordCrash(ctx context.Context, address string, fingerprint quarantine.Fingerprint, err error, hadOutput bool) {
+func (c *Client) recordCrash(ctx context.Context, address string, run quarantine.Run, err error) {
 	isBroken := CodeOf(err) == CodeBroken || CodeOf(err) == CodeIncomplete
-	if c.Quarantine == nil || fingerprint == (quarantine.Fingerprint{}) || ctx.Err() != nil || !isBroken {
+	if c.Quarantine == nil || run.Fingerprint == (quarantine.Fingerprint{}) || ctx.Err() != nil || !isBroken {
 		return
 	}
 	if !hasExited(address) {
 		return
 	}
 	instance := fmt.Sprintf("%s@%d", address, time.Now().Unix()/int64(crashWindow.Seconds()))
-	c.Quarantine.Crashed(instance, []quarantine.Run{{Fingerprint: fingerprint, HadOutput: hadOutput}})
+	c.Quarantine.Crashed(instance, []quarantine.Run{run})
 }
 
 // hasExited reports whether an engine has exited: its machine answers, but nothing
--- a/internal/gateway/notrun_test.go
+++ b/internal/gateway/notrun_test.go
@@ -298,7 +298,8 @@
 	}
 }
 
-func requireQuarantined(t *testing.T, repeatable bool) {
+// newCrashingGateway returns a gateway whose engines crash on each request.
+func newCrashingGateway(t *testing.T) (*Gateway, []*crashingEngine) {
 	engines := []*crashingEngine{}
 	gateway := newTestGateway(t, &scriptedEngine{})
 	for _, name := range []string{"e1", "e2", "e3", "dead"} {
@@ -315,6 +316,41 @@
 	policy := quarantine.Policy{Crashes: 3, Time: time.Minute}
 	metrics := telemetry.NewQuarantine(prometheus.NewRegistry())
 	gateway.Engines.Quarantine = quarantine.NewGuard(policy, nil, metrics, slog.New(slog.DiscardHandler))
+	return gateway, engines
+}
+
+func crashCount(engines []*crashingEngine) int {
+	crashed := 0
+	for _, each := range engines {
+		if each.hasCrashed.Load() {
+			crashed++
+		}
+	}
+	return crashed
+}
+
+// Guards against chats that differ but for one message crashing one engine after the other.
+func TestMessageThatCrashesEnginesIsHeld(t *testing.T) {
+	gateway, engines := newCrashingGateway(t)
+	send := func(input string) error {
+		request := newTestRequest(false)
+		request.input = json.RawMessage(input)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		defer time.Sleep(50 * time.Millisecond)
+		return drain(ctx, gateway.newGeneration(request, nil))
+	}
+	var last error
+	for number := range 7 {
+		last = send(fmt.Sprintf(`[{"role":"system","content":"bad"},{"role":"user","content":"%d"}]`, number))
+	}
+	require.Equal(t, 4, crashCount(engines))
+	require.True(t, failure.HasCode(last, engine.CodeQuarantined))
+	require.False(t, failure.HasCode(send(`[{"role":"system","content":"good"},{"role":"user","content":"0"}]`), engine.CodeQuarantined))
+}
+
+func requireQuarantined(t *testing.T, repeatable bool) {
+	gateway, engines := newCrashingGateway(t)
 	var last error
 	for range 6 {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -323,13 +359,7 @@
 		require.Error(t, last)
 		time.Sleep(50 * time.Millisecond)
 	}
-	crashed := 0
-	for _, each := range engines {
-		if each.hasCrashed.Load() {
-			crashed++
-		}
-	}
-	require.Equal(t, 3, crashed)
+	require.Equal(t, 3, crashCount(engines))
 	require.True(t, failure.HasCode(last, engine.CodeQuarantined))
 	require.True(t, failure.From(last).NotRun, "the quarantined call is not reported as not run")
 	require.Positive(t, failure.From(last).RetryAfter)
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -149,7 +149,7 @@
 	if !found {
 		return false // its route is not known here
 	}
-	if s.postponeQuarantined(waiting, now) || s.placer.isFull(service) {
+	if s.postponeQuarantined(waiting, service, now) || s.placer.isFull(service) {
 		return false
 	}
 	if !s.placer.hasCapacity(service, s.mustRun(waiting, service, now)) {
@@ -199,11 +199,11 @@
 }
 
 // postponeQuarantined postpones an item that is quarantined, and reports whether it is.
-func (s *Service) postponeQuarantined(waiting *ownedItem, now time.Time) bool {
+func (s *Service) postponeQuarantined(waiting *ownedItem, service string, now time.Time) bool {
 	if s.quarantine == nil {
 		return false
 	}
-	verdict, isQuarantined := s.quarantine.Verdict(waiting.fingerprint)
+	verdict, isQuarantined := s.quarantine.Verdict(waiting.fingerprint, waiting.partsAt(service))
 	if !isQuarantined {
 		return false
 	}
@@ -215,7 +215,7 @@
 	if wasLogged {
 		return true
 	}
-	s.log.Info("item_quarantined", "job", waiting.owner.job.ID, "item", waiting.item.ID, "fingerprint", waiting.fingerprint.String(),
+	s.log.Info("item_quarantined", "job", waiting.owner.job.ID, "item", waiting.item.ID, "kind", string(verdict.Fingerprint.Kind()), "fingerprint", verdict.Fingerprint.String(),
 		"backends", len(verdict.Instances), "until", verdict.Until.UTC().Format(time.RFC3339))
 	return true
 }
--- a/internal/quarantine/admin.go
+++ b/internal/quarantine/admin.go
@@ -11,12 +11,13 @@
 	"topazpulley/internal/failure"
 )
 
-// PathAdmin is the path that lists the quarantined requests (GET). DELETE on
-// PathAdmin/FINGERPRINT lifts the quarantine of one request.
+// PathAdmin is the path that lists the quarantined requests and prompt parts (GET). DELETE on
+// PathAdmin/FINGERPRINT lifts one quarantine.
 const PathAdmin = "/v1/operator/quarantine"
 
-// Entry describes one quarantined request.
+// Entry describes one quarantined request or prompt part.
 type Entry struct {
+	Kind        Kind   `json:"kind"`
 	Fingerprint string `json:"fingerprint"`
 	// Backends are the ids of the backends that crashed while they ran it.
 	Backends []string  `json:"backends"`
@@ -24,7 +25,7 @@
 	Until    time.Time `json:"until"`
 }
 
-// Listing holds the requests that a daemon has quarantined, the latest first.
+// Listing holds the requests and prompt parts that a daemon has quarantined, the latest first.
 type Listing struct {
 	Quarantined []Entry `json:"quarantined"`
 }
@@ -34,7 +35,7 @@
 	listing := Listing{Quarantined: []Entry{}}
 	for _, verdict := range g.Verdicts() {
 		listing.Quarantined = append(listing.Quarantined, Entry{
-			Fingerprint: verdict.Fingerprint.String(), Backends: verdict.Instances, Since: verdict.Since, Until: verdict.Until,
+			Kind: verdict.Fingerprint.Kind(), Fingerprint: verdict.Fingerprint.String(), Backends: verdict.Instances, Since: verdict.Since, Until: verdict.Until,
 		})
 	}
 	return listing
--- a/internal/quarantine/cluster.go
+++ b/internal/quarantine/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -73,6 +74,20 @@
 	}
 }
 
+// staggerTime is the mean time between the withdrawals of two daemons that wait to send the same
+// one. It is longer than a notice takes, so that few are sent, however many daemons there are.
+const (
+	staggerTime = 3 * time.Millisecond
+	// maxStagger bounds the wait in large fleets.
+	maxStagger = 500 * time.Millisecond
+)
+
+// Stagger implements Publisher.
+func (p *ClusterPublisher) Stagger() time.Duration {
+	longest := min(time.Duration(len(p.node.Members())+1)*staggerTime, maxStagger)
+	return rand.N(longest)
+}
+
 // notifyAll sends a notice to every other daemon.
 func (p *ClusterPublisher) notifyAll(notice Notice) {
 	payload, err := EncodeNotice(notice)
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -1,8 +1,9 @@
 // Package quarantine stops requests that crash the backends that run them.
 //
-// A Guard collects crash evidence by request fingerprint: from this daemon, from other
-// daemons and from the store. A request with enough evidence is quarantined for a limited
-// time; a success of the same request withdraws its evidence.
+// A Guard collects crash evidence by fingerprint, of a request's content and of each part of its
+// prompt: from this daemon, from other daemons and from the store. A request or part with enough
+// evidence is quarantined for a limited time; a success of the same request, or output for a prompt
+// with the same part, withdraws the evidence.
 package quarantine
 
 import (
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -33,9 +33,13 @@
 	Notify(notice Notice)
 	// Withdraw removes evidence from the store.
 	Withdraw(keys []RowKey)
+	// Stagger returns a random time to wait before evidence is withdrawn that most daemons
+	// would withdraw at the same moment.
+	Stagger() time.Duration
 }
 
-// Guard decides which requests may be sent to backends. Evidence is published to all
+// Guard decides which requests may be sent to backends. It judges a request by its content and by
+// the parts of its prompt. Evidence is published to all
 // daemons at once, and stored for those that are unreachable or start later, so that all
 // reach the same verdicts. It is safe for concurrent use.
 type Guard struct {
@@ -46,26 +50,39 @@
 	metrics   *telemetry.Quarantine
 	publisher Publisher
 
-	// mutex guards ledger and successes. It is not locked while the publisher is called.
+	// mutex guards the fields after it. It is not locked while the publisher is called.
 	mutex     sync.Mutex
 	ledger    *Ledger
 	successes *successes
+	// partSuccesses are those of prompt parts, which are more than the requests.
+	partSuccesses *successes
+	// vetoes are the withdrawals that wait to be sent, by fingerprint.
+	vetoes map[Fingerprint]*veto
 }
 
+// veto is a withdrawal of evidence that recent successes excuse. It is not sent if another daemon
+// withdraws the evidence first.
+type veto struct{ instances []string }
+
 // NewGuard returns a guard without evidence. A nil publisher means that evidence stays in
 // this daemon.
 func NewGuard(policy Policy, publisher Publisher, metrics *telemetry.Quarantine, log *slog.Logger) *Guard {
-	return &Guard{log: log, metrics: metrics, publisher: publisher, ledger: NewLedger(policy), successes: newSuccesses()}
+	return &Guard{log: log, metrics: metrics, publisher: publisher, ledger: NewLedger(policy), successes: newSuccesses(), partSuccesses: newSuccesses(), vetoes: map[Fingerprint]*veto{}}
 }
 
-// Verdict reports whether a request is quarantined, and why.
-func (g *Guard) Verdict(fingerprint Fingerprint) (Verdict, bool) {
+// Verdict reports whether a request is quarantined, by its content or by a part of its prompt,
+// and why.
+func (g *Guard) Verdict(fingerprint Fingerprint, parts Parts) (Verdict, bool) {
+	now := time.Now()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.ledger.Verdict(fingerprint, time.Now())
+	if verdict, isQuarantined := g.ledger.Verdict(fingerprint, now); isQuarantined {
+		return verdict, true
+	}
+	return g.ledger.PartsVerdict(parts, now)
 }
 
-// Verdicts returns the verdicts of all quarantined requests, the latest first.
+// Verdicts returns the verdicts of all quarantined requests and prompt parts, the latest first.
 func (g *Guard) Verdicts() []Verdict {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -77,6 +94,8 @@
 	Fingerprint Fingerprint
 	// HadOutput is true if the request had produced output.
 	HadOutput bool
+	// Parts are the parts of its prompt, without those that its output shows to be sound.
+	Parts Parts
 }
 
 // Crashed records that a backend crashed while these requests were in flight there.
@@ -84,8 +103,7 @@
 	now := time.Now()
 	g.countCrash(runs)
 	counted, excused := Notice{}, Notice{}
-	for _, run := range runs {
-		evidence := Evidence{Fingerprint: run.Fingerprint, Instance: instance, HadOutput: run.HadOutput, At: now}
+	for _, evidence := range evidenceOfCrash(instance, runs, now) {
 		if g.add(evidence, SourceSelf) {
 			excused.Evidence = append(excused.Evidence, evidence)
 			continue
@@ -101,6 +119,23 @@
 	}
 }
 
+// evidenceOfCrash returns the evidence of a crash against each request that was in flight, and
+// against each part of their prompts once.
+func evidenceOfCrash(instance string, runs []Run, now time.Time) []Evidence {
+	found := []Evidence{}
+	seen := map[Fingerprint]bool{}
+	for _, run := range runs {
+		found = append(found, Evidence{Fingerprint: run.Fingerprint, Instance: instance, HadOutput: run.HadOutput, At: now})
+		for _, part := range run.Parts {
+			if !seen[part] {
+				seen[part] = true
+				found = append(found, Evidence{Fingerprint: part, Instance: instance, At: now})
+			}
+		}
+	}
+	return found
+}
+
 // countCrash counts a crash by the number of runs without output. A crash that a request caused
 // has one at least, most crashes for other reasons have none.
 func (g *Guard) countCrash(runs []Run) {
@@ -137,17 +172,18 @@
 	_, wasQuarantined := g.ledger.Verdict(evidence.Fingerprint, now)
 	isNew := g.ledger.Add(evidence, source == SourceStore)
 	verdict, isQuarantined := g.ledger.Verdict(evidence.Fingerprint, now)
-	hasSucceeded := g.successes.has(evidence.Fingerprint, g.Clock.Now())
-	isExcused := g.successes.excuses(evidence, age, g.Clock.Now())
+	succeeded := g.successesOf(evidence.Fingerprint)
+	hasSucceeded := succeeded.has(evidence.Fingerprint, g.Clock.Now())
+	isExcused := succeeded.excuses(evidence, age, g.Clock.Now())
 	g.mutex.Unlock()
 	if !isNew {
 		return isExcused
 	}
 	g.metrics.Evidence.WithLabelValues(string(source)).Inc()
-	g.log.Info("crash_evidence", "fingerprint", evidence.Fingerprint.String(), "backend", evidence.Instance, "had_output", evidence.HadOutput,
+	g.log.Info("crash_evidence", "kind", string(evidence.Fingerprint.Kind()), "fingerprint", evidence.Fingerprint.String(), "backend", evidence.Instance, "had_output", evidence.HadOutput,
 		"age_ms", age.Milliseconds(), "source", string(source), "succeeded_lately", hasSucceeded, "excused", isExcused)
 	if isQuarantined && !wasQuarantined && !isExcused {
-		g.log.Warn("request_quarantined", "fingerprint", evidence.Fingerprint.String(), "backends", verdict.Instances,
+		g.log.Warn("request_quarantined", "kind", string(evidence.Fingerprint.Kind()), "fingerprint", evidence.Fingerprint.String(), "backends", verdict.Instances,
 			"source", string(source), "until", verdict.Until.UTC().Format(time.RFC3339))
 		g.metrics.Quarantined.Inc()
 	}
@@ -164,18 +200,79 @@
 		return
 	}
 	g.log.Info("evidence_withdrawn", "fingerprint", evidence.Fingerprint.String(), "backends", []string{evidence.Instance}, "reason", "succeeded_before")
-	if g.publisher != nil && source != SourceSelf { // own excused evidence is not stored
-		g.publisher.Withdraw([]RowKey{{Fingerprint: evidence.Fingerprint, Instance: evidence.Instance}})
+	if source != SourceSelf {
+		g.veto(evidence)
+		return
 	}
 	if !isSuspect { // the notice clears all evidence of the request
 		g.publish(Notice{Cleared: []Fingerprint{evidence.Fingerprint}})
 	}
 }
 
+// veto withdraws evidence of another daemon that recent successes here excuse. All daemons with
+// such successes would do so at once: each waits for a random time, and sends nothing if another
+// one was faster.
+func (g *Guard) veto(evidence Evidence) {
+	if g.publisher == nil {
+		return
+	}
+	g.mutex.Lock()
+	waiting, isWaiting := g.vetoes[evidence.Fingerprint]
+	if !isWaiting {
+		waiting = &veto{}
+		g.vetoes[evidence.Fingerprint] = waiting
+	}
+	waiting.instances = append(waiting.instances, evidence.Instance)
+	g.mutex.Unlock()
+	if isWaiting {
+		return
+	}
+	pause := g.publisher.Stagger()
+	if pause <= 0 {
+		g.sendVeto(evidence.Fingerprint)
+		return
+	}
+	time.AfterFunc(pause, func() { g.sendVeto(evidence.Fingerprint) })
+}
+
+// sendVeto sends a withdrawal that waits, if there still is one.
+func (g *Guard) sendVeto(fingerprint Fingerprint) {
+	g.mutex.Lock()
+	waiting, isWaiting := g.vetoes[fingerprint]
+	delete(g.vetoes, fingerprint)
+	isSuspect := g.ledger.IsSuspect(fingerprint)
+	g.mutex.Unlock()
+	if !isWaiting {
+		return
+	}
+	g.publisher.Withdraw(rowKeys(fingerprint, waiting.instances))
+	if !isSuspect { // the notice clears all evidence of the request
+		g.publish(Notice{Cleared: []Fingerprint{fingerprint}})
+	}
+}
+
+// successesOf returns the successes of the fingerprint's kind. mutex must be held.
+func (g *Guard) successesOf(fingerprint Fingerprint) *successes {
+	if fingerprint.IsPart() {
+		return g.partSuccesses
+	}
+	return g.successes
+}
+
 // Succeeded records a success of a request and withdraws all evidence against it.
-func (g *Guard) Succeeded(fingerprint Fingerprint) {
+func (g *Guard) Succeeded(fingerprint Fingerprint) { g.recordSuccess(fingerprint) }
+
+// PartsSucceeded records that a backend gave output for a prompt with these parts, and withdraws
+// all evidence against them.
+func (g *Guard) PartsSucceeded(parts Parts) {
+	for _, part := range parts {
+		g.recordSuccess(part)
+	}
+}
+
+func (g *Guard) recordSuccess(fingerprint Fingerprint) {
 	g.mutex.Lock()
-	g.successes.record(fingerprint, g.Clock.Now())
+	g.successesOf(fingerprint).record(fingerprint, g.Clock.Now())
 	isSuspect := g.ledger.IsSuspect(fingerprint)
 	g.mutex.Unlock()
 	if isSuspect {
@@ -200,18 +297,24 @@
 	if g.publisher == nil {
 		return
 	}
-	keys := []RowKey{}
+	g.publisher.Withdraw(rowKeys(fingerprint, instances))
+	g.publish(Notice{Cleared: []Fingerprint{fingerprint}})
+}
+
+// rowKeys returns the keys of the evidence of crashes under a request or part.
+func rowKeys(fingerprint Fingerprint, instances []string) []RowKey {
+	keys := make([]RowKey, 0, len(instances))
 	for _, instance := range instances {
 		keys = append(keys, RowKey{Fingerprint: fingerprint, Instance: instance})
 	}
-	g.publisher.Withdraw(keys)
-	g.publish(Notice{Cleared: []Fingerprint{fingerprint}})
+	return keys
 }
 
 // clear removes the evidence that another daemon has withdrawn.
 func (g *Guard) clear(fingerprint Fingerprint, source Source) {
 	g.mutex.Lock()
 	instances := g.ledger.Clear(fingerprint)
+	delete(g.vetoes, fingerprint)
 	g.mutex.Unlock()
 	if len(instances) > 0 {
 		g.log.Info("evidence_withdrawn", "fingerprint", fingerprint.String(), "backends", instances, "reason", "told", "source", string(source))
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -18,6 +18,10 @@
 type fleet struct {
 	guards []*Guard
 	rows   map[string][]byte
+	// stagger is the time that a member waits before it withdraws excused evidence; nil means none.
+	stagger func() time.Duration
+	// withdrawals counts the notices that withdraw evidence.
+	withdrawals int
 }
 
 // member is the publisher of one guard.
@@ -38,6 +42,7 @@
 }
 
 func (m member) Notify(notice Notice) {
+	m.fleet.withdrawals += len(notice.Cleared)
 	content, err := EncodeNotice(notice)
 	if err != nil {
 		panic(err)
@@ -59,6 +64,13 @@
 	}
 }
 
+func (m member) Stagger() time.Duration {
+	if m.fleet.stagger == nil {
+		return 0
+	}
+	return m.fleet.stagger()
+}
+
 func (f *fleet) add() *Guard {
 	guard := NewGuard(testPolicy, member{fleet: f, index: len(f.guards)}, telemetry.NewQuarantine(prometheus.NewRegistry()), slog.New(slog.DiscardHandler))
 	f.guards = append(f.guards, guard)
@@ -85,7 +97,7 @@
 func (f *fleet) quarantined(fingerprint Fingerprint) int {
 	count := 0
 	for _, guard := range f.guards {
-		if _, isQuarantined := guard.Verdict(fingerprint); isQuarantined {
+		if _, isQuarantined := guard.Verdict(fingerprint, nil); isQuarantined {
 			count++
 		}
 	}
@@ -107,7 +119,7 @@
 	require.Equal(t, 5, f.quarantined(culprit))
 	late := f.add()
 	late.Replace(f.stored(), 1)
-	_, isQuarantined := late.Verdict(culprit)
+	_, isQuarantined := late.Verdict(culprit, nil)
 	require.True(t, isQuarantined)
 }
 
@@ -174,13 +186,13 @@
 	other := newFleet(1).guards[0]
 	rows := f.stored()
 	other.Replace(rows, 1)
-	_, isQuarantined := other.Verdict(innocent)
+	_, isQuarantined := other.Verdict(innocent, nil)
 	require.True(t, isQuarantined)
 	for index := range rows {
 		rows[index].Deleted, rows[index].Value = true, nil
 	}
 	other.Change(rows, 2)
-	_, isQuarantined = other.Verdict(innocent)
+	_, isQuarantined = other.Verdict(innocent, nil)
 	require.False(t, isQuarantined)
 }
 
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -24,6 +24,23 @@
 // IsPart reports whether the fingerprint is that of a prompt part.
 func (f Fingerprint) IsPart() bool { return string(f[:len(partMarker)]) == partMarker }
 
+// Kind says what a fingerprint identifies.
+type Kind string
+
+// The kinds of fingerprints.
+const (
+	KindRequest Kind = "request"
+	KindPart    Kind = "part"
+)
+
+// Kind returns what the fingerprint identifies.
+func (f Fingerprint) Kind() Kind {
+	if f.IsPart() {
+		return KindPart
+	}
+	return KindRequest
+}
+
 // Parts are the fingerprints of the parts of a request's prompt, each once.
 type Parts []Fingerprint
 
--- a/internal/quarantine/recorder.go
+++ b/internal/quarantine/recorder.go
@@ -18,9 +18,9 @@
 	// recordTimeout is the timeout of one commit.
 	recordTimeout = time.Second
 	// recordPause is the mean pause after the first failed commit. It doubles up to
-	// maxRecordPause.
+	// maxRecordPause, which bounds the time after an outage until the store has the evidence.
 	recordPause    = 200 * time.Millisecond
-	maxRecordPause = 5 * time.Second
+	maxRecordPause = time.Second
 )
 
 // Recorder writes evidence to the store and removes it. It retries a failed change until
--- a/internal/serving/guarded.go
+++ b/internal/serving/guarded.go
@@ -14,6 +14,10 @@
 // is checked. All connections of a process break within milliseconds when it exits.
 const gatherTime = 20 * time.Millisecond
 
+// soundEvents is the number of events after which a stream shows that the parts of its prompt do not
+// crash the backend. A part may crash it while the first event is sent.
+const soundEvents = 2
+
 // LiveChecker is a Sender that can check whether a backend's process has exited.
 type LiveChecker interface {
 	// HasEnded reports whether the backend's machine answers that nothing listens at its
@@ -57,7 +61,7 @@
 	}
 	answer, err := s.sender.Send(ctx, attempt)
 	if err != nil {
-		s.recordBroken(ctx, attempt, err, false)
+		s.recordBroken(ctx, attempt, err, 0)
 		return nil, err
 	}
 	return &guardedAnswer{Answer: answer, sender: s, ctx: ctx, attempt: attempt}, nil
@@ -77,15 +81,16 @@
 
 // refuse returns an error if the request is quarantined.
 func (s *GuardedSender) refuse(attempt Attempt) error {
-	if _, isQuarantined := s.guard.Verdict(attempt.Fingerprint); !isQuarantined {
+	if _, isQuarantined := s.guard.Verdict(attempt.Fingerprint, attempt.Parts); !isQuarantined {
 		return nil
 	}
 	return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonQuarantined}
 }
 
 // recordBroken records a run that broke, unless its context has ended, and starts a check
-// of the backend if none is running. Without a LiveChecker it does nothing.
-func (s *GuardedSender) recordBroken(ctx context.Context, attempt Attempt, err error, hadOutput bool) {
+// of the backend if none is running. events is the number of events that it gave. Without a
+// LiveChecker it does nothing.
+func (s *GuardedSender) recordBroken(ctx context.Context, attempt Attempt, err error, events int) {
 	if ctx.Err() != nil || attemptError(err).Reason != ReasonBroken {
 		return
 	}
@@ -94,9 +99,13 @@
 		return
 	}
 	incarnation := attempt.Instance.Incarnation()
+	run := quarantine.Run{Fingerprint: attempt.Fingerprint, HadOutput: events > 0}
+	if events < soundEvents {
+		run.Parts = attempt.Parts
+	}
 	s.mutex.Lock()
 	_, isBeingChecked := s.broken[incarnation]
-	s.broken[incarnation] = append(s.broken[incarnation], quarantine.Run{Fingerprint: attempt.Fingerprint, HadOutput: hadOutput})
+	s.broken[incarnation] = append(s.broken[incarnation], run)
 	s.mutex.Unlock()
 	if !isBeingChecked {
 		go s.check(checker, attempt)
@@ -131,19 +140,20 @@
 	sender  *GuardedSender
 	ctx     context.Context
 	attempt Attempt
-	// hadOutput is set once an event was received.
-	hadOutput bool
+	// events is the number of events received.
+	events int
 }
 
 // Body implements Answer.
 func (a *guardedAnswer) Body() ([]byte, error) {
 	body, err := a.Answer.Body()
 	if err != nil {
-		a.sender.recordBroken(a.ctx, a.attempt, err, a.hadOutput)
+		a.sender.recordBroken(a.ctx, a.attempt, err, a.events)
 		return nil, err
 	}
 	if a.Head().Successful() {
 		a.sender.guard.Succeeded(a.attempt.Fingerprint)
+		a.sender.guard.PartsSucceeded(a.attempt.Parts)
 	}
 	return body, nil
 }
@@ -153,11 +163,22 @@
 	event, ending, err := a.Answer.Next()
 	switch {
 	case err != nil:
-		a.sender.recordBroken(a.ctx, a.attempt, err, a.hadOutput)
+		a.sender.recordBroken(a.ctx, a.attempt, err, a.events)
 	case ending != EndingNone:
 		a.sender.guard.Succeeded(a.attempt.Fingerprint)
+		a.recordSound(a.events < soundEvents)
 	default:
-		a.hadOutput = true
+		a.events++
+		a.recordSound(a.events == soundEvents)
 	}
 	return event, ending, err
 }
+
+// recordSound records, if the output shows that for the first time, that the parts of the prompt
+// do not crash the backend. The end of a long stream shows nothing of the present: a part may have
+// turned bad since, by a change of the model.
+func (a *guardedAnswer) recordSound(isShown bool) {
+	if isShown {
+		a.sender.guard.PartsSucceeded(a.attempt.Parts)
+	}
+}
--- a/internal/serving/guarded_test.go
+++ b/internal/serving/guarded_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/boottime"
 	"topazpulley/internal/quarantine"
 	"topazpulley/internal/route"
 	"topazpulley/internal/serving"
@@ -152,7 +153,7 @@
 		policy.Resumable = false
 		core.Serve(t.Context(), serving.Request{ID: "r", Method: "POST", Target: "/stream", Route: &policy, Service: "s", Arrived: now, Deadline: now.Add(time.Second)}, caller)
 		const most = 10
-		for isQuarantined := false; !isQuarantined && crashes < most; _, isQuarantined = guard.Verdict(fingerprint) {
+		for isQuarantined := false; !isQuarantined && crashes < most; _, isQuarantined = guard.Verdict(fingerprint, nil) {
 			crash()
 		}
 	})
@@ -164,3 +165,30 @@
 	require.Equal(t, quarantinePolicy.Crashes, crashesUntilQuarantined(t, breaksInBody))
 	require.Greater(t, crashesUntilQuarantined(t, answers), quarantinePolicy.Crashes, "a whole one does")
 }
+
+// Guards against a long stream that began before a part of its prompt turned bad, and whose end
+// clears the evidence since then.
+func TestEndOfLongStreamClearsNoPart(t *testing.T) {
+	sender := &script{ran: map[string]bool{}, lastSeen: &recorder{}}
+	guard, parts := newGuard(), quarantine.Parts{quarantine.PartFingerprint("s", "a")}
+	guarded := serving.NewGuardedSender(sender, guard, backend.NewSet(), slog.New(slog.DiscardHandler))
+	answer, err := guarded.Send(t.Context(), serving.Attempt{ID: "r", Parts: parts, Stream: true, Remaining: time.Second, Instance: backend.Instance{ID: "b"}})
+	require.NoError(t, err)
+	read := func() serving.Ending {
+		_, ending, err := answer.Next()
+		require.NoError(t, err)
+		return ending
+	}
+	for range 2 {
+		require.Equal(t, serving.EndingNone, read())
+	}
+	later := boottime.Now().Add(time.Minute)
+	guard.Clock = func() boottime.Instant { return later }
+	for number := range quarantinePolicy.Crashes + 1 {
+		guard.Crashed(fmt.Sprint("b", number), []quarantine.Run{{Fingerprint: quarantine.Fingerprint{byte(number)}, Parts: parts}})
+	}
+	for read() == serving.EndingNone {
+	}
+	_, isHeld := guard.Verdict(quarantine.Fingerprint{}, parts)
+	require.True(t, isHeld)
+}
--- a/internal/serving/incarnation_test.go
+++ b/internal/serving/incarnation_test.go
@@ -73,7 +73,7 @@
 		guarded := serving.NewGuardedSender(&breakingSender{}, guard, backends, slog.New(slog.DiscardHandler))
 		culprit := quarantine.FingerprintOf("POST", "/culprit", "", nil)
 		for incarnation := range int64(quarantinePolicy.Crashes) {
-			_, isQuarantined := guard.Verdict(culprit)
+			_, isQuarantined := guard.Verdict(culprit, nil)
 			require.False(t, isQuarantined)
 			instance := backend.Instance{ID: "b", Version: "v1", StartMillis: incarnation + 1, Service: "s", Slots: 4}
 			backends.Put(instance)
@@ -83,7 +83,7 @@
 			backends.Put(instance)
 			time.Sleep(time.Second)
 		}
-		_, isQuarantined := guard.Verdict(culprit)
+		_, isQuarantined := guard.Verdict(culprit, nil)
 		require.True(t, isQuarantined)
 	})
 }
--- a/internal/serving/verdict.go
+++ b/internal/serving/verdict.go
@@ -11,7 +11,7 @@
 	if e.core.Quarantine == nil {
 		return quarantine.Verdict{}, false
 	}
-	return e.core.Quarantine.Verdict(e.fingerprint)
+	return e.core.Quarantine.Verdict(e.fingerprint, e.parts)
 }
 
 // refuseQuarantined refuses the request if it is quarantined and reports whether it did.
@@ -22,6 +22,8 @@
 	}
 	e.reason = ReasonQuarantined
 	e.core.Quarantine.Refused(e.request.Service)
+	e.core.Logger.Info("request_held", "id", e.request.ID, "kind", string(verdict.Fingerprint.Kind()), "fingerprint", verdict.Fingerprint.String(),
+		"backends", len(verdict.Instances), "evidence_age_ms", time.Since(verdict.Since).Milliseconds(), "until", verdict.Until.UTC().Format(time.RFC3339), "runs", e.runs)
 	e.giveUpWith(VerdictQuarantined, time.Until(verdict.Until), string(ReasonQuarantined))
 	return true
 }
--- a/test/mutants.d/endings.sh
+++ b/test/mutants.d/endings.sh
@@ -40,7 +40,7 @@
 		if ending != serving.EndingNone {' platform TestItemCutInsideEventIsNotCompleted
 mutant broken_stream_is_evidence internal/serving/guarded.go \
 	'	case err != nil:
-		a.sender.recordBroken(a.ctx, a.attempt, err, a.hadOutput)
+		a.sender.recordBroken(a.ctx, a.attempt, err, a.events)
 	case ending' '	case ending' internal/serving TestBrokenStreamIsNoEvidenceForItsRequest
 mutant items_await_an_end_for_ever internal/job/progress.go \
 	'p.lastEvent > 0 && p.emptyAnswers >= maxEmptyAnswers' 'false' platform TestItemCompletesAfterLostEnd
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -302,7 +302,7 @@
 mutant spilled_after_an_attempt internal/gateway/completions.go \
 	'isUnserved && failure.From(err).NotRun' 'isUnserved' internal/gateway TestPossiblyRunRequestIsNotForwarded
 mutant crash_alone_quarantines internal/quarantine/ledger.go \
-	'l.weight(known) < l.policy.Crashes*fullWeight' 'l.weight(known) < fullWeight' internal/quarantine TestThreeCrashesQuarantine
+	'l.weight(known) < known.needed*fullWeight' 'l.weight(known) < fullWeight' internal/quarantine TestThreeCrashesQuarantine
 mutant explained_ends_accuse_others internal/quarantine/ledger.go \
 	'		case l.attributed[instance] == 0:' '		case l.attributed[instance] >= 0:' internal/quarantine TestAttributedCrashesDoNotCountAgainstOthers
 mutant culprits_hide_behind_others internal/quarantine/ledger.go \
@@ -325,11 +325,11 @@
 mutant forwarded_call_outlives_its_caller internal/gateway/forward.go \
 	'context.AfterFunc(watched, forwarded.close)' 'context.AfterFunc(context.Background(), forwarded.close)' internal/gateway TestDisconnectEndsForwardedAnswer
 mutant quarantined_sent internal/serving/guarded.go \
-	'if _, isQuarantined := s.guard.Verdict(attempt.Fingerprint); !isQuarantined {' 'if true {' internal/serving TestGuardedSenderRefusesQuarantined
+	'if _, isQuarantined := s.guard.Verdict(attempt.Fingerprint, attempt.Parts); !isQuarantined {' 'if true {' internal/serving TestGuardedSenderRefusesQuarantined
 mutant every_break_is_a_crash internal/serving/guarded.go \
 	'	if !hasEnded {' '	if false {' platform TestBrokenAnswersAreNoEvidence
 mutant quarantined_sent_to_engines internal/engine/quarantine.go \
-	'if _, isQuarantined := c.Quarantine.Verdict(fingerprint); !isQuarantined {' 'if true {' internal/gateway TestCrashingRequestIsQuarantined
+	'if _, isQuarantined := c.Quarantine.Verdict(fingerprint, parts); !isQuarantined {' 'if true {' internal/gateway TestCrashingRequestIsQuarantined
 mutant silent_store_connections_kept platform/store.go \
 	'			s.client.CloseIdleConnections()' '' platform TestSilentStoreConnectionsCostOneCall
 mutant silent_back_end_connections_kept platform/sender.go \
@@ -351,7 +351,7 @@
 mutant sent_after_a_sleep internal/gateway/deadline.go \
 	'isBounded && time.Until(deadline)' 'isBounded && false && time.Until(deadline)' internal/gateway TestNothingIsSentAfterDeadlineInSuspension
 mutant good_ends_outlive_sleep internal/quarantine/guard.go \
-	'g.successes.record(fingerprint, g.Clock.Now())' 'g.successes.record(fingerprint, g.Clock.Now().Add(time.Hour))' internal/quarantine TestSuccessesExpireDuringSleep
+	'g.successesOf(fingerprint).record(fingerprint, g.Clock.Now())' 'g.successesOf(fingerprint).record(fingerprint, g.Clock.Now().Add(time.Hour))' internal/quarantine TestSuccessesExpireDuringSleep
 mutant asleep_is_settled internal/table/settling.go \
 	'boottime.Instant(f.confirmed.Load()) >= last.completeAt' 'f.Now() >= last.completeAt' internal/table TestSuspendDelaysSettling
 mutant alone_as_if_few_were internal/ratelimit/share.go \
