--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -103,12 +103,14 @@
 		ledger.Add(evidenceOf(PartFingerprint(testService, "bad"), instance, testStart), false)
 		ledger.Add(evidenceOf(numbered(1), instance, testStart), false)
 	}
+	ledger.Add(evidenceOf(numbered(2), 0, testStart), false)
 	for number := range 3 * maxSuspects {
 		ledger.Add(evidenceOf(PartFingerprint(testService, fmt.Sprint(number)), number, testStart.Add(time.Minute)), false)
 	}
 	require.LessOrEqual(t, ledger.partCount, maxSuspects)
 	require.Len(t, ledger.Verdicts(testStart), 2)
-	require.Equal(t, ledger.partCount, len(ledger.suspects)-1)
+	require.True(t, ledger.IsSuspect(numbered(2)), "parts push out no request, however little is known against it")
+	require.Equal(t, ledger.partCount, len(ledger.suspects)-2)
 }
 
 // Guards against one withdrawal from each daemon that has served a part lately.
