Intake: a daemon without free connections closes new callers unread while others have room

Cause: max_conns of a backend is cut into equal shares, however unequal the daemons' callers are; the daemon with most of them read what it could not send. Besides, routing chose backends to which its share was in use while others had a free connection, and each such try spent the retry budget. Class: a share that is cut evenly though the load is not.

Change: package intake decides, before anything is read, from the daemon's free connections, its recent requests by service, its work in flight and that of the others (exchanged already): without a free connection for a quarter of its requests, and with others at less than 0.85 of its own work, a new connection is closed; the same if accepted connections wait 100 ms for the processor and others have less than half of its work. One connection in 100 ms is taken in any case. Backends without a free connection are not chosen, and a try without connection spends no budget; a request for which none frees within a quarter of its objective is refused with no_connection, not run.

Weighed: shares lent between daemons (leases that outlive streams, or excess through cuts), handing requests to other daemons (a second hop, and a proxy's states); docs/design/0031.

--- a/internal/backend/serviceload.go
+++ b/internal/backend/serviceload.go
@@ -40,3 +40,17 @@
 	}
 	return total
 }
+
+// InFlight returns the number of this daemon's requests and items at a service's backends, and that
+// of the other daemons together.
+func (s *Set) InFlight(service string) (own, peers int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, known := range s.byService[service] {
+		own += known.online + known.batch
+		for _, peer := range known.peers {
+			peers += peer.Online + peer.Batch
+		}
+	}
+	return own, peers
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -173,6 +173,7 @@
 	f.Core.Limits = ratelimit.New(f.limitFleet, ratelimit.ToleranceOf(process), metrics.Tenants, log)
 	f.limitFleet.Handle(f.Core.Limits)
 	if connector, keepsConnections := ports.Sender.(serving.Connector); keepsConnections {
+		f.Core.Connector = connector
 		f.Backends.SetConnected(connector.Connected)
 	}
 	claims := newClaimFollower()
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -10,6 +10,7 @@
 	"topazpulley/internal/admission"
 	"topazpulley/internal/backend"
 	"topazpulley/internal/boottime"
+	"topazpulley/internal/intake"
 	"topazpulley/internal/quarantine"
 	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/responsetimeout"
@@ -47,10 +48,15 @@
 	// while a request waits.
 	Wakeups *boottime.Wakeups
 
+	// Connector knows the connections to backends; nil means that none is ever missing.
+	Connector Connector
 	// ResponseTimes estimates response times, from which the response timeouts of attempts
 	// are derived.
 	ResponseTimes *responsetimeout.Estimates
 
+	// requests counts the requests by service.
+	requests *intake.Mix
+
 	retries *admission.RetryBudget
 	// earlyEnds bounds the attempts that are ended before their latest response timeout.
 	earlyEnds *admission.RetryBudget
@@ -71,6 +77,7 @@
 		Backends: backends, Sender: sender, Holder: holder, Metrics: metrics, Logger: log, Fleet: fleet,
 		ResponseTimes: responsetimeout.NewEstimates(responsetimeout.ModeLearned),
 		Origins:       streamorigin.NewKeeper(backends, nil, metrics, log),
+		requests:      intake.NewMix(),
 		retries:       admission.NewRetryBudget(retryShare, retryReserve),
 		earlyEnds:     admission.NewRetryBudget(earlyEndShare, earlyEndReserve),
 		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -100,6 +107,7 @@
 	if !served.admit(bounded) {
 		return
 	}
+	c.requests.Count(request.Service, time.Now())
 	c.retries.Earn()
 	c.earlyEnds.Earn()
 	if served.pinToOrigin(bounded) {
@@ -133,6 +141,7 @@
 // count as available at a cost.
 func (c *Core) pick(request *Request, excluded map[string]bool, allowed preemption) (routing.Candidate, bool) {
 	candidates := request.pin.allowed(c.Backends.Candidates(request.Service, request.Prompt, time.Now()))
+	c.closeExhausted(request.Service, candidates)
 	model := routing.DefaultCostModel()
 	model.Zone = c.Zone
 	if allowed != preemptNothing {
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -121,7 +121,7 @@
 			if e.waitForBackend(ctx) {
 				continue
 			}
-			e.giveUp(retryAfterNone, "no_back_end")
+			e.giveUp(retryAfterNone, e.codeWithoutBackend())
 			return
 		}
 		e.last, e.cost = lease.Instance(), chosen
@@ -147,6 +147,18 @@
 	}
 }
 
+// codeNoBackend means that no backend can be chosen.
+const codeNoBackend = "no_back_end"
+
+// codeWithoutBackend returns why no backend can be chosen.
+func (e *exchange) codeWithoutBackend() string {
+	if e.core.hasConnection(e.request.Service) {
+		return codeNoBackend
+	}
+	e.reason = ReasonNoConnection
+	return string(ReasonNoConnection)
+}
+
 // target picks the backend for the next attempt and acquires a lease on it.
 func (e *exchange) target() (*backend.Lease, routing.Candidate, bool) {
 	if e.reserved.name == "" {
@@ -315,7 +327,8 @@
 	if !isAllowed {
 		return false
 	}
-	if !e.core.retries.Spend() {
+	// An attempt without a connection has cost no backend anything.
+	if failed.Reason != ReasonNoConnection && !e.core.retries.Spend() {
 		e.reason = ReasonBudget
 		return false
 	}
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -191,6 +191,9 @@
 type Connector interface {
 	// Connected returns the backend incarnations to which an idle connection is open.
 	Connected() map[backend.Incarnation]bool
+	// Exhausted returns the backend incarnations to which no request can be sent now, given the
+	// maximum number of connections to each.
+	Exhausted(limit int) map[backend.Incarnation]bool
 }
 
 // Responder sends the answer to the caller. Exactly one of Whole, Refuse, Finish and Abort
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -51,10 +51,12 @@
 	reserveBackends []string
 	reservation     string
 	sends           int
-	runs            int
-	ran             map[string]bool
-	lastSeen        *recorder
-	problems        []string
+	// backends are those that attempts were sent to.
+	backends map[string]bool
+	runs     int
+	ran      map[string]bool
+	lastSeen *recorder
+	problems []string
 }
 
 func (s *script) Send(_ context.Context, attempt serving.Attempt) (serving.Answer, error) {
@@ -65,6 +67,10 @@
 		next = s.draw[s.sends]
 	}
 	s.sends++
+	if s.backends == nil {
+		s.backends = map[string]bool{}
+	}
+	s.backends[attempt.Instance.ID] = true
 	if attempt.LastEvent != s.lastSeen.last {
 		s.problems = append(s.problems, fmt.Sprintf("resumed after %d, the caller has %d", attempt.LastEvent, s.lastSeen.last))
 	}
--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -41,6 +41,9 @@
 	TurnedAway *prometheus.CounterVec
 	// Malformed counts callers' requests that were refused as malformed, by kind.
 	Malformed *prometheus.CounterVec
+	// Shed counts callers' connections that were closed before anything was read, by reason
+	// (intake.Reason).
+	Shed *prometheus.CounterVec
 	// SlowCallers counts answers that the caller stopped reading for some time, by outcome.
 	SlowCallers *prometheus.CounterVec
 	// MemoryRefusals counts requests that were refused because of the memory limit.
@@ -74,12 +77,13 @@
 		TurnedAway:     counter("serving_turned_away_total", "Online requests refused because those in time needed all places.", "service"),
 		Malformed:      newMalformed(),
 		BatchRoom:      counter("batch_room_decisions_total", "Decisions on the room for batch items by what bounded it.", "bound"),
+		Shed:           counter("shed_connections_total", "Connections of callers that were closed unread since other daemons have room.", "reason"),
 		SlowCallers:    counter("slow_callers_total", "Answers of which the caller left a part unread for a while.", "outcome"),
 
 		MemoryRefusals: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "memory_refusals_total", Help: "Requests refused because too much was held for others."}),
 	}
 	registry.MustRegister(serving.Requests, serving.Attempts, serving.Continuations, serving.OriginFindings, serving.OriginCopies, serving.Silences, serving.FirstOutput, serving.Duration, serving.Items, serving.Held, serving.StoreCalls, serving.StoreSeconds,
-		serving.Behind, serving.TurnedAway, serving.Malformed, serving.SlowCallers, serving.MemoryRefusals, serving.BatchRoom)
+		serving.Behind, serving.TurnedAway, serving.Malformed, serving.Shed, serving.SlowCallers, serving.MemoryRefusals, serving.BatchRoom)
 	return serving
 }
 
--- /dev/null
+++ b/test/mutants.d/intake.sh
@@ -0,0 +1,13 @@
+# Connections that are not taken, and backends without a free connection; mutants.sh sources this.
+mutant crowd_is_taken internal/intake/gate.go \
+	'if g.decided != "" &&' 'if false &&' platform TestCrowdAtOneDaemonIsServed
+mutant no_connection_is_taken internal/intake/gate.go \
+	'now.Sub(g.takenAt) < takenInterval' 'true' internal/intake TestSomeConnectionsAreAlwaysTaken
+mutant shed_beside_full_others internal/intake/load.go \
+	'!each.HasConnection && each.Others < roomShare*float64(each.Own)' '!each.HasConnection' internal/intake TestFullOnlyIfOthersHaveRoom
+mutant shed_alone internal/intake/load.go \
+	'if !l.HasPeers {' 'if false {' internal/intake TestFullOnlyIfOthersHaveRoom
+mutant exhausted_backends_chosen internal/serving/connections.go \
+	'			each.Closed = true' '' internal/serving TestBackendWithoutConnectionIsNotChosen
+mutant missing_connections_not_seen internal/serving/connections.go \
+	'if !each.Draining && !exhausted[each.Incarnation()] {' 'if true {' internal/serving TestIntakeLoadShowsMissingConnections
