Intake: ended backends have no free connection, idle daemons are peers

Ejected backends count no more for the intake, and are not chosen while the usable ones merely have no free connection. TestEndedBackendIsNoFreeConnection fails without it.

Besides: daemons without load send no reports, and a full daemon beside only such ones took itself for alone. The number of live daemons decides now.

--- a/internal/backend/serviceload.go
+++ b/internal/backend/serviceload.go
@@ -17,7 +17,7 @@
 	defer s.mutex.Unlock()
 	total := ServiceLoad{}
 	for _, known := range s.byService[service] {
-		if known.Draining || s.admission.evacuated[known.Zone] || now.Before(known.ejectedUntil) {
+		if !s.isUsable(known, now) {
 			continue
 		}
 		online, batch, _ := known.load()
@@ -30,6 +30,25 @@
 	return total
 }
 
+// isUsable reports whether a backend is neither draining, evacuated nor ejected. mutex must be
+// held.
+func (s *Set) isUsable(known *state, now time.Time) bool {
+	return !known.Draining && !s.admission.evacuated[known.Zone] && !now.Before(known.ejectedUntil)
+}
+
+// Usable returns a service's backends that are neither draining, evacuated nor ejected.
+func (s *Set) Usable(service string, now time.Time) []Incarnation {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	found := []Incarnation{}
+	for _, known := range s.byService[service] {
+		if s.isUsable(known, now) {
+			found = append(found, known.Incarnation())
+		}
+	}
+	return found
+}
+
 // OwnBatch returns the number of this daemon's batch items that run at a service's backends.
 func (s *Set) OwnBatch(service string) int {
 	s.mutex.Lock()
--- a/internal/intake/load.go
+++ b/internal/intake/load.go
@@ -2,8 +2,8 @@
 //
 // What is in front of the daemons may hand most new connections to one of them, while each daemon
 // has the same share of the backends' connections. A daemon that has none left, while others do,
-// closes new connections before it reads from them: the caller knows that nothing ran, and connects
-// to another daemon. It does not do so if the others are as full as itself: their refusals tell the
+// closes new connections with their first request unread: the caller knows that nothing ran, and
+// connects to another daemon. It does not do so if the others are as full as itself: their refusals tell the
 // caller when to come back, a closed connection does not.
 package intake
 
@@ -38,7 +38,7 @@
 // Load is what a daemon knows of its load and of that of others.
 type Load struct {
 	Services []ServiceLoad
-	// HasPeers reports whether there are other daemons whose load is known.
+	// HasPeers reports whether there are other daemons.
 	HasPeers bool
 	// StartDelay is the mean time between the acceptance of a connection and the first step of
 	// its goroutine: how long work waits for the processor.
--- a/internal/serving/connections.go
+++ b/internal/serving/connections.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"slices"
 	"time"
 
 	"topazpulley/internal/backend"
@@ -17,45 +18,54 @@
 	return c.Connector.Exhausted(c.ConnectionShare(service))
 }
 
-// closeExhausted marks the candidates to which no request can be sent now.
+// closeExhausted marks the candidates to which no request can be sent now. If only ejected ones
+// are left, it marks these, too: they most likely run no more, while a connection to another one
+// becomes free soon.
 func (c *Core) closeExhausted(service string, candidates []routing.Candidate) {
 	exhausted := c.exhausted(service)
 	if len(exhausted) == 0 {
 		return
 	}
+	closed, usable := 0, 0
 	for index := range candidates {
 		each := &candidates[index]
-		if exhausted[backend.Incarnation{ID: each.ID, StartMillis: each.StartMillis}] {
+		switch {
+		case each.Closed:
+		case exhausted[backend.Incarnation{ID: each.ID, StartMillis: each.StartMillis}]:
 			each.Closed = true
+			closed++
+		case !each.Ejected:
+			usable++
 		}
 	}
+	if closed == 0 || usable > 0 {
+		return
+	}
+	for index := range candidates {
+		candidates[index].Closed = true
+	}
 }
 
-// hasConnection reports whether a request can be sent to some backend of a service.
-func (c *Core) hasConnection(service string) bool {
+// HasConnection reports whether a request can be sent to some usable backend of a service.
+func (c *Core) HasConnection(service string) bool {
 	exhausted := c.exhausted(service)
 	if len(exhausted) == 0 {
 		return true
 	}
-	for _, each := range c.Backends.Instances(service) {
-		if !each.Draining && !exhausted[each.Incarnation()] {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.Backends.Usable(service, time.Now()), func(each backend.Incarnation) bool { return !exhausted[each] })
 }
 
 // IntakeLoad returns the load that decides whether callers' connections are taken.
 func (c *Core) IntakeLoad() intake.Load {
 	others := c.Fleet() - 1
-	load := intake.Load{HasPeers: others > 0 && c.Backends.HasPeerReports()}
+	load := intake.Load{HasPeers: others > 0} // idle daemons report no load
 	if !load.HasPeers {
 		return load
 	}
 	for service, share := range c.requests.Shares(time.Now()) {
 		own, peers := c.Backends.InFlight(service)
 		load.Services = append(load.Services, intake.ServiceLoad{
-			Share: share, HasConnection: c.hasConnection(service), Own: own, Others: float64(peers) / float64(others),
+			Share: share, HasConnection: c.HasConnection(service), Own: own, Others: float64(peers) / float64(others),
 		})
 	}
 	return load
--- a/internal/serving/connections_test.go
+++ b/internal/serving/connections_test.go
@@ -54,12 +54,24 @@
 	require.Less(t, time.Since(started), request.Route.Objective)
 }
 
+// Guards against requests for a backend that has ended, while the others have connections that
+// become free, and against intake that takes it for one with a free connection.
+func TestEndedBackendIsNoFreeConnection(t *testing.T) {
+	core, sender := newConnectedCore("b00", "b01", "b02")
+	core.Backends.Unreachable(backend.Incarnation{ID: "b03"}, time.Now())
+	core.Fleet = func() int { return 2 }
+	core.Backends.SetPeerLoads("peer", map[string]backend.PeerLoad{"b00": {Online: 1}}, 0)
+	core.Serve(t.Context(), safeRequest("r", "/a"), &recorder{})
+	require.Zero(t, sender.sends)
+	require.False(t, core.IntakeLoad().Services[0].HasConnection)
+}
+
 // Guards against intake that does not see that this daemon has no connection left.
 func TestIntakeLoadShowsMissingConnections(t *testing.T) {
 	core, _ := newConnectedCore("b00", "b01", "b02", "b03")
-	core.Fleet = func() int { return 3 }
 	core.Serve(t.Context(), safeRequest("r", "/a"), &recorder{})
-	require.False(t, core.IntakeLoad().HasPeers, "nothing is known of the others")
+	require.False(t, core.IntakeLoad().HasPeers, "it is alone")
+	core.Fleet = func() int { return 3 }
 	core.Backends.SetPeerLoads("peer", map[string]backend.PeerLoad{"b00": {Online: 3, Batch: 1}}, 0)
 	load := core.IntakeLoad()
 	require.True(t, load.HasPeers)
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -152,7 +152,7 @@
 
 // codeWithoutBackend returns why no backend can be chosen.
 func (e *exchange) codeWithoutBackend() string {
-	if e.core.hasConnection(e.request.Service) {
+	if e.core.HasConnection(e.request.Service) {
 		return codeNoBackend
 	}
 	e.reason = ReasonNoConnection
--- a/test/mutants.d/intake.sh
+++ b/test/mutants.d/intake.sh
@@ -10,4 +10,8 @@
 mutant exhausted_backends_chosen internal/serving/connections.go \
 	'			each.Closed = true' '' internal/serving TestBackendWithoutConnectionIsNotChosen
 mutant missing_connections_not_seen internal/serving/connections.go \
-	'if !each.Draining && !exhausted[each.Incarnation()] {' 'if true {' internal/serving TestIntakeLoadShowsMissingConnections
+	'return !exhausted[each] })' 'return each.ID != "" })' internal/serving TestIntakeLoadShowsMissingConnections
+mutant ended_backends_chosen internal/serving/connections.go \
+	'	if closed == 0 || usable > 0 {' '	if true {' internal/serving TestEndedBackendIsNoFreeConnection
+mutant ended_backends_have_connections internal/backend/serviceload.go \
+	' && !now.Before(known.ejectedUntil)' ' || now.Before(known.ejectedUntil)' internal/serving TestEndedBackendIsNoFreeConnection
