Intake: only online requests are closed unread

The end's connection had been accepted by the full daemon and closed unread (its line connection_shed, 02:46:31.264), and its caller did not send it again. An end that nobody reads counts as acknowledged after ack_ms.

Calls about jobs, submissions, long or late heads are taken.

--- a/test/mutants.d/intake.sh
+++ b/test/mutants.d/intake.sh
@@ -15,3 +15,5 @@
 	'	if closed == 0 || usable > 0 {' '	if true {' internal/serving TestEndedBackendIsNoFreeConnection
 mutant ended_backends_have_connections internal/backend/serviceload.go \
 	' && !now.Before(known.ejectedUntil)' ' || now.Before(known.ejectedUntil)' internal/serving TestEndedBackendIsNoFreeConnection
+mutant job_calls_closed_unread platform/intake.go \
+	' || matched.Kind == route.KindJob || isJobCall(path)' '' platform TestFullDaemonReadsJobCalls
