Soak: prompt parts that crash backends, sound requests beside them, a crowd at one daemon

Promises: a prompt part that ends back ends is stopped (three requests later than contact time after the fifth crash, by daemons in touch), requests that share other parts are never held, no log line names a part, a crowd at one daemon is served (three quarters of before, at the first daemon that reads). Four mutants.

--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -118,5 +118,23 @@
 		httphead.ResetOnClose(r.connection.Conn)
 	}' ''
 soak killed_daemons_end_streams
+
+# The following mutants let a prompt part crash backends on, hold sound requests, or take a crowd.
+replace internal/quarantine/guard.go 'return g.ledger.PartsVerdict(parts, now)' 'return Verdict{}, false'
+soak parts_not_judged
+
+replace internal/quarantine/cluster.go '	for _, member := range p.node.Members() {
+		if member.Name != self {' '	for _, member := range p.node.Members() {
+		if member.Name == self {'
+replace internal/quarantine/cluster.go 'p.recorder.Write(notice.Evidence)' '_ = notice'
+soak evidence_not_told
+
+replace internal/quarantine/guard.go '	for _, part := range parts {
+		g.recordSuccess(part)
+	}' '	_ = parts'
+soak successes_clear_no_part
+
+replace internal/intake/load.go 'case withoutConnection >= fullShare:' 'case withoutConnection > 1:'
+soak crowd_is_taken
 [ $misquoted = 0 ] || exit 1
 exit $failed
