--- a/internal/command/quarantine.go
+++ b/internal/command/quarantine.go
@@ -54,9 +54,9 @@
 func printQuarantined(listing quarantine.Listing) {
 	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	defer func() { _ = table.Flush() }()
-	fmt.Fprintln(table, "FINGERPRINT\tSINCE\tUNTIL\tBACKENDS")
+	fmt.Fprintln(table, "KIND\tFINGERPRINT\tSINCE\tUNTIL\tBACKENDS")
 	for _, entry := range listing.Quarantined {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", entry.Fingerprint, entry.Since.Format(time.RFC3339), entry.Until.Format(time.RFC3339), strings.Join(entry.Backends, ","))
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\n", entry.Kind, entry.Fingerprint, entry.Since.Format(time.RFC3339), entry.Until.Format(time.RFC3339), strings.Join(entry.Backends, ","))
 	}
 }
 
