Tables: a follower of a section notices that its table has shrunk

Cause: a section is read again only if it has too few rows for its services; nobody knew the size of the table. A second form was found by the new test: the table is measured by its first rows and the section read afterwards, so that removals between the two were never noticed.

A read of a section keeps the estimate of the table's size. Rows that are removed since are counted from the changes of the whole table; from a quarter on, or if the section has less than 0.6 of the rows that its width and the estimate suggest, the table is measured again, with pauses that double from 1 s to 1 min.

--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -81,8 +81,10 @@
 	// hasManyPartitions is set if the last listing had more than deferThreshold partitions.
 	hasManyPartitions bool
 
-	// delivery serializes the calls of the consumer. It guards seen.
+	// delivery serializes the calls of the consumer. It guards seen and removedRows.
 	delivery sync.Mutex
+	// removedRows is the number of rows removed from the table since it was read last.
+	removedRows int
 	// seen is the version that the consumer received last.
 	seen Version
 	// isSynced is set once the consumer has all rows, until the changes after seen are lost.
@@ -90,8 +92,11 @@
 
 	keyspace Keyspace
 	section  atomic.Pointer[keptSection]
-	// resizeAfter is the earliest time of the next resize.
+	// resizeAfter is the earliest time of the next resize, and shrunkAfter that of the next one
+	// because the table has shrunk, shrunkPause after the last one.
 	resizeAfter time.Time
+	shrunkAfter time.Time
+	shrunkPause time.Duration
 	// isUnconfirmed is set if the table was read since the last watch.
 	isUnconfirmed bool
 	isStoreLost   atomic.Bool
@@ -265,7 +270,7 @@
 	defer f.delivery.Unlock()
 	if changes.Version >= f.seen {
 		f.receiveFrom(SourceStore, "", changes.Rows)
-		f.Consumer.Change(newerThan(changes.Rows, f.seen), changes.Version)
+		f.passChanges(newerThan(changes.Rows, f.seen), changes.Version)
 		f.seen = changes.Version
 	}
 	f.recordStoreAnswer(max(started, changes.AsOf))
@@ -316,6 +321,7 @@
 	}
 	if f.Plan != nil {
 		f.setSection(section)
+		f.removedRows = 0
 	}
 	f.receiveFrom(SourceStore, "", all)
 	f.Consumer.Replace(all, version)
--- a/internal/table/resize.go
+++ b/internal/table/resize.go
@@ -15,15 +15,57 @@
 	if !f.isSynced.Load() || !isKnown || time.Now().Before(f.resizeAfter) {
 		return
 	}
-	if !f.isTooLarge(section) && !(section.IsPart && f.Plan.WantsMore()) {
+	hasShrunk := section.IsPart && f.hasShrunk() && !time.Now().Before(f.shrunkAfter)
+	if !f.isTooLarge(section) && !(section.IsPart && f.Plan.WantsMore()) && !hasShrunk {
 		return
 	}
+	if hasShrunk {
+		f.shrunkPause = min(max(2*f.shrunkPause, resizePause), maxShrunkPause)
+		f.shrunkAfter = time.Now().Add(f.shrunkPause)
+	}
 	f.resizeAfter = time.Now().Add(resizePause)
 	if err := f.reread(ctx); err != nil {
 		f.Logger.Info("table_not_resized", "table", f.Table, "version", f.seenVersion(), "error", err)
 	}
 }
 
+const (
+	// shrunkShare is the share of a table's rows whose removal makes a follower of a section measure
+	// the table again: it may have become small enough to be kept entirely.
+	shrunkShare = 0.25
+	// sparseShare is the share of the rows to be expected in a section below which the table shrank
+	// while it was read. Estimates from the first rows of a table differ by less.
+	sparseShare = 0.6
+	// maxShrunkPause is the longest pause between two such measurements. They become rarer, because
+	// keys that are not uniform make a section seem to have too few rows.
+	maxShrunkPause = time.Minute
+)
+
+// hasShrunk reports whether many rows of the table were removed since it was measured, or while the
+// section was read, which then has fewer rows than its width suggests. Rows outside the section that
+// were added are not counted: they cannot be told from changed ones.
+func (f *Follower) hasShrunk() bool {
+	known := f.section.Load()
+	f.delivery.Lock()
+	removed := f.removedRows
+	f.delivery.Unlock()
+	if known.tableRows == 0 {
+		return false
+	}
+	isSparse := float64(f.Part.Rows()) < sparseShare*known.tableRows*known.width
+	return isSparse || float64(removed) >= shrunkShare*known.tableRows
+}
+
+// passChanges passes changes of the entire table to the consumer. delivery must be held.
+func (f *Follower) passChanges(rows []Row, version Version) {
+	for _, row := range rows {
+		if row.Deleted {
+			f.removedRows++
+		}
+	}
+	f.Consumer.Change(rows, version)
+}
+
 // reread reads the table again while it is followed. An upstream also fetches the changes
 // up to the version read, so that its followers receive them without a gap.
 func (f *Follower) reread(ctx context.Context) error {
@@ -47,6 +89,7 @@
 		return errStaleRead
 	}
 	f.setSection(made.kept)
+	f.removedRows = 0
 	f.Part.Keep(made.rows, made.version, newerThan(missed, f.seen), isUpstream)
 	f.seen, f.isUnconfirmed = made.version, true
 	f.Logger.Info("table_read", "table", f.Table, "version", made.version, "rows", len(made.rows), "is_part", made.kept.IsPart, "width", made.kept.width)
--- a/internal/table/section_test.go
+++ b/internal/table/section_test.go
@@ -230,6 +230,37 @@
 	require.Eventually(t, func() bool { return !isPart() && len(seen.keys()) == 300 }, testTimeout, pollTime)
 }
 
+// Guards against a section that stays one because it was read again while the table shrank.
+func TestSectionReadWhileTableShrinks(t *testing.T) {
+	const left, rows, pauses = 300, 2500, 24
+	for number := range pauses {
+		pauseAt := left + (rows-left)*number/pauses
+		t.Run(fmt.Sprint("pause at ", pauseAt), func(t *testing.T) {
+			t.Parallel()
+			store, ids := tabletest.NewMemory(), randomIDs(rows)
+			for _, id := range ids {
+				put(t, store, "", id, "1")
+			}
+			seen := &recorder{}
+			replica := &table.Replica{Consumer: seen}
+			follower := &table.Follower{Store: store, Table: followedTable, Consumer: replica, Part: replica, Plan: &adaptivePlan{replica: replica}, Logger: discardLogger, Wait: 20 * time.Millisecond}
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			go func() { defer close(ended); follower.Run(ctx) }()
+			t.Cleanup(func() { cancel(); <-ended })
+			isPart := func() bool { section, _, _ := follower.Section(); return section.IsPart }
+			require.Eventually(t, func() bool { return isPart() && replica.Rows() == len(seen.keys()) }, testTimeout, pollTime)
+			for index := left; index < rows; index++ {
+				if index == pauseAt {
+					time.Sleep(1300 * time.Millisecond)
+				}
+				remove(t, store, ids[index])
+			}
+			require.Eventually(t, func() bool { return !isPart() && len(seen.keys()) == left }, testTimeout, pollTime)
+		})
+	}
+}
+
 // adaptivePlan wants 200 rows, more if fewer than 100 are left and less above 600.
 type adaptivePlan struct{ replica *table.Replica }
 
--- a/internal/table/sectionread.go
+++ b/internal/table/sectionread.go
@@ -68,12 +68,12 @@
 	if f.keyspace.digits == 0 {
 		f.keyspace = KeyspaceOf(first.keys())
 	}
-	extent, isLarge, err := first.measure(ctx, more)
+	measured, err := first.measure(ctx, more)
 	if err != nil {
 		return nil, err
 	}
-	if isLarge {
-		return f.readPart(ctx, extent)
+	if measured.rows > fullTableRows {
+		return f.readPart(ctx, measured)
 	}
 	for more && err == nil {
 		more, err = first.page(ctx, Range{From: first.nextKey(), Limit: pageRows})
@@ -82,30 +82,36 @@
 	return first, err
 }
 
-// readPart reads the section that the follower's plan selects. extent is the fraction of
-// the keyspace that the table's keys use.
-func (f *Follower) readPart(ctx context.Context, extent float64) (*sectionRead, error) {
+// measurement is an estimate of a table's size.
+type measurement struct {
+	// extent is the fraction of the keyspace that the table's keys use.
+	extent float64
+	rows   float64
+}
+
+// readPart reads the section that the follower's plan selects.
+func (f *Follower) readPart(ctx context.Context, measured measurement) (*sectionRead, error) {
 	part := &sectionRead{follower: f, version: -1}
-	from := f.keyspace.At(f.Plan.Position() * extent)
+	from := f.keyspace.At(f.Plan.Position() * measured.extent)
 	more, err := part.page(ctx, Range{From: from, Limit: sectionPageRows})
 	if err != nil {
 		return nil, err
 	}
 	part.kept.Section, err = part.fill(ctx, from, more, f.Plan)
-	part.kept.width = min(f.widthOf(part.kept.Section)/extent, 1)
+	part.kept.width = min(f.widthOf(part.kept.Section)/measured.extent, 1)
+	part.kept.tableRows = measured.rows
 	return part, err
 }
 
-// measure estimates from the first rows of a table whether it is large, and the extent of
-// its keys if so.
-func (r *sectionRead) measure(ctx context.Context, more bool) (extent float64, isLarge bool, err error) {
+// measure estimates the size of a table from its first rows.
+func (r *sectionRead) measure(ctx context.Context, more bool) (measurement, error) {
 	space := r.follower.keyspace
 	estimate := space.Estimate(r.keys())
 	if !more || estimate <= fullTableRows {
-		return 1, false, nil
+		return measurement{extent: 1, rows: min(estimate, fullTableRows)}, nil
 	}
-	extent, err = r.findExtent(ctx, space)
-	return extent, estimate*extent > fullTableRows, err
+	extent, err := r.findExtent(ctx, space)
+	return measurement{extent: extent, rows: estimate * extent}, err
 }
 
 // findExtent finds by bisection which fraction of the keyspace, from its start, the table's
@@ -176,6 +182,8 @@
 type keptSection struct {
 	Section
 	width float64
+	// tableRows is the estimated size of the table when the section was read; 0 means unknown.
+	tableRows float64
 }
 
 // peerSection returns the section of another daemon's copy.
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -108,7 +108,7 @@
 		f.Consumer.Replace(relayed.Rows, relayed.Version)
 		f.Logger.Info("table_from_upstream", "table", f.Table, "version", relayed.Version, "version_before", f.seen, "rows", len(relayed.Rows))
 	default:
-		f.Consumer.Change(newerThan(relayed.Rows, f.seen), relayed.Version)
+		f.passChanges(newerThan(relayed.Rows, f.seen), relayed.Version)
 	}
 	f.seen = relayed.Version
 }
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -129,9 +129,9 @@
 mutant old_claims_believed internal/job/permit.go \
 	'const claimsAgeLimit = 2 * time.Second' 'const claimsAgeLimit = time.Hour' internal/job TestStaleClaimsBlockNewItems
 mutant age_noted_before_the_rows internal/table/follower.go \
-	'f.Consumer.Change(newerThan(changes.Rows, f.seen), changes.Version)
+	'f.passChanges(newerThan(changes.Rows, f.seen), changes.Version)
 		f.seen' 'f.recordStoreAnswer(f.Now())
-		f.Consumer.Change(newerThan(changes.Rows, f.seen), changes.Version)
+		f.passChanges(newerThan(changes.Rows, f.seen), changes.Version)
 		f.seen' internal/table TestAgeIsUpperBound
 mutant sources_asked_one_after_the_other internal/table/refresh.go \
 	'if f.Peers == nil {' 'if f.Peers == nil || true {' internal/table TestCopyStaysFreshBehindFailingSources
