Quarantine, intake: what one crash and one connection cost is bounded

A prompt may list hundreds of parts (8 KB of header). An end under such a list made a row and a part of a datagram to every daemon for each of them: 38 datagrams a daemon for 600 parts, a lever for callers. It counts against 256 parts at most now, drawn anew at each end, so that a culprit does not hide at the end of long lists.

The intake counted the work in flight of all daemons at each backend for each new connection (at most every 5 ms). It does so only if a service lacks connections or accepted connections wait.

--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -17,7 +17,7 @@
 
 // Gate decides on the connections of one daemon. It is safe for concurrent use.
 type Gate struct {
-	load func() Load
+	load func(startDelay time.Duration) Load
 
 	mutex     sync.Mutex
 	decided   Reason
@@ -26,17 +26,15 @@
 	delay     time.Duration
 }
 
-// NewGate returns a gate. load returns the present load, without StartDelay.
-func NewGate(load func() Load) *Gate { return &Gate{load: load} }
+// NewGate returns a gate. load returns the present load, of which it is given the StartDelay.
+func NewGate(load func(startDelay time.Duration) Load) *Gate { return &Gate{load: load} }
 
 // Refuses returns why a connection that was accepted now is not taken; empty if it is.
 func (g *Gate) Refuses(now time.Time) Reason {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if now.Sub(g.decidedAt) >= loadTime {
-		load := g.load()
-		load.StartDelay = g.delay
-		g.decided, g.decidedAt = load.Full(), now
+		g.decided, g.decidedAt = g.load(g.delay).Full(), now
 	}
 	if g.decided != "" && now.Sub(g.takenAt) < takenInterval {
 		return g.decided
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -28,9 +28,9 @@
 		"free connection":          {func(l *Load) { l.Services[0].HasConnection = true }, ""},
 		"few go there":             {func(l *Load) { l.Services[0].Share, l.Services[1].Share = 0.1, 0.9 }, ""},
 		"no load known":            {func(l *Load) { l.Services = nil }, ""},
-		"slow beside idle others":  {func(l *Load) { l.Services[0].HasConnection = true; l.StartDelay = longDelay }, ReasonProcessor},
-		"slow beside busy others":  {func(l *Load) { l.Services[0].HasConnection = true; l.Services[0].Others = 12; l.StartDelay = longDelay }, ""},
-		"delays as on a calm day":  {func(l *Load) { l.Services[0].HasConnection = true; l.StartDelay = longDelay / 4 }, ""},
+		"slow beside idle others":  {func(l *Load) { l.Services[0].HasConnection = true; l.StartDelay = LongDelay }, ReasonProcessor},
+		"slow beside busy others":  {func(l *Load) { l.Services[0].HasConnection = true; l.Services[0].Others = 12; l.StartDelay = LongDelay }, ""},
+		"delays as on a calm day":  {func(l *Load) { l.Services[0].HasConnection = true; l.StartDelay = LongDelay / 4 }, ""},
 		"slow, but all are unused": {func(l *Load) { l.Services = nil; l.StartDelay = time.Second }, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -43,7 +43,7 @@
 
 // Guards against a daemon that says it is ready and takes no connection for long.
 func TestSomeConnectionsAreAlwaysTaken(t *testing.T) {
-	gate, taken := NewGate(full), 0
+	gate, taken := NewGate(func(time.Duration) Load { return full() }), 0
 	for at := time.Duration(0); at < 3*time.Second; at += time.Millisecond {
 		if gate.Refuses(testStart.Add(at)) == "" {
 			taken++
@@ -56,7 +56,7 @@
 func TestDelayIsForgotten(t *testing.T) {
 	load := full()
 	load.Services[0].HasConnection = true
-	gate := NewGate(func() Load { return load })
+	gate := NewGate(func(delay time.Duration) Load { load.StartDelay = delay; return load })
 	for range 20 {
 		gate.ObserveDelay(time.Second)
 	}
--- a/internal/intake/load.go
+++ b/internal/intake/load.go
@@ -19,12 +19,13 @@
 	// idleShare is the same for the processor. A daemon that is slow for another reason than its
 	// callers has more requests in flight than others, too.
 	idleShare = 0.5
-	// longDelay is the delay of accepted connections from which the processor is overloaded.
-	longDelay = 100 * time.Millisecond
+	// LongDelay is the delay of accepted connections from which the processor is overloaded.
+	LongDelay = 100 * time.Millisecond
 )
 
 // ServiceLoad is the load of a service's backends.
 type ServiceLoad struct {
+	Service string
 	// Share is the share of this daemon's recent requests that go to the service.
 	Share float64
 	// HasConnection reports whether this daemon may send another request to some backend.
@@ -70,7 +71,7 @@
 	switch {
 	case withoutConnection >= fullShare:
 		return ReasonNoConnection
-	case l.StartDelay >= longDelay && others < idleShare*float64(own):
+	case l.StartDelay >= LongDelay && others < idleShare*float64(own):
 		return ReasonProcessor
 	}
 	return ""
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -119,20 +120,31 @@
 	}
 }
 
+// maxCrashParts is the maximum number of prompt parts against which the evidence of one crash is
+// kept: each costs a row, and a part of a datagram to every daemon.
+const maxCrashParts = 256
+
 // evidenceOfCrash returns the evidence of a crash against each request that was in flight, and
-// against each part of their prompts once.
+// against the parts of their prompts. Of too many parts, others are drawn at each crash.
 func evidenceOfCrash(instance string, runs []Run, now time.Time) []Evidence {
 	found := []Evidence{}
-	seen := map[Fingerprint]bool{}
+	seen, parts := map[Fingerprint]bool{}, Parts{}
 	for _, run := range runs {
 		found = append(found, Evidence{Fingerprint: run.Fingerprint, Instance: instance, HadOutput: run.HadOutput, At: now})
 		for _, part := range run.Parts {
 			if !seen[part] {
 				seen[part] = true
-				found = append(found, Evidence{Fingerprint: part, Instance: instance, At: now})
+				parts = append(parts, part)
 			}
 		}
 	}
+	if len(parts) > maxCrashParts {
+		rand.Shuffle(len(parts), func(a, b int) { parts[a], parts[b] = parts[b], parts[a] })
+		parts = parts[:maxCrashParts]
+	}
+	for _, part := range parts {
+		found = append(found, Evidence{Fingerprint: part, Instance: instance, At: now})
+	}
 	return found
 }
 
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -113,6 +113,22 @@
 	require.Equal(t, ledger.partCount, len(ledger.suspects)-2)
 }
 
+// Guards against a crash under a long list of parts that costs a datagram for each of them, and
+// against a culprit that hides at the end of such lists.
+func TestLongListsOfPartsAreBounded(t *testing.T) {
+	f, crashes := newFleet(2), 0
+	for ; crashes < 60 && !holds(f.guards[1], "bad"); crashes++ {
+		parts := Parts{}
+		for number := range 600 {
+			parts = append(parts, PartFingerprint(testService, fmt.Sprint(crashes, "-", number)))
+		}
+		parts = append(parts, partsOf("bad")...)
+		require.Len(t, evidenceOfCrash("i", []Run{{Parts: parts}}, testStart), 1+maxCrashParts)
+		f.guards[0].Crashed(fmt.Sprint("i", crashes), []Run{{Fingerprint: numbered(crashes), Parts: parts}})
+	}
+	require.Less(t, crashes, 60)
+}
+
 // Guards against one withdrawal from each daemon that has served a part lately.
 func TestOneDaemonWithdrawsExcusedEvidence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serving/connections.go
+++ b/internal/serving/connections.go
@@ -55,18 +55,27 @@
 	return slices.ContainsFunc(c.Backends.Usable(service, time.Now()), func(each backend.Incarnation) bool { return !exhausted[each] })
 }
 
-// IntakeLoad returns the load that decides whether callers' connections are taken.
-func (c *Core) IntakeLoad() intake.Load {
+// IntakeLoad returns the load that decides whether callers' connections are taken. startDelay is
+// the mean delay of accepted connections. The work in flight is counted only if something is short.
+func (c *Core) IntakeLoad(startDelay time.Duration) intake.Load {
 	others := c.Fleet() - 1
-	load := intake.Load{HasPeers: others > 0} // idle daemons report no load
+	load := intake.Load{HasPeers: others > 0, StartDelay: startDelay} // idle daemons report no load
 	if !load.HasPeers {
 		return load
 	}
+	isShort := startDelay >= intake.LongDelay
 	for service, share := range c.requests.Shares(time.Now()) {
-		own, peers := c.Backends.InFlight(service)
-		load.Services = append(load.Services, intake.ServiceLoad{
-			Share: share, HasConnection: c.HasConnection(service), Own: own, Others: float64(peers) / float64(others),
-		})
+		hasConnection := c.HasConnection(service)
+		isShort = isShort || !hasConnection
+		load.Services = append(load.Services, intake.ServiceLoad{Service: service, Share: share, HasConnection: hasConnection})
+	}
+	if !isShort {
+		return load
+	}
+	for index := range load.Services {
+		each := &load.Services[index]
+		own, peers := c.Backends.InFlight(each.Service)
+		each.Own, each.Others = own, float64(peers)/float64(others)
 	}
 	return load
 }
--- a/internal/serving/connections_test.go
+++ b/internal/serving/connections_test.go
@@ -63,17 +63,17 @@
 	core.Backends.SetPeerLoads("peer", map[string]backend.PeerLoad{"b00": {Online: 1}}, 0)
 	core.Serve(t.Context(), safeRequest("r", "/a"), &recorder{})
 	require.Zero(t, sender.sends)
-	require.False(t, core.IntakeLoad().Services[0].HasConnection)
+	require.False(t, core.IntakeLoad(0).Services[0].HasConnection)
 }
 
 // Guards against intake that does not see that this daemon has no connection left.
 func TestIntakeLoadShowsMissingConnections(t *testing.T) {
 	core, _ := newConnectedCore("b00", "b01", "b02", "b03")
 	core.Serve(t.Context(), safeRequest("r", "/a"), &recorder{})
-	require.False(t, core.IntakeLoad().HasPeers, "it is alone")
+	require.False(t, core.IntakeLoad(0).HasPeers, "it is alone")
 	core.Fleet = func() int { return 3 }
 	core.Backends.SetPeerLoads("peer", map[string]backend.PeerLoad{"b00": {Online: 3, Batch: 1}}, 0)
-	load := core.IntakeLoad()
+	load := core.IntakeLoad(0)
 	require.True(t, load.HasPeers)
 	require.Len(t, load.Services, 1)
 	require.False(t, load.Services[0].HasConnection)
