--- a/internal/intake/load.go
+++ b/internal/intake/load.go
@@ -3,7 +3,7 @@
 // What is in front of the daemons may hand most new connections to one of them, while each daemon
 // has the same share of the backends' connections. A daemon that has none left, while others do,
 // closes new connections with their first request unread: the caller knows that nothing ran, and
-// connects to another daemon. It does not do so if the others are as full as itself: their refusals tell the
+// connects to another daemon. If the others are as full, it takes the connection: a refusal tells the
 // caller when to come back, a closed connection does not.
 package intake
 
