--- a/test/mutants.d/intake.sh
+++ b/test/mutants.d/intake.sh
@@ -16,4 +16,4 @@
 mutant ended_backends_have_connections internal/backend/serviceload.go \
 	' && !now.Before(known.ejectedUntil)' ' || now.Before(known.ejectedUntil)' internal/serving TestEndedBackendIsNoFreeConnection
 mutant job_calls_closed_unread platform/intake.go \
-	' || matched.Kind == route.KindJob || isJobCall(path)' '' platform TestFullDaemonReadsJobCalls
+	' || matched.Kind == route.KindJob || isJobCall(path)' ' || matched.Kind == route.KindJob && isJobCall("")' platform TestFullDaemonReadsJobCalls
