--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -299,16 +299,12 @@
 	s.next++
 	s.tokens++
 	s.run.HadOutput = true
-	if s.tokens == soundTokens {
+	if s.tokens == quarantine.SoundOutputs {
 		s.recordSound()
 	}
 	return event, nil
 }
 
-// soundTokens is the number of tokens after which a stream shows that the parts of its prompt do
-// not crash the engine. A part may crash it while the first token is sent.
-const soundTokens = 2
-
 // recordSound records, once, that the parts of the prompt do not crash the engine.
 func (s *Stream) recordSound() {
 	s.client.recordSound(s.run.Parts)
--- a/internal/engine/quarantine.go
+++ b/internal/engine/quarantine.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"slices"
 	"time"
 
 	"topazpulley/internal/quarantine"
@@ -28,12 +27,9 @@
 	if json.Unmarshal(input, &messages) != nil {
 		return nil // one text
 	}
-	parts := quarantine.Parts{}
+	parts := make(quarantine.Parts, 0, len(messages))
 	for _, each := range messages {
-		part := quarantine.PartFingerprint(model, string(each))
-		if !slices.Contains(parts, part) {
-			parts = append(parts, part)
-		}
+		parts = append(parts, quarantine.PartFingerprint(model, string(each)))
 	}
 	return parts
 }
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -41,9 +41,13 @@
 	return KindRequest
 }
 
-// Parts are the fingerprints of the parts of a request's prompt, each once.
+// Parts are the fingerprints of the parts of a request's prompt, in order.
 type Parts []Fingerprint
 
+// SoundOutputs is the number of events or tokens after which a run shows that the parts of its
+// prompt do not crash the backend. A part may crash it while the first one is sent.
+const SoundOutputs = 2
+
 // maxLoggedParts is the maximum number of fingerprints of a request's parts in a log line.
 const maxLoggedParts = 8
 
--- a/internal/serving/guarded.go
+++ b/internal/serving/guarded.go
@@ -14,10 +14,6 @@
 // is checked. All connections of a process break within milliseconds when it exits.
 const gatherTime = 20 * time.Millisecond
 
-// soundEvents is the number of events after which a stream shows that the parts of its prompt do not
-// crash the backend. A part may crash it while the first event is sent.
-const soundEvents = 2
-
 // LiveChecker is a Sender that can check whether a backend's process has exited.
 type LiveChecker interface {
 	// HasEnded reports whether the backend's machine answers that nothing listens at its
@@ -100,7 +96,7 @@
 	}
 	incarnation := attempt.Instance.Incarnation()
 	run := quarantine.Run{Fingerprint: attempt.Fingerprint, HadOutput: events > 0}
-	if events < soundEvents {
+	if events < quarantine.SoundOutputs {
 		run.Parts = attempt.Parts
 	}
 	s.mutex.Lock()
@@ -166,10 +162,10 @@
 		a.sender.recordBroken(a.ctx, a.attempt, err, a.events)
 	case ending != EndingNone:
 		a.sender.guard.Succeeded(a.attempt.Fingerprint)
-		a.recordSound(a.events < soundEvents)
+		a.recordSound(a.events < quarantine.SoundOutputs)
 	default:
 		a.events++
-		a.recordSound(a.events == soundEvents)
+		a.recordSound(a.events == quarantine.SoundOutputs)
 	}
 	return event, ending, err
 }
--- a/internal/serving/parts.go
+++ b/internal/serving/parts.go
@@ -1,8 +1,6 @@
 package serving
 
 import (
-	"slices"
-
 	"topazpulley/internal/quarantine"
 	"topazpulley/internal/routing"
 )
@@ -13,28 +11,5 @@
 	for _, each := range prompt {
 		parts = append(parts, quarantine.PartFingerprint(service, each.ID))
 	}
-	if len(parts) <= 1 {
-		return parts
-	}
-	return withoutRepeats(parts)
-}
-
-// withoutRepeats removes all but the first of equal fingerprints.
-func withoutRepeats(parts quarantine.Parts) quarantine.Parts {
-	const scanned = 16 // up to which a scan is cheaper than a map
-	if len(parts) <= scanned {
-		kept := parts[:0]
-		for _, each := range parts {
-			if !slices.Contains(kept, each) {
-				kept = append(kept, each)
-			}
-		}
-		return kept
-	}
-	seen := make(map[quarantine.Fingerprint]struct{}, len(parts))
-	return slices.DeleteFunc(parts, func(each quarantine.Fingerprint) bool {
-		_, isRepeated := seen[each]
-		seen[each] = struct{}{}
-		return isRepeated
-	})
+	return parts
 }
--- a/test/mutants.d/parts.sh
+++ b/test/mutants.d/parts.sh
@@ -14,9 +14,9 @@
 		g.recordSuccess(part)
 	}' '	_ = parts' internal/quarantine TestOutputClearsPartEverywhere
 mutant ends_of_streams_clear_parts internal/serving/guarded.go \
-	'a.recordSound(a.events < soundEvents)' 'a.recordSound(true)' internal/serving TestEndOfLongStreamClearsNoPart
-mutant first_event_clears_parts internal/serving/guarded.go \
-	'const soundEvents = 2' 'const soundEvents = 1' platform TestPartThatCrashesBackendsIsStopped/after_an_event
+	'a.recordSound(a.events < quarantine.SoundOutputs)' 'a.recordSound(true)' internal/serving TestEndOfLongStreamClearsNoPart
+mutant first_event_clears_parts internal/quarantine/part.go \
+	'const SoundOutputs = 2' 'const SoundOutputs = 1' platform TestPartThatCrashesBackendsIsStopped/after_an_event
 mutant every_daemon_withdraws internal/quarantine/guard.go \
 	'	delete(g.vetoes, fingerprint)
 	g.mutex.Unlock()
