--- a/internal/admission/retry.go
+++ b/internal/admission/retry.go
@@ -35,3 +35,10 @@
 	b.tokens--
 	return true
 }
+
+// Left returns the number of retries that the budget allows now.
+func (b *RetryBudget) Left() float64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.tokens
+}
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -62,6 +62,8 @@
 	origin  string
 	events  int
 	firstAt time.Time
+	// eventAt is when the last event was received.
+	eventAt time.Time
 
 	// noSlotCount counts the backends that had no slot for the request; waited is the
 	// total time that it waited for a slot.
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -103,7 +103,7 @@
 	if err := e.begin(answer); err != nil {
 		return err
 	}
-	e.lastEvent = event.ID
+	e.lastEvent, e.eventAt = event.ID, time.Now()
 	e.events++
 	return e.responder.Event(event.Raw)
 }
--- a/internal/serving/verdict.go
+++ b/internal/serving/verdict.go
@@ -42,8 +42,7 @@
 		return
 	}
 	if e.hasBegun {
-		e.outcome = "broken_off"
-		e.responder.Abort()
+		e.breakOff(code)
 		return
 	}
 	refusal := Refusal{Verdict: notRun, RetryAfter: retryAfter, Code: code}
@@ -60,6 +59,18 @@
 	}
 }
 
+// breakOff ends an answer that has begun so that the caller does not take it for a whole one.
+// code names the cause.
+func (e *exchange) breakOff(code string) {
+	e.outcome = "broken_off"
+	e.core.Metrics.BrokenOff.WithLabelValues(e.request.Service, code).Inc()
+	e.core.Logger.Info("answer_broken_off", "id", e.request.ID, "backend", e.last.ID, "code", code, "last_event", e.lastEvent,
+		"event_age_ms", time.Since(e.eventAt).Milliseconds(), "left_ms", e.remaining().Milliseconds(), "sends", e.sends, "runs", e.runs, "unplaced", e.noSlotCount,
+		"excluded", len(e.excluded), "backends", e.core.Backends.Count(e.request.Service), "of_version", e.backendCount(),
+		"listed", e.core.Backends.IsListed(e.last.Incarnation()), "retries_left", int(e.core.retries.Left()))
+	e.responder.Abort()
+}
+
 // record logs the end of the request and updates its metrics.
 func (e *exchange) record() {
 	took := time.Since(e.request.Arrived)
