Boottime: a sleep between two readings of the clock is detected

Symptom: TestRequestEndsAfterSuspensionPastDeadline failed once under the race detector: the request ended at its deadline by the clock that stops, 3 s late. Cause: Wakeups.Run read the clock for the sleep since the last check and read it again for the next check's start; a sleep between the two belonged to neither. Both come from one mark now, so that each instant belongs to one check. TestSleepAtAnyReadingIsDetected failed before (reading 3).

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -32,8 +32,11 @@
 func (c Clock) Mark() Mark { return Mark{monotonic: time.Now(), at: c.Now()} }
 
 // SleptSince returns for how long the machine has slept since a mark.
-func (c Clock) SleptSince(earlier Mark) time.Duration {
-	return max(c.Now().Sub(earlier.at)-time.Since(earlier.monotonic), 0)
+func (c Clock) SleptSince(earlier Mark) time.Duration { return c.Mark().sleptSince(earlier) }
+
+// sleptSince returns for how long the machine slept between two marks.
+func (m Mark) sleptSince(earlier Mark) time.Duration {
+	return max(m.at.Sub(earlier.at)-m.monotonic.Sub(earlier.monotonic), 0)
 }
 
 // HasSleptSince reports whether the machine has slept since a mark for minSleep or
--- a/internal/boottime/boottime_test.go
+++ b/internal/boottime/boottime_test.go
@@ -124,3 +124,28 @@
 	cancel()
 	require.Error(t, bounded.Err())
 }
+
+// checkedTime is long enough for several checks for sleep.
+const checkedTime = 4 * time.Second
+
+// Guards against a sleep that no check detects because it falls between two readings of the clock.
+func TestSleepAtAnyReadingIsDetected(t *testing.T) {
+	for sleepsAt := 2; sleepsAt <= 8; sleepsAt++ {
+		synctest.Test(t, func(t *testing.T) {
+			started, readings, slept := time.Now(), 0, time.Duration(0)
+			clock := func() boottime.Instant {
+				if readings++; readings == sleepsAt {
+					slept = time.Minute
+				}
+				return boottime.Instant(time.Since(started) + slept)
+			}
+			wakeups := boottime.NewWakeups(clock, slog.New(slog.DiscardHandler))
+			detected := 0
+			wakeups.Notify(func() { detected++ })
+			ctx, cancel := context.WithTimeout(t.Context(), checkedTime)
+			defer cancel()
+			wakeups.Run(ctx)
+			require.Equal(t, 1, detected, "a sleep at reading %d", sleepsAt)
+		})
+	}
+}
--- a/internal/boottime/wakeups.go
+++ b/internal/boottime/wakeups.go
@@ -58,8 +58,9 @@
 func (w *Wakeups) Run(ctx context.Context) {
 	before := w.clock.Mark()
 	periodic.Run(ctx, checkInterval, func() {
-		slept := w.clock.SleptSince(before)
-		before = w.clock.Mark()
+		now := w.clock.Mark()
+		slept := now.sleptSince(before)
+		before = now
 		if slept < minSleep {
 			return
 		}
