Serving: a silent attempt goes on until another back end has taken the request over

What callers saw: an answer that had begun was reset, or a plain request got 502, although its back end went on a moment later or another one had room soon.

Cause: after 1.5 s without an event (three objectives before the first output) the attempt was cancelled, and only then was it asked whether anything could replace it. Retry budget, number of sends, version of the listed back ends, and time since the arrival then ended the answer; all of them are bounds made for load, which a request that can be refused survives. Class: something that still works is given up before it is known that anything can replace it.

Change: a search for a successor runs beside the silent attempt (serving.standby). Output ends the search, a successor ends the attempt; the one that comes first counts. A reservation is a successor, or, without reservations, an answer for a stream that has begun, and a usable back end for a request without output, which still runs at one back end at a time. If there is none, the attempt is waited for until the request's time is over. Answers that have begun are no longer bounded by retry budget or number of sends; probes are paced from 40 to 320 ms.

Ruled out: a change of the configuration by itself (a request keeps its route). Waiting longer for versions that are no longer listed after a break: tried, breaks TestStreamEndsAtOnceWithoutItsSoftwareVersion, left as it was.

--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -98,7 +98,7 @@
 	defer cancel()
 	served := &exchange{
 		core: c, request: request, responder: responder, caller: ctx, end: end, arrived: arrived,
-		excluded: map[string]bool{}, lastEvent: request.LastEvent, fingerprint: request.fingerprint(), parts: PartsOf(request.Service, request.Prompt),
+		excluded: map[string]bool{}, silent: map[string]bool{}, lastEvent: request.LastEvent, fingerprint: request.fingerprint(), parts: PartsOf(request.Service, request.Prompt),
 	}
 	if served.refuseQuarantined() {
 		served.record()
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -14,7 +14,6 @@
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/runrecord"
-	"topazpulley/internal/watchdog"
 )
 
 const (
@@ -46,7 +45,10 @@
 
 	// excluded are the ids of the backends that are not chosen for the next attempt.
 	excluded map[string]bool
-	sends    int
+	// silent are the ids of the backends that fell silent on this request. No successor is sought
+	// among them.
+	silent map[string]bool
+	sends  int
 	// runs counts the runs that count toward the route's maximum; ran records whether any
 	// attempt may have run.
 	runs     int
@@ -84,6 +86,11 @@
 	// queue at a backend.
 	isQueued bool
 
+	// successor has taken the request over from the last attempt; nil if none has.
+	successor *successor
+	// isRetryPaid is set if the present search for a successor has spent a retry.
+	isRetryPaid bool
+
 	// admission is the decision on the request's tenant limit.
 	admission ratelimit.Decision
 
@@ -139,6 +146,9 @@
 			e.excluded[e.last.ID] = true
 			continue
 		}
+		if e.takeOver(err) {
+			continue
+		}
 		if !e.mayRetry(ctx, err) {
 			if e.refuseQuarantined() {
 				return
@@ -211,12 +221,7 @@
 	if remaining < minRemaining {
 		return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonRequestEnded}
 	}
-	attempt := Attempt{
-		Instance: e.last, Tenant: e.request.tenantName(), MaxConnections: e.core.ConnectionShare(e.request.Service),
-		ID: e.request.ID, Fingerprint: e.fingerprint, Parts: e.parts, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
-		Fields: e.request.Fields, Body: e.request.Body, Remaining: remaining, TimeLeft: e.remaining,
-		LastEvent: e.lastEvent, Software: e.request.pin.version, Stream: e.request.Route.Kind == route.KindStream,
-	}
+	attempt := e.newAttempt()
 	if e.reserved.name != "" {
 		attempt.Reservation, e.reserved = e.reserved.name, reservedSlot{}
 	} else if err := e.reserve(ctx, &attempt); err != nil {
@@ -226,50 +231,111 @@
 	if attempt.Reservation != "" {
 		e.reservedAt = time.Now()
 	}
-	attempt.Permit = func() error {
-		e.logSent(&attempt)
-		CountContinuation(e.core.Metrics, &attempt, e.origin)
-		return nil
-	}
-	e.sends++
+	e.countSend(&attempt)
 	e.transfer = Transfer{}
-	e.ran.Sent()
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e.attemptedAt = time.Now()
-	watched := e.startWatchdog(cancel)
-	defer watched.Stop()
+	waiting := e.startStandby(ctx, cancel)
 	answer, err := e.core.Sender.Send(bounded, attempt)
 	if err != nil {
-		err = explain(watched, err)
+		err = e.explain(waiting, err)
 		if attemptError(err).Outcome == OutcomeNotRun {
 			e.ran.NeverRan()
 		}
 		e.recordAttemptFailure(err)
-		return err
+	} else {
+		defer answer.Close()
+		err = e.receive(ctx, answer, lease, waiting)
 	}
-	defer answer.Close()
+	for err != nil && e.successor != nil && e.successor.beside != nil {
+		err = e.continueBeside(ctx)
+	}
+	return err
+}
+
+// newAttempt returns the next attempt, without a reservation, at the last chosen backend.
+func (e *exchange) newAttempt() Attempt {
+	return Attempt{
+		Instance: e.last, Tenant: e.request.tenantName(), MaxConnections: e.core.ConnectionShare(e.request.Service),
+		ID: e.request.ID, Fingerprint: e.fingerprint, Parts: e.parts, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
+		Fields: e.request.Fields, Body: e.request.Body, Remaining: e.remaining(), TimeLeft: e.remaining,
+		LastEvent: e.lastEvent, Software: e.request.pin.version, Stream: e.request.Route.Kind == route.KindStream,
+	}
+}
+
+// countSend counts an attempt that is about to be sent and makes it log its first byte.
+func (e *exchange) countSend(attempt *Attempt) {
+	attempt.Permit = func() error {
+		e.logSent(attempt)
+		CountContinuation(e.core.Metrics, attempt, e.origin)
+		return nil
+	}
+	e.sends++
+	e.ran.Sent()
+}
+
+// receive passes an answer to the caller. It returns nil when the request has its final answer.
+func (e *exchange) receive(ctx context.Context, answer Answer, lease *backend.Lease, waiting *standby) error {
 	if report, found := answer.Load(); found {
 		e.core.Backends.RecordReport(e.last.Incarnation(), report, time.Now())
 	}
+	var err error
 	if answer.Head().Events && answer.Head().Successful() {
-		err = e.relay(ctx, answer, lease, watched)
+		err = e.relay(ctx, answer, lease, waiting)
 	} else {
-		err = e.passComplete(answer, lease, watched)
+		err = e.passComplete(answer, lease, waiting)
 	}
 	e.transfer = answer.Transfer()
 	if err != nil {
-		err = explain(watched, err)
+		err = e.explain(waiting, err)
 		e.recordAttemptFailure(err)
-		return err
 	}
-	return nil
+	return err
 }
 
-// explain replaces an error that the watchdog caused by one with ReasonSilent. An attempt
-// that was not sent keeps its error: it has not run.
-func explain(watched *watchdog.Watchdog, err error) error {
-	if !watched.Fired() || attemptError(err).Outcome == OutcomeNotRun {
+// takeOver makes the successor of a silent attempt, if there is one, the next to be sent to.
+func (e *exchange) takeOver(err error) bool {
+	if e.successor == nil {
+		return false
+	}
+	e.reserved = e.successor.reserved
+	e.leaveSilent(err)
+	return true
+}
+
+// leaveSilent counts the run of an attempt that a successor has replaced.
+func (e *exchange) leaveSilent(err error) {
+	e.successor = nil
+	e.silent[e.last.ID] = true
+	e.excluded[e.last.ID] = true
+	if attemptError(err).Outcome != OutcomeNotRun {
+		e.runs++
+		e.chargeRun()
+	}
+	if e.core.ResponseTimes.PrefersOtherZones() {
+		e.avoidZone(e.last.Zone)
+	}
+}
+
+// continueBeside goes on with the answer of a successor.
+func (e *exchange) continueBeside(ctx context.Context) error {
+	beside := e.successor.beside
+	defer beside.close()
+	e.leaveSilent(&AttemptError{Outcome: OutcomeUnknown, Reason: ReasonSilent})
+	e.last, e.cost = beside.lease.Instance(), beside.candidate
+	e.transfer = Transfer{}
+	e.attemptedAt = time.Now()
+	return e.receive(ctx, beside.answer, beside.lease, e.startStandby(ctx, beside.cancel))
+}
+
+// explain ends the wait for output of a failed attempt. If a successor has taken the request over,
+// which ended the attempt, it replaces the error by one with ReasonSilent. An attempt that was not
+// sent keeps its error: it has not run.
+func (e *exchange) explain(waiting *standby, err error) error {
+	waiting.arrived()
+	e.successor = waiting.takeSuccessor()
+	if e.successor == nil || attemptError(err).Outcome == OutcomeNotRun {
 		return err
 	}
 	return &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonSilent, Cause: err}
@@ -283,7 +349,9 @@
 	if e.caller.Err() != nil {
 		return
 	}
-	RecordFailure(e.core.Backends, e.last.Incarnation(), failed.Reason, time.Now())
+	if failed.Reason != ReasonSilent { // charged when the silence began
+		RecordFailure(e.core.Backends, e.last.Incarnation(), failed.Reason, time.Now())
+	}
 	e.core.Metrics.Attempts.WithLabelValues(failed.Outcome.String(), string(failed.Reason)).Inc()
 	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "software", e.last.Version, "outcome", failed.Outcome.String(),
 		"reason", string(failed.Reason), "cause", failed.Cause, "answer", e.transfer, "last_event", e.lastEvent, "fingerprint", e.fingerprint.String(), "parts", e.parts)
@@ -309,29 +377,26 @@
 	return &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonBroken, Cause: err}
 }
 
-// mayRetry decides after a failed attempt whether the request is sent to another backend.
+// mayRetry decides after a failed attempt whether the request is sent to another backend. The
+// bounds on retries keep load low and end in a refusal. An answer that has begun cannot be refused
+// any more: it is bounded by the route's maximum of runs and by its time only.
 func (e *exchange) mayRetry(ctx context.Context, err error) bool {
 	failed := attemptError(err)
 	e.reason = failed.Reason
 	e.excluded[e.last.ID] = true
-	if failed.Reason == ReasonSilent && e.core.ResponseTimes.PrefersOtherZones() {
-		e.avoidZone(e.last.Zone)
-	}
-	if failed.Outcome != OutcomeNotRun {
-		if e.countsAsRun(failed) {
-			e.runs++
-		}
+	if failed.Outcome != OutcomeNotRun && e.countsAsRun(failed) {
+		e.runs++
 	}
-	if failed.Reason == ReasonQuarantined || ctx.Err() != nil || e.sends >= maxSends || e.remaining() < minRemaining {
+	if failed.Reason == ReasonQuarantined || ctx.Err() != nil || e.remaining() < minRemaining {
 		return false
 	}
 	isAllowed := failed.Outcome == OutcomeNotRun || (e.request.Route.Repeatable() && e.runs < e.request.Route.MaxAttempts)
 	if !isAllowed {
 		return false
 	}
-	// An attempt without a connection has cost no backend anything.
-	if failed.Reason != ReasonNoConnection && !e.core.retries.Spend() {
-		e.reason = ReasonBudget
+	if e.hasBegun {
+		e.paceBegun(ctx)
+	} else if !e.isWithinRetryBounds(failed) {
 		return false
 	}
 	if failed.Outcome != OutcomeNotRun {
@@ -340,6 +405,28 @@
 	return true
 }
 
+// isWithinRetryBounds reports whether a request that can still be refused may be sent again.
+func (e *exchange) isWithinRetryBounds(failed *AttemptError) bool {
+	if e.sends >= maxSends {
+		return false
+	}
+	// An attempt without a connection has cost no backend anything.
+	if failed.Reason != ReasonNoConnection && !e.core.retries.Spend() {
+		e.reason = ReasonBudget
+		return false
+	}
+	return true
+}
+
+// paceBegun pauses before an answer that has begun is sent to a further backend, if many have
+// refused it.
+func (e *exchange) paceBegun(ctx context.Context) {
+	e.isQueued = false // wait for a slot again
+	if e.sends >= maxSends {
+		periodic.SleepAbout(ctx, searchPause(e.sends-maxSends+1))
+	}
+}
+
 // countsAsRun reports whether a failed attempt counts toward the maximum number of
 // attempts. An attempt at a backend that is no longer listed does not.
 func (e *exchange) countsAsRun(failed *AttemptError) bool {
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -6,17 +6,18 @@
 
 	"topazpulley/internal/backend"
 	"topazpulley/internal/responsetimeout"
-	"topazpulley/internal/watchdog"
 )
 
 // passComplete reads a complete answer before it passes any of it to the caller.
-func (e *exchange) passComplete(answer Answer, lease *backend.Lease, watched *watchdog.Watchdog) error {
+func (e *exchange) passComplete(answer Answer, lease *backend.Lease, waiting *standby) error {
 	head := answer.Head()
 	body, err := answer.Body()
-	watched.Stop()
 	if err != nil {
 		return err
 	}
+	if !waiting.arrived() {
+		return errTakenOver
+	}
 	lease.Started()
 	releaseBackend(answer, lease)
 	if !head.Successful() && e.mayRepeatFailure(head) {
@@ -69,12 +70,15 @@
 }
 
 // relay passes events to the caller as they arrive.
-func (e *exchange) relay(ctx context.Context, answer Answer, lease *backend.Lease, watched *watchdog.Watchdog) error {
+func (e *exchange) relay(ctx context.Context, answer Answer, lease *backend.Lease, waiting *standby) error {
 	for isFirst := true; ; isFirst = false {
 		event, ending, err := answer.Next()
 		if err != nil {
 			return err
 		}
+		if !waiting.arrived() {
+			return errTakenOver
+		}
 		if ending != EndingNone {
 			return e.finish(answer, lease)
 		}
@@ -84,7 +88,6 @@
 		if isFirst && e.isOtherSoftware() {
 			return &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonOtherSoftware}
 		}
-		watched.Feed()
 		if isFirst {
 			e.observeResponseTime(responsetimeout.KindFirstEvent)
 		}
@@ -93,9 +96,14 @@
 			e.outcome = "caller_gone"
 			return nil
 		}
+		waiting.await()
 	}
 }
 
+// errTakenOver is the error of an attempt whose output came after a successor had taken the request
+// over.
+var errTakenOver = &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonSilent}
+
 func (e *exchange) passEvent(ctx context.Context, answer Answer, event Event) error {
 	if !e.request.pin.isSet {
 		e.recordOrigin(ctx)
--- a/internal/serving/slotwait.go
+++ b/internal/serving/slotwait.go
@@ -47,7 +47,7 @@
 	onTimeUntil := e.onTimeUntil(started)
 	waiting := e.core.Backends.TrackWaiting(e.request.Service, onTimeUntil)
 	defer waiting.Done()
-	latest := e.request.Arrived.Add(min(e.request.Route.Objective*queueAfterObjectives, maxSlotWait))
+	latest := e.slotWaitBegan(started).Add(min(e.request.Route.Objective*queueAfterObjectives, maxSlotWait))
 	attempts := 0
 	for e.waitForAttempt(ctx, onTimeUntil, latest) {
 		if _, isQuarantined := e.quarantined(); isQuarantined {
@@ -71,6 +71,15 @@
 	clear(e.excluded)
 }
 
+// slotWaitBegan returns when the time for which the request waits for a slot began: when it arrived,
+// or when an answer that has begun needed another backend.
+func (e *exchange) slotWaitBegan(now time.Time) time.Time {
+	if e.hasBegun {
+		return now
+	}
+	return e.request.Arrived
+}
+
 // maxRejectRetryAfter bounds the retry delay of rejected requests: it is derived from
 // the slots freed in the last second, and the free capacity can change quickly.
 const maxRejectRetryAfter = 3 * time.Second
@@ -179,6 +188,12 @@
 		return false
 	}
 	e.excluded[chosen.ID] = true
+	return e.reserveAt(ctx, chosen)
+}
+
+// reserveAt attempts a reservation at a backend, stores it in reserved and reports whether it
+// succeeded.
+func (e *exchange) reserveAt(ctx context.Context, chosen routing.Candidate) bool {
 	instance, found := e.core.Backends.Get(chosen.ID)
 	if !found {
 		return false
--- /dev/null
+++ b/internal/serving/successor.go
@@ -0,0 +1,211 @@
+package serving
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/periodic"
+	"topazpulley/internal/routing"
+)
+
+const (
+	// minSearchPause and maxSearchPause bound the time between two probes of a search for a
+	// successor. It doubles from one to the next, so that many streams that fall silent at once do
+	// not load the other backends.
+	minSearchPause = 40 * time.Millisecond
+	maxSearchPause = 320 * time.Millisecond
+	// probesBeforeQueueing is the number of probes without a reservation after which a stream that
+	// has begun is sent to queue at a backend.
+	probesBeforeQueueing = 4
+)
+
+// searchPause returns the pause after a number of probes that found no successor.
+func searchPause(probes int) time.Duration {
+	pause := minSearchPause
+	for ; probes > 1 && pause < maxSearchPause; probes-- {
+		pause *= 2
+	}
+	return min(pause, maxSearchPause)
+}
+
+// searcher returns the copy of the exchange on which a search works.
+func (e *exchange) searcher() *exchange {
+	made := *e
+	made.excluded = maps.Clone(e.excluded)
+	made.silent = maps.Clone(e.silent)
+	made.silent[e.last.ID] = true
+	return &made
+}
+
+// absorb takes over what a search has done.
+func (e *exchange) absorb(searcher *exchange) {
+	e.sends, e.runs, e.ran = searcher.sends, searcher.runs, searcher.ran
+	e.noSlotCount = searcher.noSlotCount
+}
+
+// findSuccessor looks for a backend that takes the request over from a silent attempt, until one
+// does or ctx ends. It returns nil if there is none. request is the context of the request.
+func (e *exchange) findSuccessor(ctx, request context.Context) *successor {
+	e.recordSilence()
+	e.excludeSilent()
+	for probes := 1; e.maySucceed(ctx); probes++ {
+		if found := e.probe(ctx, request, probes); found != nil {
+			return found
+		}
+		if !periodic.SleepAbout(ctx, searchPause(probes)) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// recordSilence charges the silent backend, so that new requests avoid it.
+func (e *exchange) recordSilence() {
+	if e.caller.Err() != nil {
+		return
+	}
+	RecordFailure(e.core.Backends, e.last.Incarnation(), ReasonSilent, time.Now())
+	e.core.Logger.Info("attempt_stands_still", "id", e.request.ID, "backend", e.last.ID, "zone", e.last.Zone, "last_event", e.lastEvent, "begun", e.hasBegun,
+		"listed", e.core.Backends.IsListed(e.last.Incarnation()), "runs", e.runs, "left_ms", e.remaining().Milliseconds())
+}
+
+// Outcomes of a search for a successor, in logs and metrics.
+const (
+	searchOutcomeMoved = "moved"
+	searchOutcomeEnded = "ended"
+)
+
+// recordSearch records the end of a search: a successor was found, or it ended because the attempt
+// gave output, broke off or ran out of time.
+func (e *exchange) recordSearch(ended *search, isMoved bool) {
+	outcome := searchOutcomeEnded
+	if isMoved {
+		outcome = searchOutcomeMoved
+	}
+	e.core.Metrics.Searches.WithLabelValues(e.request.Service, outcome).Inc()
+	e.core.Logger.Info("successor_search_ended", "id", e.request.ID, "backend", e.last.ID, "outcome", outcome, "took_ms", time.Since(ended.began).Milliseconds(),
+		"last_event", e.lastEvent, "unplaced", e.noSlotCount, "sends", e.sends, "runs", e.runs, "retries_left", int(e.core.retries.Left()))
+}
+
+// maySucceed reports whether a successor may take the request over.
+func (e *exchange) maySucceed(ctx context.Context) bool {
+	if ctx.Err() != nil || e.runs+1 >= e.request.Route.MaxAttempts || e.remaining() < minRemaining {
+		return false
+	}
+	_, isQuarantined := e.quarantined()
+	return !isQuarantined
+}
+
+// excludeSilent makes all backends eligible again, but for those that fell silent on this request
+// and, if the service's timeouts say so, their zones.
+func (e *exchange) excludeSilent() {
+	clear(e.excluded)
+	maps.Copy(e.excluded, e.silent)
+	if e.core.ResponseTimes.PrefersOtherZones() {
+		e.avoidZone(e.last.Zone)
+	}
+}
+
+// probe asks one backend to take the request over.
+func (e *exchange) probe(ctx, request context.Context, probes int) *successor {
+	if !e.hasBegun && !e.payRetry() {
+		return nil
+	}
+	reservesSlots := e.reservesSlots()
+	allowed := preemptWhereFull
+	if reservesSlots {
+		allowed = preemptAnywhere
+	}
+	chosen, found := e.core.pick(&e.request, e.excluded, allowed)
+	if !found || chosen.Ejected {
+		e.excludeSilent()
+		return nil
+	}
+	e.excluded[chosen.ID] = true
+	switch {
+	case reservesSlots && (!e.hasBegun || probes <= probesBeforeQueueing):
+		if e.reserveAt(ctx, chosen) {
+			return &successor{reserved: e.reserved}
+		}
+		return nil
+	case !e.hasBegun:
+		return &successor{}
+	}
+	return e.sendBeside(ctx, request, chosen)
+}
+
+// payRetry spends a retry for the search, once.
+func (e *exchange) payRetry() bool {
+	e.isRetryPaid = e.isRetryPaid || e.core.retries.Spend()
+	return e.isRetryPaid
+}
+
+// besideAttempt is an attempt that was made beside a silent one.
+type besideAttempt struct {
+	lease     *backend.Lease
+	candidate routing.Candidate
+	answer    Answer
+	cancel    context.CancelFunc
+}
+
+// close ends the attempt.
+func (b *besideAttempt) close() {
+	b.answer.Close()
+	b.cancel()
+	b.lease.Release()
+}
+
+// sendBeside sends the request to a backend while the silent attempt goes on. The backend takes the
+// request over when it answers; until then the request may not have begun to run there.
+func (e *exchange) sendBeside(ctx, request context.Context, chosen routing.Candidate) *successor {
+	lease, found := e.core.Backends.Acquire(chosen.ID, backend.Online, e.request.Prompt)
+	if !found {
+		return nil
+	}
+	e.last, e.cost = lease.Instance(), chosen
+	e.preempt()
+	bounded, cancel := context.WithCancel(request)
+	stopFollowing := context.AfterFunc(ctx, cancel)
+	answer, err := e.sendWithin(bounded, cancel)
+	if err == nil && stopFollowing() {
+		return &successor{beside: &besideAttempt{lease: lease, candidate: chosen, answer: answer, cancel: cancel}}
+	}
+	stopFollowing()
+	if answer != nil {
+		answer.Close()
+	}
+	cancel()
+	lease.Release()
+	return nil
+}
+
+// sendWithin sends the request and returns an answer that goes on with the stream. If a further
+// backend may be asked after this one, it waits for the answer for no longer than eventTimeout.
+func (e *exchange) sendWithin(ctx context.Context, cancel context.CancelFunc) (Answer, error) {
+	if e.runs+2 < e.request.Route.MaxAttempts {
+		timer := time.AfterFunc(eventTimeout, cancel)
+		defer timer.Stop()
+	}
+	attempt := e.newAttempt()
+	e.countSend(&attempt)
+	answer, err := e.core.Sender.Send(ctx, attempt)
+	if err == nil && !(answer.Head().Events && answer.Head().Successful()) {
+		answer.Close()
+		answer, err = nil, &AttemptError{Outcome: OutcomeFailed, Reason: ReasonError}
+	}
+	if err == nil {
+		return answer, nil
+	}
+	failed := attemptError(err)
+	if failed.Outcome == OutcomeNotRun {
+		e.ran.NeverRan()
+	} else if e.countsAsRun(failed) {
+		e.runs++
+	}
+	if ctx.Err() == nil {
+		e.recordAttemptFailure(err)
+	}
+	return nil, err
+}
--- a/internal/serving/timeout.go
+++ b/internal/serving/timeout.go
@@ -24,9 +24,9 @@
 	outcomeContinued  = "budget_spent"
 )
 
-// startWatchdog starts a watchdog that ends the attempt if it gives no response in time.
+// startWatchdog starts a watchdog that calls seek if the attempt gives no response in time.
 // It returns nil if the request may not run again.
-func (e *exchange) startWatchdog(cancel func()) *watchdog.Watchdog {
+func (e *exchange) startWatchdog(seek func()) *watchdog.Watchdog {
 	if !e.request.Route.Repeatable() || e.runs+1 >= e.request.Route.MaxAttempts {
 		return nil
 	}
@@ -36,7 +36,7 @@
 	if kind == responsetimeout.KindComplete {
 		pause = timeouts.Latest
 	}
-	return watchdog.StartEarly(timeouts.Early, timeouts.Latest, pause, func() bool { return e.mayEndEarly(timeouts) }, cancel)
+	return watchdog.StartEarly(timeouts.Early, timeouts.Latest, pause, func() bool { return e.mayEndEarly(timeouts) }, seek)
 }
 
 // awaitedResponse returns the kind of response whose time is measured for the request.
--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -21,6 +21,9 @@
 	OriginCopies *prometheus.CounterVec
 	// Silences counts attempts that exceeded their early response timeout, by service and outcome.
 	Silences *prometheus.CounterVec
+	// Searches counts searches for a backend that takes a request over from a silent attempt, by
+	// service and outcome.
+	Searches *prometheus.CounterVec
 	// BrokenOff counts answers that had begun and were broken off by this daemon, by service and
 	// code.
 	BrokenOff *prometheus.CounterVec
@@ -70,6 +73,7 @@
 		OriginFindings: counter("stream_origin_findings_total", "Searches for the software version that began a stream, by result.", "finding"),
 		OriginCopies:   counter("stream_origin_copies_total", "Origins of streams copied to another daemon before the first event, by outcome.", "outcome"),
 		Silences:       counter("serving_silences_total", "Attempts that stayed silent for longer than learned.", "service", "outcome"),
+		Searches:       counter("serving_successor_searches_total", "Searches for a back end that takes over from a silent attempt.", "service", "outcome"),
 		BrokenOff:      counter("serving_answers_broken_off_total", "Answers that had begun and were broken off, by cause.", "service", "code"),
 		FirstOutput:    histogram("serving_first_output_seconds", "Time to the first event or the whole answer.", "service"),
 		Duration:       histogram("serving_duration_seconds", "Time to the end of a request.", "service"),
@@ -86,7 +90,7 @@
 
 		MemoryRefusals: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "memory_refusals_total", Help: "Requests refused because too much was held for others."}),
 	}
-	registry.MustRegister(serving.Requests, serving.Attempts, serving.Continuations, serving.OriginFindings, serving.OriginCopies, serving.Silences, serving.BrokenOff, serving.FirstOutput, serving.Duration, serving.Items, serving.Held, serving.StoreCalls, serving.StoreSeconds,
+	registry.MustRegister(serving.Requests, serving.Attempts, serving.Continuations, serving.OriginFindings, serving.OriginCopies, serving.Silences, serving.Searches, serving.BrokenOff, serving.FirstOutput, serving.Duration, serving.Items, serving.Held, serving.StoreCalls, serving.StoreSeconds,
 		serving.Behind, serving.TurnedAway, serving.Malformed, serving.Shed, serving.SlowCallers, serving.MemoryRefusals, serving.BatchRoom)
 	return serving
 }
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -396,7 +396,7 @@
 mutant void_once_only internal/job/voidrow.go \
 	'		existing = conflict.Row(tableVoid, id)' '		return err' internal/job TestReservationOfEarlyCanceledJobIsSwept
 mutant origin_of_requests_not_logged internal/serving/exchange.go \
-	'e.logSent(&attempt)' '' platform TestRequestOriginLogged
+	'e.logSent(attempt)' '' platform TestRequestOriginLogged
 mutant epoch_of_items_not_logged internal/job/dispatch.go \
 	'"epoch", epoch, ' '"at", epoch, ' platform TestItemOriginLogged
 mutant beginning_taken_for_whole internal/httphead/body.go \
