Serving: an attempt that ends whole as a successor takes over is kept

By reading: a plain answer or the end of a stream that was read in the same moment in which a successor took over was thrown away and run again. It counts now, and the successor is dropped. internal/serving under -race passes.

--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -15,9 +15,7 @@
 	if err != nil {
 		return err
 	}
-	if !waiting.arrived() {
-		return errTakenOver
-	}
+	waiting.ended()
 	lease.Started()
 	releaseBackend(answer, lease)
 	if !head.Successful() && e.mayRepeatFailure(head) {
@@ -76,12 +74,13 @@
 		if err != nil {
 			return err
 		}
-		if !waiting.arrived() {
-			return errTakenOver
-		}
 		if ending != EndingNone {
+			waiting.ended()
 			return e.finish(answer, lease)
 		}
+		if !waiting.arrived() {
+			return errTakenOver
+		}
 		if event.ID != 0 && event.ID != e.lastEvent+1 {
 			return &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonCorrupt}
 		}
--- a/internal/serving/standby.go
+++ b/internal/serving/standby.go
@@ -100,6 +100,13 @@
 	return s.successor == nil
 }
 
+// ended ends the wait for output of an attempt that has ended whole, and drops a successor that has
+// just taken over: the request needs none.
+func (s *standby) ended() {
+	s.arrived()
+	s.takeSuccessor().drop()
+}
+
 // run looks for a successor. The watchdog calls it when the attempt is silent for too long.
 func (s *standby) run() {
 	s.mutex.Lock()
--- a/test/mutants.d/endings.sh
+++ b/test/mutants.d/endings.sh
@@ -26,10 +26,10 @@
 	'		if err != nil {
 			return err
 		}
-		if !waiting' '		if err != nil && ending == EndingNone {
+		if ending != EndingNone {' '		if err != nil && ending == EndingNone {
 			return err
 		}
-		if !waiting' platform TestStreamCutInsideEventIsNotComplete
+		if ending != EndingNone {' platform TestStreamCutInsideEventIsNotComplete
 mutant items_end_broken_streams internal/job/attempt.go \
 	'		if err != nil {
 			return err
