Serving: a comment between two events breaks no stream off

Symptom: a stream with a comment between two events was reset (reason spoiled). TestCommentBetweenEventsBreaksNothing failed before (0 of 1 finished).

--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -110,7 +110,10 @@
 	if err := e.begin(answer); err != nil {
 		return err
 	}
-	e.lastEvent, e.eventAt = event.ID, time.Now()
+	if event.ID != 0 { // not a comment
+		e.lastEvent = event.ID
+	}
+	e.eventAt = time.Now()
 	e.events++
 	return e.responder.Event(event.Raw)
 }
