Serving: a run beside a silent one counts, even if its answer comes too late

Cause: an attempt beside a silent one that is answered in the moment in which the silent one gives output is dropped as a successor that is not needed, and its run was counted nowhere. Only attempts beside that ended with an error were.

Evidence: TestRunsOfSearchesCount (new), a back end silent four times: 5 runs where the route allows 2, 3 or 4. After: as many as allowed.

Why it works: discard is the only way by which an answered successor is given up, and counts its run.

--- a/internal/serving/standby.go
+++ b/internal/serving/standby.go
@@ -50,13 +50,6 @@
 	beside *besideAttempt
 }
 
-// drop releases what the successor holds.
-func (s *successor) drop() {
-	if s != nil && s.beside != nil {
-		s.beside.close()
-	}
-}
-
 // startStandby watches an attempt that begins now. It returns nil if the request may not run again.
 func (e *exchange) startStandby(request context.Context, endAttempt context.CancelFunc) *standby {
 	started := &standby{exchange: e, request: request, endAttempt: endAttempt, isAwaiting: true}
@@ -115,7 +108,7 @@
 	defer close(running.ended)
 	found := running.searcher.findSuccessor(ctx, s.request)
 	if found != nil && !s.take(found) {
-		found.drop()
+		running.searcher.discard(found)
 	}
 }
 
--- /dev/null
+++ b/internal/serving/standby_test.go
@@ -0,0 +1,646 @@
+package serving_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/backend"
+	"topazpulley/internal/route"
+	"topazpulley/internal/serving"
+	"topazpulley/internal/telemetry"
+)
+
+const (
+	// playedEvents is the length of the streams of a playedSender, and playedPause the time from one
+	// event to the next.
+	playedEvents = 10
+	playedPause  = 50 * time.Millisecond
+	// playedTimeout is the deadline of the requests to a playedSender.
+	playedTimeout = 8 * time.Second
+	// joinTime is when the backends beside the first join.
+	joinTime = 20 * time.Millisecond
+	// eventTimeout is the silence after which another backend is sought for a stream that has begun.
+	eventTimeout = 1500 * time.Millisecond
+	// maxPause is the longest pause of a search, without its random part.
+	maxPause = 320 * time.Millisecond
+	// forGood is longer than any request lasts.
+	forGood = time.Hour
+	// firstID and otherID are the backends of most tests: the first gets the request.
+	firstID = "first"
+	otherID = "other"
+)
+
+// treatment is how a backend treats one attempt. The zero value answers at once.
+type treatment struct {
+	// refuses means that the attempt is refused and does not run.
+	refuses bool
+	// headAfter is the time until the head of the answer.
+	headAfter time.Duration
+	// silentAfter is the number of events of this run after which the backend is silent for silence.
+	silentAfter int
+	silence     time.Duration
+	// breaks means that the connection breaks instead of the silence's end.
+	breaks bool
+	// outrunsCancel means that output comes although the attempt was cancelled: it was on its way.
+	outrunsCancel bool
+}
+
+// playedAttempt is one attempt at a playedSender. at times are since the sender's start.
+type playedAttempt struct {
+	backend     string
+	reservation string
+	after       int64
+	sentAt      time.Duration
+	// headAt and endedAt are 0 until the head was sent and until the attempt ended.
+	headAt, endedAt  time.Duration
+	refused, broken  bool
+	cancelled, whole bool
+	// events counts those that were read.
+	events int
+}
+
+// isAtWorkAt reports whether the backend was at work on the attempt at a time.
+func (a *playedAttempt) isAtWorkAt(at time.Duration) bool {
+	return !a.refused && a.sentAt <= at && (a.endedAt == 0 || a.endedAt > at)
+}
+
+// playedSender is a sender whose backends behave as they are told and keep time.
+type playedSender struct {
+	started time.Time
+
+	mutex sync.Mutex
+	// treatments are those of the attempts at each backend in order; the last applies to the rest.
+	treatments map[string][]treatment
+	// full are the backends that refuse attempts and reservations.
+	full     map[string]bool
+	attempts []*playedAttempt
+	// reservedAt are the times of reservations, and probedAt those of all attempts at reservations.
+	reservedAt, probedAt []time.Duration
+	maxAtWork            int
+}
+
+func (s *playedSender) now() time.Duration { return time.Since(s.started) }
+
+// admit records an attempt and returns how it is treated.
+func (s *playedSender) admit(attempt *serving.Attempt) (*playedAttempt, treatment) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	id := attempt.Instance.ID
+	earlier := 0
+	for _, each := range s.attempts {
+		if each.backend == id {
+			earlier++
+		}
+	}
+	how := treatment{}
+	if list := s.treatments[id]; len(list) > 0 {
+		how = list[min(earlier, len(list)-1)]
+	}
+	made := &playedAttempt{backend: id, reservation: attempt.Reservation, after: attempt.LastEvent, sentAt: s.now(), refused: how.refuses || s.full[id]}
+	s.attempts = append(s.attempts, made)
+	atWork := 0
+	for _, each := range s.attempts {
+		if each.isAtWorkAt(made.sentAt) {
+			atWork++
+		}
+	}
+	s.maxAtWork = max(s.maxAtWork, atWork)
+	return made, how
+}
+
+func (s *playedSender) Send(ctx context.Context, attempt serving.Attempt) (serving.Answer, error) {
+	if err := attempt.CheckSendable(ctx); err != nil {
+		return nil, err
+	}
+	made, how := s.admit(&attempt)
+	if made.refused {
+		return nil, &serving.AttemptError{Outcome: serving.OutcomeNotRun, Reason: serving.ReasonRefused}
+	}
+	answer := &playedAnswer{sender: s, ctx: ctx, attempt: made, how: how, next: attempt.LastEvent + 1, isStream: attempt.Stream}
+	context.AfterFunc(ctx, func() { s.end(made, func() { made.cancelled = true }) })
+	if err := answer.wait(how.headAfter); err != nil {
+		return nil, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	made.headAt = s.now()
+	return answer, nil
+}
+
+// Reserve makes a reservation unless the backend is full.
+func (s *playedSender) Reserve(_ context.Context, wanted serving.ReservationRequest) (string, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.probedAt = append(s.probedAt, s.now())
+	if s.full[wanted.Instance.ID] {
+		return "", &serving.AttemptError{Outcome: serving.OutcomeNotRun, Reason: serving.ReasonRefused}
+	}
+	s.reservedAt = append(s.reservedAt, s.now())
+	return "place at " + wanted.Instance.ID, nil
+}
+
+// end records the end of an attempt, once.
+func (s *playedSender) end(made *playedAttempt, how func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if made.endedAt == 0 {
+		made.endedAt = s.now()
+		how()
+	}
+}
+
+// setFull makes a backend refuse, or take again, what is sent to it.
+func (s *playedSender) setFull(id string, isFull bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.full[id] = isFull
+}
+
+// runs returns the attempts that ran.
+func (s *playedSender) runs() []*playedAttempt {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	ran := []*playedAttempt{}
+	for _, each := range s.attempts {
+		if !each.refused {
+			ran = append(ran, each)
+		}
+	}
+	return ran
+}
+
+// at returns the attempts that ran at a backend.
+func (s *playedSender) at(id string) []*playedAttempt {
+	found := []*playedAttempt{}
+	for _, each := range s.runs() {
+		if each.backend == id {
+			found = append(found, each)
+		}
+	}
+	return found
+}
+
+// playedAnswer is the answer to an attempt at a playedSender.
+type playedAnswer struct {
+	sender   *playedSender
+	ctx      context.Context
+	attempt  *playedAttempt
+	how      treatment
+	next     int64
+	isStream bool
+}
+
+func (a *playedAnswer) Head() serving.Head {
+	return serving.Head{Status: 200, Signed: true, Events: a.isStream, Fields: []serving.Field{{Name: "From", Value: a.attempt.backend}}}
+}
+
+func (a *playedAnswer) Load() (backend.Report, bool) { return backend.Report{}, false }
+func (a *playedAnswer) Transfer() serving.Transfer   { return serving.Transfer{} }
+func (a *playedAnswer) Detach()                      { a.sender.end(a.attempt, func() { a.attempt.whole = true }) }
+func (a *playedAnswer) Close()                       { a.sender.end(a.attempt, func() { a.attempt.cancelled = true }) }
+
+// wait waits for output that comes after a pause.
+func (a *playedAnswer) wait(pause time.Duration) error {
+	select {
+	case <-a.ctx.Done():
+		if a.how.outrunsCancel {
+			return nil
+		}
+		return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken, Cause: a.ctx.Err()}
+	case <-time.After(pause):
+		return nil
+	}
+}
+
+// output waits for the next output, be it silent before it, and breaks if the treatment says so.
+func (a *playedAnswer) output(pause time.Duration) error {
+	isAfterSilence := a.attempt.events == a.how.silentAfter && a.how.silence > 0
+	if isAfterSilence {
+		pause = a.how.silence
+	}
+	if err := a.wait(pause); err != nil {
+		return err
+	}
+	if isAfterSilence && a.how.breaks {
+		a.sender.end(a.attempt, func() { a.attempt.broken = true })
+		return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
+	}
+	return nil
+}
+
+func (a *playedAnswer) Body() ([]byte, error) {
+	if err := a.output(playedPause); err != nil {
+		return nil, err
+	}
+	return []byte("body"), nil
+}
+
+func (a *playedAnswer) Next() (serving.Event, serving.Ending, error) {
+	if err := a.output(playedPause); err != nil {
+		return serving.Event{}, serving.EndingBroken, err
+	}
+	if a.next > playedEvents {
+		return serving.Event{}, serving.EndingWhole, nil
+	}
+	event := serving.Event{ID: a.next, Raw: fmt.Appendf(nil, "%s:%d;", a.attempt.backend, a.next)}
+	a.next++
+	a.attempt.events++
+	return event, serving.EndingNone, nil
+}
+
+// playedCaller is a caller that notes which run each event came from.
+type playedCaller struct {
+	recorder
+	events []string
+	// eventAt are the times of the events.
+	eventAt []time.Time
+}
+
+func (c *playedCaller) Event(raw []byte) error {
+	c.events = append(c.events, string(raw))
+	c.eventAt = append(c.eventAt, time.Now())
+	return c.recorder.Event(raw)
+}
+
+// from returns the events that a run at a backend sends, from one to another.
+func from(id string, first, last int) []string {
+	sent := []string{}
+	for number := first; number <= last; number++ {
+		sent = append(sent, fmt.Sprintf("%s:%d;", id, number))
+	}
+	return sent
+}
+
+// play is a core with backends that are played. The first takes the request; the others join after it
+// was sent.
+type play struct {
+	core   *serving.Core
+	sender *playedSender
+	caller *playedCaller
+	policy route.Route
+	took   time.Duration
+}
+
+// playedBackends returns backends without a zone.
+func playedBackends(ids ...string) []backend.Instance {
+	made := []backend.Instance{}
+	for _, id := range ids {
+		made = append(made, backend.Instance{ID: id, Version: "v1", Service: "s", Slots: 4})
+	}
+	return made
+}
+
+// newPlay prepares a resumable stream with three attempts.
+func newPlay(instances []backend.Instance, treatments map[string][]treatment, hasReservations bool) *play {
+	sender := &playedSender{started: time.Now(), treatments: treatments, full: map[string]bool{}}
+	backends := backend.NewSet()
+	backends.Put(instances[0])
+	time.AfterFunc(joinTime, func() {
+		for _, each := range instances[1:] {
+			backends.Put(each)
+		}
+	})
+	metrics := telemetry.NewServing(prometheus.NewRegistry())
+	core := serving.NewCore(backends, sender, &route.Holder{}, metrics, slog.New(slog.DiscardHandler), func() int { return 1 })
+	if hasReservations {
+		core.Holder.Apply(withReservations(), time.Now())
+	}
+	return &play{core: core, sender: sender, caller: &playedCaller{}, policy: streamPolicy(3)}
+}
+
+// streamPolicy returns the route of a resumable stream.
+func streamPolicy(attempts int) route.Route {
+	return route.Route{Kind: route.KindStream, Resumable: true, Timeout: time.Minute, Objective: objective, MaxAttempts: attempts, Targets: []route.Target{{Service: "s", Weight: 1}}}
+}
+
+// request returns a request that arrives now.
+func (p *play) request() serving.Request {
+	now := time.Now()
+	return serving.Request{ID: "r", Method: "POST", Target: "/played", Route: &p.policy, Service: "s", Tokens: 10, Arrived: now, Deadline: now.Add(playedTimeout)}
+}
+
+// serve serves one request until its end.
+func (p *play) serve(ctx context.Context) {
+	started := time.Now()
+	p.core.Serve(ctx, p.request(), p.caller)
+	p.took = time.Since(started)
+	synctest.Wait()
+}
+
+// requireWhole requires that the caller got the whole stream in order, from the given runs.
+func (p *play) requireWhole(t *testing.T, parts ...[]string) {
+	t.Helper()
+	want := []string{}
+	for _, part := range parts {
+		want = append(want, part...)
+	}
+	require.Equal(t, want, p.caller.events)
+	require.Equal(t, 1, p.caller.finished)
+	require.Zero(t, p.caller.aborted+p.caller.complete+len(p.caller.refusals))
+}
+
+// forEachKind runs a test in a bubble, for a service without and with reservations.
+func forEachKind(t *testing.T, test func(t *testing.T, hasReservations bool)) {
+	t.Helper()
+	for _, hasReservations := range []bool{false, true} {
+		t.Run(fmt.Sprint("reservations ", hasReservations), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { test(t, hasReservations) })
+		})
+	}
+}
+
+// TestOutputEndsSearch checks that output of a silent backend ends the search: the attempt beside is
+// cancelled at once and gives the caller nothing.
+func TestOutputEndsSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const silence = 1900 * time.Millisecond
+		p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{
+			firstID: {{silentAfter: 3, silence: silence}}, otherID: {{headAfter: forGood}},
+		}, false)
+		p.serve(t.Context())
+		p.requireWhole(t, from(firstID, 1, playedEvents))
+		beside := p.sender.at(otherID)
+		require.Len(t, beside, 1)
+		require.Equal(t, int64(3), beside[0].after)
+		require.True(t, beside[0].cancelled)
+		require.Equal(t, 3*playedPause+silence, beside[0].endedAt, "the attempt beside ends with the silence")
+	})
+}
+
+// TestAnswerBesideLosesToOutput checks that an attempt beside that is answered in the moment in which
+// the silent backend goes on gives the caller nothing, and that its run counts.
+func TestAnswerBesideLosesToOutput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const silence = 1900 * time.Millisecond
+		p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{
+			firstID: {{silentAfter: 3, silence: silence}}, otherID: {{headAfter: forGood, outrunsCancel: true}},
+		}, false)
+		p.policy.MaxAttempts = 2
+		p.serve(t.Context())
+		p.requireWhole(t, from(firstID, 1, playedEvents))
+		require.Len(t, p.sender.at(otherID), 1)
+		require.True(t, p.sender.at(otherID)[0].cancelled)
+	})
+}
+
+// TestRunsOfSearchesCount checks that all runs of a request, those beside silent ones included, stay
+// within the route's maximum, however often its backend falls silent.
+func TestRunsOfSearchesCount(t *testing.T) {
+	for name, beside := range map[string]treatment{
+		"not answered": {headAfter: forGood}, "answered too late": {headAfter: forGood, outrunsCancel: true},
+	} {
+		for attempts := 1; attempts <= 4; attempts++ {
+			t.Run(fmt.Sprint(name, " ", attempts), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					p := newPlay(playedBackends(firstID, otherID, "third"), map[string][]treatment{otherID: {beside}, "third": {beside}}, false)
+					p.policy.MaxAttempts = attempts
+					stutter := &stutteringSender{playedSender: p.sender, silence: 1600 * time.Millisecond}
+					p.core.Sender = stutter
+					p.serve(t.Context())
+					p.requireWhole(t, from(firstID, 1, playedEvents))
+					require.Len(t, p.sender.runs(), attempts, "runs")
+				})
+			})
+		}
+	}
+}
+
+// TestAnswerAndOutputInOneMoment checks that exactly one of two runs goes on when the silent one gives
+// output in the moment in which the other is answered, and that both count.
+func TestAnswerAndOutputInOneMoment(t *testing.T) {
+	for range 100 {
+		synctest.Test(t, func(t *testing.T) {
+			const headAfter = 300 * time.Millisecond
+			p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{otherID: {{headAfter: headAfter}}}, false)
+			p.policy.MaxAttempts = 2
+			p.core.Sender = &stutteringSender{playedSender: p.sender, silence: eventTimeout + headAfter - playedPause}
+			p.serve(t.Context())
+			require.Equal(t, 1, p.caller.finished)
+			require.Len(t, p.caller.events, playedEvents)
+			require.Len(t, p.sender.runs(), 2)
+			for _, each := range p.sender.runs() {
+				require.NotEqual(t, each.whole, each.cancelled, each.backend)
+			}
+		})
+	}
+}
+
+// stutteringSender is a playedSender whose first backend is silent before each of four events.
+type stutteringSender struct {
+	*playedSender
+	silence time.Duration
+}
+
+func (s *stutteringSender) Send(ctx context.Context, attempt serving.Attempt) (serving.Answer, error) {
+	answer, err := s.playedSender.Send(ctx, attempt)
+	if err != nil || attempt.Instance.ID != firstID {
+		return answer, err
+	}
+	return &stutteringAnswer{playedAnswer: answer.(*playedAnswer), silence: s.silence}, nil
+}
+
+type stutteringAnswer struct {
+	*playedAnswer
+	silence time.Duration
+}
+
+func (a *stutteringAnswer) Next() (serving.Event, serving.Ending, error) {
+	const silences = 4
+	if a.attempt.events > 0 && a.attempt.events <= silences {
+		if err := a.wait(a.silence); err != nil {
+			return serving.Event{}, serving.EndingBroken, err
+		}
+	}
+	return a.playedAnswer.Next()
+}
+
+// TestReservedSuccessorIsNeverBeside checks that a reservation is made elsewhere before a silent
+// attempt is cancelled, and that the request is sent there only after that.
+func TestReservedSuccessorIsNeverBeside(t *testing.T) {
+	for name, begun := range map[string]int{"not begun": 0, "begun": 3} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				// The first two probes find it full.
+				fullFor := 4*objective + 55*time.Millisecond
+				if begun > 0 {
+					fullFor = time.Duration(begun)*playedPause + eventTimeout + 55*time.Millisecond
+				}
+				p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{firstID: {{silentAfter: begun, silence: forGood}}}, true)
+				p.sender.setFull(otherID, true)
+				time.AfterFunc(fullFor, func() { p.sender.setFull(otherID, false) })
+				p.serve(t.Context())
+				p.requireWhole(t, from(firstID, 1, begun), from(otherID, begun+1, playedEvents))
+				silent, taken := p.sender.at(firstID)[0], p.sender.at(otherID)[0]
+				require.Len(t, p.sender.reservedAt, 2)
+				require.Equal(t, "place at "+otherID, taken.reservation)
+				require.Equal(t, 1, p.sender.maxAtWork, "two at work")
+				require.GreaterOrEqual(t, p.sender.reservedAt[1], fullFor)
+				require.GreaterOrEqual(t, silent.endedAt, p.sender.reservedAt[1])
+				require.GreaterOrEqual(t, taken.sentAt, silent.endedAt)
+				require.Less(t, taken.sentAt, fullFor+4*maxPause)
+			})
+		})
+	}
+}
+
+// TestBegunStreamIsTakenOverByAnAnswer checks that, without reservations, a silent attempt is
+// cancelled when another backend answers, not earlier, and that the stream continues with the next
+// event.
+func TestBegunStreamIsTakenOverByAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const headAfter = 700 * time.Millisecond
+		p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{
+			firstID: {{silentAfter: 3, silence: forGood}}, otherID: {{headAfter: headAfter}},
+		}, false)
+		p.serve(t.Context())
+		p.requireWhole(t, from(firstID, 1, 3), from(otherID, 4, playedEvents))
+		silent, taken := p.sender.at(firstID)[0], p.sender.at(otherID)[0]
+		require.Equal(t, 3*playedPause+eventTimeout, taken.sentAt)
+		require.Equal(t, taken.sentAt+headAfter, taken.headAt)
+		require.Equal(t, taken.headAt, silent.endedAt, "cancelled in the moment of the answer")
+	})
+}
+
+// TestEventAfterTakeoverIsNotPassed checks that an event of a silent attempt that was on its way when
+// another backend took the request over does not reach the caller.
+func TestEventAfterTakeoverIsNotPassed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{
+			firstID: {{silentAfter: 3, silence: forGood, outrunsCancel: true}},
+		}, false)
+		p.serve(t.Context())
+		p.requireWhole(t, from(firstID, 1, 3), from(otherID, 4, playedEvents))
+		require.Equal(t, 4, p.sender.at(firstID)[0].events, "the old run sent its fourth event")
+	})
+}
+
+// TestSecondSilenceIsTakenOverToo checks that a backend that took a stream over is watched like the
+// first.
+func TestSecondSilenceIsTakenOverToo(t *testing.T) {
+	forEachKind(t, func(t *testing.T, hasReservations bool) {
+		p := newPlay(playedBackends(firstID), map[string][]treatment{
+			firstID: {{silentAfter: 2, silence: forGood}}, otherID: {{silentAfter: 2, silence: forGood}},
+		}, hasReservations)
+		time.AfterFunc(joinTime, func() { p.core.Backends.Put(playedBackends(otherID)[0]) })
+		time.AfterFunc(2*time.Second, func() { p.core.Backends.Put(playedBackends("third")[0]) })
+		p.serve(t.Context())
+		p.requireWhole(t, from(firstID, 1, 2), from(otherID, 3, 4), from("third", 5, playedEvents))
+		require.Len(t, p.sender.runs(), 3)
+		for _, each := range p.sender.runs()[:2] {
+			require.True(t, each.cancelled)
+			require.Less(t, each.endedAt, p.sender.at("third")[0].headAt+time.Millisecond)
+		}
+	})
+}
+
+// TestLastRunIsWaitedFor checks that the last run that the route allows is not left for a successor.
+func TestLastRunIsWaitedFor(t *testing.T) {
+	for attempts := 1; attempts <= 2; attempts++ {
+		forEachKind(t, func(t *testing.T, hasReservations bool) {
+			silences := map[string][]treatment{firstID: {{silentAfter: 3, silence: 5 * time.Second}}, otherID: {{silentAfter: 1, silence: 4 * time.Second}}}
+			p := newPlay(playedBackends(firstID, otherID, "third"), silences, hasReservations)
+			p.sender.setFull("third", true)
+			time.AfterFunc(3*time.Second, func() { p.sender.setFull("third", false) })
+			p.policy.MaxAttempts = attempts
+			p.serve(t.Context())
+			require.Equal(t, 1, p.caller.finished)
+			require.Len(t, p.caller.events, playedEvents)
+			require.Len(t, p.sender.runs(), attempts)
+			require.True(t, p.sender.runs()[attempts-1].whole, "the last run was left")
+		})
+	}
+}
+
+// TestLastSilentRunLastsUntilDeadline checks that a run that nothing may replace is at work until the
+// request's time is over, and not longer.
+func TestLastSilentRunLastsUntilDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{firstID: {{silentAfter: 3, silence: forGood}}}, false)
+		p.policy.MaxAttempts = 1
+		p.serve(t.Context())
+		require.Equal(t, 1, p.caller.aborted)
+		require.Equal(t, playedTimeout, p.took)
+		require.Equal(t, playedTimeout, p.sender.runs()[0].endedAt)
+		require.Len(t, p.sender.runs(), 1)
+	})
+}
+
+// TestRequestThatMayRunOnceIsNotLeft checks that a silent run that must not be repeated is waited for.
+func TestRequestThatMayRunOnceIsNotLeft(t *testing.T) {
+	for name, policy := range map[string]route.Route{
+		"plain":  {Kind: route.KindOnce, Timeout: time.Minute, Objective: objective, MaxAttempts: 3},
+		"stream": {Kind: route.KindStream, Timeout: time.Minute, Objective: objective, MaxAttempts: 3},
+	} {
+		for begun := range 2 {
+			t.Run(fmt.Sprint(name, " ", begun), func(t *testing.T) {
+				forEachKind(t, func(t *testing.T, hasReservations bool) {
+					p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{firstID: {{silentAfter: begun, silence: 6 * time.Second}}}, hasReservations)
+					p.policy = policy
+					p.policy.Targets = []route.Target{{Service: "s", Weight: 1}}
+					p.serve(t.Context())
+					require.Equal(t, 1, p.caller.finished+p.caller.complete)
+					require.Len(t, p.sender.runs(), 1)
+				})
+			})
+		}
+	}
+}
+
+// TestCallerLeavesDuringSearch checks that everything is cancelled in the moment in which the caller
+// leaves, and that nothing is sent after it.
+func TestCallerLeavesDuringSearch(t *testing.T) {
+	forEachKind(t, func(t *testing.T, hasReservations bool) {
+		const leavesAt = 4 * time.Second
+		p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{
+			firstID: {{silentAfter: 3, silence: forGood}}, otherID: {{headAfter: forGood}},
+		}, hasReservations)
+		p.sender.setFull(otherID, true)
+		time.AfterFunc(leavesAt-time.Second, func() { p.sender.setFull(otherID, false) })
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(leavesAt, cancel)
+		p.serve(ctx)
+		require.Equal(t, leavesAt, p.took)
+		require.Equal(t, 1, p.caller.aborted)
+		sent := len(p.sender.attempts)
+		for _, each := range p.sender.runs() {
+			require.LessOrEqual(t, each.endedAt, leavesAt, "%s at work after the caller left", each.backend)
+			require.True(t, each.cancelled)
+		}
+		time.Sleep(time.Minute)
+		require.Len(t, p.sender.attempts, sent)
+	})
+}
+
+// TestDeadlinePassesDuringSearch checks that a request whose silent backend does not go on and for
+// which there is no other ends at its deadline, with nothing at work.
+func TestDeadlinePassesDuringSearch(t *testing.T) {
+	forEachKind(t, func(t *testing.T, hasReservations bool) {
+		for begun := 0; begun <= 3; begun += 3 {
+			p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{firstID: {{silentAfter: begun, silence: forGood}}}, hasReservations)
+			p.sender.setFull(otherID, true)
+			if !hasReservations && begun == 0 {
+				p.core.Backends.Remove(otherID)
+				p.sender.treatments[otherID] = []treatment{{silence: forGood}}
+				p.sender.setFull(otherID, false)
+			}
+			p.serve(t.Context())
+			require.InDelta(t, playedTimeout, p.took, float64(10*time.Millisecond))
+			require.Equal(t, 1, p.caller.aborted+len(p.caller.refusals))
+			for _, refusal := range p.caller.refusals {
+				require.Equal(t, serving.VerdictTimeout, refusal.Verdict)
+			}
+			for _, each := range p.sender.runs() {
+				require.LessOrEqual(t, each.endedAt, p.sender.now())
+				require.NotZero(t, each.endedAt)
+			}
+		}
+	})
+}
--- a/internal/serving/successor.go
+++ b/internal/serving/successor.go
@@ -169,16 +169,27 @@
 	bounded, cancel := context.WithCancel(request)
 	stopFollowing := context.AfterFunc(ctx, cancel)
 	answer, err := e.sendWithin(bounded, cancel)
-	if err == nil && stopFollowing() {
-		return &successor{beside: &besideAttempt{lease: lease, candidate: chosen, answer: answer, cancel: cancel}}
+	isStillSought := stopFollowing()
+	if err != nil {
+		cancel()
+		lease.Release()
+		return nil
 	}
-	stopFollowing()
-	if answer != nil {
-		answer.Close()
+	answered := &successor{beside: &besideAttempt{lease: lease, candidate: chosen, answer: answer, cancel: cancel}}
+	if !isStillSought {
+		e.discard(answered)
+		return nil
+	}
+	return answered
+}
+
+// discard ends a successor that is not needed, because the silent attempt went on or ended. What ran
+// beside counts as a run.
+func (e *exchange) discard(found *successor) {
+	if found.beside != nil {
+		found.beside.close()
+		e.runs++
 	}
-	cancel()
-	lease.Release()
-	return nil
 }
 
 // sendWithin sends the request and returns an answer that goes on with the stream. If a further
