Serving: an answer that comes in the moment in which the wait for it ends is no successor

What callers saw: nothing yet; a begun answer could be taken from a silent back end that was about to go on.

An answer that came in that moment was taken for a successor although its attempt was cancelled already; the silent attempt was then ended for a stream that breaks.

Why it works: whether the timer was stopped before it fired says whether the answer is still alive.

--- a/internal/serving/successor.go
+++ b/internal/serving/successor.go
@@ -195,19 +195,20 @@
 // sendWithin sends the request and returns an answer that goes on with the stream. If a further
 // backend may be asked after this one, it waits for the answer for no longer than eventTimeout.
 func (e *exchange) sendWithin(ctx context.Context, cancel context.CancelFunc) (Answer, error) {
+	stopTimer := func() bool { return true }
 	if e.runs+2 < e.request.Route.MaxAttempts {
-		timer := time.AfterFunc(eventTimeout, cancel)
-		defer timer.Stop()
+		stopTimer = time.AfterFunc(eventTimeout, cancel).Stop
 	}
 	attempt := e.newAttempt()
 	e.countSend(&attempt)
 	answer, err := e.core.Sender.Send(ctx, attempt)
-	if err == nil && !(answer.Head().Events && answer.Head().Successful()) {
-		answer.Close()
-		answer, err = nil, &AttemptError{Outcome: OutcomeFailed, Reason: ReasonError}
+	isInTime := stopTimer()
+	if err == nil && isInTime && answer.Head().Events && answer.Head().Successful() {
+		return answer, nil
 	}
 	if err == nil {
-		return answer, nil
+		answer.Close()
+		err = &AttemptError{Outcome: OutcomeFailed, Reason: ReasonError}
 	}
 	failed := attemptError(err)
 	if failed.Outcome == OutcomeNotRun {
--- /dev/null
+++ b/internal/serving/successor_test.go
@@ -0,0 +1,24 @@
+package serving_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestAnswerAfterItsTimeIsNoSuccessor checks that a backend whose answer comes in the moment in which
+// the wait for it ends does not take the request over: its attempt is cancelled already.
+func TestAnswerAfterItsTimeIsNoSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{
+			firstID: {{silentAfter: 3, silence: 2*eventTimeout + time.Second}}, otherID: {{headAfter: forGood, outrunsCancel: true}},
+		}, false)
+		p.serve(t.Context())
+		p.requireWhole(t, from(firstID, 1, playedEvents))
+		require.Len(t, p.sender.at(otherID), 2, "asked once more, as its last run")
+		require.Equal(t, 3*playedPause+2*eventTimeout, p.sender.at(otherID)[0].endedAt)
+		require.Equal(t, 3*playedPause+2*eventTimeout+time.Second, p.sender.at(otherID)[1].endedAt)
+	})
+}
