Serving: a silent back end is released when another takes the stream over

What callers saw: nothing; the back end that was left counted as loaded, and the memory of its answer as in use, for as long as the other went on with the stream.

Cause: the lease and the answer of the silent attempt were given back at the end of the whole exchange.

Why it works: the silent attempt ends, with its answer, before another goes on; the lease is released between the two.

--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -231,6 +231,17 @@
 	if attempt.Reservation != "" {
 		e.reservedAt = time.Now()
 	}
+	err := e.exchangeWith(ctx, attempt, lease)
+	for err != nil && e.successor != nil && e.successor.beside != nil {
+		lease.Release() // the silent backend: its attempt has ended
+		err = e.continueBeside(ctx)
+	}
+	return err
+}
+
+// exchangeWith sends an attempt and passes its answer to the caller. It returns nil when the request
+// has its final answer.
+func (e *exchange) exchangeWith(ctx context.Context, attempt Attempt, lease *backend.Lease) error {
 	e.countSend(&attempt)
 	e.transfer = Transfer{}
 	bounded, cancel := context.WithCancel(ctx)
@@ -244,14 +255,10 @@
 			e.ran.NeverRan()
 		}
 		e.recordAttemptFailure(err)
-	} else {
-		defer answer.Close()
-		err = e.receive(ctx, answer, lease, waiting)
-	}
-	for err != nil && e.successor != nil && e.successor.beside != nil {
-		err = e.continueBeside(ctx)
+		return err
 	}
-	return err
+	defer answer.Close()
+	return e.receive(ctx, answer, lease, waiting)
 }
 
 // newAttempt returns the next attempt, without a reservation, at the last chosen backend.
--- a/internal/serving/standby_test.go
+++ b/internal/serving/standby_test.go
@@ -60,7 +60,9 @@
 	after       int64
 	sentAt      time.Duration
 	// headAt and endedAt are 0 until the head was sent and until the attempt ended.
-	headAt, endedAt  time.Duration
+	headAt, endedAt time.Duration
+	// closedAt is when the answer was closed last.
+	closedAt         time.Duration
 	refused, broken  bool
 	cancelled, whole bool
 	// events counts those that were read.
@@ -205,7 +207,13 @@
 func (a *playedAnswer) Load() (backend.Report, bool) { return backend.Report{}, false }
 func (a *playedAnswer) Transfer() serving.Transfer   { return serving.Transfer{} }
 func (a *playedAnswer) Detach()                      { a.sender.end(a.attempt, func() { a.attempt.whole = true }) }
-func (a *playedAnswer) Close()                       { a.sender.end(a.attempt, func() { a.attempt.cancelled = true }) }
+
+func (a *playedAnswer) Close() {
+	a.sender.end(a.attempt, func() { a.attempt.cancelled = true })
+	a.sender.mutex.Lock()
+	defer a.sender.mutex.Unlock()
+	a.attempt.closedAt = a.sender.now()
+}
 
 // wait waits for output that comes after a pause.
 func (a *playedAnswer) wait(pause time.Duration) error {
--- a/internal/serving/successor_test.go
+++ b/internal/serving/successor_test.go
@@ -22,3 +22,21 @@
 		require.Equal(t, 3*playedPause+2*eventTimeout+time.Second, p.sender.at(otherID)[1].endedAt)
 	})
 }
+
+// TestSilentBackendIsReleasedAtTakeover checks that the backend that was left no longer counts as
+// loaded, nor its answer as memory in use, while another goes on with the stream.
+func TestSilentBackendIsReleasedAtTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{firstID: {{silentAfter: 3, silence: forGood}}}, false)
+		online := map[string]int{}
+		time.AfterFunc(3*playedPause+eventTimeout+2*playedPause, func() {
+			for _, each := range p.core.Backends.Candidates("s", nil, time.Now()) {
+				online[each.ID] = each.Online
+			}
+		})
+		p.serve(t.Context())
+		p.requireWhole(t, from(firstID, 1, 3), from(otherID, 4, playedEvents))
+		require.Equal(t, map[string]int{firstID: 0, otherID: 1}, online)
+		require.Equal(t, p.sender.at(otherID)[0].headAt, p.sender.at(firstID)[0].closedAt, "the memory of the answer that was left")
+	})
+}
