Serving: an attempt without a connection that a successor replaces is no run

What callers saw: a begun answer could end with fewer runs than its route allows.

Cause: continueBeside counted a run for every attempt that it replaced, also for one that never had a connection.

Why it works: leaveSilent gets the error of the attempt, which says whether it may have run.

--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -234,7 +234,7 @@
 	err := e.exchangeWith(ctx, attempt, lease)
 	for err != nil && e.successor != nil && e.successor.beside != nil {
 		lease.Release() // the silent backend: its attempt has ended
-		err = e.continueBeside(ctx)
+		err = e.continueBeside(ctx, err)
 	}
 	return err
 }
@@ -325,11 +325,11 @@
 	}
 }
 
-// continueBeside goes on with the answer of a successor.
-func (e *exchange) continueBeside(ctx context.Context) error {
+// continueBeside goes on with the answer of a successor. silentErr is how the silent attempt ended.
+func (e *exchange) continueBeside(ctx context.Context, silentErr error) error {
 	beside := e.successor.beside
 	defer beside.close()
-	e.leaveSilent(&AttemptError{Outcome: OutcomeUnknown, Reason: ReasonSilent})
+	e.leaveSilent(silentErr)
 	e.last, e.cost = beside.lease.Instance(), beside.candidate
 	e.transfer = Transfer{}
 	e.attemptedAt = time.Now()
--- a/internal/serving/standby_test.go
+++ b/internal/serving/standby_test.go
@@ -42,6 +42,8 @@
 type treatment struct {
 	// refuses means that the attempt is refused and does not run.
 	refuses bool
+	// unconnected means that no connection is made until the attempt is cancelled: it does not run.
+	unconnected bool
 	// headAfter is the time until the head of the answer.
 	headAfter time.Duration
 	// silentAfter is the number of events of this run after which the backend is silent for silence.
@@ -62,7 +64,8 @@
 	// headAt and endedAt are 0 until the head was sent and until the attempt ended.
 	headAt, endedAt time.Duration
 	// closedAt is when the answer was closed last.
-	closedAt         time.Duration
+	closedAt time.Duration
+	// refused is set if the attempt did not run.
 	refused, broken  bool
 	cancelled, whole bool
 	// events counts those that were read.
@@ -106,7 +109,8 @@
 	if list := s.treatments[id]; len(list) > 0 {
 		how = list[min(earlier, len(list)-1)]
 	}
-	made := &playedAttempt{backend: id, reservation: attempt.Reservation, after: attempt.LastEvent, sentAt: s.now(), refused: how.refuses || s.full[id]}
+	isNotRun := how.refuses || how.unconnected || s.full[id]
+	made := &playedAttempt{backend: id, reservation: attempt.Reservation, after: attempt.LastEvent, sentAt: s.now(), refused: isNotRun}
 	s.attempts = append(s.attempts, made)
 	atWork := 0
 	for _, each := range s.attempts {
@@ -123,6 +127,10 @@
 		return nil, err
 	}
 	made, how := s.admit(&attempt)
+	if how.unconnected {
+		<-ctx.Done()
+		return nil, &serving.AttemptError{Outcome: serving.OutcomeNotRun, Reason: serving.ReasonRequestEnded, Cause: ctx.Err()}
+	}
 	if made.refused {
 		return nil, &serving.AttemptError{Outcome: serving.OutcomeNotRun, Reason: serving.ReasonRefused}
 	}
--- a/internal/serving/successor_test.go
+++ b/internal/serving/successor_test.go
@@ -40,3 +40,22 @@
 		require.Equal(t, p.sender.at(otherID)[0].headAt, p.sender.at(firstID)[0].closedAt, "the memory of the answer that was left")
 	})
 }
+
+// TestUnconnectedAttemptIsNoRun checks that an attempt without a connection that another backend
+// replaces does not count as a run of the request.
+func TestUnconnectedAttemptIsNoRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(playedBackends(firstID, "unconnected"), map[string][]treatment{
+			firstID: {{silentAfter: 3, silence: time.Second / 2, breaks: true}}, "unconnected": {{unconnected: true}},
+			otherID: {{silentAfter: 2, silence: 2 * maxPause, breaks: true}},
+		}, false)
+		// The search begins four objectives after the attempt without a connection.
+		const searchAt = 3*playedPause + time.Second/2 + 4*objective
+		time.AfterFunc(searchAt-playedPause, func() { p.core.Backends.Put(playedBackends(otherID)[0]) })
+		time.AfterFunc(searchAt-playedPause, func() { p.sender.setFull(firstID, true) })
+		time.AfterFunc(searchAt+maxPause, func() { p.core.Backends.Put(playedBackends("third")[0]) })
+		p.serve(t.Context())
+		p.requireWhole(t, from(firstID, 1, 3), from(otherID, 4, 5), from("third", 6, playedEvents))
+		require.Len(t, p.sender.runs(), 3)
+	})
+}
