--- a/internal/serving/standby.go
+++ b/internal/serving/standby.go
@@ -50,13 +50,6 @@
 	beside *besideAttempt
 }
 
-// drop releases what the successor holds.
-func (s *successor) drop() {
-	if s != nil && s.beside != nil {
-		s.beside.close()
-	}
-}
-
 // startStandby watches an attempt that begins now. It returns nil if the request may not run again.
 func (e *exchange) startStandby(request context.Context, endAttempt context.CancelFunc) *standby {
 	started := &standby{exchange: e, request: request, endAttempt: endAttempt, isAwaiting: true}
@@ -104,7 +97,9 @@
 // just taken over: the request needs none.
 func (s *standby) ended() {
 	s.arrived()
-	s.takeSuccessor().drop()
+	if dropped := s.takeSuccessor(); dropped != nil {
+		s.exchange.discard(dropped)
+	}
 }
 
 // run looks for a successor. The watchdog calls it when the attempt is silent for too long.
@@ -122,7 +117,7 @@
 	defer close(running.ended)
 	found := running.searcher.findSuccessor(ctx, s.request)
 	if found != nil && !s.take(found) {
-		found.drop()
+		running.searcher.discard(found)
 	}
 }
 
--- a/internal/serving/successor.go
+++ b/internal/serving/successor.go
@@ -169,34 +169,46 @@
 	bounded, cancel := context.WithCancel(request)
 	stopFollowing := context.AfterFunc(ctx, cancel)
 	answer, err := e.sendWithin(bounded, cancel)
-	if err == nil && stopFollowing() {
-		return &successor{beside: &besideAttempt{lease: lease, candidate: chosen, answer: answer, cancel: cancel}}
+	isStillSought := stopFollowing()
+	if err != nil {
+		cancel()
+		lease.Release()
+		return nil
 	}
-	stopFollowing()
-	if answer != nil {
-		answer.Close()
+	answered := &successor{beside: &besideAttempt{lease: lease, candidate: chosen, answer: answer, cancel: cancel}}
+	if !isStillSought {
+		e.discard(answered)
+		return nil
+	}
+	return answered
+}
+
+// discard ends a successor that is not needed, because the silent attempt went on or ended. What ran
+// beside counts as a run.
+func (e *exchange) discard(found *successor) {
+	if found.beside != nil {
+		found.beside.close()
+		e.runs++
 	}
-	cancel()
-	lease.Release()
-	return nil
 }
 
 // sendWithin sends the request and returns an answer that goes on with the stream. If a further
 // backend may be asked after this one, it waits for the answer for no longer than eventTimeout.
 func (e *exchange) sendWithin(ctx context.Context, cancel context.CancelFunc) (Answer, error) {
+	stopTimer := func() bool { return true }
 	if e.runs+2 < e.request.Route.MaxAttempts {
-		timer := time.AfterFunc(eventTimeout, cancel)
-		defer timer.Stop()
+		stopTimer = time.AfterFunc(eventTimeout, cancel).Stop
 	}
 	attempt := e.newAttempt()
 	e.countSend(&attempt)
 	answer, err := e.core.Sender.Send(ctx, attempt)
-	if err == nil && !(answer.Head().Events && answer.Head().Successful()) {
-		answer.Close()
-		answer, err = nil, &AttemptError{Outcome: OutcomeFailed, Reason: ReasonError}
+	isInTime := stopTimer()
+	if err == nil && isInTime && answer.Head().Events && answer.Head().Successful() {
+		return answer, nil
 	}
 	if err == nil {
-		return answer, nil
+		answer.Close()
+		err = &AttemptError{Outcome: OutcomeFailed, Reason: ReasonError}
 	}
 	failed := attemptError(err)
 	if failed.Outcome == OutcomeNotRun {
--- /dev/null
+++ b/internal/serving/successor_test.go
@@ -0,0 +1,61 @@
+package serving_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestAnswerAfterItsTimeIsNoSuccessor checks that a backend whose answer comes in the moment in which
+// the wait for it ends does not take the request over: its attempt is cancelled already.
+func TestAnswerAfterItsTimeIsNoSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{
+			firstID: {{silentAfter: 3, silence: 2*eventTimeout + time.Second}}, otherID: {{headAfter: forGood, outrunsCancel: true}},
+		}, false)
+		p.serve(t.Context())
+		p.requireWhole(t, from(firstID, 1, playedEvents))
+		require.Len(t, p.sender.at(otherID), 2, "asked once more, as its last run")
+		require.Equal(t, 3*playedPause+2*eventTimeout, p.sender.at(otherID)[0].endedAt)
+		require.Equal(t, 3*playedPause+2*eventTimeout+time.Second, p.sender.at(otherID)[1].endedAt)
+	})
+}
+
+// TestSilentBackendIsReleasedAtTakeover checks that the backend that was left no longer counts as
+// loaded, nor its answer as memory in use, while another goes on with the stream.
+func TestSilentBackendIsReleasedAtTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{firstID: {{silentAfter: 3, silence: forGood}}}, false)
+		online := map[string]int{}
+		time.AfterFunc(3*playedPause+eventTimeout+2*playedPause, func() {
+			for _, each := range p.core.Backends.Candidates("s", nil, time.Now()) {
+				online[each.ID] = each.Online
+			}
+		})
+		p.serve(t.Context())
+		p.requireWhole(t, from(firstID, 1, 3), from(otherID, 4, playedEvents))
+		require.Equal(t, map[string]int{firstID: 0, otherID: 1}, online)
+		require.Equal(t, p.sender.at(otherID)[0].headAt, p.sender.at(firstID)[0].closedAt, "the memory of the answer that was left")
+	})
+}
+
+// TestUnconnectedAttemptIsNoRun checks that an attempt without a connection that another backend
+// replaces does not count as a run of the request.
+func TestUnconnectedAttemptIsNoRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(playedBackends(firstID, "unconnected"), map[string][]treatment{
+			firstID: {{silentAfter: 3, silence: time.Second / 2, breaks: true}}, "unconnected": {{unconnected: true}},
+			otherID: {{silentAfter: 2, silence: 2 * maxPause, breaks: true}},
+		}, false)
+		// The search begins four objectives after the attempt without a connection.
+		const searchAt = 3*playedPause + time.Second/2 + 4*objective
+		time.AfterFunc(searchAt-playedPause, func() { p.core.Backends.Put(playedBackends(otherID)[0]) })
+		time.AfterFunc(searchAt-playedPause, func() { p.sender.setFull(firstID, true) })
+		time.AfterFunc(searchAt+maxPause, func() { p.core.Backends.Put(playedBackends("third")[0]) })
+		p.serve(t.Context())
+		p.requireWhole(t, from(firstID, 1, 3), from(otherID, 4, 5), from("third", 6, playedEvents))
+		require.Len(t, p.sender.runs(), 3)
+	})
+}
