Serving: the response time of a successor counts from its request

What callers saw: nothing yet; first events seemed to come at once, so that later requests were left too early.

Cause: a stream that goes on at a successor began its time to the first event at the takeover, when the answer was there.

Why it works: the attempt beside keeps the time at which it began.

--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -332,7 +332,7 @@
 	e.leaveSilent(silentErr)
 	e.last, e.cost = beside.lease.Instance(), beside.candidate
 	e.transfer = Transfer{}
-	e.attemptedAt = time.Now()
+	e.attemptedAt = beside.attemptedAt
 	return e.receive(ctx, beside.answer, beside.lease, e.startStandby(ctx, beside.cancel))
 }
 
--- a/internal/serving/successor.go
+++ b/internal/serving/successor.go
@@ -144,10 +144,11 @@
 
 // besideAttempt is an attempt that was made beside a silent one.
 type besideAttempt struct {
-	lease     *backend.Lease
-	candidate routing.Candidate
-	answer    Answer
-	cancel    context.CancelFunc
+	attemptedAt time.Time
+	lease       *backend.Lease
+	candidate   routing.Candidate
+	answer      Answer
+	cancel      context.CancelFunc
 }
 
 // close ends the attempt.
@@ -166,6 +167,7 @@
 	}
 	e.last, e.cost = lease.Instance(), chosen
 	e.preempt()
+	attemptedAt := time.Now()
 	bounded, cancel := context.WithCancel(request)
 	stopFollowing := context.AfterFunc(ctx, cancel)
 	answer, err := e.sendWithin(bounded, cancel)
@@ -175,7 +177,7 @@
 		lease.Release()
 		return nil
 	}
-	answered := &successor{beside: &besideAttempt{lease: lease, candidate: chosen, answer: answer, cancel: cancel}}
+	answered := &successor{beside: &besideAttempt{attemptedAt: attemptedAt, lease: lease, candidate: chosen, answer: answer, cancel: cancel}}
 	if !isStillSought {
 		e.discard(answered)
 		return nil
--- a/internal/serving/successor_test.go
+++ b/internal/serving/successor_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/responsetimeout"
 )
 
 // TestAnswerAfterItsTimeIsNoSuccessor checks that a backend whose answer comes in the moment in which
@@ -59,3 +61,22 @@
 		require.Len(t, p.sender.runs(), 3)
 	})
 }
+
+// TestResponseTimeOfSuccessorCountsFromItsRequest checks that the time to the first event of a backend
+// that took a stream over is learned from when the request was sent to it.
+func TestResponseTimeOfSuccessorCountsFromItsRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const headAfter = 700 * time.Millisecond
+		p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{
+			firstID: {{silentAfter: 3, silence: forGood}}, otherID: {{headAfter: headAfter}},
+		}, false)
+		const learned = 30 // enough response times to learn from
+		for range learned {
+			p.core.ResponseTimes.Observe("s", responsetimeout.KindFirstEvent, playedPause)
+		}
+		p.serve(t.Context())
+		p.requireWhole(t, from(firstID, 1, 3), from(otherID, 4, playedEvents))
+		longest := p.core.ResponseTimes.For("s", responsetimeout.KindFirstEvent, time.Hour).Learned
+		require.InDelta(t, headAfter+playedPause, longest, float64(headAfter/10))
+	})
+}
