Serving: a search asks the silent back end's zone once the others have refused

What callers saw: a begun or waiting stream stood still although a back end in the zone of its silent one had room.

Cause: each round of a search excluded the zone again as long as another zone had a usable back end, full or not. It read the zone from the last back end asked, so that an attempt beside without a reservation turned the exclusion to that one's zone. Each round also ended with a probe that asked nobody and paused.

Why it works: the zone is avoided in the first round only, and a new round begins with the probe that finds nobody.

--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -320,9 +320,7 @@
 		e.runs++
 		e.chargeRun()
 	}
-	if e.core.ResponseTimes.PrefersOtherZones() {
-		e.avoidZone(e.last.Zone)
-	}
+	e.avoidSilentZone()
 }
 
 // continueBeside goes on with the answer of a successor. silentErr is how the silent attempt ended.
--- a/internal/serving/successor.go
+++ b/internal/serving/successor.go
@@ -50,6 +50,7 @@
 func (e *exchange) findSuccessor(ctx, request context.Context) *successor {
 	e.recordSilence()
 	e.excludeSilent()
+	e.avoidSilentZone()
 	for probes := 1; e.maySucceed(ctx); probes++ {
 		if found := e.probe(ctx, request, probes); found != nil {
 			return found
@@ -98,16 +99,30 @@
 	return !isQuarantined
 }
 
-// excludeSilent makes all backends eligible again, but for those that fell silent on this request
-// and, if the service's timeouts say so, their zones.
+// excludeSilent makes all backends eligible again, but for those that fell silent on this request.
 func (e *exchange) excludeSilent() {
 	clear(e.excluded)
 	maps.Copy(e.excluded, e.silent)
+}
+
+// avoidSilentZone excludes the zone of the silent backend, if the service's timeouts say so.
+func (e *exchange) avoidSilentZone() {
 	if e.core.ResponseTimes.PrefersOtherZones() {
 		e.avoidZone(e.last.Zone)
 	}
 }
 
+// pickSuccessor picks a backend that the search has not asked yet. When it has asked all, it begins
+// again, then also in the silent backend's zone. Ejected backends are no successors.
+func (e *exchange) pickSuccessor(allowed preemption) (routing.Candidate, bool) {
+	chosen, found := e.core.pick(&e.request, e.excluded, allowed)
+	if !found || chosen.Ejected {
+		e.excludeSilent()
+		chosen, found = e.core.pick(&e.request, e.excluded, allowed)
+	}
+	return chosen, found && !chosen.Ejected
+}
+
 // probe asks one backend to take the request over.
 func (e *exchange) probe(ctx, request context.Context, probes int) *successor {
 	if !e.hasBegun && !e.payRetry() {
@@ -118,9 +133,8 @@
 	if reservesSlots {
 		allowed = preemptAnywhere
 	}
-	chosen, found := e.core.pick(&e.request, e.excluded, allowed)
-	if !found || chosen.Ejected {
-		e.excludeSilent()
+	chosen, found := e.pickSuccessor(allowed)
+	if !found {
 		return nil
 	}
 	e.excluded[chosen.ID] = true
--- a/internal/serving/successor_test.go
+++ b/internal/serving/successor_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"topazpulley/internal/backend"
 	"topazpulley/internal/responsetimeout"
 )
 
@@ -80,3 +81,43 @@
 		require.InDelta(t, headAfter+playedPause, longest, float64(headAfter/10))
 	})
 }
+
+// TestZoneOfSilentBackendIsAskedWhenOthersAreFull checks that a search asks other zones first, and the
+// other backends of the silent one's zone if these refuse.
+func TestZoneOfSilentBackendIsAskedWhenOthersAreFull(t *testing.T) {
+	for _, begun := range []int{3} {
+		forEachKind(t, func(t *testing.T, hasReservations bool) {
+			p := newPlay(zonedBackends(), map[string][]treatment{firstID: {{silentAfter: begun, silence: forGood}}}, hasReservations)
+			p.sender.setFull(farID, true)
+			p.serve(t.Context())
+			p.requireWhole(t, from(firstID, 1, begun), from(neighbourID, begun+1, playedEvents))
+			require.Less(t, p.sender.at(neighbourID)[0].sentAt, 3*playedPause+eventTimeout+maxPause)
+		})
+	}
+}
+
+// neighbourID is a backend in the zone of the first, farID one in another zone.
+const (
+	neighbourID = "neighbour"
+	farID       = "far"
+)
+
+// zonedBackends returns the first backend, its neighbour and one in another zone.
+func zonedBackends() []backend.Instance {
+	instances := playedBackends(firstID, neighbourID, farID)
+	for index, zone := range []string{"a", "a", "b"} {
+		instances[index].Zone = zone
+	}
+	return instances
+}
+
+// TestZoneOfSilentBackendIsLeftFirst checks that a search asks other zones first.
+func TestZoneOfSilentBackendIsLeftFirst(t *testing.T) {
+	for range 10 {
+		forEachKind(t, func(t *testing.T, hasReservations bool) {
+			p := newPlay(zonedBackends(), map[string][]treatment{firstID: {{silentAfter: 3, silence: forGood}}}, hasReservations)
+			p.serve(t.Context())
+			p.requireWhole(t, from(firstID, 1, 3), from(farID, 4, playedEvents))
+		})
+	}
+}
