Serving: a back end that refused before the silence may take the request over

What callers saw: a request without output got 502, or was sent to its silent back end again, although another had room.

Cause: the search asks all back ends, but the exchange then chose without those that had refused the request before the silence. If the one found was among them, the silent attempt was ended for nothing.

Why it works: the takeover makes eligible what the search found eligible.

--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -311,11 +311,12 @@
 	return true
 }
 
-// leaveSilent counts the run of an attempt that a successor has replaced.
+// leaveSilent counts the run of an attempt that a successor has replaced. Backends that refused the
+// request before the silence are eligible again, as they were for the search.
 func (e *exchange) leaveSilent(err error) {
 	e.successor = nil
 	e.silent[e.last.ID] = true
-	e.excluded[e.last.ID] = true
+	e.excludeSilent()
 	if attemptError(err).Outcome != OutcomeNotRun {
 		e.runs++
 		e.chargeRun()
--- a/internal/serving/standby_test.go
+++ b/internal/serving/standby_test.go
@@ -276,13 +276,17 @@
 type playedCaller struct {
 	recorder
 	events []string
-	// eventAt are the times of the events.
-	eventAt []time.Time
+	// wholeFrom is the backend of a complete answer.
+	wholeFrom string
+}
+
+func (c *playedCaller) Whole(head serving.Head, body []byte) error {
+	c.wholeFrom = head.Fields[0].Value
+	return c.recorder.Whole(head, body)
 }
 
 func (c *playedCaller) Event(raw []byte) error {
 	c.events = append(c.events, string(raw))
-	c.eventAt = append(c.eventAt, time.Now())
 	return c.recorder.Event(raw)
 }
 
--- a/internal/serving/successor_test.go
+++ b/internal/serving/successor_test.go
@@ -1,6 +1,7 @@
 package serving_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,8 @@
 
 	"topazpulley/internal/backend"
 	"topazpulley/internal/responsetimeout"
+	"topazpulley/internal/route"
+	"topazpulley/internal/serving"
 )
 
 // TestAnswerAfterItsTimeIsNoSuccessor checks that a backend whose answer comes in the moment in which
@@ -121,3 +124,39 @@
 		})
 	}
 }
+
+// TestRefusalBeforeSilenceDoesNotBarTakeover checks that a request without output is taken over by a
+// backend that had refused it before the silence and has room now.
+func TestRefusalBeforeSilenceDoesNotBarTakeover(t *testing.T) {
+	for name, policy := range notBegunPolicies() {
+		t.Run(name, func(t *testing.T) {
+			forEachKind(t, func(t *testing.T, hasReservations bool) {
+				p := newPlay(playedBackends(otherID, firstID), map[string][]treatment{firstID: {{silence: forGood}}}, hasReservations)
+				p.policy = policy
+				p.sender.setFull(otherID, true)
+				p.core.Sender = &openingSender{playedSender: p.sender}
+				p.serve(t.Context())
+				require.Equal(t, 1, p.caller.finished+p.caller.complete)
+				require.Equal(t, otherID, p.caller.from+p.caller.wholeFrom)
+				require.Equal(t, 1, p.sender.maxAtWork)
+				require.Len(t, p.sender.runs(), 2)
+			})
+		})
+	}
+}
+
+// openingSender is a playedSender whose other backend has room once the first has got a request.
+type openingSender struct{ *playedSender }
+
+func (s *openingSender) Send(ctx context.Context, attempt serving.Attempt) (serving.Answer, error) {
+	if attempt.Instance.ID == firstID {
+		s.setFull(otherID, false)
+	}
+	return s.playedSender.Send(ctx, attempt)
+}
+
+// notBegunPolicies returns the routes of requests that may run again.
+func notBegunPolicies() map[string]route.Route {
+	plain := route.Route{Kind: route.KindRepeatable, Timeout: time.Minute, Objective: objective, MaxAttempts: 3, Targets: []route.Target{{Service: "s", Weight: 1}}}
+	return map[string]route.Route{"plain": plain, "stream": streamPolicy(3)}
+}
