--- a/test/mutants.d/patience.sh
+++ b/test/mutants.d/patience.sh
@@ -15,7 +15,7 @@
 	'!e.request.Route.Repeatable() || e.runs+1 >= e.request.Route.MaxAttempts' 'false' internal/serving TestUnrepeatableAttemptIsNotEnded
 mutant silence_without_budget internal/serving/timeout.go \
 	'!e.core.earlyEnds.Spend()' 'false' internal/serving TestEarlyEndsHaveABudget
-mutant silent_zone_asked_again internal/serving/exchange.go \
+mutant silent_zone_asked_again internal/serving/successor.go \
 	'e.avoidZone(e.last.Zone)' '_ = 0' internal/serving TestZoneOfSilentBackendIsAvoided
 mutant nothing_learned internal/responsetimeout/responsetimeout.go \
 	'known.add(elapsed)' '_ = elapsed' internal/responsetimeout TestFastServiceHasShortTimeout
