Serving: a request taken from a silent attempt is not given up because others refuse it

What callers saw: a request without output got 502 a moment after its silent attempt was ended for a back end that then refused it, with most of its time left.

Cause: the bounds of the wait for a back end (the objective), of sends and of retries applied to a request that was taken from an attempt that might have gone on.

Evidence: TestRequestTakenFromSilentBackendWaitsForRoom (new) failed 20 of 20 (plain and stream) before, 0 of 40 after (-race); TestZoneOfSilentBackendIsAskedWhenOthersAreFull now plays requests without output or reservations too (10 of 10 failed before, 0 of 20 after).

Why it works: such a request is bounded by runs and time, and paced, like an answer that has begun. Its last run, which nothing may replace, is not spent at a back end that fell silent on it while there are others.

--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -195,7 +195,7 @@
 		// can retry.
 		latest = e.request.Arrived.Add(e.request.Route.Objective / 4)
 	}
-	if e.hasBegun {
+	if e.outlivesRefusals() {
 		latest = e.end
 	}
 	if time.Now().After(latest) || e.runs >= e.request.Route.MaxAttempts {
@@ -204,10 +204,27 @@
 	if !periodic.Sleep(ctx, refusalPause) {
 		return false
 	}
-	clear(e.excluded)
+	e.resetExcluded()
 	return true
 }
 
+// outlivesRefusals reports whether the request is not given up because backends refuse it: its answer
+// has begun, or it was taken from a silent attempt, which might have gone on.
+func (e *exchange) outlivesRefusals() bool { return e.hasBegun || len(e.silent) > 0 }
+
+// resetExcluded makes backends eligible again. With the last run, those that fell silent on the
+// request remain excluded if there are others: nothing may replace that run.
+func (e *exchange) resetExcluded() {
+	clear(e.excluded)
+	if e.runs+1 < e.request.Route.MaxAttempts {
+		return
+	}
+	e.excludeSilent()
+	if _, found := e.core.pick(&e.request, e.excluded, e.allowedPreemption()); !found {
+		clear(e.excluded)
+	}
+}
+
 // remaining returns the time until the caller's deadline, less the time during which the
 // machine was suspended.
 func (e *exchange) remaining() time.Duration {
@@ -385,7 +402,8 @@
 
 // mayRetry decides after a failed attempt whether the request is sent to another backend. The
 // bounds on retries keep load low and end in a refusal. An answer that has begun cannot be refused
-// any more: it is bounded by the route's maximum of runs and by its time only.
+// any more, and a request that was taken from a silent attempt may have run: they are bounded by the
+// route's maximum of runs and by their time only.
 func (e *exchange) mayRetry(ctx context.Context, err error) bool {
 	failed := attemptError(err)
 	e.reason = failed.Reason
@@ -400,8 +418,8 @@
 	if !isAllowed {
 		return false
 	}
-	if e.hasBegun {
-		e.paceBegun(ctx)
+	if e.outlivesRefusals() {
+		e.pace(ctx)
 	} else if !e.isWithinRetryBounds(failed) {
 		return false
 	}
@@ -424,9 +442,9 @@
 	return true
 }
 
-// paceBegun pauses before an answer that has begun is sent to a further backend, if many have
+// pace pauses before a request that outlives refusals is sent to a further backend, if many have
 // refused it.
-func (e *exchange) paceBegun(ctx context.Context) {
+func (e *exchange) pace(ctx context.Context) {
 	e.isQueued = false // wait for a slot again
 	if e.sends >= maxSends {
 		periodic.SleepAbout(ctx, searchPause(e.sends-maxSends+1))
--- a/internal/serving/successor_test.go
+++ b/internal/serving/successor_test.go
@@ -88,7 +88,7 @@
 // TestZoneOfSilentBackendIsAskedWhenOthersAreFull checks that a search asks other zones first, and the
 // other backends of the silent one's zone if these refuse.
 func TestZoneOfSilentBackendIsAskedWhenOthersAreFull(t *testing.T) {
-	for _, begun := range []int{3} {
+	for _, begun := range []int{0, 3} {
 		forEachKind(t, func(t *testing.T, hasReservations bool) {
 			p := newPlay(zonedBackends(), map[string][]treatment{firstID: {{silentAfter: begun, silence: forGood}}}, hasReservations)
 			p.sender.setFull(farID, true)
@@ -155,6 +155,29 @@
 	return s.playedSender.Send(ctx, attempt)
 }
 
+// TestRequestTakenFromSilentBackendWaitsForRoom checks that a request without output whose silent
+// attempt was ended for another backend is not given up because that one refuses it for a while.
+func TestRequestTakenFromSilentBackendWaitsForRoom(t *testing.T) {
+	for name, policy := range notBegunPolicies() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const fullFor = 4 * time.Second
+				p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{firstID: {{silence: forGood}}}, false)
+				p.policy = policy
+				p.sender.setFull(otherID, true)
+				time.AfterFunc(fullFor-time.Second, func() { p.sender.setFull(firstID, true) })
+				time.AfterFunc(fullFor, func() { p.sender.setFull(otherID, false) })
+				p.serve(t.Context())
+				require.Equal(t, otherID, p.caller.from+p.caller.wholeFrom)
+				require.Equal(t, 1, p.caller.finished+p.caller.complete)
+				require.Equal(t, 1, p.sender.maxAtWork)
+				require.Less(t, p.took, fullFor+2*maxPause+playedEvents*2*playedPause)
+				require.Less(t, len(p.sender.attempts), 40, "probes are paced")
+			})
+		})
+	}
+}
+
 // notBegunPolicies returns the routes of requests that may run again.
 func notBegunPolicies() map[string]route.Route {
 	plain := route.Route{Kind: route.KindRepeatable, Timeout: time.Minute, Objective: objective, MaxAttempts: 3, Targets: []route.Target{{Service: "s", Weight: 1}}}
