Serving: a search ends before the exchange that it copies is written

What callers saw: nothing known; a data race between a search that begins and an attempt that breaks in that moment.

Cause: receive stored what was received of the answer before it ended the wait for output; the search copies the exchange.

Evidence: TestBreakInTheMomentOfTheSilence (new) reported the race in 3 of 3 plays with -race before, in 0 of 10 after.

Why it works: explain ends the wait, and with it the search, before anything is written.

--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -310,9 +310,11 @@
 	} else {
 		err = e.passComplete(answer, lease, waiting)
 	}
+	if err != nil {
+		err = e.explain(waiting, err) // ends a search, which works on a copy of the exchange
+	}
 	e.transfer = answer.Transfer()
 	if err != nil {
-		err = e.explain(waiting, err)
 		e.recordAttemptFailure(err)
 	}
 	return err
--- a/internal/serving/successor_test.go
+++ b/internal/serving/successor_test.go
@@ -183,3 +183,17 @@
 	plain := route.Route{Kind: route.KindRepeatable, Timeout: time.Minute, Objective: objective, MaxAttempts: 3, Targets: []route.Target{{Service: "s", Weight: 1}}}
 	return map[string]route.Route{"plain": plain, "stream": streamPolicy(3)}
 }
+
+// TestBreakInTheMomentOfTheSilence checks that an attempt that breaks in the moment in which the search
+// begins, which works on a copy of the exchange, ends the search first.
+func TestBreakInTheMomentOfTheSilence(t *testing.T) {
+	for range 200 {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{
+				firstID: {{silentAfter: 3, silence: eventTimeout, breaks: true}},
+			}, false)
+			p.serve(t.Context())
+			p.requireWhole(t, from(firstID, 1, 3), from(otherID, 4, playedEvents))
+		})
+	}
+}
