Serving: two back ends work on a silent stream for 300 ms at most; a search preempts two items

Now a back end that has not refused a request for 300 ms has taken it, and the silent attempt ends. A service that takes reservations is never sent a request beside: it is asked until it reserves. 2. A search preempted a batch item for each full back end that it asked (12 to 13 in 5.5 s); now two.

--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -58,7 +58,7 @@
 	requests *intake.Mix
 
 	retries *admission.RetryBudget
-	// earlyEnds bounds the attempts that are ended before their latest response timeout.
+	// earlyEnds bounds the searches for a successor that begin before the latest response timeout.
 	earlyEnds *admission.RetryBudget
 	mutex     sync.Mutex
 	random    *rand.Rand
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -90,6 +90,10 @@
 	successor *successor
 	// isRetryPaid is set if the present search for a successor has spent a retry.
 	isRetryPaid bool
+	// isSearching is set on the copy on which a search works; searchPreemptions counts the batch items
+	// that the search has preempted.
+	isSearching       bool
+	searchPreemptions int
 
 	// admission is the decision on the request's tenant limit.
 	admission ratelimit.Decision
@@ -260,12 +264,18 @@
 // has its final answer.
 func (e *exchange) exchangeWith(ctx context.Context, attempt Attempt, lease *backend.Lease) error {
 	e.countSend(&attempt)
-	e.transfer = Transfer{}
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e.attemptedAt = time.Now()
+	return e.exchangeOver(ctx, lease, cancel, func() (Answer, error) { return e.core.Sender.Send(bounded, attempt) })
+}
+
+// exchangeOver waits for the answer to an attempt and passes it to the caller. cancel ends the
+// attempt. It returns nil when the request has its final answer.
+func (e *exchange) exchangeOver(ctx context.Context, lease *backend.Lease, cancel context.CancelFunc, await func() (Answer, error)) error {
+	e.transfer = Transfer{}
 	waiting := e.startStandby(ctx, cancel)
-	answer, err := e.core.Sender.Send(bounded, attempt)
+	answer, err := await()
 	if err != nil {
 		err = e.explain(waiting, err)
 		if attemptError(err).Outcome == OutcomeNotRun {
@@ -343,17 +353,6 @@
 	e.avoidSilentZone()
 }
 
-// continueBeside goes on with the answer of a successor. silentErr is how the silent attempt ended.
-func (e *exchange) continueBeside(ctx context.Context, silentErr error) error {
-	beside := e.successor.beside
-	defer beside.close()
-	e.leaveSilent(silentErr)
-	e.last, e.cost = beside.lease.Instance(), beside.candidate
-	e.transfer = Transfer{}
-	e.attemptedAt = beside.attemptedAt
-	return e.receive(ctx, beside.answer, beside.lease, e.startStandby(ctx, beside.cancel))
-}
-
 // explain ends the wait for output of a failed attempt. If a successor has taken the request over,
 // which ended the attempt, it replaces the error by one with ReasonSilent. An attempt that was not
 // sent keeps its error: it has not run.
--- a/internal/serving/preempt.go
+++ b/internal/serving/preempt.go
@@ -49,8 +49,14 @@
 	e.preemptAt(e.cost)
 }
 
-// preemptAt preempts one batch item at a backend.
+// preemptAt preempts one batch item at a backend, unless a search has preempted as many as it may.
 func (e *exchange) preemptAt(chosen routing.Candidate) {
+	if e.isSearching {
+		if e.searchPreemptions >= maxSearchPreemptions {
+			return
+		}
+		e.searchPreemptions++
+	}
 	e.core.Backends.Preempt(chosen.ID)
 	e.core.Logger.Info("item_preempted", "id", e.request.ID, "backend", chosen.ID, "online", chosen.Online,
 		"batch", chosen.Batch, "slots", chosen.Slots, "waiting", chosen.Waiting)
--- a/internal/serving/sendlog.go
+++ b/internal/serving/sendlog.go
@@ -45,7 +45,8 @@
 
 // logSent logs the origin of an attempt just before its first byte is sent. The line shows
 // the caller for a request id in a backend's log, even if the daemon exits before it logs
-// request_ended. A request logs at most maxSends such lines.
+// request_ended. A request logs at most maxSends such lines, unless it outlives refusals: those
+// attempts are paced.
 func (e *exchange) logSent(attempt *Attempt) {
 	e.core.Logger.Info("request_sent", "id", e.request.ID, "backend", attempt.Instance.ID, "born", attempt.Instance.StartMillis, "software", attempt.Instance.Version, "attempt", e.sends,
 		"kind", string(KindOfSend(e.sends, attempt.LastEvent)), "caller", e.request.Caller, "tenant", attempt.Tenant,
--- a/internal/serving/successor.go
+++ b/internal/serving/successor.go
@@ -5,7 +5,6 @@
 	"maps"
 	"time"
 
-	"topazpulley/internal/backend"
 	"topazpulley/internal/periodic"
 	"topazpulley/internal/routing"
 )
@@ -16,9 +15,9 @@
 	// not load the other backends.
 	minSearchPause = 40 * time.Millisecond
 	maxSearchPause = 320 * time.Millisecond
-	// probesBeforeQueueing is the number of probes without a reservation after which a stream that
-	// has begun is sent to queue at a backend.
-	probesBeforeQueueing = 4
+	// maxSearchPreemptions is the number of batch items that one search may preempt: their work is
+	// in vain if the silent attempt goes on.
+	maxSearchPreemptions = 2
 )
 
 // searchPause returns the pause after a number of probes that found no successor.
@@ -36,6 +35,7 @@
 	made.excluded = maps.Clone(e.excluded)
 	made.silent = maps.Clone(e.silent)
 	made.silent[e.last.ID] = true
+	made.isSearching = true
 	return &made
 }
 
@@ -52,7 +52,7 @@
 	e.excludeSilent()
 	e.avoidSilentZone()
 	for probes := 1; e.maySucceed(ctx); probes++ {
-		if found := e.probe(ctx, request, probes); found != nil {
+		if found := e.probe(ctx, request); found != nil {
 			return found
 		}
 		if !periodic.SleepAbout(ctx, searchPause(probes)) {
@@ -124,7 +124,7 @@
 }
 
 // probe asks one backend to take the request over.
-func (e *exchange) probe(ctx, request context.Context, probes int) *successor {
+func (e *exchange) probe(ctx, request context.Context) *successor {
 	if !e.hasBegun && !e.payRetry() {
 		return nil
 	}
@@ -139,7 +139,7 @@
 	}
 	e.excluded[chosen.ID] = true
 	switch {
-	case reservesSlots && (!e.hasBegun || probes <= probesBeforeQueueing):
+	case reservesSlots:
 		if e.reserveAt(ctx, chosen) {
 			return &successor{reserved: e.reserved}
 		}
@@ -155,85 +155,3 @@
 	e.isRetryPaid = e.isRetryPaid || e.core.retries.Spend()
 	return e.isRetryPaid
 }
-
-// besideAttempt is an attempt that was made beside a silent one.
-type besideAttempt struct {
-	attemptedAt time.Time
-	lease       *backend.Lease
-	candidate   routing.Candidate
-	answer      Answer
-	cancel      context.CancelFunc
-}
-
-// close ends the attempt.
-func (b *besideAttempt) close() {
-	b.answer.Close()
-	b.cancel()
-	b.lease.Release()
-}
-
-// sendBeside sends the request to a backend while the silent attempt goes on. The backend takes the
-// request over when it answers; until then the request may not have begun to run there.
-func (e *exchange) sendBeside(ctx, request context.Context, chosen routing.Candidate) *successor {
-	lease, found := e.core.Backends.Acquire(chosen.ID, backend.Online, e.request.Prompt)
-	if !found {
-		return nil
-	}
-	e.last, e.cost = lease.Instance(), chosen
-	e.preempt()
-	attemptedAt := time.Now()
-	bounded, cancel := context.WithCancel(request)
-	stopFollowing := context.AfterFunc(ctx, cancel)
-	answer, err := e.sendWithin(bounded, cancel)
-	isStillSought := stopFollowing()
-	if err != nil {
-		cancel()
-		lease.Release()
-		return nil
-	}
-	answered := &successor{beside: &besideAttempt{attemptedAt: attemptedAt, lease: lease, candidate: chosen, answer: answer, cancel: cancel}}
-	if !isStillSought {
-		e.discard(answered)
-		return nil
-	}
-	return answered
-}
-
-// discard ends a successor that is not needed, because the silent attempt went on or ended. What ran
-// beside counts as a run.
-func (e *exchange) discard(found *successor) {
-	if found.beside != nil {
-		found.beside.close()
-		e.runs++
-	}
-}
-
-// sendWithin sends the request and returns an answer that goes on with the stream. If a further
-// backend may be asked after this one, it waits for the answer for no longer than eventTimeout.
-func (e *exchange) sendWithin(ctx context.Context, cancel context.CancelFunc) (Answer, error) {
-	stopTimer := func() bool { return true }
-	if e.runs+2 < e.request.Route.MaxAttempts {
-		stopTimer = time.AfterFunc(eventTimeout, cancel).Stop
-	}
-	attempt := e.newAttempt()
-	e.countSend(&attempt)
-	answer, err := e.core.Sender.Send(ctx, attempt)
-	isInTime := stopTimer()
-	if err == nil && isInTime && answer.Head().Events && answer.Head().Successful() {
-		return answer, nil
-	}
-	if err == nil {
-		answer.Close()
-		err = &AttemptError{Outcome: OutcomeFailed, Reason: ReasonError}
-	}
-	failed := attemptError(err)
-	if failed.Outcome == OutcomeNotRun {
-		e.ran.NeverRan()
-	} else if e.countsAsRun(failed) {
-		e.runs++
-	}
-	if ctx.Err() == nil {
-		e.recordAttemptFailure(err)
-	}
-	return nil, err
-}
--- a/internal/serving/timeout.go
+++ b/internal/serving/timeout.go
@@ -18,7 +18,7 @@
 )
 
 // Values of the metric's outcome label for an attempt that has passed its early response
-// timeout: ended early, or continued because the budget is spent.
+// timeout: a successor is sought early, or only later because the budget is spent.
 const (
 	outcomeEndedEarly = "left"
 	outcomeContinued  = "budget_spent"
@@ -47,7 +47,7 @@
 	return responsetimeout.KindComplete
 }
 
-// mayEndEarly decides whether the attempt is ended when its early response timeout has
+// mayEndEarly decides whether a successor is sought when the early response timeout has
 // passed. It runs concurrently with the attempt and reads only fields that do not change
 // during it.
 func (e *exchange) mayEndEarly(timeouts responsetimeout.Timeouts) bool {
