Serving: an attempt beside outlives the break of the silent one

What callers saw: a begun answer was reset although a back end that had been asked was at work on it.

Cause: when the silent attempt failed while another was asked beside it, the search was ended with the attempt beside. With two allowed runs none was left; with three the next run began the wait anew.

Why it works: a failure ends further probes only; the present one is waited for, as long as it would have been.

--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -358,7 +358,7 @@
 // which ended the attempt, it replaces the error by one with ReasonSilent. An attempt that was not
 // sent keeps its error: it has not run.
 func (e *exchange) explain(waiting *standby, err error) error {
-	waiting.arrived()
+	waiting.failed()
 	e.successor = waiting.takeSuccessor()
 	if e.successor == nil || attemptError(err).Outcome == OutcomeNotRun {
 		return err
--- a/internal/serving/standby.go
+++ b/internal/serving/standby.go
@@ -36,7 +36,8 @@
 type search struct {
 	began    time.Time
 	searcher *exchange
-	end      context.CancelFunc
+	// endProbes lets no further backend be asked, and end also ends the present probe.
+	endProbes, end context.CancelFunc
 	// ended is closed when the search has ended.
 	ended chan struct{}
 }
@@ -93,6 +94,24 @@
 	return s.successor == nil
 }
 
+// failed ends the wait for output because the attempt has failed. A backend that a search is asking
+// now is waited for: it may take the request over.
+func (s *standby) failed() {
+	if s == nil {
+		return
+	}
+	s.watched.Stop()
+	s.mutex.Lock()
+	running := s.search
+	s.isAwaiting = running != nil
+	s.mutex.Unlock()
+	if running != nil {
+		running.endProbes()
+		<-running.ended
+	}
+	s.arrived()
+}
+
 // run looks for a successor. The watchdog calls it when the attempt is silent for too long.
 func (s *standby) run() {
 	s.mutex.Lock()
@@ -102,11 +121,13 @@
 	}
 	ctx, end := context.WithCancel(s.request)
 	defer end()
-	running := &search{began: time.Now(), searcher: s.exchange.searcher(), end: end, ended: make(chan struct{})}
+	probing, endProbes := context.WithCancel(ctx)
+	defer endProbes()
+	running := &search{began: time.Now(), searcher: s.exchange.searcher(), endProbes: endProbes, end: end, ended: make(chan struct{})}
 	s.search = running
 	s.mutex.Unlock()
 	defer close(running.ended)
-	found := running.searcher.findSuccessor(ctx, s.request)
+	found := running.searcher.findSuccessor(probing, ctx, s.request)
 	if found != nil && !s.take(found) {
 		running.searcher.discard(found)
 	}
--- a/internal/serving/standby_test.go
+++ b/internal/serving/standby_test.go
@@ -68,8 +68,8 @@
 	// refused is set if the attempt did not run.
 	refused, broken  bool
 	cancelled, whole bool
-	// events counts those that were read.
-	events int
+	// events counts those that were read, and lateEvents those read after the attempt's end.
+	events, lateEvents int
 }
 
 // isAtWorkAt reports whether the backend was at work on the attempt at a time.
@@ -268,7 +268,13 @@
 	}
 	event := serving.Event{ID: a.next, Raw: fmt.Appendf(nil, "%s:%d;", a.attempt.backend, a.next)}
 	a.next++
-	a.attempt.events++
+	a.sender.mutex.Lock()
+	defer a.sender.mutex.Unlock()
+	if a.attempt.endedAt == 0 {
+		a.attempt.events++
+	} else {
+		a.attempt.lateEvents++
+	}
 	return event, serving.EndingNone, nil
 }
 
@@ -538,7 +544,7 @@
 		}, false)
 		p.serve(t.Context())
 		p.requireWhole(t, from(firstID, 1, 3), from(otherID, 4, playedEvents))
-		require.Equal(t, 4, p.sender.at(firstID)[0].events, "the old run sent its fourth event")
+		require.Equal(t, 1, p.sender.at(firstID)[0].lateEvents, "the old run sent its fourth event")
 	})
 }
 
--- a/internal/serving/successor.go
+++ b/internal/serving/successor.go
@@ -46,16 +46,17 @@
 }
 
 // findSuccessor looks for a backend that takes the request over from a silent attempt, until one
-// does or ctx ends. It returns nil if there is none. request is the context of the request.
-func (e *exchange) findSuccessor(ctx, request context.Context) *successor {
+// does or probing ends. It returns nil if there is none. ctx bounds each probe; request is the context
+// of the request.
+func (e *exchange) findSuccessor(probing, ctx, request context.Context) *successor {
 	e.recordSilence()
 	e.excludeSilent()
 	e.avoidSilentZone()
-	for probes := 1; e.maySucceed(ctx); probes++ {
+	for probes := 1; e.maySucceed(probing); probes++ {
 		if found := e.probe(ctx, request, probes); found != nil {
 			return found
 		}
-		if !periodic.SleepAbout(ctx, searchPause(probes)) {
+		if !periodic.SleepAbout(probing, searchPause(probes)) {
 			return nil
 		}
 	}
--- a/internal/serving/successor_test.go
+++ b/internal/serving/successor_test.go
@@ -409,3 +409,19 @@
 		})
 	}
 }
+
+// TestAttemptBesideOutlivesBreak checks that a backend that was asked beside a silent one takes the
+// stream over if the silent one breaks before it answers.
+func TestAttemptBesideOutlivesBreak(t *testing.T) {
+	for attempts := 2; attempts <= 3; attempts++ {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{
+				firstID: {{silentAfter: 3, silence: eventTimeout + 200*time.Millisecond, breaks: true}}, otherID: {{headAfter: 700 * time.Millisecond}},
+			}, false)
+			p.policy.MaxAttempts = attempts
+			p.serve(t.Context())
+			p.requireWhole(t, from(firstID, 1, 3), from(otherID, 4, playedEvents))
+			require.Len(t, p.sender.runs(), 2)
+		})
+	}
+}
--- a/test/mutants.d/silence.sh
+++ b/test/mutants.d/silence.sh
@@ -7,6 +7,6 @@
 		e.pace(ctx)' '	if false {
 		e.pace(ctx)' platform TestBegunStreamOfCrashedBackendWaitsForRoom
 mutant search_ends_with_its_first_probe internal/serving/successor.go \
-	'		if !periodic.SleepAbout(ctx, searchPause(probes)) {' '		if true {' platform TestBegunStreamOfDeadBackendWaitsForRoom
+	'		if !periodic.SleepAbout(probing, searchPause(probes)) {' '		if true {' platform TestBegunStreamOfDeadBackendWaitsForRoom
 mutant silent_backends_are_successors internal/serving/successor.go \
 	'	maps.Copy(e.excluded, e.silent)' '' platform TestPlainRequestOutlivesSilenceOfAllBackends
