--- a/internal/serving/standby_test.go
+++ b/internal/serving/standby_test.go
@@ -57,6 +57,7 @@
 
 // playedAttempt is one attempt at a playedSender. at times are since the sender's start.
 type playedAttempt struct {
+	ctx         context.Context
 	backend     string
 	reservation string
 	after       int64
@@ -95,7 +96,7 @@
 func (s *playedSender) now() time.Duration { return time.Since(s.started) }
 
 // admit records an attempt and returns how it is treated.
-func (s *playedSender) admit(attempt *serving.Attempt) (*playedAttempt, treatment) {
+func (s *playedSender) admit(ctx context.Context, attempt *serving.Attempt) (*playedAttempt, treatment) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	id := attempt.Instance.ID
@@ -110,11 +111,11 @@
 		how = list[min(earlier, len(list)-1)]
 	}
 	isNotRun := how.refuses || how.unconnected || s.full[id]
-	made := &playedAttempt{backend: id, reservation: attempt.Reservation, after: attempt.LastEvent, sentAt: s.now(), refused: isNotRun}
+	made := &playedAttempt{ctx: ctx, backend: id, reservation: attempt.Reservation, after: attempt.LastEvent, sentAt: s.now(), refused: isNotRun}
 	s.attempts = append(s.attempts, made)
 	atWork := 0
 	for _, each := range s.attempts {
-		if each.isAtWorkAt(made.sentAt) {
+		if each.isAtWorkAt(made.sentAt) && each.ctx.Err() == nil {
 			atWork++
 		}
 	}
@@ -126,7 +127,7 @@
 	if err := attempt.CheckSendable(ctx); err != nil {
 		return nil, err
 	}
-	made, how := s.admit(&attempt)
+	made, how := s.admit(ctx, &attempt)
 	if how.unconnected {
 		<-ctx.Done()
 		return nil, &serving.AttemptError{Outcome: serving.OutcomeNotRun, Reason: serving.ReasonRequestEnded, Cause: ctx.Err()}
