Jobs: an item stays at a back end that is silent for less than 3 s

What callers saw: nothing was lost, but items ran twice: work that was done was done again, and with all other back ends full or of another software version the item began again from nothing.

Cause: an item's run was cancelled after 1.5 s without an event, the bound of online answers, and only then was another back end sought. A sound back end may be silent for a second or two.

Change: the bound between two events of an item is 3 s. Nobody waits for the next event of an item, so the shorter bound gained little: 1.5 s at a dead back end, out of some 20 s. Weighed: staying until another back end has a free slot. With items that wait, which take each free slot first, that either never leaves a dead back end or leaves a sound one as before.

Items of a cancelled job at a silent back end end as before.

--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -23,9 +23,11 @@
 	// itemTimeout is how long a backend may work on one item.
 	itemTimeout = 60 * time.Second
 	// firstEventTimeout and eventTimeout limit the time until an item's first event and
-	// between events.
+	// between events. A sound backend may fall silent for a second or two and go on, and an
+	// item that is run again costs that work twice, so eventTimeout is longer than for online
+	// requests: nobody waits for the next event of an item.
 	firstEventTimeout = 6 * time.Second
-	eventTimeout      = 1500 * time.Millisecond
+	eventTimeout      = 3 * time.Second
 	itemMethod        = "POST"
 	// invalidStatus is a backend's answer to an item that can never succeed.
 	invalidStatus = 422
--- a/test/mutants.d/silence.sh
+++ b/test/mutants.d/silence.sh
@@ -10,3 +10,7 @@
 	'		if !periodic.SleepAbout(ctx, searchPause(probes)) {' '		if true {' platform TestBegunStreamOfDeadBackendWaitsForRoom
 mutant silent_backends_are_successors internal/serving/successor.go \
 	'	maps.Copy(e.excluded, e.silent)' '' platform TestPlainRequestOutlivesSilenceOfAllBackends
+mutant items_left_after_a_short_silence internal/job/attempt.go \
+	'	eventTimeout      = 3 * time.Second' '	eventTimeout      = 1500 * time.Millisecond' platform TestItemsOutliveSilenceWithOneRun
+mutant items_stay_at_dead_backends internal/job/attempt.go \
+	'watchdog.Start(firstEventTimeout, eventTimeout, cancel)' 'watchdog.Start(firstEventTimeout, itemTimeout, cancel)' platform TestItemsLeaveBackendThatIsSilentForGood
