Supervisor: batch items stay at an engine that was silent

What callers saw: nothing was lost, but batch items of the OpenAI-like door ran twice.

Cause: after two failed probes the engine's batch window was set to 0; its items went on. The first probe that the engine answered again let the window grow from 0, and all items in excess of it were cancelled and started over, although the engine was sound: state learned from a silence outlived it.

Change: failed probes stop new dispatch only. When the engine answers again, the window begins with the items that still run.

Evidence: one engine, 16 items, silent for 3 s in mid-stream (new fault Silent of the emulated engine).

--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -33,6 +33,11 @@
 // SetPolicy changes the maximum and the guard.
 func (w *BatchWindow) SetPolicy(maximum, guard int) { w.maximum, w.guard = maximum, guard }
 
+// Restart sets the size to the number of items in flight at an engine that was out of touch.
+func (w *BatchWindow) Restart(inFlight int, now time.Time) {
+	w.size, w.lastGrow = float64(inFlight), now
+}
+
 // Hint records the number of online requests that gateways report as sent to the
 // engine, which is more recent than the engine's own report. Hints up to the guard are
 // ignored.
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -24,6 +24,8 @@
 	RefuseShare float64 `json:"refuse_share"`
 	// Slowdown multiplies step times; 0 means 1.
 	Slowdown float64 `json:"slowdown"`
+	// Silent stops the engine's work and answers until it is unset. Nothing is lost.
+	Silent bool `json:"silent"`
 	// HideLoad makes the load reports show an idle engine.
 	HideLoad bool `json:"hide_load"`
 }
@@ -97,6 +99,8 @@
 	reportInterval   = 20 * time.Millisecond
 	maxReports       = 256
 	idleWakeInterval = time.Second
+	// silentCheckInterval is the time between two checks whether a silent engine goes on.
+	silentCheckInterval = 5 * time.Millisecond
 )
 
 // NewEngine returns an engine without loaded models.
@@ -264,6 +268,7 @@
 // Run executes steps until the context ends.
 func (e *Engine) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		e.awaitSound(ctx)
 		pause, busy := e.step()
 		if !busy {
 			select {
@@ -274,10 +279,18 @@
 			continue
 		}
 		periodic.Sleep(ctx, pause)
+		e.awaitSound(ctx)
 		e.produce()
 	}
 }
 
+// awaitSound waits while the engine is silent.
+func (e *Engine) awaitSound(ctx context.Context) {
+	for e.currentFaults().Silent && periodic.Sleep(ctx, silentCheckInterval) {
+		continue
+	}
+}
+
 // step starts waiting sequences and returns the duration of the next step, or false if no
 // sequence runs.
 func (e *Engine) step() (time.Duration, bool) {
--- a/internal/emulator/engine_http.go
+++ b/internal/emulator/engine_http.go
@@ -36,6 +36,7 @@
 }
 
 func (e *Engine) handle(ctx context.Context, call *fasthttp.RequestCtx) {
+	e.awaitSound(ctx)
 	if e.currentFaults().Crashed {
 		call.HijackSetNoResponse(true)
 		call.Hijack(func(net.Conn) {})
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -39,7 +39,7 @@
 func (l *engineLoop) hasFreeSlot() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return !l.isStopped && len(l.running) < l.window.Size()
+	return !l.isStopped && !l.isDown && len(l.running) < l.window.Size()
 }
 
 func (l *engineLoop) pausedUntil() time.Time {
--- a/internal/supervisor/engineloop.go
+++ b/internal/supervisor/engineloop.go
@@ -33,6 +33,9 @@
 	window           *admission.BatchWindow
 	batchPausedUntil time.Time
 	isStopped        bool
+	// isDown stops batch dispatch because the engine answers no probes. Items that run there
+	// are left alone: the engine may be silent for a moment and go on with them.
+	isDown bool
 	// running holds the items in the order in which they were started.
 	running []*runningItem
 }
@@ -88,7 +91,7 @@
 }
 
 // probeFailed counts a failed probe. After downAfterFailedProbes in a row it publishes
-// the engine as down and closes the batch window.
+// the engine as down and stops batch dispatch.
 func (l *engineLoop) probeFailed(view registry.Engine) {
 	l.failedProbes++
 	if l.failedProbes < downAfterFailedProbes {
@@ -100,8 +103,16 @@
 	l.publishRecord(view, record)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.window.SetPolicy(0, 0)
-	l.window.Observe(0, 0, time.Now())
+	l.isDown = true
+}
+
+// reopen ends the stop of batch dispatch. The window begins with the items that still run, so
+// that none is cancelled because the engine was silent. The caller holds mutex.
+func (l *engineLoop) reopen() {
+	if l.isDown {
+		l.isDown = false
+		l.window.Restart(len(l.running), time.Now())
+	}
 }
 
 // observe updates the batch window from a load report, cancels items in excess of it
@@ -110,6 +121,7 @@
 	policy, isModelService := l.supervisor.holder.BatchPolicy(view.Machine.Service)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.reopen()
 	canServe := isModelService && report.State == engine.StateReady && !view.Machine.Leaving && len(report.Models) > 0 && !l.isStopped
 	if canServe {
 		l.window.SetPolicy(policy.BatchWindowMax, policy.BatchGuard)
@@ -145,6 +157,9 @@
 func (l *engineLoop) windowSize() int {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if l.isDown {
+		return 0
+	}
 	return l.window.Size()
 }
 
--- a/test/mutants.d/silence.sh
+++ b/test/mutants.d/silence.sh
@@ -14,3 +14,7 @@
 	'	eventTimeout      = 3 * time.Second' '	eventTimeout      = 1500 * time.Millisecond' platform TestItemsOutliveSilenceWithOneRun
 mutant items_stay_at_dead_backends internal/job/attempt.go \
 	'watchdog.Start(firstEventTimeout, eventTimeout, cancel)' 'watchdog.Start(firstEventTimeout, itemTimeout, cancel)' platform TestItemsLeaveBackendThatIsSilentForGood
+mutant batch_items_cancelled_after_a_silence internal/supervisor/engineloop.go \
+	'l.window.Restart(len(l.running), time.Now())' 'l.window.Restart(0, time.Now())' internal/harness TestBatchItemsOutliveSilenceOfEngine
+mutant engines_left_after_a_short_silence internal/daemon/daemon.go \
+	'engineStallTimeout = 5 * time.Second' 'engineStallTimeout = 2 * time.Second' internal/harness TestAnswersOutliveSilenceOfEngine
