Back ends: one whose entry lapses and comes back keeps its state

What callers saw: longer queues at a back end that had been silent for a few heartbeats, while others had room.

Cause: with the entry the whole state of the back end went: the daemon's requests that run there, health, prompts. When the same process was listed again it counted as idle, and got as much work again as it has slots. The leases of the requests that ran all the time counted nowhere.

Change: the state of a removed back end is kept for 30 s and goes on if the same process is listed again: same start, address, service and software version and, without start times, no colder than before. What answered for another one (421) is forgotten. Loads of other daemons are not kept, since those of daemons that left meanwhile would count forever; they are reported again.

TestReportsInAnyOrder expected the leases of a removed back end to count nowhere for good. That was the fault. Its model now says in which case each lease counts: whenever its own incarnation is listed, unless that was replaced or answered as another one.

Shown by tests that pass before as after: begun streams and items end at their back end with one run each when that says draining, loses its entry or is evacuated (TestBegunStreamsOutlivePlannedWork, TestBegunItemsOutlivePlannedWork); a caller that returns while the entries of its stream's software version have lapsed gets 503 with Retry-After, its request does not run, and the stream is resumed once they are back (TestCallerReturnsWhileEntriesOfItsVersionLapse).

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -129,6 +129,7 @@
 	byService map[string][]*state
 	// startTimes holds the latest start times of removed backends.
 	startTimes *startTimes
+	lapsed     lapsedStates
 	// promptReads are the reads not yet sent to other daemons.
 	promptReads []PromptRead
 	// unsentFailures are the failures not yet sent to other daemons.
@@ -164,7 +165,7 @@
 func NewSet() *Set {
 	return &Set{
 		states: map[string]*state{}, byService: map[string][]*state{}, publishSignal: make(chan struct{}, 1), overloaded: make(chan struct{}, 1),
-		unsentFailures: map[Incarnation]int{}, startTimes: newStartTimes(), peerWaiting: map[string]int{}, propagation: defaultPropagation,
+		unsentFailures: map[Incarnation]int{}, startTimes: newStartTimes(), lapsed: newLapsedStates(), peerWaiting: map[string]int{}, propagation: defaultPropagation,
 		preemptions: make(chan string, maxQueuedPreemptions), ownPreemptions: make(chan string, maxQueuedPreemptions),
 		connected: func() map[Incarnation]bool { return nil }, admission: newAdmission(),
 		software: newSoftwareVersions(), softwareSignal: make(chan struct{}, 1),
@@ -187,7 +188,7 @@
 		known.setColdUntil(time.Now())
 	default:
 		s.remove(instance.ID)
-		added := &state{Instance: instance, peers: map[string]PeerLoad{}, prompts: newPromptCache(maxPromptParts)}
+		added := s.lapsed.take(instance, time.Now())
 		added.setColdUntil(time.Now())
 		s.states[instance.ID] = added
 		s.addToService(added)
@@ -245,20 +246,23 @@
 	return incarnation.StartMillis > 0 && newest > incarnation.StartMillis
 }
 
-// RemoveIncarnation removes a backend if incarnation is its current one.
+// RemoveIncarnation removes a backend if incarnation is its current one, because another process
+// answers at its address.
 func (s *Set) RemoveIncarnation(incarnation Incarnation) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.current(incarnation) != nil {
 		s.remove(incarnation.ID)
 	}
+	s.lapsed.forget(incarnation)
 }
 
-// Remove removes a backend. Requests in flight continue.
+// Remove removes a backend whose entry went. Requests in flight continue, and still count if the
+// entry comes back.
 func (s *Set) Remove(id string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.remove(id)
+	s.lapse(id)
 }
 
 // Retain removes all backends whose ids aren't in ids.
@@ -267,11 +271,21 @@
 	defer s.mutex.Unlock()
 	for id := range s.states {
 		if !ids[id] {
-			s.remove(id)
+			s.lapse(id)
 		}
 	}
 }
 
+// lapse removes a backend but keeps its state in case the same process is listed again. mutex must
+// be held.
+func (s *Set) lapse(id string) {
+	known, exists := s.states[id]
+	s.remove(id)
+	if exists {
+		s.lapsed.keep(known, time.Now())
+	}
+}
+
 func (s *Set) remove(id string) {
 	known, exists := s.states[id]
 	if !exists {
--- a/internal/backend/incarnation_test.go
+++ b/internal/backend/incarnation_test.go
@@ -160,10 +160,12 @@
 	listed     int64
 }
 
-// modelLease is a lease and whether its incarnation has ended.
+// modelLease is a lease, the start of its incarnation and whether that has ended. It counts
+// whenever that incarnation is listed, also after its entry went and came back.
 type modelLease struct {
-	lease   *Lease
-	isEnded bool
+	lease       *Lease
+	startMillis int64
+	isEnded     bool
 }
 
 // TestReportsInAnyOrder checks that in any order of entries and reports, the listed
@@ -186,7 +188,7 @@
 		m.put(startMillis)
 	case 1:
 		if lease, found := m.set.AcquireIncarnation(incarnation, Online, nil); found {
-			m.leases = append(m.leases, modelLease{lease: lease})
+			m.leases = append(m.leases, modelLease{lease: lease, startMillis: startMillis})
 		}
 	case 2:
 		if len(m.leases) > 0 {
@@ -199,11 +201,12 @@
 	case 4:
 		m.set.RemoveIncarnation(incarnation)
 		if m.listed == startMillis {
-			m.forget()
+			m.unlist()
 		}
+		m.endLeases(func(start int64) bool { return start == startMillis })
 	case 5:
 		m.set.Remove("one")
-		m.forget()
+		m.unlist()
 	case 6:
 		m.put(0)
 	}
@@ -219,17 +222,24 @@
 		m.startTimes = append(m.startTimes, startMillis)
 	}
 	if m.listed != startMillis {
-		m.forget()
+		m.unlist()
 	}
 	m.listed = startMillis
+	m.endLeases(func(start int64) bool { return start != startMillis })
 }
 
-// forget drops the state of an incarnation that is no longer listed.
-func (m *incarnationModel) forget() {
+// unlist drops the peer loads at a backend that is no longer listed.
+func (m *incarnationModel) unlist() {
 	m.listed = -1
 	m.peers = map[string]PeerLoad{}
+}
+
+// endLeases ends the leases of incarnations that have ended, by their start.
+func (m *incarnationModel) endLeases(hasEnded func(startMillis int64) bool) {
 	for index := range m.leases {
-		m.leases[index].isEnded = true
+		if hasEnded(m.leases[index].startMillis) {
+			m.leases[index].isEnded = true
+		}
 	}
 }
 
@@ -252,7 +262,7 @@
 	require.Equal(t, m.listed, got.StartMillis)
 	online := 0
 	for _, counted := range m.leases {
-		if !counted.isEnded {
+		if !counted.isEnded && counted.startMillis == m.listed {
 			online++
 		}
 	}
--- a/test/mutants.d/silence.sh
+++ b/test/mutants.d/silence.sh
@@ -18,3 +18,9 @@
 	'l.window.Restart(len(l.running), time.Now())' 'l.window.Restart(0, time.Now())' internal/harness TestBatchItemsOutliveSilenceOfEngine
 mutant engines_left_after_a_short_silence internal/daemon/daemon.go \
 	'engineStallTimeout = 5 * time.Second' 'engineStallTimeout = 2 * time.Second' internal/harness TestAnswersOutliveSilenceOfEngine
+mutant returned_backends_count_as_idle internal/backend/backend.go \
+	'added := s.lapsed.take(instance, time.Now())' 'added := (&lapsedStates{}).take(instance, time.Now())' internal/backend TestReturnedBackendKeepsItsState
+mutant replaced_backends_keep_their_state internal/backend/backend.go \
+	'	s.lapsed.forget(incarnation)' '' internal/backend TestOtherProcessHasNoState
+mutant lapsed_backends_are_kept_forever internal/backend/lapse.go \
+	'return now.Sub(each.since) >= maxLapse' 'return false' internal/backend TestLapsedBackendsAreBounded
