--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -3,3 +3,5 @@
 	'	c.idle.Lock()
 	defer c.idle.Unlock()
 	c.isIdle = false' '	c.isIdle = false' platform TestShutdownEndsNoRequestThatBegins
+mutant idle_end_without_last_look platform/ingress.go \
+	'	if isTimeout(err) && c.hasUnread() {' '	if false {' platform TestRequestBesideIdleEndIsAnswered
