Ingress: a programming error in one request does not end the process with all others

What callers saw: nothing yet; a panic in the goroutine of one connection would have ended the daemon, and each request in flight without an answer.

Cause: no recover on the callers' side. The slot of the request's backend was released only on the way without a panic.

Evidence: TestPanicEndsOnlyItsRequest ended the test process before ("panic: before the answer").

Counted as topazpulley_request_panics_total and logged with the stack as request_panicked. Panics in goroutines that a request starts (search for a successor, pending writes) still end the process.

--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -138,7 +138,6 @@
 			e.preempt()
 		}
 		err := e.attempt(ctx, lease)
-		lease.Release()
 		if err == nil {
 			return
 		}
@@ -214,9 +213,10 @@
 	return time.Until(e.end) - e.core.Clock.SleptSince(e.arrived)
 }
 
-// attempt sends the request to one backend. It returns nil when the request has its final
-// answer.
+// attempt sends the request to one backend and releases the lease. It returns nil when the request
+// has its final answer.
 func (e *exchange) attempt(ctx context.Context, lease *backend.Lease) error {
+	defer lease.Release()
 	remaining := e.remaining()
 	if remaining < minRemaining {
 		return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonRequestEnded}
--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -52,6 +52,8 @@
 	Shed *prometheus.CounterVec
 	// SlowCallers counts answers that the caller stopped reading for some time, by outcome.
 	SlowCallers *prometheus.CounterVec
+	// Panics counts requests that ended with a programming error.
+	Panics prometheus.Counter
 	// MemoryRefusals counts requests that were refused because of the memory limit.
 	MemoryRefusals prometheus.Counter
 	// BatchRoom counts decisions on the batch capacity, by the bound that applied.
@@ -88,10 +90,11 @@
 		Shed:           counter("shed_connections_total", "Connections of callers that were closed unread since other daemons have room.", "reason"),
 		SlowCallers:    counter("slow_callers_total", "Answers of which the caller left a part unread for a while.", "outcome"),
 
+		Panics:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_panics_total", Help: "Requests that ended with a programming error."}),
 		MemoryRefusals: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "memory_refusals_total", Help: "Requests refused because too much was held for others."}),
 	}
 	registry.MustRegister(serving.Requests, serving.Attempts, serving.Continuations, serving.OriginFindings, serving.OriginCopies, serving.Silences, serving.Searches, serving.BrokenOff, serving.FirstOutput, serving.Duration, serving.Items, serving.Held, serving.StoreCalls, serving.StoreSeconds,
-		serving.Behind, serving.TurnedAway, serving.Malformed, serving.Shed, serving.SlowCallers, serving.MemoryRefusals, serving.BatchRoom)
+		serving.Behind, serving.TurnedAway, serving.Malformed, serving.Shed, serving.SlowCallers, serving.Panics, serving.MemoryRefusals, serving.BatchRoom)
 	return serving
 }
 
--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -5,3 +5,10 @@
 	c.isIdle = false' '	c.isIdle = false' platform TestShutdownEndsNoRequestThatBegins
 mutant idle_end_without_last_look platform/ingress.go \
 	'	if isTimeout(err) && c.hasUnread() {' '	if false {' platform TestRequestBesideIdleEndIsAnswered
+mutant panic_ends_the_process platform/ingress.go \
+	'	defer c.endPanic(respond)' '' platform TestPanicEndsOnlyItsRequest
+mutant panic_looks_whole platform/ingress.go \
+	'	if respond.isBegun {' '	if false {' platform TestPanicEndsOnlyItsRequest
+mutant panic_keeps_its_slot internal/serving/exchange.go \
+	'	defer lease.Release()
+	remaining' '	remaining' platform TestPanicEndsOnlyItsRequest
