--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -12,3 +12,5 @@
 mutant panic_keeps_its_slot internal/serving/exchange.go \
 	'	defer lease.Release()
 	remaining' '	remaining' platform TestPanicEndsOnlyItsRequest
+mutant old_requests_closed_unread platform/intake.go \
+	'!isKnown || age > maxUnreadAge {' 'false && age > maxUnreadAge {' platform TestFullDaemonClosesNoOldRequestUnread
