--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -14,3 +14,5 @@
 	remaining' '	remaining' platform TestPanicEndsOnlyItsRequest
 mutant old_requests_closed_unread platform/intake.go \
 	'!isKnown || age > maxUnreadAge {' 'false && age > maxUnreadAge {' platform TestFullDaemonClosesNoOldRequestUnread
+mutant late_connections_not_awaited platform/ingress.go \
+	'	g.accepted.Add(1)' '	g.accepted.Add(0)' platform TestShutdownWaitsForConnectionThatStartsLate
