--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -16,3 +16,5 @@
 	'!isKnown || age > maxUnreadAge {' 'false && age > maxUnreadAge {' platform TestFullDaemonClosesNoOldRequestUnread
 mutant late_connections_not_awaited platform/ingress.go \
 	'	g.accepted.Add(1)' '	g.accepted.Add(0)' platform TestShutdownWaitsForConnectionThatStartsLate
+mutant pipelined_requests_dropped platform/responder.go \
+	'stopping.Load() && !r.hasNext.Load()' 'stopping.Load()' platform TestShutdownAnswersPipelinedRequests
