--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -18,3 +18,5 @@
 	'	g.accepted.Add(1)' '	g.accepted.Add(0)' platform TestShutdownWaitsForConnectionThatStartsLate
 mutant pipelined_requests_dropped platform/responder.go \
 	'stopping.Load() && !r.hasNext.Load()' 'stopping.Load()' platform TestShutdownAnswersPipelinedRequests
+mutant closed_with_input_unread platform/ingress.go \
+	'	if respond.close && !respond.failed && c.hasUnread() {' '	if false {' platform TestAnswerIsWholeBesideUnreadInput
