Serving: a caller that has closed its sending half gets a refusal

What callers saw: a caller that closes only its sending half and waits got a reset and neither an answer nor a refusal.

Cause: a FIN is taken for the caller's leaving, and the connection of one that has left was reset.

A FIN does not tell a half close from a close; only a write does, which a closed connection answers with a reset. To go on with the answer would keep backends at work for callers that have left (GONE: 0.5 s), since nothing is written before the answer, or before the next event. So the work ends as before, but the end is told: 502 if the request may have run, else 503. To a caller that has closed its connection the refusal is nothing. An answer that has begun is reset, as before.

--- a/internal/serving/verdict.go
+++ b/internal/serving/verdict.go
@@ -34,9 +34,11 @@
 	e.giveUpWith(VerdictNotRun, retryAfter, code)
 }
 
-// giveUpWith is giveUp with a given verdict for a request that has not run.
+// giveUpWith is giveUp with a given verdict for a request that has not run. A caller that has left
+// is refused too: it may have closed only its sending half.
 func (e *exchange) giveUpWith(notRun Verdict, retryAfter time.Duration, code string) {
-	if e.caller.Err() != nil {
+	isGone := e.caller.Err() != nil
+	if isGone && e.hasBegun {
 		e.outcome = "caller_gone"
 		e.responder.Abort()
 		return
@@ -54,7 +56,7 @@
 		refusal = Refusal{Verdict: VerdictUnknown, Code: code}
 	}
 	e.outcome = refusal.Verdict.String()
-	if err := e.responder.Refuse(refusal); err != nil {
+	if err := e.responder.Refuse(refusal); err != nil || isGone {
 		e.outcome = "caller_gone"
 	}
 }
--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -20,3 +20,5 @@
 	'stopping.Load() && !r.hasNext.Load()' 'stopping.Load()' platform TestShutdownAnswersPipelinedRequests
 mutant closed_with_input_unread platform/ingress.go \
 	'	if respond.close && !respond.failed && c.hasUnread() {' '	if false {' platform TestAnswerIsWholeBesideUnreadInput
+mutant half_closed_callers_not_refused internal/serving/verdict.go \
+	'	if isGone && e.hasBegun {' '	if isGone {' platform TestHalfClosedCallerIsRefused
