Tests: silences, slow readers and calls about jobs beside changes and a shutdown

Ten changes in the middle of a silence of 1.8 s of all backends (timeouts, attempts, routes, split, connections, SIGHUP, backends that drain or go), for resumable and other streams: 20 plays of 30 streams, all whole. A shutdown beside a silence of 2 s: 2 plays of 30, all whole. Slow readers (300 KB, unread for 1 s) beside a shutdown and three changes: 2 runs of 4 plays of 8 answers, all whole. Calls about jobs beside a shutdown, SIGHUP and a configuration: all answered. No fault was found by these.

A caller whose socket takes less than about 20 KB/s of a stream while more than its buffers hold is waiting is cut after 2 s, although it reads: the kernel tells of progress only when a third of its buffer is free.

--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -22,3 +22,5 @@
 	'	if respond.close && !respond.failed && c.hasUnread() {' '	if false {' platform TestAnswerIsWholeBesideUnreadInput
 mutant half_closed_callers_not_refused internal/serving/verdict.go \
 	'	if isGone && e.hasBegun {' '	if isGone {' platform TestHalfClosedCallerIsRefused
+mutant stopped_beside_open_connections platform/serve.go \
+	'	d.awaitNoCallers(ctx)' '' platform 'TestShutdownCutsNoSilentStreams|TestSlowReadersGetWholeAnswersBesideChanges'
