Gateway: a programming error in one call does not end the process with all others

What callers saw: nothing yet; fasthttp has no recover, so a panic in a handler or in the writer of a streamed body would have ended the daemon and every call in flight.

Evidence: TestPanicEndsOnlyItsCall ended the test process before, for both. After, the call gets 500 with internal_error (a reset if its body had begun, for HTTP/1.0 too) and others are served. The count of calls in flight is released either way.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -201,8 +202,30 @@
 	return ok
 }
 
+// codePanic is the error code of calls that ended with a programming error.
+const codePanic = "internal_error"
+
+// endPanic ends the panic of a call, which would end the process with all other calls. It must be
+// deferred. The request may have run.
+func (g *Gateway) endPanic(call *fasthttp.RequestCtx) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	g.logPanic(call, cause)
+	call.Response.Reset()
+	call.SetConnectionClose()
+	g.writeFailure(call, failure.New(failure.KindInternal, codePanic, "the daemon failed in this call; the request may have run"))
+}
+
+// logPanic logs a programming error with its stack.
+func (g *Gateway) logPanic(call *fasthttp.RequestCtx, cause any) {
+	g.Logger.Error("request_panicked", "target", string(call.RequestURI()), "cause", cause, "stack", string(debug.Stack()))
+}
+
 // handle dispatches requests by path.
 func (g *Gateway) handle(call *fasthttp.RequestCtx) {
+	defer g.endPanic(call)
 	if g.stopping.Load() {
 		call.SetConnectionClose()
 	}
@@ -260,9 +283,13 @@
 		g.inFlight.Done()
 	})
 	caller := &caller{gateway: g, call: call, tenant: found.Name, limit: found.Limit, active: active, path: path, finish: finish}
-	if !caller.dispatch() {
-		finish()
-	}
+	isStreaming := false
+	defer func() {
+		if !isStreaming {
+			finish()
+		}
+	}()
+	isStreaming = caller.dispatch()
 }
 
 // caller is one authenticated call. finish is called once, when the call has been
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,6 +15,7 @@
 // returns an error, the connection is reset, so that the truncated body does not look
 // complete. write is called once, after the call's handler has returned.
 func (c *caller) streamBody(write func(output *bufio.Writer) error) {
+	write = c.failingOnPanic(write)
 	connection := c.call.Conn()
 	if !c.call.Request.Header.IsHTTP11() {
 		c.streamUntilClose(connection, write)
@@ -28,6 +29,29 @@
 	})
 }
 
+// bodyError is the reason for which a body is not whole.
+type bodyError string
+
+// Error implements error.
+func (e bodyError) Error() string { return string(e) }
+
+// errPanic is the error of a body whose writer ended with a programming error.
+const errPanic bodyError = "the writer of the body panicked"
+
+// failingOnPanic returns a writer of a body that returns an error in place of a panic, which would
+// end the process with all other calls.
+func (c *caller) failingOnPanic(write func(output *bufio.Writer) error) func(output *bufio.Writer) error {
+	return func(output *bufio.Writer) (err error) {
+		defer func() {
+			if cause := recover(); cause != nil {
+				c.gateway.logPanic(c.call, cause)
+				err = errPanic
+			}
+		}()
+		return write(output)
+	}
+}
+
 // streamUntilClose answers an HTTP/1.0 caller, which does not support chunked encoding
 // (RFC 9112 section 7.1). The body ends when the connection closes. The connection is
 // hijacked, because fasthttp sends every stream in chunks.
--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -24,3 +24,7 @@
 	'	if isGone && e.hasBegun {' '	if isGone {' platform TestHalfClosedCallerIsRefused
 mutant stopped_beside_open_connections platform/serve.go \
 	'	d.awaitNoCallers(ctx)' '' platform 'TestShutdownCutsNoSilentStreams|TestSlowReadersGetWholeAnswersBesideChanges'
+mutant panic_of_a_call_ends_the_process internal/gateway/gateway.go \
+	'	defer g.endPanic(call)' '' internal/gateway TestPanicEndsOnlyItsCall
+mutant panic_of_a_body_ends_the_process internal/gateway/stream.go \
+	'	write = c.failingOnPanic(write)' '' internal/gateway TestPanicEndsOnlyItsCall
