--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -5,15 +5,15 @@
 	c.isIdle = false' '	c.isIdle = false' platform TestShutdownEndsNoRequestThatBegins
 mutant idle_end_without_last_look platform/ingress.go \
 	'	if isTimeout(err) && c.hasUnread() {' '	if false {' platform TestRequestBesideIdleEndIsAnswered
-mutant panic_ends_the_process platform/ingress.go \
-	'	defer c.endPanic(respond)' '' platform TestPanicEndsOnlyItsRequest
-mutant panic_looks_whole platform/ingress.go \
+mutant panic_without_refusal platform/ingress.go \
+	'	_ = respond.Refuse(serving.Refusal{Verdict: serving.VerdictUnknown, Code: codePanic})' '' platform TestPanicEndsOnlyItsRequest
+mutant panic_refused_in_begun_answer platform/ingress.go \
 	'	if respond.isBegun {' '	if false {' platform TestPanicEndsOnlyItsRequest
 mutant panic_keeps_its_slot internal/serving/exchange.go \
 	'	defer lease.Release()
 	remaining' '	remaining' platform TestPanicEndsOnlyItsRequest
 mutant old_requests_closed_unread platform/intake.go \
-	'!isKnown || age > maxUnreadAge {' 'false && age > maxUnreadAge {' platform TestFullDaemonClosesNoOldRequestUnread
+	'!isKnown || age > maxUnreadAge {' 'isKnown && age > time.Hour {' platform TestFullDaemonClosesNoOldRequestUnread
 mutant late_connections_not_awaited platform/ingress.go \
 	'	g.accepted.Add(1)' '	g.accepted.Add(0)' platform TestShutdownWaitsForConnectionThatStartsLate
 mutant pipelined_requests_dropped platform/responder.go \
@@ -24,7 +24,7 @@
 	'	if isGone && e.hasBegun {' '	if isGone {' platform TestHalfClosedCallerIsRefused
 mutant stopped_beside_open_connections platform/serve.go \
 	'	d.awaitNoCallers(ctx)' '' platform 'TestShutdownCutsNoSilentStreams|TestSlowReadersGetWholeAnswersBesideChanges'
-mutant panic_of_a_call_ends_the_process internal/gateway/gateway.go \
-	'	defer g.endPanic(call)' '' internal/gateway TestPanicEndsOnlyItsCall
-mutant panic_of_a_body_ends_the_process internal/gateway/stream.go \
-	'	write = c.failingOnPanic(write)' '' internal/gateway TestPanicEndsOnlyItsCall
+mutant panic_of_a_call_without_failure internal/gateway/gateway.go \
+	'failure.KindInternal, codePanic' 'failure.KindInvalid, codePanic' internal/gateway TestPanicEndsOnlyItsCall
+mutant panic_of_a_body_looks_whole internal/gateway/stream.go \
+	'				err = errPanic' '' internal/gateway TestPanicEndsOnlyItsCall
