--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,7 +14,10 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
+	"topazpulley/internal/membership"
+	"topazpulley/internal/registry"
 )
 
 // servePanics starts a server of a gateway without a configuration, whose callers' calls panic before
@@ -116,3 +121,37 @@
 	require.NoError(t, err)
 	require.Contains(t, string(body), fmt.Sprintf("part %d\n", parts-1))
 }
+
+// silentEngine begins an answer, falls silent and goes on.
+type silentEngine struct{ silence time.Duration }
+
+// ServeHTTP implements http.Handler.
+func (e *silentEngine) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	generate := engine.GenerateRequest{}
+	if request.Method != http.MethodPost || json.NewDecoder(request.Body).Decode(&generate) != nil {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	event(writer, engine.Event{AttemptID: generate.AttemptID, Token: "x"})
+	time.Sleep(e.silence)
+	event(writer, engine.Event{AttemptID: generate.AttemptID, Index: 1, Token: "y"})
+	event(writer, engine.Event{AttemptID: generate.AttemptID, End: true, Count: 2})
+}
+
+// Guards against answers that are ended because their engine is silent for a second or two.
+func TestAnswerOutlivesSilenceOfEngine(t *testing.T) {
+	for _, isRepeatable := range []bool{true, false} {
+		gateway := newTestGateway(t, &scriptedEngine{})
+		gateway.Engines = engine.NewClient(5 * time.Second) // as in the daemon
+		address := serveEngine(t, &silentEngine{silence: 1800 * time.Millisecond})
+		for _, name := range []string{"e1", "e2", "e3", "dead"} {
+			gateway.Registry.Apply(membership.Item{Key: registry.PrefixMachine + name, Version: 2, Payload: registry.MachineRecord{Address: address, Service: testService}.Encode()})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		answered := gateway.newGeneration(newTestRequest(isRepeatable), nil)
+		require.NoError(t, drain(ctx, answered))
+		require.Equal(t, []string{"x", "y"}, answered.tokens)
+		require.Equal(t, 1, answered.attempt)
+		cancel()
+	}
+}
