--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -137,5 +137,19 @@
 
 replace internal/intake/load.go 'case withoutConnection >= fullShare:' 'case withoutConnection > 1:'
 soak crowd_is_taken
+
+# The following mutants end answers because their sound backend is silent.
+replace internal/serving/standby.go '	found := running.searcher' '	s.endAttempt()
+	found := running.searcher'
+soak ended_before_another_is_found
+
+replace internal/serving/exchange.go '	if e.hasBegun {
+		e.paceBegun(ctx)' '	if false {
+		e.paceBegun(ctx)'
+soak begun_answers_bounded_like_others
+
+replace internal/serving/relay.go 'if isFirst && e.isOtherSoftware() {' 'if e.isOtherSoftware() {'
+replace internal/backend/software.go '	if isListed && listed.Version != chosen.Version {' '	if !isListed || listed.Version != chosen.Version {'
+soak version_of_begun_stream_read_from_rows
 [ $misquoted = 0 ] || exit 1
 exit $failed
