Jobs: an item keeps its events while the entries of its software version have lapsed

What callers saw: nothing was lost, but an item that had events began again from nothing at another software version.

Cause: whether an item's software version still exists was read from the listed entries. They lapse after a silence of three heartbeats; in that moment an item whose run had broken off started over, although a back end of its version was back a second later.

Change: a back end whose entry went less than 5 s ago and that did not say that it leaves counts as one that may come back. The item waits as for a slot of its version: at most as long as doing its work again takes, so the worst case is twice the better choice.

Evidence: a run breaks off after 2 events while the only entry of v1 is gone, v2 has free slots, v1 comes back 3.5 s after it went. Of a version that said draining, an item starts over as before (TestItemStartsOverIfItsVersionIsGone).

--- a/internal/backend/lapse.go
+++ b/internal/backend/lapse.go
@@ -9,6 +9,10 @@
 // after a silence of three heartbeats or while the store is down, and comes back.
 const maxLapse = 30 * time.Second
 
+// maxReturn is the time in which the entry of a sound backend that fell silent for a moment is
+// back.
+const maxReturn = 5 * time.Second
+
 // lapsedStates holds the states of backends whose entries went lately. If the same process is
 // listed again, its state goes on: its requests ran all the time, and their leases count there.
 // Set.mutex guards it.
@@ -55,3 +59,17 @@
 	isSame := before.StartMillis == entry.StartMillis && before.Address == entry.Address && before.Service == entry.Service && before.Version == entry.Version
 	return isSame && (entry.StartMillis > 0 || entry.ColdFor <= before.ColdFor)
 }
+
+// CountReturning returns the number of a service's backends with a software version whose entries
+// went a moment ago and may come back. Those that said that they leave do not count.
+func (s *Set) CountReturning(service, version string, now time.Time) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	count := 0
+	for _, kept := range s.lapsed.byID {
+		if kept.Service == service && kept.Version == version && !kept.Draining && now.Sub(kept.since) < maxReturn {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/job/continuation.go
+++ b/internal/job/continuation.go
@@ -32,9 +32,9 @@
 }
 
 // continuationOf decides what happens to an item, given the candidates of its service and the
-// number of backends with its software version that take new work. The item waits for at most
-// as long as producing its events again would take: whenever the next slot becomes free, that
-// costs at most twice the time of the better choice.
+// number of backends with its software version that take new work or may come back. The item
+// waits for at most as long as producing its events again would take: whenever the next slot
+// becomes free, that costs at most twice the time of the better choice.
 func continuationOf(begun begunItem, candidates []routing.Candidate, serving int) continuation {
 	if begun.software == "" || serving == 0 {
 		return startOver
@@ -57,7 +57,8 @@
 		return candidates, false
 	}
 	begun := s.begun(waiting, service, now)
-	if continuationOf(begun, candidates, s.backends.CountSoftware(service, begun.software)) == startOver {
+	usable := s.backends.CountSoftware(service, begun.software) + s.backends.CountReturning(service, begun.software, now)
+	if continuationOf(begun, candidates, usable) == startOver {
 		return candidates, false
 	}
 	return routing.WithSoftware(candidates, begun.software), true
--- a/test/mutants.d/silence.sh
+++ b/test/mutants.d/silence.sh
@@ -24,3 +24,7 @@
 	'	s.lapsed.forget(incarnation)' '' internal/backend TestOtherProcessHasNoState
 mutant lapsed_backends_are_kept_forever internal/backend/lapse.go \
 	'return now.Sub(each.since) >= maxLapse' 'return false' internal/backend TestLapsedBackendsAreBounded
+mutant items_start_over_as_entries_lapse internal/job/continuation.go \
+	' + s.backends.CountReturning(service, begun.software, now)' '' internal/job TestItemAwaitsVersionWhoseEntryLapsed
+mutant items_await_backends_that_leave internal/backend/lapse.go \
+	' && !kept.Draining' '' internal/job TestItemStartsOverIfItsVersionIsGone
