--- a/internal/serving/successor_test.go
+++ b/internal/serving/successor_test.go
@@ -146,6 +146,7 @@
 				require.Equal(t, otherID, p.caller.from+p.caller.wholeFrom)
 				require.Equal(t, 1, p.sender.maxAtWork)
 				require.Len(t, p.sender.runs(), 2)
+				require.Equal(t, p.sender.runs()[0].endedAt, p.sender.runs()[1].sentAt, "sent in the moment of the takeover")
 			})
 		})
 	}
