--- a/internal/serving/standby.go
+++ b/internal/serving/standby.go
@@ -11,7 +11,8 @@
 // standby watches an attempt for silence. A silent attempt is not ended before another backend has
 // taken the request over, because its own may go on: a search for a successor runs beside it, and
 // whichever comes first counts. Output ends the search; a successor ends the attempt. Thus never
-// more than one of them passes output to the caller.
+// more than one of them passes output to the caller. If the attempt fails, no further backend is
+// asked, but the one that is being asked may still take the request over.
 //
 // The search works on a copy of the exchange. It runs only while the exchange's goroutine waits
 // for output, which then waits for its end and takes the counts of the copy over.
--- a/internal/serving/successor.go
+++ b/internal/serving/successor.go
@@ -160,10 +160,12 @@
 // besideAttempt is an attempt that was made beside a silent one.
 type besideAttempt struct {
 	attemptedAt time.Time
-	lease       *backend.Lease
-	candidate   routing.Candidate
-	answer      Answer
-	cancel      context.CancelFunc
+	// lease and candidate are the backend.
+	lease     *backend.Lease
+	candidate routing.Candidate
+	answer    Answer
+	// cancel ends the attempt, which otherwise lasts as long as the request.
+	cancel context.CancelFunc
 }
 
 // close ends the attempt.
