--- a/internal/serving/standby_test.go
+++ b/internal/serving/standby_test.go
@@ -72,7 +72,7 @@
 	// refused is set if the attempt did not run.
 	refused, broken  bool
 	cancelled, whole bool
-	// events counts those that were read, and lateEvents those read after the attempt's end.
+	// events counts those that were read, and lateEvents those read after it was cancelled.
 	events, lateEvents int
 }
 
@@ -273,9 +273,7 @@
 	}
 	event := serving.Event{ID: a.next, Raw: fmt.Appendf(nil, "%s:%d;", a.attempt.backend, a.next)}
 	a.next++
-	a.sender.mutex.Lock()
-	defer a.sender.mutex.Unlock()
-	if a.attempt.endedAt == 0 {
+	if a.ctx.Err() == nil {
 		a.attempt.events++
 	} else {
 		a.attempt.lateEvents++
--- a/internal/serving/successor.go
+++ b/internal/serving/successor.go
@@ -156,3 +156,90 @@
 	e.isRetryPaid = e.isRetryPaid || e.core.retries.Spend()
 	return e.isRetryPaid
 }
+<<<<<<< HEAD
+=======
+
+// besideAttempt is an attempt that was made beside a silent one.
+type besideAttempt struct {
+	attemptedAt time.Time
+	// lease and candidate are the backend.
+	lease     *backend.Lease
+	candidate routing.Candidate
+	answer    Answer
+	// cancel ends the attempt, which otherwise lasts as long as the request.
+	cancel context.CancelFunc
+}
+
+// close ends the attempt.
+func (b *besideAttempt) close() {
+	b.answer.Close()
+	b.cancel()
+	b.lease.Release()
+}
+
+// sendBeside sends the request to a backend while the silent attempt goes on. The backend takes the
+// request over when it answers; until then the request may not have begun to run there.
+func (e *exchange) sendBeside(ctx, request context.Context, chosen routing.Candidate) *successor {
+	lease, found := e.core.Backends.Acquire(chosen.ID, backend.Online, e.request.Prompt)
+	if !found {
+		return nil
+	}
+	e.last, e.cost = lease.Instance(), chosen
+	e.preempt()
+	attemptedAt := time.Now()
+	bounded, cancel := context.WithCancel(request)
+	stopFollowing := context.AfterFunc(ctx, cancel)
+	answer, err := e.sendWithin(bounded, cancel)
+	isStillSought := stopFollowing()
+	if err != nil {
+		cancel()
+		lease.Release()
+		return nil
+	}
+	answered := &successor{beside: &besideAttempt{attemptedAt: attemptedAt, lease: lease, candidate: chosen, answer: answer, cancel: cancel}}
+	if !isStillSought {
+		e.discard(answered)
+		return nil
+	}
+	return answered
+}
+
+// discard ends a successor that is not needed, because the silent attempt went on or ended. What ran
+// beside counts as a run.
+func (e *exchange) discard(found *successor) {
+	if found.beside != nil {
+		found.beside.close()
+		e.runs++
+	}
+}
+
+// sendWithin sends the request and returns an answer that goes on with the stream. If a further
+// backend may be asked after this one, it waits for the answer for no longer than eventTimeout.
+func (e *exchange) sendWithin(ctx context.Context, cancel context.CancelFunc) (Answer, error) {
+	stopTimer := func() bool { return true }
+	if e.runs+2 < e.request.Route.MaxAttempts {
+		stopTimer = time.AfterFunc(eventTimeout, cancel).Stop
+	}
+	attempt := e.newAttempt()
+	e.countSend(&attempt)
+	answer, err := e.core.Sender.Send(ctx, attempt)
+	isInTime := stopTimer()
+	if err == nil && isInTime && answer.Head().Events && answer.Head().Successful() {
+		return answer, nil
+	}
+	if err == nil {
+		answer.Close()
+		err = &AttemptError{Outcome: OutcomeFailed, Reason: ReasonError}
+	}
+	failed := attemptError(err)
+	if failed.Outcome == OutcomeNotRun {
+		e.ran.NeverRan()
+	} else if e.countsAsRun(failed) {
+		e.runs++
+	}
+	if ctx.Err() == nil {
+		e.recordAttemptFailure(err)
+	}
+	return nil, err
+}
+>>>>>>> c6fa3e97f16c5ca0c6b38690eda1005be690deec
