--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -212,15 +212,15 @@
 	if cause == nil {
 		return
 	}
-	g.logPanic(call, cause)
+	g.logPanic(string(call.RequestURI()), cause)
 	call.Response.Reset()
 	call.SetConnectionClose()
 	g.writeFailure(call, failure.New(failure.KindInternal, codePanic, "the daemon failed in this call; the request may have run"))
 }
 
 // logPanic logs a programming error with its stack.
-func (g *Gateway) logPanic(call *fasthttp.RequestCtx, cause any) {
-	g.Logger.Error("request_panicked", "target", string(call.RequestURI()), "cause", cause, "stack", string(debug.Stack()))
+func (g *Gateway) logPanic(target string, cause any) {
+	g.Logger.Error("request_panicked", "target", target, "cause", cause, "stack", string(debug.Stack()))
 }
 
 // handle dispatches requests by path.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,10 +41,11 @@
 // failingOnPanic returns a writer of a body that returns an error in place of a panic, which would
 // end the process with all other calls.
 func (c *caller) failingOnPanic(write func(output *bufio.Writer) error) func(output *bufio.Writer) error {
+	target := string(c.call.RequestURI()) // the call may be in use for another when the body is written
 	return func(output *bufio.Writer) (err error) {
 		defer func() {
 			if cause := recover(); cause != nil {
-				c.gateway.logPanic(c.call, cause)
+				c.gateway.logPanic(target, cause)
 				err = errPanic
 			}
 		}()
