Gateway: a begun answer leaves an engine that is silent for good

What callers saw: an answer of the OpenAI-like door that had begun stood still until its engine answered again, although another engine was free; if it never did, until the deadline.

Cause: after 5 s without a token the gateway asks the same engine to resume the attempt, and waited for that without a bound.

Change: a repeatable request waits for 1 s and then continues on another engine after its tokens. One that may run once waits as before: nothing can replace its attempt.

TestAnswersLeaveEngineThatIsSilentForGood is red without the change (more than 15 s) and green with it, one play each.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -18,9 +18,12 @@
 )
 
 const (
-	maxAttempts         = 12
-	resumeAttempts      = 5
-	resumePause         = 200 * time.Millisecond
+	maxAttempts    = 12
+	resumeAttempts = 5
+	resumePause    = 200 * time.Millisecond
+	// resumeTimeout is how long an engine whose stream failed may take to answer before a
+	// repeatable request continues on another engine.
+	resumeTimeout       = time.Second
 	noEngineRetry       = 2 * time.Second
 	codeNoEngine        = "no_engine"
 	codeEnginesFull     = "engines_full"
@@ -296,7 +299,13 @@
 	}
 	n.resumes++
 	n.gateway.logSent(n.request, n.view, n.attemptID, n.attempt, serving.SendResumption)
-	stream, err := n.gateway.Engines.Resume(ctx, n.view.Machine.Address, n.attemptID, len(n.tokens))
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if n.request.repeatable {
+		timer := time.AfterFunc(resumeTimeout, cancel)
+		defer timer.Stop()
+	}
+	stream, err := n.gateway.Engines.Resume(bounded, n.view.Machine.Address, n.attemptID, len(n.tokens))
 	if err != nil {
 		return false
 	}
--- a/internal/harness/silence_test.go
+++ b/internal/harness/silence_test.go
@@ -17,6 +17,8 @@
 const (
 	// longestSilence is the longest silence of a sound engine that must cost no run.
 	longestSilence = 3 * time.Second
+	// leaveTime is the time in which answers of an engine that is silent for good are whole.
+	leaveTime = 15 * time.Second
 	// silentTokens make answers that are in mid-stream when the silence begins.
 	silentTokens = 1500
 	// silentRequests is the number of answers of a case, at most the batch window.
@@ -73,6 +75,34 @@
 	}
 }
 
+// Guards against answers that wait for an engine that is silent for good although another one is free.
+func TestAnswersLeaveEngineThatIsSilentForGood(t *testing.T) {
+	running := start(t, []string{"a"}, 1, 2)
+	caller := running.Caller(0, harness.ExampleKey)
+	var askers sync.WaitGroup
+	for index := range silentRequests {
+		askers.Go(func() { assert.NoError(t, ask(caller, fmt.Sprintf("prompt %d", index), silentTokens)) })
+	}
+	awaitStarted(t, running, silentRequests)
+	silent, known := running.Fleet.Engine("assistant-00")
+	require.True(t, known)
+	silent.SetFaults(emulator.EngineFaults{Silent: true})
+	silentSince := time.Now()
+	whole := make(chan struct{})
+	go func() {
+		askers.Wait()
+		close(whole)
+	}()
+	select {
+	case <-whole:
+		t.Logf("whole after %s", time.Since(silentSince))
+	case <-time.After(leaveTime):
+		assert.Fail(t, "answers wait for the silent engine")
+	}
+	silent.SetFaults(emulator.EngineFaults{})
+	<-whole
+}
+
 // Guards against batch items of the other door that run again because their engine was silent.
 func TestBatchItemsOutliveSilenceOfEngine(t *testing.T) {
 	running := start(t, []string{"a"}, 1, 1)
--- a/test/mutants.d/silence.sh
+++ b/test/mutants.d/silence.sh
@@ -28,3 +28,5 @@
 	' + s.backends.CountReturning(service, begun.software, now)' '' internal/job TestItemAwaitsVersionWhoseEntryLapsed
 mutant items_await_backends_that_leave internal/backend/lapse.go \
 	' && !kept.Draining' '' internal/job TestItemStartsOverIfItsVersionIsGone
+mutant resumptions_wait_for_dead_engines internal/gateway/generation.go \
+	'timer := time.AfterFunc(resumeTimeout, cancel)' 'timer := time.AfterFunc(time.Hour, cancel)' internal/harness TestAnswersLeaveEngineThatIsSilentForGood
