Gateway: a begun answer waits for an engine, silent or full, until its time is over

What callers saw: a begun answer of the OpenAI-like door ended with engines_full after its only engine had been silent for more than 5 s and was about to go on.

Cause: a begun answer that needed an engine waited for the queue timeout (0.5 s), a bound for requests that can be refused.

Change: without output a request waits as before; a begun answer waits until its deadline. A silent engine is left only once another one has free capacity; that is checked every second.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -16,7 +16,8 @@
 )
 
 // choose picks an engine. It waits up to the queue timeout for one with free
-// capacity.
+// capacity, and for an answer that has begun, which cannot be refused any more, as long as the
+// request has time.
 func (n *generation) choose(ctx context.Context) (registry.Engine, error) {
 	queueDeadline := time.Now().Add(time.Duration(n.request.policy.QueueTimeout))
 	for {
@@ -33,7 +34,8 @@
 		if hasCallerLeft(ctx) {
 			return view, n.endedError(ctx, context.Cause(ctx))
 		}
-		if time.Now().After(queueDeadline) || ctx.Err() != nil {
+		hasBegun := len(n.tokens) > 0
+		if (time.Now().After(queueDeadline) && !hasBegun) || ctx.Err() != nil {
 			n.overloaded = true
 			return view, n.overloadedError(codeEnginesFull, "every engine is at its limit")
 		}
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"time"
 
 	"topazpulley/internal/boottime"
 	"topazpulley/internal/bundle"
 	"topazpulley/internal/engine"
 	"topazpulley/internal/failure"
+	"topazpulley/internal/periodic"
 	"topazpulley/internal/quarantine"
 	"topazpulley/internal/registry"
 	"topazpulley/internal/runrecord"
@@ -22,7 +24,7 @@
 	resumeAttempts = 5
 	resumePause    = 200 * time.Millisecond
 	// resumeTimeout is how long an engine whose stream failed may take to answer before a
-	// repeatable request continues on another engine.
+	// repeatable request continues on another engine that has free capacity.
 	resumeTimeout       = time.Second
 	noEngineRetry       = 2 * time.Second
 	codeNoEngine        = "no_engine"
@@ -302,8 +304,7 @@
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if n.request.repeatable {
-		timer := time.AfterFunc(resumeTimeout, cancel)
-		defer timer.Stop()
+		go n.leaveSilentEngine(bounded, cancel, n.excludedAfterLeaving())
 	}
 	stream, err := n.gateway.Engines.Resume(bounded, n.view.Machine.Address, n.attemptID, len(n.tokens))
 	if err != nil {
@@ -314,6 +315,24 @@
 	return true
 }
 
+// excludedAfterLeaving returns the engines that are excluded if the present one is left.
+func (n *generation) excludedAfterLeaving() map[string]bool {
+	excluded := maps.Clone(n.excluded)
+	excluded[n.view.Name] = true
+	return excluded
+}
+
+// leaveSilentEngine ends a resumption that the engine does not answer once another engine has free
+// capacity. Until then the silent one is waited for: it may go on.
+func (n *generation) leaveSilentEngine(ctx context.Context, leave func(), excluded map[string]bool) {
+	for periodic.Sleep(ctx, resumeTimeout) {
+		if _, found, _ := n.gateway.route(n.request, excluded); found {
+			leave()
+			return
+		}
+	}
+}
+
 // endedError returns the final error of a request whose context has ended: the daemon
 // is stopping, the caller has disconnected or the deadline has passed.
 func (n *generation) endedError(ctx context.Context, cause error) error {
--- a/internal/harness/silence_test.go
+++ b/internal/harness/silence_test.go
@@ -25,13 +25,13 @@
 	silentRequests = 16
 )
 
-// silenceEngine makes an engine fall silent for longestSilence.
-func silenceEngine(t *testing.T, running *harness.Harness, name string) {
+// silenceEngine makes an engine fall silent for a time.
+func silenceEngine(t *testing.T, running *harness.Harness, name string, duration time.Duration) {
 	t.Helper()
 	found, known := running.Fleet.Engine(name)
 	require.True(t, known)
 	found.SetFaults(emulator.EngineFaults{Silent: true})
-	time.Sleep(longestSilence)
+	time.Sleep(duration)
 	found.SetFaults(emulator.EngineFaults{})
 }
 
@@ -69,7 +69,7 @@
 			})
 		}
 		awaitStarted(t, running, silentRequests)
-		silenceEngine(t, running, "assistant-00")
+		silenceEngine(t, running, "assistant-00", longestSilence)
 		askers.Wait()
 		require.Len(t, running.Fleet.Ledger(), silentRequests, "runs with %d engines", engines)
 	}
@@ -103,13 +103,26 @@
 	<-whole
 }
 
+// Guards against begun answers that are ended because the only engine is silent for long.
+func TestAnswersOutliveLongSilenceOfOnlyEngine(t *testing.T) {
+	running := start(t, []string{"a"}, 1, 1)
+	caller := running.Caller(0, harness.ExampleKey)
+	var askers sync.WaitGroup
+	for index := range silentRequests {
+		askers.Go(func() { assert.NoError(t, ask(caller, fmt.Sprintf("prompt %d", index), silentTokens)) })
+	}
+	awaitStarted(t, running, silentRequests)
+	silenceEngine(t, running, "assistant-00", 3*longestSilence) // longer than a stream may pause and a resumption may take
+	askers.Wait()
+}
+
 // Guards against batch items of the other door that run again because their engine was silent.
 func TestBatchItemsOutliveSilenceOfEngine(t *testing.T) {
 	running := start(t, []string{"a"}, 1, 1)
 	caller := running.Caller(0, harness.ExampleKey)
 	job := submit(t, caller, silentRequests, silentTokens, "job-silent")
 	awaitStarted(t, running, silentRequests)
-	silenceEngine(t, running, "assistant-00")
+	silenceEngine(t, running, "assistant-00", longestSilence)
 	ended := waitEnded(t, caller, job.ID)
 	output, err := caller.FileContent(ended.OutputFileID)
 	require.NoError(t, err)
--- a/test/mutants.d/silence.sh
+++ b/test/mutants.d/silence.sh
@@ -29,4 +29,6 @@
 mutant items_await_backends_that_leave internal/backend/lapse.go \
 	' && !kept.Draining' '' internal/job TestItemStartsOverIfItsVersionIsGone
 mutant resumptions_wait_for_dead_engines internal/gateway/generation.go \
-	'timer := time.AfterFunc(resumeTimeout, cancel)' 'timer := time.AfterFunc(time.Hour, cancel)' internal/harness TestAnswersLeaveEngineThatIsSilentForGood
+	'go n.leaveSilentEngine(bounded, cancel, n.excludedAfterLeaving())' '' internal/harness TestAnswersLeaveEngineThatIsSilentForGood
+mutant begun_generations_end_when_engines_are_full internal/gateway/choose.go \
+	'time.Now().After(queueDeadline) && !hasBegun' 'time.Now().After(queueDeadline)' internal/harness TestAnswersOutliveLongSilenceOfOnlyEngine
