--- a/test/mutants.d/silence.sh
+++ b/test/mutants.d/silence.sh
@@ -92,3 +92,7 @@
 	' + s.backends.CountReturning(service, begun.software, now)' '' internal/job TestItemAwaitsVersionWhoseEntryLapsed
 mutant items_await_backends_that_leave internal/backend/lapse.go \
 	' && !kept.Draining' '' internal/job TestItemStartsOverIfItsVersionIsGone
+mutant resumptions_wait_for_dead_engines internal/gateway/generation.go \
+	'go n.leaveSilentEngine(bounded, cancel, n.excludedAfterLeaving())' '' internal/harness TestAnswersLeaveEngineThatIsSilentForGood
+mutant begun_generations_end_when_engines_are_full internal/gateway/choose.go \
+	'time.Now().After(queueDeadline) && !hasBegun' 'time.Now().After(queueDeadline)' internal/harness TestAnswersOutliveLongSilenceOfOnlyEngine
