--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -33,7 +33,8 @@
 	minRemaining = 5 * time.Millisecond
 )
 
-// exchange is the state of one request while it is served. It is used by one goroutine.
+// exchange is the state of one request while it is served. It is used by one goroutine; a search for
+// a successor of a silent attempt works on a copy.
 type exchange struct {
 	core      *Core
 	request   Request
--- a/internal/serving/standby.go
+++ b/internal/serving/standby.go
@@ -35,7 +35,8 @@
 
 // search is a running search for a successor.
 type search struct {
-	began    time.Time
+	began time.Time
+	// searcher is the copy of the exchange on which the search works.
 	searcher *exchange
 	// endProbes lets no further backend be asked, and end also ends the present probe.
 	endProbes, end context.CancelFunc
@@ -47,8 +48,7 @@
 type successor struct {
 	// reserved is the reservation with which the request is sent.
 	reserved reservedSlot
-	// beside is an attempt that was made beside the silent one and is answered; nil if the request
-	// is yet to be sent.
+	// beside is the attempt that was made beside the silent one; nil if the request is yet to be sent.
 	beside *besideAttempt
 }
 
