--- a/internal/serving/standby_test.go
+++ b/internal/serving/standby_test.go
@@ -447,7 +447,7 @@
 func TestAnswerAndOutputInOneMoment(t *testing.T) {
 	for range 100 {
 		synctest.Test(t, func(t *testing.T) {
-			const headAfter = 300 * time.Millisecond
+			const headAfter = acceptanceTime / 2
 			p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{otherID: {{headAfter: headAfter}}}, false)
 			p.policy.MaxAttempts = 2
 			p.core.Sender = &stutteringSender{playedSender: p.sender, silence: eventTimeout + headAfter - playedPause}
@@ -694,3 +694,30 @@
 		require.Len(t, p.caller.events, 4)
 	})
 }
+
+// lateReserver is a playedSender whose reservations, but for the first, come late and despite the end
+// of the search.
+type lateReserver struct {
+	*playedSender
+	calls int
+}
+
+func (s *lateReserver) Reserve(ctx context.Context, wanted serving.ReservationRequest) (string, error) {
+	s.calls++
+	if s.calls > 1 {
+		time.Sleep(2 * playedPause)
+	}
+	return s.playedSender.Reserve(ctx, wanted)
+}
+
+// TestReservationAfterOutputIsNotUsed checks that a silent attempt that gives output while a reservation
+// is being made elsewhere goes on.
+func TestReservationAfterOutputIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(playedBackends(firstID, otherID), map[string][]treatment{firstID: {{silentAfter: 3, silence: eventTimeout + playedPause}}}, true)
+		p.core.Sender = &lateReserver{playedSender: p.sender}
+		p.serve(t.Context())
+		p.requireWhole(t, from(firstID, 1, playedEvents))
+		require.Len(t, p.sender.runs(), 1)
+	})
+}
--- a/internal/serving/successor_test.go
+++ b/internal/serving/successor_test.go
@@ -36,6 +36,17 @@
 	})
 }
 
+// TestSilentBackendIsNoSuccessorOfItself checks that a request is not sent once more to the backend at
+// which it is silent.
+func TestSilentBackendIsNoSuccessorOfItself(t *testing.T) {
+	forEachKind(t, func(t *testing.T, hasReservations bool) {
+		p := newPlay(playedBackends(firstID), map[string][]treatment{firstID: {{silentAfter: 3, silence: 2500 * time.Millisecond}}}, hasReservations)
+		p.serve(t.Context())
+		p.requireWhole(t, from(firstID, 1, playedEvents))
+		require.Len(t, p.sender.runs(), 1)
+	})
+}
+
 // TestSilentBackendIsReleasedAtTakeover checks that the backend that was left no longer counts as
 // loaded, nor its answer as memory in use, while another goes on with the stream.
 func TestSilentBackendIsReleasedAtTakeover(t *testing.T) {
--- a/test/mutants.d/silence.sh
+++ b/test/mutants.d/silence.sh
@@ -9,7 +9,7 @@
 mutant search_ends_with_its_first_probe internal/serving/successor.go \
 	'		if !periodic.SleepAbout(probing, searchPause(probes)) {' '		if !periodic.SleepAbout(probing, searchPause(probes)) || true {' platform TestBegunStreamOfDeadBackendWaitsForRoom
 mutant silent_backends_are_successors internal/serving/successor.go \
-	'	maps.Copy(e.excluded, e.silent)' '' internal/serving TestSilentSuccessorIsReplaced
+	'	maps.Copy(e.excluded, e.silent)' '' internal/serving TestSilentBackendIsNoSuccessorOfItself
 mutant unanswered_attempt_is_no_successor internal/serving/beside.go \
 	'	case <-timer.C:
 		return true' '	case <-timer.C:
@@ -20,7 +20,7 @@
 	'	if !s.isAwaiting {
 		return false
 	}
-	s.successor' '	s.successor' internal/serving 'TestAnswerAndOutputInOneMoment|TestRunsOfSearchesCount'
+	s.successor' '	s.successor' internal/serving TestReservationAfterOutputIsNotUsed
 mutant output_does_not_end_search internal/serving/standby.go \
 	'	running.end()
 	<-running.ended' '	<-running.ended' internal/serving TestOutputEndsSearch
