Serving: what a search counts stands with the search; no second choice for requests that fell silent nowhere

Three fields of each exchange (a paid retry, preempted items, being a copy) belonged to a search only; they are fields of search now, of which the copy knows its own. copyFor and worker replace searcher and searcher(), which were hard to tell from search. resetExcluded asked the router once more in each round of a wait of every request with its last run, also where nothing had fallen silent; the answer could change nothing there. Mutants' texts follow.

--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -89,12 +89,8 @@
 
 	// successor has taken the request over from the last attempt; nil if none has.
 	successor *successor
-	// isRetryPaid is set if the present search for a successor has spent a retry.
-	isRetryPaid bool
-	// isSearching is set on the copy on which a search works; searchPreemptions counts the batch items
-	// that the search has preempted.
-	isSearching       bool
-	searchPreemptions int
+	// search is the search that works on this copy; nil for the exchange itself.
+	search *search
 
 	// admission is the decision on the request's tenant limit.
 	admission ratelimit.Decision
@@ -220,7 +216,7 @@
 // request remain excluded if there are others: nothing may replace that run.
 func (e *exchange) resetExcluded() {
 	clear(e.excluded)
-	if e.runs+1 < e.request.Route.MaxAttempts {
+	if len(e.silent) == 0 || e.runs+1 < e.request.Route.MaxAttempts {
 		return
 	}
 	e.excludeSilent()
@@ -239,8 +235,7 @@
 // has its final answer.
 func (e *exchange) attempt(ctx context.Context, lease *backend.Lease) error {
 	defer lease.Release()
-	remaining := e.remaining()
-	if remaining < minRemaining {
+	if e.remaining() < minRemaining {
 		return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonRequestEnded}
 	}
 	attempt := e.newAttempt()
--- a/internal/serving/preempt.go
+++ b/internal/serving/preempt.go
@@ -51,11 +51,8 @@
 
 // preemptAt preempts one batch item at a backend, unless a search has preempted as many as it may.
 func (e *exchange) preemptAt(chosen routing.Candidate) {
-	if e.isSearching {
-		if e.searchPreemptions >= maxSearchPreemptions {
-			return
-		}
-		e.searchPreemptions++
+	if e.search != nil && !e.search.mayPreempt() {
+		return
 	}
 	e.core.Backends.Preempt(chosen.ID)
 	e.core.Logger.Info("item_preempted", "id", e.request.ID, "backend", chosen.ID, "online", chosen.Online,
--- a/internal/serving/standby.go
+++ b/internal/serving/standby.go
@@ -36,12 +36,26 @@
 // search is a running search for a successor.
 type search struct {
 	began time.Time
-	// searcher is the copy of the exchange on which the search works.
-	searcher *exchange
+	// worker is the copy of the exchange on which the search works.
+	worker *exchange
 	// endProbes lets no further backend be asked, and end also ends the present probe.
 	endProbes, end context.CancelFunc
 	// ended is closed when the search has ended.
 	ended chan struct{}
+
+	// isRetryPaid is set if the search has spent a retry.
+	isRetryPaid bool
+	// preemptions counts the batch items that the search has preempted.
+	preemptions int
+}
+
+// mayPreempt counts a batch item that the search is about to preempt, and reports whether it may.
+func (s *search) mayPreempt() bool {
+	if s.preemptions >= maxSearchPreemptions {
+		return false
+	}
+	s.preemptions++
+	return true
 }
 
 // successor is a backend that takes a request over from a silent attempt.
@@ -90,7 +104,7 @@
 	}
 	running.end()
 	<-running.ended
-	s.exchange.absorb(running.searcher)
+	s.exchange.absorb(running.worker)
 	s.exchange.recordSearch(running, s.successor != nil)
 	return s.successor == nil
 }
@@ -133,13 +147,14 @@
 	defer end()
 	probing, endProbes := context.WithCancel(ctx)
 	defer endProbes()
-	running := &search{began: time.Now(), searcher: s.exchange.searcher(), endProbes: endProbes, end: end, ended: make(chan struct{})}
+	running := &search{began: time.Now(), endProbes: endProbes, end: end, ended: make(chan struct{})}
+	running.worker = s.exchange.copyFor(running)
 	s.search = running
 	s.mutex.Unlock()
 	defer close(running.ended)
-	found := running.searcher.findSuccessor(probing, ctx, s.request)
+	found := running.worker.findSuccessor(probing, ctx, s.request)
 	if found != nil && !s.take(found) {
-		running.searcher.discard(found)
+		running.worker.discard(found)
 	}
 }
 
--- a/internal/serving/successor.go
+++ b/internal/serving/successor.go
@@ -29,20 +29,20 @@
 	return min(pause, maxSearchPause)
 }
 
-// searcher returns the copy of the exchange on which a search works.
-func (e *exchange) searcher() *exchange {
+// copyFor returns the copy of the exchange on which a search works.
+func (e *exchange) copyFor(running *search) *exchange {
 	made := *e
 	made.excluded = maps.Clone(e.excluded)
 	made.silent = maps.Clone(e.silent)
 	made.silent[e.last.ID] = true
-	made.isSearching = true
+	made.search = running
 	return &made
 }
 
-// absorb takes over what a search has done.
-func (e *exchange) absorb(searcher *exchange) {
-	e.sends, e.runs, e.ran = searcher.sends, searcher.runs, searcher.ran
-	e.noSlotCount = searcher.noSlotCount
+// absorb takes over what a search has counted on its copy.
+func (e *exchange) absorb(worker *exchange) {
+	e.sends, e.runs, e.ran = worker.sends, worker.runs, worker.ran
+	e.noSlotCount = worker.noSlotCount
 }
 
 // findSuccessor looks for a backend that takes the request over from a silent attempt, until one
@@ -153,6 +153,6 @@
 
 // payRetry spends a retry for the search, once.
 func (e *exchange) payRetry() bool {
-	e.isRetryPaid = e.isRetryPaid || e.core.retries.Spend()
-	return e.isRetryPaid
+	e.search.isRetryPaid = e.search.isRetryPaid || e.core.retries.Spend()
+	return e.search.isRetryPaid
 }
--- a/test/mutants.d/silence.sh
+++ b/test/mutants.d/silence.sh
@@ -1,7 +1,7 @@
 # Mutants of attempts that fall silent and of answers that have begun; mutants.sh sources this.
 mutant ended_before_another_is_found internal/serving/standby.go \
-	'	found := running.searcher' '	s.endAttempt()
-	found := running.searcher' platform TestBegunStreamOutlivesSilenceWhileOthersAreFull
+	'	found := running.worker' '	s.endAttempt()
+	found := running.worker' platform TestBegunStreamOutlivesSilenceWhileOthersAreFull
 mutant begun_answers_bounded_like_others internal/serving/exchange.go \
 	'	if e.outlivesRefusals() {
 		e.pace(ctx)' '	if false {
@@ -14,8 +14,8 @@
 	'	case <-timer.C:
 		return true' '	case <-timer.C:
 		return false' internal/serving TestBegunStreamIsTakenOver
-mutant search_preempts_without_bound internal/serving/preempt.go \
-	'e.searchPreemptions >= maxSearchPreemptions' 'false' internal/serving TestSearchPreemptsFewItems
+mutant search_preempts_without_bound internal/serving/standby.go \
+	's.preemptions >= maxSearchPreemptions' 'false' internal/serving TestSearchPreemptsFewItems
 mutant takeover_despite_output internal/serving/standby.go \
 	'	if !s.isAwaiting {
 		return false
@@ -31,7 +31,7 @@
 		if event' '		waiting.arrived()
 		if event' internal/serving TestEventAfterTakeoverIsNotPassed
 mutant runs_beside_forgotten internal/serving/successor.go \
-	'	e.sends, e.runs, e.ran = searcher.sends, searcher.runs, searcher.ran' '	e.sends, e.ran = searcher.sends, searcher.ran' internal/serving TestRunsOfSearchesCount
+	'	e.sends, e.runs, e.ran = worker.sends, worker.runs, worker.ran' '	e.sends, e.ran = worker.sends, worker.ran' internal/serving TestRunsOfSearchesCount
 mutant dropped_successor_is_no_run internal/serving/beside.go \
 	'		e.runs++' '' internal/serving TestRunsOfSearchesCount
 mutant last_run_is_left internal/serving/successor.go \
@@ -67,7 +67,7 @@
 mutant search_without_retry internal/serving/successor.go \
 	'if !e.hasBegun && !e.payRetry() {' 'if false {' internal/serving TestSilentRequestWithoutRetriesKeepsWaiting
 mutant each_probe_pays internal/serving/successor.go \
-	'e.isRetryPaid || e.core.retries.Spend()' 'e.core.retries.Spend()' internal/serving TestSilentRequestPaysOneRetry
+	'e.search.isRetryPaid || e.core.retries.Spend()' 'e.core.retries.Spend()' internal/serving TestSilentRequestPaysOneRetry
 mutant searches_unpaced internal/serving/successor.go \
 	'		pause *= 2' '		return pause' internal/serving 'TestManySearchesAreBounded|TestSearchPausesAreBounded'
 mutant search_despite_quarantine internal/serving/successor.go \
--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -139,8 +139,8 @@
 soak crowd_is_taken
 
 # The following mutants end answers because their sound backend is silent.
-replace internal/serving/standby.go '	found := running.searcher' '	s.endAttempt()
-	found := running.searcher'
+replace internal/serving/standby.go '	found := running.worker' '	s.endAttempt()
+	found := running.worker'
 soak ended_before_another_is_found
 
 replace internal/serving/exchange.go '	if e.outlivesRefusals() {
