--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"topazpulley/internal/registry"
 	"topazpulley/internal/revision"
 	"topazpulley/internal/routing"
+	"topazpulley/internal/serving"
 	"topazpulley/internal/settings"
 	"topazpulley/internal/storage"
 	"topazpulley/internal/telemetry"
@@ -202,9 +203,6 @@
 	return ok
 }
 
-// codePanic is the error code of calls that ended with a programming error.
-const codePanic = "internal_error"
-
 // endPanic ends the panic of a call, which would end the process with all other calls. It must be
 // deferred. The request may have run.
 func (g *Gateway) endPanic(call *fasthttp.RequestCtx) {
@@ -215,7 +213,7 @@
 	g.logPanic(string(call.RequestURI()), cause)
 	call.Response.Reset()
 	call.SetConnectionClose()
-	g.writeFailure(call, failure.New(failure.KindInternal, codePanic, "the daemon failed in this call; the request may have run"))
+	g.writeFailure(call, failure.New(failure.KindInternal, serving.CodePanic, "the daemon failed in this call; the request may have run"))
 }
 
 // logPanic logs a programming error with its stack.
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -18,6 +18,7 @@
 	"topazpulley/internal/failure"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/registry"
+	"topazpulley/internal/serving"
 )
 
 // servePanics starts a server of a gateway without a configuration, whose callers' calls panic before
@@ -52,7 +53,7 @@
 	body, err := io.ReadAll(response.Body)
 	require.NoError(t, err)
 	require.Equal(t, 500, response.StatusCode)
-	require.Contains(t, string(body), codePanic)
+	require.Contains(t, string(body), serving.CodePanic)
 	for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
 		got, err := requestRaw(t, address, "/stream", version)
 		require.Error(t, err, "the answer looks whole: %q", got)
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -327,6 +327,9 @@
 	return [...]string{"not_run", "unknown", "timeout", "no_route", "invalid", "too_large", "header_too_large", "header_timeout", "over_quota", "over_rate", "unauthorized", "quarantined"}[v]
 }
 
+// CodePanic is the code of requests that ended with a programming error of the daemon.
+const CodePanic = "internal_error"
+
 // Refusal is an answer that the daemon makes itself.
 type Refusal struct {
 	Verdict Verdict
--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -6,12 +6,12 @@
 mutant idle_end_without_last_look platform/ingress.go \
 	'	if isTimeout(err) && c.hasUnread() {' '	if false {' platform TestRequestBesideIdleEndIsAnswered
 mutant panic_without_refusal platform/ingress.go \
-	'	_ = respond.Refuse(serving.Refusal{Verdict: serving.VerdictUnknown, Code: codePanic})' '' platform TestPanicEndsOnlyItsRequest
+	'	_ = respond.Refuse(serving.Refusal{Verdict: serving.VerdictUnknown, Code: serving.CodePanic})' '' platform TestPanicEndsOnlyItsRequest
 mutant panic_refused_in_begun_answer platform/ingress.go \
 	'	if respond.isBegun {' '	if false {' platform TestPanicEndsOnlyItsRequest
 mutant panic_keeps_its_slot internal/serving/exchange.go \
 	'	defer lease.Release()
-	remaining' '	remaining' platform TestPanicEndsOnlyItsRequest
+	if e.remaining()' '	if e.remaining()' platform TestPanicEndsOnlyItsRequest
 mutant old_requests_closed_unread platform/intake.go \
 	'!isKnown || age > maxUnreadAge {' 'isKnown && age > time.Hour {' platform TestFullDaemonClosesNoOldRequestUnread
 mutant late_connections_not_awaited platform/ingress.go \
@@ -25,6 +25,6 @@
 mutant stopped_beside_open_connections platform/serve.go \
 	'	d.awaitNoCallers(ctx)' '' platform 'TestShutdownCutsNoSilentStreams|TestSlowReadersGetWholeAnswersBesideChanges'
 mutant panic_of_a_call_without_failure internal/gateway/gateway.go \
-	'failure.KindInternal, codePanic' 'failure.KindInvalid, codePanic' internal/gateway TestPanicEndsOnlyItsCall
+	'failure.KindInternal, serving.CodePanic' 'failure.KindInvalid, serving.CodePanic' internal/gateway TestPanicEndsOnlyItsCall
 mutant panic_of_a_body_looks_whole internal/gateway/stream.go \
 	'				err = errPanic' '' internal/gateway TestPanicEndsOnlyItsCall
