--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -15,7 +15,7 @@
 )
 
 // cases are the cases by name. One returns what broke the rule; nothing if it held.
-var cases = map[string]func(w *world, hasTrouble bool) ([]string, error){"markup": markup, "refusal": refusal}
+var cases = map[string]func(w *world, hasTrouble bool) ([]string, error){"markup": markup, "refusal": refusal, "full": full, "blank": blank}
 
 // main plays the case that the first argument names, and records it in the second.
 func main() {
--- a/review/stand/refusal.go
+++ b/review/stand/refusal.go
@@ -26,9 +26,9 @@
 	workTime     = 30 * time.Millisecond
 	burstSize    = 8
 	burstPause   = 100 * time.Millisecond
-	bursts       = 210
+	bursts       = 380
 	// The disruption strikes extraTimes times, with extraPause between.
-	extraTimes = 3
+	extraTimes = 5
 	extraPause = 3 * time.Second
 )
 
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -42,6 +42,7 @@
 	front     string
 	daemons   []*daemon
 	refused   int
+	objects   objects
 }
 
 // daemon is one process of the project.
@@ -68,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{directory: directory, began: time.Now(), record: record, store: platformtest.NewStore()}
+	w := &world{directory: directory, began: time.Now(), record: record, store: platformtest.NewStore(), objects: objects{sizes: map[string]int{}}}
 	if w.front, err = platformtest.FreeAddress("127.0.0.1"); err != nil {
 		return nil, err
 	}
@@ -96,6 +97,14 @@
 			}
 			request.Body = io.NopCloser(bytes.NewReader(body))
 		}
+		if name, isPut := strings.CutPrefix(request.URL.Path, "/-/blob-put/"); isPut && !w.objects.take(name, int(request.ContentLength)) {
+			http.Error(writer, "full", http.StatusInsufficientStorage)
+			return
+		}
+		if name, isDrop := strings.CutPrefix(request.URL.Path, "/-/blob-drop/"); isDrop {
+			w.objects.drop(name)
+			return
+		}
 		pass.ServeHTTP(writer, request)
 	})
 }
