Jobs: rows and commits are measured as encoded; a rejected result holds no other back

Cause: the bound of a row was taken of the text, the row is JSON (6 bytes for an angle bracket), and the store's 400 counted as an unknown outcome, so that the same commit was repeated for ever. Ruled out: a lost claim, a missing object. Change: encoded sizes; a rejected call is ErrorInvalid (nothing done) and 507 ErrorFull; rejected results are isolated, put into objects, set aside; pages of results are cut by their encoded size; ids that do not fit a key are refused. Stand-in store: limits of rows, keys, transactions, objects. Before (tests on with the new stand-in): TestMarkupResultIsListed, TestCommitOfLargeRowsFitsTransaction, TestRejectedResultDoesNotDelayOthers, TestUnstorableObjectDoesNotDelayOthers, TestUnstorableSubmissionIsRefusedAtOnce fail.

--- a/internal/frontend/storemessage.go
+++ b/internal/frontend/storemessage.go
@@ -99,13 +99,22 @@
 	case errors.As(err, &conflict):
 		answer.IsConflict, answer.Rows = true, rowRecords(conflict.Rows)
 	case errors.As(err, &failed):
-		answer.ErrorKind = int(failed.Kind)
+		answer.ErrorKind = int(forwardedKind(failed.Kind))
 	default:
 		answer.ErrorKind = int(table.ErrorUnknown)
 	}
 	return answer
 }
 
+// forwardedKind returns the kind that another daemon is told. Earlier builds don't know
+// ErrorFull.
+func forwardedKind(kind table.ErrorKind) table.ErrorKind {
+	if kind == table.ErrorFull {
+		return table.ErrorNotDone
+	}
+	return kind
+}
+
 // failure returns the error in an answer, or nil.
 func (a storeAnswer) failure(operation storeOperation) error {
 	if a.IsConflict {
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -164,7 +164,7 @@
 	if len(content) > maxContentBytes {
 		row.Object = objectName(submitted.ID, content)
 		if err := s.putObject(ctx, row.Object, content); err != nil {
-			return transaction, unavailable(err)
+			return transaction, notStored(err)
 		}
 		content = nil
 	}
@@ -223,6 +223,8 @@
 			// If a lost attempt of this daemon created the job, the claim follower finds the
 			// claim and this daemon takes the job over.
 			return acceptanceOutcome{tenant: s.tenantOfRow(conflict.Row(tableAccepted, id))}, nil
+		case isInvalid(err) && !isUnsettled:
+			return acceptanceOutcome{}, rejectedSubmission(err)
 		}
 		isUnsettled = isUnsettled || isUnknown(err)
 		if !periodic.SleepAbout(ctx, retryPause) || !s.awaitStore(ctx) {
@@ -240,18 +242,29 @@
 	return errors.As(err, &failed) && failed.Kind == table.ErrorUnknown
 }
 
-// putObject stores an object and retries until ctx ends. Storing the same object twice
-// is harmless.
+// isInvalid reports whether the store rejected a call, so that repeating it is useless.
+func isInvalid(err error) bool {
+	var failed *table.Error
+	return errors.As(err, &failed) && failed.Kind == table.ErrorInvalid
+}
+
+// putObject stores an object and retries until ctx ends or the store rejects the object.
+// Storing the same object twice is harmless.
 func (s *Service) putObject(ctx context.Context, name string, content []byte) error {
 	for {
-		bounded, cancel := context.WithTimeout(ctx, timeoutFor(len(content)))
-		err := s.store.PutObject(bounded, name, content)
-		cancel()
-		if err == nil {
-			return nil
+		err := s.putObjectOnce(ctx, name, content)
+		if err == nil || isInvalid(err) {
+			return err
 		}
 		if !periodic.SleepAbout(ctx, retryPause) {
 			return err
 		}
 	}
 }
+
+// putObjectOnce tries once to store an object, with a timeout that depends on its size.
+func (s *Service) putObjectOnce(ctx context.Context, name string, content []byte) error {
+	bounded, cancel := context.WithTimeout(ctx, timeoutFor(len(content)))
+	defer cancel()
+	return s.store.PutObject(bounded, name, content)
+}
--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -3,11 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
-	"strconv"
 
 	"topazpulley/internal/periodic"
 	"topazpulley/internal/table"
@@ -17,37 +18,64 @@
 	// commitDelay is the mean wait before a commit, so that results that arrive close
 	// together share it.
 	commitDelay = 60 * time.Millisecond
-	// maxCommitResults limits the results in one commit. A transaction takes at most 100
-	// rows, and each result uses up to three.
+	// maxCommitResults limits the results in one commit. A transaction takes at most
+	// table.MaxTransactionRows, and each result uses up to three.
 	maxCommitResults = 25
-	// maxCommitBytes limits the result text in one commit. The limit is halved after
-	// commits that time out, down to minCommitBytes, and doubled after each success.
+	// maxCommitBytes limits the rows in one commit. The limit is halved after commits that
+	// time out, down to minCommitBytes, and doubled after each success.
 	maxCommitBytes = 512 << 10
 	minCommitBytes = 16 << 10
-	// maxInlineBytes is the longest text that is stored in the result row. Longer texts
-	// are stored as objects.
-	maxInlineBytes = 40 << 10
+	// objectRetryPause is how long a result is left out of commits after its object could
+	// not be stored, and rejectedRetryPause after the store rejected its row.
+	objectRetryPause   = 500 * time.Millisecond
+	rejectedRetryPause = 2 * time.Second
 )
 
+// finishedResult is a result that is not committed yet. Only the goroutine of
+// commitFinished uses the fields below Result.
+type finishedResult struct {
+	Result
+	// object is the name of the stored object that holds the text, or empty.
+	object string
+	// needsObject is set if the text must be stored as an object whatever its length.
+	needsObject bool
+	// retryAt is when the result may be part of a commit again.
+	retryAt time.Time
+}
+
+// resultBatch is one commit of results at consecutive positions.
+type resultBatch struct {
+	results     []*finishedResult
+	transaction table.Transaction
+	// isLast reports that all items have a result after the commit.
+	isLast bool
+}
+
 // commitFinished commits results until none is left or the job is dropped.
 func (o *ownedJob) commitFinished() {
 	for periodic.SleepAbout(o.ctx, commitDelay) {
-		batch, position, isLast := o.nextBatch()
-		if len(batch) == 0 {
+		candidates, isDone := o.nextCandidates(time.Now())
+		if isDone {
 			return
 		}
-		err := o.commitBatch(o.ctx, batch, position, isLast)
+		batch, err := o.newBatch(o.ctx, candidates)
+		if err == nil && len(batch.results) == 0 {
+			continue
+		}
+		if err == nil {
+			err = o.commitBatch(o.ctx, batch)
+		}
 		var lost *claimLostError
 		switch {
 		case errors.As(err, &lost):
 			o.drop(lost.reason())
 			return
 		case err != nil:
-			o.handleCommitFailure(len(batch), err)
+			o.handleCommitFailure(batch, err)
 			continue
 		}
-		o.markCommitted(len(batch))
-		if isLast {
+		o.markCommitted(batch)
+		if batch.isLast {
 			o.drop(dropFinished)
 			return
 		}
@@ -55,41 +83,111 @@
 }
 
 // handleCommitFailure logs a failed commit. If the store did not respond in time, it
-// halves the maximum size of the next commit, because the link may be slow.
-func (o *ownedJob) handleCommitFailure(count int, err error) {
-	if isUnknown(err) {
+// halves the maximum size of the next commit, because the link may be slow. If the store
+// rejected the commit, it isolates the result that the store does not accept.
+func (o *ownedJob) handleCommitFailure(batch resultBatch, err error) {
+	o.service.log.Info("job_results_not_committed", "job", o.job.ID, "count", len(batch.results), "error", err)
+	switch {
+	case isUnknown(err):
 		o.mutex.Lock()
 		o.commitLimit = max(o.commitLimit/2, minCommitBytes)
 		o.mutex.Unlock()
+	case isInvalid(err):
+		o.isolateRejected(batch)
 	}
-	o.service.log.Info("job_results_not_committed", "job", o.job.ID, "count", count, "error", err)
 }
 
-// nextBatch returns the next results to commit and the position of the first one. If
-// there are none, it marks the committing goroutine as ended.
-func (o *ownedJob) nextBatch() (batch []Result, position int, isLast bool) {
+// isolateRejected prepares the next commit after the store rejected this one. Results are
+// committed one by one until the rejected one is alone. Its text is then stored as an
+// object; if the row is rejected all the same, it waits while others are committed.
+func (o *ownedJob) isolateRejected(batch resultBatch) {
+	o.mutex.Lock()
+	o.commitCount = 1
+	o.mutex.Unlock()
+	if len(batch.results) != 1 {
+		return
+	}
+	rejected := batch.results[0]
+	if !rejected.needsObject {
+		rejected.needsObject = true
+		return
+	}
+	rejected.retryAt = time.Now().Add(rejectedRetryPause)
+	o.service.log.Error("job_result_rejected", "job", o.job.ID, "item", rejected.Item, "text_bytes", len(rejected.Text), "retry_in", rejectedRetryPause)
+}
+
+// nextCandidates returns the results that may be part of a commit now. If no results are
+// left, it marks the committing goroutine as ended.
+func (o *ownedJob) nextCandidates(now time.Time) (candidates []*finishedResult, isDone bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	size := 0
+	if len(o.finished) == 0 {
+		o.committing = false
+		return nil, true
+	}
 	for _, result := range o.finished {
-		size += len(result.Text)
-		if len(batch) == maxCommitResults || (size > o.commitLimit && len(batch) > 0) {
+		if len(candidates) == o.commitCount {
 			break
 		}
-		batch = append(batch, result)
+		if !now.Before(result.retryAt) {
+			candidates = append(candidates, result)
+		}
 	}
-	if len(batch) == 0 {
-		o.committing = false
+	return candidates, false
+}
+
+// newBatch builds a commit of the candidates that fit into it. A result whose object
+// cannot be stored is left out, so that it does not delay the others.
+func (o *ownedJob) newBatch(ctx context.Context, candidates []*finishedResult) (resultBatch, error) {
+	o.mutex.Lock()
+	position, limit := o.committed, o.commitLimit
+	o.mutex.Unlock()
+	batch := resultBatch{}
+	batch.transaction = table.Transaction{
+		Partition:  shard(o.job.ID),
+		Conditions: []table.Condition{{Table: tableClaim, Key: o.job.ID, Version: o.claim.version}},
+	}
+	size := 0
+	for _, each := range candidates {
+		value, err := o.encodeResult(ctx, each)
+		if err != nil {
+			return batch, err
+		}
+		if value == nil {
+			continue
+		}
+		size += len(value)
+		if size > limit && len(batch.results) > 0 {
+			break
+		}
+		o.addResult(&batch, each, numberedKey(o.job.ID, position+len(batch.results)), value)
+	}
+	batch.isLast = position+len(batch.results) == len(o.items)
+	if batch.isLast {
+		batch.transaction.Removals = append(batch.transaction.Removals, table.Removal{Table: tableClaim, Key: o.job.ID})
 	}
-	return batch, o.committed, o.committed+len(batch) == len(o.items)
+	return batch, nil
 }
 
-// markCommitted removes the first count results from the queue after their commit.
-func (o *ownedJob) markCommitted(count int) {
+// addResult adds a result's row under a key to a commit.
+func (o *ownedJob) addResult(batch *resultBatch, added *finishedResult, key string, value []byte) {
+	batch.results = append(batch.results, added)
+	transaction := &batch.transaction
+	transaction.Conditions = append(transaction.Conditions, table.Condition{Table: tableResult, Key: key})
+	transaction.Writes = append(transaction.Writes, table.Write{Table: tableResult, Key: key, Value: value})
+	if o.hasCheckpoint(added.Item) {
+		transaction.Removals = append(transaction.Removals, table.Removal{Table: tableProgress, Key: progressKey(o.job.ID, added.Item)})
+	}
+}
+
+// markCommitted removes results from the queue after their commit.
+func (o *ownedJob) markCommitted(batch resultBatch) {
+	count := len(batch.results)
 	o.mutex.Lock()
-	o.finished = o.finished[count:]
+	o.finished = slices.DeleteFunc(o.finished, func(each *finishedResult) bool { return slices.Contains(batch.results, each) })
 	o.committed += count
 	o.commitLimit = min(o.commitLimit*2, maxCommitBytes)
+	o.commitCount = min(o.commitCount*2, maxCommitResults)
 	committed := o.committed
 	o.mutex.Unlock()
 	o.notifyCommit()
@@ -118,15 +216,11 @@
 
 // commitBatch tries once to commit results at fixed positions. An earlier attempt whose
 // response was lost may have committed them and further results after them.
-func (o *ownedJob) commitBatch(ctx context.Context, batch []Result, position int, isLast bool) error {
-	transaction, err := o.resultTransaction(ctx, batch, position, isLast)
-	if err != nil {
-		return err
-	}
-	_, err = o.service.commit(ctx, transaction)
+func (o *ownedJob) commitBatch(ctx context.Context, batch resultBatch) error {
+	_, err := o.service.commit(ctx, batch.transaction)
 	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
-		return o.resolveConflict(conflict, transaction)
+		return o.resolveConflict(conflict, batch.transaction)
 	}
 	return err
 }
@@ -147,42 +241,28 @@
 	return &claimLostError{job: o.job.ID}
 }
 
-func (o *ownedJob) resultTransaction(ctx context.Context, batch []Result, position int, isLast bool) (table.Transaction, error) {
-	transaction := table.Transaction{
-		Partition:  shard(o.job.ID),
-		Conditions: []table.Condition{{Table: tableClaim, Key: o.job.ID, Version: o.claim.version}},
-	}
-	for index, result := range batch {
-		key := numberedKey(o.job.ID, position+index)
-		value, err := o.encodeResult(ctx, result)
-		if err != nil {
-			return transaction, err
-		}
-		transaction.Conditions = append(transaction.Conditions, table.Condition{Table: tableResult, Key: key})
-		transaction.Writes = append(transaction.Writes, table.Write{Table: tableResult, Key: key, Value: value})
-		if o.hasCheckpoint(result.Item) {
-			transaction.Removals = append(transaction.Removals, table.Removal{Table: tableProgress, Key: progressKey(o.job.ID, result.Item)})
+// encodeResult encodes a result's row. If the row would be too large for the store, the
+// text is stored as an object first. A nil value means that this failed; the result is
+// then left out of commits for objectRetryPause.
+func (o *ownedJob) encodeResult(ctx context.Context, result *finishedResult) ([]byte, error) {
+	if !result.needsObject {
+		value, err := encode(resultRow{Item: result.Item, State: result.State, Text: result.Text})
+		if err != nil || len(value) <= table.MaxRowBytes {
+			return value, err
 		}
+		result.needsObject = true
 	}
-	if isLast {
-		transaction.Removals = append(transaction.Removals, table.Removal{Table: tableClaim, Key: o.job.ID})
-	}
-	return transaction, nil
-}
-
-// encodeResult encodes a result's row. A text longer than maxInlineBytes is stored as
-// an object first.
-func (o *ownedJob) encodeResult(ctx context.Context, result Result) ([]byte, error) {
-	row := resultRow{Item: result.Item, State: result.State, Text: result.Text}
-	if len(result.Text) > maxInlineBytes {
+	if result.object == "" {
 		text := []byte(result.Text)
-		row.Text = ""
-		row.Object = "result-" + result.Item + "-" + strconv.FormatUint(xxhash.Sum64(text), 16)
-		if err := o.service.putObject(ctx, row.Object, text); err != nil {
-			return nil, err
+		name := "result-" + result.Item + "-" + strconv.FormatUint(xxhash.Sum64(text), 16)
+		if err := o.service.putObjectOnce(ctx, name, text); err != nil {
+			result.retryAt = time.Now().Add(objectRetryPause)
+			o.service.log.Info("job_result_object_not_stored", "job", o.job.ID, "item", result.Item, "text_bytes", len(text), "error", err)
+			return nil, nil
 		}
+		result.object = name
 	}
-	return encode(row)
+	return encode(resultRow{Item: result.Item, State: result.State, Object: result.object})
 }
 
 // releasePoll is the mean interval at which release checks for items that still run and
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -103,6 +103,26 @@
 	Items       []Item
 }
 
+// maxIDBytes limits the ids of jobs and items: a row's key holds one of each.
+const maxIDBytes = (table.MaxKeyBytes - len("/")) / 2
+
+// CheckKeys returns a failure if an id is too long for the keys of the store.
+func (j *Job) CheckKeys() error {
+	if len(j.ID) > maxIDBytes {
+		return idTooLong("job", j.ID)
+	}
+	for _, item := range j.Items {
+		if len(item.ID) > maxIDBytes {
+			return idTooLong("item", item.ID)
+		}
+	}
+	return nil
+}
+
+func idTooLong(what, id string) error {
+	return failure.New(failure.KindInvalid, "id_too_long", "the id of %s %q is longer than %d bytes", what, id, maxIDBytes).WithNotRun()
+}
+
 // tokens returns the total size of the items in tokens.
 func (j *Job) tokens() int64 {
 	total := int64(0)
@@ -203,6 +223,19 @@
 	return failure.Wrap(cause, failure.KindUnavailable, "store_unavailable", "the store does not answer").WithNotRun().WithRetryAfter(retryAfterStore)
 }
 
+// rejectedSubmission returns the failure for a job that the store does not accept.
+func rejectedSubmission(cause error) error {
+	return failure.Wrap(cause, failure.KindTooLarge, "job_not_storable", "the store does not accept a job of this form or size").WithNotRun()
+}
+
+// notStored returns the failure for a job whose content could not be stored.
+func notStored(cause error) error {
+	if isInvalid(cause) {
+		return rejectedSubmission(cause)
+	}
+	return unavailable(cause)
+}
+
 // acceptanceUnknown returns the failure for a submission that may have taken effect.
 func acceptanceUnknown(cause error) error {
 	return failure.Wrap(cause, failure.KindOutcomeUnknown, "acceptance_unknown", "the store did not confirm whether the job was accepted: send it again")
--- a/internal/job/ownedjob.go
+++ b/internal/job/ownedjob.go
@@ -88,11 +88,13 @@
 	// committed is the number of stored results.
 	committed int
 	// finished are the results that are not committed yet.
-	finished []Result
+	finished []*finishedResult
 	// committing reports that commitFinished is running.
 	committing bool
-	// commitLimit is the maximum text of the next commit in bytes.
+	// commitLimit is the maximum size of the rows in the next commit in bytes, and
+	// commitCount the maximum number of its results.
 	commitLimit int
+	commitCount int
 	dropped     bool
 	// committedSignal is closed and replaced at each commit.
 	committedSignal chan struct{}
@@ -121,7 +123,7 @@
 	ctx, cancel := context.WithCancel(s.lifetime)
 	started := &ownedJob{
 		service: s, job: accepted, due: accepted.SubmittedAt.Add(accepted.Due), ctx: ctx, cancel: cancel,
-		claim: held, committed: len(earlier.listed), committedSignal: make(chan struct{}), commitLimit: maxCommitBytes,
+		claim: held, committed: len(earlier.listed), committedSignal: make(chan struct{}), commitLimit: maxCommitBytes, commitCount: maxCommitResults,
 		settled: earlier.settled,
 	}
 	if started.settled.at.IsZero() {
@@ -301,7 +303,7 @@
 	}
 	ended.state = itemFinished
 	ended.progress.clear()
-	o.finished = append(o.finished, result)
+	o.finished = append(o.finished, &finishedResult{Result: result})
 	mustStart := !o.committing
 	o.committing = true
 	o.mutex.Unlock()
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -121,13 +121,22 @@
 	ErrorCompacted
 	// ErrorMissing means that an object does not exist.
 	ErrorMissing
-	// ErrorInvalid means that the call or its answer is malformed.
+	// ErrorInvalid means that the call is malformed or exceeds a limit of the store. Nothing
+	// was done, and the same call will fail again.
 	ErrorInvalid
+	// ErrorFull means that the store has no room for an object. Nothing was done.
+	ErrorFull
 )
 
-// String returns the name used in logs.
+// errorKindNames are the names of the kinds in logs.
+var errorKindNames = [...]string{"not_done", "throttled", "unknown", "compacted", "missing", "invalid", "full"}
+
+// String returns the name used in logs. A kind of a later build has none.
 func (k ErrorKind) String() string {
-	return [...]string{"not_done", "throttled", "unknown", "compacted", "missing", "invalid"}[k]
+	if int(k) >= len(errorKindNames) {
+		return "other"
+	}
+	return errorKindNames[k]
 }
 
 // Error is a failed call to the store.
--- a/internal/table/tabletest/memory.go
+++ b/internal/table/tabletest/memory.go
@@ -63,6 +63,8 @@
 	// stale is the state that reads return; nil means the current one.
 	stale   *snapshot
 	commits int
+	// rejected is the number of commits that exceeded a limit.
+	rejected int
 
 	// Decide returns the fault for a call by the call's name; nil means none. It is
 	// called with mutex locked and must not call the store.
@@ -117,6 +119,10 @@
 	if err := refuse(fault, "commit"); err != nil {
 		return 0, err
 	}
+	if exceedsLimits(transaction) {
+		m.rejected++
+		return 0, failed(table.ErrorInvalid, "commit")
+	}
 	if fault == FaultLate {
 		m.late = append(m.late, transaction)
 		return 0, failed(table.ErrorUnknown, "commit")
@@ -315,6 +321,12 @@
 	if err := refuse(m.decide("put_object"), "put_object"); err != nil {
 		return err
 	}
+	if len(content) > table.MaxObjectBytes {
+		return failed(table.ErrorInvalid, "put_object")
+	}
+	if m.objectBytes()-len(m.objects[name])+len(content) > table.MaxObjectsBytes {
+		return failed(table.ErrorFull, "put_object")
+	}
 	m.objects[name] = append([]byte(nil), content...)
 	return nil
 }
