Jobs: a daemon takes over the claims of its earlier process, whatever the clock said

Cause: a claim named a process by the time of day of its start, and others decided by order whether it still lives; a process that starts under an earlier clock took the number just above its predecessor's, like a refuted suspicion. Ruled out: an owner that nobody knows; an owner that believes to run the job. Change: a random process id in claims; claims of this name that another process made are due for takeover; a step of 1,000 above an earlier process; claims carry the current number. Builds from before ignore the id.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -181,7 +181,7 @@
 	f.ClaimsAge = claims.Age
 	f.Jobs = job.NewService(job.Dependencies{
 		Availability: bufferAvailability(process, availability), SubmissionLimits: submissionbuffer.LimitsOf(process.MemoryMegabytes, process.HeldSubmissionsShare),
-		Self: job.Self{Name: self.Name, Incarnation: self.Incarnation}, Store: f.store, Backends: f.Backends, Sender: sender,
+		Self: job.Self{Name: self.Name, Incarnation: func() int64 { return f.node.Self().Incarnation }}, Store: f.store, Backends: f.Backends, Sender: sender,
 		Holder: f.Holder, Peers: peers{node: f.node, transport: f.transport, log: log}, Metrics: metrics.Serving, Logger: log, Connections: f.Core.ConnectionShare, SettlingTime: settlingTime,
 		Quota: accounts, Zone: process.Zone, BatchCapacity: process.BatchCapacity, Quarantine: f.Quarantine, ClaimsAge: claims.Age,
 	})
@@ -282,8 +282,9 @@
 	})
 }
 
-// member describes this daemon to others. Its incarnation is the start time in milliseconds, so
-// that it is higher than that of any earlier process of the same name.
+// member describes this daemon to others. Its incarnation is the start time in milliseconds,
+// which is usually higher than that of any earlier process of the same name. If the clock has
+// gone back since, the membership raises it.
 func (f *Frontend) member() membership.Member {
 	return membership.Member{
 		Name: f.settings.Name, Address: f.settings.AdvertiseAddress, Zone: f.settings.Zone, Region: f.settings.Region,
--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -32,7 +32,7 @@
 	switch {
 	case !known || member.Incarnation < incarnation:
 		return job.LivenessUnknown
-	case member.State == membership.StateLeft || member.Incarnation > incarnation+refuteMargin:
+	case member.State == membership.StateLeft || membership.IsLaterProcess(member.Incarnation, incarnation):
 		return job.LivenessGone
 	case !member.Live():
 		return job.LivenessSuspected
@@ -40,10 +40,6 @@
 	return job.LivenessAlive
 }
 
-// refuteMargin is how far the incarnation of one daemon process may rise: each refuted
-// suspicion adds one. The start times of two processes differ by more milliseconds.
-const refuteMargin = 200
-
 // Rank implements job.Peers.
 func (p peers) Rank(key string) int {
 	return duty.Rank(key, p.node.Self().Name, p.node.AllNames())
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -135,7 +135,7 @@
 }
 
 func (s *Service) newClaim(epoch int64, tenant string) claim {
-	return claim{Owner: s.self.Name, Incarnation: s.self.Incarnation, Epoch: epoch, Tenant: tenant}
+	return claim{Owner: s.self.Name, Incarnation: s.self.Incarnation(), Process: s.process, Epoch: epoch, Tenant: tenant}
 }
 
 const (
--- a/internal/job/accounts.go
+++ b/internal/job/accounts.go
@@ -103,7 +103,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.submission++
-	return fmt.Sprintf("%s/%d/%d", s.self.Name, s.self.Incarnation, s.submission)
+	return fmt.Sprintf("%s/%s/%d", s.self.Name, s.process, s.submission)
 }
 
 // release releases a reservation that this call made, in the background. If that fails, the
--- a/internal/job/claims.go
+++ b/internal/job/claims.go
@@ -193,14 +193,10 @@
 // isDueForTakeover reports whether this daemon should take over the job now. It records
 // when the owner was first found missing. mutex must be held.
 func (s *Service) isDueForTakeover(id string, held claim, now time.Time) bool {
-	isOwn := held.Owner == s.self.Name && held.Incarnation == s.self.Incarnation
-	if isOwn {
+	if s.isOwnClaim(held) {
 		return true // committed by this daemon, but the response was lost
 	}
-	liveness := LivenessGone
-	if held.Owner != "" {
-		liveness = s.peers.Liveness(held.Owner, held.Incarnation)
-	}
+	liveness := s.ownerLiveness(held)
 	if liveness == LivenessAlive {
 		delete(s.orphans, id)
 		return false
@@ -210,7 +206,7 @@
 		s.orphans[id] = now
 		return false
 	}
-	pause := takeoverDelay + time.Duration(s.peers.Rank(id))*takeoverDelayPerRank
+	pause := takeoverDelay + time.Duration(s.takeoverRank(id, held))*takeoverDelayPerRank
 	if liveness == LivenessUnknown {
 		pause += unknownOwnerDelay
 	}
@@ -220,3 +216,28 @@
 	}
 	return now.Sub(since) >= pause
 }
+
+// isOwnClaim reports whether this process made the claim.
+func (s *Service) isOwnClaim(held claim) bool {
+	return held.Owner == s.self.Name && held.Process == s.process
+}
+
+// ownerLiveness returns the state of the process that made a claim. An earlier process of
+// this daemon is gone, whatever its incarnation.
+func (s *Service) ownerLiveness(held claim) Liveness {
+	if held.Owner == "" || held.Owner == s.self.Name {
+		return LivenessGone
+	}
+	return s.peers.Liveness(held.Owner, held.Incarnation)
+}
+
+// takeoverRank returns this daemon's position in the order in which daemons take over a job.
+// It is at most the second for the jobs of its own earlier process, because to the others
+// that process may look alive.
+func (s *Service) takeoverRank(id string, held claim) int {
+	rank := s.peers.Rank(id)
+	if held.Owner == s.self.Name {
+		return min(rank, 1)
+	}
+	return rank
+}
--- a/internal/job/firstclaims_test.go
+++ b/internal/job/firstclaims_test.go
@@ -32,7 +32,7 @@
 // newServiceWithClaimsAge returns a service whose copy of the claims has the given age.
 func newServiceWithClaimsAge(store table.Store, claimsAge func() time.Duration) *job.Service {
 	return job.NewService(job.Dependencies{
-		Self: job.Self{Name: "a", Incarnation: 1}, Store: store, Backends: backend.NewSet(), Sender: newFakeBackends(),
+		Self: job.Self{Name: "a", Incarnation: func() int64 { return 1 }}, Store: store, Backends: backend.NewSet(), Sender: newFakeBackends(),
 		Holder: &route.Holder{}, Metrics: telemetry.NewServing(prometheus.NewRegistry()), Logger: discardLogger, SubmissionLimits: testSubmissionLimits,
 		ClaimsAge: claimsAge,
 	})
--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,13 +169,16 @@
 	// suspected are the daemons that do not respond.
 	suspected map[string]bool
 	rank      int
+	// asked are the incarnations in calls of Liveness.
+	asked []int64
 	// successor is the daemon that takes jobs over from this one.
 	successor string
 }
 
-func (p *fakePeers) Liveness(name string, _ int64) job.Liveness {
+func (p *fakePeers) Liveness(name string, incarnation int64) job.Liveness {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.asked = append(p.asked, incarnation)
 	if p.gone[name] {
 		return job.LivenessGone
 	}
@@ -189,6 +194,12 @@
 	p.suspected[name] = true
 }
 
+func (p *fakePeers) hasBeenAsked(incarnation int64) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return slices.Contains(p.asked, incarnation)
+}
+
 func (p *fakePeers) Rank(string) int { return p.rank }
 
 func (p *fakePeers) Successor(string) string { return p.successor }
@@ -243,6 +254,8 @@
 	peers  *fakePeers
 	// backends is the daemon's view of the backends.
 	backends *backend.Set
+	// incarnation is the daemon's incarnation in the membership.
+	incarnation atomic.Int64
 }
 
 // startDaemon starts a service on the store.
@@ -281,12 +294,13 @@
 		Targets: []route.Target{{Service: service, Weight: 1}},
 	}}}, time.Now())
 	started := &daemon{name: name, peers: &fakePeers{gone: map[string]bool{}, suspected: map[string]bool{}}, backends: backends}
+	started.incarnation.Store(1)
 	availability := table.NewAvailability(store, job.ClaimTable)
 	monotonic := table.NewMonotonic(availability)
 	follower := &table.Follower{Store: monotonic, Logger: discardLogger, Wait: 100 * time.Millisecond, Partitioned: true}
 	accounts := quota.NewAccounts(monotonic, soleCoordinator{}, telemetry.NewQuota(prometheus.NewRegistry()), discardLogger)
 	started.Service = job.NewService(job.Dependencies{
-		Self: job.Self{Name: name, Incarnation: 1}, Store: monotonic, Backends: backends, Sender: sender, Holder: holder,
+		Self: job.Self{Name: name, Incarnation: started.incarnation.Load}, Store: monotonic, Backends: backends, Sender: sender, Holder: holder,
 		Peers: started.peers, Metrics: telemetry.NewServing(prometheus.NewRegistry()), Logger: discardLogger, Connections: func(string) int { return 100 }, SettlingTime: settling, Quota: accounts,
 		ClaimsAge: follower.Age, Availability: availability, SubmissionLimits: testSubmissionLimits,
 	})
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -167,8 +167,10 @@
 // claim is the row that names the owner of an open job.
 type claim struct {
 	Owner string `json:"owner"`
-	// Incarnation identifies one run of the owner process.
+	// Incarnation is the owner's incarnation in the membership when it made the claim.
 	Incarnation int64 `json:"incarnation"`
+	// Process is the run of the owner that made the claim. Earlier builds write none.
+	Process string `json:"process,omitempty"`
 	// Epoch increases by one with each new owner.
 	Epoch  int64  `json:"epoch"`
 	Tenant string `json:"tenant,omitempty"`
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -22,12 +22,16 @@
 	"topazpulley/internal/telemetry"
 )
 
-// Self identifies this run of the daemon.
+// Self identifies this daemon to others.
 type Self struct {
-	Name        string
-	Incarnation int64
+	Name string
+	// Incarnation returns the current incarnation in the membership. It may rise.
+	Incarnation func() int64
 }
 
+// newProcessID returns a unique name for one run of a daemon.
+func newProcessID() string { return strconv.FormatUint(rand.Uint64(), 16) }
+
 // Peers provides the state of the other daemons and sends them notifications.
 type Peers interface {
 	// Liveness returns the state of the daemon with this incarnation.
@@ -84,7 +88,9 @@
 // Service answers calls about jobs and runs the jobs that this daemon owns. mutex
 // guards the fields after it.
 type Service struct {
-	self        Self
+	self Self
+	// process distinguishes this run of the daemon from all others.
+	process     string
 	store       table.Store
 	backends    *backend.Set
 	sender      serving.Sender
@@ -156,7 +162,7 @@
 	lifetime, cancelLifetime := context.WithCancel(context.Background())
 	stopped, stop := context.WithCancel(lifetime)
 	service := &Service{
-		self: dependencies.Self, store: dependencies.Store, backends: dependencies.Backends, sender: dependencies.Sender,
+		self: dependencies.Self, process: newProcessID(), store: dependencies.Store, backends: dependencies.Backends, sender: dependencies.Sender,
 		holder: dependencies.Holder, peers: dependencies.Peers, metrics: dependencies.Metrics, log: dependencies.Logger,
 		connections: dependencies.Connections, placeAfter: time.Now().Add(dependencies.SettlingTime),
 		lifetime: lifetime, cancelLifetime: cancelLifetime, stopped: stopped, stop: stop, wake: make(chan struct{}, 1),
--- a/internal/job/takeover.go
+++ b/internal/job/takeover.go
@@ -113,10 +113,10 @@
 	return s.takeovers.finish(id, hasFailed, time.Now())
 }
 
-// claimOrphan makes this daemon the owner of a job. If the claim names this daemon already,
+// claimOrphan makes this daemon the owner of a job. If the claim is of this process already,
 // because an earlier commit took effect without an answer, it is returned as it is.
 func (s *Service) claimOrphan(ctx context.Context, id string, orphaned versionedClaim) (versionedClaim, error) {
-	if orphaned.claim.Owner == s.self.Name && orphaned.claim.Incarnation == s.self.Incarnation {
+	if s.isOwnClaim(orphaned.claim) {
 		return orphaned, nil
 	}
 	next := s.newClaim(orphaned.claim.Epoch+1, orphaned.claim.Tenant)
@@ -124,7 +124,7 @@
 	if err != nil {
 		return versionedClaim{}, err
 	}
-	s.log.Info("job_taken_over", "job", id, "owner_before", orphaned.claim.Owner, "epoch", next.Epoch, "version", version)
+	s.log.Info("job_taken_over", "job", id, "owner_before", orphaned.claim.Owner, "process_before", orphaned.claim.Process, "incarnation_before", orphaned.claim.Incarnation, "epoch", next.Epoch, "version", version)
 	return versionedClaim{claim: next, version: version}, nil
 }
 
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -98,8 +98,9 @@
 // maxHealthScore limits Core.healthScore.
 const maxHealthScore = 4
 
-// New returns a core whose only member is self. self.Incarnation must be higher
-// than at any earlier start under the same name.
+// New returns a core whose only member is self. self.Incarnation should be higher than at
+// any earlier start under the same name. If it is not, it rises once another member
+// reports an earlier process.
 func New(config Config, self Member, random *rand.Rand, now time.Time) *Core {
 	core := &Core{
 		config: config, self: self, random: random,
@@ -253,16 +254,21 @@
 	return true
 }
 
-// refute overrides an update about this member that is wrong: one of a newer
-// incarnation, or of the current one with a state other than alive. It raises
-// the incarnation and gossips it.
+// refute overrides an update about this member that is wrong, by a higher incarnation. An
+// update of a newer incarnation is about an earlier process of this name, whose clock was
+// ahead of this one's; the incarnation then rises by processStep. An update of the current
+// incarnation with a state other than alive is a suspicion of this process.
 func (c *Core) refute(claim Member, now time.Time) {
-	isNewerIncarnation := claim.Incarnation > c.self.Incarnation
+	isEarlierProcess := claim.Incarnation > c.self.Incarnation
 	isWrongState := claim.Incarnation == c.self.Incarnation && claim.State != StateAlive
-	if c.isLeaving || !(isNewerIncarnation || isWrongState) {
+	switch {
+	case c.isLeaving || !(isEarlierProcess || isWrongState):
 		return
+	case isEarlierProcess:
+		c.self.Incarnation = claim.Incarnation + processStep
+	default:
+		c.self.Incarnation++
 	}
-	c.self.Incarnation = claim.Incarnation + 1
 	c.statistics.Refutations++
 	c.setMember(c.self, now)
 	c.enqueueMember(c.self)
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -50,6 +50,20 @@
 	State       State
 }
 
+const (
+	// refutationRange is by how much refuted suspicions may raise the incarnation of one
+	// process. Each adds one.
+	refutationRange = 200
+	// processStep is added to the incarnation of an earlier process of the same name. It
+	// exceeds refutationRange, so that other members can distinguish the two.
+	processStep = 5 * refutationRange
+)
+
+// IsLaterProcess reports whether a member's incarnation is certainly that of a later process
+// than the one that had an earlier incarnation. If it returns false, both may be of one
+// process, or of two that started at nearly the same time of day.
+func IsLaterProcess(incarnation, earlier int64) bool { return incarnation > earlier+refutationRange }
+
 // Live reports whether the member is alive or suspected.
 func (m Member) Live() bool { return m.State == StateAlive || m.State == StateSuspect }
 
