--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -356,6 +356,8 @@
 	'boottime.Instant(f.confirmed.Load()) >= last.completeAt' 'f.Now() >= last.completeAt' internal/table TestSuspendDelaysSettling
 mutant alone_as_if_few_were internal/ratelimit/share.go \
 	'isolatedShare = 1.0' 'isolatedShare = 0.25' internal/ratelimit TestSharesStayWithinTolerance
+mutant connection_used_twice_for_a_request platform/pool.go \
+	'if !found.sent.contains(id) {' 'if true {' platform TestLateCopyOfRefusalIsNotBelieved
 mutant rested_over_a_sleep platform/pool.go \
 	'p.clock.Now() < last.usedUntil' 'last.usedUntil > 0' platform TestConnectionsIdleOverSuspendUnused
 mutant line_breaks_written internal/httphead/write.go \
