Items of jobs are no suspects of crashes: one under which back ends crashed is run again

Cause: the quarantine counts crashes under a content, and a burst of crashes gives them to whatever runs there. Ruled out: used-up attempts, no room. Change: runs of items are no evidence against contents or parts, at both doors, and items are not refused for a quarantine; an item with a part that is held for online requests waits for calm, 6 s at most, and is tried one at a time.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -161,6 +161,8 @@
 	finished  bool
 	// run identifies the request for the quarantine; zero for a resumed attempt.
 	run quarantine.Run
+	// isItem is set for an item of a batch, which is no suspect of a crash.
+	isItem bool
 	// tokens is the number of tokens received.
 	tokens int
 }
@@ -168,8 +170,10 @@
 // Generate sends the request and returns its stream.
 func (c *Client) Generate(ctx context.Context, address string, request GenerateRequest) (*Stream, error) {
 	run := quarantine.Run{Fingerprint: request.Fingerprint, Parts: messageParts(request.Model, request.Input)}
-	if err := c.checkQuarantine(run.Fingerprint, run.Parts); err != nil {
-		return nil, err
+	if !request.IsItem {
+		if err := c.checkQuarantine(run.Fingerprint, run.Parts); err != nil {
+			return nil, err
+		}
 	}
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -177,11 +181,13 @@
 	}
 	stream, err := c.open(ctx, address, request.AttemptID, len(request.Continue), fasthttp.MethodPost, PathGenerate, body)
 	if err != nil {
-		c.recordCrash(ctx, address, run, err)
+		if !request.IsItem {
+			c.recordCrash(ctx, address, run, err)
+		}
 		c.cancelAbandoned(address, request, err)
 		return nil, err
 	}
-	stream.run = run
+	stream.run, stream.isItem = run, request.IsItem
 	return stream, nil
 }
 
@@ -267,7 +273,9 @@
 		if !open {
 			s.finished = true
 			err := &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete, cause: s.readError}
-			s.client.recordCrash(ctx, s.address, s.run, err)
+			if !s.isItem {
+				s.client.recordCrash(ctx, s.address, s.run, err)
+			}
 			return Event{}, err
 		}
 		return s.check(event)
--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -51,6 +51,10 @@
 	// Fingerprint identifies the request's content; it is the same for each attempt.
 	// It is not sent.
 	Fingerprint quarantine.Fingerprint `json:"-"`
+	// IsItem is set for an item of a batch. Items don't crash engines by themselves: a crash is
+	// no evidence against them, and they are not refused because of a quarantine. It is not
+	// sent.
+	IsItem bool `json:"-"`
 	// IsOnce means that the request may be sent only once: the attempt continues after
 	// its caller stops waiting, and may be resumed. It is not sent.
 	IsOnce bool `json:"-"`
--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -17,9 +17,6 @@
 	// failedPause that after any other failure.
 	refusedPause = 100 * time.Millisecond
 	failedPause  = 200 * time.Millisecond
-	// quarantinedPause is the time between two checks of a quarantined item: a quarantine may
-	// be lifted at any time.
-	quarantinedPause = time.Second
 	// itemTimeout is how long a backend may work on one item.
 	itemTimeout = 60 * time.Second
 	// firstEventTimeout and eventTimeout limit the time until an item's first event and
@@ -46,7 +43,7 @@
 	answer, err := s.reserveAndSend(bounded, serving.Attempt{
 		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Fingerprint: running.fingerprint, Parts: running.partsAt(service), Method: itemMethod, Target: running.item.Path,
 		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTimeout,
-		LastEvent: running.progress.lastID(), Software: running.progress.origin().Software, Stream: true, Permit: permit,
+		LastEvent: running.progress.lastID(), Software: running.progress.origin().Software, Stream: true, IsItem: true, Permit: permit,
 	}, running.item.Tokens)
 	if err == nil {
 		defer answer.Close()
@@ -180,8 +177,5 @@
 	if failed.Outcome == serving.OutcomeNotRun {
 		pause = refusedPause
 	}
-	if failed.Reason == serving.ReasonQuarantined {
-		pause = quarantinedPause
-	}
 	owner.requeue(running, pause)
 }
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -9,6 +9,7 @@
 
 	"topazpulley/internal/backend"
 	"topazpulley/internal/periodic"
+	"topazpulley/internal/quarantine"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/serving"
@@ -149,7 +150,7 @@
 	if !found {
 		return false // its route is not known here
 	}
-	if s.postponeQuarantined(waiting, service, now) || s.placer.isFull(service) {
+	if s.placer.isFull(service) || s.waitsForPart(waiting, service, now) {
 		return false
 	}
 	if !s.placer.hasCapacity(service, s.mustRun(waiting, service, now)) {
@@ -198,26 +199,43 @@
 	return leaving.sends, o.claim.claim.Epoch
 }
 
-// postponeQuarantined postpones an item that is quarantined, and reports whether it is.
-func (s *Service) postponeQuarantined(waiting *ownedItem, service string, now time.Time) bool {
+// heldPartPause is the time between two checks of an item with a quarantined prompt part: the
+// quarantine may be lifted at any time.
+const heldPartPause = 500 * time.Millisecond
+
+// waitsForPart postpones an item because a part of its prompt is quarantined for online
+// requests, and reports whether it does.
+func (s *Service) waitsForPart(waiting *ownedItem, service string, now time.Time) bool {
 	if s.quarantine == nil {
 		return false
 	}
-	verdict, isQuarantined := s.quarantine.Verdict(waiting.fingerprint, waiting.partsAt(service))
-	if !isQuarantined {
+	verdict, isHeld := s.quarantine.PartsVerdict(waiting.partsAt(service))
+	owner := waiting.owner
+	owner.mutex.Lock()
+	defer owner.mutex.Unlock()
+	if !isHeld {
+		waiting.heldSince = time.Time{}
 		return false
 	}
-	waiting.owner.mutex.Lock()
-	waiting.notBefore = now.Add(quarantinedPause)
-	wasLogged := waiting.isQuarantined
-	waiting.isQuarantined = true
-	waiting.owner.mutex.Unlock()
-	if wasLogged {
+	isFirst := waiting.heldSince.IsZero()
+	if isFirst {
+		waiting.heldSince = now
+	}
+	if !s.heldParts.mayTry(verdict, waiting.heldSince, now) {
+		waiting.notBefore = now.Add(heldPartPause)
+		if isFirst {
+			s.logHeld("item_held", waiting, verdict, now)
+		}
 		return true
 	}
-	s.log.Info("item_quarantined", "job", waiting.owner.job.ID, "item", waiting.item.ID, "kind", string(verdict.Fingerprint.Kind()), "fingerprint", verdict.Fingerprint.String(),
-		"backends", len(verdict.Instances), "until", verdict.Until.UTC().Format(time.RFC3339))
-	return true
+	s.logHeld("item_tried", waiting, verdict, now)
+	return false
+}
+
+// logHeld logs a decision on an item with a quarantined prompt part.
+func (s *Service) logHeld(message string, held *ownedItem, verdict quarantine.Verdict, now time.Time) {
+	s.log.Info(message, "job", held.owner.job.ID, "item", held.item.ID, "part", verdict.Fingerprint.String(), "backends", len(verdict.Instances),
+		"latest_crash_age_ms", now.Sub(verdict.Since).Milliseconds(), "waited_ms", now.Sub(held.heldSince).Milliseconds())
 }
 
 // maxShownAge is logged for greater ages, and for the age of what was never reported.
--- a/internal/job/ownedjob.go
+++ b/internal/job/ownedjob.go
@@ -50,9 +50,9 @@
 	// malformed is the reason why the item can never be sent, or nil. Older versions
 	// accepted jobs without checking their items.
 	malformed error
-	// isQuarantined reports that the item was found quarantined. It limits the log to one
-	// message.
-	isQuarantined bool
+	// heldSince is when the item began to wait because a part of its prompt is quarantined;
+	// zero if it does not.
+	heldSince time.Time
 }
 
 // partsAt returns the fingerprints of the item's prompt parts at a service.
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -72,8 +72,8 @@
 	// BatchCapacity is the policy that decides how much backend capacity items may use. If
 	// it is empty, items use every slot that appears free.
 	BatchCapacity batchcapacity.Policy
-	// Quarantine decides which items are not sent to backends. Nil means that all items
-	// are sent.
+	// Quarantine tells which prompt parts are quarantined for online requests. Items with
+	// such a part are paced. Nil means that none is.
 	Quarantine *quarantine.Guard
 	// ClaimsAge returns how old the followed copy of the claims may be.
 	ClaimsAge func() time.Duration
@@ -115,6 +115,7 @@
 	placer          *placer
 	capacityTracker *capacityTracker
 	preemptor       *preemptor
+	heldParts       *heldParts
 	quota           *quota.Accounts
 	quarantine      *quarantine.Guard
 	claimsAge       func() time.Duration
@@ -166,7 +167,7 @@
 		holder: dependencies.Holder, peers: dependencies.Peers, metrics: dependencies.Metrics, log: dependencies.Logger,
 		connections: dependencies.Connections, placeAfter: time.Now().Add(dependencies.SettlingTime),
 		lifetime: lifetime, cancelLifetime: cancelLifetime, stopped: stopped, stop: stop, wake: make(chan struct{}, 1),
-		capacityTracker: newCapacityTracker(dependencies.BatchCapacity, newRandom()), preemptor: newPreemptor(newRandom()),
+		capacityTracker: newCapacityTracker(dependencies.BatchCapacity, newRandom()), preemptor: newPreemptor(newRandom()), heldParts: newHeldParts(),
 		claims: map[string]versionedClaim{}, removed: map[string]table.Version{}, orphans: map[string]time.Time{}, claimedAt: map[string]time.Time{}, takeovers: newTakeovers(), owned: map[string]*ownedJob{}, accepted: map[string]acceptance{},
 		quota: dependencies.Quota, quarantine: dependencies.Quarantine, claimsAge: dependencies.ClaimsAge,
 		availability: dependencies.Availability, submissions: submissionbuffer.New(dependencies.SubmissionLimits), unsettledJobs: map[string]endedJob{}, sweeper: newSweeper(), cancellations: newCancellations(),
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -83,6 +83,13 @@
 	return g.ledger.PartsVerdict(parts, now)
 }
 
+// PartsVerdict reports whether a part of a prompt is quarantined, and which.
+func (g *Guard) PartsVerdict(parts Parts) (Verdict, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.ledger.PartsVerdict(parts, time.Now())
+}
+
 // Verdicts returns the verdicts of all quarantined requests and prompt parts, the latest first.
 func (g *Guard) Verdicts() []Verdict {
 	g.mutex.Lock()
--- a/internal/serving/guarded.go
+++ b/internal/serving/guarded.go
@@ -22,9 +22,9 @@
 }
 
 // GuardedSender is the Sender through which all requests reach backends: online requests
-// and batch items, first attempts, retries, resumptions and reservations. It refuses
-// requests that are quarantined, and reports to the guard which requests were running at a
-// backend that crashed and which succeeded.
+// and batch items, first attempts, retries, resumptions and reservations. It refuses online
+// requests that are quarantined, and reports to the guard which of them were running at a
+// backend that crashed, and which requests and items succeeded.
 type GuardedSender struct {
 	sender   Sender
 	guard    *quarantine.Guard
@@ -77,6 +77,9 @@
 
 // refuse returns an error if the request is quarantined.
 func (s *GuardedSender) refuse(attempt Attempt) error {
+	if attempt.IsItem {
+		return nil
+	}
 	if _, isQuarantined := s.guard.Verdict(attempt.Fingerprint, attempt.Parts); !isQuarantined {
 		return nil
 	}
@@ -95,19 +98,27 @@
 		return
 	}
 	incarnation := attempt.Instance.Incarnation()
-	run := quarantine.Run{Fingerprint: attempt.Fingerprint, HadOutput: events > 0}
-	if events < quarantine.SoundOutputs {
-		run.Parts = attempt.Parts
-	}
 	s.mutex.Lock()
-	_, isBeingChecked := s.broken[incarnation]
-	s.broken[incarnation] = append(s.broken[incarnation], run)
+	runs, isBeingChecked := s.broken[incarnation]
+	s.broken[incarnation] = append(runs, suspectsOf(attempt, events)...)
 	s.mutex.Unlock()
 	if !isBeingChecked {
 		go s.check(checker, attempt)
 	}
 }
 
+// suspectsOf returns the run of an attempt that may have crashed its backend; none for an item.
+func suspectsOf(attempt Attempt, events int) []quarantine.Run {
+	if attempt.IsItem {
+		return nil
+	}
+	run := quarantine.Run{Fingerprint: attempt.Fingerprint, HadOutput: events > 0}
+	if events < quarantine.SoundOutputs {
+		run.Parts = attempt.Parts
+	}
+	return []quarantine.Run{run}
+}
+
 // check checks whether a backend has exited and, if so, reports the runs that broke there
 // to the guard.
 func (s *GuardedSender) check(checker LiveChecker, attempt Attempt) {
--- a/internal/serving/guarded_test.go
+++ b/internal/serving/guarded_test.go
@@ -192,3 +192,26 @@
 	_, isHeld := guard.Verdict(quarantine.Fingerprint{}, parts)
 	require.True(t, isHeld)
 }
+
+// TestCrashIsNoEvidenceAgainstItems guards against items that are quarantined, or that make their
+// prompt parts or requests of the same content quarantined, since they were at backends that crashed.
+func TestCrashIsNoEvidenceAgainstItems(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sender := &crashSender{culprit: "/item", crashed: map[string]bool{}}
+		sender.ran, sender.lastSeen = map[string]bool{}, &recorder{}
+		guard := newGuard()
+		guarded := serving.NewGuardedSender(sender, guard, backend.NewSet(), slog.New(slog.DiscardHandler))
+		fingerprint, parts := quarantine.FingerprintOf("POST", "/item", "", nil), quarantine.Parts{quarantine.PartFingerprint("s", "part")}
+		for number := range 4 * quarantinePolicy.Crashes {
+			_, err := guarded.Send(t.Context(), serving.Attempt{
+				Fingerprint: fingerprint, Parts: parts, IsItem: true, Target: "/item", Remaining: time.Second, Instance: backend.Instance{ID: fmt.Sprint("b", number)},
+			})
+			var failed *serving.AttemptError
+			require.ErrorAs(t, err, &failed)
+			require.Equal(t, serving.ReasonBroken, failed.Reason, "the item is sent")
+			time.Sleep(time.Second)
+		}
+		_, isQuarantined := guard.Verdict(fingerprint, parts)
+		require.False(t, isQuarantined)
+	})
+}
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -86,7 +86,10 @@
 	// Fingerprint identifies the request's content, independent of its id.
 	Fingerprint quarantine.Fingerprint
 	// Parts identify the parts of the prompt.
-	Parts  quarantine.Parts
+	Parts quarantine.Parts
+	// IsItem is set for an item of a job. Items don't crash backends by themselves: a crash is
+	// no evidence against them, and they are not refused because of a quarantine.
+	IsItem bool
 	Method string
 	Target string
 	Host   string
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -118,7 +118,7 @@
 func requestFor(task *batch.Task, attemptID string) engine.GenerateRequest {
 	return engine.GenerateRequest{
 		AttemptID: attemptID, Model: task.Item.Body.Model, Input: task.Item.Body.Input(),
-		MaxTokens: task.Item.Body.TokenLimit(), Priority: engine.PriorityBatch, Continue: task.Tokens, Fingerprint: task.Fingerprint(),
+		MaxTokens: task.Item.Body.TokenLimit(), Priority: engine.PriorityBatch, Continue: task.Tokens, Fingerprint: task.Fingerprint(), IsItem: true,
 	}
 }
 
@@ -145,14 +145,10 @@
 }
 
 // handleFailure handles a failed attempt of a repeatable item. The task fails if it is
-// invalid, quarantined or has failed maxItemFailures times, and finishes if it has all
+// invalid or has failed maxItemFailures times, and finishes if it has all
 // its tokens; otherwise it goes back to the worker. Only attempts with an unknown
 // outcome count as failures; refusals and preemptions do not.
 func (l *engineLoop) handleFailure(ctx context.Context, task *batch.Task, err error) {
-	if engine.CodeOf(err) == engine.CodeQuarantined {
-		l.failQuarantined(task)
-		return
-	}
 	if engine.OutcomeOf(err) == engine.OutcomeInvalid {
 		l.supervisor.worker.Fail(task, failure.Wrap(err, failure.KindInvalid, engine.CodeOf(err), "the engine rejected the item"))
 		return
@@ -176,12 +172,6 @@
 	l.supervisor.worker.GiveBack(task)
 }
 
-// failQuarantined fails an item that is quarantined.
-func (l *engineLoop) failQuarantined(task *batch.Task) {
-	l.supervisor.log.Info("batch_item_quarantined", "request", task.RequestID(), "failures", task.Failures)
-	l.supervisor.worker.Fail(task, failure.New(failure.KindEngineFailed, engine.CodeQuarantined, "engines crashed while they ran this item"))
-}
-
 // runOnce runs an item that may not be repeated. The intent is written to the store
 // before the item is sent. After that the item is only resumed, unless the engine
 // reports that it did not run it.
@@ -205,10 +195,6 @@
 	if err == nil || ctx.Err() != nil {
 		return
 	}
-	if engine.CodeOf(err) == engine.CodeQuarantined {
-		l.failQuarantined(task)
-		return
-	}
 	if engine.OutcomeOf(err) == engine.OutcomeNotRun {
 		l.pauseBatch()
 		task.Earlier, task.Refused = nil, intent.AttemptID
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -328,6 +328,13 @@
 	'if _, isQuarantined := s.guard.Verdict(attempt.Fingerprint, attempt.Parts); !isQuarantined {' 'if true {' internal/serving TestGuardedSenderRefusesQuarantined
 mutant every_break_is_a_crash internal/serving/guarded.go \
 	'	if !hasEnded {' '	if false {' platform TestBrokenAnswersAreNoEvidence
+mutant items_suspected_of_crashes internal/serving/guarded.go \
+	'	if attempt.IsItem {
+		return nil
+	}
+	run :=' '	run :=' internal/serving TestCrashIsNoEvidenceAgainstItems
+mutant items_with_held_part_all_at_once internal/job/heldparts.go \
+	'now.Sub(h.triedAt[verdict.Fingerprint]) < heldPartTrialInterval' 'false' internal/job TestHeldPartIsTriedOneItemAtATime
 mutant quarantined_sent_to_engines internal/engine/quarantine.go \
 	'if _, isQuarantined := c.Quarantine.Verdict(fingerprint, parts); !isQuarantined {' 'if true {' internal/gateway TestCrashingRequestIsQuarantined
 mutant silent_store_connections_kept platform/store.go \
