--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -365,6 +365,8 @@
 	'isolatedShare = 1.0' 'isolatedShare = 0.25' internal/ratelimit TestSharesStayWithinTolerance
 mutant connection_used_twice_for_a_request platform/pool.go \
 	'if !found.sent.contains(id) {' 'if true {' platform TestLateCopyOfRefusalIsNotBelieved
+mutant comments_without_end platform/answer.go \
+	'a.commentBytes > maxCommentBytes' 'false' platform TestBytesWithoutEndAreGivenUp
 mutant rested_over_a_sleep platform/pool.go \
 	'p.clock.Now() < last.usedUntil' 'last.usedUntil > 0' platform TestConnectionsIdleOverSuspendUnused
 mutant line_breaks_written internal/httphead/write.go \
