Jobs: contents of jobs that are over, and texts of old results, are dropped from the store

Cause: nothing dropped an object. Names of objects are new for each attempt and name the job. Before: TestContentOfFinishedJobIsDropped and TestContentOfCancelledJobIsDropped cannot pass: no call drops an object.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -182,7 +182,7 @@
 	f.Jobs = job.NewService(job.Dependencies{
 		Availability: bufferAvailability(process, availability), SubmissionLimits: submissionbuffer.LimitsOf(process.MemoryMegabytes, process.HeldSubmissionsShare),
 		Self: job.Self{Name: self.Name, Incarnation: func() int64 { return f.node.Self().Incarnation }}, Store: f.store, Backends: f.Backends, Sender: sender,
-		Holder: f.Holder, Peers: peers{node: f.node, transport: f.transport, log: log}, Metrics: metrics.Serving, Logger: log, Connections: f.Core.ConnectionShare, SettlingTime: settlingTime,
+		Holder: f.Holder, Peers: peers{node: f.node, transport: f.transport, log: log}, Metrics: metrics.Serving, Logger: log, Connections: f.Core.ConnectionShare, SettlingTime: settlingTime, ResultRetention: time.Duration(process.ResultRetention),
 		Quota: accounts, Zone: process.Zone, BatchCapacity: process.BatchCapacity, Quarantine: f.Quarantine, ClaimsAge: claims.Age,
 	})
 	claims.Consumer = f.Jobs
--- a/internal/frontend/peerstore.go
+++ b/internal/frontend/peerstore.go
@@ -152,6 +152,16 @@
 	return err
 }
 
+// DropObject implements table.Store. It is not forwarded.
+func (p *peerStore) DropObject(context.Context, string) error {
+	return &table.Error{Kind: table.ErrorNotDone, Call: "drop_object"}
+}
+
+// Objects implements table.Store. It is not forwarded.
+func (p *peerStore) Objects(context.Context, string, string) ([]string, bool, error) {
+	return nil, false, &table.Error{Kind: table.ErrorNotDone, Call: "objects"}
+}
+
 // GetObject implements table.Store.
 func (p *peerStore) GetObject(ctx context.Context, name string) ([]byte, error) {
 	answer, err := p.call(ctx, storeGetObject, storeRequest{Name: name})
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -67,7 +67,7 @@
 
 // accept commits the acceptance of a job whose tokens are reserved.
 func (s *Service) accept(ctx context.Context, submitted Job, reserved reservation, wasTried bool) error {
-	transaction, err := s.acceptanceTransaction(ctx, submitted, reserved)
+	transaction, object, err := s.acceptanceTransaction(ctx, submitted, reserved)
 	if err != nil {
 		s.release(reserved)
 		s.logAcceptance(submitted, "refused", err)
@@ -94,7 +94,7 @@
 		return s.acknowledgeExisting(submitted, outcome.tenant)
 	}
 	s.logAcceptance(submitted, "accepted", nil)
-	s.startJob(submitted, versionedClaim{claim: s.newClaim(1, submitted.Tenant), version: outcome.version}, history{settled: reserved.settlement()})
+	s.startJob(submitted, versionedClaim{claim: s.newClaim(1, submitted.Tenant), version: outcome.version}, history{settled: reserved.settlement(), contentObject: object})
 	return nil
 }
 
@@ -147,9 +147,9 @@
 )
 
 // acceptanceTransaction builds the transaction that creates a job. It includes the
-// content rows, which saves a second call.
-func (s *Service) acceptanceTransaction(ctx context.Context, submitted Job, reserved reservation) (table.Transaction, error) {
-	transaction := table.Transaction{
+// content rows, which saves a second call, or names the object that holds the content.
+func (s *Service) acceptanceTransaction(ctx context.Context, submitted Job, reserved reservation) (transaction table.Transaction, object string, err error) {
+	transaction = table.Transaction{
 		Partition:  shard(submitted.ID),
 		Conditions: []table.Condition{{Table: tableAccepted, Key: submitted.ID}, {Table: tableVoid, Key: submitted.ID, Version: reserved.voided}},
 	}
@@ -158,23 +158,23 @@
 	}
 	content, err := encodeJob(submitted)
 	if err != nil {
-		return transaction, err
+		return transaction, "", err
 	}
 	row := acceptance{Total: len(submitted.Items), Tenant: submitted.Tenant}
 	if len(content) > maxContentBytes {
-		row.Object = objectName(submitted.ID, content)
+		row.Object = newObjectName(contentPrefix, submitted.ID)
 		if err := s.putObject(ctx, row.Object, content); err != nil {
-			return transaction, notStored(err)
+			return transaction, "", notStored(err)
 		}
 		content = nil
 	}
 	accepted, err := encode(row)
 	if err != nil {
-		return transaction, err
+		return transaction, "", err
 	}
 	claimed, err := encode(s.newClaim(1, submitted.Tenant))
 	if err != nil {
-		return transaction, err
+		return transaction, "", err
 	}
 	transaction.Writes = []table.Write{
 		{Table: tableAccepted, Key: submitted.ID, Value: accepted},
@@ -185,7 +185,7 @@
 		content = content[len(part):]
 		transaction.Writes = append(transaction.Writes, table.Write{Table: tableContent, Key: numberedKey(submitted.ID, number), Value: part})
 	}
-	return transaction, nil
+	return transaction, row.Object, nil
 }
 
 // acceptanceOutcome is the result of committing an acceptance: the job was created at
--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -4,10 +4,8 @@
 	"bytes"
 	"context"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"topazpulley/internal/periodic"
@@ -35,8 +33,10 @@
 // commitFinished uses the fields below Result.
 type finishedResult struct {
 	Result
-	// object is the name of the stored object that holds the text, or empty.
-	object string
+	// object is the name of the object that holds the text, or empty. isStored is set once
+	// the object is stored.
+	object   string
+	isStored bool
 	// needsObject is set if the text must be stored as an object whatever its length.
 	needsObject bool
 	// retryAt is when the result may be part of a commit again.
@@ -253,14 +253,16 @@
 		result.needsObject = true
 	}
 	if result.object == "" {
+		result.object = newObjectName(textPrefix, o.job.ID)
+	}
+	if !result.isStored {
 		text := []byte(result.Text)
-		name := "result-" + result.Item + "-" + strconv.FormatUint(xxhash.Sum64(text), 16)
-		if err := o.service.putObjectOnce(ctx, name, text); err != nil {
+		if err := o.service.putObjectOnce(ctx, result.object, text); err != nil {
 			result.retryAt = time.Now().Add(objectRetryPause)
 			o.service.log.Info("job_result_object_not_stored", "job", o.job.ID, "item", result.Item, "text_bytes", len(text), "error", err)
 			return nil, nil
 		}
-		result.object = name
+		result.isStored = true
 	}
 	return encode(resultRow{Item: result.Item, State: result.State, Object: result.object})
 }
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -77,11 +77,12 @@
 	for index := range accepted.Items {
 		accepted.Items[index].Body = make([]byte, 10000)
 	}
+	fake.pause = 100 * time.Millisecond
 	require.NoError(t, owner.Submit(t.Context(), accepted))
-	requireAllCompleted(t, reader, accepted)
 	body, err := reader.Body(t.Context(), "j1", "j1-item99")
 	require.NoError(t, err)
 	require.Len(t, body, 10000)
+	requireAllCompleted(t, reader, accepted)
 }
 
 // TestFailingItemsAreAbandoned: an item that is rejected is sent once, an item that fails at
--- a/internal/job/ownedjob.go
+++ b/internal/job/ownedjob.go
@@ -79,8 +79,10 @@
 	job     Job
 	due     time.Time
 	giveUp  time.Time
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// contentObject is the object that holds the job's content; empty if it is in rows.
+	contentObject string
+	ctx           context.Context
+	cancel        context.CancelFunc
 
 	mutex sync.Mutex
 	claim versionedClaim
@@ -115,6 +117,8 @@
 	// settled is the settlement that the job's quota account last received. The zero
 	// value means unknown.
 	settled settlement
+	// contentObject is the object that holds the job's content; empty if it is in rows.
+	contentObject string
 }
 
 // startJob starts running a job under a claim, unless the service stops, already runs
@@ -124,7 +128,7 @@
 	started := &ownedJob{
 		service: s, job: accepted, due: accepted.SubmittedAt.Add(accepted.Due), ctx: ctx, cancel: cancel,
 		claim: held, committed: len(earlier.listed), committedSignal: make(chan struct{}), commitLimit: maxCommitBytes, commitCount: maxCommitResults,
-		settled: earlier.settled,
+		settled: earlier.settled, contentObject: earlier.contentObject,
 	}
 	if started.settled.at.IsZero() {
 		started.settled.at = time.Now()
@@ -224,6 +228,7 @@
 	o.notifyCommit()
 	if reason.isOver() {
 		s.settleEnded(o)
+		s.dropContent(o)
 	}
 	s.log.Info("job_dropped", "job", o.job.ID, "reason", string(reason), "epoch", o.claim.claim.Epoch, "version", o.claim.version, "claims_age_ms", ageMillis(s.claimsAge()))
 }
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -223,6 +223,9 @@
 		return nil, err
 	}
 	loaded, err := s.load(ctx, id, accepted)
+	if isMissing(err) && !s.isOpen(id) {
+		return nil, failure.Wrap(err, failure.KindNotFound, "job_over", "job %s is over and its items are not kept", id)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"topazpulley/internal/backend"
 	"topazpulley/internal/batchcapacity"
 	"topazpulley/internal/quarantine"
@@ -64,6 +62,8 @@
 	Connections func(service string) int
 	// Quota limits the tokens queued on a route. Nil means no limit.
 	Quota *quota.Accounts
+	// ResultRetention is how long the texts of results are kept after their job is over.
+	ResultRetention time.Duration
 	// SettlingTime is how long after its start the service sends no items unless it has
 	// received reports of other daemons.
 	SettlingTime time.Duration
@@ -124,6 +124,7 @@
 	availability     Availability
 	submissions      *submissionbuffer.Buffer
 	sweeper          sweeper
+	objectSweeper    *objectSweeper
 	cancellations    cancellations
 	pageLimit        pageLimit
 
@@ -170,7 +171,7 @@
 		capacityTracker: newCapacityTracker(dependencies.BatchCapacity, newRandom()), preemptor: newPreemptor(newRandom()), heldParts: newHeldParts(),
 		claims: map[string]versionedClaim{}, removed: map[string]table.Version{}, orphans: map[string]time.Time{}, claimedAt: map[string]time.Time{}, takeovers: newTakeovers(), owned: map[string]*ownedJob{}, accepted: map[string]acceptance{},
 		quota: dependencies.Quota, quarantine: dependencies.Quarantine, claimsAge: dependencies.ClaimsAge,
-		availability: dependencies.Availability, submissions: submissionbuffer.New(dependencies.SubmissionLimits), unsettledJobs: map[string]endedJob{}, sweeper: newSweeper(), cancellations: newCancellations(),
+		availability: dependencies.Availability, submissions: submissionbuffer.New(dependencies.SubmissionLimits), unsettledJobs: map[string]endedJob{}, sweeper: newSweeper(), objectSweeper: newObjectSweeper(dependencies.ResultRetention), cancellations: newCancellations(),
 	}
 	service.placer = newPlacer(newRandom(), dependencies.Zone, service.batchCapacity)
 	return service
@@ -187,6 +188,7 @@
 	go s.superviseClaims(ctx)
 	go s.saveCheckpoints(ctx)
 	go s.observeDemand(ctx)
+	go s.sweepObjects(ctx)
 	if s.quota != nil {
 		go s.settleAll(ctx)
 		go s.sweepAll(ctx)
@@ -231,8 +233,3 @@
 	default:
 	}
 }
-
-// objectName returns the name of the object that holds a job's content.
-func objectName(id string, content []byte) string {
-	return "job-" + id + "-" + strconv.FormatUint(xxhash.Sum64(content), 16)
-}
--- a/internal/job/takeover.go
+++ b/internal/job/takeover.go
@@ -148,6 +148,7 @@
 	if err != nil {
 		return loaded, earlier, "acceptance", err
 	}
+	earlier.contentObject = accepted.Object
 	if loaded, err = s.load(ctx, id, accepted); err != nil {
 		return loaded, earlier, "content", err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -105,6 +105,8 @@
 	// a request for it to be quarantined, and QuarantineTime is how long it stays so.
 	QuarantineCrashes int      `toml:"quarantine_crashes"`
 	QuarantineTime    Duration `toml:"quarantine_time"`
+	// ResultRetention is how long the texts of long results are kept after their job is over.
+	ResultRetention Duration `toml:"result_retention"`
 	// ResponseTimeouts is how the response timeout of a repeatable request is set: from
 	// the measured response times of the service ("learned"), as half of the objective
 	// ("fixed"), or as three objectives, four for a stream ("objectives").
@@ -151,6 +153,7 @@
 	defaultHeldSubmissionsShare        = 0.05
 	maxHeldSubmissionsShare            = 0.5
 	defaultQuarantineTime              = Duration(10 * time.Minute)
+	defaultResultRetention             = Duration(10 * time.Minute)
 )
 
 // Default returns the default settings. Required values are empty.
@@ -169,6 +172,7 @@
 		RateToleranceRequests:       defaultRateToleranceRequests,
 		QuarantineCrashes:           defaultQuarantineCrashes,
 		QuarantineTime:              defaultQuarantineTime,
+		ResultRetention:             defaultResultRetention,
 		ResponseTimeouts:            string(responsetimeout.ModeObjectives),
 		HeldSubmissionsShare:        defaultHeldSubmissionsShare,
 		WaitingOrder:                WaitingOrderFleet,
@@ -271,6 +275,9 @@
 	if s.RequiredSignatures < 1 || s.RequiredSignatures > max(1, len(s.OperatorKeys)) {
 		return invalid("required_signatures", "give a number from 1 to the number of operator_keys")
 	}
+	if s.ResultRetention <= 0 {
+		return invalid("result_retention", "give a positive duration")
+	}
 	if s.ProbeInterval <= 0 {
 		return invalid("probe_interval", "give a positive duration")
 	}
--- a/internal/table/availability.go
+++ b/internal/table/availability.go
@@ -199,6 +199,20 @@
 	return err
 }
 
+// DropObject implements Store.
+func (a *Availability) DropObject(ctx context.Context, name string) error {
+	err := a.Store.DropObject(ctx, name)
+	a.recordResult(ctx, err)
+	return err
+}
+
+// Objects implements Store.
+func (a *Availability) Objects(ctx context.Context, prefix, after string) ([]string, bool, error) {
+	names, more, err := a.Store.Objects(ctx, prefix, after)
+	a.recordResult(ctx, err)
+	return names, more, err
+}
+
 // GetObject implements Store.
 func (a *Availability) GetObject(ctx context.Context, name string) ([]byte, error) {
 	content, err := a.Store.GetObject(ctx, name)
--- a/internal/table/forwarding.go
+++ b/internal/table/forwarding.go
@@ -216,6 +216,16 @@
 	return err
 }
 
+// DropObject implements Store. It is not forwarded: another daemon drops the object later.
+func (f *Forwarding) DropObject(ctx context.Context, name string) error {
+	return f.Direct.DropObject(ctx, name)
+}
+
+// Objects implements Store. It is not forwarded.
+func (f *Forwarding) Objects(ctx context.Context, prefix, after string) ([]string, bool, error) {
+	return f.Direct.Objects(ctx, prefix, after)
+}
+
 // GetObject implements Store.
 func (f *Forwarding) GetObject(ctx context.Context, name string) ([]byte, error) {
 	return forward(ctx, f, true, func(ctx context.Context, store Store) ([]byte, error) { return store.GetObject(ctx, name) })
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -103,6 +103,10 @@
 	PutObject(ctx context.Context, name string, content []byte) error
 	// GetObject reads an object.
 	GetObject(ctx context.Context, name string) ([]byte, error)
+	// DropObject removes an object. It returns nil if there is none.
+	DropObject(ctx context.Context, name string) error
+	// Objects lists the names of objects with a prefix after the given one.
+	Objects(ctx context.Context, prefix, after string) (names []string, more bool, err error)
 }
 
 // ErrorKind is the outcome of a failed call.
--- a/internal/table/tabletest/memory.go
+++ b/internal/table/tabletest/memory.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -331,6 +332,40 @@
 	return nil
 }
 
+// DropObject implements table.Store.
+func (m *Memory) DropObject(_ context.Context, name string) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := refuse(m.decide("drop_object"), "drop_object"); err != nil {
+		return err
+	}
+	delete(m.objects, name)
+	return nil
+}
+
+// objectsPage is the maximum number of names that Objects returns.
+const objectsPage = 1000
+
+// Objects implements table.Store.
+func (m *Memory) Objects(_ context.Context, prefix, after string) ([]string, bool, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := refuse(m.decide("objects"), "objects"); err != nil {
+		return nil, false, err
+	}
+	names := []string{}
+	for name := range m.objects {
+		if strings.HasPrefix(name, prefix) && name > after {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	if len(names) > objectsPage {
+		return names[:objectsPage], true, nil
+	}
+	return names, false, nil
+}
+
 // GetObject implements table.Store.
 func (m *Memory) GetObject(_ context.Context, name string) ([]byte, error) {
 	m.mutex.Lock()
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -333,6 +333,8 @@
 		return nil
 	}
 	run :=' '	run :=' internal/serving TestCrashIsNoEvidenceAgainstItems
+mutant content_of_ended_jobs_kept internal/job/ownedjob.go \
+	'		s.dropContent(o)' '' internal/job TestContentOfFinishedJobIsDropped
 mutant items_with_held_part_all_at_once internal/job/heldparts.go \
 	'now.Sub(h.triedAt[verdict.Fingerprint]) < heldPartTrialInterval' 'false' internal/job TestHeldPartIsTriedOneItemAtATime
 mutant quarantined_sent_to_engines internal/engine/quarantine.go \
