Items with a held part: a trial counts once the item is sent

Seen once in eight plays of TestItemsWithQuarantinedPartAreOwed (beside load): the items were not run within 15 s. Cause: a permitted trial counted although the item then found no place, and the others waited for the next one. It counts when a back end is taken now. The play also requires that items are held.

--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -150,7 +150,11 @@
 	if !found {
 		return false // its route is not known here
 	}
-	if s.placer.isFull(service) || s.waitsForPart(waiting, service, now) {
+	if s.placer.isFull(service) {
+		return false
+	}
+	held, isHeld := s.heldPart(waiting, service)
+	if s.waitsForPart(waiting, held, isHeld, now) {
 		return false
 	}
 	if !s.placer.hasCapacity(service, s.mustRun(waiting, service, now)) {
@@ -165,6 +169,10 @@
 	if !found {
 		return false
 	}
+	if isHeld {
+		s.heldParts.record(held.Fingerprint, now)
+		s.logHeld("item_tried", waiting, held, now)
+	}
 	if at := originAt(lease.Instance()); waiting.progress.lastID() > 0 && !waiting.progress.isFrom(at) {
 		s.startOver(waiting, chosen.ID, at)
 	}
@@ -203,13 +211,18 @@
 // quarantine may be lifted at any time.
 const heldPartPause = 500 * time.Millisecond
 
-// waitsForPart postpones an item because a part of its prompt is quarantined for online
-// requests, and reports whether it does.
-func (s *Service) waitsForPart(waiting *ownedItem, service string, now time.Time) bool {
+// heldPart returns the verdict on a part of an item's prompt that is quarantined for online
+// requests, if one is.
+func (s *Service) heldPart(waiting *ownedItem, service string) (verdict quarantine.Verdict, isHeld bool) {
 	if s.quarantine == nil {
-		return false
+		return quarantine.Verdict{}, false
 	}
-	verdict, isHeld := s.quarantine.PartsVerdict(waiting.partsAt(service))
+	return s.quarantine.PartsVerdict(waiting.partsAt(service))
+}
+
+// waitsForPart postpones an item with a held part until it may be tried, and reports whether it
+// does.
+func (s *Service) waitsForPart(waiting *ownedItem, verdict quarantine.Verdict, isHeld bool, now time.Time) bool {
 	owner := waiting.owner
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
@@ -221,15 +234,14 @@
 	if isFirst {
 		waiting.heldSince = now
 	}
-	if !s.heldParts.mayTry(verdict, waiting.heldSince, now) {
-		waiting.notBefore = now.Add(heldPartPause)
-		if isFirst {
-			s.logHeld("item_held", waiting, verdict, now)
-		}
-		return true
+	if s.heldParts.mayTry(verdict, waiting.heldSince, now) {
+		return false
 	}
-	s.logHeld("item_tried", waiting, verdict, now)
-	return false
+	waiting.notBefore = now.Add(heldPartPause)
+	if isFirst {
+		s.logHeld("item_held", waiting, verdict, now)
+	}
+	return true
 }
 
 // logHeld logs a decision on an item with a quarantined prompt part.
--- a/internal/job/heldparts.go
+++ b/internal/job/heldparts.go
@@ -30,26 +30,23 @@
 }
 
 // mayTry reports whether an item that waits since a time may be tried now, given the verdict on
-// a part of its prompt. A trial that is permitted counts.
+// a part of its prompt.
 func (h *heldParts) mayTry(verdict quarantine.Verdict, waitingSince, now time.Time) bool {
 	isCalm := now.Sub(verdict.Since) >= heldPartCalm
 	isOverdue := now.Sub(waitingSince) >= maxHeldPartWait
 	if !isCalm && !isOverdue {
 		return false
 	}
-	if now.Sub(h.triedAt[verdict.Fingerprint]) < heldPartTrialInterval {
-		return false
-	}
-	h.expire(now)
-	h.triedAt[verdict.Fingerprint] = now
-	return true
+	return now.Sub(h.triedAt[verdict.Fingerprint]) >= heldPartTrialInterval
 }
 
-// expire forgets the trials that don't delay others any more.
-func (h *heldParts) expire(now time.Time) {
-	for part, at := range h.triedAt {
+// record records that an item with the part was sent. It forgets the trials that don't delay
+// others any more.
+func (h *heldParts) record(part quarantine.Fingerprint, now time.Time) {
+	for each, at := range h.triedAt {
 		if now.Sub(at) >= heldPartTrialInterval {
-			delete(h.triedAt, part)
+			delete(h.triedAt, each)
 		}
 	}
+	h.triedAt[part] = now
 }
--- a/test/mutants.d/parts.sh
+++ b/test/mutants.d/parts.sh
@@ -2,7 +2,7 @@
 mutant parts_not_judged internal/quarantine/guard.go \
 	'return g.ledger.PartsVerdict(parts, now)' 'return Verdict{}, false' platform TestPartThatTurnsBadIsStopped
 mutant parts_of_items_not_read platform/jobs.go \
-	'item.Prompt = parsePrompt(value)' '_ = value' platform TestItemsWithPartThatCrashesBackendsAreStopped
+	'item.Prompt = parsePrompt(value)' '_ = value' platform TestItemsWithQuarantinedPartAreOwed
 mutant parts_of_a_malformed_list_not_read platform/requests.go \
 	'			tokens = 0' '			return nil' platform TestPartThatCrashesBackendsIsStopped/spelled
 mutant innocent_parts_held_beside_a_culprit internal/quarantine/ledger.go \
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -336,7 +336,7 @@
 mutant content_of_ended_jobs_kept internal/job/ownedjob.go \
 	'		s.dropContent(o)' '' internal/job TestContentOfFinishedJobIsDropped
 mutant items_with_held_part_all_at_once internal/job/heldparts.go \
-	'now.Sub(h.triedAt[verdict.Fingerprint]) < heldPartTrialInterval' 'false' internal/job TestHeldPartIsTriedOneItemAtATime
+	'now.Sub(h.triedAt[verdict.Fingerprint]) >= heldPartTrialInterval' 'true' internal/job TestHeldPartIsTriedOneItemAtATime
 mutant quarantined_sent_to_engines internal/engine/quarantine.go \
 	'if _, isQuarantined := c.Quarantine.Verdict(fingerprint, parts); !isQuarantined {' 'if true {' internal/gateway TestCrashingRequestIsQuarantined
 mutant silent_store_connections_kept platform/store.go \
