--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -119,7 +119,7 @@
 	}
 	size := 0' 'Conditions: []table.Condition{},
 	}
-	for index' internal/job TestOwnerWithoutWatchCommitsNothingAfterCancel
+	size := 0' internal/job TestOwnerWithoutWatchCommitsNothingAfterCancel
 mutant no_end_check_at_takeover internal/job/ownedjob.go \
 	's.followed >= version && s.claims[id].version != version' 'false' internal/job TestJobCanceledDuringTakeoverIsNotRun
 mutant job_taken_up_again internal/job/ownedjob.go \
--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -62,7 +62,7 @@
 	}
 	size := 0' 'Conditions: []table.Condition{},
 	}
-	for index'
+	size := 0'
 replace internal/job/commit.go 'transaction.Conditions = append(transaction.Conditions, table.Condition{Table: tableResult, Key: key})' ''
 soak no_fence
 
