Quarantine: that items are no suspects stands in the guard, for both doors

The rule stood in the sender of one door and three times in the client of the other. A run says that it is an item (Run.IsItem); Guard.Crashed takes none as evidence. Behaviour as before.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -161,19 +161,15 @@
 	finished  bool
 	// run identifies the request for the quarantine; zero for a resumed attempt.
 	run quarantine.Run
-	// isItem is set for an item of a batch, which is no suspect of a crash.
-	isItem bool
 	// tokens is the number of tokens received.
 	tokens int
 }
 
 // Generate sends the request and returns its stream.
 func (c *Client) Generate(ctx context.Context, address string, request GenerateRequest) (*Stream, error) {
-	run := quarantine.Run{Fingerprint: request.Fingerprint, Parts: messageParts(request.Model, request.Input)}
-	if !request.IsItem {
-		if err := c.checkQuarantine(run.Fingerprint, run.Parts); err != nil {
-			return nil, err
-		}
+	run := quarantine.Run{Fingerprint: request.Fingerprint, Parts: messageParts(request.Model, request.Input), IsItem: request.IsItem}
+	if err := c.checkQuarantine(run); err != nil {
+		return nil, err
 	}
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -181,13 +177,11 @@
 	}
 	stream, err := c.open(ctx, address, request.AttemptID, len(request.Continue), fasthttp.MethodPost, PathGenerate, body)
 	if err != nil {
-		if !request.IsItem {
-			c.recordCrash(ctx, address, run, err)
-		}
+		c.recordCrash(ctx, address, run, err)
 		c.cancelAbandoned(address, request, err)
 		return nil, err
 	}
-	stream.run, stream.isItem = run, request.IsItem
+	stream.run = run
 	return stream, nil
 }
 
@@ -273,9 +267,7 @@
 		if !open {
 			s.finished = true
 			err := &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete, cause: s.readError}
-			if !s.isItem {
-				s.client.recordCrash(ctx, s.address, s.run, err)
-			}
+			s.client.recordCrash(ctx, s.address, s.run, err)
 			return Event{}, err
 		}
 		return s.check(event)
@@ -420,12 +412,13 @@
 // Call sends a request to a plain service. An answer with another attempt id is
 // an error.
 func (c *Client) Call(ctx context.Context, address string, call CallRequest) (CallAnswer, error) {
-	if err := c.checkQuarantine(call.Fingerprint, nil); err != nil {
+	run := quarantine.Run{Fingerprint: call.Fingerprint}
+	if err := c.checkQuarantine(run); err != nil {
 		return CallAnswer{}, err
 	}
 	answer, err := c.callOnce(ctx, address, call)
 	if err != nil {
-		c.recordCrash(ctx, address, quarantine.Run{Fingerprint: call.Fingerprint}, err)
+		c.recordCrash(ctx, address, run, err)
 		return answer, err
 	}
 	c.recordSuccess(call.Fingerprint, Event{})
--- a/internal/engine/quarantine.go
+++ b/internal/engine/quarantine.go
@@ -35,12 +35,12 @@
 }
 
 // checkQuarantine returns an error if the request is quarantined. It is called for all
-// online and batch requests to engines.
-func (c *Client) checkQuarantine(fingerprint quarantine.Fingerprint, parts quarantine.Parts) error {
-	if c.Quarantine == nil {
+// online and batch requests to engines; items of a batch are never quarantined.
+func (c *Client) checkQuarantine(run quarantine.Run) error {
+	if c.Quarantine == nil || run.IsItem {
 		return nil
 	}
-	if _, isQuarantined := c.Quarantine.Verdict(fingerprint, parts); !isQuarantined {
+	if _, isQuarantined := c.Quarantine.Verdict(run.Fingerprint, run.Parts); !isQuarantined {
 		return nil
 	}
 	return &AttemptError{Outcome: OutcomeNotRun, Code: CodeQuarantined}
@@ -66,7 +66,7 @@
 // before the caller's next attempt.
 func (c *Client) recordCrash(ctx context.Context, address string, run quarantine.Run, err error) {
 	isBroken := CodeOf(err) == CodeBroken || CodeOf(err) == CodeIncomplete
-	if c.Quarantine == nil || run.Fingerprint == (quarantine.Fingerprint{}) || ctx.Err() != nil || !isBroken {
+	if c.Quarantine == nil || run.IsItem || run.Fingerprint == (quarantine.Fingerprint{}) || ctx.Err() != nil || !isBroken {
 		return
 	}
 	if !hasExited(address) {
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -104,11 +105,15 @@
 	HadOutput bool
 	// Parts are the parts of its prompt, without those that its output shows to be sound.
 	Parts Parts
+	// IsItem is set for an item of a job or batch. Items don't crash backends by themselves,
+	// so that a crash is no evidence against them.
+	IsItem bool
 }
 
 // Crashed records that a backend crashed while these requests were in flight there.
 func (g *Guard) Crashed(instance string, runs []Run) {
 	now := time.Now()
+	runs = slices.DeleteFunc(slices.Clone(runs), func(run Run) bool { return run.IsItem })
 	g.countCrash(runs)
 	counted, excused := Notice{}, Notice{}
 	for _, evidence := range evidenceOfCrash(instance, runs, now) {
--- a/internal/serving/guarded.go
+++ b/internal/serving/guarded.go
@@ -98,27 +98,19 @@
 		return
 	}
 	incarnation := attempt.Instance.Incarnation()
+	run := quarantine.Run{Fingerprint: attempt.Fingerprint, HadOutput: events > 0, IsItem: attempt.IsItem}
+	if events < quarantine.SoundOutputs {
+		run.Parts = attempt.Parts
+	}
 	s.mutex.Lock()
-	runs, isBeingChecked := s.broken[incarnation]
-	s.broken[incarnation] = append(runs, suspectsOf(attempt, events)...)
+	_, isBeingChecked := s.broken[incarnation]
+	s.broken[incarnation] = append(s.broken[incarnation], run)
 	s.mutex.Unlock()
 	if !isBeingChecked {
 		go s.check(checker, attempt)
 	}
 }
 
-// suspectsOf returns the run of an attempt that may have crashed its backend; none for an item.
-func suspectsOf(attempt Attempt, events int) []quarantine.Run {
-	if attempt.IsItem {
-		return nil
-	}
-	run := quarantine.Run{Fingerprint: attempt.Fingerprint, HadOutput: events > 0}
-	if events < quarantine.SoundOutputs {
-		run.Parts = attempt.Parts
-	}
-	return []quarantine.Run{run}
-}
-
 // check checks whether a backend has exited and, if so, reports the runs that broke there
 // to the guard.
 func (s *GuardedSender) check(checker LiveChecker, attempt Attempt) {
