--- a/internal/frontend/peerstore.go
+++ b/internal/frontend/peerstore.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
@@ -94,8 +92,7 @@
 			return storeAnswer{}, &table.Error{Kind: table.ErrorUnknown, Call: string(operation), Cause: err}
 		}
 		err = answer.failure(operation)
-		var failed *table.Error
-		if errors.As(err, &failed) && failed.Kind == table.ErrorNotDone {
+		if table.IsKind(err, table.ErrorNotDone) {
 			continue
 		}
 		return answer, err
--- a/internal/job/accept.go
+++ b/internal/job/accept.go
@@ -140,7 +140,7 @@
 
 const (
 	// maxContentRowBytes limits the part of a job's content in one row.
-	maxContentRowBytes = 48 << 10
+	maxContentRowBytes = table.MaxRowBytes
 	// maxContentBytes limits the content in the acceptance transaction. Larger content is
 	// stored as an object first.
 	maxContentBytes = 600 << 10
@@ -237,16 +237,10 @@
 }
 
 // isUnknown reports whether a failed store call may have taken effect.
-func isUnknown(err error) bool {
-	var failed *table.Error
-	return errors.As(err, &failed) && failed.Kind == table.ErrorUnknown
-}
+func isUnknown(err error) bool { return table.IsKind(err, table.ErrorUnknown) }
 
 // isInvalid reports whether the store rejected a call, so that repeating it is useless.
-func isInvalid(err error) bool {
-	var failed *table.Error
-	return errors.As(err, &failed) && failed.Kind == table.ErrorInvalid
-}
+func isInvalid(err error) bool { return table.IsKind(err, table.ErrorInvalid) }
 
 // putObject stores an object and retries until ctx ends or the store rejects the object.
 // Storing the same object twice is harmless.
--- a/internal/job/objects.go
+++ b/internal/job/objects.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"topazpulley/internal/periodic"
 	"topazpulley/internal/table"
 )
@@ -31,9 +29,6 @@
 	// maxObjectPages and maxDropsPerSweep limit the calls of one check.
 	maxObjectPages   = 10
 	maxDropsPerSweep = 100
-	// maxSweepClaimsAge is the age of the followed copy of the claims up to which it tells which
-	// jobs are open.
-	maxSweepClaimsAge = 5 * time.Second
 	// objectSweepKey determines the daemon that checks.
 	objectSweepKey = "objects"
 )
@@ -50,10 +45,7 @@
 }
 
 // isMissing reports whether an object does not exist.
-func isMissing(err error) bool {
-	var failed *table.Error
-	return errors.As(err, &failed) && failed.Kind == table.ErrorMissing
-}
+func isMissing(err error) bool { return table.IsKind(err, table.ErrorMissing) }
 
 // dropContent drops the object that holds the content of a job that is over, in the background.
 // If that fails, the sweep drops it.
@@ -117,7 +109,7 @@
 // daemon of the fleet does so.
 func (s *Service) sweepObjects(ctx context.Context) {
 	periodic.Run(ctx, objectSweepInterval, func() {
-		if s.peers.Rank(objectSweepKey) != 0 || s.claimsAge() > maxSweepClaimsAge || !s.hasCurrentClaims() {
+		if s.peers.Rank(objectSweepKey) != 0 || !s.hasCurrentClaims() {
 			return
 		}
 		for _, prefix := range []string{contentPrefix, textPrefix} {
@@ -156,6 +148,6 @@
 
 // hasNoClaim reports whether the store certainly has no claim on a job.
 func (s *Service) hasNoClaim(ctx context.Context, id string) bool {
-	rows, err := s.read(ctx, table.Range{Table: tableClaim, Partition: shard(id), From: id, Before: id + "\x00", Limit: 1})
-	return err == nil && len(rows) == 0
+	stored, err := s.storedClaim(ctx, id)
+	return err == nil && stored.version == 0
 }
--- a/internal/table/availability.go
+++ b/internal/table/availability.go
@@ -159,10 +159,7 @@
 	a.failures++
 }
 
-func isThrottled(err error) bool {
-	var failed *Error
-	return errors.As(err, &failed) && failed.Kind == ErrorThrottled
-}
+func isThrottled(err error) bool { return IsKind(err, ErrorThrottled) }
 
 // Commit implements Store.
 func (a *Availability) Commit(ctx context.Context, transaction Transaction) (Version, error) {
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -239,10 +239,7 @@
 	f.Logger.Info("table_regained", "table", f.Table, "version", f.seenVersion())
 }
 
-func isCompacted(err error) bool {
-	var failed *Error
-	return errors.As(err, &failed) && failed.Kind == ErrorCompacted
-}
+func isCompacted(err error) bool { return IsKind(err, ErrorCompacted) }
 
 // watch makes one watch call and passes the changes on.
 func (f *Follower) watch(ctx context.Context) error {
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"topazpulley/internal/boottime"
 )
 
@@ -143,6 +145,12 @@
 	return errorKindNames[k]
 }
 
+// IsKind reports whether an error is a failed call to the store with this outcome.
+func IsKind(err error, kind ErrorKind) bool {
+	var failed *Error
+	return errors.As(err, &failed) && failed.Kind == kind
+}
+
 // Error is a failed call to the store.
 type Error struct {
 	Kind  ErrorKind
