--- a/test/mutants.d/endings.sh
+++ b/test/mutants.d/endings.sh
@@ -20,8 +20,8 @@
 	'		return err != nil' '		return false && err != nil' platform TestResetDuringWriteIsNoEnd
 mutant swallowed_reset_ends_plain_answers platform/answer.go \
 	'	if a.transfer.Ending() == serving.EndingBroken {
-		return nil, errors' '	if false {
-		return nil, errors' platform TestResetDuringWriteBreaksPlainAnswer
+		return errors' '	if false {
+		return errors' platform TestResetDuringWriteBreaksPlainAnswer
 mutant relay_ends_broken_streams internal/serving/relay.go \
 	'		if err != nil {
 			return err
