Test of a refusal before a silence: played until the refusal came first

Cause: which of the two backends is asked first is drawn. When the silent one is drawn first, nothing was refused before the silence, and the play can't tell the mutant from the code.

Change: each route is played until the refusal came before the silence five times; all checks as before.

--- a/internal/serving/successor_test.go
+++ b/internal/serving/successor_test.go
@@ -144,31 +144,53 @@
 }
 
 // TestRefusalBeforeSilenceDoesNotBarTakeover checks that a request without output is taken over by a
-// backend that had refused it before the silence and has room now.
+// backend that had refused it before the silence and has room now. The choice between the two is drawn:
+// each route is played until the full backend was asked first often enough.
 func TestRefusalBeforeSilenceDoesNotBarTakeover(t *testing.T) {
 	for name, policy := range notBegunPolicies() {
 		t.Run(name, func(t *testing.T) {
 			forEachKind(t, func(t *testing.T, hasReservations bool) {
-				p := newPlay(playedBackends(otherID, firstID), map[string][]treatment{firstID: {{silence: forGood}}}, hasReservations)
-				p.policy = policy
-				p.sender.setFull(otherID, true)
-				p.core.Sender = &openingSender{playedSender: p.sender}
-				p.serve(t.Context())
-				require.Equal(t, 1, p.caller.finished+p.caller.complete)
-				require.Equal(t, otherID, p.caller.from+p.caller.wholeFrom)
-				require.Equal(t, 1, p.sender.maxAtWork)
-				require.Len(t, p.sender.runs(), 2)
-				require.Equal(t, p.sender.runs()[0].endedAt, p.sender.runs()[1].sentAt, "sent in the moment of the takeover")
+				const refusedFirstWanted = 5
+				refusedFirst := 0
+				for plays := 0; refusedFirst < refusedFirstWanted; plays++ {
+					require.Less(t, plays, 20*refusedFirstWanted)
+					if playRefusalBeforeSilence(t, policy, hasReservations) {
+						refusedFirst++
+					}
+				}
 			})
 		})
 	}
 }
 
+// playRefusalBeforeSilence plays a request that the other backend refuses until the first, which falls
+// silent on it, has got it. It reports whether the request was refused before.
+func playRefusalBeforeSilence(t *testing.T, policy route.Route, hasReservations bool) bool {
+	p := newPlay(playedBackends(otherID, firstID), map[string][]treatment{firstID: {{silence: forGood}}}, hasReservations)
+	p.policy = policy
+	p.sender.setFull(otherID, true)
+	opening := &openingSender{playedSender: p.sender}
+	p.core.Sender = opening
+	p.serve(t.Context())
+	require.Equal(t, 1, p.caller.finished+p.caller.complete)
+	require.Equal(t, otherID, p.caller.from+p.caller.wholeFrom)
+	require.Equal(t, 1, p.sender.maxAtWork)
+	require.Len(t, p.sender.runs(), 2)
+	require.Equal(t, p.sender.runs()[0].endedAt, p.sender.runs()[1].sentAt, "sent in the moment of the takeover")
+	return opening.refusals > 0
+}
+
 // openingSender is a playedSender whose other backend has room once the first has got a request.
-type openingSender struct{ *playedSender }
+type openingSender struct {
+	*playedSender
+	// refusals is how often the request was refused before the first backend got it.
+	refusals int
+}
 
 func (s *openingSender) Send(ctx context.Context, attempt serving.Attempt) (serving.Answer, error) {
 	if attempt.Instance.ID == firstID {
+		refusedReservations := len(s.probedAt) - len(s.reservedAt)
+		s.refusals = refusedReservations + len(s.attempts)
 		s.setFull(otherID, false)
 	}
 	return s.playedSender.Send(ctx, attempt)
