Jobs: only answers of 500 count as failures of an item

What callers saw: nothing yet; found by reading.

Cause: every answer without events that was not 422 was a failure of the item. Answers that the sender rejects itself (503 without the promise that nothing ran) came the same way.

Evidence: TestOnlyServerErrorsAreFailuresOfItems failed before (never complete within 30 s), passes now.

Change: one function maps a status to what it means for an item; statuses from 501 on are charged to the backend, but for 504, and other ones to nobody. The pause before the next attempt doubles to 3.2 s while answers say nothing of the item, so that an item that all backends reject does not keep them busy.

The mutant other_statuses_fail_items is noticed.

--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -26,8 +26,14 @@
 	firstEventTimeout = 6 * time.Second
 	eventTimeout      = 3 * time.Second
 	itemMethod        = "POST"
-	// invalidStatus is a backend's answer to an item that can never succeed.
+	// invalidStatus is a backend's answer to an item that can never succeed, and failedStatus one that
+	// counts as a failure of the item.
 	invalidStatus = 422
+	failedStatus  = 500
+	// timedOutStatus is a backend's answer to an item whose time has run out.
+	timedOutStatus = 504
+	// maxAnswerPause is the longest time before an item is sent again whose answers say nothing of it.
+	maxAnswerPause = 3200 * time.Millisecond
 )
 
 // runItem makes one attempt at an item. permit is called once the connection is established.
@@ -89,10 +95,7 @@
 	head := answer.Head()
 	if !head.Successful() || !head.Events {
 		_, _ = answer.Body()
-		if head.Status == invalidStatus {
-			return &invalidItemError{status: head.Status}
-		}
-		return &serving.AttemptError{Outcome: serving.OutcomeFailed, Reason: serving.ReasonError}
+		return itemFailure(head.Status)
 	}
 	for isFirst := true; ; isFirst = false {
 		event, ending, err := answer.Next()
@@ -119,6 +122,20 @@
 	}
 }
 
+// itemFailure returns the failure that an answer without the item's events means. Only failedStatus
+// counts as a failure of the item: it is not abandoned for answers that say nothing of it.
+func itemFailure(status int) error {
+	switch {
+	case status == invalidStatus:
+		return &invalidItemError{status: status}
+	case status == failedStatus:
+		return &serving.AttemptError{Outcome: serving.OutcomeFailed, Reason: serving.ReasonError}
+	case status > failedStatus && status != timedOutStatus:
+		return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonError}
+	}
+	return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonStatus}
+}
+
 // recordItemTime adds the run time of a completed item to the estimate.
 func (s *Service) recordItemTime(ended *ownedItem) {
 	ran := ended.owner.ranFor(ended, time.Now())
@@ -156,7 +173,7 @@
 	owner := running.owner
 	failed := &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
 	_ = errors.As(err, &failed)
-	if failed.Reason == serving.ReasonError {
+	if isItemFailure(failed) {
 		// The item may be the cause, so the failure isn't counted against the backend.
 		running.progress.addFailure()
 	} else {
@@ -173,9 +190,27 @@
 		owner.finish(running, Result{Item: running.item.ID, State: StateAbandoned})
 		return
 	}
-	pause := failedPause
+	owner.requeue(running, running.pauseAfter(failed))
+}
+
+// isItemFailure reports whether a failed attempt counts as a failure of the item.
+func isItemFailure(failed *serving.AttemptError) bool {
+	return failed.Outcome == serving.OutcomeFailed && failed.Reason == serving.ReasonError
+}
+
+// pauseAfter returns the time before the item is sent again after a failed attempt. It grows with
+// answers in a row that say nothing of the item: each backend may give the same.
+func (i *ownedItem) pauseAfter(failed *serving.AttemptError) time.Duration {
 	if failed.Outcome == serving.OutcomeNotRun {
-		pause = refusedPause
+		return refusedPause
+	}
+	if failed.Reason != serving.ReasonStatus {
+		i.uselessAnswers = 0
+		return failedPause
+	}
+	pause := min(failedPause<<i.uselessAnswers, maxAnswerPause)
+	if pause < maxAnswerPause {
+		i.uselessAnswers++
 	}
-	owner.requeue(running, pause)
+	return pause
 }
--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -30,7 +30,9 @@
 	testTimeout  = 30 * time.Second
 	pollInterval = 10 * time.Millisecond
 	itemEvents   = 5
-	service      = "generator"
+	// maxAttempts is the number of failures after which an item is abandoned.
+	maxAttempts = 3
+	service     = "generator"
 )
 
 // testSubmissionLimits limits the submissions that a daemon of a test buffers.
@@ -84,6 +86,13 @@
 	return sent, nil
 }
 
+// answerWith sets the status of the answers to an item; 0 means success.
+func (f *fakeBackends) answerWith(id string, status int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.status[id] = status
+}
+
 // total returns the number of attempts of all items.
 func (f *fakeBackends) total() int {
 	f.mutex.Lock()
@@ -290,7 +299,7 @@
 	backends.Put(backend.Instance{ID: "one", Version: "v1", Service: service, Slots: 100})
 	holder := &route.Holder{}
 	holder.Apply(route.Config{Version: 1, Routes: []route.Route{{
-		Name: "jobs", Host: "host.example", Prefix: "/jobs/", Kind: route.KindJob, MaxAttempts: 3, MaxQueuedTokens: limit,
+		Name: "jobs", Host: "host.example", Prefix: "/jobs/", Kind: route.KindJob, MaxAttempts: maxAttempts, MaxQueuedTokens: limit,
 		Targets: []route.Target{{Service: service, Weight: 1}},
 	}}}, time.Now())
 	started := &daemon{name: name, peers: &fakePeers{gone: map[string]bool{}, suspected: map[string]bool{}}, backends: backends}
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -106,6 +106,24 @@
 	require.Equal(t, 3, fake.started("j1-item1"))
 }
 
+// TestOnlyServerErrorsAreFailuresOfItems guards against items that are abandoned although a backend
+// answered with statuses that say nothing of the item, or that don't tell whether it has run.
+func TestOnlyServerErrorsAreFailuresOfItems(t *testing.T) {
+	statuses := []int{204, 400, 404, 429, 502, 503, 504}
+	store, fake := tabletest.NewMemory(), newFakeBackends()
+	owner := startDaemon(t, "a", store, fake)
+	submitted := newJob("j1", len(statuses))
+	for index, status := range statuses {
+		fake.answerWith(submitted.Items[index].ID, status)
+	}
+	require.NoError(t, owner.Submit(t.Context(), submitted))
+	for _, item := range submitted.Items {
+		require.Eventually(t, func() bool { return fake.started(item.ID) > maxAttempts }, testTimeout, pollInterval)
+		fake.answerWith(item.ID, 0)
+	}
+	requireAllCompleted(t, owner, submitted)
+}
+
 // TestItemsWaitForPeerLoads: a daemon that has just started dispatches no items until it has
 // peer loads or the settling time is over.
 func TestItemsWaitForPeerLoads(t *testing.T) {
--- a/internal/job/ownedjob.go
+++ b/internal/job/ownedjob.go
@@ -43,6 +43,9 @@
 	// sends counts the attempts that this owner permitted to be sent.
 	sends  int
 	cancel context.CancelFunc
+	// uselessAnswers counts answers in a row that say nothing of the item, as far as its pause depends on
+	// them. It is changed by the attempt that runs.
+	uselessAnswers int
 	// isPreempted reports that the current run was cancelled by preempt and has not ended
 	// yet.
 	isPreempted bool
--- a/internal/job/pacing_test.go
+++ b/internal/job/pacing_test.go
@@ -12,6 +12,7 @@
 
 	"topazpulley/internal/batchcapacity"
 	"topazpulley/internal/routing"
+	"topazpulley/internal/serving"
 )
 
 // window is the time in which placements are not yet reported to other owners.
@@ -178,3 +179,20 @@
 	_, found = placing.choose("s", nil, fleetOf(1, 4, 0), false)
 	require.True(t, found)
 }
+
+// TestPauseGrowsWithUselessAnswers guards against items that every backend rejects and that keep the
+// backends busy.
+func TestPauseGrowsWithUselessAnswers(t *testing.T) {
+	item := &ownedItem{}
+	useless := &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonStatus}
+	broken := &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonBroken}
+	total := time.Duration(0)
+	for range 100 {
+		pause := item.pauseAfter(useless)
+		require.LessOrEqual(t, pause, maxAnswerPause)
+		total += pause
+	}
+	require.Greater(t, total, 90*maxAnswerPause)
+	require.Equal(t, failedPause, item.pauseAfter(broken))
+	require.Equal(t, failedPause, item.pauseAfter(useless))
+}
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -252,6 +252,8 @@
 	// ReasonError means that the backend answered with a failure status, or not with the
 	// expected stream.
 	ReasonError Reason = "error"
+	// ReasonStatus means that the backend answered with a status that says nothing of the request.
+	ReasonStatus Reason = "status"
 	// ReasonNoSlot means that the backend made no reservation.
 	ReasonNoSlot Reason = "no_place"
 	// ReasonOtherSoftware means that the backend does not have the software version at which
--- a/test/mutants.d/endings.sh
+++ b/test/mutants.d/endings.sh
@@ -60,3 +60,5 @@
 	'		return false, false, nil' '		return true, true, nil' internal/avrocodec TestTruncatedRecordIsRefused
 mutant older_record_with_a_rest internal/avrocodec/avrocodec.go \
 	'		isAtEnd = errors.Is(decoder.Error, io.EOF)' '		isAtEnd = true' internal/avrocodec TestRecordWithoutFieldsThatHaveDefaultsIsRead
+mutant other_statuses_fail_items internal/job/attempt.go \
+	'	return failed.Outcome == serving.OutcomeFailed && failed.Reason == serving.ReasonError' '	return failed.Reason == serving.ReasonError || failed.Reason == serving.ReasonStatus' internal/job TestOnlyServerErrorsAreFailuresOfItems
