Serving: a silent request without output is sent elsewhere before it is cancelled

Cause: a request without output and without reservations was cancelled before it was sent elsewhere. Whether a backend takes it is known only by sending; what is cancelled while all others refuse is lost.

Ruled out: evidence of refusals as a forecast (there may be none, as in the test); waiting longer (the same, later).

Change: such requests go the way of streams that have begun: sent beside the silent attempt, which is cancelled when the other backend answers or has not refused for 300 ms. Only routes that may run again.

--- a/internal/serving/beside.go
+++ b/internal/serving/beside.go
@@ -45,8 +45,8 @@
 	b.lease.Release()
 }
 
-// sendBeside sends a stream that has begun to a backend while the silent attempt goes on. The backend
-// takes the request over if it answers, or if it has not refused the request for acceptanceTime.
+// sendBeside sends a request to a backend while the silent attempt goes on. The backend takes the
+// request over if it answers, or if it has not refused the request for acceptanceTime.
 func (e *exchange) sendBeside(ctx, request context.Context, chosen routing.Candidate) *successor {
 	lease, found := e.core.Backends.Acquire(chosen.ID, backend.Online, e.request.Prompt)
 	if !found {
@@ -59,7 +59,7 @@
 	bounded, cancel := context.WithCancel(request)
 	beside := &besideAttempt{lease: lease, candidate: chosen, attemptedAt: time.Now(), cancel: cancel, answered: make(chan struct{})}
 	go beside.send(bounded, e.core.Sender, attempt)
-	if isAccepted(ctx, beside) {
+	if e.isAccepted(ctx, beside) {
 		return &successor{beside: beside}
 	}
 	if beside.hasAnswered() {
@@ -71,12 +71,12 @@
 
 // isAccepted waits until a backend has answered or refused an attempt beside a silent one, for at
 // most acceptanceTime, and reports whether it takes the request over.
-func isAccepted(ctx context.Context, beside *besideAttempt) bool {
+func (e *exchange) isAccepted(ctx context.Context, beside *besideAttempt) bool {
 	timer := time.NewTimer(acceptanceTime)
 	defer timer.Stop()
 	select {
 	case <-beside.answered:
-		return beside.err == nil && beside.answer.Head().Events && beside.answer.Head().Successful()
+		return beside.err == nil && e.mayAnswerWith(beside.answer.Head())
 	case <-timer.C:
 		return true
 	case <-ctx.Done():
@@ -84,6 +84,14 @@
 	}
 }
 
+// mayAnswerWith reports whether an answer can be the request's, or go on with one that has begun.
+func (e *exchange) mayAnswerWith(head Head) bool {
+	if e.hasBegun {
+		return head.Events && head.Successful()
+	}
+	return head.Successful() || !e.mayRepeatFailure(head)
+}
+
 // discard ends a successor that is not needed, because the silent attempt went on or ended. What was
 // sent beside counts as a run unless it has not run.
 func (e *exchange) discard(found *successor) {
--- a/internal/serving/successor.go
+++ b/internal/serving/successor.go
@@ -139,16 +139,13 @@
 		return nil
 	}
 	e.excluded[chosen.ID] = true
-	switch {
-	case reservesSlots:
-		if e.reserveAt(ctx, chosen) {
-			return &successor{reserved: e.reserved}
-		}
-		return nil
-	case !e.hasBegun:
-		return &successor{}
+	if !reservesSlots {
+		return e.sendBeside(ctx, request, chosen)
 	}
-	return e.sendBeside(ctx, request, chosen)
+	if e.reserveAt(ctx, chosen) {
+		return &successor{reserved: e.reserved}
+	}
+	return nil
 }
 
 // payRetry spends a retry for the search, once.
