Platform: a failure without an id on a kept connection is not the request's answer

What callers would see: the 500 of another request, with a backend's stamp.

Cause: on a connection that has carried requests before, only refusals and successes had to name the request.

Change: on such a connection every answer without an id is corrupt: outcome unknown, connection closed, the backend charged. On a first connection a failure without an id is passed on as before. Mutant stray_failure_passed_on is noticed.

--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -282,7 +282,9 @@
 mutant unsent_taken_for_silent internal/serving/exchange.go \
 	'|| attemptError(err).Outcome == OutcomeNotRun {' '{' internal/serving 'TestNotRunVerdictOverRandomAttempts|TestNotRunVerdictFollowsSentAttempts'
 mutant stray_refusal_believed platform/sender.go \
-	'echoed == "" && a.connection.isReused && isRefusal(&a.header)' 'false' platform TestStrayRefusalIgnored
+	'echoed == "" && a.connection.isReused:' 'false:' platform TestStrayRefusalIgnored
+mutant stray_failure_passed_on platform/sender.go \
+	'echoed == "" && a.connection.isReused:' 'echoed == "" && a.connection.isReused && promisesNotRun(status):' platform TestStrayFailureIgnored
 mutant pursued_end_promised internal/job/cancel.go \
 	'return cancelUnknown(ctx.Err())' 'return unavailable(ctx.Err())' internal/job TestUnsettledCancelIsNotReportedNotDone
 mutant unsettled_end_promised internal/job/cancel.go \
