--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -30,8 +30,6 @@
 	// counts as a failure of the item.
 	invalidStatus = 422
 	failedStatus  = 500
-	// timedOutStatus is a backend's answer to an item whose time has run out.
-	timedOutStatus = 504
 	// maxAnswerPause is the longest time before an item is sent again whose answers say nothing of it.
 	maxAnswerPause = 3200 * time.Millisecond
 )
@@ -130,7 +128,7 @@
 		return &invalidItemError{status: status}
 	case status == failedStatus:
 		return &serving.AttemptError{Outcome: serving.OutcomeFailed, Reason: serving.ReasonError}
-	case status > failedStatus && status != timedOutStatus:
+	case serving.IsBackendFault(status):
 		return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonError}
 	}
 	return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonStatus}
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -34,7 +34,7 @@
 	if !head.Successful() {
 		e.outcome = "failure_passed_on"
 	}
-	if isBackendFault(head.Status) {
+	if IsBackendFault(head.Status) {
 		e.core.Backends.Failed(e.last.Incarnation(), time.Now())
 	}
 	if err := e.responder.Whole(head, body); err != nil {
@@ -50,9 +50,9 @@
 	lease.Release()
 }
 
-// isBackendFault reports whether a status is a failure of the backend. A gateway timeout
+// IsBackendFault reports whether a status is a failure of the backend. A gateway timeout
 // is not: the request ran out of time.
-func isBackendFault(status int) bool {
+func IsBackendFault(status int) bool {
 	return status >= 500 && status != gatewayTimeout
 }
 
