Logs: on which connection an attempt failed and which bytes showed its outcome

attempt_failed and item_attempt_failed told that a back end refused, not why that was believed: the same line stood for a refusal that names the request on a new connection and for one on a connection that had carried other requests and calls for reservations. Now the answer group has the connection, what it had carried before, how many answers of others were skipped, the status and whether it named the request; attempt_failed has the number of the attempt, as request_sent has.

--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -49,6 +49,7 @@
 		Host: running.owner.job.Host, Fields: running.item.Fields, Body: running.item.Body, Remaining: itemTimeout,
 		LastEvent: running.progress.lastID(), Software: running.progress.origin().Software, Stream: true, IsItem: true, Permit: permit,
 	}, running.item.Tokens)
+	receipt := serving.ReceiptOf(err)
 	if err == nil {
 		defer answer.Close()
 		if report, isReported := answer.Load(); isReported {
@@ -60,6 +61,9 @@
 	if err != nil && watched.Fired() {
 		err = &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonSilent, Cause: err}
 	}
+	if err != nil && transfer.Receipt.Connection == "" {
+		transfer.Receipt = receipt
+	}
 	if err != nil {
 		s.handleFailure(ctx, running, instance, matched, transfer, err)
 	}
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -274,6 +274,7 @@
 	answer, err := await()
 	if err != nil {
 		err = e.explain(waiting, err)
+		e.transfer.Receipt = ReceiptOf(err)
 		if attemptError(err).Outcome == OutcomeNotRun {
 			e.ran.NeverRan()
 		}
@@ -358,7 +359,7 @@
 	if e.successor == nil || attemptError(err).Outcome == OutcomeNotRun {
 		return err
 	}
-	return &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonSilent, Cause: err}
+	return &AttemptError{Outcome: OutcomeUnknown, Reason: ReasonSilent, Cause: err, Receipt: ReceiptOf(err)}
 }
 
 // recordAttemptFailure records a failed attempt against its backend, unless the caller has
@@ -373,7 +374,7 @@
 		RecordFailure(e.core.Backends, e.last.Incarnation(), failed.Reason, time.Now())
 	}
 	e.core.Metrics.Attempts.WithLabelValues(failed.Outcome.String(), string(failed.Reason)).Inc()
-	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "software", e.last.Version, "outcome", failed.Outcome.String(),
+	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "software", e.last.Version, "attempt", e.sends, "outcome", failed.Outcome.String(),
 		"reason", string(failed.Reason), "cause", failed.Cause, "answer", e.transfer, "last_event", e.lastEvent, "fingerprint", e.fingerprint.String(), "parts", e.parts)
 }
 
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -8,6 +8,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"topazpulley/internal/backend"
 	"topazpulley/internal/boottime"
 	"topazpulley/internal/quarantine"
@@ -279,6 +281,18 @@
 	// Cause is for logs. It is not part of the error's chain: what ended a connection does not
 	// say how the attempt ended.
 	Cause error
+	// Receipt is for logs, too: what was received before the attempt failed, if no answer to it was
+	// returned.
+	Receipt Receipt
+}
+
+// ReceiptOf returns the receipt of a failed attempt; the zero value if err is none.
+func ReceiptOf(err error) Receipt {
+	var failed *AttemptError
+	if errors.As(err, &failed) {
+		return failed.Receipt
+	}
+	return Receipt{}
 }
 
 // Error implements error.
--- a/internal/serving/transfer.go
+++ b/internal/serving/transfer.go
@@ -44,12 +44,31 @@
 	Events   int
 	// PartialBytes is the number of bytes received of an event that did not end.
 	PartialBytes int
+	// Receipt tells on which connection the answer came and what shows that it is the attempt's.
+	Receipt Receipt
+}
+
+// Receipt is what shows that an answer belongs to an attempt.
+type Receipt struct {
+	// Connection is the daemon's address on the connection; empty if none was made.
+	Connection string
+	// Requests and Reservations are the numbers of requests and of calls for reservations that the
+	// connection had carried before.
+	Requests, Reservations int
+	// Skipped is the number of answers that came first and belonged to others.
+	Skipped int
+	// Status is the status of the answer; 0 if no head was read.
+	Status int
+	// IsNamed is set if the answer has the request's id.
+	IsNamed bool
 }
 
 // LogValue implements slog.LogValuer.
 func (t Transfer) LogValue() slog.Value {
 	return slog.GroupValue(
-		slog.String("framing", string(t.Framing)), slog.String("stop", string(t.Stop)), slog.Int("partial_bytes", t.PartialBytes), slog.String("ending", t.Ending().String()))
+		slog.String("framing", string(t.Framing)), slog.String("stop", string(t.Stop)), slog.Int("partial_bytes", t.PartialBytes), slog.String("ending", t.Ending().String()),
+		slog.String("connection", t.Receipt.Connection), slog.Int("requests_before", t.Receipt.Requests), slog.Int("reservations_before", t.Receipt.Reservations),
+		slog.Int("skipped", t.Receipt.Skipped), slog.Int("status", t.Receipt.Status), slog.Bool("named", t.Receipt.IsNamed))
 }
 
 // Ending returns what is known about the end of the answer.
