Run record: which attempt never ran is told apart

The record counted sends and, as another number, attempts that never ran: a second word of one attempt, or a word of an attempt beside a silent one, would have hidden another that may have run, and the caller would have been promised that nothing ran (REFUSED). Nothing was found that did so: each call was read, and the random models of serving and gateway hold. The record now keeps the numbers of the attempts that may have run; the copy on which a search works has its own. TestNeverRanSpeaksOfOneAttempt.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -76,7 +76,9 @@
 	attemptID string
 	resumes   int
 	// ran records whether engines may have run the request.
-	ran        runrecord.Record
+	ran runrecord.Record
+	// lastSend is the attempt that was sent last.
+	lastSend   runrecord.Send
 	excluded   map[string]bool
 	overloaded bool
 	firstToken time.Duration
@@ -176,7 +178,7 @@
 func (n *generation) send(ctx context.Context) error {
 	n.gateway.Registry.Begin(n.view.Name)
 	n.gateway.sendPreemptionHint(n.view)
-	n.ran.Sent()
+	n.lastSend = n.ran.Sent()
 	n.gateway.logSent(n.request, n.view, n.attemptID, n.attempt, serving.KindOfSend(n.attempt, int64(len(n.tokens))))
 	stop := context.AfterFunc(ctx, func() { n.cancelUnanswered(ctx) })
 	defer stop()
@@ -206,7 +208,7 @@
 func (n *generation) recordOutcome(err error) {
 	switch engine.OutcomeOf(err) {
 	case engine.OutcomeNotRun, engine.OutcomeInvalid:
-		n.ran.NeverRan()
+		n.ran.NeverRan(n.lastSend)
 	}
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -146,7 +146,7 @@
 		return engine.CallAnswer{}, err
 	}
 	n.gateway.Registry.Begin(view.Name)
-	n.ran.Sent()
+	n.lastSend = n.ran.Sent()
 	n.gateway.logSent(n.request, view, call.AttemptID, n.attempt, serving.KindOfSend(n.attempt, 0))
 	answer, err := n.gateway.Engines.Call(ctx, view.Machine.Address, call)
 	n.gateway.Registry.End(view.Name, err != nil && isEngineFault(err), time.Now())
--- a/internal/runrecord/runrecord.go
+++ b/internal/runrecord/runrecord.go
@@ -3,29 +3,42 @@
 // has not run only if the record says so, because callers then send the request again.
 package runrecord
 
-import "topazpulley/internal/failure"
+import (
+	"slices"
+
+	"topazpulley/internal/failure"
+)
+
+// Send is the number of an attempt that was sent, from 1 on. The zero value is that of none.
+type Send int
 
 // Record is the state of one request. Its zero value means that no attempt was sent. It is
 // used by one goroutine.
 type Record struct {
-	sent     int
-	neverRan int
+	last Send
+	// open are the attempts that may have run.
+	open []Send
 }
 
 // Sent records that an attempt is about to be sent to a backend. The request may have run
 // from now on, unless NeverRan is called for the attempt.
-func (r *Record) Sent() { r.sent++ }
+func (r *Record) Sent() Send {
+	r.last++
+	r.open = append(r.open, r.last)
+	return r.last
+}
 
-// NeverRan records that the attempt that was sent last did not run and never will: no byte
-// of it was sent, or the backend reported that it did not run.
-func (r *Record) NeverRan() {
-	if r.neverRan < r.sent {
-		r.neverRan++
-	}
+// NeverRan records that an attempt did not run and never will: no byte of it was sent, or the
+// backend reported that it did not run. It says nothing of other attempts.
+func (r *Record) NeverRan(send Send) {
+	r.open = slices.DeleteFunc(r.open, func(each Send) bool { return each == send })
 }
 
 // MayHaveRun reports whether any attempt may have run.
-func (r *Record) MayHaveRun() bool { return r.sent > r.neverRan }
+func (r *Record) MayHaveRun() bool { return len(r.open) > 0 }
+
+// Copy returns a record that does not change with this one.
+func (r *Record) Copy() Record { return Record{last: r.last, open: slices.Clone(r.open)} }
 
 // MarkNotRun marks a failure as not run unless an attempt may have run; then it returns
 // the failure unchanged.
--- a/internal/runrecord/runrecord_test.go
+++ b/internal/runrecord/runrecord_test.go
@@ -16,10 +16,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		record, unknown := Record{}, 0
 		for range rapid.IntRange(0, 8).Draw(t, "attempts") {
-			record.Sent()
+			send := record.Sent()
 			require.True(t, record.MayHaveRun(), "while the attempt is running")
 			if rapid.Bool().Draw(t, "never ran") {
-				record.NeverRan()
+				record.NeverRan(send)
 			} else {
 				unknown++
 			}
@@ -34,3 +34,17 @@
 		}
 	})
 }
+
+// TestNeverRanSpeaksOfOneAttempt guards against an attempt that is said twice to have not run, which
+// hides that another may have.
+func TestNeverRanSpeaksOfOneAttempt(t *testing.T) {
+	record := Record{}
+	first, second := record.Sent(), record.Sent()
+	copied := record.Copy()
+	record.NeverRan(second)
+	record.NeverRan(second)
+	require.True(t, record.MayHaveRun())
+	record.NeverRan(first)
+	require.False(t, record.MayHaveRun())
+	require.True(t, copied.MayHaveRun())
+}
--- a/internal/serving/beside.go
+++ b/internal/serving/beside.go
@@ -6,6 +6,7 @@
 
 	"topazpulley/internal/backend"
 	"topazpulley/internal/routing"
+	"topazpulley/internal/runrecord"
 )
 
 // acceptanceTime is the time after which a backend that has not refused a request counts as having
@@ -15,6 +16,7 @@
 // besideAttempt is an attempt that is made beside a silent one.
 type besideAttempt struct {
 	lease       *backend.Lease
+	sent        runrecord.Send
 	candidate   routing.Candidate
 	attemptedAt time.Time
 	cancel      context.CancelFunc
@@ -57,7 +59,7 @@
 	attempt := e.newAttempt()
 	e.countSend(&attempt)
 	bounded, cancel := context.WithCancel(request)
-	beside := &besideAttempt{lease: lease, candidate: chosen, attemptedAt: time.Now(), cancel: cancel, answered: make(chan struct{})}
+	beside := &besideAttempt{lease: lease, sent: e.lastSend, candidate: chosen, attemptedAt: time.Now(), cancel: cancel, answered: make(chan struct{})}
 	go beside.send(bounded, e.core.Sender, attempt)
 	if e.isAccepted(ctx, beside) {
 		return &successor{beside: beside}
@@ -101,7 +103,7 @@
 	found.beside.close()
 	failed := found.beside.failure()
 	if failed.Outcome == OutcomeNotRun {
-		e.ran.NeverRan()
+		e.ran.NeverRan(found.beside.sent)
 		return
 	}
 	if e.countsAsRun(failed) {
@@ -133,6 +135,6 @@
 	beside := e.successor.beside
 	defer beside.close()
 	e.leaveSilent(err)
-	e.last, e.cost, e.attemptedAt = beside.lease.Instance(), beside.candidate, beside.attemptedAt
+	e.last, e.cost, e.attemptedAt, e.lastSend = beside.lease.Instance(), beside.candidate, beside.attemptedAt, beside.sent
 	return e.exchangeOver(ctx, beside.lease, beside.cancel, beside.await)
 }
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -52,8 +52,10 @@
 	sends  int
 	// runs counts the runs that count toward the route's maximum; ran records whether any
 	// attempt may have run.
-	runs     int
-	ran      runrecord.Record
+	runs int
+	ran  runrecord.Record
+	// lastSend is the attempt whose answer is awaited.
+	lastSend runrecord.Send
 	hasBegun bool
 	// fingerprint identifies the request's content, independent of its id.
 	fingerprint quarantine.Fingerprint
@@ -276,7 +278,7 @@
 		err = e.explain(waiting, err)
 		e.transfer.Receipt = ReceiptOf(err)
 		if attemptError(err).Outcome == OutcomeNotRun {
-			e.ran.NeverRan()
+			e.ran.NeverRan(e.lastSend)
 		}
 		e.recordAttemptFailure(err)
 		return err
@@ -303,7 +305,7 @@
 		return nil
 	}
 	e.sends++
-	e.ran.Sent()
+	e.lastSend = e.ran.Sent()
 }
 
 // receive passes an answer to the caller. It returns nil when the request has its final answer.
--- a/internal/serving/successor.go
+++ b/internal/serving/successor.go
@@ -34,6 +34,7 @@
 	made := *e
 	made.excluded = maps.Clone(e.excluded)
 	made.silent = maps.Clone(e.silent)
+	made.ran = e.ran.Copy()
 	made.silent[e.last.ID] = true
 	made.search = running
 	return &made
--- /dev/null
+++ b/test/mutants.d/beliefs.sh
@@ -0,0 +1,13 @@
+# What shows that an attempt did not run, and whose answer an answer is.
+mutant every_send_forgotten internal/runrecord/runrecord.go \
+	'return each == send' 'return true' internal/runrecord TestNeverRanSpeaksOfOneAttempt
+mutant copied_record_shared internal/runrecord/runrecord.go \
+	'open: slices.Clone(r.open)' 'open: r.open' internal/runrecord TestNeverRanSpeaksOfOneAttempt
+mutant copy_of_reservation_believed platform/sender.go \
+	'a.connection.skippedCopies >= a.connection.reservations' 'true' platform TestLateCopyOfReservationIsNotTheRequestsAnswer
+mutant every_unnamed_answer_skipped platform/sender.go \
+	'a.connection.skippedCopies >= a.connection.reservations' 'false' platform TestAnswerWithoutIDIsStillNoAnswer
+mutant reservation_taken_twice platform/pool.go \
+	'if slices.Contains(c.granted, name) {' 'if false {' platform TestLateCopyOfReservationIsNoFurtherReservation
+mutant receipt_of_failure_dropped platform/sender.go \
+	'		err.Receipt = sent.receipt' '' platform TestFailedAttemptTellsWhatShowedIt
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -172,7 +172,7 @@
 mutant pass_false_promises platform/sender.go \
 	'case promisesNotRun(status):' 'case false:' platform TestUnsafeRequestNotReportedNotRun
 mutant no_answer_id platform/sender.go \
-	'if echoed != "" && echoed != a.id {' 'if false {' platform TestSafeRequestRetriedAtAnotherBackend
+	'		return echoed != a.id' '		return false' platform TestSafeRequestRetriedAtAnotherBackend
 mutant no_caller_watch platform/ingress.go \
 	'	leave()
 }' '}' platform TestCallerDisconnectStopsRequest
@@ -264,15 +264,15 @@
 mutant silent_link_kept internal/peer/link.go \
 	'if peerLink.isSilent(time.Now()) {' 'if false {' internal/peer TestSilentLinkIsReplaced
 mutant every_refusal_promises internal/runrecord/runrecord.go \
-	'return r.sent > r.neverRan' 'return false' internal/gateway 'TestNotRunAfterUnknownOutcome'
+	'return len(r.open) > 0' 'return false' internal/gateway 'TestNotRunAfterUnknownOutcome'
 mutant sends_not_noted internal/serving/exchange.go \
-	'	e.ran.Sent()' '' internal/serving 'TestNotRunVerdictOverRandomAttempts|TestNotRunVerdictFollowsSentAttempts'
+	'	e.lastSend = e.ran.Sent()' '' internal/serving 'TestNotRunVerdictOverRandomAttempts|TestNotRunVerdictFollowsSentAttempts'
 mutant generations_not_noted internal/gateway/generation.go \
-	'	n.ran.Sent()' '' internal/gateway TestNotRunAfterUnknownOutcome
+	'	n.lastSend = n.ran.Sent()' '' internal/gateway TestNotRunAfterUnknownOutcome
 mutant calls_not_noted internal/gateway/plain.go \
-	'	n.ran.Sent()' '' internal/gateway TestNotRunAfterUnknownOutcome
+	'	n.lastSend = n.ran.Sent()' '' internal/gateway TestNotRunAfterUnknownOutcome
 mutant refusals_not_noted internal/gateway/generation.go \
-	'		n.ran.NeverRan()' '' internal/gateway TestNotRunAfterUnknownOutcome
+	'		n.ran.NeverRan(n.lastSend)' '' internal/gateway TestNotRunAfterUnknownOutcome
 mutant odd_refusal_believed internal/engine/client.go \
 	'	return &AttemptError{Outcome: OutcomeUnknown, Code: refusal.Code}
 }' '	return &AttemptError{Outcome: OutcomeNotRun, Code: refusal.Code}
