Reservations: a copy is told by the name that it repeats, not by their number

The change before skipped, on a connection that had carried reservations, any unsigned answer without an id, one for each. A refusal of a request that came without its id would have been skipped with them, and the request would have waited for its time to end in place of the 502 that it gets at once. Price: behind the copy of a refused reservation a request is answered 502, as before. TestUnnamedRefusalEndsTheAttemptAtOnce, TestUnnamedGrantOfOtherIsNoCopy; TestNeverRanSpeaksOfOneAttempt also notices a copy that shares its attempts (mutant copied_record_shared survived before).

--- a/internal/runrecord/runrecord_test.go
+++ b/internal/runrecord/runrecord_test.go
@@ -47,4 +47,7 @@
 	record.NeverRan(first)
 	require.False(t, record.MayHaveRun())
 	require.True(t, copied.MayHaveRun())
+	copied.NeverRan(first)
+	copied.NeverRan(second)
+	require.False(t, copied.MayHaveRun())
 }
--- a/test/mutants.d/beliefs.sh
+++ b/test/mutants.d/beliefs.sh
@@ -4,9 +4,9 @@
 mutant copied_record_shared internal/runrecord/runrecord.go \
 	'open: slices.Clone(r.open)' 'open: r.open' internal/runrecord TestNeverRanSpeaksOfOneAttempt
 mutant copy_of_reservation_believed platform/sender.go \
-	'a.connection.skippedCopies >= a.connection.reservations' 'true' platform TestLateCopyOfReservationIsNotTheRequestsAnswer
-mutant every_unnamed_answer_skipped platform/sender.go \
-	'a.connection.skippedCopies >= a.connection.reservations' 'false' platform TestAnswerWithoutIDIsStillNoAnswer
+	'if echoed == "" && a.repeatsReservation() {' 'if false {' platform TestLateCopyOfReservationIsNotTheRequestsAnswer
+mutant every_grant_is_a_copy platform/reserve.go \
+	'return err == nil && slices.Contains(a.connection.granted, name)' 'return err == nil && (true || slices.Contains(a.connection.granted, name))' platform TestUnnamedGrantOfOtherIsNoCopy
 mutant reservation_taken_twice platform/pool.go \
 	'if slices.Contains(c.granted, name) {' 'if false {' platform TestLateCopyOfReservationIsNoFurtherReservation
 mutant receipt_of_failure_dropped platform/sender.go \
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -172,7 +172,7 @@
 mutant pass_false_promises platform/sender.go \
 	'case promisesNotRun(status):' 'case false:' platform TestUnsafeRequestNotReportedNotRun
 mutant no_answer_id platform/sender.go \
-	'		return echoed != a.id' '		return false' platform TestSafeRequestRetriedAtAnotherBackend
+	'if echoed != "" && echoed != a.id {' 'if false {' platform TestSafeRequestRetriedAtAnotherBackend
 mutant no_caller_watch platform/ingress.go \
 	'	leave()
 }' '}' platform TestCallerDisconnectStopsRequest
