Logs: an attempt that was not sent shows nothing of the one before it

Each attempt begins with an empty transfer; attempt_failed has the number in the run record, 0 for one that was not sent. TestFailedReservationShowsNoEarlierReceipt failed before.

--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -54,7 +54,7 @@
 	// attempt may have run.
 	runs int
 	ran  runrecord.Record
-	// lastSend is the attempt whose answer is awaited.
+	// lastSend is the attempt whose answer is awaited; zero if it is not sent.
 	lastSend runrecord.Send
 	hasBegun bool
 	// fingerprint identifies the request's content, independent of its id.
@@ -236,6 +236,7 @@
 // attempt sends the request to one backend and releases the lease. It returns nil when the request
 // has its final answer.
 func (e *exchange) attempt(ctx context.Context, lease *backend.Lease) error {
+	e.transfer, e.lastSend = Transfer{}, 0 // nothing of an earlier attempt
 	defer lease.Release()
 	if e.remaining() < minRemaining {
 		return &AttemptError{Outcome: OutcomeNotRun, Reason: ReasonRequestEnded}
@@ -376,7 +377,7 @@
 		RecordFailure(e.core.Backends, e.last.Incarnation(), failed.Reason, time.Now())
 	}
 	e.core.Metrics.Attempts.WithLabelValues(failed.Outcome.String(), string(failed.Reason)).Inc()
-	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "software", e.last.Version, "attempt", e.sends, "outcome", failed.Outcome.String(),
+	e.core.Logger.Info("attempt_failed", "id", e.request.ID, "backend", e.last.ID, "software", e.last.Version, "attempt", int(e.lastSend), "outcome", failed.Outcome.String(),
 		"reason", string(failed.Reason), "cause", failed.Cause, "answer", e.transfer, "last_event", e.lastEvent, "fingerprint", e.fingerprint.String(), "parts", e.parts)
 }
 
