--- a/test/mutants.d/beliefs.sh
+++ b/test/mutants.d/beliefs.sh
@@ -10,4 +10,4 @@
 mutant reservation_taken_twice platform/pool.go \
 	'if slices.Contains(c.granted, name) {' 'if false {' platform TestLateCopyOfReservationIsNoFurtherReservation
 mutant receipt_of_failure_dropped platform/sender.go \
-	'		err.Receipt = sent.receipt' '' platform TestFailedAttemptTellsWhatShowedIt
+	'	failed.Receipt = a.receipt' '' platform TestFailedAttemptTellsWhatShowedIt
