--- a/internal/telemetry/backends.go
+++ b/internal/telemetry/backends.go
@@ -14,6 +14,9 @@
 	// AnswerEnds counts the answers of backends by their framing, by what ended them, and by
 	// whether they ended inside an event.
 	AnswerEnds *prometheus.CounterVec
+	// SkippedAnswers counts answers of backends that belonged to no call that was waiting, by the kind
+	// of call whose answer was due.
+	SkippedAnswers *prometheus.CounterVec
 	// Evacuated is 1 for each evacuated zone.
 	Evacuated *prometheus.GaugeVec
 }
@@ -24,14 +27,15 @@
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 	}
 	made := &Backends{
-		Listings:     counter("backend_listings_total", "Entries of back ends, by what they changed.", "change"),
-		Unreadable:   counter("backend_unreadable_total", "Entries that name no back end to use.", "kind"),
-		ReportFaults: counter("backend_report_faults_total", "Load reports that were refused in part or whole.", "kind"),
-		AnswerEnds:   counter("backend_answer_ends_total", "Answers of back ends, by framing and by what ended them.", "framing", "stop", "inside_event"),
+		Listings:       counter("backend_listings_total", "Entries of back ends, by what they changed.", "change"),
+		Unreadable:     counter("backend_unreadable_total", "Entries that name no back end to use.", "kind"),
+		ReportFaults:   counter("backend_report_faults_total", "Load reports that were refused in part or whole.", "kind"),
+		AnswerEnds:     counter("backend_answer_ends_total", "Answers of back ends, by framing and by what ended them.", "framing", "stop", "inside_event"),
+		SkippedAnswers: counter("backend_answers_skipped_total", "Answers of back ends that belonged to no call that was waiting, by the call whose answer was due.", "before"),
 		Evacuated: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "zone_evacuated", Help: "Zones whose back ends get no new work.",
 		}, []string{"zone"}),
 	}
-	registry.MustRegister(made.Listings, made.Unreadable, made.ReportFaults, made.AnswerEnds, made.Evacuated)
+	registry.MustRegister(made.Listings, made.Unreadable, made.ReportFaults, made.AnswerEnds, made.SkippedAnswers, made.Evacuated)
 	return made
 }
