--- a/internal/harness/silence_test.go
+++ b/internal/harness/silence_test.go
@@ -21,6 +21,8 @@
 	leaveTime = 15 * time.Second
 	// silentTokens make answers that are in mid-stream when the silence begins.
 	silentTokens = 1500
+	// slowUntilSilence keeps answers in mid-stream until the silence begins, also if the test runs slowly.
+	slowUntilSilence = 10
 	// silentRequests is the number of answers of a case, at most the batch window.
 	silentRequests = 16
 )
@@ -107,6 +109,8 @@
 func TestAnswersOutliveLongSilenceOfOnlyEngine(t *testing.T) {
 	running := start(t, []string{"a"}, 1, 1)
 	caller := running.Caller(0, harness.ExampleKey)
+	only, _ := running.Fleet.Engine("assistant-00")
+	only.SetFaults(emulator.EngineFaults{Slowdown: slowUntilSilence})
 	var askers sync.WaitGroup
 	for index := range silentRequests {
 		askers.Go(func() { assert.NoError(t, ask(caller, fmt.Sprintf("prompt %d", index), silentTokens)) })
