--- a/internal/emulator/relay.go
+++ b/internal/emulator/relay.go
@@ -137,9 +137,10 @@
 		return
 	}
 	connection := &relayed{near: near, far: far, from: from, to: zone}
-	r.mutex.Lock()
-	r.connections[connection] = true
-	r.mutex.Unlock()
+	if !r.keep(connection) {
+		connection.close()
+		return
+	}
 	go copyAndClose(connection, far, near)
 	copyAndClose(connection, near, far)
 	r.mutex.Lock()
@@ -147,6 +148,18 @@
 	r.mutex.Unlock()
 }
 
+// keep adds a connection to those that SetCuts closes. It reports false if one of its directions
+// was cut meanwhile.
+func (r *Relay) keep(connection *relayed) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.cuts[Cut{connection.from, connection.to}] || r.cuts[Cut{connection.to, connection.from}] {
+		return false
+	}
+	r.connections[connection] = true
+	return true
+}
+
 func copyAndClose(connection *relayed, to io.Writer, from io.Reader) {
 	_, _ = io.Copy(to, from)
 	connection.close()
