--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -167,7 +167,8 @@
 	f.Core.ResponseTimes = responsetimeout.NewEstimates(responsetimeout.Mode(process.ResponseTimeouts))
 	f.Core.OrdersWaiting = process.WaitingOrder == settings.WaitingOrderFleet
 	f.Core.Quarantine = f.Quarantine
-	f.Core.Origins = streamorigin.NewKeeper(f.Backends, &originPeers{node: f.node, transport: f.transport}, metrics.Serving, log)
+	listed := &backendList{}
+	f.Core.Origins = streamorigin.NewKeeper(f.Backends, listed, &originPeers{node: f.node, transport: f.transport}, metrics.Serving, log)
 	handleOrigins(f.transport, f.Core.Origins)
 	f.limitFleet = ratelimit.NewClusterFleet(f.node, f.transport)
 	f.Core.Limits = ratelimit.New(f.limitFleet, ratelimit.ToleranceOf(process), metrics.Tenants, log)
@@ -215,6 +216,7 @@
 		f.followers = append(f.followers, follower)
 		if follower.Table == ports.InstanceTable {
 			f.instances.isSettled, f.section = follower.IsSettled, follower.Section
+			listed.follower = follower
 		}
 		if follower.Table == ports.ConfigTable {
 			announced.announce = follower.Announce
--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -76,7 +76,7 @@
 	return &Core{
 		Backends: backends, Sender: sender, Holder: holder, Metrics: metrics, Logger: log, Fleet: fleet,
 		ResponseTimes: responsetimeout.NewEstimates(responsetimeout.ModeLearned),
-		Origins:       streamorigin.NewKeeper(backends, nil, metrics, log),
+		Origins:       streamorigin.NewKeeper(backends, nil, nil, metrics, log),
 		requests:      intake.NewMix(),
 		retries:       admission.NewRetryBudget(retryShare, retryReserve),
 		earlyEnds:     admission.NewRetryBudget(earlyEndShare, earlyEndReserve),
--- a/internal/serving/origin.go
+++ b/internal/serving/origin.go
@@ -56,20 +56,21 @@
 		return true
 	}
 	started := time.Now()
-	origin, finding := e.core.Origins.Find(ctx, streamorigin.Query{Key: e.request.originKey(), Service: e.request.Service}, e.mayHaveOtherService(started))
-	e.core.Logger.Info("stream_origin", "id", e.request.ID, "resumes", e.request.Resumes, "finding", string(finding), "service", origin.Service,
-		"began_software", origin.Software, "last_event", e.request.LastEvent, "took_ms", time.Since(started).Milliseconds())
+	found := e.core.Origins.Find(ctx, streamorigin.Query{Key: e.request.originKey(), Service: e.request.Service}, e.mayHaveOtherService(started))
+	e.core.Logger.Info("stream_origin", "id", e.request.ID, "resumes", e.request.Resumes, "finding", string(found.Finding), "service", found.Origin.Service,
+		"began_software", found.Origin.Software, "last_event", e.request.LastEvent, "asked", found.Asked, "answered", found.Answered,
+		"opinion", found.Opinion.String(), "list_age_ms", found.ListAge.Milliseconds(), "took_ms", time.Since(started).Milliseconds())
 	switch {
-	case !finding.IsKnown():
-		e.refuseResumption(finding)
+	case !found.Finding.IsKnown():
+		e.refuseResumption(found.Finding)
 		return false
-	case !e.request.Route.HasTarget(origin.Service):
+	case !e.request.Route.HasTarget(found.Origin.Service):
 		e.reason = ReasonOriginUnknown
 		e.giveUp(0, codeServiceChanged)
 		return false
 	}
-	e.request.Service, e.origin = origin.Service, origin.Software
-	e.request.pin = softwarePin{isSet: true, version: origin.Software}
+	e.request.Service, e.origin = found.Origin.Service, found.Origin.Software
+	e.request.pin = softwarePin{isSet: true, version: found.Origin.Software}
 	return true
 }
 
--- a/internal/streamorigin/decision.go
+++ b/internal/streamorigin/decision.go
@@ -1,5 +1,7 @@
 package streamorigin
 
+import "time"
+
 // Opinion is what a daemon believes about the software versions of a service within
 // backend.StreamWindow.
 type Opinion struct {
@@ -22,6 +24,17 @@
 	OpinionSeveral
 )
 
+// String returns the kind as in logs, with the version if there is only one.
+func (o Opinion) String() string {
+	switch o.Kind {
+	case OpinionOne:
+		return o.Only
+	case OpinionSeveral:
+		return "several"
+	}
+	return "none"
+}
+
 // opinionOf returns the opinion of a daemon that listed these software versions.
 func opinionOf(versions []string) Opinion {
 	switch {
@@ -64,6 +77,17 @@
 // IsKnown reports whether the origin is certain.
 func (f Finding) IsKnown() bool { return f == FindingRecord || f == FindingOnlyVersion }
 
+// Result is the result of the search for the origin of a stream and what it rests on.
+type Result struct {
+	Origin  Origin
+	Finding Finding
+	// Asked is the number of other daemons that were asked, Answered of those that answered.
+	Asked, Answered int
+	// Opinion is this daemon's, by a list of backends that was current ListAge ago.
+	Opinion Opinion
+	ListAge time.Duration
+}
+
 // search is what is known about the origin of one stream.
 type search struct {
 	// service is where a stream without a record is sent.
--- a/internal/streamorigin/keeper.go
+++ b/internal/streamorigin/keeper.go
@@ -48,9 +48,16 @@
 	SoftwareSignal() <-chan struct{}
 }
 
+// List is this daemon's list of backends.
+type List interface {
+	// Age is an upper bound of how long ago the list was current.
+	Age() time.Duration
+}
+
 // Keeper keeps the origins of streams. It is safe for concurrent use.
 type Keeper struct {
 	software Software
+	list     List
 	peers    Peers
 	metrics  *telemetry.Serving
 	log      *slog.Logger
@@ -60,11 +67,21 @@
 	settledAt time.Time
 }
 
-// NewKeeper returns a keeper. Nil peers mean that there are no other daemons.
-func NewKeeper(software Software, peers Peers, metrics *telemetry.Serving, log *slog.Logger) *Keeper {
-	return &Keeper{software: software, peers: peers, metrics: metrics, log: log, records: newRecords(), settledAt: time.Now().Add(backend.StreamWindow)}
+// NewKeeper returns a keeper. A nil list means one that is always current, nil peers that there are
+// no other daemons.
+func NewKeeper(software Software, list List, peers Peers, metrics *telemetry.Serving, log *slog.Logger) *Keeper {
+	if list == nil {
+		list = currentList{}
+	}
+	return &Keeper{software: software, list: list, peers: peers, metrics: metrics, log: log, records: newRecords(), settledAt: time.Now().Add(backend.StreamWindow)}
 }
 
+// currentList is a list that is always current.
+type currentList struct{}
+
+// Age implements List.
+func (currentList) Age() time.Duration { return 0 }
+
 // Run copies the records of a service's streams when the service gets a further software
 // version, until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
@@ -155,7 +172,7 @@
 
 // Find finds the origin of a stream that a caller resumes. mustHaveRecord is set if a stream
 // without a record may have begun at another service than the query's.
-func (k *Keeper) Find(ctx context.Context, query Query, mustHaveRecord bool) (Origin, Finding) {
+func (k *Keeper) Find(ctx context.Context, query Query, mustHaveRecord bool) Result {
 	known := search{service: query.Service, mustHaveRecord: mustHaveRecord, own: k.Answer(query)}
 	if !known.own.HasRecord && k.peers != nil {
 		bounded, cancel := context.WithTimeout(ctx, askTimeout)
@@ -166,7 +183,7 @@
 	}
 	origin, finding := known.decide()
 	k.metrics.OriginFindings.WithLabelValues(string(finding)).Inc()
-	return origin, finding
+	return Result{Origin: origin, Finding: finding, Asked: known.asked, Answered: len(known.peers), Opinion: known.own.Opinion, ListAge: k.list.Age()}
 }
 
 // collect returns the answers that arrive before the context ends. It stops at a record.
--- a/internal/streamorigin/keeper_test.go
+++ b/internal/streamorigin/keeper_test.go
@@ -37,7 +37,7 @@
 	for self := range count {
 		set := backend.NewSet()
 		made.sets = append(made.sets, set)
-		made.keepers = append(made.keepers, NewKeeper(set, fleetPeers{fleet: made, self: self}, telemetry.NewServing(prometheus.NewRegistry()), slog.New(slog.DiscardHandler)))
+		made.keepers = append(made.keepers, NewKeeper(set, nil, fleetPeers{fleet: made, self: self}, telemetry.NewServing(prometheus.NewRegistry()), slog.New(slog.DiscardHandler)))
 		made.keepers[self].settledAt = time.Now()
 	}
 	return made
@@ -96,9 +96,9 @@
 	key := f.begin(0, "stream", "v2")
 	f.isEnded[0] = true
 	for daemon := 1; daemon < 5; daemon++ {
-		origin, finding := f.keepers[daemon].Find(context.Background(), Query{Key: key, Service: service}, false)
-		require.Equal(t, FindingRecord, finding)
-		require.Equal(t, "v2", origin.Software)
+		found := f.keepers[daemon].Find(context.Background(), Query{Key: key, Service: service}, false)
+		require.Equal(t, FindingRecord, found.Finding)
+		require.Equal(t, "v2", found.Origin.Software)
 	}
 }
 
@@ -109,9 +109,9 @@
 	key := f.begin(0, "stream", "v1")
 	require.Zero(t, f.copied)
 	f.isEnded[0] = true
-	origin, finding := f.keepers[1].Find(context.Background(), Query{Key: key, Service: service}, false)
-	require.Equal(t, FindingOnlyVersion, finding)
-	require.Equal(t, "v1", origin.Software)
+	found := f.keepers[1].Find(context.Background(), Query{Key: key, Service: service}, false)
+	require.Equal(t, FindingOnlyVersion, found.Finding)
+	require.Equal(t, "v1", found.Origin.Software)
 }
 
 func TestDaemonThatJustStartedCopiesOrigins(t *testing.T) {
@@ -142,8 +142,8 @@
 	for _, each := range f.sets {
 		each.Remove("b")
 	}
-	_, finding := f.keepers[1].Find(context.Background(), Query{Key: KeyOf("host", "", "lost"), Service: service}, false)
-	require.Equal(t, FindingUnknown, finding)
+	found := f.keepers[1].Find(context.Background(), Query{Key: KeyOf("host", "", "lost"), Service: service}, false)
+	require.Equal(t, FindingUnknown, found.Finding)
 }
 
 // Guards against callers that fill a daemon's memory with ids and deadlines of their choice.
