--- a/internal/backend/software.go
+++ b/internal/backend/software.go
@@ -28,21 +28,39 @@
 	return softwareVersions{byService: map[string]map[string]*listedSoftware{}}
 }
 
-// add counts a backend that was listed. It reports whether the service now has this version
-// beside others.
-func (v *softwareVersions) add(instance Instance) bool {
-	versions, isKnown := v.byService[instance.Service]
+// of returns a service's entry for a version and the number of the service's versions. It adds
+// the entry if there is none.
+func (v *softwareVersions) of(service, version string) (known *listedSoftware, count int) {
+	versions, isKnown := v.byService[service]
 	if !isKnown {
 		versions = map[string]*listedSoftware{}
-		v.byService[instance.Service] = versions
+		v.byService[service] = versions
 	}
-	known, isKnown := versions[instance.Version]
+	known, isKnown = versions[version]
 	if !isKnown {
 		known = &listedSoftware{}
-		versions[instance.Version] = known
+		versions[version] = known
 	}
+	return known, len(versions)
+}
+
+// add counts a backend that was listed. It reports whether the service now has this version
+// beside others.
+func (v *softwareVersions) add(instance Instance) bool {
+	known, count := v.of(instance.Service, instance.Version)
 	known.listed++
-	return known.listed == 1 && len(versions) > 1
+	return known.listed == 1 && count > 1
+}
+
+// addUse adds a version that another daemon listed. It reports whether the service now has this
+// version beside others.
+func (v *softwareVersions) addUse(use SoftwareUse, now time.Time) bool {
+	known, count := v.of(use.Service, use.Version)
+	wasWithin := known.isWithin(now)
+	if at := now.Add(-use.Age); at.After(known.lastListed) {
+		known.lastListed = at
+	}
+	return !wasWithin && count > 1
 }
 
 // remove stops counting a backend that was listed.
@@ -80,6 +98,14 @@
 	return l.listed > 0 || now.Sub(l.lastListed) < StreamWindow
 }
 
+// age returns the time since a backend with the version was last listed, 0 if one is.
+func (l *listedSoftware) age(now time.Time) time.Duration {
+	if l.listed > 0 {
+		return 0
+	}
+	return now.Sub(l.lastListed)
+}
+
 // SoftwareVersions returns the software versions of a service that were listed within
 // StreamWindow, in text order. The empty version stands for backends whose version is unknown.
 func (s *Set) SoftwareVersions(service string, now time.Time) []string {
@@ -95,6 +121,40 @@
 	return found
 }
 
+// SoftwareUse is a software version of a service that was listed within StreamWindow.
+type SoftwareUse struct {
+	Service, Version string
+	// Age is the time since a backend with it was last listed; 0 means that one is.
+	Age time.Duration
+}
+
+// SoftwareHistory returns the software versions of all services that were listed within
+// StreamWindow.
+func (s *Set) SoftwareHistory(now time.Time) []SoftwareUse {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	found := []SoftwareUse{}
+	for service, versions := range s.software.byService {
+		for version, known := range versions {
+			if known.isWithin(now) {
+				found = append(found, SoftwareUse{Service: service, Version: version, Age: known.age(now)})
+			}
+		}
+	}
+	return found
+}
+
+// AddSoftwareHistory adds software versions that another daemon listed.
+func (s *Set) AddSoftwareHistory(uses []SoftwareUse, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, use := range uses {
+		if s.software.addUse(use, now) {
+			signal(s.softwareSignal)
+		}
+	}
+}
+
 // SoftwareSignal is signalled when a service gets a further software version.
 func (s *Set) SoftwareSignal() <-chan struct{} { return s.softwareSignal }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -167,7 +167,7 @@
 	f.Core.ResponseTimes = responsetimeout.NewEstimates(responsetimeout.Mode(process.ResponseTimeouts))
 	f.Core.OrdersWaiting = process.WaitingOrder == settings.WaitingOrderFleet
 	f.Core.Quarantine = f.Quarantine
-	listed := &backendList{}
+	listed := &backendList{holder: f.Holder}
 	f.Core.Origins = streamorigin.NewKeeper(f.Backends, listed, &originPeers{node: f.node, transport: f.transport}, metrics.Serving, log)
 	handleOrigins(f.transport, f.Core.Origins)
 	f.limitFleet = ratelimit.NewClusterFleet(f.node, f.transport)
@@ -216,9 +216,12 @@
 		f.followers = append(f.followers, follower)
 		if follower.Table == ports.InstanceTable {
 			f.instances.isSettled, f.section = follower.IsSettled, follower.Section
-			listed.follower = follower
+			listed.instances = follower
+			follower.History = table.NewHistory()
+			replica.History = follower.History
 		}
 		if follower.Table == ports.ConfigTable {
+			listed.configuration = follower
 			announced.announce = follower.Announce
 			configuration.origin, f.ConfigurationAge = follower.Origin, follower.Age
 			f.Gate = &access.Gate{RevocationBound: time.Duration(process.RevocationBound), ConfirmedAt: follower.ConfirmedAt}
--- a/internal/frontend/streamorigins.go
+++ b/internal/frontend/streamorigins.go
@@ -11,6 +11,7 @@
 	"github.com/hamba/avro/v2"
 
 	"topazpulley/internal/avrocodec"
+	"topazpulley/internal/backend"
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/failure"
 	"topazpulley/internal/membership"
@@ -23,6 +24,8 @@
 	// the one that asks for an origin.
 	methodOriginCopy = "stream_origin.copy"
 	methodOriginFind = "stream_origin.find"
+	// methodSoftwareHistory is the peer method that asks for the software versions of services.
+	methodSoftwareHistory = "backend.software_history"
 	// originCallTimeout bounds a call whose caller sets no deadline.
 	originCallTimeout = time.Second
 )
@@ -59,6 +62,30 @@
 	Only          string `avro:"only"`
 }
 
+// historyQuery asks for a streamorigin.History.
+type historyQuery struct{}
+
+// historyAnswer is a streamorigin.History.
+type historyAnswer struct {
+	IsComplete    bool            `avro:"is_complete"`
+	Uses          []historyRecord `avro:"uses"`
+	Configuration int64           `avro:"configuration"`
+}
+
+// historyRecord is a backend.SoftwareUse.
+type historyRecord struct {
+	Service         string `avro:"service"`
+	Version         string `avro:"version"`
+	AgeMilliseconds int64  `avro:"age_milliseconds"`
+}
+
+var (
+	historyQuerySchema  = avrocodec.MustParse(`{"type":"record","name":"history_query","fields":[]}`)
+	historyAnswerSchema = avrocodec.MustParse(`{"type":"record","name":"history_answer","fields":[{"name":"is_complete","type":"boolean"},
+		{"name":"uses","type":{"type":"array","items":{"type":"record","name":"history_record","fields":[{"name":"service","type":"string"},
+		{"name":"version","type":"string"},{"name":"age_milliseconds","type":"long"}]}}},{"name":"configuration","type":"long"}]}`)
+)
+
 var (
 	originCopySchema = avrocodec.MustParse(`{"type":"record","name":"origin_copy","fields":[{"name":"records","type":{"type":"array","items":{
 		"type":"record","name":"origin_record","fields":[{"name":"key","type":"bytes"},{"name":"service","type":"string"},
@@ -82,6 +109,12 @@
 // Schema implements peer.Message.
 func (originAnswer) Schema() avro.Schema { return originAnswerSchema }
 
+// Schema implements peer.Message.
+func (historyQuery) Schema() avro.Schema { return historyQuerySchema }
+
+// Schema implements peer.Message.
+func (historyAnswer) Schema() avro.Schema { return historyAnswerSchema }
+
 // originPeers implements streamorigin.Peers with the cluster membership and the peer transport.
 type originPeers struct {
 	node      *cluster.Node
@@ -139,6 +172,43 @@
 	return len(chosen)
 }
 
+// AskHistory implements streamorigin.Peers. Daemons of the own zone and of others take turns. A
+// daemon that does not answer, or is of an older build, counts as one with an incomplete history.
+func (p *originPeers) AskHistory(ctx context.Context, count int, answers chan<- streamorigin.History) int {
+	near, far, _ := shuffledPeers(p.node)
+	chosen := alternate(near, far)
+	chosen = chosen[:min(count, len(chosen))]
+	for _, each := range chosen {
+		go func() {
+			got, err := peer.Call[historyQuery, historyAnswer](ctx, p.transport, each.Address, methodSoftwareHistory, historyQuery{})
+			if err != nil {
+				got = historyAnswer{}
+			}
+			answers <- historyOf(got)
+		}()
+	}
+	return len(chosen)
+}
+
+// historyOf decodes an answer.
+func historyOf(got historyAnswer) streamorigin.History {
+	found := streamorigin.History{IsComplete: got.IsComplete, Configuration: got.Configuration}
+	for _, each := range got.Uses {
+		age := time.Duration(each.AgeMilliseconds) * time.Millisecond
+		found.Uses = append(found.Uses, backend.SoftwareUse{Service: each.Service, Version: each.Version, Age: age})
+	}
+	return found
+}
+
+// historyAnswerOf encodes an answer. Ages are rounded down, so that no version is forgotten early.
+func historyAnswerOf(known streamorigin.History) historyAnswer {
+	answer := historyAnswer{IsComplete: known.IsComplete, Uses: []historyRecord{}, Configuration: known.Configuration}
+	for _, each := range known.Uses {
+		answer.Uses = append(answer.Uses, historyRecord{Service: each.Service, Version: each.Version, AgeMilliseconds: each.Age.Milliseconds()})
+	}
+	return answer
+}
+
 func answerOf(got originAnswer) streamorigin.Answer {
 	return streamorigin.Answer{
 		HasRecord: got.HasRecord, IsConflicting: got.IsConflicting, Origin: streamorigin.Origin{Service: got.Service, Software: got.Software},
@@ -231,6 +301,9 @@
 		keeper.Accept(records)
 		return originCopyAnswer{}, nil
 	})
+	peer.Handle(transport, methodSoftwareHistory, func(ctx context.Context, _ string, _ historyQuery) (historyAnswer, error) {
+		return historyAnswerOf(keeper.AnswerHistory(ctx)), nil
+	})
 	peer.Handle(transport, methodOriginFind, func(_ context.Context, _ string, query originQuery) (originAnswer, error) {
 		key, isKey := keyOf(query.Key)
 		if !isKey {
--- a/internal/serving/origin.go
+++ b/internal/serving/origin.go
@@ -56,9 +56,9 @@
 		return true
 	}
 	started := time.Now()
-	found := e.core.Origins.Find(ctx, streamorigin.Query{Key: e.request.originKey(), Service: e.request.Service}, e.mayHaveOtherService(started))
+	found := e.core.Origins.Find(ctx, streamorigin.Query{Key: e.request.originKey(), Service: e.request.Service}, func() bool { return e.mayHaveOtherService(time.Now()) })
 	e.core.Logger.Info("stream_origin", "id", e.request.ID, "resumes", e.request.Resumes, "finding", string(found.Finding), "service", found.Origin.Service,
-		"began_software", found.Origin.Software, "last_event", e.request.LastEvent, "asked", found.Asked, "answered", found.Answered,
+		"began_software", found.Origin.Software, "last_event", e.request.LastEvent, "asked", found.Asked, "answered", found.Answered, "evidence", string(found.Evidence),
 		"opinion", found.Opinion.String(), "list_age_ms", found.ListAge.Milliseconds(), "took_ms", time.Since(started).Milliseconds())
 	switch {
 	case !found.Finding.IsKnown():
@@ -75,10 +75,10 @@
 }
 
 // refuseResumption refuses a stream whose origin is not certain. It names a time to return only
-// if another daemon may know the origin.
+// if another daemon may know the origin, or this one may later.
 func (e *exchange) refuseResumption(finding streamorigin.Finding) {
 	retryAfter := time.Duration(0)
-	if finding == streamorigin.FindingNoAnswer {
+	if finding.MayBecomeKnown() {
 		retryAfter = retryAfterNone
 	}
 	e.reason = ReasonOriginUnknown
--- a/internal/streamorigin/decision.go
+++ b/internal/streamorigin/decision.go
@@ -70,19 +70,28 @@
 	FindingUnknown Finding = "unknown"
 	// FindingConflicting means that records or beliefs contradict each other.
 	FindingConflicting Finding = "conflicting"
-	// FindingNoAnswer means that there is no record here and no other daemon answered.
+	// FindingNoAnswer means that there is no record here and no other daemon answered, and that
+	// the service may have versions that this daemon does not know.
 	FindingNoAnswer Finding = "no_answer"
+	// FindingUnproven means that there is no record, and that the service may have versions that
+	// neither this daemon nor those that answered know.
+	FindingUnproven Finding = "unproven"
 )
 
 // IsKnown reports whether the origin is certain.
 func (f Finding) IsKnown() bool { return f == FindingRecord || f == FindingOnlyVersion }
 
+// MayBecomeKnown reports whether the origin may be found later.
+func (f Finding) MayBecomeKnown() bool { return f == FindingNoAnswer || f == FindingUnproven }
+
 // Result is the result of the search for the origin of a stream and what it rests on.
 type Result struct {
 	Origin  Origin
 	Finding Finding
 	// Asked is the number of other daemons that were asked, Answered of those that answered.
 	Asked, Answered int
+	// Evidence is why the service had no other versions, if there was no record.
+	Evidence Evidence
 	// Opinion is this daemon's, by a list of backends that was current ListAge ago.
 	Opinion Opinion
 	ListAge time.Duration
@@ -99,23 +108,41 @@
 	// peers are the answers of other daemons; asked is how many were asked.
 	peers []Answer
 	asked int
+	// evidence is why the service had no other versions than those in the answers and further.
+	evidence Evidence
+	further  []string
+}
+
+// answers returns all answers, this daemon's included.
+func (s search) answers() []Answer { return append([]Answer{s.own}, s.peers...) }
+
+// needsEvidence reports whether the origin would be certain if the service had no other versions
+// than those in the answers.
+func (s search) needsEvidence() bool {
+	s.evidence = EvidenceAlone
+	_, finding := s.decide()
+	return finding == FindingOnlyVersion
 }
 
 // decide finds the origin of a stream. Records go first. Without a record, the stream began at
-// the only version of the service if all who answered agree on it, and if at least one other
-// daemon answered: a daemon that is cut off may believe in one version while others use more.
+// the only version of the service if there is evidence that no daemon can have known another one
+// when the caller returned. That all who answer agree is none: they may be cut off together.
 func (s search) decide() (Origin, Finding) {
-	all := append([]Answer{s.own}, s.peers...)
-	if origin, finding := recordedOrigin(all); finding != FindingUnknown {
+	if origin, finding := recordedOrigin(s.answers()); finding != FindingUnknown {
 		return origin, finding
 	}
-	if s.asked > 0 && len(s.peers) == 0 {
+	hasEvidence := s.evidence != EvidenceNone && s.evidence != ""
+	switch {
+	case !hasEvidence && s.asked > 0 && len(s.peers) == 0:
 		return Origin{}, FindingNoAnswer
-	}
-	if s.mustHaveRecord {
+	case s.mustHaveRecord:
 		return Origin{}, FindingUnknown
 	}
-	return onlyVersion(s.service, all)
+	origin, finding := onlyVersion(s.service, append(s.answers(), Answer{Opinion: opinionOf(s.further)}))
+	if finding == FindingOnlyVersion && !hasEvidence {
+		return Origin{}, FindingUnproven
+	}
+	return origin, finding
 }
 
 // recordedOrigin returns the origin by the records, FindingUnknown if there are none.
--- a/internal/streamorigin/keeper.go
+++ b/internal/streamorigin/keeper.go
@@ -38,22 +38,23 @@
 	Copy(ctx context.Context, record Record, count int, acknowledged chan<- struct{}) int
 	// Ask asks count daemons of the key. It returns the number of daemons that it asks.
 	Ask(ctx context.Context, query Query, count int, answers chan<- Answer) int
+	// AskHistory asks count daemons for their history. Each sends one element, an incomplete
+	// history if it does not answer. It returns the number of daemons that it asks.
+	AskHistory(ctx context.Context, count int, answers chan<- History) int
 }
 
 // Software lists the software versions of services (backend.Set).
 type Software interface {
 	// SoftwareVersions returns those listed within backend.StreamWindow.
 	SoftwareVersions(service string, now time.Time) []string
+	// SoftwareHistory returns those of all services.
+	SoftwareHistory(now time.Time) []backend.SoftwareUse
+	// AddSoftwareHistory adds those of another daemon.
+	AddSoftwareHistory(uses []backend.SoftwareUse, now time.Time)
 	// SoftwareSignal is signalled when a service gets a further one.
 	SoftwareSignal() <-chan struct{}
 }
 
-// List is this daemon's list of backends.
-type List interface {
-	// Age is an upper bound of how long ago the list was current.
-	Age() time.Duration
-}
-
 // Keeper keeps the origins of streams. It is safe for concurrent use.
 type Keeper struct {
 	software Software
@@ -62,41 +63,46 @@
 	metrics  *telemetry.Serving
 	log      *slog.Logger
 	records  *records
-	// settledAt is when this daemon has listed backends for backend.StreamWindow. Before, it
-	// does not know which versions were listed lately.
-	settledAt time.Time
 }
 
-// NewKeeper returns a keeper. A nil list means one that is always current, nil peers that there are
-// no other daemons.
+// NewKeeper returns a keeper. Nil peers mean that there are no other daemons; the list may be nil
+// then.
 func NewKeeper(software Software, list List, peers Peers, metrics *telemetry.Serving, log *slog.Logger) *Keeper {
-	if list == nil {
-		list = currentList{}
-	}
-	return &Keeper{software: software, list: list, peers: peers, metrics: metrics, log: log, records: newRecords(), settledAt: time.Now().Add(backend.StreamWindow)}
+	return &Keeper{software: software, list: list, peers: peers, metrics: metrics, log: log, records: newRecords()}
 }
 
-// currentList is a list that is always current.
-type currentList struct{}
-
-// Age implements List.
-func (currentList) Age() time.Duration { return 0 }
+// certaintyInterval is the time between two checks whether the list is certain.
+const certaintyInterval = 500 * time.Millisecond
 
 // Run copies the records of a service's streams when the service gets a further software
-// version, until the context ends.
+// version, and those of all streams when the list is no longer certain, until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
+	if k.peers == nil {
+		return
+	}
+	check := time.NewTicker(certaintyInterval)
+	defer check.Stop()
+	wasCertain := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-k.software.SoftwareSignal():
 			k.copyUncopied(ctx, func(service string) bool { return k.opinion(service).Kind == OpinionSeveral })
+		case <-check.C:
+			k.completeHistory(ctx)
+			isCertain := k.isCertain()
+			if wasCertain && !isCertain {
+				k.CopyAll(ctx)
+			}
+			wasCertain = isCertain
 		}
 	}
 }
 
-// CopyAll copies the records of all streams of this daemon, because routes have changed and a
-// stream without a record may have begun at another service.
+// CopyAll copies the records of all streams of this daemon: routes have changed, so that a stream
+// without a record may have begun at another service, or other daemons may soon lack the evidence
+// that is needed without one.
 func (k *Keeper) CopyAll(ctx context.Context) { k.copyUncopied(ctx, func(string) bool { return true }) }
 
 // copyUncopied copies the records of this daemon's streams that have no copies yet.
@@ -114,13 +120,13 @@
 }
 
 // Began records the origin of a stream whose first event is about to be passed to the caller,
-// who waits until the deadline. If the service has several software versions, or others may
-// have been listed lately, it waits until another daemon has a copy, at most copyTimeout. It
-// also does if mustHaveRecord is set, as in Find.
+// who waits until the deadline. If the service has several software versions, or may have had
+// others lately, it waits until another daemon has a copy, at most copyTimeout. It also does if
+// mustHaveRecord is set, as in Find.
 func (k *Keeper) Began(ctx context.Context, key Key, origin Origin, deadline time.Time, mustHaveRecord bool) {
 	now := time.Now()
 	record := Record{Key: key, Origin: origin, Expires: expiryOf(deadline, now)}
-	mustCopy := k.peers != nil && (mustHaveRecord || now.Before(k.settledAt) || k.opinion(origin.Service).Kind != OpinionOne)
+	mustCopy := k.peers != nil && (mustHaveRecord || !k.isCertain() || k.opinion(origin.Service).Kind != OpinionOne)
 	k.records.put(record, !mustCopy, now)
 	if !mustCopy {
 		return
@@ -170,20 +176,34 @@
 // Count returns the number of records, copies for other daemons included.
 func (k *Keeper) Count() int { return k.records.count() }
 
-// Find finds the origin of a stream that a caller resumes. mustHaveRecord is set if a stream
-// without a record may have begun at another service than the query's.
-func (k *Keeper) Find(ctx context.Context, query Query, mustHaveRecord bool) Result {
-	known := search{service: query.Service, mustHaveRecord: mustHaveRecord, own: k.Answer(query)}
+// Find finds the origin of a stream that a caller resumes. mustHaveRecord reports whether a
+// stream without a record may have begun at another service than the query's; it is asked once
+// the configuration has been confirmed.
+func (k *Keeper) Find(ctx context.Context, query Query, mustHaveRecord func() bool) Result {
+	known := search{service: query.Service, mustHaveRecord: mustHaveRecord(), own: k.Answer(query)}
 	if !known.own.HasRecord && k.peers != nil {
-		bounded, cancel := context.WithTimeout(ctx, askTimeout)
-		defer cancel()
-		answers := make(chan Answer, askedDaemons)
-		known.asked = k.peers.Ask(bounded, query, askedDaemons, answers)
-		known.peers = collect(bounded, answers, known.asked)
+		known.asked, known.peers = k.ask(ctx, query)
+	}
+	if known.needsEvidence() {
+		known.evidence, known.further = k.prove(ctx, query.Service, known.asked > 0 && len(known.peers) == known.asked)
+		known.own, known.mustHaveRecord = k.Answer(query), mustHaveRecord()
 	}
 	origin, finding := known.decide()
 	k.metrics.OriginFindings.WithLabelValues(string(finding)).Inc()
-	return Result{Origin: origin, Finding: finding, Asked: known.asked, Answered: len(known.peers), Opinion: known.own.Opinion, ListAge: k.list.Age()}
+	result := Result{Origin: origin, Finding: finding, Asked: known.asked, Answered: len(known.peers), Evidence: known.evidence, Opinion: known.own.Opinion}
+	if k.list != nil {
+		result.ListAge = k.list.Age()
+	}
+	return result
+}
+
+// ask asks other daemons for the origin of a stream.
+func (k *Keeper) ask(ctx context.Context, query Query) (asked int, answered []Answer) {
+	bounded, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answers := make(chan Answer, askedDaemons)
+	asked = k.peers.Ask(bounded, query, askedDaemons, answers)
+	return asked, collect(bounded, answers, asked)
 }
 
 // collect returns the answers that arrive before the context ends. It stops at a record.
--- a/internal/streamorigin/keeper_test.go
+++ b/internal/streamorigin/keeper_test.go
@@ -20,11 +20,68 @@
 	mutex   sync.Mutex
 	keepers []*Keeper
 	sets    []*backend.Set
+	lists   []*testList
 	// isEnded holds the daemons that don't answer.
 	isEnded map[int]bool
 	copied  int
 }
 
+// testList is the list of one daemon of a fleet. mutex guards the fields after it.
+type testList struct {
+	mutex sync.Mutex
+	// covers is set if the history is complete, isServed if the store answers.
+	covers, isServed, isSection bool
+	generation                  uint64
+	configuration               int64
+	age                         time.Duration
+}
+
+func (l *testList) set(change func(*testList)) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	change(l)
+}
+
+func (l *testList) Age() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.age
+}
+
+func (l *testList) Confirm(context.Context) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.isServed
+}
+
+func (l *testList) Covers() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.covers
+}
+
+func (l *testList) IsSection() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.isSection
+}
+
+func (l *testList) Generation() uint64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.generation
+}
+
+func (l *testList) Extend(generation uint64) {
+	l.set(func(l *testList) { l.covers = l.covers || generation == l.generation })
+}
+
+func (l *testList) Configuration() int64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.configuration
+}
+
 // fleetPeers are the peers of one daemon of a fleet.
 type fleetPeers struct {
 	fleet *fleet
@@ -37,8 +94,9 @@
 	for self := range count {
 		set := backend.NewSet()
 		made.sets = append(made.sets, set)
-		made.keepers = append(made.keepers, NewKeeper(set, nil, fleetPeers{fleet: made, self: self}, telemetry.NewServing(prometheus.NewRegistry()), slog.New(slog.DiscardHandler)))
-		made.keepers[self].settledAt = time.Now()
+		known := &testList{covers: true, isServed: true}
+		made.lists = append(made.lists, known)
+		made.keepers = append(made.keepers, NewKeeper(set, known, fleetPeers{fleet: made, self: self}, telemetry.NewServing(prometheus.NewRegistry()), slog.New(slog.DiscardHandler)))
 	}
 	return made
 }
@@ -83,6 +141,19 @@
 	return len(chosen)
 }
 
+func (p fleetPeers) AskHistory(ctx context.Context, count int, answers chan<- History) int {
+	chosen := p.others(count)
+	for _, each := range chosen {
+		answers <- each.AnswerHistory(ctx)
+	}
+	return len(chosen)
+}
+
+// find searches for the origin of a stream at a daemon.
+func (f *fleet) find(daemon int, key Key) Result {
+	return f.keepers[daemon].Find(context.Background(), Query{Key: key, Service: service}, func() bool { return false })
+}
+
 func (f *fleet) begin(daemon int, id, software string) Key {
 	key := KeyOf("host", "", id)
 	f.keepers[daemon].Began(context.Background(), key, Origin{Service: service, Software: software}, time.Now().Add(time.Minute), false)
@@ -96,7 +167,7 @@
 	key := f.begin(0, "stream", "v2")
 	f.isEnded[0] = true
 	for daemon := 1; daemon < 5; daemon++ {
-		found := f.keepers[daemon].Find(context.Background(), Query{Key: key, Service: service}, false)
+		found := f.find(daemon, key)
 		require.Equal(t, FindingRecord, found.Finding)
 		require.Equal(t, "v2", found.Origin.Software)
 	}
@@ -109,7 +180,7 @@
 	key := f.begin(0, "stream", "v1")
 	require.Zero(t, f.copied)
 	f.isEnded[0] = true
-	found := f.keepers[1].Find(context.Background(), Query{Key: key, Service: service}, false)
+	found := f.find(1, key)
 	require.Equal(t, FindingOnlyVersion, found.Finding)
 	require.Equal(t, "v1", found.Origin.Software)
 }
@@ -117,7 +188,7 @@
 func TestDaemonThatJustStartedCopiesOrigins(t *testing.T) {
 	f := newFleet(t, 3)
 	f.list("a", "v1")
-	f.keepers[0].settledAt = time.Now().Add(time.Minute)
+	f.lists[0].set(func(l *testList) { l.covers = false })
 	f.begin(0, "stream", "v1")
 	require.Equal(t, 2, f.copied)
 }
@@ -142,10 +213,81 @@
 	for _, each := range f.sets {
 		each.Remove("b")
 	}
-	found := f.keepers[1].Find(context.Background(), Query{Key: KeyOf("host", "", "lost"), Service: service}, false)
+	found := f.find(1, KeyOf("host", "", "lost"))
 	require.Equal(t, FindingUnknown, found.Finding)
 }
 
+// Guards against beliefs of daemons that agree because none of them is up to date.
+func TestAgreementIsNoEvidence(t *testing.T) {
+	key := KeyOf("host", "", "lost")
+	for name, each := range map[string]struct {
+		change   func(l *testList)
+		evidence Evidence
+	}{
+		"up to date":             {func(*testList) {}, EvidenceOwnList},
+		"the store is silent":    {func(l *testList) { l.isServed = false }, EvidenceNone},
+		"versions may be missed": {func(l *testList) { l.covers = false }, EvidenceNone},
+		"a standstill is over":   {func(l *testList) { l.age = time.Minute }, EvidencePeer},
+		"sections":               {func(l *testList) { l.isSection = true }, EvidenceSections},
+		"sections, no store":     {func(l *testList) { l.isSection, l.isServed = true, false }, EvidenceNone},
+	} {
+		f := newFleet(t, 3)
+		f.list("a", "v1")
+		for _, known := range f.lists {
+			known.set(each.change)
+		}
+		found := f.find(0, key)
+		require.Equal(t, each.evidence, found.Evidence, name)
+		require.Equal(t, each.evidence != EvidenceNone, found.Finding.IsKnown(), name)
+	}
+}
+
+// Guards against streams that go on at a daemon's only version while another daemon knows more,
+// and against callers that a daemon refuses although another one is up to date.
+func TestEvidenceOfAnotherDaemon(t *testing.T) {
+	key := KeyOf("host", "", "lost")
+	f := newFleet(t, 2)
+	f.list("a", "v1")
+	f.lists[0].set(func(l *testList) { l.covers, l.isServed = false, false })
+	require.Equal(t, Result{Origin: Origin{service, "v1"}, Finding: FindingOnlyVersion, Asked: 1, Answered: 1, Evidence: EvidencePeer, Opinion: Opinion{OpinionOne, "v1"}}, f.find(0, key))
+	f.lists[0].set(func(l *testList) { l.configuration = 1 })
+	require.Equal(t, FindingUnproven, f.find(0, key).Finding, "the routes may lead elsewhere")
+	f.lists[0].set(func(l *testList) { l.configuration = 0 })
+	f.sets[1].Put(backend.Instance{ID: "b", Service: service, Version: "v2", Slots: 4})
+	require.Equal(t, FindingUnknown, f.find(0, key).Finding)
+	_, further := f.keepers[0].prove(context.Background(), service, true)
+	require.ElementsMatch(t, []string{"v1", "v2"}, further)
+}
+
+func TestOriginsAreCopiedWhenListIsNoLongerCertain(t *testing.T) {
+	f := newFleet(t, 3)
+	f.list("a", "v1")
+	key := f.begin(0, "stream", "v1")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.keepers[0].Run(ctx)
+	time.Sleep(2 * certaintyInterval)
+	require.False(t, f.keepers[1].Answer(Query{Key: key, Service: service}).HasRecord)
+	f.lists[0].set(func(l *testList) { l.age = maxCertainAge })
+	require.Eventually(t, func() bool { return f.keepers[1].Answer(Query{Key: key, Service: service}).HasRecord }, 10*time.Second, time.Millisecond)
+}
+
+// Guards against daemons that start one by one and never learn which versions were listed before.
+func TestHistoryIsCompletedFromAnotherDaemon(t *testing.T) {
+	f := newFleet(t, 2)
+	f.list("a", "v1")
+	f.sets[1].Put(backend.Instance{ID: "b", Service: service, Version: "v2", Slots: 4})
+	f.sets[1].Remove("b")
+	f.lists[0].set(func(l *testList) { l.covers = false })
+	f.lists[1].set(func(l *testList) { l.isServed = false })
+	f.keepers[0].completeHistory(context.Background())
+	require.False(t, f.lists[0].Covers(), "the other list is not up to date")
+	f.lists[1].set(func(l *testList) { l.isServed = true })
+	f.keepers[0].completeHistory(context.Background())
+	require.True(t, f.lists[0].Covers())
+	require.Equal(t, OpinionSeveral, f.keepers[0].opinion(service).Kind)
+}
+
 // Guards against callers that fill a daemon's memory with ids and deadlines of their choice.
 func TestRecordsAreBounded(t *testing.T) {
 	kept, now := newRecords(), time.Now()
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -75,6 +75,9 @@
 	// Upstream is followed instead of the store while it is up to date; nil means
 	// none.
 	Upstream Upstream
+	// History is restarted by the consumer at each gap in the changes; nil means that nobody
+	// asks for it.
+	History *History
 	// Clock is the clock for ages; nil means the system's.
 	Clock boottime.Clock
 
@@ -119,6 +122,8 @@
 	// settling is nil until the store is unavailable for the first time.
 	settling atomic.Pointer[settling]
 	origin   atomic.Pointer[Origin]
+
+	confirmation confirmation
 }
 
 // Age returns an upper bound of how long the consumer's version may have been out of
@@ -174,6 +179,9 @@
 			err = errDeferred
 		default:
 			err = f.read(ctx)
+			if err == nil {
+				f.readHistory(ctx)
+			}
 		}
 		if errors.Is(err, errDeferred) {
 			periodic.Sleep(ctx, f.Deferred())
@@ -217,7 +225,9 @@
 
 // recordStoreAnswer is recordConfirmed for a direct answer of the store.
 func (f *Follower) recordStoreAnswer(at boottime.Instant) {
-	f.storeConfirmed.Store(int64(at))
+	if int64(at) > f.storeConfirmed.Load() {
+		f.storeConfirmed.Store(int64(at))
+	}
 	f.recordConfirmed(at)
 }
 
@@ -263,6 +273,12 @@
 	}
 	f.recordResult(nil)
 	f.isUnconfirmed = false
+	f.applyChanges(changes, started)
+	return nil
+}
+
+// applyChanges passes on the answer of the store to a call that was started at an instant.
+func (f *Follower) applyChanges(changes Changes, started boottime.Instant) {
 	f.delivery.Lock()
 	defer f.delivery.Unlock()
 	if changes.Version >= f.seen {
@@ -271,7 +287,6 @@
 		f.seen = changes.Version
 	}
 	f.recordStoreAnswer(max(started, changes.AsOf))
-	return nil
 }
 
 // seenVersion returns the version that the consumer received last.
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -11,6 +11,8 @@
 // it.
 type Replica struct {
 	Consumer Consumer
+	// History is restarted at each gap in the changes; nil means that nobody asks for it.
+	History *History
 
 	mutex   sync.Mutex
 	section Section
@@ -30,6 +32,7 @@
 
 // Keep implements SectionConsumer.
 func (r *Replica) Keep(rows []Row, version Version, missed []Row, isGapless bool) {
+	r.restartHistory()
 	r.mutex.Lock()
 	r.rows = map[replicaKey]Row{}
 	r.store(rows, version)
@@ -48,6 +51,9 @@
 func (r *Replica) Change(rows []Row, version Version) {
 	r.mutex.Lock()
 	kept := r.section.Of(rows)
+	if r.hasUnseen(kept) {
+		r.restartHistory()
+	}
 	r.store(kept, version)
 	r.addRecent(rows)
 	r.mutex.Unlock()
@@ -65,6 +71,9 @@
 // the recent changes are incomplete up to this version and are dropped.
 func (r *Replica) ChangePart(rows []Row, version Version) {
 	r.mutex.Lock()
+	if r.hasUnseen(rows) {
+		r.restartHistory()
+	}
 	r.store(rows, version)
 	r.recent.reset(version)
 	r.notifyChanged()
@@ -72,6 +81,28 @@
 	r.Consumer.Change(rows, version)
 }
 
+// restartHistory records a gap in the changes.
+func (r *Replica) restartHistory() {
+	if r.History != nil {
+		r.History.restart()
+	}
+}
+
+// hasUnseen reports whether rows were removed that the copy never had: of several changes of a
+// row a source may pass on the last one only. mutex must be held.
+func (r *Replica) hasUnseen(rows []Row) bool {
+	added := map[replicaKey]bool{}
+	for _, row := range rows {
+		key := replicaKey{row.Partition, row.Key}
+		_, isKept := r.rows[key]
+		if row.Deleted && !isKept && !added[key] {
+			return true
+		}
+		added[key] = !row.Deleted
+	}
+	return false
+}
+
 // store applies rows to the copy. mutex must be held.
 func (r *Replica) store(rows []Row, version Version) {
 	if r.rows == nil {
--- a/test/mutants.d/streams.sh
+++ b/test/mutants.d/streams.sh
@@ -8,7 +8,46 @@
 mutant unknown_version_equals_itself internal/streamorigin/decision.go \
 	'len(versions) == 1 && versions[0] != ""' 'len(versions) == 1' internal/streamorigin TestUnknownVersionIsNotOne
 mutant belief_while_cut_off internal/streamorigin/decision.go \
-	'if s.asked > 0 && len(s.peers) == 0 {' 'if false {' internal/streamorigin TestStreamIsResumedOnlyAtCertainOrigin
+	'case !hasEvidence && s.asked > 0 && len(s.peers) == 0:' 'case false:' internal/streamorigin TestStreamIsResumedOnlyAtCertainOrigin
+mutant agreement_is_evidence internal/streamorigin/decision.go \
+	'if finding == FindingOnlyVersion && !hasEvidence {' 'if false {' internal/streamorigin TestAgreementIsNoEvidence
+mutant list_not_confirmed internal/streamorigin/evidence.go \
+	'return k.confirm(ctx) && k.list.Covers()' 'return true' internal/streamorigin TestAgreementIsNoEvidence
+mutant sections_not_confirmed internal/streamorigin/evidence.go \
+	'if allAnswered && k.confirm(ctx) {' 'if allAnswered {' internal/streamorigin TestAgreementIsNoEvidence
+mutant versions_of_another_daemon_ignored internal/streamorigin/evidence.go \
+	'return EvidencePeer, history.versionsOf(service)' 'return EvidencePeer, nil' internal/streamorigin TestEvidenceOfAnotherDaemon
+mutant routes_of_another_daemon_ignored internal/streamorigin/evidence.go \
+	'history.IsComplete && history.Configuration == k.list.Configuration()' 'history.IsComplete' internal/streamorigin TestEvidenceOfAnotherDaemon
+mutant certain_for_ever internal/streamorigin/keeper.go \
+	'if wasCertain && !isCertain {' 'if wasCertain && false {' internal/streamorigin TestOriginsAreCopiedWhenListIsNoLongerCertain
+mutant incomplete_history_believed internal/streamorigin/evidence.go \
+	'			if each.IsComplete {
+				return each
+			}' '			each.IsComplete = true
+			return each' internal/streamorigin TestHistoryIsCompletedFromAnotherDaemon
+mutant call_under_way_confirms internal/table/confirm.go \
+	'		f.confirmation.next = nil
+		f.confirmation.isRunning = call != nil
+		f.confirmation.mutex.Unlock()
+		if call == nil {
+			return
+		}
+		call.isConfirmed = f.confirm()' '		f.confirmation.isRunning = call != nil
+		f.confirmation.mutex.Unlock()
+		if call == nil {
+			return
+		}
+		call.isConfirmed = f.confirm()
+		f.confirmation.mutex.Lock()
+		f.confirmation.next = nil
+		f.confirmation.mutex.Unlock()' internal/table TestCallUnderWayConfirmsNothingForLaterCallers
+mutant removed_rows_make_no_gap internal/table/replica.go \
+	'if row.Deleted && !isKept && !added[key] {' 'if !isKept && false {' internal/table TestHistoryHasNoGaps
+mutant extended_over_a_gap internal/table/history.go \
+	'if generation == h.generation {' 'if true {' internal/table TestHistoryHasNoGaps
+mutant removals_forgotten internal/table/confirm.go \
+	'if err != nil || hasRemoval(changes.Rows) ||' 'if err != nil ||' internal/table TestHistoryHasNoGaps
 mutant beliefs_not_compared internal/streamorigin/decision.go \
 	'case only != "" && each.Opinion.Only != only:' 'case false:' internal/streamorigin TestStreamIsResumedOnlyAtCertainOrigin
 mutant origin_kept_alone internal/streamorigin/keeper.go \
@@ -16,7 +55,7 @@
 mutant always_copied internal/streamorigin/keeper.go \
 	'mustCopy := k.peers != nil && (' 'mustCopy := k.peers != nil && (true || ' internal/streamorigin TestNothingIsCopiedWhileThereIsOneVersion
 mutant second_version_unnoticed internal/backend/software.go \
-	'return known.listed == 1 && len(versions) > 1' 'return false' internal/streamorigin TestOriginsAreCopiedWhenSecondVersionAppears
+	'return known.listed == 1 && count > 1' 'return count < 0' internal/streamorigin TestOriginsAreCopiedWhenSecondVersionAppears
 mutant version_forgotten_as_it_leaves internal/backend/software.go \
 	'return l.listed > 0 || now.Sub(l.lastListed) < StreamWindow' 'return l.listed > 0' internal/backend TestSoftwareVersionsOfWindow
 mutant records_unbounded internal/streamorigin/records.go \
