Items: pauses grow after attempts under which backends end

Callers saw: one item of a job under which backends end was sent again 200 ms after each end, as long as its job was open; whatever ran beside it was cut each time.

Cause: the pause after a broken attempt was constant; a crash uses no attempt of an item up, since most such items are sound.

Now two pauses stay short, then they double (jittered) to 2 s, never past the last start that is in time for the due time or the give-up time by the estimate of the run time. An attempt that had events and was taken back from a living backend starts the count anew, and so does a new owner.

The count of broken attempts and the pause are in item_attempt_failed.

--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,7 +15,7 @@
 
 const (
 	// refusedPause is the time before an item that was refused or preempted is sent again,
-	// failedPause that after any other failure.
+	// failedPause the shortest after any other failure.
 	refusedPause = 100 * time.Millisecond
 	failedPause  = 200 * time.Millisecond
 	// itemTimeout is how long a backend may work on one item.
@@ -43,6 +44,7 @@
 	defer cancel()
 	watched := watchdog.Start(firstEventTimeout, eventTimeout, cancel)
 	defer watched.Stop()
+	running.broken.begin(running.progress.lastID())
 	var transfer serving.Transfer
 	answer, err := s.reserveAndSend(bounded, serving.Attempt{
 		Instance: instance, Tenant: running.owner.job.Tenant, MaxConnections: s.connections(service), ID: running.item.ID, Fingerprint: running.fingerprint, Parts: running.partsAt(service), Method: itemMethod, Target: running.item.Path,
@@ -156,6 +158,7 @@
 	}
 	if ctx.Err() != nil {
 		s.metrics.Items.WithLabelValues("yielded").Inc()
+		running.broken.yielded(running.progress.lastID())
 		owner.requeue(running, refusedPause)
 		return
 	}
@@ -181,9 +184,14 @@
 	} else {
 		serving.RecordFailure(s.backends, instance.Incarnation(), failed.Reason, time.Now())
 	}
+	pause := running.pauseAfter(failed)
+	if endedBackend(failed) {
+		running.broken.broke()
+		pause = running.broken.pause(rand.Float64(), s.slacks(running, time.Now())...)
+	}
 	s.metrics.Items.WithLabelValues(failed.Outcome.String()).Inc()
 	s.log.Info("item_attempt_failed", "job", owner.job.ID, "item", running.item.ID, "backend", instance.ID, "software", instance.Version, "outcome", failed.Outcome.String(),
-		"reason", string(failed.Reason), "failures", running.progress.failureCount(), "last_event", running.progress.lastID(), "cause", failed.Cause, "answer", transfer, "fingerprint", running.fingerprint.String(), "parts", running.partsAt(instance.Service))
+		"reason", string(failed.Reason), "failures", running.progress.failureCount(), "broken_in_row", running.broken.inRow, "pause_ms", pause.Milliseconds(), "last_event", running.progress.lastID(), "cause", failed.Cause, "answer", transfer, "fingerprint", running.fingerprint.String(), "parts", running.partsAt(instance.Service))
 	if transfer.ClosedBeforeFirstEvent() && running.progress.addEmptyAnswer() {
 		s.startOver(running, instance.ID, originAt(instance))
 	}
@@ -192,7 +200,7 @@
 		owner.finish(running, Result{Item: running.item.ID, State: StateAbandoned})
 		return
 	}
-	owner.requeue(running, running.pauseAfter(failed))
+	owner.requeue(running, pause)
 }
 
 // isItemFailure reports whether a failed attempt counts as a failure of the item.
--- a/internal/job/ownedjob.go
+++ b/internal/job/ownedjob.go
@@ -46,6 +46,8 @@
 	// uselessAnswers counts answers in a row that say nothing of the item, as far as its pause depends on
 	// them. It is changed by the attempt that runs.
 	uselessAnswers int
+	// broken paces the item after attempts under which a backend ended.
+	broken brokenAttempts
 	// isPreempted reports that the current run was cancelled by preempt and has not ended
 	// yet.
 	isPreempted bool
