Limits: a daemon that is not seen counts until it has ended for certain

What callers saw: nothing; the backends of a tenant get more than its limit. Behind a cut of over 10 s each side granted the whole limit.

Cause: absence taken for an end. A daemon that was not seen lost its rank and its part of the fleet after missingRetention (10 s), whatever had happened to it; both sides of a longer cut then counted themselves as the fleet.

Fix: a missing daemon keeps its rank until it left, a daemon runs at its address under another name, or its address refuses connections, which a probe asks from 5 s on; for 10 minutes at most. A crash is forgotten after 10 s as before, so that a restart moves nothing. Both sides of a cut name the same coordinators throughout, which is what keeps their sum within the limit (docs/design/0018). The price: a machine without power is silent too, and counts for as long.

TestMissingDaemonsKeepTheirRank demanded that a silent daemon is forgotten after 10 s, which is the fault; it now demands that one that has ended is forgotten after 10 s and not before, and a silent one after maxMissing and not before. The mutant missed_daemons_lose_their_places follows.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,6 +56,7 @@
 	supervisor  *supervisor.Supervisor
 	gateway     *gateway.Gateway
 	wakeups     *boottime.Wakeups
+	limitFleet  *ratelimit.ClusterFleet
 	lifetime    context.Context
 	cancel      context.CancelFunc
 	listener    net.Listener
@@ -89,10 +90,10 @@
 	d.worker = batch.NewWorker(store, d.node, d.transport, log)
 	d.coordinator = batch.NewCoordinator(store, d.node, d.transport, d.holder.TenantWeight, log)
 	d.supervisor = supervisor.New(d.node, d.registry, d.holder, engines, d.worker, log)
-	limitFleet := ratelimit.NewClusterFleet(d.node, d.transport)
-	limits := ratelimit.New(limitFleet, ratelimit.ToleranceOf(process), telemetry.NewTenants(metrics.Registry), log)
-	limitFleet.Handle(limits)
-	limitFleet.SetRegistered(nil) // other daemons are found by the seeds and the machine list
+	d.limitFleet = ratelimit.NewClusterFleet(d.node, d.transport, log)
+	limits := ratelimit.New(d.limitFleet, ratelimit.ToleranceOf(process), telemetry.NewTenants(metrics.Registry), log)
+	d.limitFleet.Handle(limits)
+	d.limitFleet.SetRegistered(nil) // other daemons are found by the seeds and the machine list
 	d.gateway = gateway.New(lifetime, gateway.Dependencies{
 		Settings: process, Node: d.node, Transport: d.transport, Registry: d.registry, Holder: d.holder, Log: revision.NewLog(client), Watcher: d.watcher,
 		Platform: client, Engines: engines, Store: store, Coordinator: d.coordinator, Worker: d.worker, Yielder: d.supervisor,
@@ -166,7 +167,7 @@
 		return err
 	}
 	for _, run := range []func(context.Context){
-		d.node.Run, d.machines.Run, d.watcher.Run, d.worker.Run, d.coordinator.Run, d.supervisor.Run, d.gateway.RunAggregates, d.wakeups.Run, d.becomeReady,
+		d.node.Run, d.machines.Run, d.watcher.Run, d.worker.Run, d.coordinator.Run, d.supervisor.Run, d.gateway.RunAggregates, d.wakeups.Run, d.limitFleet.ProbeMissing, d.becomeReady,
 	} {
 		go run(d.lifetime)
 	}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -170,7 +170,7 @@
 	listed := &backendList{holder: f.Holder}
 	f.Core.Origins = streamorigin.NewKeeper(f.Backends, listed, &originPeers{node: f.node, transport: f.transport}, metrics.Serving, log)
 	handleOrigins(f.transport, f.Core.Origins)
-	f.limitFleet = ratelimit.NewClusterFleet(f.node, f.transport)
+	f.limitFleet = ratelimit.NewClusterFleet(f.node, f.transport, log)
 	f.Core.Limits = ratelimit.New(f.limitFleet, ratelimit.ToleranceOf(process), metrics.Tenants, log)
 	f.limitFleet.Handle(f.Core.Limits)
 	if connector, keepsConnections := ports.Sender.(serving.Connector); keepsConnections {
@@ -372,6 +372,7 @@
 	go f.Core.Origins.Run(ctx)
 	go f.expireEvidence(ctx)
 	go f.Core.Limits.WatchFleet(ctx, f.hasTenants)
+	go f.limitFleet.ProbeMissing(ctx)
 	for _, follower := range f.followers {
 		go follower.Run(ctx)
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"crypto/subtle"
-	"net"
 	"sync"
 	"time"
 
@@ -244,11 +243,10 @@
 
 // dial connects to an address from the IP address on which the daemon listens.
 func (t *Transport) dial(address string, peerLink *link) (gnet.Conn, error) {
-	host, _, err := net.SplitHostPort(t.address)
+	dialer, err := t.netDialer()
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return nil, err
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
 	connection, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return nil, errors.WithStack(err)
--- a/internal/ratelimit/fleet.go
+++ b/internal/ratelimit/fleet.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
 	"topazpulley/internal/cluster"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
+	"topazpulley/internal/periodic"
 )
 
 // methodAsk is the peer protocol method for requests to coordinators.
@@ -17,11 +19,19 @@
 // then registered daemons count as members, so that all agree on the coordinators.
 const settlingTime = 3 * time.Second
 
+const (
+	// probeInterval is the time between two rounds of probes of missing daemons, probesPerRound
+	// how many are probed at once.
+	probeInterval  = 500 * time.Millisecond
+	probesPerRound = 4
+)
+
 // ClusterFleet is the fleet according to the membership. mutex guards the fields after it.
 type ClusterFleet struct {
 	node      *cluster.Node
 	transport *peer.Transport
 	startedAt time.Time
+	log       *slog.Logger
 
 	mutex        sync.Mutex
 	registered   []Daemon
@@ -32,8 +42,8 @@
 var _ Fleet = (*ClusterFleet)(nil)
 
 // NewClusterFleet returns the fleet of a daemon that starts now.
-func NewClusterFleet(node *cluster.Node, transport *peer.Transport) *ClusterFleet {
-	return &ClusterFleet{node: node, transport: transport, startedAt: time.Now(), recent: recentDaemons{}}
+func NewClusterFleet(node *cluster.Node, transport *peer.Transport, log *slog.Logger) *ClusterFleet {
+	return &ClusterFleet{node: node, transport: transport, log: log, startedAt: time.Now(), recent: recentDaemons{}}
 }
 
 // Handle registers a limiter to answer other daemons. It must be called before the transport
@@ -84,6 +94,34 @@
 	return live
 }
 
+// ProbeMissing probes the addresses of missing daemons until the context ends, to distinguish
+// those that have ended from those behind a partition.
+func (f *ClusterFleet) ProbeMissing(ctx context.Context) {
+	periodic.Run(ctx, probeInterval, func() { f.probeRound(ctx) })
+}
+
+// probeRound probes some of the missing daemons and waits for the results.
+func (f *ClusterFleet) probeRound(ctx context.Context) {
+	f.mutex.Lock()
+	probes := f.recent.nextProbes(probesPerRound, time.Now())
+	f.mutex.Unlock()
+	var group sync.WaitGroup
+	for _, daemon := range probes {
+		group.Go(func() { f.probe(ctx, daemon) })
+	}
+	group.Wait()
+}
+
+func (f *ClusterFleet) probe(ctx context.Context, daemon Daemon) {
+	if !f.transport.Refuses(ctx, daemon.Address) {
+		return
+	}
+	f.log.Info("limit_daemon_ended", "daemon", daemon.Name, "address", daemon.Address)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.recent.recordEnded(daemon)
+}
+
 func (f *ClusterFleet) hasLeft(name string) bool {
 	member, isMember := f.node.Member(name)
 	return isMember && member.State == membership.StateLeft
--- a/internal/ratelimit/reach_test.go
+++ b/internal/ratelimit/reach_test.go
@@ -1,11 +1,15 @@
 package ratelimit
 
 import (
+	"fmt"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"topazpulley/internal/peer"
 )
 
 // maxTogether is what a coordinator and its replacements on the other side of a partition may
@@ -42,19 +46,68 @@
 	require.Empty(t, reaching.missingAt)
 }
 
-// TestMissingDaemonsKeepTheirRank fails if missing daemons are forgotten before
-// missingRetention, or those that left are kept.
+// TestMissingDaemonsKeepTheirRank fails if missing daemons that have not ended are forgotten
+// before maxMissing, those that have ended before missingRetention, or those that left are kept.
 func TestMissingDaemonsKeepTheirRank(t *testing.T) {
-	now := time.Unix(1000, 0)
-	all := []Daemon{{Name: "a"}, {Name: "b"}, {Name: "c"}}
-	hasLeft := func(name string) bool { return name == "c" }
+	start := time.Unix(1000, 0)
+	silent, ended := Daemon{Name: "b", Address: "b"}, Daemon{Name: "c", Address: "c"}
+	all := []Daemon{{Name: "a", Address: "a"}, silent, ended, {Name: "d", Address: "d"}}
+	hasLeft := func(name string) bool { return name == "d" }
 	recent := recentDaemons{}
-	require.Empty(t, recent.missing(all, hasLeft, now))
+	require.Empty(t, recent.missing(all, hasLeft, start))
 	// A daemon is missing from the first call at which it isn't live.
-	now = now.Add(2 * missingRetention)
-	require.Equal(t, []Daemon{{Name: "b"}}, recent.missing(all[:1], hasLeft, now))
-	require.Equal(t, []Daemon{{Name: "b"}}, recent.missing(all[:1], hasLeft, now.Add(missingRetention-time.Millisecond)))
-	require.Empty(t, recent.missing(all[:1], hasLeft, now.Add(missingRetention)))
+	now := start.Add(2 * maxMissing)
+	require.ElementsMatch(t, []Daemon{silent, ended}, recent.missing(all[:1], hasLeft, now))
+	recent.recordEnded(ended)
+	require.ElementsMatch(t, []Daemon{silent, ended}, recent.missing(all[:1], hasLeft, now.Add(missingRetention-time.Millisecond)))
+	require.Equal(t, []Daemon{silent}, recent.missing(all[:1], hasLeft, now.Add(missingRetention)))
+	require.Equal(t, []Daemon{silent}, recent.missing(all[:1], hasLeft, now.Add(maxMissing-time.Millisecond)))
+	require.Empty(t, recent.missing(all[:1], hasLeft, now.Add(maxMissing)))
+}
+
+// TestNewProcessEndsMissingTime fails if an earlier process's refusal counts against a later one,
+// or a daemon keeps its rank whose address another one has taken over.
+func TestNewProcessEndsMissingTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	self, other := Daemon{Name: "a", Address: "a"}, Daemon{Name: "b", Address: "b"}
+	hasLeft := func(string) bool { return false }
+	recent := recentDaemons{}
+	recent.missing([]Daemon{self, other}, hasLeft, now)
+	recent.missing([]Daemon{self}, hasLeft, now)
+	recent.recordEnded(other)
+	recent.missing([]Daemon{self, other}, hasLeft, now)
+	recent.recordEnded(other) // a late result
+	require.Equal(t, []Daemon{other}, recent.missing([]Daemon{self}, hasLeft, now.Add(time.Second)))
+	require.Equal(t, []Daemon{other}, recent.missing([]Daemon{self}, hasLeft, now.Add(time.Second+missingRetention)))
+	replacement := Daemon{Name: "c", Address: "b"}
+	require.Empty(t, recent.missing([]Daemon{self, replacement}, hasLeft, now.Add(2*missingRetention)))
+}
+
+// TestOnlyRefusingDaemonsHaveEnded fails if a daemon that does not answer is taken for ended, one
+// that refuses connections is not, or not all missing daemons are probed in turn.
+func TestOnlyRefusingDaemonsHaveEnded(t *testing.T) {
+	open, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer open.Close()
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, closed.Close())
+	since := time.Now().Add(-probeAfter)
+	recent := recentDaemons{}
+	for index := range probesPerRound {
+		name := fmt.Sprintf("silent %d", index)
+		recent[name] = recentDaemon{daemon: Daemon{Name: name, Address: open.Addr().String()}, missingSince: since}
+	}
+	recent["ended"] = recentDaemon{daemon: Daemon{Name: "ended", Address: closed.Addr().String()}, missingSince: since}
+	recent["suspected"] = recentDaemon{daemon: Daemon{Name: "suspected", Address: closed.Addr().String()}, missingSince: time.Now().Add(time.Hour)}
+	recent["live"] = recentDaemon{daemon: Daemon{Name: "live", Address: closed.Addr().String()}}
+	fleet := &ClusterFleet{transport: peer.NewTransport("self", "127.0.0.1:0", nil, discardLog), log: discardLog, recent: recent}
+	for range 2 {
+		fleet.probeRound(t.Context())
+	}
+	for name, each := range recent {
+		require.Equal(t, name == "ended", each.hasEnded, name)
+	}
 }
 
 // TestMissingCoordinatorsStayRanked fails if the sides of a partition rank daemons differently
--- a/internal/ratelimit/recent.go
+++ b/internal/ratelimit/recent.go
@@ -1,27 +1,48 @@
 package ratelimit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// missingRetention is how long a daemon that is no longer seen keeps its rank, because it may
-// be partitioned. It is longer than most partitions, and twice as long as a restart.
-const missingRetention = 10 * time.Second
+const (
+	// missingRetention is how long a daemon that is no longer seen keeps its rank at least. It is
+	// twice as long as a restart.
+	missingRetention = 10 * time.Second
+	// maxMissing is how long a daemon keeps its rank that is neither seen nor known to have ended:
+	// it may be partitioned and grant its shard.
+	maxMissing = 10 * time.Minute
+	// probeAfter is how long a daemon is missing before its address is probed. Most suspicions
+	// are refuted by then.
+	probeAfter = missingRetention / 2
+)
 
 // recentDaemon is a daemon that was seen alive recently.
 type recentDaemon struct {
 	daemon Daemon
 	// missingSince is when the daemon was first missing, or zero while it is seen.
 	missingSince time.Time
+	// probedAt is when its address was last probed since then. hasEnded is true if it refused the
+	// connection.
+	probedAt time.Time
+	hasEnded bool
+}
+
+// isForgotten reports whether a missing daemon loses its rank.
+func (d recentDaemon) isForgotten(now time.Time) bool {
+	missingFor := now.Sub(d.missingSince)
+	return missingFor >= maxMissing || (d.hasEnded && missingFor >= missingRetention)
 }
 
 // recentDaemons are the recently seen daemons by name.
 type recentDaemons map[string]recentDaemon
 
-// missing records the live daemons and returns those that were seen within missingRetention and
-// are neither live nor have left.
+// missing records the live daemons and returns the others that may still grant: those that were
+// seen, have not left, are not forgotten, and whose address no live daemon has taken over.
 func (r recentDaemons) missing(live []Daemon, hasLeft func(name string) bool, now time.Time) []Daemon {
-	isLive := make(map[string]bool, len(live))
+	isLive, isTaken := make(map[string]bool, len(live)), make(map[string]bool, len(live))
 	for _, daemon := range live {
-		isLive[daemon.Name] = true
+		isLive[daemon.Name], isTaken[daemon.Address] = true, true
 		r[daemon.Name] = recentDaemon{daemon: daemon}
 	}
 	missing := []Daemon{}
@@ -33,7 +54,7 @@
 			seen.missingSince = now
 			r[name] = seen
 		}
-		if hasLeft(name) || now.Sub(seen.missingSince) >= missingRetention {
+		if hasLeft(name) || isTaken[seen.daemon.Address] || seen.isForgotten(now) {
 			delete(r, name)
 			continue
 		}
@@ -41,3 +62,33 @@
 	}
 	return missing
 }
+
+// nextProbes returns up to count missing daemons whose addresses are to be probed, those first
+// that have waited longest, and counts them as probed.
+func (r recentDaemons) nextProbes(count int, now time.Time) []Daemon {
+	due := []recentDaemon{}
+	for _, seen := range r {
+		if !seen.missingSince.IsZero() && !seen.hasEnded && now.Sub(seen.missingSince) >= probeAfter {
+			due = append(due, seen)
+		}
+	}
+	slices.SortFunc(due, func(a, b recentDaemon) int { return a.probedAt.Compare(b.probedAt) })
+	probes := []Daemon{}
+	for _, seen := range due[:min(count, len(due))] {
+		seen.probedAt = now
+		r[seen.daemon.Name] = seen
+		probes = append(probes, seen.daemon)
+	}
+	return probes
+}
+
+// recordEnded records that a probed daemon's address refused the connection. A daemon that is
+// seen again meanwhile is a new process.
+func (r recentDaemons) recordEnded(probed Daemon) {
+	seen, isKnown := r[probed.Name]
+	if !isKnown || seen.missingSince.IsZero() || seen.daemon != probed {
+		return
+	}
+	seen.hasEnded = true
+	r[probed.Name] = seen
+}
--- a/test/mutants.d/limits.sh
+++ b/test/mutants.d/limits.sh
@@ -2,7 +2,18 @@
 mutant keepers_change_with_each_view internal/ratelimit/ranking.go \
 	'all := slices.Concat(seen.Daemons, seen.Missing)' 'all := slices.Clone(seen.Daemons)' internal/ratelimit TestNoWindowExceedsLimitAroundPartition
 mutant missed_daemons_lose_their_places internal/ratelimit/recent.go \
-	'now.Sub(seen.missingSince) >= missingRetention' 'true' internal/ratelimit TestMissingDaemonsKeepTheirRank
+	'(d.hasEnded && missingFor >= missingRetention)' 'd.hasEnded' internal/ratelimit TestMissingDaemonsKeepTheirRank
+mutant silent_daemons_lose_their_places internal/ratelimit/recent.go \
+	'(d.hasEnded && missingFor >= missingRetention)' 'missingFor >= missingRetention' internal/ratelimit TestNoWindowExceedsLimitBehindLongPartition
+mutant silent_daemons_have_ended internal/peer/probe.go \
+	'errors.Is(err, syscall.ECONNREFUSED)' '(err == nil || errors.Is(err, syscall.ECONNREFUSED))' internal/ratelimit TestOnlyRefusingDaemonsHaveEnded
+mutant same_daemons_probed_each_round internal/ratelimit/recent.go \
+	'		seen.probedAt = now
+' '' internal/ratelimit TestOnlyRefusingDaemonsHaveEnded
+mutant earlier_process_refuses_for_later_one internal/ratelimit/recent.go \
+	'seen.missingSince.IsZero() || seen.daemon' 'seen.daemon' internal/ratelimit TestNewProcessEndsMissingTime
+mutant replaced_daemon_keeps_its_place internal/ratelimit/recent.go \
+	'isTaken[seen.daemon.Address] || ' '' internal/ratelimit TestNewProcessEndsMissingTime
 mutant daemons_that_left_are_missed internal/ratelimit/recent.go \
 	'hasLeft(name) || ' '' internal/ratelimit TestMissingDaemonsKeepTheirRank
 mutant sides_of_a_cut_grant_all internal/ratelimit/reach.go \
