--- a/internal/job/objects.go
+++ b/internal/job/objects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -26,6 +27,9 @@
 	// orphanAge is how long the job of an object must not be open before the object is
 	// dropped. It is longer than an acceptance without an answer may take effect late.
 	orphanAge = time.Minute
+	// maxUnwatchedTime is the longest time between two checks by this daemon across which a job
+	// counts as not open. It may be open between checks that are further apart.
+	maxUnwatchedTime = time.Minute
 	// maxObjectPages and maxDropsPerSweep limit the calls of one check.
 	maxObjectPages   = 10
 	maxDropsPerSweep = 100
@@ -67,20 +71,25 @@
 type objectSweeper struct {
 	// keepFor is, by prefix, how long an object is kept while its job is not open.
 	keepFor map[string]time.Duration
-	// notOpenSince is since when the job of an object was found not to be open, by name.
+	// notOpenSince is since when the job of an object was found not to be open at each check, by
+	// name.
 	notOpenSince map[string]time.Time
+	// checkedAt is the time of the last check, by prefix.
+	checkedAt map[string]time.Time
 }
 
 func newObjectSweeper(resultRetention time.Duration) *objectSweeper {
 	return &objectSweeper{
 		keepFor:      map[string]time.Duration{contentPrefix: orphanAge, textPrefix: orphanAge + resultRetention},
 		notOpenSince: map[string]time.Time{},
+		checkedAt:    map[string]time.Time{},
 	}
 }
 
 // due returns the objects among those listed under a prefix that are to be dropped, by name, with
 // their jobs. The objects of other prefixes are not affected.
 func (w *objectSweeper) due(prefix string, names []string, isOpen func(job string) bool, now time.Time) map[string]string {
+	w.recordCheck(prefix, now)
 	found, due := map[string]bool{}, map[string]string{}
 	for _, name := range names {
 		job, isValid := jobOfObject(prefix, name)
@@ -105,6 +114,14 @@
 	return due
 }
 
+// recordCheck records a check, and forgets the earlier ones if they are too long ago.
+func (w *objectSweeper) recordCheck(prefix string, now time.Time) {
+	if now.Sub(w.checkedAt[prefix]) > maxUnwatchedTime {
+		maps.DeleteFunc(w.notOpenSince, func(name string, _ time.Time) bool { return strings.HasPrefix(name, prefix) })
+	}
+	w.checkedAt[prefix] = now
+}
+
 // sweepObjects drops objects whose job is over or was never accepted, until the context ends. One
 // daemon of the fleet does so.
 func (s *Service) sweepObjects(ctx context.Context) {
--- a/test/mutants.d/beliefs.sh
+++ b/test/mutants.d/beliefs.sh
@@ -23,3 +23,5 @@
 	'if slices.Contains(c.granted, name) {' 'if false {' platform TestLateCopyOfReservationIsNoFurtherReservation
 mutant receipt_of_failure_dropped platform/sender.go \
 	'	failed.Receipt = a.receipt' '' platform TestFailedAttemptTellsWhatShowedIt
+mutant unwatched_job_is_not_open internal/job/objects.go \
+	'> maxUnwatchedTime' '> 100*maxUnwatchedTime' internal/job TestSweepKeepsTextsThatItDidNotWatch
