Cold backends: a lost daemon keeps its allowance

What callers saw: late answers of a backend that has just started, since it gets more than it bears while daemons are cut off from each other.

Cause: absence taken for an end. The allowance of a cold backend is assigned over the live members. A daemon that lost all others by a cut took itself for the fleet and assigned itself the whole allowance, at once and with no age; so did each other one that is alone. The margin in internal/warmup covers two sides, not more.

Fix: the allowance is assigned over the live members and those lost less than 10 minutes ago. One that left frees its part at once; one that crashed and returns takes its own again.

--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -280,6 +280,14 @@
 	return memberNames(n.Members(), func(membership.Member) bool { return true })
 }
 
+// NamesWithLost returns the names of all live members and of those that were lost less than
+// lostFor ago.
+func (n *Node) NamesWithLost(lostFor time.Duration) []string {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.core.NamesWithLost(lostFor, time.Now())
+}
+
 func memberNames(members []membership.Member, accept func(membership.Member) bool) []string {
 	names := make([]string, 0, len(members))
 	for _, member := range members {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -244,6 +244,10 @@
 	return configured.ColdRate
 }
 
+// lostColdShare is how long a daemon that was lost keeps its allowance for cold backends: it may be
+// partitioned and use it.
+const lostColdShare = 10 * time.Minute
+
 // newColdShare returns the function that computes this daemon's allowance for a cold backend.
 // The allowance is 0 until settledAt: a daemon that has just started may not know all others
 // and would use their shares too.
@@ -252,7 +256,7 @@
 		if time.Now().Before(settledAt) {
 			return 0
 		}
-		return warmup.Allowance(node.Self().Name, node.AllNames(), incarnation.String(), perSecond, window)
+		return warmup.Allowance(node.Self().Name, node.NamesWithLost(lostColdShare), incarnation.String(), perSecond, window)
 	}
 }
 
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -153,6 +153,21 @@
 	return append(members, c.live[position:]...)
 }
 
+// NamesWithLost returns the names of the live members, this one included, and of those that were
+// lost less than lostFor ago: they may be partitioned and still be working.
+func (c *Core) NamesWithLost(lostFor time.Duration, now time.Time) []string {
+	names := make([]string, 0, len(c.members)+1)
+	for _, member := range c.Members() {
+		names = append(names, member.Name)
+	}
+	for name, member := range c.members {
+		if member.State == StateDead && now.Sub(c.changedAt[name]) < lostFor {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Count returns the number of live members, this one included.
 func (c *Core) Count() int {
 	c.refreshLive()
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -50,6 +50,20 @@
 	})
 }
 
+// TestNamesWithLostForgetsInTime fails if a lost member isn't listed until its time is over, or a
+// member that left is.
+func TestNamesWithLostForgetsInTime(t *testing.T) {
+	const lostFor = time.Minute
+	now := time.Unix(1000, 0)
+	core := newCore("self", now)
+	core.Receive(now, gossip("live", member("live", 1, membership.StateAlive), member("lost", 1, membership.StateAlive), member("left", 1, membership.StateAlive)))
+	core.Receive(now, gossip("live", member("lost", 1, membership.StateDead), member("left", 1, membership.StateLeft)))
+	require.ElementsMatch(t, []string{"self", "live", "lost"}, core.NamesWithLost(lostFor, now.Add(lostFor-1)))
+	require.ElementsMatch(t, []string{"self", "live"}, core.NamesWithLost(lostFor, now.Add(lostFor)))
+	core.Receive(now, gossip("live", member("lost", 2, membership.StateAlive)))
+	require.ElementsMatch(t, []string{"self", "live", "lost"}, core.NamesWithLost(lostFor, now.Add(2*lostFor)))
+}
+
 func indexes(count int) []int {
 	list := make([]int, count)
 	for index := range list {
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -41,7 +41,7 @@
 const windowCycle = 1 << 20
 
 // Allowance returns how many requests a daemon may send to a backend in a window. daemons are
-// all members, perSecond is the backend's rate, and backend identifies its incarnation.
+// all members that may send to it, perSecond is the backend's rate, and backend identifies its incarnation.
 func Allowance(daemon string, daemons []string, backend string, perSecond float64, window Window) int {
 	own := 0
 	for index := range fleetAllowance(perSecond, window) {
--- a/test/mutants.d/zones.sh
+++ b/test/mutants.d/zones.sh
@@ -18,3 +18,9 @@
 	'if duty.Owner(key, daemons) == daemon {' 'if duty.Owner(key, daemons) != "" {' internal/warmup TestColdRateIsNotExceeded
 mutant both_sides_of_a_cut_take_all internal/warmup/warmup.go \
 	'safeShare = 0.6' 'safeShare = 1.0' internal/warmup TestColdRateIsNotExceeded
+mutant lost_daemons_free_their_cold_share internal/frontend/frontend.go \
+	'node.NamesWithLost(lostColdShare)' 'node.NamesWithLost(0*lostColdShare)' internal/frontend TestDaemonThatLostAllOthersKeepsItsColdShare
+mutant daemons_lost_long_ago_count internal/membership/core.go \
+	'&& now.Sub(c.changedAt[name]) < lostFor' '' internal/membership TestNamesWithLostForgetsInTime
+mutant daemons_that_left_count_as_lost internal/membership/core.go \
+	'member.State == StateDead && now' '!member.Live() && now' internal/membership TestNamesWithLostForgetsInTime
