Heads: a head that another answer follows is not one head

What callers saw (in tests): a backend sends a part of its answer's head and then, on the same connection, another answer. The caller got a 200 with the body of the other request ("data: foreign" for r10, TestSafeRequestRetriedAtAnotherBackend), a request that may run once got a 200 with it, or the promise "not run" of the other answer's refusal.

Cause: the parser takes "Server: joinedHTTP/1.1 200 OK" for the value of a field and "OHTTP/1.1 200 OK" for a reason, and goes on with the fields of the second head. Where a field may stand once, the last value wins, so that the trace of the join is gone after parsing. The class: two messages read as one because nothing asks where the second begins.

Change: the bytes of a head are checked before they are parsed (httphead.CheckAnswer): a status line anywhere but at the beginning is a fault. The attempt is broken off with its outcome unknown, and the connection is closed. The clients that read with the HTTP library (store, the other door's engines, platform and daemons) check the same on their connections (httphead.CheckedDial), since the library shows no head as it came. A trailer with a status line is no end of a body: its answer was whole, but the body of the other one would be next on a connection that is used again (TestTrailerJoinedToAnswerIsNoEnd).

Known price: a field whose own value has a status line ("X-Upstream: HTTP/1.1 200 OK") is refused; it cannot be told from a join. Not checked: forwarding between daemons over TLS, and the command line's client.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -131,13 +131,13 @@
 			MaxIdemponentCallAttempts: 1,
 			NoDefaultUserAgentHeader:  true,
 			StreamResponseBody:        true,
-			Dial: func(address string) (net.Conn, error) {
+			Dial: httphead.CheckedDial(func(address string) (net.Conn, error) {
 				connection, err := net.DialTimeout("tcp", address, dialTimeout)
 				if err != nil {
 					return nil, &dialError{cause: err}
 				}
 				return connection, nil
-			},
+			}),
 		},
 	}
 }
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -146,6 +147,29 @@
 	}
 }
 
+// Guards against an answer of a plain service whose head was cut off, and that has the body or the
+// refusal of the answer behind it.
+func TestCallAnswerBehindCutHeadIsNotComplete(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + engine.HeaderAttempt + ": mine\r\nContent-Type: text/plain\r\nServer: a\r\n\r\n"
+	const fields = engine.HeaderAttempt + ": other\r\nContent-Type: text/css\r\n"
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	for _, other := range []string{
+		"HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nother",
+		"HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 17\r\n\r\n{\"code\":\"full\"}  ",
+	} {
+		for _, begin := range []string{head, strings.Replace(head, "200 OK", "503 Service Unavailable", 1)} {
+			for size := 1; size < len(begin); size++ {
+				go answerOnce(listener, begin[:size]+other)
+				_, err := engine.NewClient(time.Second).Call(t.Context(), listener.Addr().String(), engine.CallRequest{AttemptID: "mine", Method: "POST", Path: "/a"})
+				require.Error(t, err, "%q", begin[:size])
+				require.Equal(t, engine.OutcomeUnknown, engine.OutcomeOf(err), "%q", begin[:size])
+			}
+		}
+	}
+}
+
 // answerOnce answers the first request of the next connection and closes it.
 func answerOnce(listener net.Listener, answer string) {
 	connection, err := listener.Accept()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -44,8 +44,12 @@
 // newCall returns a call to a daemon. It connects when the request is sent.
 func (f *forwardClient) newCall(address string) *forwardedCall {
 	call := &forwardedCall{}
+	dial := fasthttp.DialFunc(call.dial)
+	if f.tls == nil {
+		dial = httphead.CheckedDial(dial)
+	}
 	call.client = &fasthttp.HostClient{
-		Addr: address, IsTLS: f.tls != nil, TLSConfig: f.tls, Dial: call.dial,
+		Addr: address, IsTLS: f.tls != nil, TLSConfig: f.tls, Dial: dial,
 		MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true, StreamResponseBody: true,
 		DisablePathNormalizing: true, // the engine receives the target unchanged
 	}
--- a/internal/gateway/forward_ending_test.go
+++ b/internal/gateway/forward_ending_test.go
@@ -72,3 +72,17 @@
 	_, err = io.ReadAll(response.Body)
 	return err == nil && response.StatusCode == http.StatusOK
 }
+
+// Guards against an answer of another daemon whose head was cut off, and that is passed on with the
+// body of the answer behind it.
+func TestForwardedAnswerBehindCutHeadIsNotComplete(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nServer: a\r\nConnection: close\r\n\r\n"
+	const other = "HTTP/1.1 200 OK\r\nContent-Type: text/css\r\nContent-Length: 5\r\n\r\nother"
+	sent := ""
+	address := serveCut(t, func() string { return sent })
+	daemon := serveCalls(t, time.Second, func(c *caller) { require.True(t, c.forwardTo(membership.Member{HTTPAddress: address})) })
+	for size := 1; size < len(head); size++ {
+		sent = head[:size] + other
+		require.False(t, isAnswered(t, daemon), "%d of %d bytes", size, len(head))
+	}
+}
--- a/internal/httphead/fault.go
+++ b/internal/httphead/fault.go
@@ -39,6 +39,8 @@
 	// KindConnection is an end-to-end field that the Connection field lists as hop-by-hop
 	// (RFC 9110 section 7.6.1).
 	KindConnection Kind = "connection_option"
+	// KindJoined is a head that was cut off and goes on as the head of another answer.
+	KindJoined Kind = "joined_heads"
 	// KindUnread is a head that is invalid although each of its lines is well formed, such as
 	// one without a Host (RFC 9112 section 3.2).
 	KindUnread Kind = "unreadable"
--- a/internal/storage/http.go
+++ b/internal/storage/http.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"topazpulley/internal/failure"
+	"topazpulley/internal/httphead"
 )
 
 // Paths of the platform's HTTP protocol.
@@ -47,6 +48,7 @@
 			MaxIdemponentCallAttempts:     1,
 			DisableHeaderNamesNormalizing: false,
 			DisablePathNormalizing:        true,
+			Dial:                          httphead.CheckedDial(fasthttp.Dial),
 		},
 	}
 }
--- a/test/mutants.d/endings.sh
+++ b/test/mutants.d/endings.sh
@@ -62,3 +62,12 @@
 	'		isAtEnd = errors.Is(decoder.Error, io.EOF)' '		isAtEnd = true' internal/avrocodec TestRecordWithoutFieldsThatHaveDefaultsIsRead
 mutant other_statuses_fail_items internal/job/attempt.go \
 	'	return failed.Outcome == serving.OutcomeFailed && failed.Reason == serving.ReasonError' '	return failed.Reason == serving.ReasonError || failed.Reason == serving.ReasonStatus' internal/job TestOnlyServerErrorsAreFailuresOfItems
+mutant joined_heads_are_one platform/sender.go \
+	'err := httphead.CheckAnswer(a.connection.reader)' 'err := error(nil)' platform TestHeadJoinedToCutHeadIsNoAnswer
+mutant joined_trailer_is_an_end platform/answer.go \
+	'		if httphead.HoldsStatusLine(line) {' '		if false && httphead.HoldsStatusLine(line) {' platform TestTrailerJoinedToAnswerIsNoEnd
+mutant first_answer_is_checked_only internal/httphead/joined.go \
+	'	c.head, c.isChecked = nil, false
+' '' internal/httphead TestEachAnswerOfAConnectionIsChecked
+mutant dialled_connections_unchecked internal/httphead/joined.go \
+	'		return &checkedConn{Conn: connection}, nil' '		return connection, nil' platform TestStoreAnswerBehindCutHeadIsUnknown
