--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -39,6 +39,9 @@
 	StoreCalls *prometheus.CounterVec
 	// StoreSeconds observes the duration of calls to the store in seconds.
 	StoreSeconds *prometheus.HistogramVec
+	// DamagedRows counts rows and names in answers of the store of which a part can't be read, by
+	// call.
+	DamagedRows *prometheus.CounterVec
 	// Behind counts online requests that became overdue while they waited for a slot, and so
 	// let requests on time go first, by service.
 	Behind *prometheus.CounterVec
@@ -83,6 +86,7 @@
 		Held:           counter("job_submissions_held_total", "Submissions that came while the store was away.", "outcome"),
 		StoreCalls:     counter("store_calls_total", "Calls to the store.", "call", "outcome"),
 		StoreSeconds:   histogram("store_call_seconds", "Time of calls to the store.", "call"),
+		DamagedRows:    counter("store_damaged_rows_total", "Rows and names in answers of the store of which a part can't be read.", "call"),
 		Behind:         counter("serving_behind_total", "Online requests that were late and made way for those in time.", "service"),
 		TurnedAway:     counter("serving_turned_away_total", "Online requests refused because those in time needed all places.", "service"),
 		Malformed:      newMalformed(),
@@ -93,7 +97,7 @@
 		Panics:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_panics_total", Help: "Requests that ended with a programming error."}),
 		MemoryRefusals: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "memory_refusals_total", Help: "Requests refused because too much was held for others."}),
 	}
-	registry.MustRegister(serving.Requests, serving.Attempts, serving.Continuations, serving.OriginFindings, serving.OriginCopies, serving.Silences, serving.Searches, serving.BrokenOff, serving.FirstOutput, serving.Duration, serving.Items, serving.Held, serving.StoreCalls, serving.StoreSeconds,
+	registry.MustRegister(serving.Requests, serving.Attempts, serving.Continuations, serving.OriginFindings, serving.OriginCopies, serving.Silences, serving.Searches, serving.BrokenOff, serving.FirstOutput, serving.Duration, serving.Items, serving.Held, serving.StoreCalls, serving.StoreSeconds, serving.DamagedRows,
 		serving.Behind, serving.TurnedAway, serving.Malformed, serving.Shed, serving.SlowCallers, serving.Panics, serving.MemoryRefusals, serving.BatchRoom)
 	return serving
 }
