Tables: a damaged key at a page's end neither skips rows nor is read for ever

Seen: a read of a table went on after the last key as it was read. A byte that is no text is replaced in an answer, so that the key read is another than the stored one: below it, and a page of such keys was read again without an end; above it, and the sound rows between the two were left out without a word. A page whose rows were all unreadable counted as the end of the table.

Cause: the key to go on after was taken on trust, and nothing made sure that a read advances.

Change: Page.Next and NextName decide how every read goes on (the followers' and sections' reads, addresses of daemons, reservations, lists of partitions). A read goes on after the last key without a replaced byte; if there is none, in steps that only grow, so that it ends. A page that announces more and names nothing is an error, not an end. Not mended: sound keys that lie between a whole page of damaged ones and their largest possible value are passed over.

--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -143,13 +143,12 @@
 				return nil, false, err
 			}
 			rows = append(rows, page.Rows...)
-			more = page.More && len(page.Rows) > 0
+			if part.From, more, err = page.Next(part.From); err != nil {
+				return nil, false, err
+			}
 			if more && !f.hasTenants() {
 				return rows, false, nil
 			}
-			if more {
-				part.From = page.Rows[len(page.Rows)-1].Key + "\x00"
-			}
 		}
 	}
 	return rows, true, nil
--- a/internal/quota/accounts.go
+++ b/internal/quota/accounts.go
@@ -239,24 +239,33 @@
 			}
 			found = append(found, Reservation{Job: row.Key, Tokens: stored.Tokens, Holder: stored.Holder, Version: row.Version})
 		}
-		if !page.More || len(page.Rows) == 0 {
+		next, more, err := page.Next(from)
+		if err != nil {
+			return nil, err
+		}
+		if !more {
 			return found, nil
 		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+		from = next
 	}
 }
 
 // Reserved returns the accounts that have reservations.
 func (a *Accounts) Reserved(ctx context.Context) ([]string, error) {
 	all := []string{}
-	for after := ""; ; after = all[len(all)-1] {
+	for after := ""; ; {
 		page, more, err := a.store.Partitions(ctx, tableReservation, after)
 		if err != nil {
 			return nil, err
 		}
 		all = append(all, page...)
-		if !more || len(page) == 0 {
+		next, hasMore, err := table.NextName(page, more, after)
+		if err != nil {
+			return nil, err
+		}
+		if !hasMore {
 			return all, nil
 		}
+		after = next
 	}
 }
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -394,10 +394,14 @@
 			return nil, err
 		}
 		all = append(all, page...)
-		if !more || len(page) == 0 {
+		next, hasMore, err := NextName(page, more, after)
+		if err != nil {
+			return nil, err
+		}
+		if !hasMore {
 			return all, nil
 		}
-		after = page[len(page)-1]
+		after = next
 	}
 }
 
@@ -418,9 +422,13 @@
 			version = page.Version
 		}
 		rows = append(rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
+		next, more, err := page.Next(from)
+		if err != nil {
+			return nil, 0, err
+		}
+		if !more {
 			return rows, version, nil
 		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+		from = next
 	}
 }
--- a/internal/table/sectionread.go
+++ b/internal/table/sectionread.go
@@ -25,6 +25,8 @@
 	rows     []Row
 	// version is that of the first page.
 	version Version
+	// next is the smallest key after the rows read so far.
+	next string
 	// kept is the section that was read.
 	kept keptSection
 }
@@ -42,12 +44,15 @@
 		r.version = page.Version
 	}
 	r.rows = append(r.rows, page.Rows...)
-	return page.More && len(page.Rows) > 0, nil
+	next, more, err := page.Next(wanted.From)
+	if more {
+		r.next = next
+	} else if len(page.Rows) > 0 {
+		r.next = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+	return more, err
 }
 
-// nextKey returns the smallest key after the rows read so far.
-func (r *sectionRead) nextKey() string { return r.rows[len(r.rows)-1].Key + "\x00" }
-
 // keys returns the keys of the rows read so far.
 func (r *sectionRead) keys() []string {
 	keys := make([]string, 0, len(r.rows))
@@ -76,7 +81,7 @@
 		return f.readPart(ctx, measured)
 	}
 	for more && err == nil {
-		more, err = first.page(ctx, Range{From: first.nextKey(), Limit: pageRows})
+		more, err = first.page(ctx, Range{From: first.next, Limit: pageRows})
 	}
 	first.kept = keptSection{width: 1}
 	return first, err
@@ -144,7 +149,7 @@
 		var err error
 		switch {
 		case more:
-			more, err = r.page(ctx, Range{From: r.nextKey(), Before: before, Limit: sectionPageRows})
+			more, err = r.page(ctx, Range{From: r.next, Before: before, Limit: sectionPageRows})
 		case !hasWrapped && from != "":
 			before, hasWrapped = from, true
 			more, err = r.page(ctx, Range{Before: before, Limit: sectionPageRows})
@@ -157,7 +162,7 @@
 	}
 	section := Section{IsPart: true, From: from}
 	if len(r.rows) > 0 && (more || hasWrapped) {
-		section.Before = r.nextKey()
+		section.Before = r.next
 	}
 	return section, nil
 }
--- a/test/mutants.d/oddrows.sh
+++ b/test/mutants.d/oddrows.sh
@@ -1,3 +1,9 @@
 # Mutants of rows that other writers damaged; mutants.sh sources this.
 mutant damaged_row_hides_others platform/storeanswer.go \
 	'if json.Unmarshal(body, &answer) != nil {' 'if err = json.Unmarshal(body, &answer); false {' platform TestDamagedRowHidesNoOthers
+mutant damaged_key_continues_the_read internal/table/paging.go \
+	'return !strings.Contains(key, replacement)' 'return key != ""' internal/table TestReadGoesOnAfterDamagedKeys
+mutant damaged_page_is_read_for_ever internal/table/paging.go \
+	'strings.ReplaceAll(last, replacement, "\xff") + "\x00"
+	if next <= from {' 'last + "\x00"
+	if next < "" {' internal/table TestReadGoesOnAfterDamagedKeys
