Limits: a daemon that starts behind a cut counts those that others have lost

What callers saw: nothing; the backends of a tenant get more than its limit.

Cause: a daemon remembers whom it has seen itself. One that starts behind a cut has seen its own side only, took it for the fleet 3 s later and granted whole shards, beside the coordinators on the other side, and named other coordinators than its neighbours did.

Evidence: TestDaemonStartedBehindPartitionCountsLostDaemons (three daemons over loopback; the second is lost before the third starts) before: the third never counted it as missing; after: it does.

Fix: the members that the membership lists as lost, which a joining daemon gets with its first exchange, count as missing like those that it has seen itself, under the same ends: left, another process in their place, a refused connection, 10 minutes. A daemon that has lost its rank stays marked, so that the same entry does not make it missing anew. Not covered: a daemon that joins nobody who started before the cut (docs/beliefs.md).

--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -288,6 +288,13 @@
 	return n.core.NamesWithLost(lostFor, time.Now())
 }
 
+// Lost returns the members that were lost less than lostFor ago.
+func (n *Node) Lost(lostFor time.Duration) []membership.Member {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.core.Lost(lostFor, time.Now())
+}
+
 func memberNames(members []membership.Member, accept func(membership.Member) bool) []string {
 	names := make([]string, 0, len(members))
 	for _, member := range members {
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -160,12 +160,21 @@
 	for _, member := range c.Members() {
 		names = append(names, member.Name)
 	}
+	for _, member := range c.Lost(lostFor, now) {
+		names = append(names, member.Name)
+	}
+	return names
+}
+
+// Lost returns the members that were lost less than lostFor ago, as this member knows since then.
+func (c *Core) Lost(lostFor time.Duration, now time.Time) []Member {
+	lost := []Member{}
 	for name, member := range c.members {
 		if member.State == StateDead && now.Sub(c.changedAt[name]) < lostFor {
-			names = append(names, name)
+			lost = append(lost, member)
 		}
 	}
-	return names
+	return lost
 }
 
 // Count returns the number of live members, this one included.
--- a/internal/ratelimit/fleet.go
+++ b/internal/ratelimit/fleet.go
@@ -73,9 +73,14 @@
 			live = append(live, Daemon{Name: member.Name, Address: member.Address})
 		}
 	}
+	lost := []Daemon{}
+	for _, member := range f.node.Lost(maxMissing) {
+		lost = append(lost, Daemon{Name: member.Name, Address: member.Address})
+	}
 	now := time.Now()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.recent.addLost(lost, now)
 	missing := f.recent.missing(live, f.hasLeft, now)
 	if now.Sub(f.startedAt) < settlingTime {
 		return View{Daemons: f.withRegistered(live), IsKnown: f.isRegistered || len(live) > 1}
--- a/internal/ratelimit/recent.go
+++ b/internal/ratelimit/recent.go
@@ -26,10 +26,12 @@
 	// connection.
 	probedAt time.Time
 	hasEnded bool
+	// isForgotten is true once the daemon has lost its rank, until it is seen again.
+	isForgotten bool
 }
 
-// isForgotten reports whether a missing daemon loses its rank.
-func (d recentDaemon) isForgotten(now time.Time) bool {
+// isOver reports whether a missing daemon loses its rank.
+func (d recentDaemon) isOver(now time.Time) bool {
 	missingFor := now.Sub(d.missingSince)
 	return missingFor >= maxMissing || (d.hasEnded && missingFor >= missingRetention)
 }
@@ -54,21 +56,34 @@
 			seen.missingSince = now
 			r[name] = seen
 		}
-		if hasLeft(name) || isTaken[seen.daemon.Address] || seen.isForgotten(now) {
+		if hasLeft(name) || isTaken[seen.daemon.Address] {
 			delete(r, name)
 			continue
 		}
+		if seen.isForgotten = seen.isForgotten || seen.isOver(now); seen.isForgotten {
+			r[name] = seen
+			continue
+		}
 		missing = append(missing, seen.daemon)
 	}
 	return missing
 }
 
+// addLost records daemons that other daemons have lost, and this one has never seen, as missing.
+func (r recentDaemons) addLost(lost []Daemon, now time.Time) {
+	for _, daemon := range lost {
+		if _, isKnown := r[daemon.Name]; !isKnown {
+			r[daemon.Name] = recentDaemon{daemon: daemon, missingSince: now}
+		}
+	}
+}
+
 // nextProbes returns up to count missing daemons whose addresses are to be probed, those first
 // that have waited longest, and counts them as probed.
 func (r recentDaemons) nextProbes(count int, now time.Time) []Daemon {
 	due := []recentDaemon{}
 	for _, seen := range r {
-		if !seen.missingSince.IsZero() && !seen.hasEnded && now.Sub(seen.missingSince) >= probeAfter {
+		if !seen.missingSince.IsZero() && !seen.hasEnded && !seen.isForgotten && now.Sub(seen.missingSince) >= probeAfter {
 			due = append(due, seen)
 		}
 	}
--- a/test/mutants.d/limits.sh
+++ b/test/mutants.d/limits.sh
@@ -13,7 +13,7 @@
 mutant earlier_process_refuses_for_later_one internal/ratelimit/recent.go \
 	'seen.missingSince.IsZero() || seen.daemon' 'seen.daemon' internal/ratelimit TestNewProcessEndsMissingTime
 mutant replaced_daemon_keeps_its_place internal/ratelimit/recent.go \
-	'isTaken[seen.daemon.Address] || ' '' internal/ratelimit TestNewProcessEndsMissingTime
+	'hasLeft(name) || isTaken[seen.daemon.Address]' 'hasLeft(name)' internal/ratelimit TestNewProcessEndsMissingTime
 mutant daemons_that_left_are_missed internal/ratelimit/recent.go \
 	'hasLeft(name) || ' '' internal/ratelimit TestMissingDaemonsKeepTheirRank
 mutant sides_of_a_cut_grant_all internal/ratelimit/reach.go \
@@ -32,3 +32,10 @@
 	'detectionTime = 4 * time.Second' 'detectionTime = 2 * time.Second' internal/ratelimit TestPartitionStaysWithinTolerance
 mutant fleet_not_watched internal/ratelimit/limiter.go \
 	'if hasLimits() {' 'if false {' internal/ratelimit TestPartitionIsDetectedWithoutRequests
+mutant daemons_lost_by_others_unknown internal/ratelimit/fleet.go \
+	'	f.recent.addLost(lost, now)
+' '' internal/ratelimit TestDaemonStartedBehindPartitionCountsLostDaemons
+mutant forgotten_daemons_missing_anew internal/ratelimit/recent.go \
+	'			r[name] = seen
+			continue' '			delete(r, name)
+			continue' internal/ratelimit TestForgottenDaemonsStayForgotten
