--- a/internal/backend/software.go
+++ b/internal/backend/software.go
@@ -9,8 +9,16 @@
 // software version that was listed within it may have begun streams that go on.
 const StreamWindow = 30 * time.Second
 
+// SoftwareWindow is the time for which a software version counts after it was last listed. It is
+// longer than StreamWindow by maxListLag.
+const SoftwareWindow = StreamWindow + maxListLag
+
+// maxListLag is the longest time for which another daemon, whose list is out of date, may begin
+// streams at a version that is not listed any more.
+const maxListLag = 30 * time.Second
+
 // softwareVersions holds the software versions of each service that were listed within
-// StreamWindow. Set.mutex guards it.
+// SoftwareWindow. Set.mutex guards it.
 type softwareVersions struct {
 	byService map[string]map[string]*listedSoftware
 	prunedAt  time.Time
@@ -75,7 +83,7 @@
 // pruneInterval is the minimum time between two removals of old versions.
 const pruneInterval = time.Second
 
-// prune removes versions that were last listed before StreamWindow.
+// prune removes versions that were last listed before SoftwareWindow.
 func (v *softwareVersions) prune(now time.Time) {
 	if now.Sub(v.prunedAt) < pruneInterval {
 		return
@@ -93,9 +101,9 @@
 	}
 }
 
-// isWithin reports whether a backend with the version was listed within StreamWindow.
+// isWithin reports whether a backend with the version was listed within SoftwareWindow.
 func (l *listedSoftware) isWithin(now time.Time) bool {
-	return l.listed > 0 || now.Sub(l.lastListed) < StreamWindow
+	return l.listed > 0 || now.Sub(l.lastListed) < SoftwareWindow
 }
 
 // age returns the time since a backend with the version was last listed, 0 if one is.
@@ -107,7 +115,7 @@
 }
 
 // SoftwareVersions returns the software versions of a service that were listed within
-// StreamWindow, in text order. The empty version stands for backends whose version is unknown.
+// SoftwareWindow, in text order. The empty version stands for backends whose version is unknown.
 func (s *Set) SoftwareVersions(service string, now time.Time) []string {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -121,7 +129,7 @@
 	return found
 }
 
-// SoftwareUse is a software version of a service that was listed within StreamWindow.
+// SoftwareUse is a software version of a service that was listed within SoftwareWindow.
 type SoftwareUse struct {
 	Service, Version string
 	// Age is the time since a backend with it was last listed; 0 means that one is.
@@ -129,7 +137,7 @@
 }
 
 // SoftwareHistory returns the software versions of all services that were listed within
-// StreamWindow.
+// SoftwareWindow.
 func (s *Set) SoftwareHistory(now time.Time) []SoftwareUse {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -295,6 +295,13 @@
 	return n.core.Lost(lostFor, time.Now())
 }
 
+// HasGone reports whether a member was lost or left less than window ago.
+func (n *Node) HasGone(window time.Duration) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.core.HasGone(window, time.Now())
+}
+
 func memberNames(members []membership.Member, accept func(membership.Member) bool) []string {
 	names := make([]string, 0, len(members))
 	for _, member := range members {
--- a/internal/frontend/backendlist.go
+++ b/internal/frontend/backendlist.go
@@ -32,7 +32,7 @@
 }
 
 // Covers implements streamorigin.List.
-func (l *backendList) Covers() bool { return l.instances.History.Covers(backend.StreamWindow) }
+func (l *backendList) Covers() bool { return l.instances.History.Covers(backend.SoftwareWindow) }
 
 // IsSection implements streamorigin.List.
 func (l *backendList) IsSection() bool {
@@ -45,7 +45,7 @@
 
 // Extend implements streamorigin.List.
 func (l *backendList) Extend(generation uint64) {
-	l.instances.History.Extend(generation, backend.StreamWindow)
+	l.instances.History.Extend(generation, backend.SoftwareWindow)
 }
 
 // Configuration implements streamorigin.List.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -167,10 +167,10 @@
 	f.Core.ResponseTimes = responsetimeout.NewEstimates(responsetimeout.Mode(process.ResponseTimeouts))
 	f.Core.OrdersWaiting = process.WaitingOrder == settings.WaitingOrderFleet
 	f.Core.Quarantine = f.Quarantine
+	f.limitFleet = ratelimit.NewClusterFleet(f.node, f.transport, log)
 	listed := &backendList{holder: f.Holder}
-	f.Core.Origins = streamorigin.NewKeeper(f.Backends, listed, &originPeers{node: f.node, transport: f.transport}, metrics.Serving, log)
+	f.Core.Origins = streamorigin.NewKeeper(f.Backends, listed, &originPeers{node: f.node, transport: f.transport, limits: f.limitFleet}, metrics.Serving, log)
 	handleOrigins(f.transport, f.Core.Origins)
-	f.limitFleet = ratelimit.NewClusterFleet(f.node, f.transport, log)
 	f.Core.Limits = ratelimit.New(f.limitFleet, ratelimit.ToleranceOf(process), metrics.Tenants, log)
 	f.limitFleet.Handle(f.Core.Limits)
 	if connector, keepsConnections := ports.Sender.(serving.Connector); keepsConnections {
--- a/internal/frontend/streamorigins.go
+++ b/internal/frontend/streamorigins.go
@@ -16,6 +16,7 @@
 	"topazpulley/internal/failure"
 	"topazpulley/internal/membership"
 	"topazpulley/internal/peer"
+	"topazpulley/internal/ratelimit"
 	"topazpulley/internal/streamorigin"
 )
 
@@ -63,12 +64,17 @@
 }
 
 // historyQuery asks for a streamorigin.History.
-type historyQuery struct{}
+type historyQuery struct {
+	MustConfirm bool `avro:"must_confirm"`
+}
 
 // historyAnswer is a streamorigin.History.
 type historyAnswer struct {
-	IsComplete    bool            `avro:"is_complete"`
 	Uses          []historyRecord `avro:"uses"`
+	IsComplete    bool            `avro:"is_complete"`
+	IsSettled     bool            `avro:"is_settled"`
+	Members       int             `avro:"members"`
+	IsWhole       bool            `avro:"is_whole"`
 	Configuration int64           `avro:"configuration"`
 }
 
@@ -80,10 +86,11 @@
 }
 
 var (
-	historyQuerySchema  = avrocodec.MustParse(`{"type":"record","name":"history_query","fields":[]}`)
-	historyAnswerSchema = avrocodec.MustParse(`{"type":"record","name":"history_answer","fields":[{"name":"is_complete","type":"boolean"},
-		{"name":"uses","type":{"type":"array","items":{"type":"record","name":"history_record","fields":[{"name":"service","type":"string"},
-		{"name":"version","type":"string"},{"name":"age_milliseconds","type":"long"}]}}},{"name":"configuration","type":"long"}]}`)
+	historyQuerySchema  = avrocodec.MustParse(`{"type":"record","name":"history_query","fields":[{"name":"must_confirm","type":"boolean"}]}`)
+	historyAnswerSchema = avrocodec.MustParse(`{"type":"record","name":"history_answer","fields":[{"name":"uses","type":{"type":"array","items":{
+		"type":"record","name":"history_record","fields":[{"name":"service","type":"string"},{"name":"version","type":"string"},
+		{"name":"age_milliseconds","type":"long"}]}}},{"name":"is_complete","type":"boolean"},{"name":"is_settled","type":"boolean"},
+		{"name":"members","type":"int"},{"name":"is_whole","type":"boolean"},{"name":"configuration","type":"long"}]}`)
 )
 
 var (
@@ -119,6 +126,8 @@
 type originPeers struct {
 	node      *cluster.Node
 	transport *peer.Transport
+	// limits remembers the daemons that are missing and not known to have ended.
+	limits *ratelimit.ClusterFleet
 
 	// mutex guards the members of the own region, which are computed again when the members
 	// of the fleet have changed.
@@ -173,14 +182,14 @@
 }
 
 // AskHistory implements streamorigin.Peers. Daemons of the own zone and of others take turns. A
-// daemon that does not answer, or is of an older build, counts as one with an incomplete history.
-func (p *originPeers) AskHistory(ctx context.Context, count int, answers chan<- streamorigin.History) int {
-	near, far, _ := shuffledPeers(p.node)
-	chosen := alternate(near, far)
+// daemon that does not answer, or is of an older build, sends an empty history.
+func (p *originPeers) AskHistory(ctx context.Context, mustConfirm bool, count int, answers chan<- streamorigin.History) int {
+	near, far, suspected := shuffledPeers(p.node)
+	chosen := append(alternate(near, far), suspected...)
 	chosen = chosen[:min(count, len(chosen))]
 	for _, each := range chosen {
 		go func() {
-			got, err := peer.Call[historyQuery, historyAnswer](ctx, p.transport, each.Address, methodSoftwareHistory, historyQuery{})
+			got, err := peer.Call[historyQuery, historyAnswer](ctx, p.transport, each.Address, methodSoftwareHistory, historyQuery{MustConfirm: mustConfirm})
 			if err != nil {
 				got = historyAnswer{}
 			}
@@ -190,9 +199,17 @@
 	return len(chosen)
 }
 
+// Fleet implements streamorigin.Peers.
+func (p *originPeers) Fleet() streamorigin.Fleet {
+	isWhole := !p.node.HasGone(backend.SoftwareWindow) && len(p.limits.View().Missing) == 0
+	return streamorigin.Fleet{Members: p.node.Count(), IsWhole: isWhole}
+}
+
 // historyOf decodes an answer.
 func historyOf(got historyAnswer) streamorigin.History {
-	found := streamorigin.History{IsComplete: got.IsComplete, Configuration: got.Configuration}
+	found := streamorigin.History{
+		IsComplete: got.IsComplete, IsSettled: got.IsSettled, Fleet: streamorigin.Fleet{Members: got.Members, IsWhole: got.IsWhole}, Configuration: got.Configuration,
+	}
 	for _, each := range got.Uses {
 		age := time.Duration(each.AgeMilliseconds) * time.Millisecond
 		found.Uses = append(found.Uses, backend.SoftwareUse{Service: each.Service, Version: each.Version, Age: age})
@@ -202,7 +219,10 @@
 
 // historyAnswerOf encodes an answer. Ages are rounded down, so that no version is forgotten early.
 func historyAnswerOf(known streamorigin.History) historyAnswer {
-	answer := historyAnswer{IsComplete: known.IsComplete, Uses: []historyRecord{}, Configuration: known.Configuration}
+	answer := historyAnswer{
+		Uses: []historyRecord{}, IsComplete: known.IsComplete, IsSettled: known.IsSettled, Members: known.Fleet.Members, IsWhole: known.Fleet.IsWhole,
+		Configuration: known.Configuration,
+	}
 	for _, each := range known.Uses {
 		answer.Uses = append(answer.Uses, historyRecord{Service: each.Service, Version: each.Version, AgeMilliseconds: each.Age.Milliseconds()})
 	}
@@ -301,8 +321,8 @@
 		keeper.Accept(records)
 		return originCopyAnswer{}, nil
 	})
-	peer.Handle(transport, methodSoftwareHistory, func(ctx context.Context, _ string, _ historyQuery) (historyAnswer, error) {
-		return historyAnswerOf(keeper.AnswerHistory(ctx)), nil
+	peer.Handle(transport, methodSoftwareHistory, func(ctx context.Context, _ string, query historyQuery) (historyAnswer, error) {
+		return historyAnswerOf(keeper.AnswerHistory(ctx, query.MustConfirm)), nil
 	})
 	peer.Handle(transport, methodOriginFind, func(_ context.Context, _ string, query originQuery) (originAnswer, error) {
 		key, isKey := keyOf(query.Key)
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -177,6 +177,16 @@
 	return lost
 }
 
+// HasGone reports whether a member was lost or left less than window ago.
+func (c *Core) HasGone(window time.Duration, now time.Time) bool {
+	for name, member := range c.members {
+		if !member.Live() && now.Sub(c.changedAt[name]) < window {
+			return true
+		}
+	}
+	return false
+}
+
 // Count returns the number of live members, this one included.
 func (c *Core) Count() int {
 	c.refreshLive()
--- a/internal/ratelimit/fleet.go
+++ b/internal/ratelimit/fleet.go
@@ -102,7 +102,10 @@
 // ProbeMissing probes the addresses of missing daemons until the context ends, to distinguish
 // those that have ended from those behind a partition.
 func (f *ClusterFleet) ProbeMissing(ctx context.Context) {
-	periodic.Run(ctx, probeInterval, func() { f.probeRound(ctx) })
+	periodic.Run(ctx, probeInterval, func() {
+		f.View() // records which daemons are missing, whoever asks
+		f.probeRound(ctx)
+	})
 }
 
 // probeRound probes some of the missing daemons and waits for the results.
--- a/internal/streamorigin/decision.go
+++ b/internal/streamorigin/decision.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Opinion is what a daemon believes about the software versions of a service within
-// backend.StreamWindow.
+// backend.SoftwareWindow.
 type Opinion struct {
 	// Kind says which of the cases below applies.
 	Kind OpinionKind
--- a/internal/streamorigin/evidence.go
+++ b/internal/streamorigin/evidence.go
@@ -2,14 +2,20 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"topazpulley/internal/backend"
 )
 
 const (
-	// confirmTimeout bounds the time for which the store may take to confirm the list.
-	confirmTimeout = 300 * time.Millisecond
+	// confirmTimeout bounds the time for which the store may take to confirm the list. A slow one
+	// takes several hundred ms a call.
+	confirmTimeout = 800 * time.Millisecond
+	// hedgeDelay is how long the store may take until other daemons are asked beside it.
+	hedgeDelay = 100 * time.Millisecond
+	// maxAgreeing is the largest fleet all of whose daemons are asked whether they agree.
+	maxAgreeing = 64
 	// historyTimeout bounds the time for which other daemons may take to answer with their
 	// history, which they confirm first.
 	historyTimeout = confirmTimeout + askTimeout
@@ -25,7 +31,7 @@
 	// Confirm brings the list up to date with the store as of a moment after the call. It
 	// reports false if the store does not answer.
 	Confirm(ctx context.Context) bool
-	// Covers reports whether no backend was listed within backend.StreamWindow without this
+	// Covers reports whether no backend was listed within backend.SoftwareWindow without this
 	// daemon's knowledge, up to the list's age.
 	Covers() bool
 	// IsSection reports whether the list is only a section of all backends.
@@ -34,7 +40,7 @@
 	// the list.
 	Generation() uint64
 	// Extend records that this daemon knows the software versions listed within
-	// backend.StreamWindow from another one. It has no effect if the generation has changed.
+	// backend.SoftwareWindow from another one. It has no effect if the generation has changed.
 	Extend(generation uint64)
 	// Configuration is the version of the configuration.
 	Configuration() int64
@@ -42,11 +48,17 @@
 
 // History is what a daemon knows of the software versions of all services.
 type History struct {
-	// IsComplete reports whether Uses are all versions listed within backend.StreamWindow before
-	// a moment after the daemon was asked. The other fields are set only then.
+	// Uses are the versions that it listed within backend.SoftwareWindow.
+	Uses []backend.SoftwareUse
+	// IsComplete reports whether no other version was listed within backend.SoftwareWindow before a
+	// moment after the daemon was asked.
 	IsComplete bool
-	Uses       []backend.SoftwareUse
-	// Configuration is the version of the newest configuration at that moment.
+	// IsSettled reports whether no process of this daemon can have listed another one within
+	// backend.SoftwareWindow.
+	IsSettled bool
+	// Fleet is what it knows of the fleet.
+	Fleet Fleet
+	// Configuration is the version of its configuration, empty histories have none.
 	Configuration int64
 }
 
@@ -76,21 +88,34 @@
 	EvidenceOwnList Evidence = "own_list"
 	// EvidencePeer means that another daemon's list is that.
 	EvidencePeer Evidence = "peer"
+	// EvidenceFleet means that every daemon at which the stream can have begun has told which
+	// versions it listed.
+	EvidenceFleet Evidence = "fleet"
 	// EvidenceSections means that daemons keep sections of the list, that the store has confirmed
-	// this daemon's, and that all other daemons that were asked agree.
+	// this daemon's, whose history is complete, and that all other daemons that were asked agree.
 	EvidenceSections Evidence = "sections"
 )
 
-// AnswerHistory returns this daemon's history for another one, after the store has confirmed it.
-func (k *Keeper) AnswerHistory(ctx context.Context) History {
-	if !k.isConfirmedComplete(ctx) {
-		return History{}
+// AnswerHistory returns this daemon's history for another one, after the store has confirmed it if
+// mustConfirm is set.
+func (k *Keeper) AnswerHistory(ctx context.Context, mustConfirm bool) History {
+	isComplete := mustConfirm && k.isConfirmedComplete(ctx)
+	return History{
+		Uses: k.software.SoftwareHistory(time.Now()), IsComplete: isComplete, IsSettled: k.isSettled(), Fleet: k.peers.Fleet(), Configuration: k.list.Configuration(),
 	}
-	return History{IsComplete: true, Uses: k.software.SoftwareHistory(time.Now()), Configuration: k.list.Configuration()}
+}
+
+// isSettled reports whether no earlier process of this daemon can have listed versions of late that
+// this one does not know: its history was complete once, or it has run for long.
+func (k *Keeper) isSettled() bool {
+	if k.list.Covers() || time.Since(k.startedAt) >= backend.SoftwareWindow {
+		k.wasSettled.Store(true)
+	}
+	return k.wasSettled.Load()
 }
 
 // isConfirmedComplete reports whether this daemon knows all software versions listed within
-// backend.StreamWindow before a moment after the call.
+// backend.SoftwareWindow before a moment after the call.
 func (k *Keeper) isConfirmedComplete(ctx context.Context) bool {
 	if k.list.IsSection() || !k.list.Covers() {
 		return false
@@ -104,51 +129,101 @@
 	return k.list.Confirm(bounded)
 }
 
+// proof is evidence, and further versions of the service that it brought up.
+type proof struct {
+	evidence Evidence
+	further  []string
+}
+
 // prove finds out why the service had no other software versions than those that this daemon
 // knows and the further ones that it returns. allAnswered is set if all daemons that were asked
-// for the origin have answered.
-func (k *Keeper) prove(ctx context.Context, service string, allAnswered bool) (Evidence, []string) {
-	switch {
-	case k.peers == nil:
-		return EvidenceAlone, nil
-	case k.list.IsSection():
-		return k.proveBySections(ctx, allAnswered), nil
-	case k.list.Age() < maxCertainAge && k.isConfirmedComplete(ctx):
-		return EvidenceOwnList, nil
+// for the origin have answered. The store is asked first; if it does not answer soon, or the
+// history has a gap, other daemons are asked beside it.
+func (k *Keeper) prove(ctx context.Context, service string, allAnswered bool) proof {
+	if k.peers == nil {
+		return proof{evidence: EvidenceAlone}
 	}
-	history := k.askHistory(ctx)
-	if history.IsComplete && history.Configuration == k.list.Configuration() {
-		return EvidencePeer, history.versionsOf(service)
+	found := make(chan proof, 3)
+	go func() { found <- k.proveByStore(ctx, allAnswered) }()
+	hedge := time.NewTimer(hedgeDelay)
+	defer hedge.Stop()
+	outstanding := 1
+	select {
+	case each := <-found:
+		if each.evidence != EvidenceNone {
+			return each
+		}
+		outstanding = 0
+	case <-hedge.C:
 	}
-	if k.isConfirmedComplete(ctx) {
-		return EvidenceOwnList, nil
+	go func() { found <- k.proveByPeer(ctx, service) }()
+	go func() { found <- k.proveByFleet(ctx, service) }()
+	for range outstanding + 2 {
+		if each := <-found; each.evidence != EvidenceNone {
+			return each
+		}
 	}
-	return EvidenceNone, nil
+	return proof{evidence: EvidenceNone}
 }
 
-// proveBySections is prove for a list that is a section. Other daemons keep other sections.
-func (k *Keeper) proveBySections(ctx context.Context, allAnswered bool) Evidence {
-	if allAnswered && k.confirm(ctx) {
-		return EvidenceSections
+// proveByStore is prove by this daemon's list. Other daemons keep other sections of it.
+func (k *Keeper) proveByStore(ctx context.Context, allAnswered bool) proof {
+	switch {
+	case !k.list.IsSection() && k.isConfirmedComplete(ctx):
+		return proof{evidence: EvidenceOwnList}
+	case k.list.IsSection() && allAnswered && k.list.Covers() && k.confirm(ctx):
+		return proof{evidence: EvidenceSections}
+	}
+	return proof{evidence: EvidenceNone}
+}
+
+// proveByPeer is prove by the list of another daemon.
+func (k *Keeper) proveByPeer(ctx context.Context, service string) proof {
+	history := k.askCompleteHistory(ctx)
+	if !history.IsComplete || history.Configuration != k.list.Configuration() {
+		return proof{evidence: EvidenceNone}
+	}
+	return proof{evidence: EvidencePeer, further: history.versionsOf(service)}
+}
+
+// proveByFleet is prove by the answers of all daemons at which the stream can have begun. None may
+// be missing or have ended of late, or be unknown to another one.
+func (k *Keeper) proveByFleet(ctx context.Context, service string) proof {
+	none, fleet := proof{evidence: EvidenceNone}, k.peers.Fleet()
+	if !k.isSettled() || !fleet.IsWhole || fleet.Members > maxAgreeing {
+		return none
+	}
+	bounded, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	answers := make(chan History, maxAgreeing)
+	if k.peers.AskHistory(bounded, false, maxAgreeing, answers) != fleet.Members-1 {
+		return none
+	}
+	agreed := proof{evidence: EvidenceFleet}
+	for range fleet.Members - 1 {
+		each := <-answers
+		if !each.IsSettled || each.Fleet != fleet || each.Configuration != k.list.Configuration() {
+			return none
+		}
+		agreed.further = append(agreed.further, each.versionsOf(service)...)
+	}
+	if k.peers.Fleet() != fleet {
+		return none
 	}
-	return EvidenceNone
+	slices.Sort(agreed.further)
+	agreed.further = slices.Compact(agreed.further)
+	return agreed
 }
 
-// askHistory returns the first complete history of other daemons, or an incomplete one if none
-// has any.
-func (k *Keeper) askHistory(ctx context.Context) History {
+// askCompleteHistory returns the first complete history of other daemons, or an incomplete one if
+// none has any.
+func (k *Keeper) askCompleteHistory(ctx context.Context) History {
 	bounded, cancel := context.WithTimeout(ctx, historyTimeout)
 	defer cancel()
 	answers := make(chan History, askedDaemons)
-	asked := k.peers.AskHistory(bounded, askedDaemons, answers)
-	for range asked {
-		select {
-		case <-bounded.Done():
-			return History{}
-		case each := <-answers:
-			if each.IsComplete {
-				return each
-			}
+	for range k.peers.AskHistory(bounded, true, askedDaemons, answers) {
+		if each := <-answers; each.IsComplete {
+			return each
 		}
 	}
 	return History{}
@@ -160,7 +235,7 @@
 		return
 	}
 	generation := k.list.Generation()
-	history := k.askHistory(ctx)
+	history := k.askCompleteHistory(ctx)
 	if !history.IsComplete {
 		return
 	}
--- a/internal/streamorigin/keeper.go
+++ b/internal/streamorigin/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"topazpulley/internal/backend"
@@ -38,14 +39,26 @@
 	Copy(ctx context.Context, record Record, count int, acknowledged chan<- struct{}) int
 	// Ask asks count daemons of the key. It returns the number of daemons that it asks.
 	Ask(ctx context.Context, query Query, count int, answers chan<- Answer) int
-	// AskHistory asks count daemons for their history. Each sends one element, an incomplete
-	// history if it does not answer. It returns the number of daemons that it asks.
-	AskHistory(ctx context.Context, count int, answers chan<- History) int
+	// AskHistory asks count daemons for their history, which they confirm first if mustConfirm is
+	// set. Each sends one element, an empty history if it does not answer. It returns the number
+	// of daemons that it asks.
+	AskHistory(ctx context.Context, mustConfirm bool, count int, answers chan<- History) int
+	// Fleet returns what this daemon knows of the others.
+	Fleet() Fleet
+}
+
+// Fleet is what a daemon knows of the fleet.
+type Fleet struct {
+	// Members is the number of live daemons, this one included.
+	Members int
+	// IsWhole reports whether no daemon has gone within backend.SoftwareWindow, and none is missing
+	// that may still run.
+	IsWhole bool
 }
 
 // Software lists the software versions of services (backend.Set).
 type Software interface {
-	// SoftwareVersions returns those listed within backend.StreamWindow.
+	// SoftwareVersions returns those listed within backend.SoftwareWindow.
 	SoftwareVersions(service string, now time.Time) []string
 	// SoftwareHistory returns those of all services.
 	SoftwareHistory(now time.Time) []backend.SoftwareUse
@@ -63,12 +76,16 @@
 	metrics  *telemetry.Serving
 	log      *slog.Logger
 	records  *records
+	// startedAt is when this daemon started to list backends.
+	startedAt time.Time
+	// wasSettled is set once this daemon is settled (see isSettled).
+	wasSettled atomic.Bool
 }
 
 // NewKeeper returns a keeper. Nil peers mean that there are no other daemons; the list may be nil
 // then.
 func NewKeeper(software Software, list List, peers Peers, metrics *telemetry.Serving, log *slog.Logger) *Keeper {
-	return &Keeper{software: software, list: list, peers: peers, metrics: metrics, log: log, records: newRecords()}
+	return &Keeper{software: software, list: list, peers: peers, metrics: metrics, log: log, records: newRecords(), startedAt: time.Now()}
 }
 
 // certaintyInterval is the time between two checks whether the list is certain.
@@ -90,6 +107,7 @@
 		case <-k.software.SoftwareSignal():
 			k.copyUncopied(ctx, func(service string) bool { return k.opinion(service).Kind == OpinionSeveral })
 		case <-check.C:
+			k.isSettled() // records that it is
 			k.completeHistory(ctx)
 			isCertain := k.isCertain()
 			if wasCertain && !isCertain {
@@ -185,7 +203,8 @@
 		known.asked, known.peers = k.ask(ctx, query)
 	}
 	if known.needsEvidence() {
-		known.evidence, known.further = k.prove(ctx, query.Service, known.asked > 0 && len(known.peers) == known.asked)
+		found := k.prove(ctx, query.Service, known.asked > 0 && len(known.peers) == known.asked)
+		known.evidence, known.further = found.evidence, found.further
 		known.own, known.mustHaveRecord = k.Answer(query), mustHaveRecord()
 	}
 	origin, finding := known.decide()
--- a/internal/table/confirm.go
+++ b/internal/table/confirm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // confirmation shares calls that confirm a table among those who wait for one. mutex guards the
@@ -48,6 +49,9 @@
 	return joined
 }
 
+// confirmationPause is the least time between two calls that confirm a table.
+const confirmationPause = 25 * time.Millisecond
+
 // runConfirmations makes calls one after another until nobody waits for one.
 func (f *Follower) runConfirmations() {
 	for {
@@ -61,12 +65,13 @@
 		}
 		call.isConfirmed = f.confirm()
 		close(call.done)
+		time.Sleep(confirmationPause)
 	}
 }
 
 // confirm makes one call for the changes since the version seen, without waiting for any.
 func (f *Follower) confirm() bool {
-	if !f.isSynced.Load() {
+	if !f.isSynced.Load() || f.isStoreLost.Load() {
 		return false
 	}
 	bounded, cancel := context.WithTimeout(context.Background(), readTimeout)
