--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -154,6 +154,15 @@
 		"slots", instance.Slots, "draining", instance.Draining, "cold_ms", instance.ColdFor.Milliseconds(), "row_version", row.Version)
 }
 
+// originOf returns the service and the software version of an entry as one text.
+func (c *instanceConsumer) originOf(row table.Row) string {
+	instance, err := c.ports.DecodeInstance(row.Key, row.Value)
+	if err != nil {
+		return ""
+	}
+	return instance.Service + "\x00" + instance.Version
+}
+
 // reject handles an entry that can't be used. A backend that was listed under its key is
 // removed; its running requests continue.
 func (c *instanceConsumer) reject(row table.Row, cause error) {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -217,7 +217,7 @@
 		if follower.Table == ports.InstanceTable {
 			f.instances.isSettled, f.section = follower.IsSettled, follower.Section
 			listed.instances = follower
-			follower.History = table.NewHistory()
+			follower.History, follower.Trait = table.NewHistory(), f.instances.originOf
 			replica.History = follower.History
 		}
 		if follower.Table == ports.ConfigTable {
--- a/internal/table/confirm.go
+++ b/internal/table/confirm.go
@@ -89,19 +89,19 @@
 const maxHistoryPages = 4
 
 // readHistory reads the table's history from its beginning up to the version seen. If no row was
-// ever removed, the rows at that version are all that there have been.
+// ever removed or took another trait, the rows at that version are all that there have been.
 func (f *Follower) readHistory(ctx context.Context) {
 	section, _, isKnown := f.Section()
 	if f.History == nil || (isKnown && section.IsPart) {
 		return
 	}
 	generation, until := f.History.Generation(), f.seenVersion()
-	after := Version(0)
+	after, traits := Version(0), map[replicaKey]string{}
 	for range maxHistoryPages {
 		bounded, cancel := context.WithTimeout(ctx, readTimeout)
 		changes, err := f.Store.Watch(bounded, f.Table, after, 0)
 		cancel()
-		if err != nil || hasRemoval(changes.Rows) || changes.Version <= after {
+		if err != nil || changes.Version <= after || !f.keepTraits(traits, changes.Rows) {
 			return
 		}
 		after = changes.Version
@@ -113,11 +113,24 @@
 	}
 }
 
-func hasRemoval(rows []Row) bool {
+// keepTraits adds the traits of rows to those known. It reports false if a row was removed or has
+// changed its trait.
+func (f *Follower) keepTraits(known map[replicaKey]string, rows []Row) bool {
 	for _, row := range rows {
-		if row.Deleted {
-			return true
+		key := replicaKey{row.Partition, row.Key}
+		trait := f.traitOf(row)
+		before, isKnown := known[key]
+		if row.Deleted || (isKnown && before != trait) {
+			return false
 		}
+		known[key] = trait
 	}
-	return false
+	return true
+}
+
+func (f *Follower) traitOf(row Row) string {
+	if f.Trait == nil {
+		return string(row.Value)
+	}
+	return f.Trait(row)
 }
--- a/internal/table/confirm_test.go
+++ b/internal/table/confirm_test.go
@@ -105,3 +105,16 @@
 	late.Consumer.Replace(nil, store.Version())
 	require.False(t, late.History.Covers(time.Hour), "the table was read anew")
 }
+
+// Guards against rows that took another value before the table was read and count as never changed.
+func TestHistoryWithChangedRowsIsNotWhole(t *testing.T) {
+	store := tabletest.NewMemory()
+	put(t, store, "", "a", "1")
+	put(t, store, "", "b", "1")
+	put(t, store, "", "b", "1")
+	unchanged, _ := pacedFollower(t, store)
+	require.Eventually(t, func() bool { return unchanged.History.Covers(time.Hour) }, testTimeout, pollTime)
+	put(t, store, "", "a", "2")
+	late, _ := pacedFollower(t, store)
+	require.Never(t, func() bool { return late.History.Covers(time.Hour) }, 10*pollTime, pollTime)
+}
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -78,6 +78,9 @@
 	// History is restarted by the consumer at each gap in the changes; nil means that nobody
 	// asks for it.
 	History *History
+	// Trait returns that of a row for which its past values count in the history; nil means the
+	// value itself.
+	Trait func(row Row) string
 	// Clock is the clock for ages; nil means the system's.
 	Clock boottime.Clock
 
--- a/test/mutants.d/streams.sh
+++ b/test/mutants.d/streams.sh
@@ -57,7 +57,11 @@
 mutant extended_over_a_gap internal/table/history.go \
 	'if generation == h.generation {' 'if true {' internal/table TestHistoryHasNoGaps
 mutant removals_forgotten internal/table/confirm.go \
-	'if err != nil || hasRemoval(changes.Rows) ||' 'if err != nil ||' internal/table TestHistoryHasNoGaps
+	'if row.Deleted || (isKnown && before' 'if !row.Deleted && (isKnown && before' internal/table TestHistoryHasNoGaps
+mutant changed_rows_forgotten internal/table/confirm.go \
+	'|| (isKnown && before != trait) {' '|| (isKnown && false && before != trait) {' internal/table TestHistoryWithChangedRowsIsNotWhole
+mutant changed_versions_forgotten internal/frontend/consumers.go \
+	'return instance.Service + "\x00" + instance.Version' 'return instance.Service' platform TestVersionChangedInPlaceIsNotForgotten
 mutant beliefs_not_compared internal/streamorigin/decision.go \
 	'case only != "" && each.Opinion.Only != only:' 'case false:' internal/streamorigin TestStreamIsResumedOnlyAtCertainOrigin
 mutant origin_kept_alone internal/streamorigin/keeper.go \
