--- a/internal/table/confirm.go
+++ b/internal/table/confirm.go
@@ -92,9 +92,10 @@
 // ever removed or took another trait, the rows at that version are all that there have been.
 func (f *Follower) readHistory(ctx context.Context) {
 	section, _, isKnown := f.Section()
-	if f.History == nil || (isKnown && section.IsPart) {
+	if f.History == nil || (isKnown && section.IsPart) || !f.isReadingHistory.CompareAndSwap(false, true) {
 		return
 	}
+	defer f.isReadingHistory.Store(false)
 	generation, until := f.History.Generation(), f.seenVersion()
 	after, traits := Version(0), map[replicaKey]string{}
 	for range maxHistoryPages {
--- a/internal/table/confirm_test.go
+++ b/internal/table/confirm_test.go
@@ -118,3 +118,36 @@
 	late, _ := pacedFollower(t, store)
 	require.Never(t, func() bool { return late.History.Covers(time.Hour) }, 10*pollTime, pollTime)
 }
+
+// unansweredHistory is a store that answers no call for the changes from the beginning until
+// release is closed.
+type unansweredHistory struct {
+	table.Store
+	asked, release chan struct{}
+}
+
+func (s unansweredHistory) Watch(ctx context.Context, name string, after table.Version, wait time.Duration) (table.Changes, error) {
+	if after > 0 {
+		return s.Store.Watch(ctx, name, after, wait)
+	}
+	close(s.asked)
+	<-s.release
+	return table.Changes{}, &table.Error{Kind: table.ErrorUnknown, Call: "watch"}
+}
+
+// Guards against changes that wait until the store has answered the call for the history.
+func TestChangesDoNotWaitForHistory(t *testing.T) {
+	memory := tabletest.NewMemory()
+	put(t, memory, "", "a", "1")
+	store := unansweredHistory{Store: memory, asked: make(chan struct{}), release: make(chan struct{})}
+	defer close(store.release)
+	received := &recorder{}
+	replica := &table.Replica{Consumer: received, History: table.NewHistory()}
+	follower := &table.Follower{
+		Store: store, Table: followedTable, Consumer: replica, Part: replica, Logger: discardLogger, Wait: time.Hour, History: replica.History,
+	}
+	go follower.Run(t.Context())
+	<-store.asked
+	put(t, memory, "", "a", "2")
+	require.Eventually(t, func() bool { return received.value("a") == "2" }, testTimeout, pollTime)
+}
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -127,6 +127,8 @@
 	origin   atomic.Pointer[Origin]
 
 	confirmation confirmation
+	// isReadingHistory is set while readHistory runs.
+	isReadingHistory atomic.Bool
 }
 
 // Age returns an upper bound of how long the consumer's version may have been out of
@@ -161,9 +163,9 @@
 
 // Run follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	var refreshing sync.WaitGroup
-	refreshing.Go(func() { f.refreshUntilDone(ctx) })
-	defer refreshing.Wait()
+	var beside sync.WaitGroup
+	beside.Go(func() { f.refreshUntilDone(ctx) })
+	defer beside.Wait()
 	for ctx.Err() == nil {
 		if f.pace(ctx) != nil {
 			return // the context ends
@@ -183,7 +185,7 @@
 		default:
 			err = f.read(ctx)
 			if err == nil {
-				f.readHistory(ctx)
+				beside.Go(func() { f.readHistory(ctx) })
 			}
 		}
 		if errors.Is(err, errDeferred) {
