--- a/internal/emulator/relay.go
+++ b/internal/emulator/relay.go
@@ -27,6 +27,7 @@
 	zones       map[string]string
 	cuts        map[Cut]bool
 	connections map[*relayed]bool
+	listeners   []io.Closer
 }
 
 // relayed is a forwarded TCP connection.
@@ -64,6 +65,9 @@
 	if err != nil {
 		return failure.Wrap(err, failure.KindUnavailable, "relay_listen", "cannot listen on %s", listen)
 	}
+	r.mutex.Lock()
+	r.listeners = append(r.listeners, stream, packets)
+	r.mutex.Unlock()
 	go r.forwardPackets(packets, target, zone)
 	go r.acceptStreams(stream, target, zone)
 	return nil
@@ -84,6 +88,18 @@
 	}
 }
 
+// Close stops listening and closes all connections.
+func (r *Relay) Close() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, each := range r.listeners {
+		_ = each.Close()
+	}
+	for connection := range r.connections {
+		connection.close()
+	}
+}
+
 func (r *Relay) zoneOf(address net.Addr) string {
 	host, _, _ := net.SplitHostPort(address.String())
 	r.mutex.Lock()
