Jobs: an odd checkpoint no longer stops the takeover of its job

Another writer left one row that is no checkpoint among those of a job, of an item or of none. While the job's owner lived, nothing showed; after its end no daemon could take the job over: each claimed it, failed at the row, gave it back, and so on for ever. The same with a row that decodes but has a negative event number: the item asked its back end to go on from there, and never ended.

Cause: one unreadable checkpoint made the read of all of them fail, and a checkpoint is only a saving: an item without one runs from its start. Numbers of a checkpoint were taken as they came.

Evidence: TestOddCheckpointDoesNotStopTakeover on the code before: empty, no record, an object of 1,000 levels, a text that is no record, a length too long and an event before the first: each 'Condition never satisfied' after 30 s (negative failures: held).

Change: an unreadable checkpoint counts as none, is removed with the item's result as any other, and is counted in one line a takeover (checkpoints_unreadable), however many there are. Negative counts are unreadable. The pages are read by Page.Next. A count of failures that is far too large cannot be told from a true one and still gives the item up.

--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -162,8 +162,13 @@
 	Text      string
 	// Began is the service and software version that the events are from.
 	Began streamorigin.Origin
+	// IsUnreadable is set if the row can't be read. The other fields are zero.
+	IsUnreadable bool
 }
 
+// errBadCheckpoint means that a checkpoint has a count that no item can have.
+var errBadCheckpoint = failure.New(failure.KindInvalid, "bad_checkpoint", "a count of the checkpoint is negative")
+
 // checkpointRow is a checkpoint as stored. Builds that know no software versions write LastEvent
 // and Text; an item with such a row runs from its start, since its version is unknown. Others
 // store an encoded checkpointText as Text and 0 as LastEvent, so that those builds run the item
@@ -207,6 +212,9 @@
 	if err := avrocodec.Unmarshal(checkpointSchema, value, &row); err != nil {
 		return checkpoint{}, err
 	}
+	if row.Failures < 0 {
+		return checkpoint{}, errBadCheckpoint
+	}
 	read := checkpoint{Failures: row.Failures}
 	if row.LastEvent > 0 || row.Text == "" {
 		return read, nil
@@ -217,6 +225,9 @@
 	}
 	read.Began = streamorigin.Origin{Service: content.Service, Software: content.Software}
 	read.LastEvent, read.Text = content.LastEvent, content.Text
+	if read.LastEvent < 0 {
+		return checkpoint{}, errBadCheckpoint
+	}
 	return read, nil
 }
 
@@ -358,25 +369,36 @@
 	return false
 }
 
-// checkpoints reads the checkpoints of a job's items, by item.
+// checkpoints reads the checkpoints of a job's items, by item. An item whose checkpoint can't be
+// read runs from its start.
 func (s *Service) checkpoints(ctx context.Context, id string) (map[string]checkpoint, error) {
 	found := map[string]checkpoint{}
-	from := progressKey(id, "")
+	wanted := table.Range{Table: tableProgress, Partition: shard(id), From: progressKey(id, ""), Before: numberedEnd(id)}
+	unreadable := 0
 	for {
-		rows, err := s.readContent(ctx, table.Range{Table: tableProgress, Partition: shard(id), From: from, Before: numberedEnd(id)})
+		page, err := s.readPage(ctx, timeoutFor(maxContentBytes), wanted)
 		if err != nil {
 			return nil, err
 		}
-		for _, row := range rows {
+		for _, row := range page.Rows {
 			read, err := decodeCheckpoint(row.Value)
 			if err != nil {
-				return nil, failure.Wrap(errors.WithStack(err), failure.KindInternal, "bad_checkpoint", "row %s cannot be read", row.Key)
+				unreadable++
+				read = checkpoint{IsUnreadable: true}
 			}
 			found[strings.TrimPrefix(row.Key, progressKey(id, ""))] = read
-			from = row.Key + "\x00"
 		}
-		if len(rows) == 0 {
-			return found, nil
+		next, more, err := page.Next(wanted.From)
+		if err != nil {
+			return nil, unavailable(err)
 		}
+		if !more {
+			break
+		}
+		wanted.From = next
+	}
+	if unreadable > 0 {
+		s.log.Warn("checkpoints_unreadable", "job", id, "checkpoints", len(found), "unreadable", unreadable)
 	}
+	return found, nil
 }
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -182,12 +182,17 @@
 }
 
 func (s *Service) readFor(ctx context.Context, attempt time.Duration, wanted table.Range) ([]table.Row, error) {
-	var page table.Page
-	err := s.retryRead(ctx, attempt, func(bounded context.Context) (err error) {
+	page, err := s.readPage(ctx, attempt, wanted)
+	return page.Rows, err
+}
+
+// readPage reads one page, with retries that are bounded by attempt each.
+func (s *Service) readPage(ctx context.Context, attempt time.Duration, wanted table.Range) (page table.Page, err error) {
+	err = s.retryRead(ctx, attempt, func(bounded context.Context) (err error) {
 		page, err = s.store.Read(bounded, wanted)
 		return err
 	})
-	return page.Rows, err
+	return page, err
 }
 
 func (s *Service) getObject(ctx context.Context, name string) ([]byte, error) {
--- a/test/mutants.d/oddrows.sh
+++ b/test/mutants.d/oddrows.sh
@@ -7,3 +7,9 @@
 	'strings.ReplaceAll(last, replacement, "\xff") + "\x00"
 	if next <= from {' 'last + "\x00"
 	if next < "" {' internal/table TestReadGoesOnAfterDamagedKeys
+mutant odd_checkpoint_stops_the_takeover internal/job/progress.go \
+	'				unreadable++
+' '				return nil, err
+' internal/job 'TestOddCheckpointDoesNotStopTakeover/empty'
+mutant odd_checkpoint_counts_as_progress internal/job/progress.go \
+	'if read.LastEvent < 0 {' 'if false {' internal/job 'TestOddCheckpointDoesNotStopTakeover/event'
