Peers: a host name as a daemon's address is not resolved

Seen: an odd row among the addresses of the daemons held a name in place of IP:port. The failure detector's sender resolved it for each datagram, in its own goroutine: as long as the resolver took, no ping and no answer to one left this daemon, so that others suspected it. Calls to it kept a resolver busy, and the row counted as one more daemon that shares the limits of tenants.

Cause: texts of other writers went to net.ResolveUDPAddr and net.Dial as they came. The settings already ask for IP:port.

TestOddAddressesAreNoDaemons holds the new filter.

Change: an address of a daemon is IP:port (peer.IsAddress), where datagrams and calls are sent and where addresses are read from the store.

--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -118,13 +118,10 @@
 		f.log.Info("addresses_not_read", "error", err)
 		return
 	}
+	registered := registeredDaemons(rows, f.settings.Name)
 	seeds := append([]string(nil), f.settings.Seeds...)
-	registered := []ratelimit.Daemon{}
-	for _, row := range rows {
-		if row.Key != f.settings.Name {
-			seeds = append(seeds, string(row.Value))
-			registered = append(registered, ratelimit.Daemon{Name: row.Key, Address: string(row.Value)})
-		}
+	for _, each := range registered {
+		seeds = append(seeds, each.Address)
 	}
 	f.node.SetSeeds(seeds)
 	if isComplete {
@@ -132,6 +129,18 @@
 	}
 }
 
+// registeredDaemons returns the other daemons in rows of addresses, without rows that hold none.
+func registeredDaemons(rows []table.Row, self string) []ratelimit.Daemon {
+	registered := []ratelimit.Daemon{}
+	for _, row := range rows {
+		address := string(row.Value)
+		if row.Key != self && peer.IsAddress(address) {
+			registered = append(registered, ratelimit.Daemon{Name: row.Key, Address: address})
+		}
+	}
+	return registered
+}
+
 // addresses reads the addresses after the daemon's own name, then those before it, and reports
 // whether it read all of them.
 func (f *Frontend) addresses(ctx context.Context) (rows []table.Row, isComplete bool, err error) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -243,6 +243,9 @@
 
 // dial connects to an address from the IP address on which the daemon listens.
 func (t *Transport) dial(address string, peerLink *link) (gnet.Conn, error) {
+	if !IsAddress(address) {
+		return nil, peerUnreachable(address)
+	}
 	dialer, err := t.netDialer()
 	if err != nil {
 		return nil, err
--- a/internal/peer/probe.go
+++ b/internal/peer/probe.go
@@ -12,7 +12,7 @@
 // process listens there. Silence shows nothing: the process may be partitioned.
 func (t *Transport) Refuses(ctx context.Context, address string) bool {
 	dialer, err := t.netDialer()
-	if err != nil {
+	if err != nil || !IsAddress(address) {
 		return false
 	}
 	connection, err := dialer.DialContext(ctx, "tcp", address)
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -203,10 +203,12 @@
 	_ = engine.Stop(deadline)
 }
 
-// SendDatagram seals and sends a packet. Errors of resolving and sending are ignored.
+// SendDatagram seals and sends a packet. Errors of sending are ignored, and packets to other than
+// IP:port are not sent.
 func (t *Transport) SendDatagram(datagram membership.Datagram) {
 	udp := t.udp.Load()
-	if udp == nil {
+	address, isAddress := parseAddress(datagram.Address)
+	if udp == nil || !isAddress {
 		return
 	}
 	sealed, err := SealDatagram(t.key, datagram.Packet)
@@ -214,11 +216,7 @@
 		t.log.Error("datagram_encode_failed", "error", err)
 		return
 	}
-	address, err := net.ResolveUDPAddr("udp", datagram.Address)
-	if err != nil {
-		return
-	}
-	_, _ = udp.WriteTo(sealed, address)
+	_, _ = udp.WriteToUDPAddrPort(sealed, address)
 }
 
 // OnBoot implements gnet.EventHandler.
--- a/test/mutants.d/oddrows.sh
+++ b/test/mutants.d/oddrows.sh
@@ -13,3 +13,7 @@
 ' internal/job 'TestOddCheckpointDoesNotStopTakeover/empty'
 mutant odd_checkpoint_counts_as_progress internal/job/progress.go \
 	'if read.LastEvent < 0 {' 'if false {' internal/job 'TestOddCheckpointDoesNotStopTakeover/event'
+mutant names_in_addresses_resolved internal/peer/link.go \
+	'if !IsAddress(address) {' 'if address == "" {' internal/peer TestNamesInAddressesAreNotResolved
+mutant odd_addresses_are_daemons internal/frontend/peers.go \
+	'if row.Key != self && peer.IsAddress(address) {' 'if row.Key != self {' internal/frontend TestOddAddressesAreNoDaemons
