Store: an object without a length is not read as whole

What callers could get: the text of a job's result, or the contents of a job or a file, cut off and taken for all of it.

Cause: the HTTP library reads a body that states neither a length nor chunks to the end of the connection, and then states its length as if it had come with the answer. So an object whose answer ends early is a shorter object. The class is that of docs/design/0029: an end is presumed where nothing contradicts it.

Evidence, on the code before: TestCutObjectIsUnknown cuts an answer at each byte: with a length or chunks each cut fails as it should; with neither, all 11 cuts of 11 bytes of content behind the head were read as objects, the empty one too, with "Connection: close" and without. TestCutObjectIsNotRead failed the same way at the other door's platform.

Change: the body is read as a stream, so that the framing is still to be seen, and an object without one is an unknown outcome (retried, as other failed reads). At the users' store this holds for objects alone: answers about rows are JSON, whose end shows (TestRowsWithoutLengthAreReadWhole). Connections are kept as before (TestStoreConnectionIsKept). The other door's platform frames all its answers, and each must.

--- a/internal/storage/http.go
+++ b/internal/storage/http.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/url"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"topazpulley/internal/failure"
@@ -48,6 +50,7 @@
 			MaxIdemponentCallAttempts:     1,
 			DisableHeaderNamesNormalizing: false,
 			DisablePathNormalizing:        true,
+			StreamResponseBody:            true,
 			Dial:                          httphead.CheckedDial(fasthttp.Dial),
 		},
 	}
@@ -74,13 +77,31 @@
 	if err := c.client.DoDeadline(request, response, callDeadline(ctx)); err != nil {
 		return answer{}, unavailable(err, pathAndQuery)
 	}
-	copied := answer{status: response.StatusCode(), body: append([]byte(nil), response.Body()...), tag: string(response.Header.Peek("ETag"))}
+	content, err := wholeBody(response)
+	if err != nil {
+		return answer{}, unavailable(err, pathAndQuery)
+	}
+	copied := answer{status: response.StatusCode(), body: content, tag: string(response.Header.Peek("ETag"))}
 	if copied.status == fasthttp.StatusTooManyRequests || copied.status >= fasthttp.StatusInternalServerError {
 		return copied, failure.New(failure.KindUnavailable, "platform_refused", "the platform answered %d to %s", copied.status, pathAndQuery)
 	}
 	return copied, nil
 }
 
+// wholeBody reads the body of an answer. A body that ends with its connection is an error, since it
+// may have been cut off.
+func wholeBody(response *fasthttp.Response) ([]byte, error) {
+	if err := httphead.CheckFraming(&response.Header); err != nil {
+		return nil, err
+	}
+	stream := response.BodyStream()
+	if stream == nil {
+		return nil, nil
+	}
+	content, err := io.ReadAll(stream)
+	return content, errors.WithStack(err)
+}
+
 func callDeadline(ctx context.Context) time.Time {
 	limit := time.Now().Add(defaultCallTimeout)
 	if deadline, set := ctx.Deadline(); set && deadline.Before(limit) {
--- a/internal/storage/http_test.go
+++ b/internal/storage/http_test.go
@@ -44,3 +44,21 @@
 		require.Error(t, err, "%q", head[:size])
 	}
 }
+
+// Guards against an object that was cut off and is read as a shorter one.
+func TestCutObjectIsNotRead(t *testing.T) {
+	const begin = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+	for name, whole := range map[string]string{
+		"length":  begin + "Content-Length: 11\r\n\r\nthe content",
+		"chunked": begin + "Transfer-Encoding: chunked\r\n\r\n3\r\nthe\r\n8\r\n content\r\n0\r\n\r\n",
+		"nothing": begin + "\r\nthe content",
+	} {
+		sent := ""
+		platform := newCutPlatform(t, func() string { return sent })
+		for size := 0; size <= len(whole); size++ {
+			sent = whole[:size]
+			_, err := platform.GetObject(t.Context(), "name")
+			require.Equal(t, name != "nothing" && size == len(whole), err == nil, "%s: %d bytes", name, size)
+		}
+	}
+}
--- a/test/mutants.d/endings.sh
+++ b/test/mutants.d/endings.sh
@@ -71,3 +71,9 @@
 ' '' internal/httphead TestEachAnswerOfAConnectionIsChecked
 mutant dialled_connections_unchecked internal/httphead/joined.go \
 	'		return &checkedConn{Conn: connection}, nil' '		return connection, nil' platform TestStoreAnswerBehindCutHeadIsUnknown
+mutant cut_object_is_whole platform/store.go \
+	'	if wanted.isRaw && response' '	if false && response' platform TestCutObjectIsUnknown
+mutant cut_platform_object_is_whole internal/storage/http.go \
+	'	if err := httphead.CheckFraming(&response.Header); err != nil {' '	if err := error(nil); err != nil {' internal/storage TestCutObjectIsNotRead
+mutant rows_need_a_length platform/store.go \
+	'	if wanted.isRaw && response' '	if response' platform TestRowsWithoutLengthAreReadWhole
