--- a/internal/table/confirm.go
+++ b/internal/table/confirm.go
@@ -71,7 +71,7 @@
 
 // confirm makes one call for the changes since the version seen, without waiting for any.
 func (f *Follower) confirm() bool {
-	if !f.isSynced.Load() || f.isStoreLost.Load() {
+	if !f.isSynced.Load() {
 		return false
 	}
 	bounded, cancel := context.WithTimeout(context.Background(), readTimeout)
