--- a/test/mutants.d/oddrows.sh
+++ b/test/mutants.d/oddrows.sh
@@ -17,3 +17,7 @@
 	'if !IsAddress(address) {' 'if address == "" {' internal/peer TestNamesInAddressesAreNotResolved
 mutant odd_addresses_are_daemons internal/frontend/peers.go \
 	'if row.Key != self && peer.IsAddress(address) {' 'if row.Key != self {' internal/frontend TestOddAddressesAreNoDaemons
+mutant numbers_converted_as_they_come platform/config.go \
+	'	return time.Duration(bounded(value, float64(maxDuration/time.Millisecond)) * float64(time.Millisecond))' '	return time.Duration(value * float64(time.Millisecond))' platform TestNumbersTooLargeInConfiguration
+mutant header_limit_without_a_bound platform/config.go \
+	'min(wire.Limits.HeaderBytes, maxHeaderBytes)' 'min(wire.Limits.HeaderBytes, 1<<16*maxHeaderBytes)' platform TestHeaderAndBodyLimitsAreBounded
