--- a/test/mutants.d/oddrows.sh
+++ b/test/mutants.d/oddrows.sh
@@ -21,3 +21,7 @@
 	'	return time.Duration(bounded(value, float64(maxDuration/time.Millisecond)) * float64(time.Millisecond))' '	return time.Duration(value * float64(time.Millisecond))' platform TestNumbersTooLargeInConfiguration
 mutant header_limit_without_a_bound platform/config.go \
 	'min(wire.Limits.HeaderBytes, maxHeaderBytes)' 'min(wire.Limits.HeaderBytes, 1<<16*maxHeaderBytes)' platform TestHeaderAndBodyLimitsAreBounded
+mutant changes_too_large_are_asked_for_again platform/store.go \
+	'if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		// The same' 'if err == nil && errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		// The same' platform TestChangesTooLargeAreReadAsTable
