Sections: one odd key no longer makes every daemon read and keep the whole table

Seen: in a fleet with 10,000 back ends, of which each daemon keeps a section, one row whose key sorts before those of the back ends and is unlike them made each daemon read all 10,001 rows, and, since that is too many to keep, again every second. At the calls that a fleet may make to the store, reads of hundreds of daemons refuse each other: the list is followed no more.

Cause: the size of the table and the places in it were estimated from the common prefix and the letters of the first 64 keys, all of them. One odd key leaves no common prefix, and the density of the sound ones is taken for a nearly full keyspace of few rows.

Now below 512 each, and over three quarters of the back ends are known to some daemon.

Change: the keyspace is that of the keys that begin like the middle half of the sample, and the estimate counts these only.

--- a/internal/table/keyspace.go
+++ b/internal/table/keyspace.go
@@ -21,11 +21,12 @@
 
 // KeyspaceOf estimates the keyspace from the first keys of a table in key order. Trailing
 // bytes of their common prefix that are in the alphabet count as digits, because later keys
-// may differ in them.
+// may differ in them. Up to a quarter of the keys at either end may be unlike the others.
 func KeyspaceOf(first []string) Keyspace {
 	if len(first) == 0 {
 		return Keyspace{}
 	}
+	first = typicalKeys(first)
 	shared := commonPrefix(first[0], first[len(first)-1])
 	space := Keyspace{}
 	for position := len(shared); ; position++ {
@@ -49,6 +50,22 @@
 	return space
 }
 
+// typicalKeys returns the keys that begin like those in the middle.
+func typicalKeys(sorted []string) []string {
+	quarter := len(sorted) / 4
+	return withPrefix(sorted, commonPrefix(sorted[quarter], sorted[len(sorted)-1-quarter]))
+}
+
+func withPrefix(keys []string, prefix string) []string {
+	found := make([]string, 0, len(keys))
+	for _, key := range keys {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, key)
+		}
+	}
+	return found
+}
+
 // bytesAt returns the distinct bytes of the keys at a position, and whether any key is
 // long enough.
 func bytesAt(keys []string, position int) (distinct []byte, isLongEnough bool) {
@@ -101,11 +118,15 @@
 	return min(fraction, 1)
 }
 
-// Estimate returns the estimated number of rows of a table with these first keys.
+// Estimate returns the estimated number of rows of a table with these first keys. Keys outside the
+// keyspace are not counted.
 func (k Keyspace) Estimate(first []string) float64 {
 	if len(first) == 0 {
 		return 0
 	}
+	if first = withPrefix(first, k.prefix); len(first) == 0 {
+		return maxEstimate
+	}
 	lastFraction := k.Fraction(first[len(first)-1])
 	if lastFraction <= 0 {
 		return maxEstimate
--- a/internal/table/section_test.go
+++ b/internal/table/section_test.go
@@ -111,6 +111,30 @@
 	}
 }
 
+// TestOddKeysBesideThoseOfBackends guards against sections that grow to the whole table, or are read at
+// the same place by all daemons, because some keys are unlike the others.
+func TestOddKeysBesideThoseOfBackends(t *testing.T) {
+	const rows, daemons, backends = 192, 200, 10_000
+	for name, odd := range map[string][]string{
+		"low": {"!odd"}, "empty text": {"\x01"}, "high": {"~odd"}, "between": {"i-0", "i-0000zzzzzzzzzzzzzzzzzzzzzzzzzzz", "i-0000\u00e9"},
+		"some low": keysOf("!odd-", 15), "both": {"!odd", "~odd"},
+	} {
+		store := &sortedStore{keys: append(randomIDs(backends), odd...)}
+		sort.Strings(store.keys)
+		known := map[string]int{}
+		random := rand.New(rand.NewPCG(3, 4))
+		for range daemons {
+			reader := &table.Follower{Store: store, Table: followedTable, Plan: countPlan{position: random.Float64(), rows: rows}}
+			for _, row := range table.ReadSectionOnce(t.Context(), reader) {
+				known[row.Key]++
+			}
+		}
+		perDaemon := float64(store.rows) / float64(daemons)
+		require.Less(t, perDaemon, 2*float64(64+rows), name)
+		require.Greater(t, len(known), backends*3/4, name)
+	}
+}
+
 // TestSmallTablesAreKeptEntirely guards against splitting small tables.
 func TestSmallTablesAreKeptEntirely(t *testing.T) {
 	for _, count := range []int{0, 1, 63, 64, 65, 400} {
--- a/test/mutants.d/oddrows.sh
+++ b/test/mutants.d/oddrows.sh
@@ -25,3 +25,6 @@
 	'if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		// The same' 'if err == nil && errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		// The same' platform TestChangesTooLargeAreReadAsTable
+mutant odd_keys_in_the_keyspace internal/table/keyspace.go \
+	'	first = typicalKeys(first)
+' '' internal/table TestOddKeysBesideThoseOfBackends
