--- a/internal/streamorigin/evidence.go
+++ b/internal/streamorigin/evidence.go
@@ -11,7 +11,7 @@
 const (
 	// confirmTimeout bounds the time for which the store may take to confirm the list. A slow one
 	// takes several hundred ms a call.
-	confirmTimeout = 800 * time.Millisecond
+	confirmTimeout = 900 * time.Millisecond
 	// hedgeDelay is how long the store may take until other daemons are asked beside it.
 	hedgeDelay = 100 * time.Millisecond
 	// maxAgreeing is the largest fleet all of whose daemons are asked whether they agree.
--- a/test/mutants.d/streams.sh
+++ b/test/mutants.d/streams.sh
@@ -23,6 +23,8 @@
 			return none' internal/streamorigin TestWholeFleetIsEvidence
 mutant fleet_versions_ignored internal/streamorigin/evidence.go \
 	'agreed.further = append(agreed.further, each.versionsOf(service)...)' '' internal/streamorigin TestWholeFleetIsEvidence
+mutant slow_store_counts_as_away internal/streamorigin/evidence.go \
+	'confirmTimeout = 900 * time.Millisecond' 'confirmTimeout = 200 * time.Millisecond' platform 'TestCallersReturnWithoutRelease/slow_store'
 mutant list_not_confirmed internal/streamorigin/evidence.go \
 	'return k.confirm(ctx) && k.list.Covers()' 'return true' internal/streamorigin TestAgreementIsNoEvidence
 mutant sections_not_confirmed internal/streamorigin/evidence.go \
