Heads: a checked connection drops the bytes of the head once it is checked

An idle connection kept the first bytes of its last answer until its next request. No change of what is refused (the tests of joined heads pass, 3 of 3).

--- a/internal/httphead/joined.go
+++ b/internal/httphead/joined.go
@@ -125,12 +125,12 @@
 	c.head = append(c.head, received...)
 	for {
 		length, err := checkedHead(c.head)
-		if err != nil {
+		isIncomplete := length == 0 && len(c.head) <= maxJoinedBytes
+		if err != nil || isIncomplete {
 			return err
 		}
-		isInterim := length > 0 && interim.Match(c.head[:length])
-		if length == 0 || !isInterim {
-			c.isChecked = length > 0 || len(c.head) > maxJoinedBytes
+		if !interim.Match(c.head[:length]) {
+			c.head, c.isChecked = nil, true
 			return nil
 		}
 		c.head = c.head[length:]
