--- a/internal/streamorigin/keeper.go
+++ b/internal/streamorigin/keeper.go
@@ -17,6 +17,9 @@
 	// askedDaemons is the number of daemons that are asked for a record. It is above copies
 	// because the daemon that is asked and the one that wrote may know different members.
 	askedDaemons = 5
+	// widelyAskedDaemons is the number of daemons that are asked if those asked first have no record
+	// and there is no evidence. The one that serves the stream may be another one.
+	widelyAskedDaemons = 40
 	// copyTimeout bounds the time for which the first event of a stream waits for a copy of its
 	// record. It is well below the time after which callers count an event as late.
 	copyTimeout = 60 * time.Millisecond
@@ -200,7 +203,7 @@
 func (k *Keeper) Find(ctx context.Context, query Query, mustHaveRecord func() bool) Result {
 	known := search{service: query.Service, mustHaveRecord: mustHaveRecord(), own: k.Answer(query)}
 	if !known.own.HasRecord && k.peers != nil {
-		known.asked, known.peers = k.ask(ctx, query)
+		known.asked, known.peers = k.ask(ctx, query, askedDaemons)
 	}
 	if known.needsEvidence() {
 		found := k.prove(ctx, query.Service, known.asked > 0 && len(known.peers) == known.asked)
@@ -208,6 +211,10 @@
 		known.own, known.mustHaveRecord = k.Answer(query), mustHaveRecord()
 	}
 	origin, finding := known.decide()
+	if finding == FindingUnproven && known.asked == askedDaemons {
+		known.asked, known.peers = k.ask(ctx, query, widelyAskedDaemons)
+		origin, finding = known.decide()
+	}
 	k.metrics.OriginFindings.WithLabelValues(string(finding)).Inc()
 	result := Result{Origin: origin, Finding: finding, Asked: known.asked, Answered: len(known.peers), Evidence: known.evidence, Opinion: known.own.Opinion}
 	if k.list != nil {
@@ -216,12 +223,12 @@
 	return result
 }
 
-// ask asks other daemons for the origin of a stream.
-func (k *Keeper) ask(ctx context.Context, query Query) (asked int, answered []Answer) {
+// ask asks count other daemons for the origin of a stream.
+func (k *Keeper) ask(ctx context.Context, query Query, count int) (asked int, answered []Answer) {
 	bounded, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	answers := make(chan Answer, askedDaemons)
-	asked = k.peers.Ask(bounded, query, askedDaemons, answers)
+	answers := make(chan Answer, count)
+	asked = k.peers.Ask(bounded, query, count, answers)
 	return asked, collect(bounded, answers, asked)
 }
 
--- a/internal/streamorigin/keeper_test.go
+++ b/internal/streamorigin/keeper_test.go
@@ -383,3 +383,20 @@
 		}
 	}
 }
+
+// Guards against callers refused without evidence although the daemon that serves their stream, not
+// among the first that are asked, has the record.
+func TestRecordIsSoughtWidelyWithoutEvidence(t *testing.T) {
+	f := newFleet(t, 9)
+	f.list("a", "v1")
+	key := f.begin(8, "stream", "v1")
+	require.Zero(t, f.copied)
+	for _, each := range f.lists {
+		each.set(func(l *testList) { l.isServed = false })
+	}
+	f.isBroken = true
+	found := f.find(0, key)
+	require.Equal(t, FindingRecord, found.Finding)
+	require.Equal(t, Origin{Service: service, Software: "v1"}, found.Origin)
+	require.Equal(t, FindingUnproven, f.find(0, KeyOf("host", "", "other")).Finding)
+}
--- a/test/mutants.d/streams.sh
+++ b/test/mutants.d/streams.sh
@@ -66,6 +66,8 @@
 	'return instance.Service + "\x00" + instance.Version' 'return instance.Service' platform TestVersionChangedInPlaceIsNotForgotten
 mutant changes_wait_for_history internal/table/follower.go \
 	'beside.Go(func() { f.readHistory(ctx) })' 'f.readHistory(ctx)' internal/table TestChangesDoNotWaitForHistory
+mutant record_not_sought_widely internal/streamorigin/keeper.go \
+	'if finding == FindingUnproven && known.asked == askedDaemons {' 'if finding == "" {' internal/streamorigin TestRecordIsSoughtWidelyWithoutEvidence
 mutant beliefs_not_compared internal/streamorigin/decision.go \
 	'case only != "" && each.Opinion.Only != only:' 'case false:' internal/streamorigin TestStreamIsResumedOnlyAtCertainOrigin
 mutant origin_kept_alone internal/streamorigin/keeper.go \
