--- a/internal/streamorigin/evidence.go
+++ b/internal/streamorigin/evidence.go
@@ -187,10 +187,11 @@
 }
 
 // proveByFleet is prove by the answers of all daemons at which the stream can have begun. None may
-// be missing or have ended of late, or be unknown to another one.
+// be missing or have ended of late, or be unknown to another one. A daemon that knows no other one
+// may have started behind a cut.
 func (k *Keeper) proveByFleet(ctx context.Context, service string) proof {
 	none, fleet := proof{evidence: EvidenceNone}, k.peers.Fleet()
-	if !k.isSettled() || !fleet.IsWhole || fleet.Members > maxAgreeing {
+	if !k.isSettled() || !fleet.IsWhole || fleet.Members < 2 || fleet.Members > maxAgreeing {
 		return none
 	}
 	bounded, cancel := context.WithTimeout(ctx, historyTimeout)
--- a/test/mutants.d/streams.sh
+++ b/test/mutants.d/streams.sh
@@ -15,6 +15,8 @@
 	'allAnswered && k.list.Covers() && k.confirm(ctx)' 'allAnswered && k.confirm(ctx)' internal/streamorigin TestAgreementIsNoEvidence
 mutant fleet_without_its_missing internal/streamorigin/evidence.go \
 	'|| !fleet.IsWhole ||' '||' internal/streamorigin TestWholeFleetIsEvidence
+mutant one_daemon_is_a_fleet internal/streamorigin/evidence.go \
+	' || fleet.Members < 2' '' platform TestDaemonThatKnewNobodyIsNotTheWholeFleet
 mutant started_daemons_agree internal/streamorigin/evidence.go \
 	'if !each.IsSettled || each.Fleet' 'if each.Fleet' internal/streamorigin TestWholeFleetIsEvidence
 mutant configurations_not_compared internal/streamorigin/evidence.go \
