--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -157,6 +157,8 @@
 	// service gets a further one.
 	software       softwareVersions
 	softwareSignal chan struct{}
+	// unused holds the listed entries of stale incarnations by id: other daemons may use them.
+	unused map[string]Instance
 	// connected returns the incarnations with an open idle connection.
 	connected func() map[Incarnation]bool
 }
@@ -168,7 +170,7 @@
 		unsentFailures: map[Incarnation]int{}, startTimes: newStartTimes(), lapsed: newLapsedStates(), peerWaiting: map[string]int{}, propagation: defaultPropagation,
 		preemptions: make(chan string, maxQueuedPreemptions), ownPreemptions: make(chan string, maxQueuedPreemptions),
 		connected: func() map[Incarnation]bool { return nil }, admission: newAdmission(),
-		software: newSoftwareVersions(), softwareSignal: make(chan struct{}, 1),
+		software: newSoftwareVersions(), softwareSignal: make(chan struct{}, 1), unused: map[string]Instance{},
 		queues: map[string]*serviceQueue{}, peerQueueStats: map[string]map[string]slotqueue.Stats{},
 	}
 }
@@ -178,10 +180,12 @@
 func (s *Set) Put(instance Instance) Listing {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.dropUnused(instance.ID)
 	known := s.states[instance.ID]
 	listing := s.classify(known, instance)
 	switch listing {
 	case ListingStale:
+		s.addUnused(instance)
 	case ListingSame:
 		instance.StartMillis = known.StartMillis
 		s.update(known, instance)
@@ -262,6 +266,7 @@
 func (s *Set) Remove(id string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.dropUnused(id)
 	s.lapse(id)
 }
 
--- a/internal/backend/software.go
+++ b/internal/backend/software.go
@@ -163,6 +163,31 @@
 	}
 }
 
+// addUnused counts the software version of an entry of a stale incarnation. mutex must be held.
+func (s *Set) addUnused(instance Instance) {
+	s.unused[instance.ID] = instance
+	if s.software.add(instance) {
+		signal(s.softwareSignal)
+	}
+}
+
+// dropUnused stops counting it. mutex must be held.
+func (s *Set) dropUnused(id string) {
+	if instance, isUnused := s.unused[id]; isUnused {
+		delete(s.unused, id)
+		s.software.remove(instance, time.Now())
+	}
+}
+
+// DropUnused forgets the entries of stale incarnations: the table is read anew.
+func (s *Set) DropUnused() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for id := range s.unused {
+		s.dropUnused(id)
+	}
+}
+
 // SoftwareSignal is signalled when a service gets a further software version.
 func (s *Set) SoftwareSignal() <-chan struct{} { return s.softwareSignal }
 
--- a/internal/backend/software_test.go
+++ b/internal/backend/software_test.go
@@ -44,3 +44,26 @@
 	set.Put(backend.Instance{ID: "a", Service: "s", Version: "v2", Slots: 4})
 	require.Empty(t, set.PresentSoftware(chosen))
 }
+
+// Guards against versions that count as not listed because this daemon takes their entries for those
+// of earlier processes, while daemons that have not seen the later ones use them.
+func TestVersionsOfStaleEntriesCount(t *testing.T) {
+	const later, window = 2000, 2 * backend.SoftwareWindow
+	set := backend.NewSet()
+	put := func(version string, start int64) backend.Listing {
+		return set.Put(backend.Instance{ID: "a", Service: "s", Version: version, Slots: 4, StartMillis: start})
+	}
+	versions := func() []string { return set.SoftwareVersions("s", time.Now().Add(window)) }
+	put("v1", later)
+	require.Equal(t, backend.ListingStale, put("v2", later-1))
+	require.Equal(t, []string{"v1", "v2"}, versions())
+	require.Equal(t, backend.ListingSame, put("v1", later))
+	require.Equal(t, []string{"v1"}, versions())
+	put("v2", later-1)
+	set.DropUnused()
+	require.Equal(t, []string{"v1"}, versions())
+	put("v2", later-1)
+	set.Remove("a")
+	require.Empty(t, versions())
+	require.Equal(t, []string{"v1", "v2"}, set.SoftwareVersions("s", time.Now()))
+}
--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -94,6 +94,7 @@
 
 // Replace implements table.Consumer.
 func (c *instanceConsumer) Replace(rows []table.Row, version table.Version) {
+	c.backends.DropUnused()
 	listed := map[string]bool{}
 	for _, row := range rows {
 		listed[row.Key] = true
@@ -168,10 +169,11 @@
 func (c *instanceConsumer) reject(row table.Row, cause error) {
 	c.unreadable.record(row, cause, time.Now())
 	c.clearMissing(row.Key)
-	if _, isListed := c.backends.Get(row.Key); !isListed {
+	_, isListed := c.backends.Get(row.Key)
+	c.backends.Remove(row.Key)
+	if !isListed {
 		return
 	}
-	c.backends.Remove(row.Key)
 	c.log.Info("backend_removed", "backend", row.Key, "row_version", row.Version, "reason", "unreadable", "kind", kindOf(cause))
 }
 
--- a/test/mutants.d/streams.sh
+++ b/test/mutants.d/streams.sh
@@ -70,6 +70,11 @@
 	'beside.Go(func() { f.readHistory(ctx) })' 'f.readHistory(ctx)' internal/table TestChangesDoNotWaitForHistory
 mutant record_not_sought_widely internal/streamorigin/keeper.go \
 	'if finding == FindingUnproven && known.asked == askedDaemons {' 'if finding == "" {' internal/streamorigin TestRecordIsSoughtWidelyWithoutEvidence
+mutant stale_entries_ignored internal/backend/backend.go \
+	'		s.addUnused(instance)' '' internal/backend TestVersionsOfStaleEntriesCount
+mutant stale_entries_for_ever internal/backend/backend.go \
+	'	s.dropUnused(id)
+	s.lapse(id)' '	s.lapse(id)' internal/backend TestVersionsOfStaleEntriesCount
 mutant beliefs_not_compared internal/streamorigin/decision.go \
 	'case only != "" && each.Opinion.Only != only:' 'case false:' internal/streamorigin TestStreamIsResumedOnlyAtCertainOrigin
 mutant origin_kept_alone internal/streamorigin/keeper.go \
