--- a/internal/frontend/streamorigins.go
+++ b/internal/frontend/streamorigins.go
@@ -201,7 +201,7 @@
 
 // Fleet implements streamorigin.Peers.
 func (p *originPeers) Fleet() streamorigin.Fleet {
-	isWhole := !p.node.HasGone(backend.SoftwareWindow) && len(p.limits.View().Missing) == 0
+	isWhole := !p.node.HasGone(backend.SoftwareWindow) && !p.limits.HasUnmet() && len(p.limits.View().Missing) == 0
 	return streamorigin.Fleet{Members: p.node.Count(), IsWhole: isWhole}
 }
 
--- a/internal/ratelimit/fleet.go
+++ b/internal/ratelimit/fleet.go
@@ -62,6 +62,22 @@
 	f.registered, f.isRegistered = daemons, true
 }
 
+// HasUnmet reports whether a daemon that had registered when this one started has never been seen,
+// for as long as it may be behind a partition.
+func (f *ClusterFleet) HasUnmet() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if time.Since(f.startedAt) >= maxMissing {
+		return false
+	}
+	for _, daemon := range f.registered {
+		if _, isMember := f.node.Member(daemon.Name); !isMember {
+			return true
+		}
+	}
+	return false
+}
+
 // Self implements Fleet.
 func (f *ClusterFleet) Self() string { return f.node.Self().Name }
 
--- a/internal/streamorigin/evidence.go
+++ b/internal/streamorigin/evidence.go
@@ -9,16 +9,17 @@
 )
 
 const (
-	// confirmTimeout bounds the time for which the store may take to confirm the list. A slow one
-	// takes several hundred ms a call.
-	confirmTimeout = 900 * time.Millisecond
+	// confirmTimeout bounds the time for which the store may take to confirm the list, slowTimeout
+	// if it has confirmed it within maxCertainAge: it is slow then rather than away.
+	confirmTimeout = 300 * time.Millisecond
+	slowTimeout    = 900 * time.Millisecond
 	// hedgeDelay is how long the store may take until other daemons are asked beside it.
 	hedgeDelay = 100 * time.Millisecond
 	// maxAgreeing is the largest fleet all of whose daemons are asked whether they agree.
 	maxAgreeing = 64
 	// historyTimeout bounds the time for which other daemons may take to answer with their
 	// history, which they confirm first.
-	historyTimeout = confirmTimeout + askTimeout
+	historyTimeout = slowTimeout + askTimeout
 	// maxCertainAge is the age from which the list may miss a change: while the store or another
 	// daemon answers, it is confirmed more often.
 	maxCertainAge = 3 * time.Second
@@ -124,7 +125,11 @@
 }
 
 func (k *Keeper) confirm(ctx context.Context) bool {
-	bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
+	timeout := confirmTimeout
+	if k.list.Age() < maxCertainAge {
+		timeout = slowTimeout
+	}
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return k.list.Confirm(bounded)
 }
--- a/internal/streamorigin/keeper_test.go
+++ b/internal/streamorigin/keeper_test.go
@@ -305,6 +305,10 @@
 	for _, known := range f.lists {
 		known.isServed = false
 	}
+	one := newFleet(t, 1)
+	one.list("a", "v1")
+	one.lists[0].isServed = false
+	require.Equal(t, FindingUnproven, one.find(0, key).Finding, "a daemon that knows no other one may have started behind a cut")
 	f.sets[7].Put(backend.Instance{ID: "b", Service: service, Version: "v2", Slots: 4})
 	require.Equal(t, FindingUnknown, f.find(0, key).Finding, "one that was not asked for the record knows another version")
 }
--- a/test/mutants.d/streams.sh
+++ b/test/mutants.d/streams.sh
@@ -16,7 +16,7 @@
 mutant fleet_without_its_missing internal/streamorigin/evidence.go \
 	'|| !fleet.IsWhole ||' '||' internal/streamorigin TestWholeFleetIsEvidence
 mutant one_daemon_is_a_fleet internal/streamorigin/evidence.go \
-	' || fleet.Members < 2' '' platform TestDaemonThatKnewNobodyIsNotTheWholeFleet
+	' || fleet.Members < 2' '' internal/streamorigin TestWholeFleetIsEvidence
 mutant started_daemons_agree internal/streamorigin/evidence.go \
 	'if !each.IsSettled || each.Fleet' 'if each.Fleet' internal/streamorigin TestWholeFleetIsEvidence
 mutant configurations_not_compared internal/streamorigin/evidence.go \
@@ -26,7 +26,9 @@
 mutant fleet_versions_ignored internal/streamorigin/evidence.go \
 	'agreed.further = append(agreed.further, each.versionsOf(service)...)' '' internal/streamorigin TestWholeFleetIsEvidence
 mutant slow_store_counts_as_away internal/streamorigin/evidence.go \
-	'confirmTimeout = 900 * time.Millisecond' 'confirmTimeout = 200 * time.Millisecond' platform 'TestCallersReturnWithoutRelease/slow_store'
+	'slowTimeout    = 900 * time.Millisecond' 'slowTimeout    = 200 * time.Millisecond' platform 'TestCallersReturnWithoutRelease/slow_store'
+mutant registered_daemons_not_missed internal/frontend/streamorigins.go \
+	'!p.limits.HasUnmet() && ' '' platform TestGroupStartedBehindCutIsNotTheWholeFleet
 mutant list_not_confirmed internal/streamorigin/evidence.go \
 	'return k.confirm(ctx) && k.list.Covers()' 'return true' internal/streamorigin TestAgreementIsNoEvidence
 mutant sections_not_confirmed internal/streamorigin/evidence.go \
