Jobs: an odd claim no longer stops the takeover of its job, and one without a job is removed

Another writer replaced the row of a job's claim by one that is none. The owner's commits failed on it; daemons that read the claims later did not list the job at all, and those that had followed them kept the claim of before, whose version the store refused at each takeover: nobody ran the job any more. A claim of a job that does not exist ('{}' is one) was claimed and given back by every daemon, for ever. One in another partition than its job's could not even be claimed.

Cause: an unreadable claim counted as no claim, or as no change. The takeover's end for 'no such job' was that for a slow link.

Evidence: on the code before, TestOddClaimDoesNotStopTakeover, by a daemon that reads the claims later: empty, a list, 12,000 levels, a number too large, each 'Condition never satisfied' after 30 s; TestClaimWithoutJobIsRemoved the same. For a daemon that had followed the claims the mutant odd_claim_change_is_ignored shows it.

Change: an unreadable claim is one without an owner, so that the job is taken over; its tenant is that of the acceptance, so that no other tenant may end the job. A claim whose job is certainly not there is removed, under the condition in the same transaction that no acceptance exists. Rows in other partitions are no claims.

--- a/internal/job/cancel.go
+++ b/internal/job/cancel.go
@@ -223,7 +223,8 @@
 	return s.decodeClaim(rows[0]), nil
 }
 
-// decodeClaim decodes a claim row. If the row cannot be decoded, the owner is empty.
+// decodeClaim decodes a claim row. If the row cannot be decoded, the claim is zero, so that it has no
+// owner.
 func (s *Service) decodeClaim(row table.Row) versionedClaim {
 	found := versionedClaim{version: row.Version}
 	if row.Version == 0 {
@@ -231,6 +232,7 @@
 	}
 	if err := decode(row, &found.claim); err != nil {
 		s.log.Warn("claim_unreadable", "job", row.Key, "error", err)
+		found.claim = claim{}
 	}
 	return found
 }
--- a/internal/job/claims.go
+++ b/internal/job/claims.go
@@ -88,12 +88,9 @@
 func (s *Service) Replace(rows []table.Row, version table.Version) {
 	claims := map[string]versionedClaim{}
 	for _, row := range rows {
-		var read claim
-		if err := decode(row, &read); err != nil {
-			s.log.Warn("claim_unreadable", "job", row.Key, "error", err)
-			continue
+		if isClaimRow(row) {
+			claims[row.Key] = s.decodeClaim(row)
 		}
-		claims[row.Key] = versionedClaim{claim: read, version: row.Version}
 	}
 	s.mutex.Lock()
 	s.forgetRemoved(claims, version)
@@ -131,6 +128,9 @@
 	lost := map[string]dropReason{}
 	s.mutex.Lock()
 	for _, row := range rows {
+		if !isClaimRow(row) {
+			continue
+		}
 		if reason, isLost := s.applyClaimChange(row); isLost {
 			lost[row.Key] = reason
 		}
@@ -142,6 +142,9 @@
 	}
 }
 
+// isClaimRow reports whether a row is where the claim of its job belongs.
+func isClaimRow(row table.Row) bool { return row.Partition == shard(row.Key) }
+
 // applyClaimChange applies one changed claim row. It reports whether this daemon
 // thereby loses a job that it owns, and why. mutex must be held.
 func (s *Service) applyClaimChange(row table.Row) (reason dropReason, isLost bool) {
@@ -155,13 +158,8 @@
 		s.forgetClaim(row.Key)
 		return dropClaimRemoved, isLost
 	}
-	var read claim
-	if err := decode(row, &read); err != nil {
-		s.log.Warn("claim_unreadable", "job", row.Key, "error", err)
-		return "", false
-	}
 	s.recordClaimChange(row.Key)
-	s.claims[row.Key] = versionedClaim{claim: read, version: row.Version}
+	s.claims[row.Key] = s.decodeClaim(row)
 	return dropClaimLost, isLost
 }
 
--- a/internal/job/export_test.go
+++ b/internal/job/export_test.go
@@ -56,3 +56,6 @@
 
 // SetAvailability sets the availability that decides on buffering. It is called before the service is used.
 func (s *Service) SetAvailability(availability Availability) { s.availability = availability }
+
+// Shard returns the partition of a job's rows.
+func Shard(id string) string { return shard(id) }
--- a/internal/job/odd_rows_test.go
+++ b/internal/job/odd_rows_test.go
@@ -1,12 +1,14 @@
 package job_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"topazpulley/internal/job"
 	"topazpulley/internal/table"
 	"topazpulley/internal/table/tabletest"
 )
@@ -18,22 +20,6 @@
 	require.NoError(t, err)
 }
 
-// partitionOf returns the partition that a job's rows are in.
-func partitionOf(t *testing.T, store *tabletest.Memory, id string) string {
-	t.Helper()
-	partitions, _, err := store.Partitions(t.Context(), "job", "")
-	require.NoError(t, err)
-	for _, partition := range partitions {
-		page, err := store.Read(t.Context(), table.Range{Table: "job", Partition: partition, From: id, Before: id + "\x00"})
-		require.NoError(t, err)
-		if len(page.Rows) > 0 {
-			return partition
-		}
-	}
-	require.Fail(t, "no such job")
-	return ""
-}
-
 // Guards against a job that nobody runs any more because one of its checkpoints is odd.
 func TestOddCheckpointDoesNotStopTakeover(t *testing.T) {
 	for name, value := range map[string][]byte{
@@ -52,7 +38,7 @@
 			accepted := newJob("j1", 3)
 			require.NoError(t, owner.Submit(t.Context(), accepted))
 			owner.cancel()
-			partition := partitionOf(t, store, accepted.ID)
+			partition := job.Shard(accepted.ID)
 			write(t, store, "item_progress", partition, accepted.ID+"/"+accepted.Items[0].ID, value)
 			write(t, store, "item_progress", partition, accepted.ID+"/no-item", value)
 			other := startDaemon(t, "b", store, fake)
@@ -61,3 +47,50 @@
 		})
 	}
 }
+
+// Guards against a job that nobody runs any more because its claim is odd, to daemons that followed the
+// claims before and to those that read them later.
+func TestOddClaimDoesNotStopTakeover(t *testing.T) {
+	for name, value := range map[string][]byte{"empty": nil, "no object": []byte("[1]"), "nested": []byte(strings.Repeat("[", 12000)), "number too large": []byte(`{"owner":"a","epoch":1e400}`)} {
+		for _, isFollower := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, " follower ", isFollower), func(t *testing.T) {
+				store, fake := tabletest.NewMemory(), newFakeBackends()
+				fake.events, fake.pause = 20, 20*time.Millisecond
+				owner := startDaemon(t, "a", store, fake)
+				accepted := newJob("j1", 3)
+				require.NoError(t, owner.Submit(t.Context(), accepted))
+				owner.cancel()
+				var other *daemon
+				if isFollower {
+					other = startDaemon(t, "b", store, fake)
+					require.Eventually(t, func() bool { return other.Followed() >= store.Version() }, testTimeout, pollInterval)
+				}
+				write(t, store, job.ClaimTable, job.Shard(accepted.ID), accepted.ID, value)
+				if !isFollower {
+					other = startDaemon(t, "b", store, fake)
+				}
+				other.peers.markGone("a")
+				requireAllCompleted(t, other, accepted)
+			})
+		}
+	}
+}
+
+// Guards against claims without a job that daemons take over again and again.
+func TestClaimWithoutJobIsRemoved(t *testing.T) {
+	store, fake := tabletest.NewMemory(), newFakeBackends()
+	ids := []string{"no-job", "no-other"}
+	for index, value := range []string{"{}", "odd"} {
+		write(t, store, job.ClaimTable, job.Shard(ids[index]), ids[index], []byte(value))
+		write(t, store, job.ClaimTable, "elsewhere", ids[index], []byte(value))
+	}
+	started := startDaemon(t, "b", store, fake)
+	require.Eventually(t, func() bool {
+		page, err := store.Read(t.Context(), table.Range{Table: job.ClaimTable, Partition: job.Shard(ids[0])})
+		other, otherErr := store.Read(t.Context(), table.Range{Table: job.ClaimTable, Partition: job.Shard(ids[1])})
+		return err == nil && otherErr == nil && len(page.Rows)+len(other.Rows) == 0
+	}, testTimeout, pollInterval)
+	accepted := newJob("j1", 3)
+	require.NoError(t, started.Submit(t.Context(), accepted))
+	requireAllCompleted(t, started, accepted)
+}
--- a/internal/job/takeover.go
+++ b/internal/job/takeover.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"topazpulley/internal/failure"
 	"topazpulley/internal/periodic"
 	"topazpulley/internal/table"
 )
@@ -93,6 +94,7 @@
 	if err != nil {
 		s.log.Info("job_takeover_failed", "job", id, "step", "claim", "owner", orphaned.claim.Owner, "epoch", orphaned.claim.Epoch, "error", err)
 		s.endTakeover(id, false)
+		s.removeIfStray(ctx, id, orphaned, err)
 		return
 	}
 	loaded, earlier, step, err := s.readOrphan(ctx, id)
@@ -102,11 +104,26 @@
 		return
 	}
 	s.log.Info("job_takeover_failed", "job", id, "step", step, "epoch", claimed.claim.Epoch, "error", err)
-	if s.endTakeover(id, true) {
+	if s.endTakeover(id, true) && !s.removeIfStray(ctx, id, claimed, err) {
 		s.releaseClaim(ctx, id, claimed)
 	}
 }
 
+// removeIfStray removes a claim if a takeover failed because there is no such job, and reports
+// whether it was one. The store keeps the claim if there is a job after all.
+func (s *Service) removeIfStray(ctx context.Context, id string, held versionedClaim, cause error) bool {
+	if !failure.Is(cause, failure.KindNotFound) {
+		return false
+	}
+	_, err := s.commit(ctx, table.Transaction{
+		Partition:  shard(id),
+		Conditions: []table.Condition{{Table: tableClaim, Key: id, Version: held.version}, {Table: tableAccepted, Key: id}},
+		Removals:   []table.Removal{{Table: tableClaim, Key: id}},
+	})
+	s.log.Warn("stray_claim_removed", "job", id, "version", held.version, "error", err)
+	return true
+}
+
 func (s *Service) endTakeover(id string, hasFailed bool) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -119,7 +136,11 @@
 	if s.isOwnClaim(orphaned.claim) {
 		return orphaned, nil
 	}
-	next := s.newClaim(orphaned.claim.Epoch+1, orphaned.claim.Tenant)
+	tenant, err := s.tenantOfClaim(ctx, id, orphaned.claim)
+	if err != nil {
+		return versionedClaim{}, err
+	}
+	next := s.newClaim(orphaned.claim.Epoch+1, tenant)
 	version, err := s.replaceClaim(ctx, id, orphaned.version, next)
 	if err != nil {
 		return versionedClaim{}, err
@@ -128,6 +149,16 @@
 	return versionedClaim{claim: next, version: version}, nil
 }
 
+// tenantOfClaim returns the tenant in a claim. That of a claim that could not be read is the one for
+// which the job was accepted.
+func (s *Service) tenantOfClaim(ctx context.Context, id string, held claim) (string, error) {
+	if held != (claim{}) {
+		return held.Tenant, nil
+	}
+	accepted, err := s.acceptance(ctx, id)
+	return accepted.Tenant, err
+}
+
 // replaceClaim replaces the claim of a job if its row still has the version.
 func (s *Service) replaceClaim(ctx context.Context, id string, version table.Version, next claim) (table.Version, error) {
 	value, err := encode(next)
--- a/test/mutants.d/oddrows.sh
+++ b/test/mutants.d/oddrows.sh
@@ -28,3 +28,13 @@
 mutant odd_keys_in_the_keyspace internal/table/keyspace.go \
 	'	first = typicalKeys(first)
 ' '' internal/table TestOddKeysBesideThoseOfBackends
+mutant odd_claim_is_not_listed internal/job/claims.go \
+	'		if isClaimRow(row) {
+			claims' '		if read := s.decodeClaim(row); read.claim != (claim{}) {
+			claims' internal/job 'TestOddClaimDoesNotStopTakeover/empty_follower_false'
+mutant odd_claim_change_is_ignored internal/job/claims.go \
+	'	s.claims[row.Key] = s.decodeClaim(row)' '	if read := s.decodeClaim(row); read.claim != (claim{}) {
+		s.claims[row.Key] = read
+	}' internal/job 'TestOddClaimDoesNotStopTakeover/empty_follower_true'
+mutant stray_claims_stay internal/job/takeover.go \
+	'if !failure.Is(cause, failure.KindNotFound) {' 'if failure.Is(cause, failure.KindNotFound) {' internal/job TestClaimWithoutJobIsRemoved
