--- a/internal/streamorigin/evidence.go
+++ b/internal/streamorigin/evidence.go
@@ -20,6 +20,8 @@
 	// historyTimeout bounds the time for which other daemons may take to answer with their
 	// history, which they confirm first.
 	historyTimeout = slowTimeout + askTimeout
+	// questionPause is the least time between two rounds of questions to other daemons.
+	questionPause = 25 * time.Millisecond
 	// maxCertainAge is the age from which the list may miss a change: while the store or another
 	// daemon answers, it is confirmed more often.
 	maxCertainAge = 3 * time.Second
@@ -184,47 +186,66 @@
 
 // proveByPeer is prove by the list of another daemon.
 func (k *Keeper) proveByPeer(ctx context.Context, service string) proof {
-	history := k.askCompleteHistory(ctx)
+	history, _ := k.peerQuestions.Do(ctx, questionPause, k.askPeers)
 	if !history.IsComplete || history.Configuration != k.list.Configuration() {
 		return proof{evidence: EvidenceNone}
 	}
 	return proof{evidence: EvidencePeer, further: history.versionsOf(service)}
 }
 
-// proveByFleet is prove by the answers of all daemons at which the stream can have begun. None may
-// be missing or have ended of late, or be unknown to another one. A daemon that knows no other one
-// may have started behind a cut.
+// proveByFleet is prove by the answers of all daemons at which the stream can have begun.
 func (k *Keeper) proveByFleet(ctx context.Context, service string) proof {
-	none, fleet := proof{evidence: EvidenceNone}, k.peers.Fleet()
-	if !k.isSettled() || !fleet.IsWhole || fleet.Members < 2 || fleet.Members > maxAgreeing {
-		return none
-	}
-	bounded, cancel := context.WithTimeout(ctx, historyTimeout)
-	defer cancel()
-	answers := make(chan History, maxAgreeing)
-	if k.peers.AskHistory(bounded, false, maxAgreeing, answers) != fleet.Members-1 {
-		return none
+	asked, _ := k.fleetQuestions.Do(ctx, questionPause, k.askFleet)
+	if !asked.isAgreed(k.list.Configuration()) {
+		return proof{evidence: EvidenceNone}
 	}
 	agreed := proof{evidence: EvidenceFleet}
-	for range fleet.Members - 1 {
-		each := <-answers
-		if !each.IsSettled || each.Fleet != fleet || each.Configuration != k.list.Configuration() {
-			return none
-		}
+	for _, each := range asked.histories {
 		agreed.further = append(agreed.further, each.versionsOf(service)...)
 	}
-	if k.peers.Fleet() != fleet {
-		return none
-	}
 	slices.Sort(agreed.further)
 	agreed.further = slices.Compact(agreed.further)
 	return agreed
 }
 
-// askCompleteHistory returns the first complete history of other daemons, or an incomplete one if
-// none has any.
-func (k *Keeper) askCompleteHistory(ctx context.Context) History {
-	bounded, cancel := context.WithTimeout(ctx, historyTimeout)
+// fleetAnswer is what all other daemons answered.
+type fleetAnswer struct {
+	// fleet is what this daemon knew before and after.
+	fleet     Fleet
+	histories []History
+}
+
+// isAgreed reports whether every daemon at which a stream can have begun has answered. None may be
+// missing or have ended of late, be unknown to another one, or run another configuration.
+func (a fleetAnswer) isAgreed(configuration int64) bool {
+	return len(a.histories) == a.fleet.Members-1 && !slices.ContainsFunc(a.histories, func(each History) bool {
+		return !each.IsSettled || each.Fleet != a.fleet || each.Configuration != configuration
+	})
+}
+
+// askFleet asks all other daemons for their history if that may be evidence. A daemon that knows no
+// other one may have started behind a cut.
+func (k *Keeper) askFleet() fleetAnswer {
+	asked := fleetAnswer{fleet: k.peers.Fleet()}
+	if !k.isSettled() || !asked.fleet.IsWhole || asked.fleet.Members < 2 || asked.fleet.Members > maxAgreeing {
+		return fleetAnswer{}
+	}
+	bounded, cancel := context.WithTimeout(context.Background(), historyTimeout)
+	defer cancel()
+	answers := make(chan History, maxAgreeing)
+	for range k.peers.AskHistory(bounded, false, maxAgreeing, answers) {
+		asked.histories = append(asked.histories, <-answers)
+	}
+	if k.peers.Fleet() != asked.fleet {
+		return fleetAnswer{}
+	}
+	return asked
+}
+
+// askPeers returns the first complete history of other daemons, or an incomplete one if none has
+// any.
+func (k *Keeper) askPeers() History {
+	bounded, cancel := context.WithTimeout(context.Background(), historyTimeout)
 	defer cancel()
 	answers := make(chan History, askedDaemons)
 	for range k.peers.AskHistory(bounded, true, askedDaemons, answers) {
@@ -241,7 +262,7 @@
 		return
 	}
 	generation := k.list.Generation()
-	history := k.askCompleteHistory(ctx)
+	history, _ := k.peerQuestions.Do(ctx, questionPause, k.askPeers)
 	if !history.IsComplete {
 		return
 	}
--- a/internal/streamorigin/keeper.go
+++ b/internal/streamorigin/keeper.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"topazpulley/internal/backend"
+	"topazpulley/internal/coalesce"
 	"topazpulley/internal/telemetry"
 )
 
@@ -34,8 +35,8 @@
 	Service string
 }
 
-// Peers are the other daemons. Both functions return at once; each daemon that answers sends
-// one element to the channel, which has room for all of them.
+// Peers are the other daemons. The functions return at once; each daemon that answers sends one
+// element to the channel, which has room for all of them.
 type Peers interface {
 	// Copy sends a record to count daemons of its key. It returns the number of daemons that
 	// it sends to.
@@ -83,6 +84,9 @@
 	startedAt time.Time
 	// wasSettled is set once this daemon is settled (see isSettled).
 	wasSettled atomic.Bool
+	// peerQuestions and fleetQuestions share the questions of all callers who wait for evidence.
+	peerQuestions  coalesce.Group[History]
+	fleetQuestions coalesce.Group[fleetAnswer]
 }
 
 // NewKeeper returns a keeper. Nil peers mean that there are no other daemons; the list may be nil
--- a/internal/table/confirm.go
+++ b/internal/table/confirm.go
@@ -2,71 +2,17 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 )
 
-// confirmation shares calls that confirm a table among those who wait for one. mutex guards the
-// fields below it.
-type confirmation struct {
-	mutex sync.Mutex
-	// isRunning is set while a call is under way. next is the call that starts after it; it
-	// serves all who asked since the present one started.
-	isRunning bool
-	next      *confirmationCall
-}
-
-// confirmationCall is one call. done is closed at its end; isConfirmed is set before.
-type confirmationCall struct {
-	done        chan struct{}
-	isConfirmed bool
-}
+// confirmationPause is the least time between two calls that confirm a table.
+const confirmationPause = 25 * time.Millisecond
 
 // Confirm reports whether the consumer has received all changes that the store made before the
 // call. One call to the store serves all who wait.
 func (f *Follower) Confirm(ctx context.Context) bool {
-	call := f.joinConfirmation()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-call.done:
-		return call.isConfirmed
-	}
-}
-
-// joinConfirmation returns the next call to the store and starts it if none is under way.
-func (f *Follower) joinConfirmation() *confirmationCall {
-	f.confirmation.mutex.Lock()
-	defer f.confirmation.mutex.Unlock()
-	if f.confirmation.next == nil {
-		f.confirmation.next = &confirmationCall{done: make(chan struct{})}
-	}
-	joined := f.confirmation.next
-	if !f.confirmation.isRunning {
-		f.confirmation.isRunning = true
-		go f.runConfirmations()
-	}
-	return joined
-}
-
-// confirmationPause is the least time between two calls that confirm a table.
-const confirmationPause = 25 * time.Millisecond
-
-// runConfirmations makes calls one after another until nobody waits for one.
-func (f *Follower) runConfirmations() {
-	for {
-		f.confirmation.mutex.Lock()
-		call := f.confirmation.next
-		f.confirmation.next = nil
-		f.confirmation.isRunning = call != nil
-		f.confirmation.mutex.Unlock()
-		if call == nil {
-			return
-		}
-		call.isConfirmed = f.confirm()
-		close(call.done)
-		time.Sleep(confirmationPause)
-	}
+	isConfirmed, isDone := f.confirmation.Do(ctx, confirmationPause, f.confirm)
+	return isDone && isConfirmed
 }
 
 // confirm makes one call for the changes since the version seen, without waiting for any.
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"topazpulley/internal/boottime"
+	"topazpulley/internal/coalesce"
 	"topazpulley/internal/periodic"
 )
 
@@ -126,7 +127,8 @@
 	settling atomic.Pointer[settling]
 	origin   atomic.Pointer[Origin]
 
-	confirmation confirmation
+	// confirmation shares the calls of Confirm.
+	confirmation coalesce.Group[bool]
 	// isReadingHistory is set while readHistory runs.
 	isReadingHistory atomic.Bool
 }
--- a/test/mutants.d/streams.sh
+++ b/test/mutants.d/streams.sh
@@ -14,17 +14,15 @@
 mutant sections_without_history internal/streamorigin/evidence.go \
 	'allAnswered && k.list.Covers() && k.confirm(ctx)' 'allAnswered && k.confirm(ctx)' internal/streamorigin TestAgreementIsNoEvidence
 mutant fleet_without_its_missing internal/streamorigin/evidence.go \
-	'|| !fleet.IsWhole ||' '||' internal/streamorigin TestWholeFleetIsEvidence
+	'!k.isSettled() || !asked.fleet.IsWhole || ' '!k.isSettled() || ' internal/streamorigin TestWholeFleetIsEvidence
 mutant one_daemon_is_a_fleet internal/streamorigin/evidence.go \
-	' || fleet.Members < 2' '' internal/streamorigin TestWholeFleetIsEvidence
+	' || asked.fleet.Members < 2' '' internal/streamorigin TestWholeFleetIsEvidence
 mutant started_daemons_agree internal/streamorigin/evidence.go \
-	'if !each.IsSettled || each.Fleet' 'if each.Fleet' internal/streamorigin TestWholeFleetIsEvidence
+	'return !each.IsSettled || each.Fleet' 'return each.Fleet' internal/streamorigin TestWholeFleetIsEvidence
 mutant configurations_not_compared internal/streamorigin/evidence.go \
-	' || each.Configuration != k.list.Configuration() {
-			return none' ' {
-			return none' internal/streamorigin TestWholeFleetIsEvidence
+	' || each.Configuration != configuration' '' internal/streamorigin TestWholeFleetIsEvidence
 mutant fleet_versions_ignored internal/streamorigin/evidence.go \
-	'agreed.further = append(agreed.further, each.versionsOf(service)...)' '' internal/streamorigin TestWholeFleetIsEvidence
+	'each.versionsOf(service)...)' 'each.versionsOf("")...)' internal/streamorigin TestWholeFleetIsEvidence
 mutant slow_store_counts_as_away internal/streamorigin/evidence.go \
 	'slowTimeout    = 900 * time.Millisecond' 'slowTimeout    = 200 * time.Millisecond' platform 'TestCallersReturnWithoutRelease/slow_store'
 mutant registered_daemons_not_missed internal/frontend/streamorigins.go \
@@ -42,22 +40,20 @@
 mutant incomplete_history_believed internal/streamorigin/evidence.go \
 	'if each := <-answers; each.IsComplete {' 'if each := <-answers; true {
 			each.IsComplete = true' internal/streamorigin TestHistoryIsCompletedFromAnotherDaemon
-mutant call_under_way_confirms internal/table/confirm.go \
-	'		f.confirmation.next = nil
-		f.confirmation.isRunning = call != nil
-		f.confirmation.mutex.Unlock()
-		if call == nil {
-			return
+mutant call_under_way_confirms internal/coalesce/coalesce.go \
+	'	g.next = nil
+	g.isRunning = present != nil
+	return present' '	g.isRunning = present != nil
+	if present != nil {
+		select {
+		case <-present.done:
+			present, g.next, g.isRunning = nil, nil, false
+		default:
 		}
-		call.isConfirmed = f.confirm()' '		f.confirmation.isRunning = call != nil
-		f.confirmation.mutex.Unlock()
-		if call == nil {
-			return
-		}
-		call.isConfirmed = f.confirm()
-		f.confirmation.mutex.Lock()
-		f.confirmation.next = nil
-		f.confirmation.mutex.Unlock()' internal/table TestCallUnderWayConfirmsNothingForLaterCallers
+	}
+	return present' internal/table TestCallUnderWayConfirmsNothingForLaterCallers
+mutant calls_are_not_paced internal/coalesce/coalesce.go \
+	'time.Sleep(pause)' '' internal/coalesce TestCallsArePaced
 mutant removed_rows_make_no_gap internal/table/replica.go \
 	'if row.Deleted && !isKept && !added[key] {' 'if !isKept && false {' internal/table TestHistoryHasNoGaps
 mutant extended_over_a_gap internal/table/history.go \
