--- a/internal/ratelimit/reach_test.go
+++ b/internal/ratelimit/reach_test.go
@@ -94,7 +94,8 @@
 	require.NoError(t, closed.Close())
 	since := time.Now().Add(-probeAfter)
 	recent := recentDaemons{}
-	for index := range probesPerRound {
+	const rounds = 4
+	for index := range rounds*probesPerRound - 1 {
 		name := fmt.Sprintf("silent %d", index)
 		recent[name] = recentDaemon{daemon: Daemon{Name: name, Address: open.Addr().String()}, missingSince: since}
 	}
@@ -102,11 +103,13 @@
 	recent["suspected"] = recentDaemon{daemon: Daemon{Name: "suspected", Address: closed.Addr().String()}, missingSince: time.Now().Add(time.Hour)}
 	recent["live"] = recentDaemon{daemon: Daemon{Name: "live", Address: closed.Addr().String()}}
 	fleet := &ClusterFleet{transport: peer.NewTransport("self", "127.0.0.1:0", nil, discardLog), log: discardLog, recent: recent}
-	for range 2 {
+	for range rounds {
 		fleet.probeRound(t.Context())
 	}
 	for name, each := range recent {
 		require.Equal(t, name == "ended", each.hasEnded, name)
+		isDue := name != "suspected" && name != "live"
+		require.Equal(t, isDue, !each.probedAt.IsZero(), name)
 	}
 }
 
