Mutants: daemons_lost_long_ago_count compiles

In a whole run of the mutants it was the one of 452 that did not build (an unused variable), so that go test was not reached. It is noticed now, run alone.

--- a/test/mutants.d/zones.sh
+++ b/test/mutants.d/zones.sh
@@ -21,6 +21,6 @@
 mutant lost_daemons_free_their_cold_share internal/frontend/frontend.go \
 	'node.NamesWithLost(lostColdShare)' 'node.NamesWithLost(0*lostColdShare)' internal/frontend TestDaemonThatLostAllOthersKeepsItsColdShare
 mutant daemons_lost_long_ago_count internal/membership/core.go \
-	'&& now.Sub(c.changedAt[name]) < lostFor' '' internal/membership TestNamesWithLostForgetsInTime
+	'now.Sub(c.changedAt[name]) < lostFor' 'now.Sub(c.changedAt[name]) < 100*lostFor' internal/membership TestNamesWithLostForgetsInTime
 mutant daemons_that_left_count_as_lost internal/membership/core.go \
 	'member.State == StateDead && now' '!member.Live() && now' internal/membership TestNamesWithLostForgetsInTime
