--- a/internal/emulator/relay.go
+++ b/internal/emulator/relay.go
@@ -82,12 +82,18 @@
 		r.cuts[cut] = true
 	}
 	for connection := range r.connections {
-		if r.cuts[Cut{connection.from, connection.to}] || r.cuts[Cut{connection.to, connection.from}] {
+		if r.isSevered(connection.from, connection.to) {
 			connection.close()
 		}
 	}
 }
 
+// isSevered reports whether a direction between two zones is cut, so that no connection between them
+// lasts. mutex must be held.
+func (r *Relay) isSevered(one, other string) bool {
+	return r.cuts[Cut{one, other}] || r.cuts[Cut{other, one}]
+}
+
 // Close stops listening and closes all connections.
 func (r *Relay) Close() {
 	r.mutex.Lock()
@@ -169,7 +175,7 @@
 func (r *Relay) keep(connection *relayed) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.cuts[Cut{connection.from, connection.to}] || r.cuts[Cut{connection.to, connection.from}] {
+	if r.isSevered(connection.from, connection.to) {
 		return false
 	}
 	r.connections[connection] = true
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -373,17 +373,10 @@
 	if err := c.http.DoDeadline(request, response, deadline); err != nil {
 		return 0, nil, errors.WithStack(err)
 	}
-	content, err := readBody(response)
+	content, err := httphead.ResponseBody(response, httphead.AnswerBytes)
 	return response.StatusCode(), content, err
 }
 
-func readBody(response *fasthttp.Response) ([]byte, error) {
-	if stream := response.BodyStream(); stream != nil {
-		return httphead.ReadBody(stream, httphead.AnswerBytes)
-	}
-	return append([]byte(nil), response.Body()...), nil
-}
-
 // CallRequest is one request to a plain service.
 type CallRequest struct {
 	AttemptID string
@@ -447,7 +440,7 @@
 	if err := httphead.CheckFraming(&response.Header); err != nil {
 		return CallAnswer{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete, cause: err}
 	}
-	content, err := readBody(response)
+	content, err := httphead.ResponseBody(response, httphead.AnswerBytes)
 	if err != nil {
 		return CallAnswer{}, sendFailure(err)
 	}
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"topazpulley/internal/httphead"
 )
 
 // do sends a request, which it releases, and returns the answer, which the caller
@@ -37,7 +39,7 @@
 	if err := <-answered; err != nil {
 		return // the attempt has already failed
 	}
-	_, _ = readBody(response) // after an error the HTTP client closes the connection
+	_, _ = httphead.ResponseBody(response, httphead.AnswerBytes) // after an error the HTTP client closes the connection
 }
 
 // cancelAbandoned cancels an attempt in the background if its caller stopped waiting
--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -156,7 +156,7 @@
 
 // NewerPart implements table.Peers.
 func (s *peerSource) NewerPart(ctx context.Context, query table.PeerQuery) (table.PeerCopy, bool) {
-	return askNewest(ctx, s.peersToAsk(), query, func(ctx context.Context, address string, after table.Version) (table.PeerCopy, error) {
+	return askNewest(ctx, peersToAsk(s.node), query, func(ctx context.Context, address string, after table.Version) (table.PeerCopy, error) {
 		request := newerRequest{Table: query.Table, After: int64(after)}
 		answer, err := peer.Call[newerRequest, newerPartAnswer](ctx, s.transport, address, methodNewerPart, request)
 		return table.PeerCopy{
@@ -169,7 +169,7 @@
 
 // Newer implements table.Peers.
 func (s *peerSource) Newer(ctx context.Context, query table.PeerQuery) (table.PeerCopy, bool) {
-	return askNewest(ctx, s.peersToAsk(), query, func(ctx context.Context, address string, after table.Version) (table.PeerCopy, error) {
+	return askNewest(ctx, peersToAsk(s.node), query, func(ctx context.Context, address string, after table.Version) (table.PeerCopy, error) {
 		request := newerRequest{Table: query.Table, After: int64(after)}
 		answer, err := peer.Call[newerRequest, newerAnswer](ctx, s.transport, address, methodNewer, request)
 		return table.PeerCopy{
@@ -181,8 +181,8 @@
 
 // peersToAsk returns the other live daemons: by turns one of the own zone, whose rows are cheaper
 // to send, and one of another, which may not share the zone's troubles; suspected ones last.
-func (s *peerSource) peersToAsk() []membership.Member {
-	near, far, suspected := shuffledPeers(s.node)
+func peersToAsk(node *cluster.Node) []membership.Member {
+	near, far, suspected := shuffledPeers(node)
 	return append(alternate(near, far), suspected...)
 }
 
--- a/internal/frontend/streamorigins.go
+++ b/internal/frontend/streamorigins.go
@@ -184,8 +184,7 @@
 // AskHistory implements streamorigin.Peers. Daemons of the own zone and of others take turns. A
 // daemon that does not answer, or is of an older build, sends an empty history.
 func (p *originPeers) AskHistory(ctx context.Context, mustConfirm bool, count int, answers chan<- streamorigin.History) int {
-	near, far, suspected := shuffledPeers(p.node)
-	chosen := append(alternate(near, far), suspected...)
+	chosen := peersToAsk(p.node)
 	chosen = chosen[:min(count, len(chosen))]
 	for _, each := range chosen {
 		go func() {
--- a/internal/httphead/body.go
+++ b/internal/httphead/body.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // AnswerBytes is the maximum size of a buffered answer body. It equals the default maximum size
@@ -22,6 +23,14 @@
 	return "the body is longer than " + strconv.Itoa(e.Limit) + " bytes"
 }
 
+// ResponseBody is ReadBody for an answer of a client that may stream bodies.
+func ResponseBody(response *fasthttp.Response, limit int) ([]byte, error) {
+	if stream := response.BodyStream(); stream != nil {
+		return ReadBody(stream, limit)
+	}
+	return append([]byte(nil), response.Body()...), nil
+}
+
 // ReadBody reads a body to its end. It returns a *LongBodyError, and no truncated body, if the
 // body is longer than limit bytes.
 func ReadBody(source io.Reader, limit int) ([]byte, error) {
--- a/internal/ratelimit/fleet.go
+++ b/internal/ratelimit/fleet.go
@@ -67,15 +67,18 @@
 func (f *ClusterFleet) HasUnmet() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if time.Since(f.startedAt) >= maxMissing {
-		return false
-	}
+	return time.Since(f.startedAt) < maxMissing && len(f.unmet()) > 0
+}
+
+// unmet returns the registered daemons that the membership doesn't contain. mutex must be held.
+func (f *ClusterFleet) unmet() []Daemon {
+	unmet := []Daemon{}
 	for _, daemon := range f.registered {
 		if _, isMember := f.node.Member(daemon.Name); !isMember {
-			return true
+			unmet = append(unmet, daemon)
 		}
 	}
-	return false
+	return unmet
 }
 
 // Self implements Fleet.
@@ -99,22 +102,11 @@
 	f.recent.addLost(lost, now)
 	missing := f.recent.missing(live, f.hasLeft, now)
 	if now.Sub(f.startedAt) < settlingTime {
-		return View{Daemons: f.withRegistered(live), IsKnown: f.isRegistered || len(live) > 1}
+		return View{Daemons: append(live, f.unmet()...), IsKnown: f.isRegistered || len(live) > 1}
 	}
 	return View{Daemons: live, Missing: missing, IsKnown: true}
 }
 
-// withRegistered adds the registered daemons that the membership doesn't contain. mutex must be
-// held.
-func (f *ClusterFleet) withRegistered(live []Daemon) []Daemon {
-	for _, daemon := range f.registered {
-		if _, isMember := f.node.Member(daemon.Name); !isMember {
-			live = append(live, daemon)
-		}
-	}
-	return live
-}
-
 // ProbeMissing probes the addresses of missing daemons until the context ends, to distinguish
 // those that have ended from those behind a partition.
 func (f *ClusterFleet) ProbeMissing(ctx context.Context) {
--- a/internal/table/confirm.go
+++ b/internal/table/confirm.go
@@ -20,10 +20,8 @@
 	if !f.isSynced.Load() {
 		return false
 	}
-	bounded, cancel := context.WithTimeout(context.Background(), readTimeout)
-	defer cancel()
 	started, after := f.Now(), f.seenVersion()
-	changes, err := f.Store.Watch(bounded, f.Table, after, 0)
+	changes, err := f.changesAfter(context.Background(), after)
 	if err != nil || changes.Version < after {
 		return false
 	}
@@ -45,9 +43,7 @@
 	generation, until := f.History.Generation(), f.seenVersion()
 	after, traits := Version(0), map[replicaKey]string{}
 	for range maxHistoryPages {
-		bounded, cancel := context.WithTimeout(ctx, readTimeout)
-		changes, err := f.Store.Watch(bounded, f.Table, after, 0)
-		cancel()
+		changes, err := f.changesAfter(ctx, after)
 		if err != nil || changes.Version <= after || !f.keepTraits(traits, changes.Rows) {
 			return
 		}
--- a/internal/table/resize.go
+++ b/internal/table/resize.go
@@ -96,14 +96,19 @@
 	return nil
 }
 
+// changesAfter returns the store's changes after a version, without waiting for any.
+func (f *Follower) changesAfter(ctx context.Context, after Version) (Changes, error) {
+	bounded, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return f.Store.Watch(bounded, f.Table, after, 0)
+}
+
 // changesUntil returns the changes of the entire table after the version seen, up to a
 // version.
 func (f *Follower) changesUntil(ctx context.Context, until Version) ([]Row, error) {
 	all, after := []Row{}, f.seenVersion()
 	for after < until {
-		bounded, cancel := context.WithTimeout(ctx, readTimeout)
-		changes, err := f.Store.Watch(bounded, f.Table, after, 0)
-		cancel()
+		changes, err := f.changesAfter(ctx, after)
 		if err != nil {
 			return nil, err
 		}
