Items: one function decides the pause after a failed attempt

The pause after a broken attempt was computed beside pauseAfter and put in place of its result. It is a case of pauseAfter now; no pause changes, and the text of the mutant follows (noticed).

--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -184,11 +184,7 @@
 	} else {
 		serving.RecordFailure(s.backends, instance.Incarnation(), failed.Reason, time.Now())
 	}
-	pause := running.pauseAfter(failed)
-	if endedBackend(failed) {
-		running.broken.broke()
-		pause = running.broken.pause(rand.Float64(), s.slacks(running, time.Now())...)
-	}
+	pause := running.pauseAfter(failed, s.slacks(running, time.Now())...)
 	s.metrics.Items.WithLabelValues(failed.Outcome.String()).Inc()
 	s.log.Info("item_attempt_failed", "job", owner.job.ID, "item", running.item.ID, "backend", instance.ID, "software", instance.Version, "outcome", failed.Outcome.String(),
 		"reason", string(failed.Reason), "failures", running.progress.failureCount(), "broken_in_row", running.broken.inRow, "pause_ms", pause.Milliseconds(), "last_event", running.progress.lastID(), "cause", failed.Cause, "answer", transfer, "fingerprint", running.fingerprint.String(), "parts", running.partsAt(instance.Service))
@@ -209,15 +205,25 @@
 }
 
 // pauseAfter returns the time before the item is sent again after a failed attempt. It grows with
-// answers in a row that say nothing of the item: each backend may give the same.
-func (i *ownedItem) pauseAfter(failed *serving.AttemptError) time.Duration {
-	if failed.Outcome == serving.OutcomeNotRun {
+// answers in a row that say nothing of the item, since each backend may give the same, and with
+// attempts in a row under which a backend ended (see brokenAttempts.pause for slacks).
+func (i *ownedItem) pauseAfter(failed *serving.AttemptError, slacks ...time.Duration) time.Duration {
+	switch {
+	case failed.Outcome == serving.OutcomeNotRun:
 		return refusedPause
+	case failed.Reason == serving.ReasonStatus:
+		return i.pauseAfterAnswer()
 	}
-	if failed.Reason != serving.ReasonStatus {
-		i.uselessAnswers = 0
+	i.uselessAnswers = 0
+	if !endedBackend(failed) {
 		return failedPause
 	}
+	i.broken.broke()
+	return i.broken.pause(rand.Float64(), slacks...)
+}
+
+// pauseAfterAnswer is pauseAfter for an answer that says nothing of the item.
+func (i *ownedItem) pauseAfterAnswer() time.Duration {
 	pause := min(failedPause<<i.uselessAnswers, maxAnswerPause)
 	if pause < maxAnswerPause {
 		i.uselessAnswers++
--- a/test/mutants.d/brokenitems.sh
+++ b/test/mutants.d/brokenitems.sh
@@ -1,6 +1,6 @@
 # Items under which backends end; mutants.sh sources this.
 mutant broken_items_not_paced internal/job/attempt.go \
-	'pause = running.broken.pause(rand.Float64(), s.slacks(running, time.Now())...)' '_ = rand.Float64()' platform TestItemThatCrashesBackendsIsPaced
+	'return i.broken.pause(rand.Float64(), slacks...)' 'return failedPause + 0*time.Duration(rand.Int64())' platform TestItemThatCrashesBackendsIsPaced
 mutant pauses_of_broken_items_stay_short internal/job/brokenattempts.go \
 	'nominal = min(2*nominal, maxBrokenPause)' 'count++' internal/job TestPausesGrowWithBrokenAttempts
 mutant late_items_not_paced internal/job/brokenattempts.go \
