--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -1,18 +1,14 @@
 package cluster_test
 
 import (
-	"context"
-	"io"
-	"log/slog"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"topazpulley/internal/cluster"
+	"topazpulley/internal/cluster/clustertest"
 	"topazpulley/internal/membership"
-	"topazpulley/internal/peer"
 )
 
 const (
@@ -20,29 +16,9 @@
 	pollInterval = 20 * time.Millisecond
 )
 
-// freeAddress returns a loopback address that is free for TCP.
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func startNode(t *testing.T, name string, key []byte, seeds ...string) *cluster.Node {
-	address := freeAddress(t)
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	transport := peer.NewTransport(name, address, key, log)
-	self := membership.Member{Name: name, Address: address, Zone: "zone", Incarnation: time.Now().UnixMilli()}
-	node := cluster.NewNode(membership.DefaultConfig(100*time.Millisecond), self, transport, log)
-	node.SetSeeds(seeds)
-	require.NoError(t, transport.Start())
-	ctx, cancel := context.WithCancel(context.Background())
-	go node.Run(ctx)
-	t.Cleanup(func() {
-		cancel()
-		transport.Stop()
-	})
-	return node
+	t.Helper()
+	return clustertest.Start(t, name, key, seeds...).Node
 }
 
 func TestNodesJoinAndDistributeItems(t *testing.T) {
--- a/internal/gateway/forward_ending_test.go
+++ b/internal/gateway/forward_ending_test.go
@@ -11,31 +11,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"topazpulley/internal/httphead/headtest"
 	"topazpulley/internal/membership"
 )
 
-// serveCut answers each connection with the bytes that next returns, and closes it.
-func serveCut(t *testing.T, next func() string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, next())
-			}
-			_ = conn.Close()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // Guards against an answer of another daemon that was cut off and is passed on as a whole one.
 func TestCutForwardedAnswerIsNotComplete(t *testing.T) {
 	const begin = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n"
@@ -46,7 +25,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			sent := ""
-			address := serveCut(t, func() string { return sent })
+			address := headtest.ServeCut(t, func() string { return sent })
 			daemon := serveCalls(t, time.Second, func(c *caller) { require.True(t, c.forwardTo(membership.Member{HTTPAddress: address})) })
 			for size := 0; size <= len(whole); size++ {
 				sent = whole[:size]
@@ -79,7 +58,7 @@
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nServer: a\r\nConnection: close\r\n\r\n"
 	const other = "HTTP/1.1 200 OK\r\nContent-Type: text/css\r\nContent-Length: 5\r\n\r\nother"
 	sent := ""
-	address := serveCut(t, func() string { return sent })
+	address := headtest.ServeCut(t, func() string { return sent })
 	daemon := serveCalls(t, time.Second, func(c *caller) { require.True(t, c.forwardTo(membership.Member{HTTPAddress: address})) })
 	for size := 1; size < len(head); size++ {
 		sent = head[:size] + other
--- a/internal/ratelimit/lost_test.go
+++ b/internal/ratelimit/lost_test.go
@@ -1,16 +1,12 @@
 package ratelimit
 
 import (
-	"context"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"topazpulley/internal/cluster"
-	"topazpulley/internal/membership"
-	"topazpulley/internal/peer"
+	"topazpulley/internal/cluster/clustertest"
 )
 
 const (
@@ -22,25 +18,10 @@
 // view of the fleet as after settlingTime.
 func startMember(t *testing.T, name string, seeds ...string) (fleet *ClusterFleet, stop func()) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := listener.Addr().String()
-	require.NoError(t, listener.Close())
-	transport := peer.NewTransport(name, address, make([]byte, 32), discardLog)
-	self := membership.Member{Name: name, Address: address, Zone: "zone", Incarnation: time.Now().UnixMilli()}
-	node := cluster.NewNode(membership.DefaultConfig(100*time.Millisecond), self, transport, discardLog)
-	node.SetSeeds(seeds)
-	require.NoError(t, transport.Start())
-	running, cancel := context.WithCancel(context.Background())
-	go node.Run(running)
-	stop = func() {
-		cancel()
-		transport.Stop()
-	}
-	t.Cleanup(stop)
-	fleet = NewClusterFleet(node, transport, discardLog)
+	member := clustertest.Start(t, name, make([]byte, 32), seeds...)
+	fleet = NewClusterFleet(member.Node, member.Transport, discardLog)
 	fleet.startedAt = time.Now().Add(-settlingTime)
-	return fleet, stop
+	return fleet, member.Stop
 }
 
 // TestDaemonStartedBehindPartitionCountsLostDaemons guards against a daemon that takes the side of
--- a/internal/storage/http_test.go
+++ b/internal/storage/http_test.go
@@ -1,36 +1,18 @@
 package storage
 
 import (
-	"bufio"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/httphead/headtest"
 )
 
 // newCutPlatform returns the client of a platform that answers the first request of each connection
 // with the bytes that next returns, and closes it.
 func newCutPlatform(t *testing.T, next func() string) *HTTPClient {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, next())
-			}
-			_ = conn.Close()
-		}
-	}()
-	return NewHTTPClient("http://" + listener.Addr().String())
+	return NewHTTPClient("http://" + headtest.ServeCut(t, next))
 }
 
 // Guards against an object with the content of another because the head of its answer was cut off.
--- a/internal/streamorigin/keeper_test.go
+++ b/internal/streamorigin/keeper_test.go
@@ -28,9 +28,14 @@
 	copied   int
 }
 
-// testList is the list of one daemon of a fleet. mutex guards the fields after it.
+// testList is the list of one daemon of a fleet. mutex guards listState.
 type testList struct {
 	mutex sync.Mutex
+	listState
+}
+
+// listState is what a list answers.
+type listState struct {
 	// covers is set if the history is complete, isServed if the store answers.
 	covers, isServed, isSection bool
 	generation                  uint64
@@ -44,46 +49,23 @@
 	change(l)
 }
 
-func (l *testList) Age() time.Duration {
+func (l *testList) state() listState {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.age
+	return l.listState
 }
 
-func (l *testList) Confirm(context.Context) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.isServed
-}
-
-func (l *testList) Covers() bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.covers
-}
-
-func (l *testList) IsSection() bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.isSection
-}
-
-func (l *testList) Generation() uint64 {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.generation
-}
+func (l *testList) Age() time.Duration           { return l.state().age }
+func (l *testList) Confirm(context.Context) bool { return l.state().isServed }
+func (l *testList) Covers() bool                 { return l.state().covers }
+func (l *testList) IsSection() bool              { return l.state().isSection }
+func (l *testList) Generation() uint64           { return l.state().generation }
+func (l *testList) Configuration() int64         { return l.state().configuration }
 
 func (l *testList) Extend(generation uint64) {
 	l.set(func(l *testList) { l.covers = l.covers || generation == l.generation })
 }
 
-func (l *testList) Configuration() int64 {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.configuration
-}
-
 // fleetPeers are the peers of one daemon of a fleet.
 type fleetPeers struct {
 	fleet *fleet
@@ -96,7 +78,7 @@
 	for self := range count {
 		set := backend.NewSet()
 		made.sets = append(made.sets, set)
-		known := &testList{covers: true, isServed: true}
+		known := &testList{listState: listState{covers: true, isServed: true}}
 		made.lists = append(made.lists, known)
 		made.keepers = append(made.keepers, NewKeeper(set, known, fleetPeers{fleet: made, self: self}, telemetry.NewServing(prometheus.NewRegistry()), slog.New(slog.DiscardHandler)))
 	}
