--- a/internal/telemetry/serving.go
+++ b/internal/telemetry/serving.go
@@ -55,6 +55,9 @@
 	Shed *prometheus.CounterVec
 	// SlowCallers counts answers that the caller stopped reading for some time, by outcome.
 	SlowCallers *prometheus.CounterVec
+	// CutRequests counts requests that the end of the process cut, by what their connection was
+	// doing.
+	CutRequests *prometheus.CounterVec
 	// Panics counts requests that ended with a programming error.
 	Panics prometheus.Counter
 	// MemoryRefusals counts requests that were refused because of the memory limit.
@@ -93,12 +96,13 @@
 		BatchRoom:      counter("batch_room_decisions_total", "Decisions on the room for batch items by what bounded it.", "bound"),
 		Shed:           counter("shed_connections_total", "Connections of callers that were closed unread since other daemons have room.", "reason"),
 		SlowCallers:    counter("slow_callers_total", "Answers of which the caller left a part unread for a while.", "outcome"),
+		CutRequests:    counter("cut_requests_total", "Requests that the end of the process cut, by what their connection was doing.", "phase"),
 
 		Panics:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_panics_total", Help: "Requests that ended with a programming error."}),
 		MemoryRefusals: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "memory_refusals_total", Help: "Requests refused because too much was held for others."}),
 	}
 	registry.MustRegister(serving.Requests, serving.Attempts, serving.Continuations, serving.OriginFindings, serving.OriginCopies, serving.Silences, serving.Searches, serving.BrokenOff, serving.FirstOutput, serving.Duration, serving.Items, serving.Held, serving.StoreCalls, serving.StoreSeconds, serving.DamagedRows,
-		serving.Behind, serving.TurnedAway, serving.Malformed, serving.Shed, serving.SlowCallers, serving.Panics, serving.MemoryRefusals, serving.BatchRoom)
+		serving.Behind, serving.TurnedAway, serving.Malformed, serving.Shed, serving.SlowCallers, serving.CutRequests, serving.Panics, serving.MemoryRefusals, serving.BatchRoom)
 	return serving
 }
 
