--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -16,6 +16,7 @@
 	"topazpulley/internal/responsetimeout"
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
+	"topazpulley/internal/stopping"
 	"topazpulley/internal/streamorigin"
 	"topazpulley/internal/telemetry"
 )
@@ -50,6 +51,10 @@
 
 	// Connector knows the connections to backends; nil means that none is ever missing.
 	Connector Connector
+	// Stop decides which requests are served while the daemon stops; nil means that it never does.
+	// Durations holds how long the requests of a route take.
+	Stop      *stopping.Stop
+	Durations *stopping.Durations
 	// ResponseTimes estimates response times, from which the response timeouts of attempts
 	// are derived.
 	ResponseTimes *responsetimeout.Estimates
@@ -77,6 +82,7 @@
 		Backends: backends, Sender: sender, Holder: holder, Metrics: metrics, Logger: log, Fleet: fleet,
 		ResponseTimes: responsetimeout.NewEstimates(responsetimeout.ModeLearned),
 		Origins:       streamorigin.NewKeeper(backends, nil, nil, metrics, log),
+		Durations:     stopping.NewDurations(),
 		requests:      intake.NewMix(),
 		retries:       admission.NewRetryBudget(retryShare, retryReserve),
 		earlyEnds:     admission.NewRetryBudget(earlyEndShare, earlyEndReserve),
@@ -96,11 +102,12 @@
 	}
 	bounded, cancel := c.Wakeups.WithDeadline(ctx, end, arrived)
 	defer cancel()
+	defer c.Stop.OnEnd(cancel)()
 	served := &exchange{
 		core: c, request: request, responder: responder, caller: ctx, end: end, arrived: arrived,
 		excluded: map[string]bool{}, silent: map[string]bool{}, lastEvent: request.LastEvent, fingerprint: request.fingerprint(), parts: PartsOf(request.Service, request.Prompt),
 	}
-	if served.refuseQuarantined() {
+	if served.refuseStopping() || served.refuseQuarantined() {
 		served.record()
 		return
 	}
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -118,6 +118,9 @@
 		if e.mustWaitForSlot() {
 			e.waitForSlot(ctx)
 		}
+		if e.refuseStopping() {
+			return
+		}
 		if e.rejectRetryAfter > 0 {
 			e.reason = ReasonNoSlot
 			e.giveUp(e.rejectRetryAfter, codeOverloaded)
@@ -369,6 +372,9 @@
 // disconnected.
 func (e *exchange) recordAttemptFailure(err error) {
 	failed := attemptError(err)
+	if e.core.Stop.HasEnded() {
+		failed = failed.because(ReasonStopping)
+	}
 	e.reason = failed.Reason
 	if e.caller.Err() != nil {
 		return
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -28,6 +28,7 @@
 	if head.Successful() {
 		e.core.Backends.Succeeded(e.last.Incarnation(), time.Now())
 		e.observeResponseTime(responsetimeout.KindComplete)
+		e.observeDuration()
 	}
 	e.firstAt = time.Now()
 	e.outcome = "served"
@@ -135,6 +136,7 @@
 	releaseBackend(answer, lease)
 	e.runs++
 	e.core.Backends.Succeeded(e.last.Incarnation(), time.Now())
+	e.observeDuration()
 	e.outcome = "served"
 	if err := e.begin(answer); err != nil {
 		e.outcome = "caller_gone"
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -272,6 +272,8 @@
 	ReasonQuarantined Reason = "quarantined"
 	// ReasonBudget means that a further attempt was allowed but the retry budget is spent.
 	ReasonBudget Reason = "retry_budget_spent"
+	// ReasonStopping means that the daemon stops and the request does not end before that.
+	ReasonStopping Reason = "stopping"
 )
 
 // AttemptError is the error of an attempt that gave no answer.
@@ -286,6 +288,11 @@
 	Receipt Receipt
 }
 
+// because returns the error with another reason; the one before is the cause.
+func (e *AttemptError) because(reason Reason) *AttemptError {
+	return &AttemptError{Outcome: e.Outcome, Reason: reason, Cause: e, Receipt: e.Receipt}
+}
+
 // ReceiptOf returns the receipt of a failed attempt; the zero value if err is none.
 func ReceiptOf(err error) Receipt {
 	var failed *AttemptError
--- /dev/null
+++ b/internal/serving/stop.go
@@ -0,0 +1,40 @@
+package serving
+
+import (
+	"time"
+
+	"topazpulley/internal/route"
+	"topazpulley/internal/stopping"
+)
+
+// refuseStopping refuses a request that the time left of the daemon's stop does not suffice for, and
+// reports whether it did. An answer that has begun goes on for as long as it can.
+func (e *exchange) refuseStopping() bool {
+	plan, isStopping := e.core.Stop.Plan()
+	if !isStopping || e.hasBegun {
+		return false
+	}
+	now, need := time.Now(), e.need()
+	if plan.Admits(now, need) && !e.core.Stop.HasEnded() {
+		return false
+	}
+	e.reason = ReasonStopping
+	e.core.Logger.Info("request_stopped", "id", e.request.ID, "route", e.request.Route.Name, "since_stop_ms", now.Sub(plan.Began).Milliseconds(),
+		"left_ms", plan.EndAt().Sub(now).Milliseconds(), "limit_ms", need.Limit.Milliseconds(), "usual_ms", need.Recent.Usual.Milliseconds(),
+		"longest_ms", need.Recent.Longest.Milliseconds(), "recent", need.Recent.Count, "sends", e.sends, "runs", e.runs)
+	e.giveUp(plan.RetryAfter(now), string(ReasonStopping))
+	return true
+}
+
+// need returns what is known about the time that the request takes from now on.
+func (e *exchange) need() stopping.Need {
+	return stopping.Need{
+		Limit: e.remaining(), Objective: e.request.Route.Objective, IsStream: e.request.Route.Kind == route.KindStream,
+		Recent: e.core.Durations.Recent(e.request.Route.Name),
+	}
+}
+
+// observeDuration records that the answer to the request is complete.
+func (e *exchange) observeDuration() {
+	e.core.Durations.Observe(e.request.Route.Name, time.Since(e.request.Arrived))
+}
--- a/internal/serving/verdict.go
+++ b/internal/serving/verdict.go
@@ -38,6 +38,9 @@
 // is refused too: it may have closed only its sending half.
 func (e *exchange) giveUpWith(notRun Verdict, retryAfter time.Duration, code string) {
 	isGone := e.caller.Err() != nil
+	if e.core.Stop.HasEnded() {
+		e.reason, code = ReasonStopping, string(ReasonStopping)
+	}
 	if isGone && e.hasBegun {
 		e.outcome = "caller_gone"
 		e.responder.Abort()
--- /dev/null
+++ b/internal/stopping/stopping.go
@@ -0,0 +1,159 @@
+// Package stopping decides what a daemon that was told to stop still takes, and when what it has taken
+// ends. A stop has three parts:
+//
+//   - until ListenUntil the platform may still send callers here: a request is taken unless most of
+//     its kind take longer than what is left;
+//   - until EndAt a request is taken only if it ends before EndAt in any case, or if all recent ones
+//     of its kind would have;
+//   - from EndAt on nothing is taken, and what is in flight ends: with a whole answer that tells the
+//     truth if none has begun. Until ExitAt answers that are made reach their callers.
+package stopping
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// ListenTime is how long the platform may send new callers after the stop began: it notices
+	// after two missed checks, a second apart.
+	ListenTime = 2500 * time.Millisecond
+	// endMargin is how long before the end of the grace period requests end, and exitMargin how long
+	// before it the process does.
+	endMargin  = 700 * time.Millisecond
+	exitMargin = 250 * time.Millisecond
+	// sureShare is how much longer than all recent ones a late request may take, as a divisor of that
+	// time, and sureMargin what is added to it.
+	sureShare  = 4
+	sureMargin = 100 * time.Millisecond
+	// minRecent is the number of recent requests from which the longest is known. With fewer a plain
+	// request is assumed to take objectivesOfUnknown times its objective.
+	minRecent           = 16
+	objectivesOfUnknown = 3
+)
+
+// Plan holds the times of one stop.
+type Plan struct {
+	// Began is when the daemon was told to stop, and Grace the time after which it is killed.
+	Began time.Time
+	Grace time.Duration
+}
+
+// ListenUntil returns when new connections are no longer accepted.
+func (p Plan) ListenUntil() time.Time { return p.Began.Add(min(ListenTime, p.usable())) }
+
+// EndAt returns when the requests in flight end.
+func (p Plan) EndAt() time.Time { return p.Began.Add(p.usable()) }
+
+// ExitAt returns when the process ends at the latest.
+func (p Plan) ExitAt() time.Time { return p.Began.Add(max(p.Grace-exitMargin, 0)) }
+
+func (p Plan) usable() time.Duration { return max(p.Grace-endMargin, 0) }
+
+// Need is what is known about the time that a request takes.
+type Need struct {
+	// Limit is the time after which the request has ended in any case: what its caller waits, or its
+	// route's timeout.
+	Limit time.Duration
+	// Objective is the time in which an answer is expected.
+	Objective time.Duration
+	// IsStream is set if the answer begins before it is complete, so that a request whose time does
+	// not suffice can no longer be refused.
+	IsStream bool
+	// Recent are the durations of such requests.
+	Recent Recent
+}
+
+// Admits reports whether a request that needs a backend is taken.
+func (p Plan) Admits(now time.Time, need Need) bool {
+	left := p.EndAt().Sub(now)
+	switch {
+	case left <= 0:
+		return false
+	case need.Limit <= left:
+		return true
+	case now.Before(p.ListenUntil()):
+		return need.Recent.Usual <= left
+	}
+	longest, isKnown := need.longest()
+	return isKnown && longest+longest/sureShare+sureMargin <= left
+}
+
+// longest returns the time that the request takes at most, as far as is known. That of a stream must
+// be known: a plain request that takes longer still gets an answer.
+func (n Need) longest() (time.Duration, bool) {
+	if n.Recent.Count >= minRecent {
+		return n.Recent.Longest, true
+	}
+	return max(n.Recent.Longest, objectivesOfUnknown*n.Objective), !n.IsStream
+}
+
+// RetryAfter returns the time after which the caller of a refused request reaches another daemon.
+func (p Plan) RetryAfter(now time.Time) time.Duration {
+	return max(p.ListenUntil().Sub(now), minRetryAfter)
+}
+
+// minRetryAfter is the shortest Retry-After of a refusal.
+const minRetryAfter = 50 * time.Millisecond
+
+// Stop is the state of a daemon's stop. It is safe for concurrent use. A nil Stop never begins.
+type Stop struct {
+	plan atomic.Pointer[Plan]
+	// running ends with End.
+	running context.Context
+	end     context.CancelFunc
+}
+
+// New returns the stop of a running daemon.
+func New() *Stop {
+	made := &Stop{}
+	made.running, made.end = context.WithCancel(context.Background())
+	return made
+}
+
+// Begin begins the stop. Only the first call has an effect.
+func (s *Stop) Begin(plan Plan) { s.plan.CompareAndSwap(nil, &plan) }
+
+// End ends the requests in flight. From now on nothing is taken.
+func (s *Stop) End() { s.end() }
+
+// Plan returns the times of the stop, and whether it has begun.
+func (s *Stop) Plan() (Plan, bool) {
+	if s == nil {
+		return Plan{}, false
+	}
+	plan := s.plan.Load()
+	if plan == nil {
+		return Plan{}, false
+	}
+	return *plan, true
+}
+
+// HasBegun reports whether the stop has begun.
+func (s *Stop) HasBegun() bool {
+	_, hasBegun := s.Plan()
+	return hasBegun
+}
+
+// HasEnded reports whether End was called.
+func (s *Stop) HasEnded() bool { return s != nil && s.running.Err() != nil }
+
+// OnEnd calls a function in a goroutine of its own when End is called, unless it is cancelled before.
+func (s *Stop) OnEnd(call func()) (cancel func()) {
+	if s == nil {
+		return func() {}
+	}
+	remove := context.AfterFunc(s.running, call)
+	return func() { remove() }
+}
+
+// WithEnd returns a context that also ends with End. cancel must be called.
+func (s *Stop) WithEnd(parent context.Context) (ctx context.Context, cancel context.CancelFunc) {
+	ctx, end := context.WithCancel(parent)
+	remove := s.OnEnd(end)
+	return ctx, func() {
+		remove()
+		end()
+	}
+}
--- /dev/null
+++ b/internal/stopping/stopping_test.go
@@ -0,0 +1,116 @@
+package stopping_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"topazpulley/internal/stopping"
+)
+
+const (
+	grace = 8 * time.Second
+	// known is a number of requests from which their longest duration is known.
+	known = 100
+)
+
+func plan() stopping.Plan { return stopping.Plan{Began: time.Unix(1000, 0), Grace: grace} }
+
+// seen returns the durations of requests that all took as long.
+func seen(count int, took time.Duration) stopping.Recent {
+	durations := stopping.NewDurations()
+	for range count {
+		durations.Observe("kind", took)
+	}
+	return durations.Recent("kind")
+}
+
+// Guards against requests that are taken though the time left does not suffice, and against refusals
+// of those for which it does.
+func TestWorkIsTakenByTheTimeLeft(t *testing.T) {
+	const long = time.Hour
+	for name, played := range map[string]struct {
+		after time.Duration
+		need  stopping.Need
+		want  bool
+	}{
+		"early, nothing known":                   {0, stopping.Need{Limit: long, IsStream: true}, true},
+		"early, most end in time":                {time.Second, stopping.Need{Limit: long, IsStream: true, Recent: seen(known, 6*time.Second)}, true},
+		"early, most are too long":               {2 * time.Second, stopping.Need{Limit: long, IsStream: true, Recent: seen(known, 6*time.Second)}, false},
+		"late stream, nothing known":             {3 * time.Second, stopping.Need{Limit: long, IsStream: true}, false},
+		"late stream, too few known":             {3 * time.Second, stopping.Need{Limit: long, IsStream: true, Recent: seen(1, time.Millisecond)}, false},
+		"late stream, all end in time":           {3 * time.Second, stopping.Need{Limit: long, IsStream: true, Recent: seen(known, 3*time.Second)}, true},
+		"late stream, the longest might not":     {3 * time.Second, stopping.Need{Limit: long, IsStream: true, Recent: seen(known, 4*time.Second)}, false},
+		"late stream with a short limit":         {5 * time.Second, stopping.Need{Limit: 2 * time.Second, IsStream: true}, true},
+		"late plain request, nothing known":      {5 * time.Second, stopping.Need{Limit: long, Objective: 300 * time.Millisecond}, true},
+		"late plain request with a long target":  {5 * time.Second, stopping.Need{Limit: long, Objective: 2 * time.Second}, false},
+		"late plain request, known as too long":  {5 * time.Second, stopping.Need{Limit: long, Objective: time.Millisecond, Recent: seen(known, 3*time.Second)}, false},
+		"late plain request, few but too long":   {5 * time.Second, stopping.Need{Limit: long, Objective: time.Millisecond, Recent: seen(1, 3*time.Second)}, false},
+		"after the end, however short the limit": {7500 * time.Millisecond, stopping.Need{Limit: 0, Recent: seen(known, 0)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, played.want, plan().Admits(plan().Began.Add(played.after), played.need))
+		})
+	}
+}
+
+// Guards against a request that is refused and would be taken later in the same stop.
+func TestWhatIsRefusedStaysRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		duration := func(name string) time.Duration {
+			return time.Duration(rapid.IntRange(0, 10000).Draw(t, name)) * time.Millisecond
+		}
+		usual := duration("usual")
+		need := stopping.Need{
+			Limit: duration("limit"), Objective: duration("objective"), IsStream: rapid.Bool().Draw(t, "stream"),
+			Recent: stopping.Recent{Usual: usual, Longest: usual + duration("more"), Count: rapid.IntRange(1, known).Draw(t, "count")},
+		}
+		earlier := plan().Began.Add(duration("earlier"))
+		later := earlier.Add(duration("later"))
+		if !plan().Admits(earlier, need) {
+			require.False(t, plan().Admits(later, need))
+		}
+	})
+}
+
+// Guards against stops whose parts do not fit their grace period, however short it is.
+func TestStopFitsItsGracePeriod(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		short := stopping.Plan{Began: time.Unix(1000, 0), Grace: time.Duration(rapid.IntRange(1, 20000).Draw(t, "ms")) * time.Millisecond}
+		require.False(t, short.ListenUntil().Before(short.Began))
+		require.False(t, short.EndAt().Before(short.ListenUntil()))
+		require.False(t, short.ExitAt().Before(short.EndAt()))
+		require.False(t, short.ExitAt().After(short.Began.Add(short.Grace)))
+	})
+}
+
+// Guards against durations that are kept for ever or without bound.
+func TestRecentDurationsReplaceOldOnes(t *testing.T) {
+	durations := stopping.NewDurations()
+	durations.Observe("kind", time.Hour)
+	for range 256 {
+		durations.Observe("kind", time.Second)
+	}
+	require.Equal(t, stopping.Recent{Usual: time.Second, Longest: time.Second, Count: 256}, durations.Recent("kind"))
+	require.Zero(t, durations.Recent("other"))
+}
+
+// Guards against a stop that ends nothing, or that ends what does not belong to it.
+func TestEndOfAStopEndsItsContexts(t *testing.T) {
+	stop := stopping.New()
+	bounded, cancel := stop.WithEnd(t.Context())
+	defer cancel()
+	stop.Begin(plan())
+	require.True(t, stop.HasBegun())
+	require.NoError(t, bounded.Err())
+	stop.End()
+	<-bounded.Done()
+	require.True(t, stop.HasEnded())
+	var never *stopping.Stop
+	free, release := never.WithEnd(t.Context())
+	require.NoError(t, free.Err())
+	release()
+	require.False(t, never.HasBegun() || never.HasEnded())
+}
--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -17,13 +17,14 @@
 mutant late_connections_not_awaited platform/ingress.go \
 	'	g.accepted.Add(1)' '	g.accepted.Add(0)' platform TestShutdownWaitsForConnectionThatStartsLate
 mutant pipelined_requests_dropped platform/responder.go \
-	'stopping.Load() && !r.hasNext.Load()' 'stopping.Load()' platform TestShutdownAnswersPipelinedRequests
+	'stop.HasBegun() && !r.hasNext.Load()' 'stop.HasBegun()' platform TestShutdownAnswersPipelinedRequests
 mutant closed_with_input_unread platform/ingress.go \
 	'	if respond.close && !respond.failed && c.hasUnread() {' '	if false {' platform TestAnswerIsWholeBesideUnreadInput
 mutant half_closed_callers_not_refused internal/serving/verdict.go \
 	'	if isGone && e.hasBegun {' '	if isGone {' platform TestHalfClosedCallerIsRefused
 mutant stopped_beside_open_connections platform/serve.go \
-	'	d.awaitNoCallers(ctx)' '' platform 'TestShutdownCutsNoSilentStreams|TestSlowReadersGetWholeAnswersBesideChanges'
+	'	d.awaitNoCallers(ctx)
+	d.frontend.AwaitCancellations' '	d.frontend.AwaitCancellations' platform 'TestShutdownCutsNoSilentStreams|TestSlowReadersGetWholeAnswersBesideChanges'
 mutant panic_of_a_call_without_failure internal/gateway/gateway.go \
 	'failure.KindInternal, serving.CodePanic' 'failure.KindInvalid, serving.CodePanic' internal/gateway TestPanicEndsOnlyItsCall
 mutant panic_of_a_body_looks_whole internal/gateway/stream.go \
