--- /dev/null
+++ b/test/mutants.d/stopping.sh
@@ -0,0 +1,15 @@
+# Mutants of the decisions while a daemon stops; mutants.sh sources this.
+mutant late_work_taken_without_a_look internal/stopping/stopping.go \
+	'	return isKnown && longest' '	return true || longest' internal/stopping TestWorkIsTakenByTheTimeLeft
+mutant late_limit_ignored internal/stopping/stopping.go \
+	'	case need.Limit <= left:' '	case false:' internal/stopping TestWorkIsTakenByTheTimeLeft
+mutant few_durations_believed internal/stopping/stopping.go \
+	'n.Recent.Count >= minRecent' 'n.Recent.Count >= 1' internal/stopping TestWorkIsTakenByTheTimeLeft
+mutant stop_without_decision internal/serving/stop.go \
+	'	if plan.Admits(now, need) &&' '	if true &&' platform TestPipelinedRequestIsNotCutByAStop
+mutant end_of_stop_without_answers platform/serve.go \
+	'	d.stopping.End()' '' platform TestRequestInFlightAtTheEndOfAStopIsAnswered
+mutant end_of_stop_without_end_of_reading platform/serve.go \
+	'	d.ingress.endReading()' '' platform TestRequestInFlightAtTheEndOfAStopIsAnswered
+mutant unread_answers_not_handed_over platform/callerwriter.go \
+	'	if w.stop.HasBegun() {' '	if false {' platform TestAnswerThatWaitsForItsReaderOutlivesAStop
