--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -3,11 +3,19 @@
 // of memory and is killed with all its requests.
 //
 // Invariant: an allocation of requests or unread output grows beyond SmallBytes only if all
-// counted bytes then stay within the limit. Answers are counted regardless of the limit,
-// because an answer that a backend has produced is delivered.
+// counted bytes then stay within the limit. Answers up to AssuredBytes are counted regardless of the
+// limit, because an answer that a backend has produced is delivered; longer ones wait until they fit
+// the share of the limit that is theirs.
 package memory
 
-import "sync"
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
+)
 
 // Purpose is what bytes are allocated for.
 type Purpose string
@@ -29,10 +37,30 @@
 // short answer.
 const SmallBytes = 16 << 10
 
+// AssuredBytes is the size up to which an answer is kept whatever the memory in use.
+const AssuredBytes = 1 << 20
+
+// longAnswerPercent is the share of the limit, in percent, for answers beyond AssuredBytes. The rest is
+// for requests, however long a backend takes over such an answer.
+const longAnswerPercent = 75
+
+// TooLongError is the error of an answer that never fits the memory limit.
+type TooLongError struct {
+	// Size and Limit are in bytes.
+	Size, Limit int64
+}
+
+// Error implements error.
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("an answer of %d bytes does not fit the %d bytes allowed for long answers", e.Size, e.Limit)
+}
+
 // Account counts allocated bytes against a limit. It is safe for concurrent use; mutex guards
 // the fields after it. A nil account counts nothing and has no limit.
 type Account struct {
 	limit int64
+	// longAnswers is the share for answers beyond AssuredBytes; nil without a limit.
+	longAnswers *semaphore.Weighted
 
 	mutex sync.Mutex
 	total int64
@@ -41,9 +69,15 @@
 
 // NewAccount returns an account with a limit in bytes; 0 means none.
 func NewAccount(limit int64) *Account {
-	return &Account{limit: limit, used: map[Purpose]int64{}}
+	made := &Account{limit: limit, used: map[Purpose]int64{}}
+	if limit > 0 {
+		made.longAnswers = semaphore.NewWeighted(made.longAnswerLimit())
+	}
+	return made
 }
 
+func (a *Account) longAnswerLimit() int64 { return a.limit * longAnswerPercent / 100 }
+
 // Used returns the bytes allocated for a purpose.
 func (a *Account) Used(purpose Purpose) int64 {
 	a.mutex.Lock()
@@ -73,6 +107,8 @@
 	account *Account
 	purpose Purpose
 	size    int64
+	// reserved is the part of size that Reserve took of the share for long answers.
+	reserved int64
 }
 
 // Open returns an empty allocation.
@@ -102,6 +138,27 @@
 	a.add(int64(size))
 }
 
+// Reserve adds the bytes of an answer that tells its length. An answer beyond AssuredBytes waits until
+// it fits the share of the limit for long answers; Reserve returns a *TooLongError if it never does,
+// and the context's error if it does not before the context ends. It is called at most once before
+// Release.
+func (a *Allocation) Reserve(ctx context.Context, size int) error {
+	if a.account == nil {
+		return nil
+	}
+	if size > AssuredBytes && a.account.longAnswers != nil {
+		if limit := a.account.longAnswerLimit(); int64(size) > limit {
+			return &TooLongError{Size: int64(size), Limit: limit}
+		}
+		if err := a.account.longAnswers.Acquire(ctx, int64(size)); err != nil {
+			return errors.WithStack(err)
+		}
+		a.reserved = int64(size)
+	}
+	a.Grow(size)
+	return nil
+}
+
 // Shrink removes bytes.
 func (a *Allocation) Shrink(size int) {
 	if a.account == nil {
@@ -120,4 +177,10 @@
 }
 
 // Release removes all bytes.
-func (a *Allocation) Release() { a.Shrink(int(a.size)) }
+func (a *Allocation) Release() {
+	if a.reserved > 0 {
+		a.account.longAnswers.Release(a.reserved)
+		a.reserved = 0
+	}
+	a.Shrink(int(a.size))
+}
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -1,6 +1,7 @@
 package memory_test
 
 import (
+	"context"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -57,6 +58,34 @@
 	require.True(t, account.HasRoom(20*kilobyte))
 }
 
+// TestLongAnswersWaitForTheirShare fails if answers that tell their length take more than their share
+// of the limit, leave nothing for requests, wait for ever or are refused although they fit.
+func TestLongAnswersWaitForTheirShare(t *testing.T) {
+	const megabyte = 1 << 20
+	account := memory.NewAccount(8 * megabyte)
+	first, second, third := account.Open(memory.PurposeAnswer), account.Open(memory.PurposeAnswer), account.Open(memory.PurposeAnswer)
+	require.NoError(t, first.Reserve(t.Context(), 4*megabyte))
+	ended, end := context.WithCancel(t.Context())
+	end()
+	require.ErrorIs(t, second.Reserve(ended, 4*megabyte), context.Canceled)
+	var tooLong *memory.TooLongError
+	require.ErrorAs(t, second.Reserve(t.Context(), 7*megabyte), &tooLong)
+	require.NoError(t, third.Reserve(t.Context(), memory.AssuredBytes), "an answer of assured size waits")
+	request := account.Open(memory.PurposeRequest)
+	require.True(t, request.TryGrow(megabyte))
+	reserved := make(chan error)
+	go func() { reserved <- second.Reserve(t.Context(), 4*megabyte) }()
+	first.Release()
+	require.NoError(t, <-reserved)
+	require.EqualValues(t, 5*megabyte, account.Used(memory.PurposeAnswer))
+	second.Release()
+	third.Release()
+	require.Zero(t, account.Used(memory.PurposeAnswer))
+	without := memory.NewAccount(0)
+	free := without.Open(memory.PurposeAnswer)
+	require.NoError(t, free.Reserve(t.Context(), 100*megabyte), "without a limit")
+}
+
 // TestNilAccountCountsNothing fails if a nil account panics or refuses an allocation.
 func TestNilAccountCountsNothing(t *testing.T) {
 	var none *memory.Account
