--- a/test/mutants.d/stopping.sh
+++ b/test/mutants.d/stopping.sh
@@ -1,6 +1,6 @@
 # Mutants of the decisions while a daemon stops; mutants.sh sources this.
 mutant late_work_taken_without_a_look internal/stopping/stopping.go \
-	'	return isKnown && longest' '	return true || longest' internal/stopping TestWorkIsTakenByTheTimeLeft
+	'	return isKnown && longest' '	return isKnown || longest' internal/stopping TestWorkIsTakenByTheTimeLeft
 mutant late_limit_ignored internal/stopping/stopping.go \
 	'	case need.Limit <= left:' '	case false:' internal/stopping TestWorkIsTakenByTheTimeLeft
 mutant few_durations_believed internal/stopping/stopping.go \
@@ -13,3 +13,10 @@
 	'	d.ingress.endReading()' '' platform TestRequestInFlightAtTheEndOfAStopIsAnswered
 mutant unread_answers_not_handed_over platform/callerwriter.go \
 	'	if w.stop.HasBegun() {' '	if false {' platform TestAnswerThatWaitsForItsReaderOutlivesAStop
+mutant attempts_without_a_look_at_the_stop internal/serving/exchange.go \
+	'		if e.refuseStopping() {
+			return
+		}
+' '' internal/serving TestNoAttemptBeginsThatTheStopWouldCut
+mutant requests_outlive_the_stop internal/serving/core.go \
+	'	defer c.Stop.OnEnd(cancel)()' '' internal/serving TestStopEndsRequestsWithTheTruth
--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -2,7 +2,7 @@
 mutant deadline_of_requests_ended platform/progress.go \
 	'	c.state.Lock()
 	defer c.state.Unlock()
-	c.progress = progress{phase: phaseReading' '	c.progress = progress{phase: phaseReading' platform TestShutdownEndsNoRequestThatBegins
+	if c.progress.phase == phaseIdle {' '	if c.progress.phase == phaseIdle {' platform TestShutdownEndsNoRequestThatBegins
 mutant idle_end_without_last_look platform/ingress.go \
 	'	if isTimeout(err) && c.hasUnread() {' '	if false {' platform TestRequestBesideIdleEndIsAnswered
 mutant panic_without_refusal platform/ingress.go \
