--- a/internal/serving/notrun_test.go
+++ b/internal/serving/notrun_test.go
@@ -91,19 +91,29 @@
 	return false
 }
 
+// drawAttempts draws how the attempts of a request end.
+func drawAttempts(r *rapid.T) *drawnSender {
+	sender := &drawnSender{}
+	for range rapid.IntRange(0, 6).Draw(r, "attempts") {
+		sender.draw = append(sender.draw, attemptEnd(rapid.IntRange(0, int(endCount)-1).Draw(r, "end")))
+	}
+	return sender
+}
+
+// drawPolicy draws a route with a timeout.
+func drawPolicy(r *rapid.T, timeout time.Duration) *route.Route {
+	return &route.Route{
+		Kind: route.Kind(rapid.IntRange(0, int(route.KindStream)).Draw(r, "kind")), Resumable: rapid.Bool().Draw(r, "resumable"),
+		Timeout: timeout, Objective: 60 * time.Millisecond, MaxAttempts: rapid.IntRange(1, 3).Draw(r, "max attempts"),
+		Targets: []route.Target{{Service: "s", Weight: 1}},
+	}
+}
+
 // TestNotRunVerdictOverRandomAttempts checks, over random attempts, disconnecting callers
 // and timeouts, that a refusal promises "not run" exactly if no attempt ran.
 func TestNotRunVerdictOverRandomAttempts(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		sender := &drawnSender{}
-		for range rapid.IntRange(0, 6).Draw(r, "attempts") {
-			sender.draw = append(sender.draw, attemptEnd(rapid.IntRange(0, int(endCount)-1).Draw(r, "end")))
-		}
-		policy := &route.Route{
-			Kind: route.Kind(rapid.IntRange(0, int(route.KindStream)).Draw(r, "kind")), Resumable: rapid.Bool().Draw(r, "resumable"),
-			Timeout: 2 * time.Second, Objective: 60 * time.Millisecond, MaxAttempts: rapid.IntRange(1, 3).Draw(r, "max attempts"),
-			Targets: []route.Target{{Service: "s", Weight: 1}},
-		}
+		sender, policy := drawAttempts(r), drawPolicy(r, 2*time.Second)
 		disconnectsAfter := time.Duration(rapid.SampledFrom([]int{0, 0, 0, 100, 1000}).Draw(r, "disconnects after")) * time.Millisecond
 		caller := &recorder{}
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/serving/stop_test.go
+++ b/internal/serving/stop_test.go
@@ -24,15 +24,7 @@
 // tell the truth there, and against attempts after it.
 func TestStopEndsRequestsWithTheTruth(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		sender := &drawnSender{}
-		for range rapid.IntRange(0, 6).Draw(r, "attempts") {
-			sender.draw = append(sender.draw, attemptEnd(rapid.IntRange(0, int(endCount)-1).Draw(r, "end")))
-		}
-		policy := &route.Route{
-			Kind: route.Kind(rapid.IntRange(0, int(route.KindStream)).Draw(r, "kind")), Resumable: rapid.Bool().Draw(r, "resumable"),
-			Timeout: 20 * time.Second, Objective: 60 * time.Millisecond, MaxAttempts: rapid.IntRange(1, 3).Draw(r, "max attempts"),
-			Targets: []route.Target{{Service: "s", Weight: 1}},
-		}
+		sender, policy := drawAttempts(r), drawPolicy(r, 20*time.Second)
 		beganBefore := time.Duration(rapid.IntRange(0, int(stopGrace.Milliseconds())).Draw(r, "began before")) * time.Millisecond
 		caller := &recorder{}
 		synctest.Test(t, func(t *testing.T) {
