--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"topazpulley/internal/revision"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/settings"
+	"topazpulley/internal/stopping"
 	"topazpulley/internal/storage"
 	"topazpulley/internal/supervisor"
 	"topazpulley/internal/telemetry"
@@ -212,7 +213,7 @@
 // requests and then ends.
 func (d *Daemon) Stop() error {
 	d.log.Info("daemon_stopping")
-	d.gateway.SetStopping()
+	d.gateway.BeginStop(stopping.Plan{Began: time.Now(), Grace: stopTimeout})
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	d.releaseBatch(ctx)
--- a/internal/gateway/deadline.go
+++ b/internal/gateway/deadline.go
@@ -11,7 +11,8 @@
 	return g.Wakeups.WithDeadline(g.lifetime, deadline, request.arrivedMark)
 }
 
-// checkSendable returns an error if the request's deadline has passed. It is called
+// checkSendable returns an error if the request's deadline has passed, or if the daemon stops before the
+// request can end. It is called
 // just before an attempt is sent, because the machine may have been suspended since
 // the engine was chosen and the context may not have ended yet.
 func (n *generation) checkSendable(ctx context.Context) error {
@@ -22,5 +23,5 @@
 	if isBounded && time.Until(deadline) <= n.gateway.Clock.SleptSince(n.request.arrivedMark) {
 		return n.endedError(ctx, context.DeadlineExceeded)
 	}
-	return nil
+	return n.refuseStopping(ctx)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,7 @@
 	"topazpulley/internal/routing"
 	"topazpulley/internal/serving"
 	"topazpulley/internal/settings"
+	"topazpulley/internal/stopping"
 	"topazpulley/internal/storage"
 	"topazpulley/internal/telemetry"
 	"topazpulley/internal/tenant"
@@ -116,8 +117,10 @@
 	active   atomic.Int64
 	// backgroundSaves counts answers that wait to be stored in the background.
 	backgroundSaves atomic.Int64
-	stopping        atomic.Bool
 	ready           atomic.Bool
+	// stop decides which requests are served while the daemon stops, by the durations of recent ones.
+	stop      *stopping.Stop
+	durations *stopping.Durations
 
 	// mutex guards the fields below.
 	mutex    sync.Mutex
@@ -137,6 +140,8 @@
 		limiters:     map[string]*admission.Limiter{},
 		hintedAt:     map[string]time.Time{},
 		lifetime:     lifetime,
+		stop:         stopping.New(),
+		durations:    stopping.NewDurations(),
 	}
 	peer.Handle(dependencies.Transport, MethodKeepResult, gateway.keepResult)
 	gateway.metrics = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(dependencies.Metrics.Registry, promhttp.HandlerOpts{}))
@@ -165,8 +170,8 @@
 // SetReady sets whether the daemon accepts callers' requests.
 func (g *Gateway) SetReady(ready bool) { g.ready.Store(ready) }
 
-// SetStopping makes /readyz fail. Requests are still served.
-func (g *Gateway) SetStopping() { g.stopping.Store(true) }
+// BeginStop makes /readyz fail. Requests are still served if they end before the stop does.
+func (g *Gateway) BeginStop(plan stopping.Plan) { g.stop.Begin(plan) }
 
 // Wait returns when no request is in flight or the context ends.
 func (g *Gateway) Wait(ctx context.Context) {
@@ -224,7 +229,7 @@
 // handle dispatches requests by path.
 func (g *Gateway) handle(call *fasthttp.RequestCtx) {
 	defer g.endPanic(call)
-	if g.stopping.Load() {
+	if g.stop.HasBegun() {
 		call.SetConnectionClose()
 	}
 	if err := httphead.CheckTarget(string(call.RequestURI())); err != nil {
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -119,6 +119,7 @@
 		n.gateway.Metrics.FirstToken.WithLabelValues(n.request.service).Observe(n.firstToken.Seconds())
 	}
 	if event.End {
+		n.gateway.durations.Observe(n.request.service, time.Since(n.request.arrived))
 		n.endStream(false)
 		return event
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -119,6 +119,7 @@
 		answer, err := n.attemptCall(ctx, call)
 		if err == nil {
 			n.firstToken = time.Since(n.request.arrived)
+			n.gateway.durations.Observe(n.request.service, n.firstToken)
 			return answer, nil
 		}
 		if err := n.handleCallError(ctx, err); err != nil {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -17,8 +17,8 @@
 
 func (g *Gateway) handleReady(call *fasthttp.RequestCtx) {
 	current, _ := g.Holder.Current()
-	readiness := Readiness{Ready: g.ready.Load() && !g.stopping.Load(), Revision: current.Number}
-	if g.stopping.Load() {
+	readiness := Readiness{Ready: g.ready.Load() && !g.stop.HasBegun(), Revision: current.Number}
+	if g.stop.HasBegun() {
 		readiness.Reason = "stopping"
 	}
 	writeJSON(call, readiness)
@@ -83,7 +83,7 @@
 	duties := g.Describe()
 	status := Status{
 		Daemon: g.Settings.Name, Zone: g.Settings.Zone, Region: g.Settings.Region,
-		Ready: g.ready.Load(), Stopping: g.stopping.Load(), Revision: current.Number, Active: current.Active,
+		Ready: g.ready.Load(), Stopping: g.stop.HasBegun(), Revision: current.Number, Active: current.Active,
 		CutOff: g.isCutOff(), PlatformUp: g.Platform.Available(), InFlight: g.active.Load(),
 		HeldChunks: g.Worker.Held(), PeersRefused: duties.Refused, Duties: duties,
 	}
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"topazpulley/internal/failure"
+	"topazpulley/internal/serving"
+	"topazpulley/internal/stopping"
+)
+
+// unlimited is the time left of a request without a deadline.
+const unlimited = 24 * time.Hour
+
+// refuseStopping returns the final error of a request that the time left of the daemon's stop does not
+// suffice for, before its next attempt. An answer that has begun goes on for as long as it can.
+func (n *generation) refuseStopping(ctx context.Context) error {
+	plan, isStopping := n.gateway.stop.Plan()
+	if !isStopping || len(n.tokens) > 0 {
+		return nil
+	}
+	now := time.Now()
+	need := stopping.Need{Limit: unlimited, IsStream: true, Recent: n.gateway.durations.Recent(n.request.service)}
+	if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
+		need.Limit = deadline.Sub(now)
+	}
+	if plan.Admits(now, need) {
+		return nil
+	}
+	n.gateway.Logger.Info("request_stopped", "id", n.request.id, "service", n.request.service, "since_stop_ms", now.Sub(plan.Began).Milliseconds(),
+		"left_ms", plan.EndAt().Sub(now).Milliseconds(), "limit_ms", need.Limit.Milliseconds(), "usual_ms", need.Recent.Usual.Milliseconds(),
+		"longest_ms", need.Recent.Longest.Milliseconds(), "recent", need.Recent.Count, "attempts", n.attempt)
+	return n.ran.Refuse(failure.New(failure.KindUnavailable, string(serving.ReasonStopping), "the daemon is stopping").WithRetryAfter(plan.RetryAfter(now)))
+}
--- a/test/mutants.d/stopping.sh
+++ b/test/mutants.d/stopping.sh
@@ -20,3 +20,5 @@
 ' '' internal/serving TestNoAttemptBeginsThatTheStopWouldCut
 mutant requests_outlive_the_stop internal/serving/core.go \
 	'	defer c.Stop.OnEnd(cancel)()' '' internal/serving TestStopEndsRequestsWithTheTruth
+mutant gateway_sends_without_a_look_at_the_stop internal/gateway/deadline.go \
+	'	return n.refuseStopping(ctx)' '	return nil' internal/gateway TestLateRequestIsNotSentWhileTheGatewayStops
