--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -29,7 +29,7 @@
 	$isCheck || OLD=$2 NEW=$3 perl -0pi -e 's/\Q$ENV{OLD}\E/$ENV{NEW}/' "$work/$1"
 }
 
-# soak NAME plays new seeds until one violates a guarantee or limit seconds have passed.
+# soak NAME [PLAY] plays new seeds until one violates a guarantee or limit seconds have passed.
 soak() {
 	$isCheck && return
 	[ $misquoted = 0 ] || exit 1
@@ -38,7 +38,7 @@
 	(cd "$work" && go build -o bin/ ./cmd/...)
 	began=$(date +%s)
 	while [ $(($(date +%s) - began)) -lt "$limit" ]; do
-		if ! (cd "$work" && ./bin/topazbench soak --total 1s) >"$work/log" 2>&1; then
+		if ! (cd "$work" && ./bin/topazbench soak --total 1s ${2:+--play "$2"}) >"$work/log" 2>&1; then
 			verdict=$(grep -m1 -o 'promise="[^"]*"' "$work/log" || echo DID_NOT_RUN)
 			break
 		fi
@@ -51,6 +51,9 @@
 	restore
 }
 
+replace internal/serving/stop.go 'if plan.Admits(now, need) &&' 'if true &&'
+soak late_work_taken stops
+
 replace internal/serving/exchange.go 'if !isAllowed {' 'if isAllowed == e.hasBegun && e.hasBegun {'
 soak no_not_run_rule
 
