Stop: a request whose body is still sent at the end is refused as not run, wherever it stands

Callers whose body was cut by the end of a stop were answered 408, as if they had been too slow, or 400, which says that their request is wrong and must not come again: 400 where the body stood within a chunk's size, 408 where the read's deadline came before End was called.

Cause: fasthttp.ErrBrokenChunk does not unwrap to the error of the connection, so that neither a timeout nor a full memory account was seen there; and limitReading ends a read at EndAt, while the refusal asked whether End had been called, which is a moment later.

--- a/internal/stopping/stopping.go
+++ b/internal/stopping/stopping.go
@@ -139,6 +139,12 @@
 // HasEnded reports whether End was called.
 func (s *Stop) HasEnded() bool { return s != nil && s.running.Err() != nil }
 
+// IsOver reports whether requests in flight end now: End was called, or its planned time has come.
+func (s *Stop) IsOver(now time.Time) bool {
+	plan, hasBegun := s.Plan()
+	return s.HasEnded() || hasBegun && !now.Before(plan.EndAt())
+}
+
 // OnEnd calls a function in a goroutine of its own when End is called, unless it is cancelled before.
 func (s *Stop) OnEnd(call func()) (cancel func()) {
 	if s == nil {
