Jobs: a job accepted or taken over while the daemon stops is given back at once

What callers saw: a 202, and then no item of the job ran for as long as the stopping daemon counted as alive, up to the end of its grace period if another of its jobs could not be handed over.

Cause: the acceptance and the takeover write a claim of this daemon. Stop releases the jobs that are owned when it is called; startJob then refuses a later one (job_not_owned), but its claim stayed with the daemon that does not run it.

Why it works: startJob is the only place where a claim becomes a running job. If it refuses one since the daemon stops, it empties the claim, conditional on the claim's version, as a planned handover does; a claim without an owner is taken over without a wait for the membership. If that call fails, the claim falls to the others when the daemon has left.

--- a/internal/job/ownedjob.go
+++ b/internal/job/ownedjob.go
@@ -127,7 +127,7 @@
 }
 
 // startJob starts running a job under a claim, unless the service stops, already runs
-// the job, or the claim is known to be replaced or removed.
+// the job, or the claim is known to be replaced or removed. A daemon that stops gives the claim back.
 func (s *Service) startJob(accepted Job, held versionedClaim, earlier history) {
 	ctx, cancel := context.WithCancel(s.lifetime)
 	started := &ownedJob{
@@ -156,10 +156,14 @@
 		started.items = append(started.items, added)
 	}
 	s.mutex.Lock()
-	if s.stopping || s.owned[accepted.ID] != nil || s.isSuperseded(accepted.ID, held.version) || s.isKnownRemoved(accepted.ID, held.version) {
+	isStopping := s.stopping
+	if isStopping || s.owned[accepted.ID] != nil || s.isSuperseded(accepted.ID, held.version) || s.isKnownRemoved(accepted.ID, held.version) {
 		s.mutex.Unlock()
 		cancel()
 		s.log.Info("job_not_owned", "job", accepted.ID, "epoch", held.claim.Epoch, "version", held.version)
+		if isStopping {
+			go s.releaseClaim(s.lifetime, accepted.ID, held)
+		}
 		return
 	}
 	s.owned[accepted.ID] = started
--- a/internal/job/takeover.go
+++ b/internal/job/takeover.go
@@ -192,8 +192,8 @@
 	return loaded, earlier, "", nil
 }
 
-// releaseClaim removes this daemon from the claim of a job that it can't read, so that another
-// one may take the job over.
+// releaseClaim removes this daemon from the claim of a job that it doesn't run, so that another one
+// may take the job over.
 func (s *Service) releaseClaim(ctx context.Context, id string, claimed versionedClaim) {
 	version, err := s.replaceClaim(ctx, id, claimed.version, claim{Epoch: claimed.claim.Epoch, Tenant: claimed.claim.Tenant})
 	s.log.Info("job_given_back", "job", id, "epoch", claimed.claim.Epoch, "version", version, "error", err)
