Jobs: no item is started while its job is handed over

What callers saw: the stop of a daemon waited for items that were started after it had begun, for as long as they ran or the grace period lasted; then neither their progress nor the claim was saved in time.

Cause: the dispatcher asks once a round whether the service stops. Stop cancels the items that run at that moment and waits until none does. A round that had begun before went on and started further items, which nobody cancelled.

Evidence: TestNoItemStartsWhileItsJobIsReleased: one item ends 0.3 s after its cancellation, and a round that began before the stop goes on meanwhile.

Why it works: the release of a job sets a mark and cancels its items under one lock, and an item is marked as running under the same lock, unless the mark is set. Its slot is returned at once.

--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -290,10 +290,11 @@
 	o.service.log.Info("job_released", "job", o.job.ID, "error", err)
 }
 
-// stopItems cancels all running items.
+// stopItems cancels all running items. No further ones are started.
 func (o *ownedJob) stopItems() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	o.isReleasing = true
 	for _, each := range o.items {
 		if each.state == itemRunning {
 			each.cancel()
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -177,10 +177,11 @@
 		s.startOver(waiting, chosen.ID, at)
 	}
 	ctx, cancel := context.WithCancel(owner.ctx)
-	owner.mutex.Lock()
-	waiting.waitingSince = time.Time{}
-	waiting.state, waiting.backend, waiting.startedAt, waiting.cancel, waiting.isPreempted = itemRunning, chosen.ID, now, cancel, false
-	owner.mutex.Unlock()
+	if !owner.start(waiting, chosen.ID, now, cancel) {
+		cancel()
+		lease.Release()
+		return false
+	}
 	permit := func() error {
 		err := s.permit(waiting)
 		if err == nil {
--- a/internal/job/export_test.go
+++ b/internal/job/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"topazpulley/internal/table"
 )
@@ -59,3 +60,24 @@
 
 // Shard returns the partition of a job's rows.
 func Shard(id string) string { return shard(id) }
+
+// IsStopping reports whether Stop was called.
+func IsStopping(s *Service) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.stopping
+}
+
+// DispatchLate dispatches the waiting items of a job, as a round does that began before Stop was called.
+func DispatchLate(s *Service, id string) {
+	s.mutex.Lock()
+	owned := s.owned[id]
+	s.mutex.Unlock()
+	now := time.Now()
+	ready := owned.sendable(now)
+	s.placer.windowStart = time.Time{}
+	s.placer.begin(len(ready), s.backends.PeerWaiting(), now, s.propagationWindow())
+	for _, waiting := range ready {
+		s.dispatch(waiting, now)
+	}
+}
--- a/internal/job/ownedjob.go
+++ b/internal/job/ownedjob.go
@@ -103,6 +103,8 @@
 	commitLimit int
 	commitCount int
 	dropped     bool
+	// isReleasing is set once the job is being handed over, so that no item is started any more.
+	isReleasing bool
 	// committedSignal is closed and replaced at each commit.
 	committedSignal chan struct{}
 	// settled is the settlement that the job's quota account last received.
@@ -270,6 +272,18 @@
 	return ready
 }
 
+// start marks a waiting item as running at a backend. It returns false if the job is being handed over.
+func (o *ownedJob) start(waiting *ownedItem, backend string, now time.Time, cancel context.CancelFunc) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.isReleasing {
+		return false
+	}
+	waiting.waitingSince = time.Time{}
+	waiting.state, waiting.backend, waiting.startedAt, waiting.cancel, waiting.isPreempted = itemRunning, backend, now, cancel, false
+	return true
+}
+
 // running returns the items that are running at backends.
 func (o *ownedJob) running() []*ownedItem {
 	o.mutex.Lock()
--- a/internal/job/stop_test.go
+++ b/internal/job/stop_test.go
@@ -1,11 +1,15 @@
 package job_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"topazpulley/internal/backend"
+	"topazpulley/internal/job"
+	"topazpulley/internal/serving"
 	"topazpulley/internal/table/tabletest"
 )
 
@@ -23,3 +27,51 @@
 	require.Eventually(t, func() bool { return fake.total() > 0 }, handoverTime, pollInterval, "nobody runs the job")
 	requireAllCompleted(t, other, accepted)
 }
+
+// slowToEnd is a sender whose first attempt ends some time after its context.
+type slowToEnd struct {
+	*fakeBackends
+	isFirst chan struct{}
+	delay   time.Duration
+}
+
+func (s *slowToEnd) Send(ctx context.Context, attempt serving.Attempt) (serving.Answer, error) {
+	select {
+	case s.isFirst <- struct{}{}:
+		<-ctx.Done()
+		time.Sleep(s.delay)
+		return nil, ctx.Err()
+	default:
+		return s.fakeBackends.Send(ctx, attempt)
+	}
+}
+
+// TestNoItemStartsWhileItsJobIsReleased: a round of dispatching goes on while the daemon stops.
+func TestNoItemStartsWhileItsJobIsReleased(t *testing.T) {
+	fake := newFakeBackends()
+	fake.events, fake.pause = 200, 20*time.Millisecond
+	sender := &slowToEnd{fakeBackends: fake, isFirst: make(chan struct{}, 1), delay: 300 * time.Millisecond}
+	owner := startWithSender(t, "a", tabletest.NewMemory(), sender)
+	setSlots(owner, 1)
+	require.NoError(t, owner.Submit(t.Context(), newJob("j1", 5)))
+	require.Eventually(t, func() bool { return len(sender.isFirst) == 1 }, testTimeout, pollInterval)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		owner.Stop(t.Context())
+	}()
+	require.Eventually(t, func() bool { return job.IsStopping(owner.Service) }, testTimeout, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	setSlots(owner, 100)
+	job.DispatchLate(owner.Service, "j1")
+	select {
+	case <-stopped:
+	case <-time.After(handoverTime):
+		require.Fail(t, "the job is not handed over", "%d items run", fake.total())
+	}
+	require.Zero(t, fake.total(), "items were started")
+}
+
+func setSlots(d *daemon, slots int) {
+	d.backends.Put(backend.Instance{ID: "one", Version: "v1", Service: service, Slots: slots})
+}
