Jobs: a stop keeps time for the handover while a result cannot be stored

What callers saw: items of a job whose result could not be stored stood still until the stopping daemon had left, and what they had produced since their last checkpoint was lost.

Cause: the release of a job waits until all results are committed, for as long as the stop lasts. The calls that save the progress and give up the claim came after that wait, with no time left.

Evidence: TestResultThatCannotBeStoredDelaysNoHandover: one result waits for a store that takes no objects, the stop has 2 s. Before: the claim was still held 2 s after the stop had ended.

Why it works: the wait ends early enough for one call each for the progress and the claim (twice 0.9 s, or half of the time if that is less). Results that are not committed by then are dropped with the claim, as before, and the items run again.

--- a/internal/job/commit.go
+++ b/internal/job/commit.go
@@ -267,16 +267,19 @@
 	return encode(resultRow{Item: result.Item, State: result.State, Object: result.object})
 }
 
-// releasePoll is the mean interval at which release checks for items that still run and
-// results that are not committed.
-const releasePoll = 20 * time.Millisecond
+const (
+	// releasePoll is the mean interval at which release checks for items that still run and
+	// results that are not committed.
+	releasePoll = 20 * time.Millisecond
+	// handoverTime is what release leaves of its time for the progress and the claim, one call each.
+	handoverTime = 2 * attemptTimeout
+)
 
 // release stops the items, saves their progress and gives up the claim, so that another
 // daemon continues from there immediately.
 func (o *ownedJob) release(ctx context.Context) {
 	o.stopItems()
-	for o.isBusy() && periodic.SleepAbout(ctx, releasePoll) {
-	}
+	o.awaitIdle(ctx)
 	o.saveProgress(ctx, 1)
 	o.mutex.Lock()
 	isDropped := o.dropped
@@ -290,6 +293,20 @@
 	o.service.log.Info("job_released", "job", o.job.ID, "error", err)
 }
 
+// awaitIdle waits until no item runs and all results are committed, or only the time for the handover
+// is left: handoverTime, or half of the time if that is less.
+func (o *ownedJob) awaitIdle(ctx context.Context) {
+	bounded := ctx
+	if deadline, isBounded := ctx.Deadline(); isBounded {
+		reserved := min(handoverTime, time.Until(deadline)/2)
+		var cancel context.CancelFunc
+		bounded, cancel = context.WithDeadline(ctx, deadline.Add(-reserved))
+		defer cancel()
+	}
+	for o.isBusy() && periodic.SleepAbout(bounded, releasePoll) {
+	}
+}
+
 // stopItems cancels all running items. No further ones are started.
 func (o *ownedJob) stopItems() {
 	o.mutex.Lock()
--- a/internal/job/export_test.go
+++ b/internal/job/export_test.go
@@ -81,3 +81,13 @@
 		s.dispatch(waiting, now)
 	}
 }
+
+// Finished returns the number of results of an owned job that are not committed.
+func Finished(s *Service, id string) int {
+	s.mutex.Lock()
+	owned := s.owned[id]
+	s.mutex.Unlock()
+	owned.mutex.Lock()
+	defer owned.mutex.Unlock()
+	return len(owned.finished)
+}
--- a/internal/job/stop_test.go
+++ b/internal/job/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"topazpulley/internal/backend"
 	"topazpulley/internal/job"
 	"topazpulley/internal/serving"
+	"topazpulley/internal/table"
 	"topazpulley/internal/table/tabletest"
 )
 
@@ -75,3 +77,33 @@
 func setSlots(d *daemon, slots int) {
 	d.backends.Put(backend.Instance{ID: "one", Version: "v1", Service: service, Slots: slots})
 }
+
+// objectlessStore is a store that stores no objects, and commits nothing for callers that have left.
+type objectlessStore struct{ table.Store }
+
+func (o *objectlessStore) PutObject(context.Context, string, []byte) error {
+	return &table.Error{Kind: table.ErrorNotDone, Call: "put_object"}
+}
+
+func (o *objectlessStore) Commit(ctx context.Context, transaction table.Transaction) (table.Version, error) {
+	if ctx.Err() != nil {
+		return 0, &table.Error{Kind: table.ErrorNotDone, Call: "commit"}
+	}
+	return o.Store.Commit(ctx, transaction)
+}
+
+// TestResultThatCannotBeStoredDelaysNoHandover: the claim is given back before the time of the stop is over.
+func TestResultThatCannotBeStoredDelaysNoHandover(t *testing.T) {
+	store, fake := tabletest.NewMemory(), newFakeBackends()
+	fake.events, fake.pause = 150, 10*time.Millisecond
+	fake.padding["j1-item0"] = strings.Repeat("x", table.MaxRowBytes/2)
+	owner, other := startDaemon(t, "a", &objectlessStore{Store: store}, fake), startDaemon(t, "b", store, fake)
+	requireFollowed(t, store, owner, other)
+	accepted := newJob("j1", 1)
+	require.NoError(t, owner.Submit(t.Context(), accepted))
+	require.Eventually(t, func() bool { return job.Finished(owner.Service, "j1") == 1 }, testTimeout, pollInterval)
+	ctx, cancel := context.WithTimeout(t.Context(), handoverTime)
+	defer cancel()
+	owner.Stop(ctx)
+	require.Eventually(t, func() bool { return other.Owned() == 1 }, handoverTime, pollInterval, "the claim is not given back")
+}
