Storage client: an answer of the platform is read up to a limit

What callers saw: nothing, until a platform that fails sends an answer without end; the daemon then grows until it is killed.

Cause: the client of the platform read each body with io.ReadAll, whatever its head told and however long it became. Only the timeout of a call, 3 s, ended it; retries follow.

Why it works: rows and machines have a limit of 64 MB, objects one of 256 MB, as much as the platform takes in one request. httphead.ResponseBody looks at the told length first, also for the other clients that use it. The HTTP client closes a connection whose body was not read to its end.

--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -59,7 +59,7 @@
 const (
 	tableDegree       = 32
 	maxScanRows       = 1000
-	platformBodyLimit = 256 << 20
+	platformBodyLimit = storage.MaxObjectBytes
 	// PathPlatformFaults sets PlatformFaults.
 	PathPlatformFaults = "/emulator/faults"
 	// PathPlatformMachine adds or changes a machine (PUT) or removes it (DELETE).
--- a/internal/httphead/body.go
+++ b/internal/httphead/body.go
@@ -23,8 +23,12 @@
 	return "the body is longer than " + strconv.Itoa(e.Limit) + " bytes"
 }
 
-// ResponseBody is ReadBody for an answer of a client that may stream bodies.
+// ResponseBody is ReadBody for an answer of a client that may stream bodies. Nothing is read of a body
+// whose head tells that it is longer.
 func ResponseBody(response *fasthttp.Response, limit int) ([]byte, error) {
+	if response.Header.ContentLength() > limit {
+		return nil, &LongBodyError{Limit: limit}
+	}
 	if stream := response.BodyStream(); stream != nil {
 		return ReadBody(stream, limit)
 	}
--- a/internal/storage/http.go
+++ b/internal/storage/http.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/url"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"topazpulley/internal/failure"
@@ -26,7 +24,13 @@
 	PathMachines = "/machines"
 )
 
-const defaultCallTimeout = 3 * time.Second
+const (
+	defaultCallTimeout = 3 * time.Second
+	// MaxObjectBytes limits the content of an object.
+	MaxObjectBytes = 256 << 20
+	// maxRowsBytes limits an answer with rows or machines.
+	maxRowsBytes = httphead.AnswerBytes
+)
 
 // HTTPClient implements Services over the platform's HTTP protocol. It does not
 // retry or limit calls; Client does.
@@ -63,7 +67,13 @@
 	tag    string
 }
 
+// call makes a call whose answer has a body of maxRowsBytes at most.
 func (c *HTTPClient) call(ctx context.Context, method, pathAndQuery string, body []byte, header map[string]string) (answer, error) {
+	return c.callUpTo(ctx, maxRowsBytes, method, pathAndQuery, body, header)
+}
+
+// callUpTo makes a call whose answer has a body of limit bytes at most.
+func (c *HTTPClient) callUpTo(ctx context.Context, limit int, method, pathAndQuery string, body []byte, header map[string]string) (answer, error) {
 	request := fasthttp.AcquireRequest()
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -77,7 +87,7 @@
 	if err := c.client.DoDeadline(request, response, callDeadline(ctx)); err != nil {
 		return answer{}, unavailable(err, pathAndQuery)
 	}
-	content, err := wholeBody(response)
+	content, err := wholeBody(response, limit)
 	if err != nil {
 		return answer{}, unavailable(err, pathAndQuery)
 	}
@@ -88,18 +98,13 @@
 	return copied, nil
 }
 
-// wholeBody reads the body of an answer. A body that ends with its connection is an error, since it
-// may have been cut off.
-func wholeBody(response *fasthttp.Response) ([]byte, error) {
+// wholeBody reads the body of an answer of limit bytes at most. A body that ends with its connection is
+// an error, since it may have been cut off.
+func wholeBody(response *fasthttp.Response, limit int) ([]byte, error) {
 	if err := httphead.CheckFraming(&response.Header); err != nil {
 		return nil, err
 	}
-	stream := response.BodyStream()
-	if stream == nil {
-		return nil, nil
-	}
-	content, err := io.ReadAll(stream)
-	return content, errors.WithStack(err)
+	return httphead.ResponseBody(response, limit)
 }
 
 func callDeadline(ctx context.Context) time.Time {
@@ -175,7 +180,7 @@
 
 // getObject reads an object with extra request headers.
 func (c *HTTPClient) getObject(ctx context.Context, name string, header map[string]string) ([]byte, error) {
-	reply, err := c.call(ctx, fasthttp.MethodGet, objectPath(name), nil, header)
+	reply, err := c.callUpTo(ctx, MaxObjectBytes, fasthttp.MethodGet, objectPath(name), nil, header)
 	if err != nil {
 		return nil, err
 	}
