Peers: a connection takes no more than a handshake before it has proved the cluster key

What callers saw: nothing; a connection to the peer port, by whoever reaches it, could make the daemon hold 32 MB, and as many such connections as there are descriptors, until the platform kills it.

Cause: the limit of a frame, 32 MB for tables and store calls, held for the frames of the handshake too. The event loop collects a frame until it is whole; the key is checked after that.

Why it works: both sides of a connection know whether the handshake is over, and ask for the limit with each frame. A challenge has 16 bytes and a hello little more than the daemon's name, which has to fit a datagram of 64 KB anyway.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -29,7 +29,10 @@
 	// frameHeaderBytes is the size of a frame's length prefix.
 	frameHeaderBytes = 4
 	maxFrameBytes    = 32 << 20
-	maxDatagramSize  = 64 << 10
+	// maxHandshakeBytes limits the frames of the handshake, which anyone may send. A longer name would
+	// not fit a datagram either.
+	maxHandshakeBytes = maxDatagramSize
+	maxDatagramSize   = 64 << 10
 )
 
 // Message is a type with a fixed Avro schema.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -54,9 +54,12 @@
 	if !ok {
 		return gnet.Close
 	}
-	return readFrames(connection, func(body []byte) bool { return e.transport.handleClientFrame(peerLink, connection, body) })
+	return readFrames(connection, peerLink.frameLimit, func(body []byte) bool { return e.transport.handleClientFrame(peerLink, connection, body) })
 }
 
+// frameLimit returns the maximum size of the next frame in bytes.
+func (l *link) frameLimit() int { return frameLimit(l.isOpen) }
+
 // OnClose implements gnet.EventHandler.
 func (e *linkEvents) OnClose(connection gnet.Conn, _ error) gnet.Action {
 	if peerLink, ok := connection.Context().(*link); ok {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -249,6 +249,17 @@
 	isOpen   bool
 }
 
+// frameLimit returns the maximum size of the next frame in bytes.
+func (s *serverConnection) frameLimit() int { return frameLimit(s.isOpen) }
+
+// frameLimit returns the maximum size of a frame in bytes, before or after the handshake.
+func frameLimit(isOpen bool) int {
+	if isOpen {
+		return maxFrameBytes
+	}
+	return maxHandshakeBytes
+}
+
 // OnOpen implements gnet.EventHandler. It sends a random challenge.
 func (t *Transport) OnOpen(connection gnet.Conn) ([]byte, gnet.Action) {
 	nonce := make([]byte, nonceBytes)
@@ -264,7 +275,7 @@
 		t.receiveDatagram(connection)
 		return gnet.None
 	}
-	return readFrames(connection, func(body []byte) bool { return t.handleServerFrame(connection, side, body) })
+	return readFrames(connection, side.frameLimit, func(body []byte) bool { return t.handleServerFrame(connection, side, body) })
 }
 
 func (t *Transport) receiveDatagram(connection gnet.Conn) {
@@ -283,15 +294,15 @@
 }
 
 // readFrames passes the body of each complete frame to accept. It closes the
-// connection if accept returns false or a frame exceeds maxFrameBytes.
-func readFrames(connection gnet.Conn, accept func(body []byte) bool) gnet.Action {
+// connection if accept returns false or a frame exceeds the limit at that time.
+func readFrames(connection gnet.Conn, limit func() int, accept func(body []byte) bool) gnet.Action {
 	for {
 		head, err := connection.Peek(frameHeaderBytes)
 		if err != nil {
 			return gnet.None
 		}
 		length := int(binary.BigEndian.Uint32(head))
-		if length > maxFrameBytes {
+		if length > limit() {
 			return gnet.Close
 		}
 		if connection.InboundBuffered() < frameHeaderBytes+length {
