Engine client: an answer has no more tokens than were asked for

What callers saw: more text than max_tokens, for as long as a faulty engine sent; the gateway and the batch workers keep all tokens of an answer, so that their memory grew with it until the deadline of the stream, up to 15 minutes.

Cause: a stream ended by the engine's end marker alone. Order and number of the tokens were checked, their limit was not.

Evidence: TestMoreTokensThanWantedAreRefused: 3 tokens wanted, 1000 sent without an end. Before: 1000 were taken. After: 3, then the stream fails with answer_too_long. The tests of internal/engine and internal/gateway pass.

Why it works: each stream knows the limit of the complete answer, also a resumed one, and counts by the token's index.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -57,6 +57,8 @@
 	CodeStalled    = "stream_stalled"
 	CodeWrongID    = "wrong_attempt_id"
 	CodeIncomplete = "incomplete_answer"
+	// CodeTooLong means that an answer has more tokens than were asked for.
+	CodeTooLong = "answer_too_long"
 	// CodeAbandoned means that the caller's context ended first.
 	CodeAbandoned = "abandoned"
 	// CodeForgotten means that the engine does not have the attempt to resume.
@@ -156,6 +158,8 @@
 	address   string
 	attemptID string
 	next      int
+	// maxTokens is the most tokens of a complete answer; 0 means no limit.
+	maxTokens int
 	events    chan Event
 	readError error
 	finished  bool
@@ -181,15 +185,20 @@
 		c.cancelAbandoned(address, request, err)
 		return nil, err
 	}
-	stream.run = run
+	stream.run, stream.maxTokens = run, request.MaxTokens
 	return stream, nil
 }
 
 // Resume reads the events of an attempt that the engine keeps, starting at the
-// token index from.
-func (c *Client) Resume(ctx context.Context, address, attemptID string, from int) (*Stream, error) {
+// token index from. maxTokens is the most tokens of the complete answer.
+func (c *Client) Resume(ctx context.Context, address, attemptID string, from, maxTokens int) (*Stream, error) {
 	path := PathAttempts + attemptID + "?from=" + strconv.Itoa(from)
-	return c.open(ctx, address, attemptID, from, fasthttp.MethodGet, path, nil)
+	stream, err := c.open(ctx, address, attemptID, from, fasthttp.MethodGet, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	stream.maxTokens = maxTokens
+	return stream, nil
 }
 
 func (c *Client) open(ctx context.Context, address, attemptID string, from int, method, path string, body []byte) (*Stream, error) {
@@ -258,7 +267,7 @@
 }
 
 // Next returns the next event. The last event has End set. An answer without it,
-// with another attempt's id or with a missing token is an error.
+// with another attempt's id, with a missing token or with too many is an error.
 func (s *Stream) Next(ctx context.Context) (Event, error) {
 	stall := time.NewTimer(s.client.StallTimeout)
 	defer stall.Stop()
@@ -296,6 +305,9 @@
 	if event.Index != s.next {
 		return Event{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeIncomplete}
 	}
+	if s.maxTokens > 0 && s.next >= s.maxTokens {
+		return Event{}, &AttemptError{Outcome: OutcomeUnknown, Code: CodeTooLong}
+	}
 	s.next++
 	s.tokens++
 	s.run.HadOutput = true
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -180,3 +180,28 @@
 	_, _ = connection.Write([]byte(answer))
 	_ = connection.Close()
 }
+
+// TestMoreTokensThanWantedAreRefused: an engine that does not end its answer must not fill the memory.
+func TestMoreTokensThanWantedAreRefused(t *testing.T) {
+	const wanted, sent = 3, 1000
+	events := []engine.Event{}
+	for index := range sent {
+		events = append(events, engine.Event{AttemptID: "mine", Index: index, Token: "a"})
+	}
+	address := serveEvents(t, events...)
+	client := engine.NewClient(30 * time.Second)
+	opened, err := client.Generate(t.Context(), address, engine.GenerateRequest{AttemptID: "mine", MaxTokens: wanted})
+	require.NoError(t, err)
+	require.Equal(t, wanted, countTokens(t, opened))
+}
+
+// countTokens reads a stream until it fails, and returns the number of tokens.
+func countTokens(t *testing.T, stream *engine.Stream) int {
+	t.Helper()
+	defer stream.Close()
+	for count := 0; ; count++ {
+		if _, err := stream.Next(t.Context()); err != nil {
+			return count
+		}
+	}
+}
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -309,7 +309,7 @@
 	if n.request.repeatable {
 		go n.leaveSilentEngine(bounded, cancel, n.excludedAfterLeaving())
 	}
-	stream, err := n.gateway.Engines.Resume(bounded, n.view.Machine.Address, n.attemptID, len(n.tokens))
+	stream, err := n.gateway.Engines.Resume(bounded, n.view.Machine.Address, n.attemptID, len(n.tokens), n.request.maxTokens)
 	if err != nil {
 		return false
 	}
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -123,7 +123,7 @@
 	}
 	view := registry.Engine{Name: record.Engine, Machine: registry.MachineRecord{Address: record.Address}}
 	g.logSent(request, view, record.AttemptID, 1, serving.SendResumption)
-	stream, err := g.Engines.Resume(g.lifetime, record.Address, record.AttemptID, 0)
+	stream, err := g.Engines.Resume(g.lifetime, record.Address, record.AttemptID, 0, request.maxTokens)
 	if err != nil {
 		return nil, false, failure.Wrap(err, failure.KindOutcomeUnknown, codeOutcomeUnknown, "the request was sent once and its outcome is unknown; it was not sent again")
 	}
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -231,7 +231,7 @@
 	for range maxResumeAttempts {
 		task.Tokens = nil
 		l.logSent(task, intent, serving.SendResumption)
-		stream, err := l.supervisor.engines.Resume(ctx, intent.Address, intent.AttemptID, 0)
+		stream, err := l.supervisor.engines.Resume(ctx, intent.Address, intent.AttemptID, 0, task.Item.Body.TokenLimit())
 		if err == nil {
 			err = l.collectAndFinish(ctx, stream, task)
 		}
