Jobs: the text of an item has a limit

What callers saw: nothing at first; the memory of the owner grew with an item whose backend does not end its answer, and a text of more than 16 MB was listed as completed although the store's client reads no object of that size again.

Cause: the events of an item are kept until it ends, each within the limit of an event and all of them without any.

Why it works: an event that does not fit ends the attempt as a spoiled answer, which counts against the backend, and the item starts over, so that its memory is free. It is not abandoned: such an answer says nothing of the item.

--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -94,6 +95,16 @@
 // Error implements error.
 func (e *invalidItemError) Error() string { return "item rejected by the backend as invalid" }
 
+// longTextError reports that an item's text exceeds its limit in bytes.
+type longTextError struct {
+	limit int
+}
+
+// Error implements error.
+func (e *longTextError) Error() string {
+	return "the text of the item is longer than " + strconv.Itoa(e.limit) + " bytes"
+}
+
 // readItem reads the answer to an item and adds its events to the item's progress.
 func (s *Service) readItem(running *ownedItem, answer serving.Answer, lease *backend.Lease, instance backend.Instance, watched *watchdog.Watchdog) error {
 	head := answer.Head()
@@ -118,6 +129,10 @@
 		if isFirst && !running.progress.beginRun(s.presentOrigin(instance)) {
 			return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonOtherSoftware}
 		}
+		if !running.progress.hasRoom(event) {
+			s.startOver(running, instance.ID, originAt(instance))
+			return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonCorrupt, Cause: &longTextError{limit: maxTextBytes}}
+		}
 		if !running.progress.add(event) {
 			return &serving.AttemptError{Outcome: serving.OutcomeUnknown, Reason: serving.ReasonCorrupt}
 		}
--- a/internal/job/continuation.go
+++ b/internal/job/continuation.go
@@ -96,8 +96,8 @@
 	return streamorigin.Origin{Service: chosen.Service, Software: s.backends.PresentSoftware(chosen)}
 }
 
-// startOver discards the events of an item that is about to be sent to a backend of another
-// service or software version.
+// startOver discards the events of an item that nothing can follow: it is about to be sent to a backend
+// of another service or software version, its last event may be the last of all, or its text is too long.
 func (s *Service) startOver(waiting *ownedItem, backendID string, at streamorigin.Origin) {
 	began, lost := waiting.progress.origin(), waiting.progress.reset()
 	waiting.owner.mutex.Lock()
--- a/internal/job/export_test.go
+++ b/internal/job/export_test.go
@@ -91,3 +91,17 @@
 	defer owned.mutex.Unlock()
 	return len(owned.finished)
 }
+
+// TextBytes returns the bytes of text that the items of an owned job have produced.
+func TextBytes(s *Service, id string) int {
+	s.mutex.Lock()
+	owned := s.owned[id]
+	s.mutex.Unlock()
+	total := 0
+	for _, item := range owned.items {
+		item.progress.mutex.Lock()
+		total += len(item.progress.content)
+		item.progress.mutex.Unlock()
+	}
+	return total
+}
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -38,6 +38,8 @@
 	// maxCommitText limits the text of one transaction in bytes, so that checkpoints don't
 	// delay results on a slow link.
 	maxCommitText = 128 << 10
+	// maxTextBytes limits the text of an item: a longer object could not be read from the store.
+	maxTextBytes = 16 << 20
 )
 
 func progressKey(id, item string) string { return id + "/" + item }
@@ -90,6 +92,13 @@
 	return lost
 }
 
+// hasRoom reports whether the text with one more event is within maxTextBytes.
+func (p *progress) hasRoom(event serving.Event) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.content)+len(event.Data) < maxTextBytes
+}
+
 // add appends an event. It returns false if the event isn't the next one.
 func (p *progress) add(event serving.Event) bool {
 	p.mutex.Lock()
