--- a/test/mutants.d/stopping.sh
+++ b/test/mutants.d/stopping.sh
@@ -22,3 +22,5 @@
 	'	defer c.Stop.OnEnd(cancel)()' '' internal/serving TestStopEndsRequestsWithTheTruth
 mutant gateway_sends_without_a_look_at_the_stop internal/gateway/deadline.go \
 	'	return n.refuseStopping(ctx)' '	return nil' internal/gateway TestLateRequestIsNotSentWhileTheGatewayStops
+mutant streams_close_before_pipelined_requests platform/responder.go \
+	'	if r.connection.pipelines {' '	if false {' platform TestRequestPipelinedWithinAStreamIsAnsweredInAStop
