Stop: the time of an upload is no part of a request's duration

What callers saw: requests that are refused within a stop though they would have ended in time, on routes to which others upload slowly. Cause: the durations by which a stopping daemon takes requests were counted from the first byte, while the decision falls when the request has been read. With uploads of 6 s the usual time of a route is up to 6 s too long. TestTimeOfAnUploadIsNotPartOfADuration fails with the old count (5 s). Change: a duration begins when the request has been read. Waiting for a slot stays part of it, as the next request waits too.

--- a/internal/serving/core.go
+++ b/internal/serving/core.go
@@ -104,7 +104,7 @@
 	defer cancel()
 	defer c.Stop.OnEnd(cancel)()
 	served := &exchange{
-		core: c, request: request, responder: responder, caller: ctx, end: end, arrived: arrived,
+		core: c, request: request, responder: responder, caller: ctx, end: end, arrived: arrived, readAt: time.Now(),
 		excluded: map[string]bool{}, silent: map[string]bool{}, lastEvent: request.LastEvent, fingerprint: request.fingerprint(), parts: PartsOf(request.Service, request.Prompt),
 	}
 	if served.refuseStopping() || served.refuseQuarantined() {
--- a/internal/serving/exchange.go
+++ b/internal/serving/exchange.go
@@ -43,6 +43,8 @@
 	end       time.Time
 	// arrived is the arrival time by a clock that includes suspension.
 	arrived boottime.Mark
+	// readAt is when the request had been read completely.
+	readAt time.Time
 
 	// excluded are the ids of the backends that are not chosen for the next attempt.
 	excluded map[string]bool
--- a/internal/serving/stop.go
+++ b/internal/serving/stop.go
@@ -34,7 +34,8 @@
 	}
 }
 
-// observeDuration records that the answer to the request is complete.
+// observeDuration records that the answer to the request is complete. The time that its caller took to
+// send it is no part of what such requests need.
 func (e *exchange) observeDuration() {
-	e.core.Durations.Observe(e.request.Route.Name, time.Since(e.request.Arrived))
+	e.core.Durations.Observe(e.request.Route.Name, time.Since(e.readAt))
 }
--- a/internal/serving/stop_test.go
+++ b/internal/serving/stop_test.go
@@ -44,6 +44,27 @@
 	})
 }
 
+// wholeSender sends to backends that answer at once.
+type wholeSender struct{ *drawnSender }
+
+func (wholeSender) Send(_ context.Context, attempt serving.Attempt) (serving.Answer, error) {
+	return &scriptedAnswer{stream: attempt.Stream, next: 1, instance: attempt.Instance.ID}, nil
+}
+
+// Guards against requests that are refused in a stop because others of their route were uploaded slowly.
+func TestTimeOfAnUploadIsNotPartOfADuration(t *testing.T) {
+	const upload = 5 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		policy := &route.Route{Name: "r", Kind: route.KindRepeatable, Timeout: 20 * time.Second, Objective: time.Second, MaxAttempts: 3, Targets: []route.Target{{Service: "s"}}}
+		core := newCore(wholeSender{&drawnSender{}})
+		now := time.Now()
+		core.Serve(t.Context(), serving.Request{ID: "r", Route: policy, Service: "s", Arrived: now.Add(-upload), Deadline: now.Add(time.Minute)}, &recorder{})
+		recent := core.Durations.Recent(policy.Name)
+		require.Equal(t, 1, recent.Count)
+		require.Less(t, recent.Longest, upload)
+	})
+}
+
 // stoppingSender is a drawnSender that calls a function at each attempt.
 type stoppingSender struct {
 	drawnSender
--- a/internal/stopping/durations.go
+++ b/internal/stopping/durations.go
@@ -23,8 +23,8 @@
 	Count int
 }
 
-// Durations holds how long recent requests took from their arrival until their answer was complete
-// here, by kind. It is safe for concurrent use. A nil Durations holds none.
+// Durations holds how long recent requests took, from when they had been read until their answer was
+// complete here, by kind. It is safe for concurrent use. A nil Durations holds none.
 type Durations struct {
 	mutex  sync.Mutex
 	byKind map[string]*window
