Answers that wait in vain for memory are not charged to their back end

A daemon whose share for long answers is taken (by callers who read slowly, say) charged each back end whose answer waited until the request's end with a broken connection: two such answers eject a sound back end (failuresToEject). Callers saw 502 or 504, and the log answer.stop=timeout.

Cause: the context's error of Allocation.Reserve was passed on like one of the connection.

Reserve returns a *WaitError, and the attempt fails with reason memory_full, which charges no back end; the outcome stays unknown, since the request has run.

--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -55,6 +55,22 @@
 	return fmt.Sprintf("an answer of %d bytes does not fit the %d bytes allowed for long answers", e.Size, e.Limit)
 }
 
+// WaitError is the error of an answer that has waited in vain for memory.
+type WaitError struct {
+	// Size is in bytes.
+	Size int64
+	// Cause is why the wait ended.
+	Cause error
+}
+
+// Error implements error.
+func (e *WaitError) Error() string {
+	return fmt.Sprintf("an answer of %d bytes has waited in vain for memory: %v", e.Size, e.Cause)
+}
+
+// Unwrap returns why the wait ended.
+func (e *WaitError) Unwrap() error { return e.Cause }
+
 // Account counts allocated bytes against a limit. It is safe for concurrent use; mutex guards
 // the fields after it. A nil account counts nothing and has no limit.
 type Account struct {
@@ -140,7 +156,7 @@
 
 // Reserve adds the bytes of an answer that tells its length. An answer beyond AssuredBytes waits until
 // it fits the share of the limit for long answers; Reserve returns a *TooLongError if it never does,
-// and the context's error if it does not before the context ends. It is called at most once before
+// and a *WaitError with the context's error if it does not before the context ends. It is called at most once before
 // Release.
 func (a *Allocation) Reserve(ctx context.Context, size int) error {
 	if a.account == nil {
@@ -151,7 +167,7 @@
 			return &TooLongError{Size: int64(size), Limit: limit}
 		}
 		if err := a.account.longAnswers.Acquire(ctx, int64(size)); err != nil {
-			return errors.WithStack(err)
+			return errors.WithStack(&WaitError{Size: int64(size), Cause: err})
 		}
 		a.reserved = int64(size)
 	}
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -272,6 +272,8 @@
 	ReasonQuarantined Reason = "quarantined"
 	// ReasonBudget means that a further attempt was allowed but the retry budget is spent.
 	ReasonBudget Reason = "retry_budget_spent"
+	// ReasonMemory means that this daemon had no memory for the answer. The backend is sound.
+	ReasonMemory Reason = "memory_full"
 	// ReasonStopping means that the daemon stops and the request does not end before that.
 	ReasonStopping Reason = "stopping"
 )
