An answer that waits for memory is not the silence of its back end

Requests that may be repeated, whose long answers waited for memory while another answer held the share, were taken for silent after the response timeout: sound back ends were charged, and each request ran a second time elsewhere, where its answer waited as well: 8 requests, 16 sends, 8 attempts reason=silent.

Cause: the wait is within Answer.Body, and the watch for silence ends only after it.

The memory is taken in a step of its own, awaitMemory, which pauses the watch; it goes on while the body is read. TestAnswersThatWaitForMemoryAreNotTheBackendsFault/safe: before, 8 of 16 attempts silent; after it 8 attempts, all memory_full, with the race detector too.

--- a/internal/serving/guarded.go
+++ b/internal/serving/guarded.go
@@ -143,6 +143,21 @@
 	events int
 }
 
+// IsLong implements LongAnswer.
+func (a *guardedAnswer) IsLong() bool {
+	long, mayWait := a.Answer.(LongAnswer)
+	return mayWait && long.IsLong()
+}
+
+// Reserve implements LongAnswer.
+func (a *guardedAnswer) Reserve() error {
+	long, mayWait := a.Answer.(LongAnswer)
+	if !mayWait {
+		return nil
+	}
+	return long.Reserve()
+}
+
 // Body implements Answer.
 func (a *guardedAnswer) Body() ([]byte, error) {
 	body, err := a.Answer.Body()
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -11,6 +11,9 @@
 // passComplete reads a complete answer before it passes any of it to the caller.
 func (e *exchange) passComplete(answer Answer, lease *backend.Lease, waiting *standby) error {
 	head := answer.Head()
+	if err := awaitMemory(answer, waiting); err != nil {
+		return err
+	}
 	body, err := answer.Body()
 	if err != nil {
 		return err
@@ -44,6 +47,22 @@
 	return nil
 }
 
+// awaitMemory takes the memory for a long answer. The wait does not count as the backend's silence.
+func awaitMemory(answer Answer, waiting *standby) error {
+	long, mayWait := answer.(LongAnswer)
+	if !mayWait || !long.IsLong() {
+		return nil
+	}
+	if !waiting.arrived() {
+		return errTakenOver
+	}
+	if err := long.Reserve(); err != nil {
+		return err
+	}
+	waiting.await()
+	return nil
+}
+
 // releaseBackend releases the connection and the lease once the answer is read in full.
 // Otherwise a caller that reads slowly would occupy a slot.
 func releaseBackend(answer Answer, lease *backend.Lease) {
--- a/internal/serving/request.go
+++ b/internal/serving/request.go
@@ -186,6 +186,14 @@
 	Close()
 }
 
+// LongAnswer is an Answer that may wait for memory before its body is read.
+type LongAnswer interface {
+	// IsLong reports whether the body has to wait until it fits.
+	IsLong() bool
+	// Reserve takes the memory for the body. An error is an *AttemptError.
+	Reserve() error
+}
+
 // Sender sends attempts to backends. An error is an *AttemptError. The answer is aborted
 // when the context ends.
 type Sender interface {
