Batch workers: a chunk claimed while the worker stops is released

What callers saw: items of a batch that nobody worked on until the stopping daemon had left or the chunk counted as stalled.

Cause: Stop releases the chunks that are active when it is called. A claim that was under way then added its chunk later: the worker takes no items of it any more, and goes on to report it as its own.

Evidence: TestChunkClaimedWhileStoppingIsReleased: a claim that ends after Stop. Before: the chunk was kept. After: it is released; without a stop it is kept. The tests of internal/batch pass.

Why it works: the chunk is added under the lock that Stop takes to set its mark. Either Stop finds the chunk, or the claim finds the mark; the next report tells the coordinator.

--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -296,10 +296,19 @@
 		w.report(ctx, ShardOf(assignment.Job), []AssignmentMessage{{Job: assignment.Job, Chunk: assignment.Chunk, Released: true}})
 		return
 	}
+	w.begin(ctx, chunk)
+}
+
+// begin begins work on a claimed chunk. A worker that stops releases it with its next report.
+func (w *Worker) begin(ctx context.Context, chunk *activeChunk) {
 	w.mutex.Lock()
 	w.active = append(w.active, chunk)
+	isStopping := w.stopping
 	w.mutex.Unlock()
-	if !chunk.done {
+	switch {
+	case isStopping:
+		w.release(ctx, chunk)
+	case !chunk.done:
 		go w.commitLoop(ctx, chunk)
 	}
 }
