--- a/test/mutants.d/stopping.sh
+++ b/test/mutants.d/stopping.sh
@@ -22,12 +22,9 @@
 	'	defer c.Stop.OnEnd(cancel)()' '' internal/serving TestStopEndsRequestsWithTheTruth
 mutant gateway_sends_without_a_look_at_the_stop internal/gateway/deadline.go \
 	'	return n.refuseStopping(ctx)' '	return nil' internal/gateway TestLateRequestIsNotSentWhileTheGatewayStops
-<<<<<<< HEAD
 mutant streams_close_before_pipelined_requests platform/responder.go \
 	'	if r.connection.pipelines {' '	if false {' platform TestRequestPipelinedWithinAStreamIsAnsweredInAStop
-=======
 mutant send_buffer_counted_again platform/callerwriter.go \
 	'len(w.pending) + w.waiting - w.spareBytes' 'len(w.pending) + w.waiting' platform TestSendBufferOfAStopTakesAndCountsEachByteOnce
 mutant answered_callers_logged_as_cut platform/ingress.go \
 	'	c.beginClosing()' '' platform TestUploadAtTheEndOfAStopIsRefusedAsNotRun
->>>>>>> c7e36f6 (Mutants: three for the end of a stop and the wait for memory)
