Stop: one place asks, logs and bounds what a stop decides

Read once more: both doors wrote the same six fields of request_stopped and asked the plan by themselves, one of them also whether the stop had ended; both calls about jobs nested two contexts. Stop.Admits, Plan.Fields and Stop.WithTimeout serve both. The texts of four mutants follow.

--- a/internal/gateway/deadline.go
+++ b/internal/gateway/deadline.go
@@ -11,10 +11,10 @@
 	return g.Wakeups.WithDeadline(g.lifetime, deadline, request.arrivedMark)
 }
 
-// checkSendable returns an error if the request's deadline has passed, or if the daemon stops before the
-// request can end. It is called
-// just before an attempt is sent, because the machine may have been suspended since
-// the engine was chosen and the context may not have ended yet.
+// checkSendable returns an error if the request's deadline has passed, or if the daemon
+// stops before the request can end. It is called just before an attempt is sent, because
+// the machine may have been suspended since the engine was chosen and the context may not
+// have ended yet.
 func (n *generation) checkSendable(ctx context.Context) error {
 	if ctx.Err() != nil {
 		return n.endedError(ctx, ctx.Err())
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -24,11 +24,9 @@
 	if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
 		need.Limit = deadline.Sub(now)
 	}
-	if plan.Admits(now, need) {
+	if n.gateway.stop.Admits(now, need) {
 		return nil
 	}
-	n.gateway.Logger.Info("request_stopped", "id", n.request.id, "service", n.request.service, "since_stop_ms", now.Sub(plan.Began).Milliseconds(),
-		"left_ms", plan.EndAt().Sub(now).Milliseconds(), "limit_ms", need.Limit.Milliseconds(), "usual_ms", need.Recent.Usual.Milliseconds(),
-		"longest_ms", need.Recent.Longest.Milliseconds(), "recent", need.Recent.Count, "attempts", n.attempt)
+	n.gateway.Logger.With(plan.Fields(now, need)...).Info("request_stopped", "id", n.request.id, "service", n.request.service, "attempts", n.attempt)
 	return n.ran.Refuse(failure.New(failure.KindUnavailable, string(serving.ReasonStopping), "the daemon is stopping").WithRetryAfter(plan.RetryAfter(now)))
 }
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -156,8 +156,8 @@
 
 // Reserve adds the bytes of an answer that tells its length. An answer beyond AssuredBytes waits until
 // it fits the share of the limit for long answers; Reserve returns a *TooLongError if it never does,
-// and a *WaitError with the context's error if it does not before the context ends. It is called at most once before
-// Release.
+// and a *WaitError with the context's error if it does not before the context ends. It is called at
+// most once before Release.
 func (a *Allocation) Reserve(ctx context.Context, size int) error {
 	if a.account == nil {
 		return nil
--- a/internal/serving/stop.go
+++ b/internal/serving/stop.go
@@ -15,13 +15,11 @@
 		return false
 	}
 	now, need := time.Now(), e.need()
-	if plan.Admits(now, need) && !e.core.Stop.HasEnded() {
+	if e.core.Stop.Admits(now, need) {
 		return false
 	}
 	e.reason = ReasonStopping
-	e.core.Logger.Info("request_stopped", "id", e.request.ID, "route", e.request.Route.Name, "since_stop_ms", now.Sub(plan.Began).Milliseconds(),
-		"left_ms", plan.EndAt().Sub(now).Milliseconds(), "limit_ms", need.Limit.Milliseconds(), "usual_ms", need.Recent.Usual.Milliseconds(),
-		"longest_ms", need.Recent.Longest.Milliseconds(), "recent", need.Recent.Count, "sends", e.sends, "runs", e.runs)
+	e.core.Logger.With(plan.Fields(now, need)...).Info("request_stopped", "id", e.request.ID, "route", e.request.Route.Name, "sends", e.sends, "runs", e.runs)
 	e.giveUp(plan.RetryAfter(now), string(ReasonStopping))
 	return true
 }
--- a/internal/stopping/stopping.go
+++ b/internal/stopping/stopping.go
@@ -89,6 +89,14 @@
 	return max(n.Recent.Longest, objectivesOfUnknown*n.Objective), !n.IsStream
 }
 
+// Fields returns what a decision on a request rests on, as the keys and values of a log line.
+func (p Plan) Fields(now time.Time, need Need) []any {
+	return []any{
+		"since_stop_ms", now.Sub(p.Began).Milliseconds(), "left_ms", p.EndAt().Sub(now).Milliseconds(), "limit_ms", need.Limit.Milliseconds(),
+		"usual_ms", need.Recent.Usual.Milliseconds(), "longest_ms", need.Recent.Longest.Milliseconds(), "recent", need.Recent.Count,
+	}
+}
+
 // RetryAfter returns the time after which the caller of a refused request reaches another daemon.
 func (p Plan) RetryAfter(now time.Time) time.Duration {
 	return max(p.ListenUntil().Sub(now), minRetryAfter)
@@ -145,6 +153,12 @@
 	return s.HasEnded() || hasBegun && !now.Before(plan.EndAt())
 }
 
+// Admits reports whether a request that needs a backend is taken: every one unless the stop has begun.
+func (s *Stop) Admits(now time.Time, need Need) bool {
+	plan, hasBegun := s.Plan()
+	return !hasBegun || !s.HasEnded() && plan.Admits(now, need)
+}
+
 // OnEnd calls a function in a goroutine of its own when End is called, unless it is cancelled before.
 func (s *Stop) OnEnd(call func()) (cancel func()) {
 	if s == nil {
@@ -154,9 +168,9 @@
 	return func() { remove() }
 }
 
-// WithEnd returns a context that also ends with End. cancel must be called.
-func (s *Stop) WithEnd(parent context.Context) (ctx context.Context, cancel context.CancelFunc) {
-	ctx, end := context.WithCancel(parent)
+// WithTimeout returns a context that ends after a time, or with End. cancel must be called.
+func (s *Stop) WithTimeout(parent context.Context, timeout time.Duration) (ctx context.Context, cancel context.CancelFunc) {
+	ctx, end := context.WithTimeout(parent, timeout)
 	remove := s.OnEnd(end)
 	return ctx, func() {
 		remove()
--- a/internal/stopping/stopping_test.go
+++ b/internal/stopping/stopping_test.go
@@ -100,7 +100,7 @@
 // Guards against a stop that ends nothing, or that ends what does not belong to it.
 func TestEndOfAStopEndsItsContexts(t *testing.T) {
 	stop := stopping.New()
-	bounded, cancel := stop.WithEnd(t.Context())
+	bounded, cancel := stop.WithTimeout(t.Context(), grace)
 	defer cancel()
 	stop.Begin(plan())
 	require.True(t, stop.HasBegun())
@@ -109,7 +109,7 @@
 	<-bounded.Done()
 	require.True(t, stop.HasEnded())
 	var never *stopping.Stop
-	free, release := never.WithEnd(t.Context())
+	free, release := never.WithTimeout(t.Context(), grace)
 	require.NoError(t, free.Err())
 	release()
 	require.False(t, never.HasBegun() || never.HasEnded())
--- a/test/mutants.d/stopping.sh
+++ b/test/mutants.d/stopping.sh
@@ -6,7 +6,7 @@
 mutant few_durations_believed internal/stopping/stopping.go \
 	'n.Recent.Count >= minRecent' 'n.Recent.Count >= 1' internal/stopping TestWorkIsTakenByTheTimeLeft
 mutant stop_without_decision internal/serving/stop.go \
-	'	if plan.Admits(now, need) &&' '	if true &&' platform TestPipelinedRequestIsNotCutByAStop
+	'	if e.core.Stop.Admits(now, need) {' '	if true {' platform TestPipelinedRequestIsNotCutByAStop
 mutant end_of_stop_without_answers platform/serve.go \
 	'	d.stopping.End()' '' platform TestRequestInFlightAtTheEndOfAStopIsAnswered
 mutant end_of_stop_without_end_of_reading platform/serve.go \
@@ -23,7 +23,7 @@
 mutant gateway_sends_without_a_look_at_the_stop internal/gateway/deadline.go \
 	'	return n.refuseStopping(ctx)' '	return nil' internal/gateway TestLateRequestIsNotSentWhileTheGatewayStops
 mutant streams_close_before_pipelined_requests platform/responder.go \
-	'	if r.connection.pipelines {' '	if false {' platform TestRequestPipelinedWithinAStreamIsAnsweredInAStop
+	'r.isStream && r.connection.pipelines' 'false' platform TestRequestPipelinedWithinAStreamIsAnsweredInAStop
 mutant send_buffer_counted_again platform/callerwriter.go \
 	'len(w.pending) + w.waiting - w.spareBytes' 'len(w.pending) + w.waiting' platform TestSendBufferOfAStopTakesAndCountsEachByteOnce
 mutant answered_callers_logged_as_cut platform/ingress.go \
--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -17,7 +17,7 @@
 mutant late_connections_not_awaited platform/ingress.go \
 	'	g.accepted.Add(1)' '	g.accepted.Add(0)' platform TestShutdownWaitsForConnectionThatStartsLate
 mutant pipelined_requests_dropped platform/responder.go \
-	'stop.HasBegun() && !r.hasNext.Load()' 'stop.HasBegun()' platform TestShutdownAnswersPipelinedRequests
+	'stop.HasBegun() && !r.expectsNext()' 'stop.HasBegun()' platform TestShutdownAnswersPipelinedRequests
 mutant closed_with_input_unread platform/ingress.go \
 	'	if respond.close && !respond.failed && c.hasUnread() {' '	if false {' platform TestAnswerIsWholeBesideUnreadInput
 mutant half_closed_callers_not_refused internal/serving/verdict.go \
--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -51,7 +51,7 @@
 	restore
 }
 
-replace internal/serving/stop.go 'if plan.Admits(now, need) &&' 'if true &&'
+replace internal/serving/stop.go 'if e.core.Stop.Admits(now, need) {' 'if true {'
 soak late_work_taken stops
 
 replace internal/serving/exchange.go 'if !isAllowed {' 'if isAllowed == e.hasBegun && e.hasBegun {'
