--- a/internal/httphead/headtest/headtest.go
+++ b/internal/httphead/headtest/headtest.go
@@ -14,6 +14,12 @@
 // ServeCut answers the first request of each connection with the bytes that next returns, and closes
 // it. It returns the address.
 func ServeCut(t *testing.T, next func() string) string {
+	t.Helper()
+	return Serve(t, func(conn net.Conn) { answer(conn, next) })
+}
+
+// Serve passes each connection to a function, one after the other. It returns the address.
+func Serve(t *testing.T, handle func(net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -24,7 +30,7 @@
 			if err != nil {
 				return
 			}
-			answer(conn, next)
+			handle(conn)
 		}
 	}()
 	return listener.Addr().String()
--- a/internal/storage/long_test.go
+++ b/internal/storage/long_test.go
@@ -8,24 +8,13 @@
 	"github.com/stretchr/testify/require"
 
 	"topazpulley/internal/httphead"
+	"topazpulley/internal/httphead/headtest"
 )
 
 // endlessServer answers each connection with a head and then bytes until it is closed.
 func endlessServer(t *testing.T, head string, chunk []byte, total int) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go sendEndless(connection, head, chunk, total)
-		}
-	}()
-	return listener.Addr().String()
+	return headtest.Serve(t, func(connection net.Conn) { go sendEndless(connection, head, chunk, total) })
 }
 
 func sendEndless(connection net.Conn, head string, chunk []byte, total int) {
