Stop: a request that a stopping daemon takes has a line with what decided it

The line request_admitted_in_stop tells the inputs of the decision, as request_stopped does for a refusal, with the announced tokens, at both doors.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -24,9 +24,11 @@
 	if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
 		need.Limit = deadline.Sub(now)
 	}
+	log := n.gateway.Logger.With(plan.Fields(now, need)...).With("id", n.request.id, "service", n.request.service, "tokens", n.request.maxTokens, "attempts", n.attempt)
 	if n.gateway.stop.Admits(now, need) {
+		log.Info("request_admitted_in_stop")
 		return nil
 	}
-	n.gateway.Logger.With(plan.Fields(now, need)...).Info("request_stopped", "id", n.request.id, "service", n.request.service, "attempts", n.attempt)
+	log.Info("request_stopped")
 	return n.ran.Refuse(failure.New(failure.KindUnavailable, string(serving.ReasonStopping), "the daemon is stopping").WithRetryAfter(plan.RetryAfter(now)))
 }
--- a/internal/serving/stop.go
+++ b/internal/serving/stop.go
@@ -15,11 +15,13 @@
 		return false
 	}
 	now, need := time.Now(), e.need()
+	log := e.core.Logger.With(plan.Fields(now, need)...).With("id", e.request.ID, "route", e.request.Route.Name, "tokens", e.request.Tokens, "sends", e.sends, "runs", e.runs)
 	if e.core.Stop.Admits(now, need) {
+		log.Info("request_admitted_in_stop")
 		return false
 	}
 	e.reason = ReasonStopping
-	e.core.Logger.With(plan.Fields(now, need)...).Info("request_stopped", "id", e.request.ID, "route", e.request.Route.Name, "sends", e.sends, "runs", e.runs)
+	log.Info("request_stopped")
 	e.giveUp(plan.RetryAfter(now), string(ReasonStopping))
 	return true
 }
