Stop: late work is taken by its own bound, not by how long others took

A plain request that may run once got a 502 that nobody may repeat.

Cause: from 2.5 s on Plan.Admits took a request if the longest of the route's recent ones, a quarter more and 0.1 s fit into what was left. That is a habit of other requests; this one announced four times their output. Where a request was sent more than 3 s after SIGTERM the promise has no exception.

Evidence: request_admitted_in_stop left_ms=3771 longest_ms=1212 recent=24 limit_ms=7999 tokens=960; one attempt, no wait, the usual pace.

Change: a request that was read after ListenUntil is taken only if its caller's deadline or its route's timeout comes before the end. The durations of others decide only where a wrong guess breaks nothing: what was read earlier, and plain requests that may be repeated. Need says what a wrong guess costs (Risk).

The gateway's case 'time suffices' is that of a request read early; two cases more.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -20,7 +20,7 @@
 		return nil
 	}
 	now := time.Now()
-	need := stopping.Need{Limit: unlimited, IsStream: true, Recent: n.gateway.durations.Recent(n.request.service)}
+	need := stopping.Need{Limit: unlimited, ReadAt: n.request.arrived, Risk: stopping.RiskCut, Recent: n.gateway.durations.Recent(n.request.service)}
 	if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
 		need.Limit = deadline.Sub(now)
 	}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -13,11 +14,17 @@
 
 // Guards against requests that are sent to an engine though the daemon stops before they can end.
 func TestLateRequestIsNotSentWhileTheGatewayStops(t *testing.T) {
-	const grace, usual = 90 * time.Second, 10 * time.Second
+	const grace = 90 * time.Second
 	for name, played := range map[string]struct {
-		left  time.Duration
-		sends int
-	}{"time suffices": {time.Minute, 1}, "time does not suffice": {5 * time.Second, 0}} {
+		usual, left, callerWaits time.Duration
+		isReadEarly              bool
+		sends                    int
+	}{
+		"read early, time suffices":         {10 * time.Second, time.Minute, time.Hour, true, 1},
+		"read early, time doesn't suffice":  {10 * time.Second, 5 * time.Second, time.Hour, true, 0},
+		"read late, others were short":      {time.Millisecond, time.Minute, time.Hour, false, 0},
+		"read late, its deadline is before": {time.Hour, time.Minute, 50 * time.Second, false, 1},
+	} {
 		for _, isPlain := range []bool{true, false} {
 			t.Run(name, func(t *testing.T) {
 				scripted := &scriptedEngine{script: []behaviour{answers}}
@@ -25,16 +32,21 @@
 				gateway.stop, gateway.durations = stopping.New(), stopping.NewDurations()
 				request := newTestRequest(true)
 				for range 100 {
-					gateway.durations.Observe(request.service, usual)
+					gateway.durations.Observe(request.service, played.usual)
+				}
+				plan := stopping.Plan{Began: time.Now().Add(played.left - grace), Grace: grace}
+				if gateway.BeginStop(plan); played.isReadEarly {
+					request.arrived = plan.Began
 				}
-				gateway.BeginStop(stopping.Plan{Began: time.Now().Add(played.left - grace), Grace: grace})
 				source := gateway.newGeneration(request, nil)
 				defer source.close()
+				ctx, cancel := context.WithTimeout(t.Context(), played.callerWaits)
+				defer cancel()
 				var err error
 				if isPlain {
-					_, err = source.call(t.Context(), engine.CallRequest{Method: "POST", Path: "/x"})
+					_, err = source.call(ctx, engine.CallRequest{Method: "POST", Path: "/x"})
 				} else {
-					err = drain(t.Context(), source)
+					err = drain(ctx, source)
 				}
 				if played.sends > 0 {
 					require.NoError(t, err)
--- a/internal/serving/stop.go
+++ b/internal/serving/stop.go
@@ -29,11 +29,23 @@
 // need returns what is known about the time that the request takes from now on.
 func (e *exchange) need() stopping.Need {
 	return stopping.Need{
-		Limit: e.remaining(), Objective: e.request.Route.Objective, IsStream: e.request.Route.Kind == route.KindStream,
+		Limit: e.remaining(), ReadAt: e.readAt, Objective: e.request.Route.Objective, Risk: stopRisk(e.request.Route),
 		Recent: e.core.Durations.Recent(e.request.Route.Name),
 	}
 }
 
+// stopRisk returns what becomes of a request of a route that is in flight at the end of a stop. Plain
+// answers are kept until they are complete.
+func stopRisk(of *route.Route) stopping.Risk {
+	switch {
+	case of.Kind == route.KindStream:
+		return stopping.RiskCut
+	case of.Repeatable():
+		return stopping.RiskRetry
+	}
+	return stopping.RiskFailure
+}
+
 // observeDuration records that the answer to the request is complete. The time that its caller took to
 // send it is no part of what such requests need.
 func (e *exchange) observeDuration() {
--- a/internal/stopping/stopping.go
+++ b/internal/stopping/stopping.go
@@ -3,8 +3,9 @@
 //
 //   - until ListenUntil the platform may still send callers here: a request is taken unless most of
 //     its kind take longer than what is left;
-//   - until EndAt a request is taken only if it ends before EndAt in any case, or if all recent ones
-//     of its kind would have;
+//   - until EndAt a request is taken only if it ends before EndAt in any case. How long other requests
+//     took is believed only for one that had been read before ListenUntil, or whose caller may repeat it
+//     after a failure;
 //   - from EndAt on nothing is taken, and what is in flight ends: with a whole answer that tells the
 //     truth if none has begun. Until ExitAt answers that are made reach their callers.
 package stopping
@@ -23,12 +24,12 @@
 	// before it the process does.
 	endMargin  = 700 * time.Millisecond
 	exitMargin = 250 * time.Millisecond
-	// sureShare is how much longer than all recent ones a late request may take, as a divisor of that
-	// time, and sureMargin what is added to it.
+	// sureShare is how much longer than all recent ones a request that is taken by them may take, as a
+	// divisor of that time, and sureMargin what is added to it.
 	sureShare  = 4
 	sureMargin = 100 * time.Millisecond
-	// minRecent is the number of recent requests from which the longest is known. With fewer a plain
-	// request is assumed to take objectivesOfUnknown times its objective.
+	// minRecent is the number of recent requests from which the longest is known. With fewer a request
+	// whose answer can't be cut is assumed to take objectivesOfUnknown times its objective.
 	minRecent           = 16
 	objectivesOfUnknown = 3
 )
@@ -51,17 +52,34 @@
 
 func (p Plan) usable() time.Duration { return max(p.Grace-endMargin, 0) }
 
+// Risk is what becomes of a request that is taken and whose time does not suffice.
+type Risk uint8
+
+// The risks, from the least to the gravest.
+const (
+	// RiskRetry means that its caller gets a failure as a whole answer, and may repeat the request.
+	RiskRetry Risk = iota
+	// RiskFailure means that its caller gets a failure as a whole answer, and may not repeat the request.
+	RiskFailure
+	// RiskCut means that its answer may have begun, and is cut.
+	RiskCut
+)
+
+// String returns the name used in logs.
+func (r Risk) String() string { return [...]string{"retry", "failure", "cut"}[r] }
+
 // Need is what is known about the time that a request takes.
 type Need struct {
 	// Limit is the time after which the request has ended in any case: what its caller waits, or its
 	// route's timeout.
 	Limit time.Duration
+	// ReadAt is when the request had been read completely.
+	ReadAt time.Time
 	// Objective is the time in which an answer is expected.
 	Objective time.Duration
-	// IsStream is set if the answer begins before it is complete, so that a request whose time does
-	// not suffice can no longer be refused.
-	IsStream bool
-	// Recent are the durations of such requests.
+	// Risk is what a wrong decision to take the request costs.
+	Risk Risk
+	// Recent are the durations of other requests of its kind, which are no bound of this one.
 	Recent Recent
 }
 
@@ -75,24 +93,29 @@
 		return true
 	case now.Before(p.ListenUntil()):
 		return need.Recent.Usual <= left
+	case p.wasReadLate(need) && need.Risk > RiskRetry:
+		return false
 	}
 	longest, isKnown := need.longest()
 	return isKnown && longest+longest/sureShare+sureMargin <= left
 }
 
-// longest returns the time that the request takes at most, as far as is known. That of a stream must
-// be known: a plain request that takes longer still gets an answer.
+// wasReadLate reports whether a request had been read when callers were no longer sent here.
+func (p Plan) wasReadLate(need Need) bool { return !need.ReadAt.Before(p.ListenUntil()) }
+
+// longest returns the longest time that other requests took, as far as is known. That of requests whose
+// answers may be cut must be known.
 func (n Need) longest() (time.Duration, bool) {
 	if n.Recent.Count >= minRecent {
 		return n.Recent.Longest, true
 	}
-	return max(n.Recent.Longest, objectivesOfUnknown*n.Objective), !n.IsStream
+	return max(n.Recent.Longest, objectivesOfUnknown*n.Objective), n.Risk < RiskCut
 }
 
 // Fields returns what a decision on a request rests on, as the keys and values of a log line.
 func (p Plan) Fields(now time.Time, need Need) []any {
 	return []any{
-		"since_stop_ms", now.Sub(p.Began).Milliseconds(), "left_ms", p.EndAt().Sub(now).Milliseconds(), "limit_ms", need.Limit.Milliseconds(),
+		"since_stop_ms", now.Sub(p.Began).Milliseconds(), "read_ms", need.ReadAt.Sub(p.Began).Milliseconds(), "risk", need.Risk.String(), "left_ms", p.EndAt().Sub(now).Milliseconds(), "limit_ms", need.Limit.Milliseconds(),
 		"usual_ms", need.Recent.Usual.Milliseconds(), "longest_ms", need.Recent.Longest.Milliseconds(), "recent", need.Recent.Count,
 	}
 }
--- a/test/mutants.d/stopping.sh
+++ b/test/mutants.d/stopping.sh
@@ -4,7 +4,13 @@
 mutant late_limit_ignored internal/stopping/stopping.go \
 	'	case need.Limit <= left:' '	case false:' internal/stopping TestWorkIsTakenByTheTimeLeft
 mutant few_durations_believed internal/stopping/stopping.go \
-	'n.Recent.Count >= minRecent' 'n.Recent.Count >= 1' internal/stopping TestWorkIsTakenByTheTimeLeft
+	'n.Recent.Count >= minRecent' 'n.Recent.Count >= 1' internal/stopping TestRequestReadEarlyIsTakenByTheLongestOfOthers
+mutant late_work_taken_by_habit internal/stopping/stopping.go \
+	'	case p.wasReadLate(need) && need.Risk > RiskRetry:' '	case false:' internal/stopping TestLateRequestIsTakenOnlyWithinItsOwnBound
+mutant late_work_that_may_run_once_taken_by_habit internal/serving/stop.go \
+	'	return stopping.RiskFailure' '	return stopping.RiskRetry' platform TestLateRequestIsNotTakenByTheDurationsOfOthers
+mutant early_work_refused_once_it_has_waited internal/stopping/stopping.go \
+	'return !need.ReadAt.Before(p.ListenUntil())' 'return true' internal/stopping TestRequestReadEarlyIsTakenByTheLongestOfOthers
 mutant stop_without_decision internal/serving/stop.go \
 	'	if e.core.Stop.Admits(now, need) {' '	if true {' platform TestPipelinedRequestIsNotCutByAStop
 mutant end_of_stop_without_answers platform/serve.go \
