--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -54,6 +54,9 @@
 replace internal/serving/stop.go 'if e.core.Stop.Admits(now, need) {' 'if true {'
 soak late_work_taken stops
 
+replace internal/stopping/stopping.go 'case p.wasReadLate(need) && need.Risk > RiskRetry:' 'case false:'
+soak late_work_taken_by_habit stops
+
 replace internal/serving/exchange.go 'if !isAllowed {' 'if isAllowed == e.hasBegun && e.hasBegun {'
 soak no_not_run_rule
 
