Answers: a status that is none, such as 000, is no answer

Callers saw: an answer of a back end with status 000 came as 200 with the body of that answer; an item was listed with it; a commit or an object of the store counted as done.

Cause: fasthttp's StatusCode returns 200 for a status of 0, and nobody looked at the line.

Change: httphead, which already reads first lines for joined heads, refuses those whose status is none of 100 to 599 or is 101; the attempt is corrupt, its outcome unknown, the connection closed. The command line's client uses the check too.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -14,6 +14,7 @@
 
 	"topazpulley/internal/failure"
 	"topazpulley/internal/gateway"
+	"topazpulley/internal/httphead"
 	"topazpulley/internal/quarantine"
 	"topazpulley/internal/revision"
 )
@@ -35,10 +36,14 @@
 
 // New returns a client.
 func New(baseURL, key string) *Client {
-	return &Client{
+	made := &Client{
 		BaseURL: strings.TrimSuffix(baseURL, "/"), Key: key,
 		http: &fasthttp.Client{StreamResponseBody: true, MaxConnsPerHost: maxConns, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true},
 	}
+	if strings.HasPrefix(baseURL, "http://") {
+		made.http.Dial = httphead.CheckedDial(fasthttp.Dial)
+	}
+	return made
 }
 
 // Header is one extra request header.
--- /dev/null
+++ b/internal/client/client_test.go
@@ -0,0 +1,21 @@
+package client_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpulley/internal/client"
+	"topazpulley/internal/httphead/headtest"
+)
+
+// Guards against an answer of a daemon whose status is none, and that counts as a success.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	sent := ""
+	called := client.New("http://"+headtest.ServeCut(t, func() string { return sent }), "key")
+	for _, line := range headtest.InvalidStatusLines() {
+		sent = line + "\r\nContent-Length: 2\r\n\r\n{}"
+		_, err := called.Call("GET", "/", nil)
+		require.Error(t, err, "%q", line)
+	}
+}
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"topazpulley/internal/engine"
+	"topazpulley/internal/httphead/headtest"
 )
 
 func FuzzDecodeEvents(f *testing.F) {
@@ -170,6 +172,29 @@
 	}
 }
 
+// Guards against an answer of an engine whose status is none, and that counts as a success or a refusal.
+func TestInvalidStatusOfAnEngineIsNoAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	address := listener.Addr().String()
+	for _, line := range headtest.InvalidStatusLines() {
+		for _, body := range []string{"answer", `{"code":"full"}`} {
+			text := fmt.Sprintf("%s\r\n%s: mine\r\nContent-Length: %d\r\n\r\n%s", line, engine.HeaderAttempt, len(body), body)
+			go answerOnce(listener, text)
+			_, err := engine.NewClient(time.Second).Call(t.Context(), address, engine.CallRequest{AttemptID: "mine", Method: "POST", Path: "/a"})
+			require.Error(t, err, "call, %q", line)
+			require.Equal(t, engine.OutcomeUnknown, engine.OutcomeOf(err), "call, %q", line)
+			go answerOnce(listener, text)
+			_, err = engine.NewClient(time.Second).Generate(t.Context(), address, engine.GenerateRequest{AttemptID: "mine", Model: "m", MaxTokens: 1})
+			require.Error(t, err, "generate, %q", line)
+			require.Equal(t, engine.OutcomeUnknown, engine.OutcomeOf(err), "generate, %q", line)
+			go answerOnce(listener, text)
+			require.Error(t, engine.NewClient(time.Second).Order(address, engine.Order{}), "order, %q", line)
+		}
+	}
+}
+
 // answerOnce answers the first request of the next connection and closes it.
 func answerOnce(listener net.Listener, answer string) {
 	connection, err := listener.Accept()
--- a/internal/gateway/forward_ending_test.go
+++ b/internal/gateway/forward_ending_test.go
@@ -65,3 +65,14 @@
 		require.False(t, isAnswered(t, daemon), "%d of %d bytes", size, len(head))
 	}
 }
+
+// Guards against an answer of another daemon whose status is none, and that is passed on as a success.
+func TestForwardedAnswerWithInvalidStatusIsNoAnswer(t *testing.T) {
+	sent := ""
+	address := headtest.ServeCut(t, func() string { return sent })
+	daemon := serveCalls(t, time.Second, func(c *caller) { require.True(t, c.forwardTo(membership.Member{HTTPAddress: address})) })
+	for _, line := range headtest.InvalidStatusLines() {
+		sent = line + "\r\nContent-Length: 5\r\n\r\nother"
+		require.False(t, isAnswered(t, daemon), "%q", line)
+	}
+}
--- a/internal/httphead/headtest/headtest.go
+++ b/internal/httphead/headtest/headtest.go
@@ -11,6 +11,15 @@
 	"github.com/stretchr/testify/require"
 )
 
+// InvalidStatusLines are first lines of heads whose status is none of a final answer.
+func InvalidStatusLines() []string {
+	return []string{
+		"HTTP/1.1 000 OK", "HTTP/1.0 000 OK", "HTTP/1.1 000", "HTTP/1.1 0 OK", "HTTP/1.1 00 OK", "HTTP/1.1 0000 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 099 OK",
+		"HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 1e2 OK", "HTTP/1.1 0xC8 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 200OK", "HTTP/1.1  200 OK",
+		"HTTP/1.1 101 Switching Protocols", "HTTP/1.1 150 Unknown", "HTTP/1.1 600 Unknown", "HTTP/1.1 999 Unknown", "HTTP/1.1 OK", "HTTP/1.1 ",
+	}
+}
+
 // ServeCut answers the first request of each connection with the bytes that next returns, and closes
 // it. It returns the address.
 func ServeCut(t *testing.T, next func() string) string {
--- a/internal/httphead/joined.go
+++ b/internal/httphead/joined.go
@@ -21,10 +21,11 @@
 	return bytes.Contains(text, []byte("HTTP/")) && statusLine.Match(text)
 }
 
-// CheckAnswer waits for the complete head of an answer, without consuming it, and returns a *Fault if
-// a second status line is within it: the head was cut off, and that of another answer followed on the
-// same connection. Parsers take the two for one head, with the fields of both. All other faults, and
-// the reader's errors, are left to the parser.
+// CheckAnswer waits for the complete head of an answer, without consuming it, and returns a *Fault of
+// KindStatus if its status is none of an answer, or of KindJoined if a second status line is within it:
+// the head was cut off, and that of another answer followed on the same connection. Parsers take the two
+// for one head, with the fields of both. All other faults, and the reader's errors, are left to the
+// parser.
 func CheckAnswer(reader *bufio.Reader) error {
 	for wanted := 1; ; wanted = reader.Buffered() + 1 {
 		if _, err := reader.Peek(wanted); err != nil {
@@ -61,6 +62,9 @@
 		if HoldsStatusLine(content) {
 			return length, fault(KindJoined, string(content))
 		}
+		if isFirst && !answerLine.Match(line) {
+			return length, fault(KindStatus, string(line))
+		}
 		if !isFirst && !isFieldLine(content) {
 			return length, nil
 		}
@@ -69,6 +73,12 @@
 	return 0, nil
 }
 
+// answerLine matches the first line of an answer whose status is one of RFC 9110 section 15 but 101, which
+// answers a call for another protocol only. Parsers take any three digits, and fasthttp takes 000 for 200.
+var answerLine = regexp.MustCompile(`^HTTP/[0-9]\.[0-9] (10[02-9]|1[1-9][0-9]|[2-5][0-9]{2})[ \r\n]`)
+
+// isStatusLine reports whether a line begins like the first one of an answer. Others are refused by
+// parsers.
 func isStatusLine(line []byte) bool {
 	found := statusLine.FindIndex(line)
 	return found != nil && found[0] == 0
@@ -138,4 +148,4 @@
 }
 
 // interim matches the beginning of an answer that another one follows.
-var interim = regexp.MustCompile(`^[\r\n]*HTTP/[0-9]\.[0-9] +1`)
+var interim = regexp.MustCompile(`^[\r\n]*HTTP/[0-9]\.[0-9] 1`)
--- a/internal/storage/http_test.go
+++ b/internal/storage/http_test.go
@@ -44,3 +44,15 @@
 		}
 	}
 }
+
+// Guards against a call to the platform that counts as done although the status of its answer is none.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	sent := ""
+	platform := newCutPlatform(t, func() string { return sent })
+	for _, line := range headtest.InvalidStatusLines() {
+		sent = line + "\r\nContent-Length: 2\r\n\r\n{}"
+		_, err := platform.GetObject(t.Context(), "name")
+		require.Error(t, err, "%q", line)
+		require.Error(t, platform.Put(t.Context(), "name", []byte("v")), "%q", line)
+	}
+}
--- a/test/mutants.d/streams.sh
+++ b/test/mutants.d/streams.sh
@@ -101,3 +101,7 @@
 	'row := checkpointRow{Failures: taken.Failures}' 'row := checkpointRow{Failures: taken.Failures, LastEvent: taken.LastEvent}' internal/job TestCheckpointOfOtherBuildStartsOver
 mutant scarce_items_preempted_first internal/job/dispatch.go \
 	'return items[b].losesEvents' 'return items[a].losesEvents' internal/job TestItemThatWouldStartOverIsPreemptedLast
+mutant status_zero_is_a_success internal/httphead/joined.go \
+	'if isFirst && !answerLine.Match(line) {' 'if false && !answerLine.Match(line) {' platform 'TestInvalidStatusOfABackendIsNoAnswer|TestAnswerWithStatusZeroReachesNobody|TestItemAnsweredWithStatusZeroIsRunAgain'
+mutant status_zero_of_the_store_is_a_success internal/httphead/joined.go \
+	'if isFirst && !answerLine.Match(line) {' 'if false && !answerLine.Match(line) {' platform TestInvalidStatusOfTheStoreIsUnknown
--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -57,6 +57,9 @@
 replace internal/stopping/stopping.go 'case p.wasReadLate(need) && need.Risk > RiskRetry:' 'case false:'
 soak late_work_taken_by_habit stops
 
+replace internal/httphead/joined.go 'if isFirst && !answerLine.Match(line) {' 'if false && !answerLine.Match(line) {'
+soak status_zero_is_a_success
+
 replace internal/serving/exchange.go 'if !isAllowed {' 'if isAllowed == e.hasBegun && e.hasBegun {'
 soak no_not_run_rule
 
