Answers: an unframed one is whole only if its request has reached the back end

Cause: at the end of such an answer the write's result was awaited for 50 ms, and none counted as no sign of a reset; a write that was done counted as read though its bytes had only reached this kernel.

Evidence: of seven orders, plain and stream, FIN before the reset passed as whole, with the write waiting and with the body in this kernel, and a result that comes after 300 ms. Resets while the write waits, at once, behind the last byte, and below the inline size were sound before.

Change: the write is ended and its result awaited without a limit; the kernel's information on the connection tells whether it was reset or bytes are not acknowledged. The command line refuses unframed answers, as other clients of daemons do; engines, other zones' daemons and objects are shown to hold.

Whole unframed answers to uploads of 0 to 4 MB, 20 each, stay whole.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -63,7 +63,11 @@
 		request.Header.Set(header.Name, header.Value)
 	}
 	request.SetBodyRaw(body)
-	if err := c.http.DoDeadline(request, response, time.Now().Add(timeout)); err != nil {
+	err := c.http.DoDeadline(request, response, time.Now().Add(timeout))
+	if err == nil {
+		err = httphead.CheckFraming(&response.Header) // daemons frame all their answers
+	}
+	if err != nil {
 		fasthttp.ReleaseResponse(response)
 		return nil, failure.Wrap(err, failure.KindUnavailable, "daemon_unreachable", "no answer from %s", c.BaseURL)
 	}
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -19,3 +19,10 @@
 		require.Error(t, err, "%q", line)
 	}
 }
+
+// Guards against a part of an answer that counts as whole because it states no length.
+func TestAnswerWithoutLengthIsNotWhole(t *testing.T) {
+	called := client.New("http://"+headtest.ServeCut(t, func() string { return "HTTP/1.1 200 OK\r\n\r\n{}" }), "key")
+	_, err := called.Call("GET", "/", nil)
+	require.Error(t, err)
+}
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -46,6 +46,12 @@
 	client := engine.NewClient(30 * time.Second)
 	stream, err := client.Generate(t.Context(), address, engine.GenerateRequest{AttemptID: "mine"})
 	require.NoError(t, err)
+	return readStream(t, stream)
+}
+
+// readStream reads a stream to its end, closes it and returns the first error.
+func readStream(t *testing.T, stream *engine.Stream) error {
+	t.Helper()
 	defer stream.Close()
 	for {
 		event, err := stream.Next(t.Context())
@@ -195,6 +201,35 @@
 	}
 }
 
+// Guards against a part of an answer to an upload that counts as whole: the engine sends it before it has
+// read the upload, and resets the connection.
+func TestPartOfAnEarlyAnswerIsNotComplete(t *testing.T) {
+	const begin = "HTTP/1.1 200 OK\r\n" + engine.HeaderAttempt + ": mine\r\n"
+	for name, sent := range map[string]string{"unframed": begin + "\r\na part", "length": begin + "Content-Length: 9\r\n\r\na part", "events": begin + "\r\ndata: {\"attempt_id\":\"mine\",\"index\":0,\"token\":\"x\"}\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			address := headtest.Serve(t, func(connection net.Conn) {
+				_, _ = connection.Read(make([]byte, 1024))
+				_, _ = connection.Write([]byte(sent))
+				time.Sleep(20 * time.Millisecond)
+				_ = connection.(*net.TCPConn).SetLinger(0)
+				_ = connection.Close()
+			})
+			client := engine.NewClient(time.Second)
+			_, err := client.Call(t.Context(), address, engine.CallRequest{AttemptID: "mine", Method: "POST", Path: "/a", Body: make([]byte, 4<<20)})
+			require.Error(t, err)
+			require.Equal(t, engine.OutcomeUnknown, engine.OutcomeOf(err))
+			input, err := json.Marshal(strings.Repeat("x", 4<<20))
+			require.NoError(t, err)
+			stream, err := client.Generate(t.Context(), address, engine.GenerateRequest{AttemptID: "mine", Model: "m", MaxTokens: 2, Input: input})
+			if err == nil {
+				err = readStream(t, stream)
+			}
+			require.Error(t, err)
+			require.Equal(t, engine.OutcomeUnknown, engine.OutcomeOf(err))
+		})
+	}
+}
+
 // answerOnce answers the first request of the next connection and closes it.
 func answerOnce(listener net.Listener, answer string) {
 	connection, err := listener.Accept()
--- a/internal/gateway/forward_ending_test.go
+++ b/internal/gateway/forward_ending_test.go
@@ -76,3 +76,31 @@
 		require.False(t, isAnswered(t, daemon), "%q", line)
 	}
 }
+
+// Guards against a part of another daemon's answer to an upload that is passed on as whole: it comes before
+// the upload is read, and a reset follows.
+func TestPartOfAnEarlyForwardedAnswerIsNotComplete(t *testing.T) {
+	for name, sent := range map[string]string{"unframed": "HTTP/1.1 200 OK\r\n\r\na part", "length": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\na part", "chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\na part\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			address := headtest.Serve(t, func(connection net.Conn) {
+				_, _ = connection.Read(make([]byte, 1024))
+				_, _ = io.WriteString(connection, sent)
+				time.Sleep(20 * time.Millisecond)
+				_ = connection.(*net.TCPConn).SetLinger(0)
+				_ = connection.Close()
+			})
+			daemon := serveCalls(t, time.Second, func(c *caller) { require.True(t, c.forwardTo(membership.Member{HTTPAddress: address})) })
+			conn, err := net.Dial("tcp", daemon)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", 1<<20, make([]byte, 1<<20))
+			require.NoError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				return
+			}
+			_, err = io.ReadAll(response.Body)
+			require.False(t, err == nil && response.StatusCode == http.StatusOK)
+		})
+	}
+}
--- a/test/mutants.d/endings.sh
+++ b/test/mutants.d/endings.sh
@@ -17,7 +17,20 @@
 
 // Verdict is the daemon' internal/serving TestCauseOfAttemptErrorIsNotInItsChain
 mutant swallowed_reset_is_an_end platform/transfer.go \
-	'		return err != nil' '		return false && err != nil' platform TestResetDuringWriteIsNoEnd
+	'	return err != nil' '	return false && err != nil' platform TestResetDuringWriteIsNoEnd
+mutant write_in_progress_is_an_end platform/transfer.go \
+	'	_ = a.connection.SetWriteDeadline(writeEnded)
+	err := <-a.written
+	a.written <- err
+	return err != nil' '	select {
+	case err := <-a.written:
+		a.written <- err
+		return err != nil
+	case <-time.After(50 * time.Millisecond):
+		return false
+	}' platform 'TestPartOfAnEarlyAnswerIsNotWhole|TestLateResultOfAWriteDecidesHowAnAnswerEnded'
+mutant request_in_the_kernel_is_read platform/transfer.go \
+	'a.writeFailed() || hasUndelivered(a.connection.Conn)' 'a.writeFailed()' platform TestPartOfAnEarlyAnswerIsNotWhole
 mutant swallowed_reset_ends_plain_answers platform/answer.go \
 	'	if a.transfer.Ending() == serving.EndingBroken {
 		return errors' '	if false {
--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -57,6 +57,9 @@
 replace internal/stopping/stopping.go 'case p.wasReadLate(need) && need.Risk > RiskRetry:' 'case false:'
 soak late_work_taken_by_habit stops
 
+replace platform/transfer.go 'case a.isRequestCut():' 'case false:'
+soak part_of_an_early_answer_is_whole
+
 replace internal/httphead/joined.go 'if isFirst && !answerLine.Match(line) {' 'if false && !answerLine.Match(line) {'
 soak status_zero_is_a_success
 
