Departures of back ends: logs and metrics tell how, when and from whom

The logs named the entry and its row version only: not when the store can have acknowledged that it went, who told this daemon, why the back end was used on, nor at a request how old all that was.

backend_listed, backend_missing and backend_removed now tell the source of the rows, the longest time since the acknowledgement, how the back end left (announced, gone, lapsed) and why a missing entry was not believed; request_sent and item_sent tell the age of the list and for how long the entry is missing. No decision is changed.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -86,6 +86,8 @@
 	// until then.
 	coldUntil     time.Time
 	coldAllowance coldAllowance
+	// missingSince is when this daemon heard that the entry went; zero while there is one.
+	missingSince time.Time
 }
 
 // PeerLoad is one daemon's work in flight at a backend.
@@ -161,6 +163,8 @@
 	unused map[string]Instance
 	// connected returns the incarnations with an open idle connection.
 	connected func() map[Incarnation]bool
+	// listAge returns for how long the list of backends may have been out of date.
+	listAge func() time.Duration
 }
 
 // NewSet returns an empty set.
@@ -169,7 +173,7 @@
 		states: map[string]*state{}, byService: map[string][]*state{}, publishSignal: make(chan struct{}, 1), overloaded: make(chan struct{}, 1),
 		unsentFailures: map[Incarnation]int{}, startTimes: newStartTimes(), lapsed: newLapsedStates(), peerWaiting: map[string]int{}, propagation: defaultPropagation,
 		preemptions: make(chan string, maxQueuedPreemptions), ownPreemptions: make(chan string, maxQueuedPreemptions),
-		connected: func() map[Incarnation]bool { return nil }, admission: newAdmission(),
+		connected: func() map[Incarnation]bool { return nil }, listAge: func() time.Duration { return 0 }, admission: newAdmission(),
 		software: newSoftwareVersions(), softwareSignal: make(chan struct{}, 1), unused: map[string]Instance{},
 		queues: map[string]*serviceQueue{}, peerQueueStats: map[string]map[string]slotqueue.Stats{},
 	}
@@ -188,6 +192,7 @@
 		s.addUnused(instance)
 	case ListingSame:
 		instance.StartMillis = known.StartMillis
+		known.missingSince = time.Time{}
 		s.update(known, instance)
 		known.setColdUntil(time.Now())
 	default:
--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -63,7 +63,7 @@
 }
 
 // instanceConsumer keeps the set of backends up to date with the table of backends. A backend
-// whose entry disappears before the table is settled (see isSettled) stays in use until the
+// whose entry disappears before the table is settled (see unsettled) stays in use until the
 // table is settled. mutex guards missing, the ids of these backends.
 type instanceConsumer struct {
 	ports    Ports
@@ -75,21 +75,28 @@
 	// isNamed reports whether the current configuration names a service. Backends of other
 	// services are listed but get no requests.
 	isNamed func(service string) bool
-	// isSettled reports whether a missing entry means that its backend is gone.
-	isSettled func() bool
+	// unsettled returns why a missing entry does not mean that its backend is gone.
+	unsettled func() table.UnsettledCause
+	// departures logs backends that leave.
+	departures *departures
 
 	// isBulk is set while a change with more than maxListingLines entries is applied. It is
 	// used within the follower's calls only, of which there is one at a time.
 	isBulk bool
 
 	mutex   sync.Mutex
-	missing map[string]bool
+	missing map[string]heardDeparture
 	// missingSignal is signalled when an entry is missing.
 	missingSignal chan struct{}
 }
 
 func newInstanceConsumer(ports Ports, backends *backend.Set, metrics *telemetry.Backends, log *slog.Logger) *instanceConsumer {
-	return &instanceConsumer{ports: ports, backends: backends, metrics: metrics, log: log, unreadable: newUnreadableEntries(metrics, log), missing: map[string]bool{}, missingSignal: make(chan struct{}, 1), isSettled: func() bool { return true }, isNamed: func(string) bool { return true }}
+	return &instanceConsumer{
+		ports: ports, backends: backends, metrics: metrics, log: log, unreadable: newUnreadableEntries(metrics, log),
+		departures: &departures{metrics: metrics, log: log, origin: func() table.Origin { return table.Origin{} }},
+		missing:    map[string]heardDeparture{}, missingSignal: make(chan struct{}, 1),
+		unsettled: func() table.UnsettledCause { return table.UnsettledNot }, isNamed: func(string) bool { return true },
+	}
 }
 
 // Replace implements table.Consumer.
@@ -148,11 +155,16 @@
 		c.clearMissing(row.Key)
 	}
 	c.metrics.Listings.WithLabelValues(listing.String()).Inc()
+	if instance.Draining && !before.Draining {
+		c.departures.announced()
+	}
 	if c.isBulk || (wasListed && before == instance) {
 		return // logged as a summary, or unchanged
 	}
+	heard := c.departures.hear()
 	c.log.Info("backend_listed", "backend", instance.ID, "born", instance.StartMillis, "change", listing.String(), "service", instance.Service, "is_named", c.isNamed(instance.Service), "address", instance.Address, "zone", instance.Zone, "software", instance.Version,
-		"slots", instance.Slots, "draining", instance.Draining, "cold_ms", instance.ColdFor.Milliseconds(), "row_version", row.Version)
+		"slots", instance.Slots, "draining", instance.Draining, "cold_ms", instance.ColdFor.Milliseconds(), "row_version", row.Version,
+		"source", string(heard.origin.Source), "from", heard.origin.Daemon, "acknowledged_ms", shownMillis(heard.acknowledged))
 }
 
 // originOf returns the service and the software version of an entry as one text.
@@ -186,22 +198,32 @@
 
 // remove removes a backend if the table is settled, and records its entry as missing if not.
 func (c *instanceConsumer) remove(id string, version table.Version) {
-	if !c.isSettled() {
-		c.mutex.Lock()
-		c.missing[id] = true
-		c.mutex.Unlock()
-		select {
-		case c.missingSignal <- struct{}{}:
-		default:
-		}
+	heard := c.departures.hear()
+	if why := c.unsettled(); why != table.UnsettledNot {
+		c.addMissing(id, heard)
 		if !c.isBulk {
-			c.log.Info("backend_missing", "backend", id, "row_version", version)
+			c.departures.missing(id, version, heard, why)
 		}
 		return
 	}
+	gone, isListed := c.backends.Get(id)
 	c.backends.Remove(id)
-	if !c.isBulk {
-		c.log.Info("backend_removed", "backend", id, "row_version", version)
+	if isListed {
+		c.departures.removed(gone, departureGone, version, heard, c.isBulk)
+	}
+}
+
+// addMissing records that a backend's entry is missing, unless it is already.
+func (c *instanceConsumer) addMissing(id string, heard heardDeparture) {
+	c.backends.MarkMissing(id, heard.at)
+	c.mutex.Lock()
+	if _, isMissing := c.missing[id]; !isMissing {
+		c.missing[id] = heard
+	}
+	c.mutex.Unlock()
+	select {
+	case c.missingSignal <- struct{}{}:
+	default:
 	}
 }
 
@@ -228,15 +250,18 @@
 
 // settle removes the backends whose entries are still missing if the table is settled.
 func (c *instanceConsumer) settle() {
-	if !c.isSettled() {
+	if c.unsettled() != table.UnsettledNot {
 		return
 	}
 	c.mutex.Lock()
 	gone := c.missing
-	c.missing = map[string]bool{}
+	c.missing = map[string]heardDeparture{}
 	c.mutex.Unlock()
-	for id := range gone {
+	for id, heard := range gone {
+		left, isListed := c.backends.Get(id)
 		c.backends.Remove(id)
-		c.log.Info("backend_removed", "backend", id, "reason", "not_back")
+		if isListed {
+			c.departures.removed(left, departureLapsed, 0, heard, false)
+		}
 	}
 }
--- a/internal/frontend/instances_test.go
+++ b/internal/frontend/instances_test.go
@@ -40,7 +40,12 @@
 		return backend.Instance{ID: key, Service: "s", Slots: 1}, nil
 	}}
 	made := newInstanceConsumer(ports, backend.NewSet(), telemetry.NewBackends(registry), slog.New(slog.DiscardHandler))
-	made.isSettled = func() bool { return *settled }
+	made.unsettled = func() table.UnsettledCause {
+		if *settled {
+			return table.UnsettledNot
+		}
+		return table.UnsettledCallFailed
+	}
 	return made
 }
 
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -186,9 +186,11 @@
 		err := s.permit(waiting)
 		if err == nil {
 			number, epoch := owner.countSend(waiting)
+			known := s.backends.EvidenceOf(lease.Instance().Incarnation(), time.Now())
 			s.log.Info("item_sent", "job", owner.job.ID, "item", waiting.item.ID, "backend", chosen.ID, "software", lease.Instance().Version, "began_software", waiting.progress.origin().Software, "epoch", epoch, "attempt", number,
 				"kind", string(serving.KindOfSend(number, waiting.progress.lastID())), "due_ms", owner.due.Sub(now).Milliseconds(), "last_event", waiting.progress.lastID(),
-				"online", chosen.Online, "batch", chosen.Batch, "slots", chosen.Slots, "report_age_ms", ageMillis(chosen.ReportAge), "claims_age_ms", ageMillis(s.claimsAge()))
+				"online", chosen.Online, "batch", chosen.Batch, "slots", chosen.Slots, "report_age_ms", ageMillis(chosen.ReportAge), "claims_age_ms", ageMillis(s.claimsAge()),
+				"list_age_ms", ageMillis(known.ListAge), "entry_missing_ms", known.MissingFor.Milliseconds())
 		}
 		return err
 	}
--- a/internal/serving/sendlog.go
+++ b/internal/serving/sendlog.go
@@ -1,6 +1,10 @@
 package serving
 
-import "topazpulley/internal/telemetry"
+import (
+	"time"
+
+	"topazpulley/internal/telemetry"
+)
 
 // SendKind is the kind of an attempt in logs.
 type SendKind string
@@ -48,7 +52,9 @@
 // request_ended. A request logs at most maxSends such lines, unless it outlives refusals: those
 // attempts are paced.
 func (e *exchange) logSent(attempt *Attempt) {
+	known := e.core.Backends.EvidenceOf(attempt.Instance.Incarnation(), time.Now())
 	e.core.Logger.Info("request_sent", "id", e.request.ID, "backend", attempt.Instance.ID, "born", attempt.Instance.StartMillis, "software", attempt.Instance.Version, "attempt", e.sends,
 		"kind", string(KindOfSend(e.sends, attempt.LastEvent)), "caller", e.request.Caller, "tenant", attempt.Tenant,
-		"route", e.request.Route.Name, "last_event", attempt.LastEvent, "resumes", e.request.Resumes, "began_software", e.origin, "place", attempt.Reservation)
+		"route", e.request.Route.Name, "last_event", attempt.LastEvent, "resumes", e.request.Resumes, "began_software", e.origin, "place", attempt.Reservation,
+		"list_age_ms", known.ListAge.Milliseconds(), "entry_missing_ms", known.MissingFor.Milliseconds())
 }
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -247,12 +247,12 @@
 	}
 	f.isStoreLost.Store(isLost)
 	if isLost {
-		f.settling.Store(&settling{isUnavailable: true})
+		f.settling.Store(&settling{isUnavailable: true, cause: UnsettledCallFailed})
 		f.wakeRefresh()
 		f.Logger.Warn("table_lost", "table", f.Table, "version", f.seenVersion(), "error", err)
 		return
 	}
-	f.startSettling()
+	f.startSettling(UnsettledReturn)
 	f.Logger.Info("table_regained", "table", f.Table, "version", f.seenVersion())
 }
 
--- a/internal/table/refresh.go
+++ b/internal/table/refresh.go
@@ -139,7 +139,7 @@
 		f.setSection(peerSection(peerCopy))
 	}
 	if !f.isStoreLost.Load() {
-		f.startSettling() // whether the peer's rows are settled is not known
+		f.startSettling(UnsettledPeer) // whether the peer's rows are settled is not known
 	}
 	f.receiveFrom(SourcePeer, peerCopy.Daemon, peerCopy.Rows)
 	f.Consumer.Replace(peerCopy.Rows, peerCopy.Version)
--- a/internal/table/settling.go
+++ b/internal/table/settling.go
@@ -11,11 +11,30 @@
 // that has left must get no requests.
 const rewriteTime = 1800 * time.Millisecond
 
+// UnsettledCause is why a follower does not take a missing row for a removed one.
+type UnsettledCause string
+
+// The causes.
+const (
+	// UnsettledNot means that a missing row is a removed one.
+	UnsettledNot UnsettledCause = ""
+	// UnsettledCallFailed means that the last call for the table failed.
+	UnsettledCallFailed UnsettledCause = "call_failed"
+	// UnsettledReturn means that the store has just answered again.
+	UnsettledReturn UnsettledCause = "store_returned"
+	// UnsettledPeer means that the rows are a copy of another daemon.
+	UnsettledPeer UnsettledCause = "copy_of_peer"
+	// UnsettledUpstream means that the rows come from an upstream that is not settled.
+	UnsettledUpstream UnsettledCause = "upstream_unsettled"
+)
+
 // settling describes the last outage of the store. After it, the owners of expired rows
 // write them again.
 type settling struct {
 	// isUnavailable is set until the store answers again.
 	isUnavailable bool
+	// cause is why rows may be missing.
+	cause UnsettledCause
 	// recoveredAt is the time of the recovery, and mark the same time for detecting that
 	// the machine was suspended since.
 	recoveredAt time.Time
@@ -25,8 +44,16 @@
 }
 
 // startSettling records that expired rows may be missing from the table for rewriteTime.
-func (f *Follower) startSettling() {
-	f.settling.Store(&settling{recoveredAt: time.Now(), mark: f.Clock.Mark(), completeAt: f.Now().Add(rewriteTime)})
+func (f *Follower) startSettling(cause UnsettledCause) {
+	f.settling.Store(&settling{cause: cause, recoveredAt: time.Now(), mark: f.Clock.Mark(), completeAt: f.Now().Add(rewriteTime)})
+}
+
+// Unsettled returns why a missing row is not taken for a removed one.
+func (f *Follower) Unsettled() UnsettledCause {
+	if f.IsSettled() {
+		return UnsettledNot
+	}
+	return f.settling.Load().cause
 }
 
 // IsSettled reports whether a missing row means that the row was removed. It is false while
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -98,7 +98,7 @@
 		return
 	}
 	if !relayed.IsSettled {
-		f.startSettling()
+		f.startSettling(UnsettledUpstream)
 	}
 	f.receiveFrom(SourceUpstream, relayed.Daemon, relayed.Rows)
 	switch {
