Departures: an outage of the store is told from late answers and from this daemon's own trouble; soak

The soak's new play has back ends that leave with and without a word, beside late, refused and throttled calls of single daemons and outages of the store in which entries lapse after three heartbeats. It judges from the store's acknowledgement and the back ends' own records, with no excuse but an outage of the whole store in the last 3 s. It showed that callers were refused after real outages: a daemon whose own door refused on, heard of the lapsed entries from another one and took its own later failures for proof that the store had served others; and the grace ended before entries can be back, as it counts from the last failed call.

Now the calls that failed before the rows that arrive were current tell the outage, one call that reached its time limit shows nothing (it waited for changes, and the answer may be late), and after an outage the grace lasts for two seconds and a call's interval.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -62,7 +62,7 @@
 	flags.DurationVar(&c.span, "span", 20*time.Second, "how long faults and load of one seed last")
 	flags.IntVar(&c.daemons, "daemons", 0, "`number` of daemons, 2 to 64; 0 means that of the play")
 	flags.IntVar(&c.backends, "backends", 0, "`number` of backends for items; 0 means a few")
-	flags.StringVar(&c.playName, "play", "", "instead of a seed's faults, cancel jobs during this `play`: calm, pause, throttle, cut-off, lost-end, standstill, given-up, refusals, site, release, return or stops")
+	flags.StringVar(&c.playName, "play", "", "instead of a seed's faults, cancel jobs during this `play`: calm, pause, throttle, cut-off, lost-end, standstill, given-up, refusals, site, release, return, stops or departures")
 	flags.IntVar(&c.jobItems, "items", 0, "`number` of items of a play's jobs; 0 means few")
 	flags.IntVar(&c.tries, "shrink", 0, "search for fewer faults that still fail, in at most this many `tries`")
 }
@@ -76,7 +76,7 @@
 		return fail(failure.New(failure.KindInvalid, "bad_daemons", "--daemons must be 2 to %d", maxDaemons))
 	}
 	if !soak.Play(c.playName).IsKnown() {
-		return fail(failure.New(failure.KindInvalid, "bad_play", "--play must be calm, pause, throttle, cut-off, lost-end, standstill, given-up, refusals, site, release, return or stops"))
+		return fail(failure.New(failure.KindInvalid, "bad_play", "--play must be calm, pause, throttle, cut-off, lost-end, standstill, given-up, refusals, site, release, return, stops or departures"))
 	}
 	passed, err := c.playAll(ctx)
 	if err != nil {
--- a/internal/table/absence.go
+++ b/internal/table/absence.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,8 +19,8 @@
 	// Present is how long what a row describes may be used after the row was last known to be in the
 	// store. A removal is acknowledged later than that.
 	Present time.Duration
-	// Return is how long it may be used after the store was last known to be away: by then the
-	// owners of expired rows have written them again.
+	// Return is how long it may be used after the start of the last call that found the store away: by
+	// then the owners of expired rows have written them again.
 	Return time.Duration
 	// Outage is the shortest time without an answer to any daemon that counts as an outage of the
 	// store. Rows expire in longer ones, and other daemons have told by then if the store serves them.
@@ -88,14 +89,21 @@
 	return *given
 }
 
+// unansweredCall is a call that the store refused or did not answer.
+type unansweredCall struct {
+	startedAt, endedAt boottime.Instant
+	// isSilent is set if there was no answer until the call's time limit.
+	isSilent bool
+}
+
 // contact is what a follower knows about the store's answers when rows arrive.
 type contact struct {
 	// presentAt is the latest time at which the rows seen so far were known to be current.
 	presentAt boottime.Instant
 	// answeredAt is when the store is last known to have answered this daemon or another one.
 	answeredAt boottime.Instant
-	// unansweredAt is the start of this daemon's last call that the store refused or did not answer.
-	unansweredAt boottime.Instant
+	// unanswered are this daemon's calls that the store refused or did not answer, in order.
+	unanswered []unansweredCall
 	// arrivedAt is a time at which the rows that arrive were current.
 	arrivedAt boottime.Instant
 	// awayAt is the last time at which the store was known to be away; zero if it never was.
@@ -103,13 +111,34 @@
 }
 
 // lastAway returns the last time at which the store was known to be away, given the rows that arrive.
-// If these were current before the last call that failed, the store answered others meanwhile.
+// Calls that fail after these were current show no outage: the store has answered others.
 func (c contact) lastAway(bounds AbsenceBounds) boottime.Instant {
-	isOutage := c.unansweredAt.Sub(c.answeredAt) >= bounds.Outage && c.arrivedAt >= c.unansweredAt
-	if isOutage {
-		return c.unansweredAt
+	isLater := func(call unansweredCall) bool { return call.startedAt >= c.answeredAt && call.startedAt <= c.arrivedAt }
+	first := slices.IndexFunc(c.unanswered, isLater)
+	if first < 0 {
+		return c.awayAt
+	}
+	calls := slices.DeleteFunc(slices.Clone(c.unanswered[first:]), func(call unansweredCall) bool { return !isLater(call) })
+	last := calls[len(calls)-1].startedAt
+	if last.Sub(silenceBegan(calls, c.answeredAt)) < bounds.Outage {
+		return c.awayAt
+	}
+	return last
+}
+
+// silenceBegan returns from when on calls without an answer count, the last answer being from answeredAt.
+// One call that reached its time limit shows nothing: it waited for changes, and the answer may be late.
+func silenceBegan(calls []unansweredCall, answeredAt boottime.Instant) boottime.Instant {
+	isLateAtMost := calls[0].isSilent && (len(calls) == 1 || !calls[1].isSilent)
+	if isLateAtMost {
+		return calls[0].endedAt
 	}
-	return c.awayAt
+	return answeredAt
+}
+
+// hasFailedSince reports whether a call was refused or not answered since an instant.
+func (c contact) hasFailedSince(instant boottime.Instant) bool {
+	return len(c.unanswered) > 0 && c.unanswered[len(c.unanswered)-1].startedAt > instant
 }
 
 // judge returns the doubt about missing rows and until when what they describe may be used.
@@ -120,7 +149,7 @@
 	switch {
 	case c.awayAt > 0 && now < returned:
 		return DoubtStoreAway, max(until, returned)
-	case c.unansweredAt > c.presentAt:
+	case c.hasFailedSince(c.presentAt):
 		return DoubtCallFailed, until
 	}
 	return otherDoubt, until
@@ -130,7 +159,7 @@
 func (f *Follower) giveGrace(arrivedAt boottime.Instant, otherDoubt Doubt) {
 	known := contact{
 		presentAt: boottime.Instant(f.confirmed.Load()), answeredAt: boottime.Instant(f.answered.Load()),
-		unansweredAt: boottime.Instant(f.unanswered.Load()), arrivedAt: arrivedAt, awayAt: f.awayAt,
+		unanswered: f.unanswered, arrivedAt: arrivedAt, awayAt: f.awayAt,
 	}
 	f.awayAt = known.lastAway(f.Bounds)
 	known.awayAt = f.awayAt
@@ -155,10 +184,20 @@
 		f.recordAnswered(f.Now())
 		return
 	}
-	f.unanswered.Store(int64(started))
 	f.isUnconfirmed = true
+	f.delivery.Lock()
+	defer f.delivery.Unlock()
+	ended := f.Now()
+	isSilent := IsKind(err, ErrorUnknown) && ended.Sub(started) > f.Wait
+	f.unanswered = append(f.unanswered, unansweredCall{startedAt: started, endedAt: ended, isSilent: isSilent})
+	if len(f.unanswered) > maxUnanswered {
+		f.unanswered = slices.Delete(f.unanswered, 0, 1)
+	}
 }
 
+// maxUnanswered is the number of unanswered calls that are remembered: those of some seconds.
+const maxUnanswered = 64
+
 // recordAnswered records a time at which the store answered this daemon or another one.
 func (f *Follower) recordAnswered(at boottime.Instant) {
 	if int64(at) > f.answered.Load() {
--- a/internal/table/absence_test.go
+++ b/internal/table/absence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -143,16 +144,63 @@
 		instant := func(name string) boottime.Instant {
 			return boottime.Instant(rapid.Int64Range(0, int64(20*time.Second)).Draw(t, name))
 		}
-		known := contact{presentAt: instant("present"), answeredAt: instant("answered"), unansweredAt: instant("unanswered"), arrivedAt: instant("arrived"), awayAt: instant("away")}
+		starts, failed := []boottime.Instant{}, []unansweredCall{}
+		for range rapid.IntRange(0, 4).Draw(t, "failures") {
+			starts = append(starts, instant("unanswered"))
+		}
+		slices.Sort(starts)
+		for _, started := range starts {
+			failed = append(failed, unansweredCall{startedAt: started, endedAt: started, isSilent: rapid.Bool().Draw(t, "silent")})
+		}
+		known := contact{presentAt: instant("present"), answeredAt: instant("answered"), unanswered: failed, arrivedAt: instant("arrived"), awayAt: instant("away")}
 		now := instant("now")
 		before := known.awayAt
 		known.awayAt = known.lastAway(testBounds)
 		if known.awayAt != before {
-			require.Equal(t, known.unansweredAt, known.awayAt)
-			require.GreaterOrEqual(t, known.unansweredAt.Sub(known.answeredAt), testBounds.Outage)
-			require.GreaterOrEqual(t, known.arrivedAt, known.unansweredAt, "others were served meanwhile")
+			require.Contains(t, starts, known.awayAt)
+			require.GreaterOrEqual(t, known.awayAt.Sub(known.answeredAt), testBounds.Outage)
+			require.GreaterOrEqual(t, known.arrivedAt, known.awayAt, "others were served meanwhile")
 		}
 		_, until := known.judge(testBounds, now, DoubtPeer)
 		require.LessOrEqual(t, until, max(known.presentAt.Add(testBounds.Present), known.awayAt.Add(testBounds.Return)))
 	})
 }
+
+// Guards against taking one answer that is late, and single refused calls behind it, for an outage, and
+// against missing an outage of refused or unanswered calls.
+func TestOutagesAreTold(t *testing.T) {
+	const answeredAt = boottime.Instant(time.Hour)
+	at := func(seconds float64) boottime.Instant {
+		return answeredAt.Add(time.Duration(seconds * float64(time.Second)))
+	}
+	refused := func(seconds float64) unansweredCall {
+		return unansweredCall{startedAt: at(seconds), endedAt: at(seconds)}
+	}
+	silent := func(seconds float64) unansweredCall {
+		return unansweredCall{startedAt: at(seconds), endedAt: at(seconds + 2.2), isSilent: true}
+	}
+	for name, each := range map[string]struct {
+		calls   []unansweredCall
+		arrived float64
+		away    float64
+	}{
+		"nothing":                           {nil, 4, 0},
+		"refused for long":                  {[]unansweredCall{refused(1), refused(2), refused(3.2)}, 3.3, 3.2},
+		"refused briefly":                   {[]unansweredCall{refused(1), refused(2.9)}, 3.3, 0},
+		"late, then refused":                {[]unansweredCall{silent(0.1), refused(2.4), refused(3.2)}, 3.3, 0},
+		"late, then refused for long":       {[]unansweredCall{silent(0.1), refused(2.4), refused(5.4)}, 5.5, 5.4},
+		"silent":                            {[]unansweredCall{silent(0.1), silent(2.4), silent(4.7)}, 7, 4.7},
+		"refused, others answered meantime": {[]unansweredCall{refused(1), refused(2), refused(3.2)}, 2.5, 0},
+		"others answered at the end":        {[]unansweredCall{refused(1), refused(3.2), refused(9)}, 3.3, 3.2},
+		"before the last answer":            {[]unansweredCall{refused(-9), refused(-1)}, 4, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			known := contact{answeredAt: answeredAt, unanswered: each.calls, arrivedAt: at(each.arrived)}
+			want := boottime.Instant(0)
+			if each.away > 0 {
+				want = at(each.away)
+			}
+			require.Equal(t, want, known.lastAway(testBounds))
+		})
+	}
+}
--- a/internal/table/follower.go
+++ b/internal/table/follower.go
@@ -90,7 +90,7 @@
 	// hasManyPartitions is set if the last listing had more than deferThreshold partitions.
 	hasManyPartitions bool
 
-	// delivery serializes the calls of the consumer. It guards seen, removedRows and awayAt.
+	// delivery serializes the calls of the consumer. It guards seen, removedRows, awayAt and unanswered.
 	delivery sync.Mutex
 	// removedRows is the number of rows removed from the table since it was read last.
 	removedRows int
@@ -98,6 +98,8 @@
 	seen Version
 	// awayAt is the last time at which the store was known to be away; zero if it never was.
 	awayAt boottime.Instant
+	// unanswered are the last calls that the store refused or did not answer, in order.
+	unanswered []unansweredCall
 	// isSynced is set once the consumer has all rows, until the changes after seen are lost.
 	isSynced atomic.Bool
 
@@ -127,9 +129,8 @@
 	// only. Zero means never.
 	confirmed      atomic.Int64
 	storeConfirmed atomic.Int64
-	// unanswered is the boottime.Instant at which the last call started that the store refused or
-	// did not answer, and answered the latest one at which it is known to have answered any daemon.
-	unanswered, answered atomic.Int64
+	// answered is the latest boottime.Instant at which the store is known to have answered any daemon.
+	answered atomic.Int64
 	// grace is that of the rows that the consumer received last, and outageGrace that of the last
 	// outage of the store; nil for none.
 	grace, outageGrace atomic.Pointer[Grace]
--- a/internal/table/grace_test.go
+++ b/internal/table/grace_test.go
@@ -15,7 +15,7 @@
 )
 
 // graceBounds are the bounds of a backend's entry: requests may reach it for 2 s after it has left.
-var graceBounds = table.AbsenceBounds{Present: 1800 * time.Millisecond, Return: 1800 * time.Millisecond, Outage: 3 * time.Second}
+var graceBounds = table.AbsenceBounds{Present: 1800 * time.Millisecond, Return: 2250 * time.Millisecond, Outage: 3 * time.Second}
 
 // disturbedStore answers late, and refuses calls for a time.
 type disturbedStore struct {
@@ -122,7 +122,7 @@
 			removeRow(memory, "left")
 			time.Sleep(3 * time.Second)
 			require.False(t, consumer.heardAt.IsZero())
-			require.GreaterOrEqual(t, consumer.until.Sub(consumer.heardAt), 1600*time.Millisecond)
+			require.GreaterOrEqual(t, consumer.until.Sub(consumer.heardAt), 2*time.Second)
 			cancel()
 			synctest.Wait()
 		})
--- a/test/mutants.d/departures.sh
+++ b/test/mutants.d/departures.sh
@@ -2,9 +2,11 @@
 mutant grace_counts_from_the_arrival internal/table/absence.go \
 	'until := c.presentAt.Add(bounds.Present)' 'until := now.Add(bounds.Present)' internal/table TestGraceOfRemovedRowEndsWithinBound
 mutant any_failed_call_is_an_outage internal/table/absence.go \
-	'c.unansweredAt.Sub(c.answeredAt) >= bounds.Outage && ' '' internal/table TestGraceOfRemovedRowEndsWithinBound
+	'if last.Sub(silenceBegan(calls, c.answeredAt)) < bounds.Outage {' 'if false {' internal/table TestGraceOfRemovedRowEndsWithinBound
 mutant outage_while_others_are_served internal/table/absence.go \
-	' && c.arrivedAt >= c.unansweredAt' '' internal/table TestGraceNeverCountsFromArrival
+	' && call.startedAt <= c.arrivedAt' '' internal/table TestGraceNeverCountsFromArrival
+mutant one_late_answer_is_an_outage internal/table/absence.go \
+	'if isLateAtMost {' 'if isLateAtMost && false {' internal/table TestOutagesAreTold
 mutant outages_give_no_grace internal/table/absence.go \
 	'case c.awayAt > 0 && now < returned:' 'case false:' internal/table TestGraceLastsUntilExpiredRowsAreBack
 mutant late_answers_never_confirm internal/table/absence.go \
