--- a/test/mutants.d/stopping.sh
+++ b/test/mutants.d/stopping.sh
@@ -32,5 +32,5 @@
 	'r.isStream && r.connection.pipelines' 'false' platform TestRequestPipelinedWithinAStreamIsAnsweredInAStop
 mutant send_buffer_counted_again platform/callerwriter.go \
 	'len(w.pending) + w.waiting - w.spareBytes' 'len(w.pending) + w.waiting' platform TestSendBufferOfAStopTakesAndCountsEachByteOnce
-mutant answered_callers_logged_as_cut platform/ingress.go \
+mutant answered_callers_logged_as_cut platform/requestread.go \
 	'	c.beginClosing()' '' platform TestUploadAtTheEndOfAStopIsRefusedAsNotRun
--- a/test/mutants.d/unanswered.sh
+++ b/test/mutants.d/unanswered.sh
@@ -3,7 +3,7 @@
 	'	c.state.Lock()
 	defer c.state.Unlock()
 	if c.progress.phase == phaseIdle {' '	if c.progress.phase == phaseIdle {' platform TestShutdownEndsNoRequestThatBegins
-mutant idle_end_without_last_look platform/ingress.go \
+mutant idle_end_without_last_look platform/requestread.go \
 	'	if isTimeout(err) && c.hasUnread() {' '	if false {' platform TestRequestBesideIdleEndIsAnswered
 mutant panic_without_refusal platform/ingress.go \
 	'	_ = respond.Refuse(serving.Refusal{Verdict: serving.VerdictUnknown, Code: serving.CodePanic})' '' platform TestPanicEndsOnlyItsRequest
--- a/test/soak-mutants.sh
+++ b/test/soak-mutants.sh
@@ -51,6 +51,9 @@
 	restore
 }
 
+replace internal/table/absence.go 'until := c.presentAt.Add(bounds.Present)' 'until := now.Add(bounds.Present)'
+soak grace_counts_from_the_arrival departures
+
 replace internal/serving/stop.go 'if e.core.Stop.Admits(now, need) {' 'if true {'
 soak late_work_taken stops
 
