--- a/test/mutants.d/departures.sh
+++ b/test/mutants.d/departures.sh
@@ -9,10 +9,10 @@
 	'if isLateAtMost {' 'if isLateAtMost && false {' internal/table TestOutagesAreTold
 mutant outages_give_no_grace internal/table/absence.go \
 	'case c.awayAt > 0 && now < returned:' 'case false:' internal/table TestGraceLastsUntilExpiredRowsAreBack
-mutant late_answers_never_confirm internal/table/absence.go \
+mutant late_answers_never_confirm internal/table/grace.go \
 	'	f.isUnconfirmed = true
 ' '' internal/table TestLateStoreConfirms
-mutant throttled_calls_are_an_outage internal/table/absence.go \
+mutant throttled_calls_are_an_outage internal/table/grace.go \
 	'(IsKind(err, ErrorNotDone) ||' '(IsKind(err, ErrorNotDone) || IsKind(err, ErrorThrottled) ||' internal/table TestGraceCountsFromLastPresence
 mutant later_rows_extend_the_grace internal/frontend/consumers.go \
 	'	if !isMissing {
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -358,7 +358,7 @@
 	'isBounded && time.Until(deadline)' 'isBounded && false && time.Until(deadline)' internal/gateway TestNothingIsSentAfterDeadlineInSuspension
 mutant good_ends_outlive_sleep internal/quarantine/guard.go \
 	'g.successesOf(fingerprint).record(fingerprint, g.Clock.Now())' 'g.successesOf(fingerprint).record(fingerprint, g.Clock.Now().Add(time.Hour))' internal/quarantine TestSuccessesExpireDuringSleep
-mutant asleep_is_settled internal/table/absence.go \
+mutant asleep_is_settled internal/table/grace.go \
 	'return until.Sub(boottime.Instant(f.confirmed.Load()))' 'return until.Sub(f.Now())' internal/table TestSuspendDelaysSettling
 mutant alone_as_if_few_were internal/ratelimit/share.go \
 	'isolatedShare = 1.0' 'isolatedShare = 0.25' internal/ratelimit TestSharesStayWithinTolerance
