Jobs: items whose route has ended are abandoned, not left waiting until the time to give up

An item without a route in the present configuration was left waiting, as its route may not be known here yet.

--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"topazpulley/internal/backend"
@@ -23,6 +24,8 @@
 	log         *slog.Logger
 	// origin returns where the rows that are being applied came from.
 	origin func() table.Origin
+	// isUnreadable is set while the newest configuration can't be read, so that an older one is in force.
+	isUnreadable atomic.Bool
 }
 
 // Replace implements table.Consumer.
@@ -50,6 +53,7 @@
 func (c *configConsumer) apply(row table.Row) {
 	started := time.Now()
 	config, err := c.ports.DecodeConfig(row.Value)
+	c.isUnreadable.Store(err != nil)
 	if err != nil {
 		c.log.Error("configuration_unreadable", "row_version", row.Version, "error", err)
 		return
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -109,6 +109,9 @@
 	ClaimsAge func() time.Duration
 	// ConfigurationAge returns the same for its copy of the configuration.
 	ConfigurationAge func() time.Duration
+	// isConfigurationUnreadable reports whether an older configuration is in force, because the newest one
+	// can't be read.
+	isConfigurationUnreadable func() bool
 	// CopyBytes returns the bytes of this daemon's copies of the followed tables, by table.
 	CopyBytes map[string]func() int
 
@@ -131,6 +134,16 @@
 	Quarantine *telemetry.Quarantine
 }
 
+// configurationConfirmedAt returns the latest time at which the configuration in force was known to be the
+// newest; zero if it is not.
+func (f *Frontend) configurationConfirmedAt() time.Time {
+	age := f.ConfigurationAge()
+	if f.isConfigurationUnreadable() {
+		return time.Time{}
+	}
+	return time.Now().Add(-age)
+}
+
 // isServiceNamed reports whether the current configuration names a service.
 func (f *Frontend) isServiceNamed(service string) bool {
 	current := f.Holder.Current()
@@ -184,7 +197,7 @@
 		Availability: bufferAvailability(process, availability), SubmissionLimits: submissionbuffer.LimitsOf(process.MemoryMegabytes, process.HeldSubmissionsShare),
 		Self: job.Self{Name: self.Name, Incarnation: func() int64 { return f.node.Self().Incarnation }}, Store: f.store, Backends: f.Backends, Sender: sender,
 		Holder: f.Holder, Peers: peers{node: f.node, transport: f.transport, log: log}, Metrics: metrics.Serving, Logger: log, Connections: f.Core.ConnectionShare, SettlingTime: settlingTime, ResultRetention: time.Duration(process.ResultRetention),
-		Quota: accounts, Zone: process.Zone, BatchCapacity: process.BatchCapacity, Quarantine: f.Quarantine, ClaimsAge: claims.Age,
+		Quota: accounts, Zone: process.Zone, BatchCapacity: process.BatchCapacity, Quarantine: f.Quarantine, ClaimsAge: claims.Age, ConfigurationConfirmedAt: f.configurationConfirmedAt,
 	})
 	claims.Consumer = f.Jobs
 	handleJobNotices(f.transport, f.Jobs)
@@ -195,6 +208,7 @@
 	f.instances.isNamed = f.isServiceNamed
 	f.Holder.OnTargetsChanged = func() { go f.Core.Origins.CopyAll(context.Background()) }
 	configuration := &configConsumer{ports: ports, holder: f.Holder, evacuations: newEvacuations(ports.DecodeEvacuation, f.Backends, metrics.Backends, log), log: log}
+	f.isConfigurationUnreadable = configuration.isUnreadable.Load
 	announced := newAnnouncer(ports.ConfigTable, configuration, f.node)
 	f.CopyBytes = map[string]func() int{}
 	for _, follower := range []*table.Follower{
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -148,8 +148,9 @@
 	}
 	matched, service, found := s.routeOf(owner.job.Host, waiting.item)
 	if !found {
-		return false // its route is not known here
+		return s.abandonWithoutRoute(waiting)
 	}
+	waiting.hadRoute = true
 	if s.placer.isFull(service) {
 		return false
 	}
@@ -201,6 +202,22 @@
 	return true
 }
 
+// abandonWithoutRoute abandons an item whose route has ended, and reports whether it has. A route that was
+// known here and is not in a configuration that was the newest after the job was accepted has ended; any other
+// one may not be known here yet.
+func (s *Service) abandonWithoutRoute(waiting *ownedItem) bool {
+	owner := waiting.owner
+	confirmedAt := s.configurationConfirmedAt()
+	_, _, found := s.routeOf(owner.job.Host, waiting.item) // the configuration may have changed since
+	if found || !waiting.hadRoute || !confirmedAt.After(owner.startedAt) {
+		return false
+	}
+	s.metrics.Items.WithLabelValues(string(StateAbandoned)).Inc()
+	s.log.Info("item_abandoned", "job", owner.job.ID, "item", waiting.item.ID, "reason", "route_ended", "config", s.holder.Current().Version(), "config_age_ms", ageMillis(time.Since(confirmedAt)))
+	owner.finish(waiting, Result{Item: waiting.item.ID, State: StateAbandoned})
+	return true
+}
+
 // countSend counts an attempt at an item that is about to be sent. It returns the attempt's
 // number and the epoch of the claim under which it is sent.
 func (o *ownedJob) countSend(leaving *ownedItem) (number int, epoch int64) {
--- a/internal/job/fleet_test.go
+++ b/internal/job/fleet_test.go
@@ -265,6 +265,9 @@
 	backends *backend.Set
 	// incarnation is the daemon's incarnation in the membership.
 	incarnation atomic.Int64
+	holder      *route.Holder
+	// confirmedAt is when the configuration was confirmed last, in Unix nanoseconds; 0 for never.
+	confirmedAt atomic.Int64
 }
 
 // startDaemon starts a service on the store.
@@ -302,7 +305,7 @@
 		Name: "jobs", Host: "host.example", Prefix: "/jobs/", Kind: route.KindJob, MaxAttempts: maxAttempts, MaxQueuedTokens: limit,
 		Targets: []route.Target{{Service: service, Weight: 1}},
 	}}}, time.Now())
-	started := &daemon{name: name, peers: &fakePeers{gone: map[string]bool{}, suspected: map[string]bool{}}, backends: backends}
+	started := &daemon{name: name, peers: &fakePeers{gone: map[string]bool{}, suspected: map[string]bool{}}, backends: backends, holder: holder}
 	started.incarnation.Store(1)
 	availability := table.NewAvailability(store, job.ClaimTable)
 	monotonic := table.NewMonotonic(availability)
@@ -312,6 +315,7 @@
 		Self: job.Self{Name: name, Incarnation: started.incarnation.Load}, Store: monotonic, Backends: backends, Sender: sender, Holder: holder,
 		Peers: started.peers, Metrics: telemetry.NewServing(prometheus.NewRegistry()), Logger: discardLogger, Connections: func(string) int { return 100 }, SettlingTime: settling, Quota: accounts,
 		ClaimsAge: follower.Age, Availability: availability, SubmissionLimits: testSubmissionLimits,
+		ConfigurationConfirmedAt: func() time.Time { return time.Unix(0, started.confirmedAt.Load()) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	started.cancel = cancel
--- a/internal/job/ownedjob.go
+++ b/internal/job/ownedjob.go
@@ -55,6 +55,8 @@
 	// malformed is the reason why the item can never be sent, or nil. Older versions
 	// accepted jobs without checking their items.
 	malformed error
+	// hadRoute is set once a configuration of this daemon had a route for the item.
+	hadRoute bool
 	// heldSince is when the item began to wait because a part of its prompt is quarantined;
 	// zero if it does not.
 	heldSince time.Time
@@ -84,6 +86,8 @@
 	job     Job
 	due     time.Time
 	giveUp  time.Time
+	// startedAt is when this daemon began to run the job, which was accepted before.
+	startedAt time.Time
 	// contentObject is the object that holds the job's content; empty if it is in rows.
 	contentObject string
 	ctx           context.Context
@@ -133,7 +137,7 @@
 func (s *Service) startJob(accepted Job, held versionedClaim, earlier history) {
 	ctx, cancel := context.WithCancel(s.lifetime)
 	started := &ownedJob{
-		service: s, job: accepted, due: accepted.SubmittedAt.Add(accepted.Due), ctx: ctx, cancel: cancel,
+		service: s, job: accepted, startedAt: time.Now(), due: accepted.SubmittedAt.Add(accepted.Due), ctx: ctx, cancel: cancel,
 		claim: held, committed: len(earlier.listed), committedSignal: make(chan struct{}), commitLimit: maxCommitBytes, commitCount: maxCommitResults,
 		settled: earlier.settled, contentObject: earlier.contentObject,
 	}
@@ -155,6 +159,7 @@
 		added := &ownedItem{item: item, owner: started, state: state, malformed: item.Check()}
 		added.fingerprint = quarantine.FingerprintOf(itemMethod, item.Path, accepted.Tenant, item.Body)
 		added.progress.restore(earlier.checkpoints[item.ID])
+		_, _, added.hadRoute = s.routeOf(accepted.Host, item)
 		started.items = append(started.items, added)
 	}
 	s.mutex.Lock()
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -77,6 +77,9 @@
 	Quarantine *quarantine.Guard
 	// ClaimsAge returns how old the followed copy of the claims may be.
 	ClaimsAge func() time.Duration
+	// ConfigurationConfirmedAt returns the latest time at which the holder's configuration was known to
+	// be the newest; zero if it never was. Nil means that it never is.
+	ConfigurationConfirmedAt func() time.Time
 	// Availability reports whether the store answers. Nil means that no submissions are
 	// buffered.
 	Availability Availability
@@ -119,6 +122,8 @@
 	quota           *quota.Accounts
 	quarantine      *quarantine.Guard
 	claimsAge       func() time.Duration
+	// configurationConfirmedAt is Dependencies.ConfigurationConfirmedAt, never nil.
+	configurationConfirmedAt func() time.Time
 	// hadCurrentClaims is set once the followed copy of the claims was current.
 	hadCurrentClaims atomic.Bool
 	availability     Availability
@@ -173,6 +178,10 @@
 		quota: dependencies.Quota, quarantine: dependencies.Quarantine, claimsAge: dependencies.ClaimsAge,
 		availability: dependencies.Availability, submissions: submissionbuffer.New(dependencies.SubmissionLimits), unsettledJobs: map[string]endedJob{}, sweeper: newSweeper(), objectSweeper: newObjectSweeper(dependencies.ResultRetention), cancellations: newCancellations(),
 	}
+	service.configurationConfirmedAt = dependencies.ConfigurationConfirmedAt
+	if service.configurationConfirmedAt == nil {
+		service.configurationConfirmedAt = func() time.Time { return time.Time{} }
+	}
 	service.placer = newPlacer(newRandom(), dependencies.Zone, service.batchCapacity)
 	return service
 }
