--- a/internal/backend/missing.go
+++ b/internal/backend/missing.go
@@ -52,9 +52,6 @@
 // date. It must be called before the set is used.
 func (s *Set) SetListAge(listAge func() time.Duration) { s.listAge = listAge }
 
-// maxShownListAge is logged for greater ages, and for that of a list that was never confirmed.
-const maxShownListAge = time.Hour
-
 // Evidence is what a daemon knows about the entry of a backend, for the log line of a request.
 type Evidence struct {
 	// ListAge is for how long the list of backends may have been out of date.
@@ -65,7 +62,7 @@
 
 // EvidenceOf returns what is known about the entry of an incarnation.
 func (s *Set) EvidenceOf(incarnation Incarnation, now time.Time) Evidence {
-	found := Evidence{ListAge: min(s.listAge(), maxShownListAge)}
+	found := Evidence{ListAge: s.listAge()}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if known := s.current(incarnation); known != nil && known.missing != nil {
--- a/internal/frontend/consumers.go
+++ b/internal/frontend/consumers.go
@@ -174,7 +174,7 @@
 	heard := c.departures.hear()
 	c.log.Info("backend_listed", "backend", instance.ID, "born", instance.StartMillis, "change", listing.String(), "service", instance.Service, "is_named", c.isNamed(instance.Service), "address", instance.Address, "zone", instance.Zone, "software", instance.Version,
 		"slots", instance.Slots, "draining", instance.Draining, "cold_ms", instance.ColdFor.Milliseconds(), "row_version", row.Version,
-		"source", string(heard.origin.Source), "from", heard.origin.Daemon, "acknowledged_ms", shownMillis(heard.acknowledged))
+		"source", string(heard.origin.Source), "from", heard.origin.Daemon, "acknowledged_ms", telemetry.AgeMillis(heard.acknowledged))
 }
 
 // originOf returns the service and the software version of an entry as one text.
--- a/internal/frontend/departures.go
+++ b/internal/frontend/departures.go
@@ -52,7 +52,7 @@
 // missing logs an entry that went while its backend is used on, and why it is.
 func (d *departures) missing(id string, version table.Version, found missingBackend) {
 	d.log.Info("backend_missing", "backend", id, "row_version", version, "doubt", string(found.grace.Doubt), "grace_ms", found.grace.Left().Milliseconds(),
-		"source", string(found.heard.origin.Source), "from", found.heard.origin.Daemon, "acknowledged_ms", shownMillis(found.heard.acknowledged))
+		"source", string(found.heard.origin.Source), "from", found.heard.origin.Daemon, "acknowledged_ms", telemetry.AgeMillis(found.heard.acknowledged))
 }
 
 // removed logs and counts a backend that is no longer used because its entry went. isQuiet leaves the
@@ -66,7 +66,7 @@
 	}
 	missingFor := time.Since(heard.at)
 	d.log.Info("backend_removed", "backend", gone.ID, "how", string(how), "draining", gone.Draining, "row_version", version,
-		"source", string(heard.origin.Source), "from", heard.origin.Daemon, "acknowledged_ms", shownMillis(heard.acknowledged+missingFor), "missing_ms", missingFor.Milliseconds())
+		"source", string(heard.origin.Source), "from", heard.origin.Daemon, "acknowledged_ms", telemetry.AgeMillis(heard.acknowledged+missingFor), "missing_ms", missingFor.Milliseconds())
 }
 
 // count counts a backend that is no longer used.
@@ -74,8 +74,3 @@
 	d.metrics.Departures.WithLabelValues(string(how)).Inc()
 	d.metrics.DepartureSeconds.WithLabelValues(string(how)).Observe((heard.acknowledged + time.Since(heard.at)).Seconds())
 }
-
-// maxShownAge is logged for greater ages, and for the age of what was never confirmed.
-const maxShownAge = time.Hour
-
-func shownMillis(age time.Duration) int64 { return min(age, maxShownAge).Milliseconds() }
--- a/internal/job/dispatch.go
+++ b/internal/job/dispatch.go
@@ -13,6 +13,7 @@
 	"topazpulley/internal/route"
 	"topazpulley/internal/routing"
 	"topazpulley/internal/serving"
+	"topazpulley/internal/telemetry"
 )
 
 const (
@@ -190,8 +191,8 @@
 			known := s.backends.EvidenceOf(lease.Instance().Incarnation(), time.Now())
 			s.log.Info("item_sent", "job", owner.job.ID, "item", waiting.item.ID, "backend", chosen.ID, "software", lease.Instance().Version, "began_software", waiting.progress.origin().Software, "epoch", epoch, "attempt", number,
 				"kind", string(serving.KindOfSend(number, waiting.progress.lastID())), "due_ms", owner.due.Sub(now).Milliseconds(), "last_event", waiting.progress.lastID(),
-				"online", chosen.Online, "batch", chosen.Batch, "slots", chosen.Slots, "report_age_ms", ageMillis(chosen.ReportAge), "claims_age_ms", ageMillis(s.claimsAge()),
-				"list_age_ms", ageMillis(known.ListAge), "entry_missing_ms", known.MissingFor.Milliseconds())
+				"online", chosen.Online, "batch", chosen.Batch, "slots", chosen.Slots, "report_age_ms", telemetry.AgeMillis(chosen.ReportAge), "claims_age_ms", telemetry.AgeMillis(s.claimsAge()),
+				"list_age_ms", telemetry.AgeMillis(known.ListAge), "entry_missing_ms", known.MissingFor.Milliseconds())
 		}
 		return err
 	}
@@ -213,7 +214,7 @@
 		return false
 	}
 	s.metrics.Items.WithLabelValues(string(StateAbandoned)).Inc()
-	s.log.Info("item_abandoned", "job", owner.job.ID, "item", waiting.item.ID, "reason", "route_ended", "config", s.holder.Current().Version(), "config_age_ms", ageMillis(time.Since(confirmedAt)))
+	s.log.Info("item_abandoned", "job", owner.job.ID, "item", waiting.item.ID, "reason", "route_ended", "config", s.holder.Current().Version(), "config_age_ms", telemetry.AgeMillis(time.Since(confirmedAt)))
 	owner.finish(waiting, Result{Item: waiting.item.ID, State: StateAbandoned})
 	return true
 }
@@ -270,12 +271,6 @@
 		"latest_crash_age_ms", now.Sub(verdict.Since).Milliseconds(), "waited_ms", now.Sub(held.heldSince).Milliseconds())
 }
 
-// maxShownAge is logged for greater ages, and for the age of what was never reported.
-const maxShownAge = time.Hour
-
-// ageMillis returns an age in milliseconds, as it is logged.
-func ageMillis(age time.Duration) int64 { return min(age, maxShownAge).Milliseconds() }
-
 // routeOf returns the job route of an item and the service that the item goes to. It returns
 // false if the configuration now has a route for online requests at the item's path: items
 // may run more than once, online requests may not.
--- a/internal/job/ownedjob.go
+++ b/internal/job/ownedjob.go
@@ -8,6 +8,7 @@
 	"topazpulley/internal/quarantine"
 	"topazpulley/internal/serving"
 	"topazpulley/internal/table"
+	"topazpulley/internal/telemetry"
 )
 
 // itemState is the state of an item at its owner.
@@ -246,7 +247,7 @@
 		s.settleEnded(o)
 		s.dropContent(o)
 	}
-	s.log.Info("job_dropped", "job", o.job.ID, "reason", string(reason), "epoch", o.claim.claim.Epoch, "version", o.claim.version, "claims_age_ms", ageMillis(s.claimsAge()))
+	s.log.Info("job_dropped", "job", o.job.ID, "reason", string(reason), "epoch", o.claim.claim.Epoch, "version", o.claim.version, "claims_age_ms", telemetry.AgeMillis(s.claimsAge()))
 }
 
 // nextCommit returns a channel that is closed at the next commit or when the job is
--- a/internal/job/permit.go
+++ b/internal/job/permit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"topazpulley/internal/serving"
+	"topazpulley/internal/telemetry"
 )
 
 // claimsAgeLimit is the age of this daemon's copy of the claims above which it starts no
@@ -31,7 +32,7 @@
 
 // Error implements error.
 func (e *permitError) Error() string {
-	return "permit refused: " + string(e.reason) + ", claims_age_ms=" + strconv.FormatInt(ageMillis(e.claimsAge), 10)
+	return "permit refused: " + string(e.reason) + ", claims_age_ms=" + strconv.FormatInt(telemetry.AgeMillis(e.claimsAge), 10)
 }
 
 // permit returns an error unless the item may be sent to a backend now. It is called once
@@ -72,7 +73,7 @@
 		if isStale {
 			event = "claims_too_old"
 		}
-		s.log.Info(event, "claims_age_ms", ageMillis(age), "limit_ms", claimsAgeLimit.Milliseconds(), "jobs", s.Owned())
+		s.log.Info(event, "claims_age_ms", telemetry.AgeMillis(age), "limit_ms", claimsAgeLimit.Milliseconds(), "jobs", s.Owned())
 	}
 	return !isStale
 }
--- a/internal/job/tenant.go
+++ b/internal/job/tenant.go
@@ -7,6 +7,7 @@
 
 	"topazpulley/internal/failure"
 	"topazpulley/internal/table"
+	"topazpulley/internal/telemetry"
 )
 
 // TenantJobs answers a tenant's calls about jobs. Jobs of other tenants are reported as
@@ -75,7 +76,7 @@
 
 // Error implements error.
 func (e *staleClaimsError) Error() string {
-	return "the read may be stale: claims_age_ms=" + strconv.FormatInt(ageMillis(e.claimsAge), 10)
+	return "the read may be stale: claims_age_ms=" + strconv.FormatInt(telemetry.AgeMillis(e.claimsAge), 10)
 }
 
 // mayAccess reports whether a caller may access a job of the tenant owner. Jobs without
--- a/internal/serving/sendlog.go
+++ b/internal/serving/sendlog.go
@@ -56,5 +56,5 @@
 	e.core.Logger.Info("request_sent", "id", e.request.ID, "backend", attempt.Instance.ID, "born", attempt.Instance.StartMillis, "software", attempt.Instance.Version, "attempt", e.sends,
 		"kind", string(KindOfSend(e.sends, attempt.LastEvent)), "caller", e.request.Caller, "tenant", attempt.Tenant,
 		"route", e.request.Route.Name, "last_event", attempt.LastEvent, "resumes", e.request.Resumes, "began_software", e.origin, "place", attempt.Reservation,
-		"list_age_ms", known.ListAge.Milliseconds(), "entry_missing_ms", known.MissingFor.Milliseconds())
+		"list_age_ms", telemetry.AgeMillis(known.ListAge), "entry_missing_ms", known.MissingFor.Milliseconds())
 }
